Frame of the decision logic, the loop and the schemas

The interfaces that every later part grows on: inputs, outputs, keys, records and the typed view of the platform's key space, with the loop that joins them to the drivers. Parts and drivers decide nothing yet.

--- /dev/null
+++ b/src/core/ctx.rs
@@ -0,0 +1,163 @@
+//! What every part of the decision logic is handed with an event.
+
+use {
+    super::{
+        keys::{
+            AttemptId, DaemonName, HallName, Incarnation, OperationId, OrderId, Owner, PlatformId,
+            RegionName,
+        },
+        message::Message,
+        options::Options,
+        output::{Event, Level, Output, PlatformCall, Transport},
+        time::{Span, Time},
+        timer::Timer,
+    },
+    rand::{RngCore, SeedableRng, rngs::SmallRng},
+    std::net::SocketAddr,
+};
+
+crate::record! {
+    /// Who this daemon is.
+    pub struct Identity {
+        /// Its name, the same in every run.
+        pub name: DaemonName,
+        /// This run; larger than any before.
+        pub incarnation: Incarnation,
+        /// Its region.
+        pub region: RegionName,
+        /// Its hall.
+        pub hall: HallName,
+        /// Its address for callers.
+        pub caller: SocketAddr,
+        /// Its address for other daemons, UDP and TCP alike.
+        pub peer: SocketAddr,
+        /// Addresses of daemons to ask first.
+        pub seeds: Vec<SocketAddr>,
+        /// Signs tickets; shared by no other daemon.
+        pub secret: u64,
+    }
+}
+
+/// What a daemon keeps between events besides its parts.
+#[derive(Debug)]
+pub(super) struct Frame {
+    /// Who this daemon is.
+    pub(super) me: Identity,
+    options: Options,
+    rng: SmallRng,
+    drawn: u64,
+}
+
+impl Frame {
+    pub(super) fn new(me: Identity, options: Options, seed: u64) -> Self {
+        Self {
+            me,
+            options,
+            rng: SmallRng::seed_from_u64(seed),
+            drawn: 0,
+        }
+    }
+
+    pub(super) fn ctx<'a>(&'a mut self, now: Time, out: &'a mut Vec<Output>) -> Ctx<'a> {
+        Ctx {
+            now,
+            me: &self.me,
+            options: &self.options,
+            rng: &mut self.rng,
+            drawn: &mut self.drawn,
+            out,
+        }
+    }
+}
+
+/// The time, the way out, and the sources of identifiers and chance.
+pub struct Ctx<'a> {
+    /// The time of the event.
+    pub now: Time,
+    /// Who this daemon is.
+    pub me: &'a Identity,
+    /// What may be tuned.
+    pub options: &'a Options,
+    /// The one source of chance.
+    pub rng: &'a mut SmallRng,
+    /// The last number drawn for an identifier.
+    pub drawn: &'a mut u64,
+    /// What the shell is to do, in order.
+    pub out: &'a mut Vec<Output>,
+}
+
+impl Ctx<'_> {
+    /// Asks for something.
+    pub fn push(&mut self, output: Output) {
+        self.out.push(output);
+    }
+
+    /// Sets a timer, replacing the same one set before.
+    pub fn timer(&mut self, timer: Timer, after: Span) {
+        let at = self.now + after;
+        self.push(Output::SetTimer { timer, at });
+    }
+
+    /// Calls the platform's service, and returns the call's name.
+    pub fn platform(&mut self, owner: Owner, call: PlatformCall) -> PlatformId {
+        let id = PlatformId {
+            owner,
+            number: self.draw(),
+        };
+        self.push(Output::Platform { id, call });
+        id
+    }
+
+    /// Sends a message that may be lost.
+    pub fn datagram(&mut self, to: SocketAddr, message: Message) {
+        self.push(Output::Peer {
+            to,
+            transport: Transport::Datagram,
+            message,
+        });
+    }
+
+    /// Sends a message of any size; an undelivered one is reported.
+    pub fn stream(&mut self, to: SocketAddr, message: Message) {
+        self.push(Output::Peer {
+            to,
+            transport: Transport::Stream,
+            message,
+        });
+    }
+
+    /// Logs a change of state.
+    pub fn log<S, D>(&mut self, level: Level, kind: &str, subject: S, detail: D)
+    where
+        S: ToString,
+        D: Into<String>,
+    {
+        self.push(Output::Log(Event {
+            level,
+            kind: kind.to_owned(),
+            subject: subject.to_string(),
+            detail: detail.into(),
+        }));
+    }
+
+    /// A new attempt's identifier.
+    pub fn attempt(&mut self) -> AttemptId {
+        AttemptId(self.draw())
+    }
+
+    /// A new order's identifier.
+    pub fn order(&mut self) -> OrderId {
+        OrderId(self.draw())
+    }
+
+    /// A new operation's identifier, unlike any other daemon's.
+    pub fn operation(&mut self) -> OperationId {
+        OperationId(self.rng.next_u64())
+    }
+
+    /// A number not drawn before in this run.
+    pub fn draw(&mut self) -> u64 {
+        *self.drawn += 1;
+        *self.drawn
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,388 @@
+//! The decision logic: one state machine without I/O, clock or hidden chance.
+//!
+//! [`Core::step`] takes the time and one [`Input`], and appends what is to be
+//! done to a list of [`Output`]s. The same inputs give the same outputs, so
+//! any run can be recorded and replayed. Parts are split by decision:
+//! requests, groups, members (daemons and runner hosts) and configuration.
+//! A part reads the others' queries and never changes them.
+
+pub mod config;
+pub mod count;
+pub mod ctx;
+pub mod group;
+pub mod input;
+pub mod keys;
+pub mod member;
+pub mod message;
+pub mod options;
+pub mod output;
+pub mod request;
+pub mod status;
+pub mod time;
+pub mod timer;
+
+use {
+    config::{Config, Key},
+    count::Count,
+    ctx::{Ctx, Frame, Identity},
+    group::Groups,
+    input::{
+        CallInput, HostsInput, Input, OperatorInput, OperatorRequest, PeerInput, PlatformAnswer,
+        PlatformInput, RunnerInput,
+    },
+    keys::{HostName, Owner, PlatformId},
+    member::{Hosts, Members},
+    message::Message,
+    options::Options,
+    output::{OperatorAnswer, Output},
+    request::{Requests, Site},
+    status::Status,
+    time::Time,
+    timer::Timer,
+};
+
+/// One daemon's decision logic.
+#[derive(Debug)]
+pub struct Core {
+    frame: Frame,
+    parts: Parts,
+}
+
+/// Queries.
+impl Core {
+    /// The configuration in force.
+    pub fn config(&self) -> &Config {
+        &self.parts.config
+    }
+
+    /// The other daemons.
+    pub fn members(&self) -> &Members {
+        &self.parts.members
+    }
+
+    /// The runner hosts.
+    pub fn hosts(&self) -> &Hosts {
+        &self.parts.hosts
+    }
+
+    /// The groups.
+    pub fn groups(&self) -> &Groups {
+        &self.parts.groups
+    }
+
+    /// The requests.
+    pub fn requests(&self) -> &Requests {
+        &self.parts.requests
+    }
+
+    /// The report for an operator.
+    pub fn status(&self, now: Time) -> Status {
+        self.parts.status(&self.frame.me, now)
+    }
+
+    /// What has been counted so far, for metrics.
+    pub fn counts(&self) -> Vec<Count> {
+        let mut counts = Vec::new();
+        self.parts.config.counts(&mut counts);
+        self.parts.members.counts(&mut counts);
+        self.parts.groups.counts(&mut counts);
+        self.parts.requests.counts(&mut counts);
+        counts
+    }
+}
+
+/// Commands.
+impl Core {
+    /// A daemon that knows nothing yet; `seed` is its only source of chance.
+    pub fn new(me: Identity, options: Options, seed: u64) -> Self {
+        Self {
+            frame: Frame::new(me, options, seed),
+            parts: Parts::default(),
+        }
+    }
+
+    /// Takes one event, and appends what is to be done to `out`.
+    pub fn step(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        let mut ctx = self.frame.ctx(now, out);
+        let change = self.parts.take(&mut ctx, input);
+        self.parts.spread(&mut ctx, change);
+    }
+}
+
+/// What an event changed that other parts must hear of.
+#[derive(Debug, Default)]
+struct Change {
+    keys: Vec<Key>,
+    hosts: Vec<HostName>,
+}
+
+impl Change {
+    fn keys(keys: Vec<Key>) -> Self {
+        Self {
+            keys,
+            hosts: Vec::new(),
+        }
+    }
+
+    fn hosts(hosts: Vec<HostName>) -> Self {
+        Self {
+            keys: Vec::new(),
+            hosts,
+        }
+    }
+}
+
+/// The parts, apart from the frame so that both can be borrowed at once.
+#[derive(Debug, Default)]
+struct Parts {
+    config: Config,
+    members: Members,
+    hosts: Hosts,
+    groups: Groups,
+    requests: Requests,
+}
+
+impl Parts {
+    fn take(&mut self, ctx: &mut Ctx, input: Input) -> Change {
+        match input {
+            Input::Start => self.on_start(ctx),
+            Input::Timer(timer) => self.on_timer(ctx, timer),
+            Input::Call(input) => self.on_call(ctx, input),
+            Input::Runner(input) => self.on_runner(ctx, input),
+            Input::Platform(input) => self.on_platform(ctx, input),
+            Input::Hosts(input) => self.on_hosts(ctx, input),
+            Input::Peer(input) => self.on_peer(ctx, input),
+            Input::Operator(input) => self.on_operator(ctx, input),
+            Input::Stop => self.on_stop(ctx),
+        }
+    }
+
+    /// Tells the other parts what has changed, those that others read first.
+    fn spread(&mut self, ctx: &mut Ctx, change: Change) {
+        let Change { keys, hosts } = change;
+        if keys.is_empty() && hosts.is_empty() {
+            return;
+        }
+        let view = self.config.view();
+        if !keys.is_empty() {
+            self.members.on_config(ctx, view, &keys);
+            self.groups
+                .on_config(ctx, view, &self.hosts, &self.members, &keys);
+        }
+        if !hosts.is_empty() {
+            self.groups
+                .on_hosts(ctx, view, &self.hosts, &self.members, &hosts);
+        }
+        let (requests, site) = self.split();
+        requests.on_site(ctx, &site);
+    }
+
+    /// The requests, and what they read.
+    fn split(&mut self) -> (&mut Requests, Site<'_>) {
+        let site = Site {
+            view: self.config.view(),
+            members: &self.members,
+            hosts: &self.hosts,
+            groups: &self.groups,
+        };
+        (&mut self.requests, site)
+    }
+
+    fn on_start(&mut self, ctx: &mut Ctx) -> Change {
+        self.members.on_start(ctx);
+        self.groups.on_start(ctx);
+        self.requests.on_start(ctx);
+        Change::keys(self.config.on_start(ctx))
+    }
+
+    fn on_timer(&mut self, ctx: &mut Ctx, timer: Timer) -> Change {
+        match timer {
+            Timer::Config(timer) => Change::keys(self.config.on_timer(ctx, timer, &self.members)),
+            Timer::Member(timer) => {
+                let view = self.config.view();
+                let hosts = &mut self.hosts;
+                Change::hosts(self.members.on_timer(ctx, view, hosts, &self.groups, timer))
+            }
+            Timer::Group(timer) => {
+                let view = self.config.view();
+                self.groups
+                    .on_timer(ctx, view, &self.hosts, &self.members, timer);
+                Change::default()
+            }
+            Timer::Request(timer) => {
+                let (requests, site) = self.split();
+                let suspects = requests.on_timer(ctx, &site, timer);
+                Change::hosts(self.hosts.suspect(ctx, &suspects))
+            }
+        }
+    }
+
+    fn on_call(&mut self, ctx: &mut Ctx, input: CallInput) -> Change {
+        if let CallInput::Entries {
+            call,
+            credential,
+            model,
+        } = input
+        {
+            let view = self.config.view();
+            self.members.on_entries(ctx, view, call, credential, model);
+            return Change::default();
+        }
+        let (requests, site) = self.split();
+        requests.on_call(ctx, &site, input);
+        Change::default()
+    }
+
+    fn on_runner(&mut self, ctx: &mut Ctx, input: RunnerInput) -> Change {
+        match input {
+            RunnerInput::Load { host, report } => {
+                Change::hosts(self.hosts.on_load(ctx, host, report))
+            }
+            RunnerInput::Ordered {
+                order,
+                host,
+                outcome,
+            } => {
+                let view = self.config.view();
+                self.groups
+                    .on_ordered(ctx, view, &self.hosts, &self.members, order, host, outcome);
+                Change::default()
+            }
+            RunnerInput::Holding { host, holding } => {
+                let view = self.config.view();
+                self.groups
+                    .on_holding(ctx, view, &self.hosts, &self.members, host, holding);
+                Change::default()
+            }
+            input => {
+                let (requests, site) = self.split();
+                let suspects = requests.on_runner(ctx, &site, input);
+                Change::hosts(self.hosts.suspect(ctx, &suspects))
+            }
+        }
+    }
+
+    fn on_platform(&mut self, ctx: &mut Ctx, input: PlatformInput) -> Change {
+        match input {
+            PlatformInput::Answered { id, answer } => {
+                self.members.on_platform_heard(ctx.now);
+                self.on_platform_answer(ctx, id, Some(answer))
+            }
+            PlatformInput::Failed { id } => self.on_platform_answer(ctx, id, None),
+            PlatformInput::Watched {
+                id,
+                revision,
+                events,
+            } => {
+                self.members.on_platform_heard(ctx.now);
+                Change::keys(self.config.on_watched(ctx, id, revision, events))
+            }
+            PlatformInput::WatchEnded { id, compacted } => {
+                Change::keys(self.config.on_watch_ended(ctx, id, compacted))
+            }
+        }
+    }
+
+    fn on_platform_answer(
+        &mut self,
+        ctx: &mut Ctx,
+        id: PlatformId,
+        answer: Option<PlatformAnswer>,
+    ) -> Change {
+        match id.owner {
+            Owner::Config => return Change::keys(self.config.on_platform(ctx, id, answer)),
+            Owner::Member => self.members.on_platform(ctx, id, answer),
+            Owner::Group => {
+                let view = self.config.view();
+                self.groups
+                    .on_platform(ctx, view, &self.hosts, &self.members, id, answer);
+            }
+            Owner::Request => {
+                let (requests, site) = self.split();
+                requests.on_platform(ctx, &site, id, answer);
+            }
+        }
+        Change::default()
+    }
+
+    fn on_hosts(&mut self, ctx: &mut Ctx, input: HostsInput) -> Change {
+        match input {
+            HostsInput::Listed(entries) => Change::hosts(self.hosts.on_listed(ctx, entries)),
+            HostsInput::Failed => Change::default(),
+        }
+    }
+
+    fn on_peer(&mut self, ctx: &mut Ctx, input: PeerInput) -> Change {
+        let (from, incarnation, address, message) = match input {
+            PeerInput::Received {
+                from,
+                incarnation,
+                address,
+                message,
+            } => (from, incarnation, address, message),
+            PeerInput::Undelivered { address } => {
+                self.members.on_undelivered(ctx, address);
+                return Change::default();
+            }
+        };
+        if !self.members.on_heard(ctx, &from, incarnation, address) {
+            return Change::default();
+        }
+        match message {
+            Message::Config(message) => {
+                Change::keys(self.config.on_message(ctx, &self.members, &from, message))
+            }
+            Message::Member(message) => {
+                let view = self.config.view();
+                let hosts = &mut self.hosts;
+                Change::hosts(self.members.on_message(ctx, view, hosts, &from, message))
+            }
+            Message::Group(message) => {
+                let view = self.config.view();
+                self.groups
+                    .on_message(ctx, view, &self.hosts, &self.members, &from, message);
+                Change::default()
+            }
+        }
+    }
+
+    fn on_operator(&mut self, ctx: &mut Ctx, input: OperatorInput) -> Change {
+        let OperatorInput {
+            command,
+            operation,
+            request,
+        } = input;
+        if let OperatorRequest::Status = request {
+            let answer = OperatorAnswer::Status(Box::new(self.status(ctx.me, ctx.now)));
+            ctx.push(Output::Operator { command, answer });
+            return Change::default();
+        }
+        if let Err(reason) = self.groups.check(self.config.view(), &self.hosts, &request) {
+            let answer = OperatorAnswer::Invalid(reason);
+            ctx.push(Output::Operator { command, answer });
+            return Change::default();
+        }
+        self.config.on_operator(ctx, command, operation, request);
+        Change::default()
+    }
+
+    fn on_stop(&mut self, ctx: &mut Ctx) -> Change {
+        self.members.on_stop(ctx, self.config.view());
+        self.groups.on_stop(ctx);
+        let (requests, site) = self.split();
+        requests.on_stop(ctx, &site);
+        Change::default()
+    }
+
+    fn status(&self, me: &Identity, now: Time) -> Status {
+        let view = self.config.view();
+        Status {
+            daemon: me.name.clone(),
+            revision: view.revision(),
+            fresh: self.members.is_fresh(now),
+            groups: self.groups.status(view, &self.hosts),
+            daemons: self.members.status(view),
+            domains: self.groups.domain_status(view, &self.hosts),
+        }
+    }
+}
--- /dev/null
+++ b/src/core/time.rs
@@ -0,0 +1,80 @@
+//! Virtual time: the decision logic never reads a clock, it is told the time.
+
+use std::ops::{Add, Sub};
+
+crate::key! {
+    /// A point in time, in microseconds since the daemon's clock began.
+    #[serde(transparent)]
+    pub struct Time(pub u64);
+
+    /// A length of time, in microseconds.
+    #[serde(transparent)]
+    pub struct Span(pub u64);
+}
+
+impl Time {
+    /// The time passed since `earlier`, zero if it lies ahead.
+    pub fn since(self, earlier: Time) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Span {
+    /// No time at all.
+    pub const ZERO: Span = Span(0);
+
+    /// A span of whole milliseconds.
+    pub const fn from_millis(millis: u64) -> Span {
+        Span(millis * 1_000)
+    }
+
+    /// A span of whole seconds.
+    pub const fn from_secs(secs: u64) -> Span {
+        Span(secs * 1_000_000)
+    }
+
+    /// The span in whole milliseconds, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// The span in seconds.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// The span multiplied by a whole number.
+    pub const fn times(self, factor: u64) -> Span {
+        Span(self.0.saturating_mul(factor))
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Time;
+
+    fn add(self, span: Span) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Span {
+    type Output = Span;
+
+    fn sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
+impl From<Span> for std::time::Duration {
+    fn from(span: Span) -> Self {
+        std::time::Duration::from_micros(span.0)
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! Hickoryledge serves large models whose replicas span several hosts.
+//!
+//! [`core`] decides and does no I/O; [`shell`] is the loop around it.
+
+pub mod core;
+mod derive;
+pub mod settings;
+pub mod shell;
+pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `hickoryledge` program.
+
+fn main() {}
--- /dev/null
+++ b/src/shell/calls.rs
@@ -0,0 +1,227 @@
+//! The calls open on this daemon: their bodies, and where their answers go.
+//!
+//! A call comes from a caller over HTTP or from another daemon that relays
+//! it; both get the same events.
+
+use {
+    super::Inbox,
+    crate::core::{
+        input::{CallInput, CallRequest, Input, Ticket},
+        keys::{AttemptId, CallId, KeyHash, ModelName},
+        output::{CallOutput, Ending, EntryAddress},
+        time::Span,
+    },
+    bytes::Bytes,
+    futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded},
+    http::{HeaderMap, Method, StatusCode},
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        rc::Rc,
+    },
+};
+
+/// What is sent on to a runner or a peer.
+#[derive(Debug)]
+pub struct CallBody {
+    /// The method.
+    pub method: Method,
+    /// The path at the runner, with its query.
+    pub path: String,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+    /// The body, whole.
+    pub bytes: Bytes,
+    /// What the decision logic was told; a peer is told the same.
+    pub request: CallRequest,
+}
+
+/// The head of an answer.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// The status.
+    pub status: StatusCode,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+}
+
+/// What happens to an open call's answer.
+#[derive(Debug)]
+pub enum CallEvent {
+    /// It begins.
+    Begin(Head),
+    /// Part of it; the offset counts tokens in the whole answer.
+    Data {
+        /// The position of the first token.
+        offset: u32,
+        /// The bytes.
+        bytes: Bytes,
+    },
+    /// Its one end.
+    End(Ending),
+    /// The daemons to use.
+    Entries {
+        /// The daemons, best first.
+        entries: Vec<EntryAddress>,
+        /// How long the answer may be kept.
+        ttl: Span,
+        /// A ticket for one non-idempotent request.
+        ticket: Option<Ticket>,
+    },
+}
+
+/// An open call, from the side that asked; dropping it gives the call up.
+#[derive(Debug)]
+pub struct OpenCall {
+    /// Its identifier.
+    pub call: CallId,
+    /// What happens to its answer.
+    pub events: UnboundedReceiver<CallEvent>,
+    calls: Rc<Calls>,
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.calls.close(self.call);
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    body: Option<Rc<CallBody>>,
+    sender: UnboundedSender<CallEvent>,
+}
+
+/// Every call open on this daemon.
+#[derive(Debug)]
+pub struct Calls {
+    inbox: Inbox,
+    last: Cell<u64>,
+    open: RefCell<HashMap<CallId, Entry>>,
+    heads: RefCell<HashMap<AttemptId, Head>>,
+}
+
+impl Calls {
+    /// No calls yet.
+    pub fn new(inbox: Inbox) -> Self {
+        Self {
+            inbox,
+            last: Cell::new(0),
+            open: RefCell::default(),
+            heads: RefCell::default(),
+        }
+    }
+
+    /// Opens a call and tells the decision logic.
+    pub fn open(self: &Rc<Self>, body: CallBody) -> OpenCall {
+        let request = body.request.clone();
+        let open = self.register(Some(Rc::new(body)));
+        self.inbox.send(Input::Call(CallInput::Arrived {
+            call: open.call,
+            request,
+        }));
+        open
+    }
+
+    /// Opens the question which daemons to use.
+    pub fn ask_entries(self: &Rc<Self>, credential: KeyHash, model: Option<ModelName>) -> OpenCall {
+        let open = self.register(None);
+        self.inbox.send(Input::Call(CallInput::Entries {
+            call: open.call,
+            credential,
+            model,
+        }));
+        open
+    }
+
+    /// The body of an open call.
+    pub fn body(&self, call: CallId) -> Option<Rc<CallBody>> {
+        self.open.borrow().get(&call)?.body.clone()
+    }
+
+    /// Keeps the head of an attempt's answer until the decision logic wants it.
+    pub fn keep_head(&self, attempt: AttemptId, head: Head) {
+        self.heads.borrow_mut().insert(attempt, head);
+    }
+
+    /// Forgets the head of an attempt's answer.
+    pub fn drop_head(&self, attempt: AttemptId) {
+        self.heads.borrow_mut().remove(&attempt);
+    }
+
+    /// How many calls are open.
+    pub fn count(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Carries out an output for a caller.
+    pub fn perform(&self, output: CallOutput) {
+        match output {
+            CallOutput::Begin { call, attempt } => {
+                if let Some(head) = self.heads.borrow_mut().remove(&attempt) {
+                    self.send(call, CallEvent::Begin(head));
+                }
+            }
+            CallOutput::Deliver {
+                call,
+                offset,
+                payload,
+            } => {
+                self.send(
+                    call,
+                    CallEvent::Data {
+                        offset,
+                        bytes: payload.0,
+                    },
+                );
+            }
+            CallOutput::End { call, ending } => self.end(call, CallEvent::End(ending)),
+            CallOutput::Entries {
+                call,
+                entries,
+                ttl,
+                ticket,
+            } => {
+                self.end(
+                    call,
+                    CallEvent::Entries {
+                        entries,
+                        ttl,
+                        ticket,
+                    },
+                );
+            }
+        }
+    }
+
+    fn register(self: &Rc<Self>, body: Option<Rc<CallBody>>) -> OpenCall {
+        let call = CallId(self.last.get() + 1);
+        self.last.set(call.0);
+        let (sender, events) = unbounded();
+        self.open.borrow_mut().insert(call, Entry { body, sender });
+        OpenCall {
+            call,
+            events,
+            calls: self.clone(),
+        }
+    }
+
+    fn send(&self, call: CallId, event: CallEvent) {
+        if let Some(entry) = self.open.borrow().get(&call) {
+            let _ = entry.sender.unbounded_send(event);
+        }
+    }
+
+    fn end(&self, call: CallId, event: CallEvent) {
+        if let Some(entry) = self.open.borrow_mut().remove(&call) {
+            let _ = entry.sender.unbounded_send(event);
+        }
+    }
+
+    fn close(&self, call: CallId) {
+        let was_open = self.open.borrow_mut().remove(&call).is_some();
+        if was_open {
+            self.inbox.send(Input::Call(CallInput::Gone { call }));
+        }
+    }
+}
--- /dev/null
+++ b/src/shell/http.rs
@@ -0,0 +1,96 @@
+//! HTTP over the loop: listening, serving connections, and connecting out.
+
+use {
+    bytes::Bytes,
+    compio::net::{TcpListener, TcpStream},
+    cyper_core::{CompioTimer, HyperStream},
+    http::{Request, Response},
+    http_body::Body,
+    hyper::{body::Incoming, service::Service},
+    std::{future::Future, io, net::SocketAddr, time::Duration},
+};
+
+/// Runs futures on the loop's own thread.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LocalExecutor;
+
+impl<F> hyper::rt::Executor<F> for LocalExecutor
+where
+    F: Future + 'static,
+{
+    fn execute(&self, future: F) {
+        compio::runtime::spawn(async move {
+            future.await;
+        })
+        .detach();
+    }
+}
+
+/// How long a caller may take to send a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long a connection attempt may take.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Listens on an address; port 0 takes any free one.
+///
+/// # Errors
+///
+/// Fails if the address is taken or not this host's.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// The address that a listener got.
+///
+/// # Errors
+///
+/// Fails if the system doesn't tell.
+pub fn address(listener: &TcpListener) -> io::Result<SocketAddr> {
+    listener.local_addr()
+}
+
+/// Connects to an address, giving up after [`CONNECT_TIMEOUT`].
+///
+/// # Errors
+///
+/// Fails if the address doesn't answer in time.
+pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Serves HTTP/1 on one accepted connection until it ends.
+pub async fn serve_http1<S, B>(stream: TcpStream, service: S)
+where
+    S: Service<Request<Incoming>, Response = Response<B>> + 'static,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let _ = stream.set_nodelay(true);
+    let _ = hyper::server::conn::http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(HyperStream::new_plain(stream), service)
+        .await;
+}
+
+/// Serves HTTP/2 on one accepted connection until it ends.
+pub async fn serve_http2<S, B>(stream: TcpStream, service: S)
+where
+    S: Service<Request<Incoming>, Response = Response<B>> + 'static,
+    S::Future: 'static,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let _ = stream.set_nodelay(true);
+    let _ = hyper::server::conn::http2::Builder::new(LocalExecutor)
+        .timer(CompioTimer)
+        .serve_connection(HyperStream::new_plain(stream), service)
+        .await;
+}
