--- a/src/core/config/record.rs
+++ b/src/core/config/record.rs
@@ -33,6 +33,8 @@
         pub models: Vec<ModelName>,
         /// The operation that wrote it.
         pub operation: OperationId,
+        /// Operations that took effect before, the latest last.
+        pub applied: Vec<OperationId>,
     }
 
     /// A model and how it is to be served.
@@ -52,6 +54,8 @@
         pub weights_gb: u32,
         /// The operation that wrote it.
         pub operation: OperationId,
+        /// Operations that took effect before, the latest last.
+        pub applied: Vec<OperationId>,
     }
 
     /// A plain service that requests are routed to.
@@ -64,6 +68,8 @@
         pub idempotent: bool,
         /// The operation that wrote it.
         pub operation: OperationId,
+        /// Operations that took effect before, the latest last.
+        pub applied: Vec<OperationId>,
     }
 
     /// A serving group as operators want it.
@@ -88,6 +94,8 @@
         pub deleted: bool,
         /// The operation that wrote it.
         pub operation: OperationId,
+        /// Operations that took effect before, the latest last.
+        pub applied: Vec<OperationId>,
     }
 
     /// An upgrade of a model's groups to a version.
@@ -107,6 +115,8 @@
         pub width: u16,
         /// The operation that wrote it.
         pub operation: OperationId,
+        /// Operations that took effect before, the latest last.
+        pub applied: Vec<OperationId>,
     }
 
     /// How far an upgrade is.
@@ -219,6 +229,7 @@
             open: 0,
             models: Vec::new(),
             operation: OperationId::default(),
+            applied: Vec::new(),
         }
     }
 }
@@ -233,6 +244,7 @@
             floor: 0,
             weights_gb: 1,
             operation: OperationId::default(),
+            applied: Vec::new(),
         }
     }
 }
@@ -247,6 +259,7 @@
             state: UpgradeState::Running,
             width: 1,
             operation: OperationId::default(),
+            applied: Vec::new(),
         }
     }
 }
--- /dev/null
+++ b/tests/fakes/store.rs
@@ -0,0 +1,198 @@
+//! A key-value store with revisions, leases and history, in memory.
+//!
+//! It is told the time and does no I/O; the stand-in for the platform and the
+//! fake of the tests of decisions are both built over it.
+
+use {
+    hickoryledge::core::{
+        input::{PlatformEntry, WatchEvent},
+        keys::{LeaseId, Revision},
+        output::Expect,
+        time::{Span, Time},
+    },
+    std::collections::BTreeMap,
+};
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct Store {
+    revision: i64,
+    compacted: i64,
+    entries: BTreeMap<String, PlatformEntry>,
+    history: Vec<WatchEvent>,
+    leases: BTreeMap<LeaseId, (Span, Time)>,
+    last_lease: i64,
+}
+
+/// What came of a write.
+#[derive(Debug, PartialEq)]
+pub enum Written {
+    /// It took effect at this revision.
+    Done(Revision),
+    /// The key was not as expected.
+    Conflict(Option<PlatformEntry>),
+    /// The lease that it was to hang on is gone.
+    NoLease,
+}
+
+/// Queries.
+impl Store {
+    /// The revision of the last write.
+    pub fn revision(&self) -> Revision {
+        Revision(self.revision)
+    }
+
+    /// The revision up to which the history is gone.
+    pub fn compacted(&self) -> Revision {
+        Revision(self.compacted)
+    }
+
+    /// The entries under a prefix, by key.
+    pub fn list(&self, prefix: &str) -> Vec<PlatformEntry> {
+        let from = self.entries.range(prefix.to_owned()..);
+        from.take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(_, entry)| entry.clone())
+            .collect()
+    }
+
+    /// The entry under a key.
+    pub fn get(&self, key: &str) -> Option<PlatformEntry> {
+        self.entries.get(key).cloned()
+    }
+
+    /// The changes under a prefix from a revision on; nothing if they are gone.
+    pub fn since(&self, prefix: &str, from: Revision) -> Option<Vec<WatchEvent>> {
+        if from.0 <= self.compacted {
+            return None;
+        }
+        let wanted = |event: &&WatchEvent| {
+            let (key, revision) = place(event);
+            revision >= from && key.starts_with(prefix)
+        };
+        Some(self.history.iter().filter(wanted).cloned().collect())
+    }
+}
+
+/// Commands.
+impl Store {
+    /// Writes a key if it is as expected.
+    pub fn put(
+        &mut self,
+        key: &str,
+        value: &str,
+        expect: Option<Expect>,
+        lease: Option<LeaseId>,
+    ) -> Written {
+        if !self.is_expected(key, expect) {
+            return Written::Conflict(self.get(key));
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Written::NoLease;
+        }
+        self.revision += 1;
+        let entry = PlatformEntry {
+            key: key.to_owned(),
+            value: value.to_owned(),
+            revision: self.revision(),
+            lease,
+        };
+        self.history.push(WatchEvent::Put(entry.clone()));
+        self.entries.insert(key.to_owned(), entry);
+        Written::Done(self.revision())
+    }
+
+    /// Deletes a key if it is as expected.
+    pub fn delete(&mut self, key: &str, expect: Option<Expect>) -> Written {
+        if !self.is_expected(key, expect) {
+            return Written::Conflict(self.get(key));
+        }
+        self.remove(&[key.to_owned()]);
+        Written::Done(self.revision())
+    }
+
+    /// Grants a lease.
+    pub fn grant(&mut self, now: Time, ttl: Span) -> LeaseId {
+        self.last_lease += 1;
+        let lease = LeaseId(self.last_lease);
+        self.leases.insert(lease, (ttl, now + ttl));
+        lease
+    }
+
+    /// Renews a lease, and tells how long it lasts; zero if it is gone.
+    pub fn keep_alive(&mut self, now: Time, lease: LeaseId) -> Span {
+        let Some((ttl, until)) = self.leases.get_mut(&lease) else {
+            return Span::ZERO;
+        };
+        *until = now + *ttl;
+        *ttl
+    }
+
+    /// Ends a lease and deletes its keys; false if it is gone already.
+    pub fn revoke(&mut self, lease: LeaseId) -> bool {
+        let known = self.leases.remove(&lease).is_some();
+        let hanging = |entry: &&PlatformEntry| entry.lease == Some(lease);
+        let keys: Vec<String> = self
+            .entries
+            .values()
+            .filter(hanging)
+            .map(|e| e.key.clone())
+            .collect();
+        self.remove(&keys);
+        known
+    }
+
+    /// Ends the leases whose time is over.
+    pub fn expire(&mut self, now: Time) {
+        let over: Vec<LeaseId> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, until))| *until <= now)
+            .map(|(lease, _)| *lease)
+            .collect();
+        for lease in over {
+            self.revoke(lease);
+        }
+    }
+
+    /// Forgets the history up to now.
+    pub fn compact(&mut self) {
+        self.compacted = self.revision;
+        self.history.clear();
+    }
+
+    fn is_expected(&self, key: &str, expect: Option<Expect>) -> bool {
+        let held = self.entries.get(key).map(|entry| entry.revision);
+        match expect {
+            None => true,
+            Some(Expect::Absent) => held.is_none(),
+            Some(Expect::At(revision)) => held == Some(revision),
+        }
+    }
+
+    /// Removes keys, all at one revision.
+    fn remove(&mut self, keys: &[String]) {
+        let held: Vec<&String> = keys
+            .iter()
+            .filter(|key| self.entries.contains_key(*key))
+            .collect();
+        if held.is_empty() {
+            return;
+        }
+        self.revision += 1;
+        for key in held {
+            self.entries.remove(key);
+            self.history.push(WatchEvent::Deleted {
+                key: key.clone(),
+                revision: Revision(self.revision),
+            });
+        }
+    }
+}
+
+/// The key and revision of a change.
+pub fn place(event: &WatchEvent) -> (&str, Revision) {
+    match event {
+        WatchEvent::Put(entry) => (&entry.key, entry.revision),
+        WatchEvent::Deleted { key, revision } => (key, *revision),
+    }
+}
