Frames between daemons: datagrams, streams and relayed calls

Authenticated with a keyed hash that binds each frame to its address or exchange, numbered so that none is taken twice. CallOutput::Deliver and CallEvent::Data tell the tokens of a part, which the origin of a relayed call needs to check the order of parts.

--- a/src/core/output.rs
+++ b/src/core/output.rs
@@ -85,6 +85,8 @@
             call: CallId,
             /// The position of its first token in the whole answer.
             offset: u32,
+            /// How many tokens it holds.
+            tokens: u32,
             /// The bytes to pass on.
             payload: Payload,
         },
--- a/src/shell/calls.rs
+++ b/src/shell/calls.rs
@@ -54,6 +54,8 @@
     Data {
         /// The position of the first token.
         offset: u32,
+        /// How many tokens there are.
+        tokens: u32,
         /// The bytes.
         bytes: Bytes,
     },
@@ -165,12 +167,14 @@
             CallOutput::Deliver {
                 call,
                 offset,
+                tokens,
                 payload,
             } => {
                 self.send(
                     call,
                     CallEvent::Data {
                         offset,
+                        tokens,
                         bytes: payload.0,
                     },
                 );
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -6,12 +6,14 @@
 
 pub mod callers;
 pub mod calls;
+pub mod frames;
 pub mod host_list;
 pub mod http;
 pub mod inbox;
 pub mod operators;
 pub mod peers;
 pub mod platform;
+pub mod relay;
 pub mod runners;
 pub mod timers;
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -17,3 +17,5 @@
 #[rustfmt::skip]
 #[path = "mvccpb.rs"]
 pub mod mvccpb;
+
+pub mod envelope;
--- /dev/null
+++ b/tests/member_wire.rs
@@ -0,0 +1,160 @@
+//! The envelope between daemons: what is taken, what is dropped, and why.
+
+use {
+    hickoryledge::{
+        core::keys::Incarnation,
+        wire::envelope::{Channel, Opener, Reject, Sealer, TAG_BYTES, VERSION},
+    },
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+    },
+};
+
+const KEY: [u8; 32] = [7; 32];
+const TO: &[u8] = b"127.0.0.1:1";
+
+fn sealer(run: u64) -> Sealer {
+    Sealer::new(KEY, "a".into(), Incarnation(run))
+}
+
+fn take(opener: &mut Opener, frame: &[u8]) -> Result<u32, Reject> {
+    opener.open(TO, frame)?.decode()
+}
+
+#[test]
+fn a_frame_is_taken_once_and_only_as_sent() {
+    let sealer = sealer(1);
+    let mut opener = Opener::new(KEY);
+    let frame = sealer.seal(Channel::Datagram, TO, &41u32);
+    assert_eq!(
+        Opener::new([8; 32]).open(TO, &frame).err(),
+        Some(Reject::Forged)
+    );
+    assert_eq!(
+        opener.open(b"127.0.0.1:2", &frame).err(),
+        Some(Reject::Forged)
+    );
+    assert_eq!(take(&mut opener, &frame), Ok(41));
+    assert_eq!(take(&mut opener, &frame), Err(Reject::Replayed));
+    let mut foreign = sealer.seal(Channel::Datagram, TO, &41u32);
+    foreign[0] = VERSION + 1;
+    assert_eq!(take(&mut opener, &foreign), Err(Reject::Version));
+    let longer = sealer.seal(Channel::Datagram, TO, &(41u32, 42u32));
+    assert_eq!(take(&mut opener, &longer), Err(Reject::Malformed));
+}
+
+#[test]
+fn frames_may_come_out_of_order_but_not_twice_or_very_late() {
+    let sealer = sealer(1);
+    let mut opener = Opener::new(KEY);
+    let frames: Vec<_> = (0..3_000u32)
+        .map(|n| sealer.seal(Channel::Datagram, TO, &n))
+        .collect();
+    for order in [[5, 3, 4], [1_000, 900, 1_001]] {
+        for n in order {
+            assert_eq!(take(&mut opener, &frames[n]), Ok(n as u32));
+        }
+        for n in order {
+            assert_eq!(take(&mut opener, &frames[n]), Err(Reject::Replayed));
+        }
+    }
+    assert_eq!(take(&mut opener, &frames[2_999]), Ok(2_999));
+    assert_eq!(take(&mut opener, &frames[6]), Err(Reject::Replayed));
+    assert_eq!(take(&mut opener, &frames[2_998]), Ok(2_998));
+}
+
+#[test]
+fn a_new_run_starts_anew_and_ends_the_old_one() {
+    let mut opener = Opener::new(KEY);
+    let late = sealer(1);
+    let early = late.seal(Channel::Stream, TO, &1u32);
+    assert_eq!(take(&mut opener, &early), Ok(1));
+    let fresh = sealer(2).seal(Channel::Stream, TO, &2u32);
+    assert_eq!(take(&mut opener, &fresh), Ok(2));
+    let old = late.seal(Channel::Stream, TO, &3u32);
+    assert_eq!(take(&mut opener, &old), Err(Reject::OldRun));
+}
+
+#[test]
+fn answers_are_bound_to_their_exchange_and_place() {
+    let sealer = sealer(1);
+    let opener = Opener::new(KEY);
+    let answer = sealer.seal_as(Channel::Answer, 3, b"exchange", &9u32);
+    let place = |context: &[u8], n| opener.open_answer(context, n, &answer).map(|_| ()).err();
+    assert_eq!(place(b"exchange", 3), None);
+    assert_eq!(place(b"exchange", 4), Some(Reject::Replayed));
+    assert_eq!(place(b"another", 3), Some(Reject::Forged));
+}
+
+fn runner(seed: u8) -> TestRunner {
+    let config = Config {
+        cases: 2_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    TestRunner::new_with_rng(config, rng)
+}
+
+/// Changed, cut and random bytes are dropped, and nothing panics.
+#[test]
+fn damaged_frames_are_dropped() {
+    let mut runner = runner(3);
+    let frame = sealer(1).seal(Channel::Datagram, TO, &"a body of some length");
+    let length = frame.len();
+    let damage = (0..length, 1..=255u8, 0..=length, any::<Vec<u8>>());
+    runner
+        .run(&damage, |(at, flip, cut, noise)| {
+            let mut opener = Opener::new(KEY);
+            let mut changed = frame.clone();
+            changed[at] ^= flip;
+            prop_assert!(opener.open(TO, &changed).is_err());
+            if cut < length {
+                prop_assert!(opener.open(TO, &frame[..cut]).is_err());
+            }
+            prop_assert!(opener.open(TO, &noise).is_err());
+            Ok(())
+        })
+        .expect("no damaged frame is taken");
+    assert!(length > TAG_BYTES);
+}
+
+/// Authentic frames whose bodies are noise decode to an error or a message, never a panic.
+#[test]
+fn noise_in_authentic_frames_is_survived() {
+    let mut runner = runner(4);
+    let sealer = sealer(1);
+    runner
+        .run(&proptest::collection::vec(any::<u8>(), 0..64), |noise| {
+            let mut opener = Opener::new(KEY);
+            let raw: Vec<Raw> = noise.into_iter().map(Raw).collect();
+            let raw: &[Raw] = &raw;
+            let frame = sealer.seal(Channel::Datagram, TO, &Tuple(raw));
+            let verified = opener.open(TO, &frame).expect("the frame is authentic");
+            let _ = verified.decode::<hickoryledge::core::message::Message>();
+            Ok(())
+        })
+        .expect("no panic");
+}
+
+/// One byte as it is.
+#[derive(Clone, Copy)]
+struct Raw(u8);
+
+/// Bytes without a length before them.
+struct Tuple<'a>(&'a [Raw]);
+
+impl serde::Serialize for Tuple<'_> {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        use serde::ser::SerializeTuple as _;
+        let mut tuple = serializer.serialize_tuple(self.0.len())?;
+        for Raw(byte) in self.0 {
+            tuple.serialize_element(byte)?;
+        }
+        tuple.end()
+    }
+}
