--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -94,3 +94,26 @@
         .serve_connection(HyperStream::new_plain(stream), service)
         .await;
 }
+
+/// Sends one request on a new HTTP/1 connection and returns the head; the body follows.
+///
+/// # Errors
+///
+/// Fails if the address can't be reached or the answer's head doesn't come.
+pub async fn send_once<B>(
+    address: SocketAddr,
+    request: Request<B>,
+) -> anyhow::Result<Response<Incoming>>
+where
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let stream = connect(address).await?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(HyperStream::new_plain(stream)).await?;
+    compio::runtime::spawn(async move {
+        let _ = connection.await;
+    })
+    .detach();
+    Ok(sender.send_request(request).await?)
+}
