--- a/src/core/request/mod.rs
+++ b/src/core/request/mod.rs
@@ -1,5 +1,7 @@
 //! Requests: admission, routing, attempts, and answering each once and whole.
 
+pub mod ticket;
+
 use super::{
     config::View,
     count::Count,
