Configuration spreads among daemons: digests, fetches, watchers by rank

Two daemons of a hall watch the platform; the others learn from digests sent at once when something changed and once a second besides, and fetch what they lack. A change is applied only if it is newer than what is held.

--- a/src/core/config/mod.rs
+++ b/src/core/config/mod.rs
@@ -1,25 +1,36 @@
 //! Configuration: bringing the platform's records into force on this daemon.
 //!
-//! [`Config`] follows the platform's key space and holds the [`View`] in
-//! force; it also carries out operators' writes.
+//! [`Config`] holds the [`View`] in force. Some daemons of each hall follow the
+//! platform's key space (`sync`), the others learn from them (`gossip`); both
+//! bring changes into the `mirror`, which never goes back. Operators' writes
+//! go straight to the platform (`write`).
 
 mod change;
+mod gossip;
+mod mirror;
 pub mod record;
 mod sync;
 mod view;
 mod write;
 
-pub use view::{Key, ROOT, Versioned, View};
+pub use {
+    gossip::Digest,
+    view::{Key, ROOT, Versioned, View},
+};
 
 use {
     super::{
         count::Count,
         ctx::Ctx,
-        input::{OperatorRequest, PlatformAnswer, WatchEvent},
+        input::{OperatorRequest, PlatformAnswer, PlatformEntry, WatchEvent},
         keys::{CommandId, DaemonName, OperationId, PlatformId, Revision},
         member::Members,
-        timer::ConfigTimer,
+        options::Mechanism,
+        time::{Span, Time},
+        timer::{ConfigTimer, Timer},
     },
+    gossip::Gossip,
+    mirror::Mirror,
     sync::Sync,
     write::Writes,
 };
@@ -27,37 +38,79 @@
 crate::record! {
     /// Messages between the configuration parts of two daemons.
     pub enum ConfigMessage {
-        /// The revision in force on the sender.
-        Revision(Revision),
+        /// How far the sender is.
+        Digest(Digest),
+        /// Asks for every change after a revision.
+        Fetch {
+            /// The revision up to which the sender is complete.
+            after: Revision,
+        },
+        /// Every change between two revisions.
+        Changes {
+            /// The first changes are those after this revision.
+            after: Revision,
+            /// The revision up to which they are complete.
+            complete: Revision,
+            /// The changes, in order.
+            events: Vec<WatchEvent>,
+        },
+        /// Every record, for one that lags far behind.
+        Snapshot {
+            /// The revision up to which it is complete.
+            complete: Revision,
+            /// The revision of the last change up to there.
+            changed: Revision,
+            /// The records.
+            entries: Vec<PlatformEntry>,
+        },
+    }
+}
+
+impl ConfigMessage {
+    /// The revision up to which the sender is complete, if the message tells.
+    pub fn revision(&self) -> Option<Revision> {
+        match self {
+            ConfigMessage::Digest(digest) => Some(digest.complete),
+            ConfigMessage::Fetch { after } => Some(*after),
+            ConfigMessage::Changes { .. } | ConfigMessage::Snapshot { .. } => None,
+        }
     }
 }
 
 /// The configuration in force, and the work of keeping it current.
 #[derive(Debug, Default)]
 pub struct Config {
-    view: View,
+    mirror: Mirror,
     sync: Sync,
+    gossip: Gossip,
     writes: Writes,
+    events: u64,
+    told: Revision,
 }
 
 /// Queries.
 impl Config {
     /// The records in force.
     pub fn view(&self) -> &View {
-        &self.view
+        &self.mirror.view
+    }
+
+    /// When the platform is last known to have held nothing newer than the view.
+    pub fn confirmed(&self) -> Time {
+        self.mirror.confirmed
     }
 
     /// Adds what this part has counted.
     pub fn counts(&self, counts: &mut Vec<Count>) {
         let sync = &self.sync.counted;
         let writes = &self.writes.counted;
-        let revision = self.view.revision().0.max(0) as u64;
+        let revision = self.mirror.view.revision().0.max(0) as u64;
         counts.push(Count::gauge("config_revision", revision));
         counts.push(Count::gauge(
             "config_watching",
             u64::from(self.sync.is_watching()),
         ));
-        counts.push(Count::counter("config_events_total", sync.events));
+        counts.push(Count::counter("config_events_total", self.events));
         let calls = [
             ("list", sync.lists),
             ("watch", sync.watches),
@@ -84,9 +137,16 @@
 
 /// Commands. Each returns the keys whose records changed.
 impl Config {
-    /// Starts listing and watching.
+    /// Asks peers for the records, then the platform.
     pub fn on_start(&mut self, ctx: &mut Ctx) -> Vec<Key> {
-        self.sync.start(ctx, &self.view);
+        if !ctx.options.has(Mechanism::RevisionOrder) {
+            self.mirror.view.allow_any_order();
+        }
+        self.gossip.start(ctx);
+        match self.gossip.is_waiting() {
+            true => self.sync.start_later(ctx),
+            false => self.sync.start(ctx, &self.mirror.view),
+        }
         Vec::new()
     }
 
@@ -97,15 +157,16 @@
         id: PlatformId,
         answer: Option<PlatformAnswer>,
     ) -> Vec<Key> {
-        let listed = self.sync.on_answer(ctx, &mut self.view, id, answer.clone());
-        if let Some(changed) = listed {
+        if let Some((revision, entries)) = self.sync.on_answer(ctx, id, answer.clone()) {
+            let changed = self.mirror.replace(entries, revision, revision);
+            self.on_confirmed(ctx);
+            self.sync.start(ctx, &self.mirror.view);
             return changed;
         }
-        let written = self.writes.on_answer(ctx, &self.view, id, answer);
-        written
-            .and_then(|event| self.view.apply(event))
-            .into_iter()
-            .collect()
+        let view = &self.mirror.view;
+        let written = self.writes.on_answer(ctx, view, id, answer);
+        let changed = written.and_then(|event| self.mirror.apply_early(event));
+        changed.into_iter().collect()
     }
 
     /// Takes changes under a watch.
@@ -116,8 +177,13 @@
         revision: Revision,
         events: Vec<WatchEvent>,
     ) -> Vec<Key> {
-        self.sync
-            .on_watched(ctx, &mut self.view, id, revision, events)
+        if !self.sync.on_watched(ctx, id) {
+            return Vec::new();
+        }
+        self.events += events.len() as u64;
+        let changed = self.mirror.apply(events, revision);
+        self.on_confirmed(ctx);
+        changed
     }
 
     /// Starts a new watch after the old one ended.
@@ -129,20 +195,54 @@
     /// Takes a message of another daemon's configuration part.
     pub fn on_message(
         &mut self,
-        _ctx: &mut Ctx,
-        _members: &Members,
-        _from: &DaemonName,
-        _message: ConfigMessage,
+        ctx: &mut Ctx,
+        members: &Members,
+        from: &DaemonName,
+        message: ConfigMessage,
     ) -> Vec<Key> {
-        Vec::new()
+        match message {
+            ConfigMessage::Digest(digest) => {
+                let mirror = &mut self.mirror;
+                self.gossip.on_digest(ctx, mirror, members, from, digest);
+                Vec::new()
+            }
+            ConfigMessage::Fetch { after } => {
+                self.gossip
+                    .on_fetch(ctx, &self.mirror, members, from, after);
+                Vec::new()
+            }
+            ConfigMessage::Changes {
+                after,
+                complete,
+                events,
+            } => {
+                if after > self.mirror.view.revision() {
+                    return Vec::new();
+                }
+                let changed = self.mirror.apply(events, complete);
+                self.on_fetched(ctx);
+                changed
+            }
+            ConfigMessage::Snapshot {
+                complete,
+                changed,
+                entries,
+            } => {
+                let changed = self.mirror.replace(entries, complete, changed);
+                self.on_fetched(ctx);
+                changed
+            }
+        }
     }
 
     /// Takes a timer.
-    pub fn on_timer(&mut self, ctx: &mut Ctx, timer: ConfigTimer, _members: &Members) -> Vec<Key> {
+    pub fn on_timer(&mut self, ctx: &mut Ctx, timer: ConfigTimer, members: &Members) -> Vec<Key> {
         match timer {
-            ConfigTimer::Watch => self.sync.on_timer(ctx, &self.view),
+            ConfigTimer::Watch => self.sync.on_timer(ctx, &self.mirror.view),
             ConfigTimer::Write(number) => self.writes.on_timer(ctx, number),
-            ConfigTimer::Timeout(_) | ConfigTimer::Fetch => {}
+            ConfigTimer::Fetch => self.gossip.on_timer(ctx, &self.mirror, members),
+            ConfigTimer::Gossip => self.on_period(ctx, members),
+            ConfigTimer::Timeout(_) => {}
         }
         Vec::new()
     }
@@ -157,4 +257,35 @@
     ) {
         self.writes.begin(ctx, command, operation, request);
     }
+
+    fn on_confirmed(&mut self, ctx: &mut Ctx) {
+        self.gossip.on_confirmed(ctx, &mut self.mirror);
+        self.tell_changes(ctx);
+    }
+
+    fn on_fetched(&mut self, ctx: &mut Ctx) {
+        self.gossip.on_fetched(&self.mirror);
+        if self.mirror.view.revision() == Revision::default() {
+            self.sync.start(ctx, &self.mirror.view);
+        }
+        self.tell_changes(ctx);
+    }
+
+    /// Brings the next period forward if there are changes to tell.
+    fn tell_changes(&mut self, ctx: &mut Ctx) {
+        if self.mirror.changed > self.told {
+            ctx.timer(Timer::Config(ConfigTimer::Gossip), Span::ZERO);
+        }
+    }
+
+    fn on_period(&mut self, ctx: &mut Ctx, members: &Members) {
+        let mirror = &self.mirror;
+        let has_changed = mirror.changed > self.told;
+        self.told = mirror.changed;
+        self.gossip.on_period(ctx, mirror, members, has_changed);
+        if mirror.view.revision() > Revision::default() {
+            let watcher = self.gossip.is_watcher(ctx, &mirror.view, members);
+            self.sync.set_watcher(ctx, &mirror.view, watcher);
+        }
+    }
 }
--- a/src/core/config/sync.rs
+++ b/src/core/config/sync.rs
@@ -1,15 +1,16 @@
 //! Following the platform's key space: one list, then a watch.
 //!
-//! The watch begins after the revision that the view is complete to, so no
+//! Daemons that are no watchers list once, if no peer can tell them the
+//! records, and then leave the platform alone. The watch begins after the revision that the view is complete to, so no
 //! change is missed; if the service has forgotten that revision, the keys are
 //! listed again. Failures are retried after growing, jittered pauses, so that
 //! daemons don't come back all at once after an outage.
 
 use {
-    super::view::{Key, ROOT, View},
+    super::view::{ROOT, View},
     crate::core::{
         ctx::Ctx,
-        input::{PlatformAnswer, WatchEvent},
+        input::{PlatformAnswer, PlatformEntry},
         keys::{Owner, PlatformId, Revision},
         output::PlatformCall,
         time::{Span, Time},
@@ -24,6 +25,9 @@
 /// The longest pause before a failed list or watch is tried again.
 const MAX_PAUSE: Span = Span::from_millis(1_600);
 
+/// How long peers may take to tell a new daemon the records.
+const PEER_PATIENCE: Span = Span::from_millis(300);
+
 /// How long a watch may be silent.
 const WATCH_SILENCE: Span = Span::from_secs(4);
 
@@ -31,6 +35,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Sync {
     phase: Phase,
+    /// Whether this daemon leaves the platform alone.
+    is_off: bool,
     heard: Time,
     failures: u32,
     /// What was done, for metrics.
@@ -44,8 +50,6 @@
     pub(super) lists: u64,
     /// Watches begun.
     pub(super) watches: u64,
-    /// Changes seen under watches.
-    pub(super) events: u64,
     /// Lists and watches that failed.
     pub(super) failures: u64,
 }
@@ -71,8 +75,17 @@
 
 /// Commands.
 impl Sync {
-    /// Lists, or watches if the view has a revision to go on from.
+    /// Begins after a pause, in which peers may tell the records.
+    pub(super) fn start_later(&mut self, ctx: &mut Ctx) {
+        let jitter = Span(ctx.rng.random_range(0..=PEER_PATIENCE.0));
+        ctx.timer(Timer::Config(ConfigTimer::Watch), PEER_PATIENCE + jitter);
+    }
+
+    /// Begins, unless it has begun or is not wanted.
     pub(super) fn start(&mut self, ctx: &mut Ctx, view: &View) {
+        if self.phase != Phase::Idle || self.is_off {
+            return;
+        }
         if view.revision() > Revision::default() {
             self.watch(ctx, view);
             return;
@@ -80,44 +93,46 @@
         self.list(ctx);
     }
 
-    /// Takes the answer to a list; nothing if the call was not one.
+    /// Says whether this daemon is to watch the platform.
+    pub(super) fn set_watcher(&mut self, ctx: &mut Ctx, view: &View, watcher: bool) {
+        let was_off = std::mem::replace(&mut self.is_off, !watcher);
+        if watcher && was_off {
+            self.start(ctx, view);
+        }
+        if let Phase::Watching(watch) = self.phase
+            && !watcher
+        {
+            ctx.platform(Owner::Config, PlatformCall::Unwatch { watch });
+            self.phase = Phase::Idle;
+        }
+    }
+
+    /// Takes the answer to a call; nothing if it was no list, or failed.
     pub(super) fn on_answer(
         &mut self,
         ctx: &mut Ctx,
-        view: &mut View,
         id: PlatformId,
         answer: Option<PlatformAnswer>,
-    ) -> Option<Vec<Key>> {
+    ) -> Option<(Revision, Vec<PlatformEntry>)> {
         if self.phase != Phase::Listing(id) {
             return None;
         }
         let Some(PlatformAnswer::Entries { revision, entries }) = answer else {
             self.pause(ctx);
-            return Some(Vec::new());
+            return None;
         };
-        let changed = view.replace(entries, revision);
-        self.watch(ctx, view);
-        Some(changed)
+        self.phase = Phase::Idle;
+        Some((revision, entries))
     }
 
-    /// Takes changes under the watch.
-    pub(super) fn on_watched(
-        &mut self,
-        ctx: &mut Ctx,
-        view: &mut View,
-        id: PlatformId,
-        revision: Revision,
-        events: Vec<WatchEvent>,
-    ) -> Vec<Key> {
+    /// Notes word of a watch; false if it is not the one open.
+    pub(super) fn on_watched(&mut self, ctx: &Ctx, id: PlatformId) -> bool {
         if self.phase != Phase::Watching(id) {
-            return Vec::new();
+            return false;
         }
         self.heard = ctx.now;
         self.failures = 0;
-        self.counted.events += events.len() as u64;
-        let changed = events.into_iter().filter_map(|e| view.apply(e)).collect();
-        view.advance(revision);
-        changed
+        true
     }
 
     /// Lists anew if the watch's revisions are gone, else watches anew.
--- a/src/core/config/view.rs
+++ b/src/core/config/view.rs
@@ -15,7 +15,7 @@
         },
         record::{Account, Daemon, Duty, GroupSpec, Model, Placement, Service, Upgrade},
     },
-    std::collections::{BTreeMap, HashMap},
+    std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
 /// Where the system's keys live at the platform's service.
@@ -90,6 +90,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct View {
     revision: Revision,
+    any_order: bool,
+    gone: BTreeMap<String, Revision>,
     raw: BTreeMap<String, PlatformEntry>,
     by_key: HashMap<KeyHash, AccountName>,
     accounts: BTreeMap<AccountName, Versioned<Account>>,
@@ -184,6 +186,11 @@
         self.duties.get(domain)
     }
 
+    /// A daemon registered.
+    pub fn daemon(&self, daemon: &DaemonName) -> Option<&Versioned<Daemon>> {
+        self.daemons.get(daemon)
+    }
+
     /// The daemons registered, by name.
     pub fn daemons(&self) -> impl Iterator<Item = &Versioned<Daemon>> {
         self.daemons.values()
@@ -192,11 +199,12 @@
 
 /// Commands.
 impl View {
-    /// Applies one change; an older revision of a key than the one held is left out.
+    /// Applies one change; one older than what is held, or deleted, is left out.
     ///
     /// Returns the key if its value has changed.
     pub fn apply(&mut self, event: WatchEvent) -> Option<Key> {
         match event {
+            WatchEvent::Put(entry) if self.is_outdated(&entry) => None,
             WatchEvent::Put(entry) => self.put(entry),
             WatchEvent::Deleted { key, revision } => self.delete(&key, revision),
         }
@@ -205,17 +213,17 @@
     /// Marks the view as complete up to a revision; it never goes back.
     pub fn advance(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
+        self.gone.retain(|_, deleted| *deleted > revision);
     }
 
     /// Takes over a whole list read at `revision`, and returns the keys that changed.
     ///
     /// A list older than the view changes nothing.
     pub fn replace(&mut self, entries: Vec<PlatformEntry>, revision: Revision) -> Vec<Key> {
-        if revision < self.revision {
+        if revision < self.revision && !self.any_order {
             return Vec::new();
         }
-        let listed: std::collections::BTreeSet<String> =
-            entries.iter().map(|e| e.key.clone()).collect();
+        let listed: BTreeSet<&String> = entries.iter().map(|e| &e.key).collect();
         let gone: Vec<String> = self
             .raw
             .keys()
@@ -229,15 +237,30 @@
         changed
     }
 
+    /// Lets older changes replace newer ones; for tests that show why not.
+    pub(super) fn allow_any_order(&mut self) {
+        self.any_order = true;
+    }
+
+    /// Whether a key not held was deleted after `entry` was written.
+    ///
+    /// The view is complete up to its revision, so a key that is not held then
+    /// has no write up to there that still counts.
+    fn is_outdated(&self, entry: &PlatformEntry) -> bool {
+        let complete = entry.revision <= self.revision;
+        let deleted = self.gone.get(&entry.key) >= Some(&entry.revision);
+        !self.any_order && !self.raw.contains_key(&entry.key) && (complete || deleted)
+    }
+
     fn put(&mut self, entry: PlatformEntry) -> Option<Key> {
         let key = Key::parse(&entry.key)?;
         let held = self.raw.get(&entry.key).map(|e| e.revision);
-        if held >= Some(entry.revision) {
+        if held >= Some(entry.revision) && !self.any_order {
             return None;
         }
-        self.decode(&key, &entry)?;
+        let known = self.decode(&key, &entry);
         self.raw.insert(entry.key.clone(), entry);
-        Some(key)
+        known.map(|()| key)
     }
 
     fn decode(&mut self, key: &Key, entry: &PlatformEntry) -> Option<()> {
@@ -284,11 +307,14 @@
     }
 
     fn delete(&mut self, path: &str, revision: Revision) -> Option<Key> {
-        let held = self.raw.get(path)?.revision;
-        if held >= revision {
+        let held = self.raw.get(path).map(|entry| entry.revision);
+        if held >= Some(revision) && !self.any_order {
             return None;
         }
-        self.raw.remove(path);
+        if revision > self.revision {
+            self.gone.insert(path.to_owned(), revision);
+        }
+        self.raw.remove(path)?;
         let key = Key::parse(path)?;
         match &key {
             Key::Account(name) => {
--- a/src/core/timer.rs
+++ b/src/core/timer.rs
@@ -48,6 +48,8 @@
         Watch,
         /// Missing changes are asked of a peer again.
         Fetch,
+        /// Peers are told again how far this daemon is.
+        Gossip,
         /// An operator's write is tried again.
         Write(u64),
     }
--- a/tests/fakes/handover.rs
+++ b/tests/fakes/handover.rs
@@ -13,8 +13,12 @@
         options::Options,
         output::{OperatorAnswer, Output, PlatformCall},
         time::{Span, Time},
+        timer::Timer,
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
     },
-    std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// How long anything takes to arrive.
@@ -24,6 +28,7 @@
 #[derive(Debug)]
 enum Event {
     Input(usize, Input),
+    Timer(usize, Timer),
     Call(usize, PlatformId, PlatformCall),
 }
 
@@ -42,6 +47,7 @@
     /// Daemons that get nothing at all; what is for them is kept.
     pub paused: Vec<usize>,
     people: Vec<Identity>,
+    timers: Vec<HashMap<Timer, u64>>,
     events: BTreeMap<(Time, u64), Event>,
     serial: u64,
 }
@@ -62,6 +68,7 @@
             answers: BTreeMap::new(),
             cut: Vec::new(),
             paused: Vec::new(),
+            timers: vec![HashMap::new(); halls.len()],
             people,
             events: BTreeMap::new(),
             serial: 0,
@@ -103,8 +110,9 @@
                 if entry.key().0 > self.now {
                     break;
                 }
+                let serial = entry.key().1;
                 let event = entry.remove();
-                self.take(event);
+                self.take(serial, event);
             }
         }
     }
@@ -133,8 +141,15 @@
         }
     }
 
-    fn take(&mut self, event: Event) {
+    fn take(&mut self, serial: u64, event: Event) {
         match event {
+            Event::Timer(daemon, timer) => {
+                let set = &mut self.timers[daemon];
+                if set.get(&timer) == Some(&serial) {
+                    set.remove(&timer);
+                    self.take(serial, Event::Input(daemon, Input::Timer(timer)));
+                }
+            }
             Event::Input(daemon, input) if self.paused.contains(&daemon) => {
                 self.later(HOP, Event::Input(daemon, input));
             }
@@ -151,7 +166,8 @@
         match output {
             Output::SetTimer { timer, at } => {
                 let after = at.since(self.now);
-                self.later(after, Event::Input(daemon, Input::Timer(timer)));
+                self.later(after, Event::Timer(daemon, timer.clone()));
+                self.timers[daemon].insert(timer, self.serial);
             }
             Output::Platform { id, call } => self.call(daemon, id, call),
             Output::Peer { to, message, .. } => {
