A deleted record stays for an hour, so that a repeated delete takes effect once

Cause: the key was removed, and with it the memory of the operation; the same delete asked again removed what another operator had created since. Now the delete is a write that says so and hangs on a lease. Ruled out: an operation key beside the record, which needs a transaction over two keys.

--- a/src/core/config/change.rs
+++ b/src/core/config/change.rs
@@ -5,7 +5,7 @@
 
 use {
     super::{
-        record::{GroupSpec, Upgrade, UpgradeState},
+        record::{Account, GroupSpec, Model, Upgrade, UpgradeState},
         view::{Key, View},
     },
     crate::core::{
@@ -23,8 +23,8 @@
 pub(super) enum Plan {
     /// Write this value, JSON text.
     Put(String),
-    /// Delete it.
-    Delete,
+    /// Write this value, which says that the record is gone, for a while.
+    Retire(String),
     /// Nothing: it is as asked.
     Done,
     /// Nothing: another operator was first.
@@ -33,12 +33,13 @@
     Invalid(&'static str),
 }
 
-/// The operations that a record remembers.
+/// The operations that a record remembers, and whether it is gone.
 #[derive(Debug, Default, serde::Deserialize)]
 #[serde(default)]
 pub(super) struct Stamp {
     operation: OperationId,
     applied: Vec<OperationId>,
+    deleted: bool,
 }
 
 impl Stamp {
@@ -115,10 +116,14 @@
         OperatorRequest::PutAccount(account) => put.value(account),
         OperatorRequest::PutModel(model) => put.value(model),
         OperatorRequest::PutService(service) => put.value(service),
-        OperatorRequest::DeleteAccount(_) | OperatorRequest::DeleteModel(_) => match current {
-            Some(_) => Plan::Delete,
-            None => Plan::Done,
-        },
+        OperatorRequest::DeleteAccount(_) => put.retire(|account| Account {
+            deleted: true,
+            ..account
+        }),
+        OperatorRequest::DeleteModel(_) => put.retire(|model| Model {
+            deleted: true,
+            ..model
+        }),
         OperatorRequest::CreateGroup(spec) => match current {
             Some(held) => Plan::Conflict(held.revision),
             None => put.value(spec),
@@ -183,6 +188,21 @@
         }
     }
 
+    /// The value of the record held, changed so that it says that it is gone.
+    fn retire<T, F>(&self, change: F) -> Plan
+    where
+        T: Serialize + DeserializeOwned,
+        F: FnOnce(T) -> T,
+    {
+        if self.current.is_none() || Stamp::of(self.current).deleted {
+            return Plan::Done;
+        }
+        match self.edit("no such record", |held| Ok(change(held))) {
+            Plan::Put(value) => Plan::Retire(value),
+            plan => plan,
+        }
+    }
+
     fn change_group(&self, spec: &GroupSpec, based_on: Revision) -> Plan {
         match self.current {
             Some(held) if held.revision != based_on => Plan::Conflict(held.revision),
--- a/src/core/config/record.rs
+++ b/src/core/config/record.rs
@@ -31,6 +31,8 @@
         pub open: u32,
         /// Models it may use; empty for all.
         pub models: Vec<ModelName>,
+        /// Set when it is gone; the record is kept a while for its operations.
+        pub deleted: bool,
         /// The operation that wrote it.
         pub operation: OperationId,
         /// Operations that took effect before, the latest last.
@@ -52,6 +54,8 @@
         pub floor: u16,
         /// Gigabytes read from the weight store for each host.
         pub weights_gb: u32,
+        /// Set when it is gone; the record is kept a while for its operations.
+        pub deleted: bool,
         /// The operation that wrote it.
         pub operation: OperationId,
         /// Operations that took effect before, the latest last.
@@ -228,6 +232,7 @@
             rate: 0,
             open: 0,
             models: Vec::new(),
+            deleted: false,
             operation: OperationId::default(),
             applied: Vec::new(),
         }
@@ -243,6 +248,7 @@
             size: 1,
             floor: 0,
             weights_gb: 1,
+            deleted: false,
             operation: OperationId::default(),
             applied: Vec::new(),
         }
--- a/src/core/config/view.rs
+++ b/src/core/config/view.rs
@@ -91,7 +91,6 @@
 pub struct View {
     revision: Revision,
     any_order: bool,
-    gone: BTreeMap<String, Revision>,
     raw: BTreeMap<String, PlatformEntry>,
     by_key: HashMap<KeyHash, AccountName>,
     accounts: BTreeMap<AccountName, Versioned<Account>>,
@@ -213,7 +212,6 @@
     /// Marks the view as complete up to a revision; it never goes back.
     pub fn advance(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
-        self.gone.retain(|_, deleted| *deleted > revision);
     }
 
     /// Takes over a whole list read at `revision`, and returns the keys that changed.
@@ -247,9 +245,8 @@
     /// The view is complete up to its revision, so a key that is not held then
     /// has no write up to there that still counts.
     fn is_outdated(&self, entry: &PlatformEntry) -> bool {
-        let complete = entry.revision <= self.revision;
-        let deleted = self.gone.get(&entry.key) >= Some(&entry.revision);
-        !self.any_order && !self.raw.contains_key(&entry.key) && (complete || deleted)
+        let is_held = self.raw.contains_key(&entry.key);
+        !self.any_order && !is_held && entry.revision <= self.revision
     }
 
     fn put(&mut self, entry: PlatformEntry) -> Option<Key> {
@@ -277,12 +274,20 @@
         match key {
             Key::Account(name) => {
                 let account: Versioned<Account> = read(entry)?;
-                self.by_key.retain(|_, holder| holder != name);
+                self.forget(key);
+                if account.record.deleted {
+                    return Some(());
+                }
                 self.by_key.insert(account.record.key, name.clone());
                 self.accounts.insert(name.clone(), account);
             }
             Key::Model(name) => {
-                self.models.insert(name.clone(), read(entry)?);
+                let model: Versioned<Model> = read(entry)?;
+                self.forget(key);
+                if model.record.deleted {
+                    return Some(());
+                }
+                self.models.insert(name.clone(), model);
             }
             Key::Service(name) => {
                 self.services.insert(name.clone(), read(entry)?);
@@ -311,12 +316,14 @@
         if held >= Some(revision) && !self.any_order {
             return None;
         }
-        if revision > self.revision {
-            self.gone.insert(path.to_owned(), revision);
-        }
         self.raw.remove(path)?;
         let key = Key::parse(path)?;
-        match &key {
+        self.forget(&key);
+        Some(key)
+    }
+
+    fn forget(&mut self, key: &Key) {
+        match key {
             Key::Account(name) => {
                 self.by_key.retain(|_, holder| holder != name);
                 self.accounts.remove(name);
@@ -343,6 +350,5 @@
                 self.daemons.remove(name);
             }
         }
-        Some(key)
     }
 }
--- a/src/core/config/write.rs
+++ b/src/core/config/write.rs
@@ -4,6 +4,9 @@
 //! key is read back: if it remembers the operation, the write took effect; if
 //! it is unchanged, the same write is tried again, which can't take effect
 //! twice; if another operator changed it, the operator gets a conflict.
+//!
+//! A record is deleted by a write that says so and hangs on a lease, so that
+//! the operations that it remembers outlive it for [`DELETED_KEPT`].
 
 use {
     super::{
@@ -13,7 +16,7 @@
     crate::core::{
         ctx::Ctx,
         input::{OperatorRequest, PlatformAnswer, PlatformEntry, WatchEvent},
-        keys::{CommandId, OperationId, Owner, PlatformId, Revision},
+        keys::{CommandId, LeaseId, OperationId, Owner, PlatformId, Revision},
         options::Mechanism,
         output::{Expect, OperatorAnswer, Output, PlatformCall},
         time::{Span, Time},
@@ -26,6 +29,9 @@
 /// How long an operator's write is tried.
 const WRITE_TIMEOUT: Span = Span::from_secs(8);
 
+/// How long a deleted record is kept.
+const DELETED_KEPT: Span = Span::from_secs(3_600);
+
 /// The pause before a failed step is tried again, at first.
 const FIRST_PAUSE: Span = Span::from_millis(50);
 
@@ -76,12 +82,17 @@
         /// What an earlier try expected, if its answer was lost.
         tried: Option<Expect>,
     },
+    /// A lease is being granted, for a value to be written.
+    Granting { expect: Expect, value: String },
     /// A value is being written.
-    Writing {
-        expect: Expect,
-        /// The value written; none for a delete.
-        value: Option<String>,
-    },
+    Writing(Change),
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    expect: Expect,
+    value: String,
+    lease: Option<LeaseId>,
 }
 
 /// Commands.
@@ -130,10 +141,19 @@
             (Step::Reading { tried }, Some(PlatformAnswer::Entries { revision, entries })) => {
                 self.on_read(ctx, view, number, tried, revision, entries.first());
             }
-            (Step::Writing { value, .. }, Some(PlatformAnswer::Written { revision })) => {
-                return self.on_written(ctx, number, value, revision);
+            (Step::Granting { expect, value }, Some(PlatformAnswer::Leased { lease, .. })) => {
+                let lease = Some(lease);
+                let change = Change {
+                    expect,
+                    value,
+                    lease,
+                };
+                self.write(ctx, number, change);
+            }
+            (Step::Writing(change), Some(PlatformAnswer::Written { revision })) => {
+                return self.on_written(ctx, number, change, revision);
             }
-            (Step::Writing { .. }, Some(PlatformAnswer::Conflict { revision, current })) => {
+            (Step::Writing(_), Some(PlatformAnswer::Conflict { revision, current })) => {
                 self.on_conflict(ctx, number, revision, current.as_ref());
             }
             _ => {}
@@ -151,23 +171,20 @@
             self.end(ctx, number, OperatorAnswer::Unavailable(reason));
             return;
         }
-        let lost = match &write.step {
-            Step::Writing { expect, value } => Some((*expect, value.clone())),
-            Step::Reading { .. } => None,
-        };
-        match lost {
-            Some((expect, value)) if !ctx.options.has(Mechanism::ReadBack) => {
-                self.write(ctx, number, expect, value);
+        match write.step.clone() {
+            Step::Reading { .. } => {}
+            Step::Granting { .. } => write.step = Step::Reading { tried: None },
+            Step::Writing(change) if !ctx.options.has(Mechanism::ReadBack) => {
+                self.write(ctx, number, change);
+                return;
             }
-            Some((expect, _)) => {
-                write.step = Step::Reading {
-                    tried: Some(expect),
-                };
+            Step::Writing(change) => {
+                let tried = Some(change.expect);
+                write.step = Step::Reading { tried };
                 self.counted.read_backs += 1;
-                self.read(ctx, number);
             }
-            None => self.read(ctx, number),
         }
+        self.read(ctx, number);
     }
 
     fn on_read(
@@ -201,8 +218,16 @@
                 let revision = current.map_or(revision, |held| held.revision);
                 self.end(ctx, number, OperatorAnswer::Conflict { revision });
             }
-            Plan::Put(value) => self.write(ctx, number, expect, Some(value)),
-            Plan::Delete => self.write(ctx, number, expect, None),
+            Plan::Put(value) => {
+                let lease = None;
+                let change = Change {
+                    expect,
+                    value,
+                    lease,
+                };
+                self.write(ctx, number, change);
+            }
+            Plan::Retire(value) => self.grant(ctx, number, expect, value),
         }
     }
 
@@ -210,20 +235,17 @@
         &mut self,
         ctx: &mut Ctx,
         number: u64,
-        value: Option<String>,
+        change: Change,
         revision: Revision,
     ) -> Option<WatchEvent> {
         let key = self.open.get(&number)?.path.clone();
         self.end(ctx, number, OperatorAnswer::Accepted { revision });
-        Some(match value {
-            Some(value) => WatchEvent::Put(PlatformEntry {
-                key,
-                value,
-                revision,
-                lease: None,
-            }),
-            None => WatchEvent::Deleted { key, revision },
-        })
+        Some(WatchEvent::Put(PlatformEntry {
+            key,
+            value: change.value,
+            revision,
+            lease: change.lease,
+        }))
     }
 
     fn on_conflict(
@@ -253,23 +275,25 @@
         self.call(ctx, number, PlatformCall::Get { key });
     }
 
-    fn write(&mut self, ctx: &mut Ctx, number: u64, expect: Expect, value: Option<String>) {
+    fn grant(&mut self, ctx: &mut Ctx, number: u64, expect: Expect, value: String) {
         let Some(write) = self.open.get_mut(&number) else {
             return;
         };
-        let key = write.path.clone();
-        write.step = Step::Writing {
-            expect,
-            value: value.clone(),
+        write.step = Step::Granting { expect, value };
+        let ttl = DELETED_KEPT;
+        self.call(ctx, number, PlatformCall::Grant { ttl });
+    }
+
+    fn write(&mut self, ctx: &mut Ctx, number: u64, change: Change) {
+        let Some(write) = self.open.get_mut(&number) else {
+            return;
         };
-        let call = match value {
-            Some(value) => PlatformCall::Put {
-                key,
-                value,
-                expect,
-                lease: None,
-            },
-            None => PlatformCall::Delete { key, expect },
+        write.step = Step::Writing(change.clone());
+        let call = PlatformCall::Put {
+            key: write.path.clone(),
+            value: change.value,
+            expect: change.expect,
+            lease: change.lease,
         };
         self.call(ctx, number, call);
     }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -137,3 +137,22 @@
     assert_eq!(answers[0], OperatorAnswer::Accepted { revision });
     assert_eq!(answers[1], OperatorAnswer::Conflict { revision });
 }
+
+#[test]
+fn a_delete_asked_again_spares_what_was_created_since() {
+    let mut site = started(&["a", "b"], Options::default());
+    site.ask(0, 7, account("clerks", 3));
+    site.run(SECOND);
+    let delete = || OperatorRequest::DeleteAccount("clerks".into());
+    site.ask(0, 8, delete());
+    assert!(site.run_until(SECOND, |s| weight(s, 1, "clerks").is_none()));
+    site.ask(0, 9, account("clerks", 5));
+    site.run(SECOND);
+    let again = site.ask(1, 8, delete());
+    site.run(SECOND);
+    assert!(matches!(
+        site.answers.get(&again),
+        Some(OperatorAnswer::Accepted { .. })
+    ));
+    assert!(in_force(&site, "clerks", 5));
+}
