Product frame: settings, command line, callers over HTTP, operators over gRPC

The thin part: run, check, entries and the operators' commands; completions (whole and streamed), services, entries, health, readiness and metrics; the operators' gRPC server and client. Settings are read into a tree that keeps every value's place, so that all faults are told together.

--- /dev/null
+++ b/src/commands/run.rs
@@ -0,0 +1,18 @@
+//! `run`: the daemon.
+
+use {
+    crate::{cli::RunArgs, error::CommandError, exit_codes::Exit, logging},
+    hickoryledge::{settings, shell},
+};
+
+/// Runs the daemon until it is told to stop and its work has ended.
+pub fn run(args: &RunArgs) -> Result<(), CommandError> {
+    let settings = settings::read(&args.settings)
+        .map_err(|error| CommandError::local(Exit::BadSettings, "read settings", error))?;
+    let runtime = compio::runtime::Runtime::new()
+        .map_err(|error| CommandError::local(Exit::Failure, "start the loop", error))?;
+    let (log, _guard) = logging::start();
+    runtime
+        .block_on(shell::run(settings, log))
+        .map_err(|error| CommandError::local(Exit::Failure, "run", format!("{error:#}")))
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -36,7 +36,7 @@
     options::Options,
     output::{OperatorAnswer, Output},
     request::{Requests, Site},
-    status::Status,
+    status::{Status, UpgradeStatus},
     time::Time,
     timer::Timer,
 };
@@ -376,11 +376,16 @@
 
     fn status(&self, me: &Identity, now: Time) -> Status {
         let view = self.config.view();
+        let groups = self.groups.status(view, &self.hosts);
+        let upgrades = view.upgrades();
         Status {
             daemon: me.name.clone(),
             revision: view.revision(),
             fresh: self.members.is_fresh(now),
-            groups: self.groups.status(view, &self.hosts),
+            upgrades: upgrades
+                .map(|upgrade| UpgradeStatus::new(&upgrade.record, &groups))
+                .collect(),
+            groups,
             daemons: self.members.status(view),
             domains: self.groups.domain_status(view, &self.hosts),
         }
--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -1,7 +1,11 @@
 //! The report that an operator gets about a running system.
 
-use super::keys::{
-    DaemonName, DomainName, Epoch, GroupName, HostName, ModelName, Revision, VersionName,
+use super::{
+    config::record::{Upgrade, UpgradeState},
+    keys::{
+        DaemonName, DomainName, Epoch, GroupName, HostName, ModelName, Revision, UpgradeName,
+        VersionName,
+    },
 };
 
 crate::record! {
@@ -20,6 +24,8 @@
         pub daemons: Vec<DaemonStatus>,
         /// The fabric domains, by name.
         pub domains: Vec<DomainStatus>,
+        /// The upgrades, by name.
+        pub upgrades: Vec<UpgradeStatus>,
     }
 
     /// One group.
@@ -65,4 +71,39 @@
         /// Accelerators in no serving group.
         pub stranded: u32,
     }
+
+    /// One upgrade.
+    pub struct UpgradeStatus {
+        /// The upgrade.
+        pub upgrade: UpgradeName,
+        /// Its model.
+        pub model: ModelName,
+        /// The version to go back to.
+        pub from: VersionName,
+        /// The version to load.
+        pub to: VersionName,
+        /// How far it is.
+        pub state: UpgradeState,
+        /// Groups of the model that hold the version.
+        pub upgraded: u32,
+        /// Groups of the model.
+        pub groups: u32,
+    }
+}
+
+impl UpgradeStatus {
+    /// How far an upgrade is, judged by the groups' own status.
+    pub fn new(upgrade: &Upgrade, groups: &[GroupStatus]) -> Self {
+        let of_model = || groups.iter().filter(|group| group.model == upgrade.model);
+        let upgraded = of_model().filter(|group| group.version == upgrade.to);
+        Self {
+            upgrade: upgrade.name.clone(),
+            model: upgrade.model.clone(),
+            from: upgrade.from.clone(),
+            to: upgrade.to.clone(),
+            state: upgrade.state,
+            upgraded: upgraded.count() as u32,
+            groups: of_model().count() as u32,
+        }
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,9 @@
 //! Hickoryledge serves large models whose replicas span several hosts.
 //!
 //! [`core`] decides and does no I/O; [`shell`] is the loop around it.
+//! [`client`] is the operators' side of the daemon's calls.
 
+pub mod client;
 pub mod core;
 mod derive;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,37 @@
 //! The `hickoryledge` program.
 
-fn main() {}
+mod cli;
+mod commands;
+mod error;
+mod exit_codes;
+mod logging;
+
+use {
+    cli::{Cli, Command},
+    commands::{check, entries, operate, run},
+    error::CommandError,
+    exit_codes::Exit,
+};
+
+fn main() -> Exit {
+    let cli = match cli::parse() {
+        Ok(cli) => cli,
+        Err(exit) => return exit,
+    };
+    match dispatch(cli) {
+        Ok(()) => Exit::Success,
+        Err(error) => {
+            eprintln!("hickoryledge: {error}");
+            error.exit
+        }
+    }
+}
+
+fn dispatch(cli: Cli) -> Result<(), CommandError> {
+    match cli.command {
+        Command::Run(args) => run::run(&args),
+        Command::Check(args) => check::run(&args),
+        Command::Entries(args) => entries::run(&cli.target, &args),
+        Command::Operate(command) => operate::run(&cli.target, command),
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,362 @@
+//! Settings: read from YAML, checked whole, then passed down resolved.
+
+mod reader;
+mod tree;
+
+pub use {reader::Fault, tree::Place};
+
+use {
+    crate::core::{
+        keys::{DaemonName, HallName, RegionName},
+        options::Options,
+        time::Span,
+    },
+    reader::{Faults, Field, Section},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+    },
+    tree::{Node, Value},
+};
+
+/// The addresses that a daemon listens on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listen {
+    /// For callers, and for health and metrics.
+    pub caller: SocketAddr,
+    /// For other daemons, UDP and TCP alike.
+    pub peer: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+}
+
+/// A daemon's settings, resolved.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The daemon's name.
+    pub name: DaemonName,
+    /// Its region.
+    pub region: RegionName,
+    /// Its hall.
+    pub hall: HallName,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Daemons to ask first.
+    pub peers: Vec<SocketAddr>,
+    /// The platform's key-value service, any of these addresses.
+    pub platform: Vec<SocketAddr>,
+    /// The list of live and leaving hosts.
+    pub host_list: SocketAddr,
+    /// The key that daemons authenticate each other's messages with.
+    pub peer_key: [u8; 32],
+    /// The token that operators present.
+    pub operator_token: String,
+    /// The largest request body taken, in bytes.
+    pub max_body: usize,
+    /// The most calls open at once.
+    pub max_calls: usize,
+    /// Tunables of the decision logic.
+    pub options: Options,
+}
+
+/// Why a settings file was refused.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SettingsError {
+    /// The file.
+    pub file: PathBuf,
+    /// Everything wrong with it, in the order of the file.
+    pub faults: Vec<Fault>,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} is refused:", self.file.display())?;
+        for fault in &self.faults {
+            write!(f, "\n  {fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// The shortest secret taken, in bytes.
+const MIN_SECRET: usize = 16;
+/// The largest body that may be allowed, in bytes.
+const MAX_BODY: u64 = 64 << 20;
+/// The most open calls that may be allowed.
+const MAX_CALLS: u64 = 100_000;
+/// The largest body taken if the settings don't say, in bytes.
+const DEFAULT_BODY: usize = 1 << 20;
+/// The most open calls if the settings don't say.
+const DEFAULT_CALLS: usize = 4_000;
+/// The longest span that an option may have, in milliseconds.
+const MAX_SPAN_MS: u64 = 3_600_000;
+/// Separates the peer key from other uses of the same secret.
+const PEER_KEY_CONTEXT: &str = "hickoryledge 2026 peer messages";
+
+/// Reads a settings file.
+///
+/// # Errors
+///
+/// Refuses the file with everything that is wrong in it.
+pub fn read(file: &Path) -> Result<Settings, SettingsError> {
+    let refuse = |faults| SettingsError {
+        file: file.to_owned(),
+        faults,
+    };
+    let text = std::fs::read_to_string(file).map_err(|e| refuse(vec![no_place(e.to_string())]))?;
+    parse(&text, file.parent().unwrap_or(Path::new("."))).map_err(refuse)
+}
+
+/// Reads settings from YAML text; secret files are found from `folder`.
+///
+/// # Errors
+///
+/// Gives everything that is wrong, in the order of the text.
+pub fn parse(text: &str, folder: &Path) -> Result<Settings, Vec<Fault>> {
+    let root: serde_saphyr::Spanned<Value> =
+        serde_saphyr::from_str(text).map_err(|error| vec![syntax(&error)])?;
+    let root = Node::from(root);
+    let faults = Faults::default();
+    let settings = document(&Field::root(&faults, &root), folder);
+    let faults = faults.into_sorted();
+    match settings {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => Err(faults),
+    }
+}
+
+fn no_place(reason: String) -> Fault {
+    Fault {
+        place: Place::default(),
+        field: String::new(),
+        reason,
+    }
+}
+
+fn syntax(error: &serde_saphyr::Error) -> Fault {
+    Fault {
+        place: error.location().map(Place::from).unwrap_or_default(),
+        ..no_place(error.to_string())
+    }
+}
+
+fn document(root: &Field, folder: &Path) -> Option<Settings> {
+    let mut top = root.section()?;
+    let name = top.need("name").and_then(|f| f.text());
+    let site = site(&mut top);
+    let listen = top.need("listen").and_then(|f| listen(&f));
+    let peers = addresses(top.take("peers"));
+    let platform = platform(&mut top);
+    let host_list = top.need("host_list").and_then(|f| f.remote());
+    let peer_key = secret(&mut top, "peer_key", folder);
+    let operator_token = secret(&mut top, "operator_token", folder);
+    let limits = limits(top.take("limits"));
+    let options = options(top.take("options"));
+    top.finish();
+    let (region, hall) = site?;
+    let (max_body, max_calls) = limits?;
+    Some(Settings {
+        name: name?.into(),
+        region,
+        hall,
+        listen: listen?,
+        peers,
+        platform,
+        host_list: host_list?,
+        peer_key: blake3::derive_key(PEER_KEY_CONTEXT, peer_key?.as_bytes()),
+        operator_token: operator_token?,
+        max_body,
+        max_calls,
+        options: options?,
+    })
+}
+
+/// The region and hall, which must be declared.
+fn site(top: &mut Section) -> Option<(RegionName, HallName)> {
+    let regions = top.need("regions").map(|f| regions(&f));
+    let region = top.need("region");
+    let hall = top.need("hall");
+    let (region, hall) = (region?, hall?);
+    let (name, hall_name) = (region.text(), hall.text());
+    let regions = regions?;
+    let (name, hall_name) = (name?, hall_name?);
+    let Some(halls) = regions.get(name) else {
+        region.fault(format!("region {name:?} is not declared under regions"));
+        return None;
+    };
+    if !halls.contains(hall_name) {
+        hall.fault(format!(
+            "hall {hall_name:?} is not declared in region {name:?}"
+        ));
+        return None;
+    }
+    Some((name.into(), hall_name.into()))
+}
+
+fn regions<'a>(field: &Field<'a>) -> BTreeMap<&'a str, BTreeSet<&'a str>> {
+    let mut regions = BTreeMap::new();
+    let mut seen = BTreeSet::new();
+    let Some(mut section) = field.section() else {
+        return regions;
+    };
+    for (region, list) in section.rest() {
+        let mut halls = BTreeSet::new();
+        for item in list.list() {
+            let Some(hall) = item.text() else { continue };
+            if !seen.insert(hall) {
+                item.fault(format!("hall {hall:?} is declared twice"));
+            }
+            halls.insert(hall);
+        }
+        if halls.is_empty() {
+            list.fault("must declare at least one hall");
+        }
+        regions.insert(region, halls);
+    }
+    regions
+}
+
+fn listen(field: &Field) -> Option<Listen> {
+    let mut section = field.section()?;
+    let mut seen = BTreeSet::new();
+    let mut take = |key| {
+        let field = section.need(key)?;
+        let address = field.address()?;
+        if address.port() != 0 && !seen.insert(address) {
+            field.fault(format!("{address} is used twice"));
+        }
+        Some(address)
+    };
+    let (caller, peer, operator) = (take("caller"), take("peer"), take("operator"));
+    section.finish();
+    Some(Listen {
+        caller: caller?,
+        peer: peer?,
+        operator: operator?,
+    })
+}
+
+fn platform(top: &mut Section) -> Vec<SocketAddr> {
+    let Some(field) = top.need("platform") else {
+        return Vec::new();
+    };
+    let found = addresses(Some(field.clone()));
+    if found.is_empty() && field.list().is_empty() {
+        field.fault("must name at least one address");
+    }
+    found
+}
+
+fn addresses(field: Option<Field>) -> Vec<SocketAddr> {
+    let mut found = Vec::new();
+    for item in field.iter().flat_map(Field::list) {
+        let Some(address) = item.remote() else {
+            continue;
+        };
+        if found.contains(&address) {
+            item.fault(format!("{address} is given twice"));
+            continue;
+        }
+        found.push(address);
+    }
+    found
+}
+
+/// A secret, given in place or in a file of its own.
+fn secret(top: &mut Section, key: &str, folder: &Path) -> Option<String> {
+    let inline = top.take(key);
+    let file = top.take(&format!("{key}_file"));
+    let (field, text) = match (inline, file) {
+        (None, None) => {
+            top.missing(&format!("{key} or {key}_file"));
+            return None;
+        }
+        (Some(_), Some(file)) => {
+            file.fault(format!("can't be given together with {key}"));
+            return None;
+        }
+        (Some(field), None) => {
+            let text = field.text()?.to_owned();
+            (field, text)
+        }
+        (None, Some(field)) => {
+            let path = folder.join(field.text()?);
+            match std::fs::read_to_string(&path) {
+                Ok(text) => (field, text.trim().to_owned()),
+                Err(error) => {
+                    field.fault(format!("{}: {error}", path.display()));
+                    return None;
+                }
+            }
+        }
+    };
+    if text.len() < MIN_SECRET {
+        field.fault(format!("must be at least {MIN_SECRET} bytes long"));
+        return None;
+    }
+    Some(text)
+}
+
+fn limits(field: Option<Field>) -> Option<(usize, usize)> {
+    let Some(field) = field else {
+        return Some((DEFAULT_BODY, DEFAULT_CALLS));
+    };
+    let mut section = field.section()?;
+    let mut take = |key, high, default| match section.take(key) {
+        Some(field) => field.whole(1..=high).map(|limit| limit as usize),
+        None => Some(default),
+    };
+    let max_body = take("max_body", MAX_BODY, DEFAULT_BODY);
+    let max_calls = take("max_calls", MAX_CALLS, DEFAULT_CALLS);
+    section.finish();
+    Some((max_body?, max_calls?))
+}
+
+fn options(field: Option<Field>) -> Option<Options> {
+    let mut options = Options::default();
+    let Some(field) = field else {
+        return Some(options);
+    };
+    let mut section = field.section()?;
+    let spans = [
+        ("lease_ms", &mut options.lease),
+        ("freshness_ms", &mut options.freshness),
+        ("silence_ms", &mut options.silence),
+        ("deadline_ms", &mut options.deadline),
+        ("grace_ms", &mut options.grace),
+        ("entry_ttl_ms", &mut options.entry_ttl),
+    ];
+    for (key, span) in spans {
+        let given = section
+            .take(key)
+            .and_then(|field| field.whole(1..=MAX_SPAN_MS));
+        *span = given.map_or(*span, Span::from_millis);
+    }
+    let costs = [
+        ("downtime_cost", &mut options.downtime_cost, 0.0),
+        ("stranded_cost", &mut options.stranded_cost, 0.0),
+        ("weight_store_gbps", &mut options.weight_store, 0.001),
+    ];
+    for (key, cost, low) in costs {
+        let given = section.take(key).and_then(|field| field.real(low..=1e6));
+        *cost = given.unwrap_or(*cost);
+    }
+    if let Some(percent) = section
+        .take("retry_percent")
+        .and_then(|field| field.whole(0..=100))
+    {
+        options.retry_percent = percent as u32;
+    }
+    if let Some(count) = section
+        .take("entry_count")
+        .and_then(|field| field.whole(1..=64))
+    {
+        options.entry_count = count as u16;
+    }
+    section.finish();
+    Some(options)
+}
--- /dev/null
+++ b/src/shell/callers/mod.rs
@@ -0,0 +1,11 @@
+//! The HTTP side towards callers.
+//!
+//! Each request is read whole, within limits, and handed to the decision
+//! logic; its answer ends as the decision logic says and in no other way.
+
+mod answer;
+mod ask;
+mod body;
+mod serve;
+
+pub use {ask::ticket_text, serve::start};
--- a/src/shell/calls.rs
+++ b/src/shell/calls.rs
@@ -97,6 +97,7 @@
 pub struct Calls {
     inbox: Inbox,
     last: Cell<u64>,
+    stopping: Cell<bool>,
     open: RefCell<HashMap<CallId, Entry>>,
     heads: RefCell<HashMap<AttemptId, Head>>,
 }
@@ -107,6 +108,7 @@
         Self {
             inbox,
             last: Cell::new(0),
+            stopping: Cell::new(false),
             open: RefCell::default(),
             heads: RefCell::default(),
         }
@@ -154,6 +156,16 @@
         self.open.borrow().len()
     }
 
+    /// Notes that the graceful stop has begun.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Whether the graceful stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
     /// Carries out an output for a caller.
     pub fn perform(&self, output: CallOutput) {
         match output {
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -9,6 +9,7 @@
 pub mod host_list;
 pub mod http;
 pub mod inbox;
+pub mod metrics;
 pub mod operators;
 pub mod peers;
 pub mod platform;
@@ -108,7 +109,7 @@
         settings.options.clone(),
         seed,
     )));
-    callers::start(caller, calls.clone(), core.clone(), &settings);
+    callers::start(caller, calls.clone(), core.clone(), clock, &settings);
     host_list::start(inbox.clone(), settings.host_list);
     let drivers = Drivers {
         runners: runners::Runners::new(inbox.clone(), calls.clone(), &me, &settings),
@@ -133,6 +134,9 @@
                 () = sleep_until(timers.next_due(), clock).fuse() => continue,
             },
         };
+        if let Input::Stop = input {
+            drivers.calls.stop();
+        }
         core.borrow_mut().step(clock.now(), input, &mut out);
         for output in out.drain(..) {
             if perform(output, &drivers, &mut timers, &log) {
--- /dev/null
+++ b/src/shell/operators/convert.rs
@@ -0,0 +1,203 @@
+//! Between the operators' schema and the decision logic's own records.
+
+use {
+    crate::{
+        core::{
+            config::record::{Account, GroupSpec, Model, Service, Upgrade, UpgradeState},
+            input,
+            keys::KeyHash,
+            status::{DaemonStatus, DomainStatus, GroupStatus, Status as Report, UpgradeStatus},
+        },
+        wire::operator as wire,
+    },
+    tonic::Status,
+};
+
+/// The longest name, in bytes.
+const MAX_NAME: usize = 64;
+/// The most hosts in one replica.
+const MAX_SIZE: u32 = 1_024;
+/// The largest weight of an account.
+const MAX_WEIGHT: u32 = 1_000_000;
+
+/// A name that can be part of a key at the platform's service.
+pub(super) fn name(name: String, field: &str) -> Result<String, Status> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if name.is_empty() || name.len() > MAX_NAME || !name.chars().all(allowed) {
+        return Err(Status::invalid_argument(format!(
+            "{field} {name:?}: a name is 1 to {MAX_NAME} letters, digits, '-', '_' or '.'"
+        )));
+    }
+    Ok(name)
+}
+
+fn names<N>(list: Vec<String>, field: &str) -> Result<Vec<N>, Status>
+where
+    N: From<String>,
+{
+    list.into_iter()
+        .map(|item| name(item, field).map(N::from))
+        .collect()
+}
+
+/// A name that may be left out.
+fn optional(text: String, field: &str) -> Result<String, Status> {
+    if text.is_empty() {
+        return Ok(text);
+    }
+    name(text, field)
+}
+
+fn present<T>(message: Option<T>, field: &str) -> Result<T, Status> {
+    message.ok_or_else(|| Status::invalid_argument(format!("{field} is missing")))
+}
+
+fn within(value: u32, low: u32, high: u32, field: &str) -> Result<u32, Status> {
+    if (low..=high).contains(&value) {
+        return Ok(value);
+    }
+    Err(Status::invalid_argument(format!(
+        "{field} is {value}, not {low} to {high}"
+    )))
+}
+
+pub(super) fn account(account: Option<wire::Account>) -> Result<Account, Status> {
+    let account = present(account, "account")?;
+    let key: [u8; 32] = account
+        .key_hash
+        .try_into()
+        .map_err(|_| Status::invalid_argument("key_hash is not 32 bytes long"))?;
+    Ok(Account {
+        name: name(account.name, "name")?.into(),
+        key: KeyHash(key),
+        weight: within(account.weight, 1, MAX_WEIGHT, "weight")?,
+        priority: within(account.priority, 0, u8::MAX.into(), "priority")? as u8,
+        rate: account.rate,
+        open: account.open,
+        models: names(account.models, "models")?,
+        ..Account::default()
+    })
+}
+
+pub(super) fn model(model: Option<wire::Model>) -> Result<Model, Status> {
+    let model = present(model, "model")?;
+    Ok(Model {
+        name: name(model.name, "name")?.into(),
+        version: name(model.version, "version")?.into(),
+        adapters: names(model.adapters, "adapters")?,
+        size: within(model.size, 1, MAX_SIZE, "size")? as u16,
+        floor: within(model.floor, 0, u16::MAX.into(), "floor")? as u16,
+        weights_gb: model.weights_gb,
+        ..Model::default()
+    })
+}
+
+pub(super) fn service(service: Option<wire::Service>) -> Result<Service, Status> {
+    let service = present(service, "service")?;
+    Ok(Service {
+        name: name(service.name, "name")?.into(),
+        idempotent: service.idempotent,
+        ..Service::default()
+    })
+}
+
+pub(super) fn group(group: Option<wire::Group>) -> Result<GroupSpec, Status> {
+    let group = present(group, "group")?;
+    Ok(GroupSpec {
+        name: name(group.name, "name")?.into(),
+        model: name(group.model, "model")?.into(),
+        version: optional(group.version, "version")?.into(),
+        size: within(group.size, 0, MAX_SIZE, "size")? as u16,
+        domain: name(group.domain, "domain")?.into(),
+        accounts: names(group.accounts, "accounts")?,
+        ..GroupSpec::default()
+    })
+}
+
+pub(super) fn upgrade(upgrade: Option<wire::Upgrade>) -> Result<Upgrade, Status> {
+    let upgrade = present(upgrade, "upgrade")?;
+    Ok(Upgrade {
+        name: name(upgrade.name, "name")?.into(),
+        model: name(upgrade.model, "model")?.into(),
+        to: name(upgrade.to, "to")?.into(),
+        width: within(upgrade.width, 1, MAX_SIZE, "width")? as u16,
+        ..Upgrade::default()
+    })
+}
+
+pub(super) fn action(action: wire::UpgradeAction) -> Result<input::UpgradeAction, Status> {
+    match action {
+        wire::UpgradeAction::Pause => Ok(input::UpgradeAction::Pause),
+        wire::UpgradeAction::Resume => Ok(input::UpgradeAction::Resume),
+        wire::UpgradeAction::Abort => Ok(input::UpgradeAction::Abort),
+        wire::UpgradeAction::Unspecified => Err(Status::invalid_argument("action is missing")),
+    }
+}
+
+pub(super) fn status(report: Report) -> wire::StatusReply {
+    wire::StatusReply {
+        daemon: report.daemon.to_string(),
+        revision: report.revision.0,
+        fresh: report.fresh,
+        groups: report.groups.into_iter().map(group_status).collect(),
+        daemons: report.daemons.into_iter().map(daemon_status).collect(),
+        domains: report.domains.into_iter().map(domain_status).collect(),
+        upgrades: report.upgrades.into_iter().map(upgrade_status).collect(),
+    }
+}
+
+fn group_status(status: GroupStatus) -> wire::GroupStatus {
+    wire::GroupStatus {
+        group: status.group.to_string(),
+        model: status.model.to_string(),
+        version: status.version.to_string(),
+        domain: status.domain.to_string(),
+        epoch: status.epoch.0,
+        state: status.state,
+        hosts: texts(&status.hosts),
+        trouble: status.trouble,
+    }
+}
+
+fn daemon_status(status: DaemonStatus) -> wire::DaemonStatus {
+    wire::DaemonStatus {
+        daemon: status.daemon.to_string(),
+        state: status.state,
+        revision: status.revision.0,
+    }
+}
+
+fn domain_status(status: DomainStatus) -> wire::DomainStatus {
+    wire::DomainStatus {
+        domain: status.domain.to_string(),
+        holder: status.holder.to_string(),
+        spare: texts(&status.spare),
+        lost: texts(&status.lost),
+        stranded: status.stranded,
+    }
+}
+
+fn upgrade_status(status: UpgradeStatus) -> wire::UpgradeStatus {
+    let state = match status.state {
+        UpgradeState::Running => "running",
+        UpgradeState::Paused => "paused",
+        UpgradeState::Aborted => "aborted",
+        UpgradeState::Done => "done",
+    };
+    wire::UpgradeStatus {
+        upgrade: status.upgrade.to_string(),
+        model: status.model.to_string(),
+        from: status.from.to_string(),
+        to: status.to.to_string(),
+        state: state.to_owned(),
+        upgraded: status.upgraded,
+        groups: status.groups,
+    }
+}
+
+fn texts<N>(names: &[N]) -> Vec<String>
+where
+    N: ToString,
+{
+    names.iter().map(N::to_string).collect()
+}
--- /dev/null
+++ b/src/shell/operators/handler.rs
@@ -0,0 +1,165 @@
+//! One handler for each call of the operators' schema.
+
+use {
+    super::{Pending, convert},
+    crate::{
+        core::{
+            input::OperatorRequest,
+            keys::{OperationId, Revision},
+            output::OperatorAnswer,
+        },
+        wire::operator::{
+            Change, ChangeGroupRequest, CreateGroupRequest, DrainGroupRequest, NameRequest,
+            PutAccountRequest, PutModelRequest, PutServiceRequest, StartUpgradeRequest,
+            StatusReply, StatusRequest, SteerUpgradeRequest, operator_server::Operator,
+        },
+    },
+    std::sync::Arc,
+    tonic::{Code, Request, Response, Status},
+};
+
+type Reply<T> = Result<Response<T>, Status>;
+
+/// Answers operators' calls.
+pub(super) struct Handler {
+    pending: Arc<Pending>,
+}
+
+impl Handler {
+    pub(super) fn new(pending: Arc<Pending>) -> Self {
+        Self { pending }
+    }
+
+    async fn change(&self, operation: u64, request: OperatorRequest) -> Reply<Change> {
+        if operation == 0 {
+            return Err(Status::invalid_argument("the operation number is missing"));
+        }
+        let answer = self.pending.ask(OperationId(operation), request).await?;
+        match answer {
+            OperatorAnswer::Accepted { revision } => Ok(Response::new(Change {
+                revision: revision.0,
+            })),
+            answer => Err(refusal(answer)),
+        }
+    }
+}
+
+fn refusal(answer: OperatorAnswer) -> Status {
+    match answer {
+        OperatorAnswer::Conflict { revision } => conflict(revision),
+        OperatorAnswer::Invalid(reason) => Status::new(Code::FailedPrecondition, reason),
+        OperatorAnswer::Unavailable(reason) => Status::unavailable(reason),
+        OperatorAnswer::Accepted { .. } | OperatorAnswer::Status(_) => {
+            Status::internal("the answer is of another kind")
+        }
+    }
+}
+
+fn conflict(revision: Revision) -> Status {
+    let reason = format!("another operator was first, at revision {}", revision.0);
+    Status::new(Code::Aborted, reason)
+}
+
+#[tonic::async_trait]
+impl Operator for Handler {
+    async fn put_account(&self, request: Request<PutAccountRequest>) -> Reply<Change> {
+        let PutAccountRequest { operation, account } = request.into_inner();
+        let account = convert::account(account)?;
+        self.change(operation, OperatorRequest::PutAccount(account))
+            .await
+    }
+
+    async fn delete_account(&self, request: Request<NameRequest>) -> Reply<Change> {
+        let NameRequest { operation, name } = request.into_inner();
+        let name = convert::name(name, "name")?;
+        self.change(operation, OperatorRequest::DeleteAccount(name.into()))
+            .await
+    }
+
+    async fn put_model(&self, request: Request<PutModelRequest>) -> Reply<Change> {
+        let PutModelRequest { operation, model } = request.into_inner();
+        let model = convert::model(model)?;
+        self.change(operation, OperatorRequest::PutModel(model))
+            .await
+    }
+
+    async fn delete_model(&self, request: Request<NameRequest>) -> Reply<Change> {
+        let NameRequest { operation, name } = request.into_inner();
+        let name = convert::name(name, "name")?;
+        self.change(operation, OperatorRequest::DeleteModel(name.into()))
+            .await
+    }
+
+    async fn put_service(&self, request: Request<PutServiceRequest>) -> Reply<Change> {
+        let PutServiceRequest { operation, service } = request.into_inner();
+        let service = convert::service(service)?;
+        self.change(operation, OperatorRequest::PutService(service))
+            .await
+    }
+
+    async fn create_group(&self, request: Request<CreateGroupRequest>) -> Reply<Change> {
+        let CreateGroupRequest { operation, group } = request.into_inner();
+        let group = convert::group(group)?;
+        self.change(operation, OperatorRequest::CreateGroup(group))
+            .await
+    }
+
+    async fn change_group(&self, request: Request<ChangeGroupRequest>) -> Reply<Change> {
+        let ChangeGroupRequest {
+            operation,
+            group,
+            based_on,
+        } = request.into_inner();
+        let change = OperatorRequest::ChangeGroup {
+            spec: convert::group(group)?,
+            based_on: Revision(based_on),
+        };
+        self.change(operation, change).await
+    }
+
+    async fn drain_group(&self, request: Request<DrainGroupRequest>) -> Reply<Change> {
+        let DrainGroupRequest {
+            operation,
+            name,
+            drained,
+        } = request.into_inner();
+        let change = OperatorRequest::DrainGroup {
+            group: convert::name(name, "name")?.into(),
+            drained,
+        };
+        self.change(operation, change).await
+    }
+
+    async fn delete_group(&self, request: Request<NameRequest>) -> Reply<Change> {
+        let NameRequest { operation, name } = request.into_inner();
+        let name = convert::name(name, "name")?;
+        self.change(operation, OperatorRequest::DeleteGroup(name.into()))
+            .await
+    }
+
+    async fn start_upgrade(&self, request: Request<StartUpgradeRequest>) -> Reply<Change> {
+        let StartUpgradeRequest { operation, upgrade } = request.into_inner();
+        let upgrade = convert::upgrade(upgrade)?;
+        self.change(operation, OperatorRequest::StartUpgrade(upgrade))
+            .await
+    }
+
+    async fn steer_upgrade(&self, request: Request<SteerUpgradeRequest>) -> Reply<Change> {
+        let steer = request.into_inner();
+        let change = OperatorRequest::SteerUpgrade {
+            action: convert::action(steer.action())?,
+            upgrade: convert::name(steer.name, "name")?.into(),
+        };
+        self.change(steer.operation, change).await
+    }
+
+    async fn get_status(&self, _request: Request<StatusRequest>) -> Reply<StatusReply> {
+        let asked = self
+            .pending
+            .ask(OperationId::default(), OperatorRequest::Status);
+        match asked.await? {
+            OperatorAnswer::Status(status) => Ok(Response::new(convert::status(*status))),
+            answer => Err(refusal(answer)),
+        }
+    }
+}
--- a/src/wire/hickoryledge.v1.rs
+++ b/src/wire/hickoryledge.v1.rs
@@ -156,6 +156,8 @@
     pub daemons: ::prost::alloc::vec::Vec<DaemonStatus>,
     #[prost(message, repeated, tag = "6")]
     pub domains: ::prost::alloc::vec::Vec<DomainStatus>,
+    #[prost(message, repeated, tag = "7")]
+    pub upgrades: ::prost::alloc::vec::Vec<UpgradeStatus>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct GroupStatus {
@@ -198,6 +200,24 @@
     #[prost(uint32, tag = "5")]
     pub stranded: u32,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UpgradeStatus {
+    #[prost(string, tag = "1")]
+    pub upgrade: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub model: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub from: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub to: ::prost::alloc::string::String,
+    #[prost(string, tag = "5")]
+    pub state: ::prost::alloc::string::String,
+    /// Groups of the model that hold the version, and all of them.
+    #[prost(uint32, tag = "6")]
+    pub upgraded: u32,
+    #[prost(uint32, tag = "7")]
+    pub groups: u32,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum UpgradeAction {
