--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -10,6 +10,7 @@
 pub mod host_list;
 pub mod http;
 pub mod inbox;
+pub mod metrics;
 pub mod operators;
 pub mod peers;
 pub mod platform;
@@ -110,7 +111,7 @@
         settings.options.clone(),
         seed,
     )));
-    callers::start(caller, calls.clone(), core.clone(), &settings);
+    callers::start(caller, calls.clone(), core.clone(), clock, &settings);
     host_list::start(inbox.clone(), settings.host_list);
     let drivers = Drivers {
         runners: runners::Runners::new(inbox.clone(), calls.clone(), &me, &settings),
@@ -135,6 +136,9 @@
                 () = sleep_until(timers.next_due(), clock).fuse() => continue,
             },
         };
+        if let Input::Stop = input {
+            drivers.calls.stop();
+        }
         core.borrow_mut().step(clock.now(), input, &mut out);
         for output in out.drain(..) {
             if perform(output, &drivers, &mut timers, &log) {
