--- a/examples/platform/hosts.rs
+++ b/examples/platform/hosts.rs
@@ -52,7 +52,7 @@
         (&Method::POST, "/break", _) => world.breaks.set(world.breaks.get() + 1),
         _ => return Some(empty(StatusCode::NOT_FOUND)),
     }
-    Some(empty(StatusCode::NO_CONTENT))
+    Some(empty(StatusCode::OK))
 }
 
 fn set_hosts(world: &Rc<World>, body: Value) -> Option<()> {
