--- a/src/core/config/record.rs
+++ b/src/core/config/record.rs
@@ -134,6 +134,8 @@
         pub domain: DomainName,
         /// The groups placed in it.
         pub groups: BTreeMap<GroupName, PlacedGroup>,
+        /// Earlier placements of these groups that still finish what runs.
+        pub retiring: Vec<Retiring>,
         /// The fencing number of the daemon that wrote it.
         pub fence: Fence,
         /// Counts the writes of the record; epochs are drawn from it.
@@ -158,6 +160,20 @@
         pub adapters: Vec<AdapterName>,
         /// Where it is in its life.
         pub stage: Stage,
+        /// The placement that is being loaded to take its place.
+        pub next: Option<Box<PlacedGroup>>,
+    }
+
+    /// An earlier placement of a group: it gets no new work.
+    #[derive(Eq, Default)]
+    #[serde(default)]
+    pub struct Retiring {
+        /// The group.
+        pub group: GroupName,
+        /// The earlier placement's epoch.
+        pub epoch: Epoch,
+        /// Its hosts, the leading one first.
+        pub hosts: Vec<HostName>,
     }
 
     /// Where a placed group is in its life.
--- a/src/core/config/view.rs
+++ b/src/core/config/view.rs
@@ -139,6 +139,11 @@
         self.models.get(name).map(|v| &v.record)
     }
 
+    /// A model, with the revision of its last write.
+    pub fn model_entry(&self, name: &ModelName) -> Option<&Versioned<Model>> {
+        self.models.get(name)
+    }
+
     /// Every model, by name.
     pub fn models(&self) -> impl Iterator<Item = &Model> {
         self.models.values().map(|v| &v.record)
