--- a/tests/config_platform.rs
+++ b/tests/config_platform.rs
@@ -22,6 +22,7 @@
     hyper::Request,
     serde_json::{Value, json},
     std::{
+        collections::VecDeque,
         io::{BufRead as _, BufReader},
         net::SocketAddr,
         path::PathBuf,
@@ -109,6 +110,8 @@
 struct Client {
     platform: Platform,
     inputs: UnboundedReceiver<Input>,
+    /// Changes that came while an answer was awaited.
+    changes: VecDeque<WatchEvent>,
     last: u64,
 }
 
@@ -118,6 +121,7 @@
         Self {
             platform: Platform::over(inbox, Etcd::new(endpoints.to_vec())),
             inputs,
+            changes: VecDeque::new(),
             last: 0,
         }
     }
@@ -147,6 +151,7 @@
             match self.next().await {
                 PlatformInput::Answered { id, answer } if id == wanted => return Some(answer),
                 PlatformInput::Failed { id } if id == wanted => return None,
+                PlatformInput::Watched { events, .. } => self.changes.extend(events),
                 _ => {}
             }
         }
@@ -155,11 +160,12 @@
     /// The next change under any watch.
     async fn change(&mut self) -> WatchEvent {
         loop {
-            if let PlatformInput::Watched { mut events, .. } = self.next().await
-                && let Some(event) = events.pop()
-            {
+            if let Some(event) = self.changes.pop_front() {
                 return event;
             }
+            if let PlatformInput::Watched { events, .. } = self.next().await {
+                self.changes.extend(events);
+            }
         }
     }
 
