--- a/src/shell/calls.rs
+++ b/src/shell/calls.rs
@@ -99,6 +99,7 @@
 pub struct Calls {
     inbox: Inbox,
     last: Cell<u64>,
+    stopping: Cell<bool>,
     open: RefCell<HashMap<CallId, Entry>>,
     heads: RefCell<HashMap<AttemptId, Head>>,
 }
@@ -109,6 +110,7 @@
         Self {
             inbox,
             last: Cell::new(0),
+            stopping: Cell::new(false),
             open: RefCell::default(),
             heads: RefCell::default(),
         }
@@ -156,6 +158,16 @@
         self.open.borrow().len()
     }
 
+    /// Notes that the graceful stop has begun.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Whether the graceful stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
     /// Carries out an output for a caller.
     pub fn perform(&self, output: CallOutput) {
         match output {
