--- a/src/core/output.rs
+++ b/src/core/output.rs
@@ -171,6 +171,8 @@
         ClaimLost,
         /// This daemon's graceful stop ran out of time.
         Stopped,
+        /// The same non-idempotent request was taken before, or its ticket is too old to tell.
+        Duplicate,
     }
 
     /// One daemon that callers may use.
--- a/src/core/request/mod.rs
+++ b/src/core/request/mod.rs
@@ -1,16 +1,47 @@
 //! Requests: admission, routing, attempts, and answering each once and whole.
+//!
+//! A request is admitted (`arrival`), waits for room if need be (`queue`), and
+//! is tried on runners (`attempt`, `routing`) until it ends, once (`ending`).
+//! Non-idempotent requests are first claimed (`claim`, `ledger`, [`ticket`]).
 
+mod arrival;
+mod attempt;
+mod budget;
+mod call;
+mod claim;
+mod ending;
+mod lane;
+mod ledger;
+mod limits;
+mod prefix;
+mod queue;
+mod routing;
+mod services;
+mod tally;
 pub mod ticket;
 
-use super::{
-    config::View,
-    count::Count,
-    ctx::Ctx,
-    group::Groups,
-    input::{CallInput, PlatformAnswer, RunnerInput},
-    keys::{HostName, PlatformId},
-    member::{Hosts, Members},
-    timer::RequestTimer,
+use {
+    super::{
+        config::View,
+        count::Count,
+        ctx::Ctx,
+        group::Groups,
+        input::{CallInput, PlatformAnswer, RunnerInput},
+        keys::{AttemptId, CallId, Epoch, GroupName, HostName, PlatformId},
+        member::{Hosts, Members},
+        output::Route,
+        timer::RequestTimer,
+    },
+    budget::RetryBudget,
+    call::{Call, CallKey, Stage},
+    claim::Claims,
+    ledger::Ledger,
+    limits::Limits,
+    queue::Queues,
+    routing::{Pool, Router},
+    slotmap::SlotMap,
+    std::collections::HashMap,
+    tally::Tally,
 };
 
 /// What requests are decided by.
@@ -28,60 +59,147 @@
 
 /// The requests open on this daemon.
 #[derive(Debug, Default)]
-pub struct Requests {}
+pub struct Requests {
+    calls: SlotMap<CallKey, Call>,
+    by_id: HashMap<CallId, CallKey>,
+    by_attempt: HashMap<AttemptId, CallKey>,
+    limits: Limits,
+    queues: Queues,
+    router: Router,
+    budget: RetryBudget,
+    ledger: Ledger,
+    claims: Claims,
+    tally: Tally,
+    /// Hosts found silent even on fresh connections, not yet reported.
+    suspects: Vec<HostName>,
+    /// Pools that may have room for what waits.
+    freed: Vec<Pool>,
+    stopping: bool,
+}
 
 /// Queries.
 impl Requests {
     /// How many requests are open.
     pub fn open(&self) -> usize {
-        0
+        self.calls.len()
+    }
+
+    /// How many attempts run on a group at an epoch or an earlier one.
+    pub fn running_on(&self, name: &GroupName, until: Epoch) -> usize {
+        let attempts = self.calls.values().filter_map(Call::attempt);
+        attempts
+            .filter(|attempt| match &attempt.route {
+                Route::Group { group, epoch, .. } => group == name && *epoch <= until,
+                _ => false,
+            })
+            .count()
     }
 
     /// Adds what this part has counted.
-    pub fn counts(&self, _counts: &mut Vec<Count>) {}
+    pub fn counts(&self, counts: &mut Vec<Count>) {
+        self.tally.counts(counts);
+        counts.extend([
+            Count::counter("retries_total", self.budget.spent()),
+            Count::counter("retries_denied_total", self.budget.denied()),
+            Count::gauge("requests_open", self.calls.len() as u64),
+            Count::gauge("requests_queued", self.queues.len() as u64),
+            Count::gauge("ledger_entries", self.ledger.len() as u64),
+            Count::gauge("prefix_blocks", self.router.blocks() as u64),
+        ]);
+    }
 }
 
 /// Commands.
 impl Requests {
     /// Starts the timers that always run.
-    pub fn on_start(&mut self, _ctx: &mut Ctx) {}
+    pub fn on_start(&mut self, ctx: &mut Ctx) {
+        self.on_sweep(ctx);
+    }
 
     /// Takes an event from a caller.
-    pub fn on_call(&mut self, _ctx: &mut Ctx, _site: &Site, _input: CallInput) {}
+    pub fn on_call(&mut self, ctx: &mut Ctx, site: &Site, input: CallInput) {
+        match input {
+            CallInput::Arrived { call, request } => self.on_arrived(ctx, site, call, request),
+            CallInput::Gone { call } => self.on_gone(ctx, call),
+            CallInput::Entries { .. } => {}
+        }
+        self.pump(ctx, site);
+    }
 
     /// Takes an event of an attempt; returns hosts found silent even on a fresh connection.
-    pub fn on_runner(
-        &mut self,
-        _ctx: &mut Ctx,
-        _site: &Site,
-        _input: RunnerInput,
-    ) -> Vec<HostName> {
-        Vec::new()
+    pub fn on_runner(&mut self, ctx: &mut Ctx, site: &Site, input: RunnerInput) -> Vec<HostName> {
+        match input {
+            RunnerInput::Accepted { attempt, echo } => self.on_accepted(ctx, site, attempt, echo),
+            RunnerInput::Chunk {
+                attempt,
+                offset,
+                tokens,
+                payload,
+            } => self.on_chunk(ctx, site, attempt, offset, tokens, payload),
+            RunnerInput::Finished { attempt } => self.on_finished(ctx, site, attempt),
+            RunnerInput::Failed { attempt, failure } => {
+                self.on_failed(ctx, site, attempt, failure);
+            }
+            RunnerInput::Cache {
+                host,
+                first,
+                events,
+            } => self.router.on_cache(&host, first, events),
+            RunnerInput::Load { .. }
+            | RunnerInput::Ordered { .. }
+            | RunnerInput::Holding { .. } => {}
+        }
+        self.pump(ctx, site);
+        std::mem::take(&mut self.suspects)
     }
 
     /// Takes a timer; returns hosts found silent even on a fresh connection.
-    pub fn on_timer(
-        &mut self,
-        _ctx: &mut Ctx,
-        _site: &Site,
-        _timer: RequestTimer,
-    ) -> Vec<HostName> {
-        Vec::new()
+    pub fn on_timer(&mut self, ctx: &mut Ctx, site: &Site, timer: RequestTimer) -> Vec<HostName> {
+        match timer {
+            RequestTimer::Deadline(call) => self.on_deadline(ctx, call),
+            RequestTimer::Silent(attempt) => self.on_silent(ctx, site, attempt),
+            RequestTimer::Retry(_) | RequestTimer::Queue => self.free_all(),
+            RequestTimer::Sweep => self.on_sweep(ctx),
+            RequestTimer::Stop => self.on_grace_over(ctx),
+        }
+        self.pump(ctx, site);
+        std::mem::take(&mut self.suspects)
     }
 
     /// Takes the answer to a platform call of this part; nothing means that it failed.
     pub fn on_platform(
         &mut self,
-        _ctx: &mut Ctx,
-        _site: &Site,
-        _id: PlatformId,
-        _answer: Option<PlatformAnswer>,
+        ctx: &mut Ctx,
+        site: &Site,
+        id: PlatformId,
+        answer: Option<PlatformAnswer>,
     ) {
+        self.on_claim_answer(ctx, site, id, answer);
+        self.pump(ctx, site);
     }
 
     /// Looks again at what waits, after groups, hosts or records have changed.
-    pub fn on_site(&mut self, _ctx: &mut Ctx, _site: &Site) {}
+    pub fn on_site(&mut self, ctx: &mut Ctx, site: &Site) {
+        self.router.on_site();
+        self.free_all();
+        self.pump(ctx, site);
+    }
 
     /// Refuses new requests, and asks for the exit once the open ones have ended.
-    pub fn on_stop(&mut self, _ctx: &mut Ctx, _site: &Site) {}
+    pub fn on_stop(&mut self, ctx: &mut Ctx, _site: &Site) {
+        self.begin_stop(ctx);
+    }
+
+    /// Looks again at every pool in which requests wait.
+    fn free_all(&mut self) {
+        self.freed = self.queues.busy();
+    }
+
+    fn on_sweep(&mut self, ctx: &mut Ctx) {
+        self.ledger.sweep(ctx.now, *ctx.drawn);
+        ctx.timer(
+            super::timer::Timer::Request(RequestTimer::Sweep),
+            ledger::SWEEP,
+        );
+    }
 }
--- /dev/null
+++ b/src/core/request/routing.rs
@@ -0,0 +1,335 @@
+//! Routing: which runner gets an attempt.
+//!
+//! A few runners are drawn by chance, those likely to hold the prompt's prefix
+//! are added, and the one with the least predicted wait is taken. Chance keeps
+//! daemons that share a lagged report from all choosing the same runner.
+
+use {
+    super::{
+        super::{
+            group::{GroupKey, ServingGroup},
+            input::{CacheEvent, Target},
+            keys::{HostName, ModelName, ServiceName, VersionName},
+            member::Health,
+            options::{Mechanism, Options},
+            output::Route,
+            time::{Span, Time},
+        },
+        Site,
+        call::Call,
+        lane::{Estimate, Lane},
+        prefix::PrefixIndex,
+        services::ServiceIndex,
+    },
+    rand::{Rng, rngs::SmallRng},
+    std::collections::HashMap,
+};
+
+/// Where requests wait and run.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Pool {
+    /// The groups of a model.
+    Model(ModelName),
+    /// The runners of a plain service.
+    Service(ServiceName),
+}
+
+/// What routing found.
+#[derive(Debug)]
+pub(super) enum Choice {
+    /// This runner.
+    Start(Pick),
+    /// Runners serve it, but none that was looked at has room.
+    Full,
+    /// No runner serves it.
+    Nothing,
+}
+
+/// A runner chosen.
+#[derive(Debug)]
+pub(super) struct Pick {
+    pub(super) route: Route,
+    pub(super) version: Option<VersionName>,
+    /// The predicted time to the answer's first part.
+    pub(super) wait: Span,
+}
+
+/// Runners drawn by chance for one decision.
+const DRAWS: usize = 3;
+
+/// Up to so many runners, all are looked at.
+const SMALL_POOL: usize = 6;
+
+/// Prompt processing time for one token.
+const PREFILL: Span = Span(50);
+
+/// Tokens that a waiting request is taken to generate.
+const MEAN_TOKENS: u64 = 128;
+
+/// How long a median of token gaps is used.
+const MEDIAN_AGE: Span = Span::from_secs(1);
+
+/// What routing remembers between decisions.
+#[derive(Debug, Default)]
+pub(super) struct Router {
+    lanes: HashMap<HostName, Lane>,
+    leads: HashMap<HostName, GroupKey>,
+    medians: HashMap<ModelName, (Time, Span)>,
+    services: ServiceIndex,
+    prefixes: PrefixIndex,
+}
+
+/// Queries.
+impl Router {
+    /// Blocks of prompts remembered.
+    pub(super) fn blocks(&self) -> usize {
+        self.prefixes.len()
+    }
+
+    /// The next cache event wanted from a runner.
+    pub(super) fn next_event(&self, host: &HostName) -> u64 {
+        self.prefixes.next(host)
+    }
+
+    /// The runners that lead groups this daemon sends to now.
+    pub(super) fn used(&self) -> impl Iterator<Item = &HostName> {
+        self.leads
+            .keys()
+            .filter(|host| self.lanes.get(*host).is_some_and(|lane| lane.open() > 0))
+    }
+
+    /// Whether an attempt may be sent over the same route once more.
+    pub(super) fn is_usable(&self, site: &Site, options: &Options, route: &Route) -> bool {
+        match route {
+            Route::Group {
+                group, epoch, host, ..
+            } => {
+                is_live(site, host)
+                    && (site.groups.is_current(group, *epoch)
+                        || !options.has(Mechanism::CompleteGroups))
+            }
+            Route::Service { host, .. } => is_live(site, host),
+            Route::Daemon { .. } => false,
+        }
+    }
+
+    fn estimate(&self, site: &Site, host: &HostName) -> Estimate {
+        let load = site.hosts.get(host).and_then(|h| h.load.as_ref());
+        match self.lanes.get(host) {
+            Some(lane) => lane.estimate(load),
+            None => Lane::default().estimate(load),
+        }
+    }
+
+    /// The predicted time to the answer's first part, in microseconds.
+    fn score(&self, site: &Site, call: &Call, host: &HostName, median: Span) -> u64 {
+        let load = self.estimate(site, host);
+        let prompt = &call.request.prefix;
+        let tokens = u64::from(call.request.prompt_tokens);
+        let matched = self.prefixes.matched(prompt, host) as u64;
+        let cached = tokens * matched / (prompt.len() as u64).max(1);
+        let prefill = (tokens - cached + u64::from(load.pending)) * PREFILL.0;
+        let over = u64::from(load.running.saturating_sub(load.slots));
+        let queued = over * load.gap.0 * MEAN_TOKENS / u64::from(load.slots);
+        let batch = u64::from(load.running) * load.gap.0 / 8;
+        let base = prefill + queued + batch + load.gap.0;
+        base * load.gap.0.max(median.0) / median.0.max(1)
+    }
+}
+
+/// Commands.
+impl Router {
+    /// Chooses a runner for a request's next attempt.
+    pub(super) fn choose(
+        &mut self,
+        rng: &mut SmallRng,
+        options: &Options,
+        site: &Site,
+        now: Time,
+        call: &Call,
+    ) -> Choice {
+        match &call.request.target {
+            Target::Model { model, .. } => self.choose_group(rng, options, site, now, model, call),
+            Target::Service { service } => self.choose_service(rng, site, now, service, call),
+        }
+    }
+
+    /// Notes that an attempt was sent.
+    pub(super) fn began(&mut self, now: Time, host: &HostName, call: &Call) {
+        let lane = self.lanes.entry(host.clone()).or_default();
+        lane.began(now, call.request.prompt_tokens);
+        self.prefixes.sent(&call.request.prefix, host);
+    }
+
+    /// Notes that an attempt has ended.
+    pub(super) fn ended(&mut self, now: Time, host: &HostName) {
+        if let Some(lane) = self.lanes.get_mut(host) {
+            lane.ended(now);
+        }
+    }
+
+    /// Notes the time between two parts of an answer, for each token.
+    pub(super) fn saw_gap(&mut self, host: &HostName, gap: Span) {
+        if let Some(lane) = self.lanes.get_mut(host) {
+            lane.saw_gap(gap);
+        }
+    }
+
+    /// Takes a runner's cache events.
+    pub(super) fn on_cache(&mut self, host: &HostName, first: u64, events: Vec<CacheEvent>) {
+        self.prefixes.on_events(host, first, events);
+    }
+
+    /// Notes that hosts may have come or gone.
+    pub(super) fn on_site(&mut self) {
+        self.services.invalidate();
+    }
+
+    fn choose_group(
+        &mut self,
+        rng: &mut SmallRng,
+        options: &Options,
+        site: &Site,
+        now: Time,
+        model: &ModelName,
+        call: &Call,
+    ) -> Choice {
+        let serving = site.groups.serving(model);
+        let fits = |key: &GroupKey| {
+            let group = site.groups.get(*key)?;
+            let usable =
+                group.model == *model && is_whole(site, options, group) && suits(group, call);
+            usable.then_some((*key, group))
+        };
+        let hints = self
+            .prefixes
+            .holders(&call.request.prefix)
+            .iter()
+            .filter_map(|host| self.leads.get(host));
+        let mut drawn: Vec<_> = if serving.len() <= SMALL_POOL {
+            serving.iter().filter_map(fits).collect()
+        } else {
+            let random = (0..DRAWS).map(|_| &serving[rng.random_range(0..serving.len())]);
+            hints.chain(random).filter_map(fits).collect()
+        };
+        let has_room = |group: &ServingGroup| self.estimate(site, &group.hosts[0]).has_room();
+        if !drawn.iter().any(|(_, group)| has_room(group)) {
+            drawn = serving.iter().filter_map(fits).collect();
+        }
+        if drawn.is_empty() {
+            return Choice::Nothing;
+        }
+        let median = self.median(site, now, model);
+        let best = drawn
+            .into_iter()
+            .filter(|(_, group)| self.estimate(site, &group.hosts[0]).has_room())
+            .map(|(key, group)| {
+                let score = self.score(site, call, &group.hosts[0], median);
+                (score, rng.random::<u32>(), key, group)
+            })
+            .min_by_key(|(score, chance, ..)| (*score, *chance));
+        let Some((score, _, key, group)) = best else {
+            return Choice::Full;
+        };
+        self.leads.insert(group.hosts[0].clone(), key);
+        Choice::Start(Pick {
+            route: Route::Group {
+                group: group.name.clone(),
+                epoch: group.epoch,
+                host: group.hosts[0].clone(),
+                address: group.address,
+            },
+            version: Some(group.version.clone()),
+            wait: Span(score),
+        })
+    }
+
+    fn choose_service(
+        &mut self,
+        rng: &mut SmallRng,
+        site: &Site,
+        now: Time,
+        service: &ServiceName,
+        call: &Call,
+    ) -> Choice {
+        let runners = self.services.runners(site, now, service);
+        let fit: Vec<_> = runners
+            .iter()
+            .filter(|host| is_live(site, host) && !call.tried.contains(host))
+            .collect();
+        if fit.is_empty() {
+            return Choice::Nothing;
+        }
+        let drawn = (0..DRAWS).map(|_| fit[rng.random_range(0..fit.len())]);
+        let lanes = &self.lanes;
+        let open = |host: &HostName| lanes.get(host).map_or(0, Lane::open);
+        let best = drawn.min_by_key(|host| open(host));
+        let Some(host) = best.and_then(|host| site.hosts.get(host)) else {
+            return Choice::Nothing;
+        };
+        Choice::Start(Pick {
+            route: Route::Service {
+                host: host.entry.host.clone(),
+                address: host.entry.address,
+            },
+            version: None,
+            wait: Span::ZERO,
+        })
+    }
+
+    /// The middle token gap of a model's groups, as it lately was.
+    fn median(&mut self, site: &Site, now: Time, model: &ModelName) -> Span {
+        if let Some((at, median)) = self.medians.get(model)
+            && now.since(*at) < MEDIAN_AGE
+        {
+            return *median;
+        }
+        let groups = site.groups.serving(model).iter();
+        let mut gaps: Vec<Span> = groups
+            .filter_map(|key| site.groups.get(*key))
+            .map(|group| self.estimate(site, &group.hosts[0]).gap)
+            .collect();
+        gaps.sort_unstable();
+        let median = gaps.get(gaps.len() / 2).copied().unwrap_or_default();
+        self.medians.insert(model.clone(), (now, median));
+        median
+    }
+}
+
+/// Whether a group suits a request.
+fn suits(group: &ServingGroup, call: &Call) -> bool {
+    let Target::Model {
+        version, adapter, ..
+    } = &call.request.target
+    else {
+        return false;
+    };
+    let version_fits = |wanted: &Option<VersionName>| {
+        wanted
+            .as_ref()
+            .is_none_or(|wanted| *wanted == group.version)
+    };
+    version_fits(version)
+        && version_fits(&call.version)
+        && adapter.as_ref().is_none_or(|a| group.adapters.contains(a))
+        && (group.accounts.is_empty() || group.accounts.contains(&call.account))
+        && !call.tried.contains(&group.hosts[0])
+}
+
+/// Whether all members of a group are there and its leading host is live.
+fn is_whole(site: &Site, options: &Options, group: &ServingGroup) -> bool {
+    if !options.has(Mechanism::CompleteGroups) {
+        return true;
+    }
+    let present = |host: &HostName| {
+        let health = site.hosts.get(host).map(|h| h.health);
+        matches!(health, Some(Health::Live | Health::Suspect))
+    };
+    group.hosts.iter().all(present) && is_live(site, &group.hosts[0])
+}
+
+fn is_live(site: &Site, host: &HostName) -> bool {
+    site.hosts
+        .get(host)
+        .is_some_and(|h| h.health == Health::Live)
+}
--- /dev/null
+++ b/src/core/request/tally.rs
@@ -0,0 +1,72 @@
+//! What the request path has counted.
+
+use {
+    super::super::{
+        count::Count,
+        output::{Doubt, Ending, Refusal},
+    },
+    std::collections::BTreeMap,
+};
+
+/// Counters of the request path.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    pub(super) arrived: u64,
+    pub(super) attempts: u64,
+    pub(super) resumed: u64,
+    pub(super) relayed: u64,
+    /// Answers, or parts of one, that belonged to something else.
+    pub(super) mismatched: u64,
+    /// Events of attempts that were over.
+    pub(super) late: u64,
+    pub(super) stalled: u64,
+    pub(super) tokens: u64,
+    complete: u64,
+    refused: BTreeMap<Refusal, u64>,
+    unknown: BTreeMap<Doubt, u64>,
+}
+
+impl Tally {
+    /// Notes how a request ended.
+    pub(super) fn end(&mut self, ending: &Ending) {
+        match ending {
+            Ending::Complete => self.complete += 1,
+            Ending::Refused { reason, .. } => *self.refused.entry(*reason).or_default() += 1,
+            Ending::Unknown(doubt) => *self.unknown.entry(*doubt).or_default() += 1,
+        }
+    }
+
+    /// Adds the counters.
+    pub(super) fn counts(&self, counts: &mut Vec<Count>) {
+        counts.extend([
+            Count::counter("requests_arrived_total", self.arrived),
+            Count::counter("requests_complete_total", self.complete),
+            Count::counter("attempts_total", self.attempts),
+            Count::counter("attempts_resumed_total", self.resumed),
+            Count::counter("attempts_relayed_total", self.relayed),
+            Count::counter("attempts_stalled_total", self.stalled),
+            Count::counter("answers_mismatched_total", self.mismatched),
+            Count::counter("answers_late_total", self.late),
+            Count::counter("tokens_delivered_total", self.tokens),
+        ]);
+        for (reason, value) in &self.refused {
+            let count = Count::counter("requests_refused_total", *value);
+            counts.push(count.labelled("reason", label(reason)));
+        }
+        for (reason, value) in &self.unknown {
+            let count = Count::counter("requests_unknown_total", *value);
+            counts.push(count.labelled("reason", label(reason)));
+        }
+    }
+}
+
+/// A reason as it is written in answers.
+fn label<T>(reason: &T) -> String
+where
+    T: serde::Serialize,
+{
+    match serde_json::to_value(reason) {
+        Ok(serde_json::Value::String(text)) => text,
+        _ => String::new(),
+    }
+}
