--- a/src/core/request/attempt.rs
+++ b/src/core/request/attempt.rs
@@ -160,6 +160,7 @@
         ctx.push(Output::Call(CallOutput::Deliver {
             call,
             offset,
+            tokens,
             payload,
         }));
     }
--- a/src/core/request/mod.rs
+++ b/src/core/request/mod.rs
@@ -29,8 +29,9 @@
         input::{CallInput, PlatformAnswer, RunnerInput},
         keys::{AttemptId, CallId, Epoch, GroupName, HostName, PlatformId},
         member::{Hosts, Members},
-        output::Route,
-        timer::RequestTimer,
+        output::{Output, Route, RunnerOutput},
+        time::Span,
+        timer::{RequestTimer, Timer},
     },
     budget::RetryBudget,
     call::{Call, CallKey, Stage},
@@ -44,6 +45,12 @@
     tally::Tally,
 };
 
+/// How often what waits is looked at again.
+const TICK: Span = Span::from_secs(1);
+
+/// Runners whose cache events are read in one tick.
+const CACHE_READS: usize = 4;
+
 /// What requests are decided by.
 #[derive(Clone, Copy, Debug)]
 pub struct Site<'a> {
@@ -114,6 +121,7 @@
     /// Starts the timers that always run.
     pub fn on_start(&mut self, ctx: &mut Ctx) {
         self.on_sweep(ctx);
+        ctx.timer(Timer::Request(RequestTimer::Queue), TICK);
     }
 
     /// Takes an event from a caller.
@@ -158,7 +166,8 @@
         match timer {
             RequestTimer::Deadline(call) => self.on_deadline(ctx, call),
             RequestTimer::Silent(attempt) => self.on_silent(ctx, site, attempt),
-            RequestTimer::Retry(_) | RequestTimer::Queue => self.free_all(),
+            RequestTimer::Retry(_) => self.free_all(),
+            RequestTimer::Queue => self.on_tick(ctx, site),
             RequestTimer::Sweep => self.on_sweep(ctx),
             RequestTimer::Stop => self.on_grace_over(ctx),
         }
@@ -195,11 +204,23 @@
         self.freed = self.queues.busy();
     }
 
+    /// Looks again at what waits, and reads cache events of a few runners in use.
+    fn on_tick(&mut self, ctx: &mut Ctx, site: &Site) {
+        self.free_all();
+        for host in self.router.next_reads(CACHE_READS) {
+            if let Some(known) = site.hosts.get(&host) {
+                ctx.push(Output::Runner(RunnerOutput::ReadCache {
+                    address: known.entry.address,
+                    from: self.router.next_event(&host),
+                    host,
+                }));
+            }
+        }
+        ctx.timer(Timer::Request(RequestTimer::Queue), TICK);
+    }
+
     fn on_sweep(&mut self, ctx: &mut Ctx) {
         self.ledger.sweep(ctx.now, *ctx.drawn);
-        ctx.timer(
-            super::timer::Timer::Request(RequestTimer::Sweep),
-            ledger::SWEEP,
-        );
+        ctx.timer(Timer::Request(RequestTimer::Sweep), ledger::SWEEP);
     }
 }
--- a/src/core/request/routing.rs
+++ b/src/core/request/routing.rs
@@ -77,6 +77,7 @@
     medians: HashMap<ModelName, (Time, Span)>,
     services: ServiceIndex,
     prefixes: PrefixIndex,
+    last_read: Option<HostName>,
 }
 
 /// Queries.
@@ -91,13 +92,6 @@
         self.prefixes.next(host)
     }
 
-    /// The runners that lead groups this daemon sends to now.
-    pub(super) fn used(&self) -> impl Iterator<Item = &HostName> {
-        self.leads
-            .keys()
-            .filter(|host| self.lanes.get(*host).is_some_and(|lane| lane.open() > 0))
-    }
-
     /// Whether an attempt may be sent over the same route once more.
     pub(super) fn is_usable(&self, site: &Site, options: &Options, route: &Route) -> bool {
         match route {
@@ -175,6 +169,18 @@
         }
     }
 
+    /// The next few runners in use whose cache events are to be read.
+    pub(super) fn next_reads(&mut self, count: usize) -> Vec<HostName> {
+        let in_use = |host: &&HostName| self.lanes.get(*host).is_some_and(|lane| lane.open() > 0);
+        let mut used: Vec<HostName> = self.leads.keys().filter(in_use).cloned().collect();
+        used.sort_unstable();
+        let start = used.partition_point(|host| Some(host) <= self.last_read.as_ref());
+        used.rotate_left(start);
+        used.truncate(count);
+        self.last_read = used.last().cloned();
+        used
+    }
+
     /// Takes a runner's cache events.
     pub(super) fn on_cache(&mut self, host: &HostName, first: u64, events: Vec<CacheEvent>) {
         self.prefixes.on_events(host, first, events);
--- /dev/null
+++ b/tests/request/harness.rs
@@ -0,0 +1,366 @@
+//! Drives the request part by direct hand-over of its events.
+
+use {
+    hickoryledge::core::{
+        config::{ROOT, View},
+        ctx::{Ctx, Identity},
+        group::Groups,
+        input::{
+            CallInput, CallRequest, Echo, Failure, HostEntry, OrderChecks, Payload, PlatformAnswer,
+            PlatformEntry, RunnerInput, RunnerKind, Target, WatchEvent,
+        },
+        keys::{AttemptId, CallId, Incarnation, KeyHash, PlatformId, Revision},
+        member::{Hosts, Members},
+        options::{Mechanism, Options},
+        output::{CallOutput, Ending, Output, PlatformCall, Route, RunnerOutput},
+        request::{Requests, Site},
+        time::{Span, Time},
+        timer::{RequestTimer, Timer},
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// One daemon's request part, and what it reads.
+pub struct Rig {
+    pub view: View,
+    pub members: Members,
+    pub hosts: Hosts,
+    pub groups: Groups,
+    pub requests: Requests,
+    pub me: Identity,
+    pub options: Options,
+    pub now: Time,
+    rng: SmallRng,
+    drawn: u64,
+    revision: i64,
+    last_call: u64,
+    /// Everything that came out and was not yet looked at.
+    pub out: Vec<Output>,
+    timers: BTreeMap<(Time, String), RequestTimer>,
+}
+
+impl Rig {
+    /// A daemon with one account, `clerk`.
+    pub fn new(without: &[Mechanism]) -> Self {
+        let address: SocketAddr = "127.0.0.1:1".parse().expect("address is valid");
+        let mut rig = Self {
+            view: View::default(),
+            members: Members::default(),
+            hosts: Hosts::default(),
+            groups: Groups::default(),
+            requests: Requests::default(),
+            me: Identity {
+                name: "d1".into(),
+                incarnation: Incarnation(1),
+                region: "r1".into(),
+                hall: "h1".into(),
+                caller: address,
+                peer: address,
+                seeds: Vec::new(),
+                secret: 7,
+            },
+            options: Options {
+                without: without.to_vec(),
+                ..Options::default()
+            },
+            now: Time(1),
+            rng: SmallRng::seed_from_u64(1),
+            drawn: 0,
+            revision: 0,
+            last_call: 0,
+            out: Vec::new(),
+            timers: BTreeMap::new(),
+        };
+        rig.put_account("clerk", 1, serde_json::json!({}));
+        rig
+    }
+
+    /// Writes a record into the view.
+    pub fn put(&mut self, key: &str, value: serde_json::Value) {
+        self.revision += 1;
+        let entry = PlatformEntry {
+            key: format!("{ROOT}{key}"),
+            value: value.to_string(),
+            revision: Revision(self.revision),
+            lease: None,
+        };
+        self.view
+            .apply(WatchEvent::Put(entry))
+            .expect("record is taken");
+    }
+
+    /// Writes an account whose key is told by `key`.
+    pub fn put_account(&mut self, name: &str, key: u8, mut fields: serde_json::Value) {
+        fields["name"] = name.into();
+        fields["key"] = serde_json::to_value(KeyHash([key; 32])).expect("key is written");
+        self.put(&format!("config/account/{name}"), fields);
+    }
+
+    /// A plain service with runners `NAME-0`, `NAME-1`, ….
+    pub fn put_service(&mut self, name: &str, idempotent: bool, runners: usize) {
+        let record = serde_json::json!({ "name": name, "idempotent": idempotent });
+        self.put(&format!("config/service/{name}"), record);
+        let entries = (0..runners)
+            .map(|index| service_host(name, index))
+            .collect();
+        self.with(|rig, ctx| {
+            rig.hosts.on_listed(ctx, entries);
+        });
+        self.on_site();
+    }
+
+    /// Tells the part that what it reads has changed.
+    pub fn on_site(&mut self) {
+        self.with_site(|requests, ctx, site| requests.on_site(ctx, site));
+    }
+
+    /// Hands over a caller's request.
+    pub fn call(&mut self, request: CallRequest) -> CallId {
+        self.last_call += 1;
+        let call = CallId(self.last_call);
+        let input = CallInput::Arrived { call, request };
+        self.with_site(|requests, ctx, site| requests.on_call(ctx, site, input));
+        call
+    }
+
+    /// Hands over a runner's event; gives back the hosts suspected.
+    pub fn runner(&mut self, input: RunnerInput) -> usize {
+        let mut suspects = 0;
+        self.with_site(|requests, ctx, site| {
+            suspects = requests.on_runner(ctx, site, input).len();
+        });
+        suspects
+    }
+
+    /// Begins an answer with the right echo.
+    pub fn accept(&mut self, sent: &Sent) {
+        let epoch = match &sent.route {
+            Route::Group { epoch, .. } => Some(*epoch),
+            _ => None,
+        };
+        let echo = Echo {
+            attempt: Some(sent.attempt),
+            epoch,
+        };
+        let attempt = sent.attempt;
+        self.runner(RunnerInput::Accepted { attempt, echo });
+    }
+
+    /// Hands over a part of an answer.
+    pub fn chunk(&mut self, attempt: AttemptId, offset: u32, tokens: u32) {
+        let payload = Payload(format!("{offset}").into());
+        self.runner(RunnerInput::Chunk {
+            attempt,
+            offset,
+            tokens,
+            payload,
+        });
+    }
+
+    pub fn fail(&mut self, attempt: AttemptId, failure: Failure) -> usize {
+        self.runner(RunnerInput::Failed { attempt, failure })
+    }
+
+    /// Hands over a platform's answer; nothing means that the call failed.
+    pub fn platform(&mut self, id: PlatformId, answer: Option<PlatformAnswer>) {
+        self.with_site(|requests, ctx, site| requests.on_platform(ctx, site, id, answer));
+    }
+
+    pub fn stop(&mut self) {
+        self.with_site(|requests, ctx, site| requests.on_stop(ctx, site));
+    }
+
+    /// Lets time pass, with every timer that comes due; gives back the hosts suspected.
+    pub fn pass(&mut self, span: Span) -> usize {
+        let until = self.now + span;
+        let mut suspects = 0;
+        while let Some(entry) = self.timers.first_entry() {
+            let at = entry.key().0;
+            if at > until {
+                break;
+            }
+            let timer = entry.remove();
+            self.now = at;
+            self.with_site(|requests, ctx, site| {
+                suspects += requests.on_timer(ctx, site, timer).len();
+            });
+        }
+        self.now = until;
+        suspects
+    }
+
+    /// The attempts sent since the last look.
+    pub fn sent(&mut self) -> Vec<Sent> {
+        self.take(|output| match output {
+            Output::Runner(RunnerOutput::Attempt {
+                attempt,
+                call,
+                route,
+                fresh,
+                resume_at,
+            }) => Some(Sent {
+                attempt: *attempt,
+                call: *call,
+                route: route.clone(),
+                fresh: *fresh,
+                resume_at: *resume_at,
+            }),
+            _ => None,
+        })
+    }
+
+    /// The one attempt sent since the last look.
+    pub fn sent_one(&mut self) -> Sent {
+        let mut sent = self.sent();
+        assert_eq!(sent.len(), 1, "one attempt is sent");
+        sent.remove(0)
+    }
+
+    /// The attempts cancelled since the last look.
+    pub fn cancelled(&mut self) -> Vec<AttemptId> {
+        self.take(|output| match output {
+            Output::Runner(RunnerOutput::Cancel { attempt }) => Some(*attempt),
+            _ => None,
+        })
+    }
+
+    /// The requests that ended since the last look.
+    pub fn ended(&mut self) -> Vec<(CallId, Ending)> {
+        self.take(|output| match output {
+            Output::Call(CallOutput::End { call, ending }) => Some((*call, ending.clone())),
+            _ => None,
+        })
+    }
+
+    /// The offsets passed on since the last look.
+    pub fn delivered(&mut self) -> Vec<(CallId, u32)> {
+        self.take(|output| match output {
+            Output::Call(CallOutput::Deliver { call, offset, .. }) => Some((*call, *offset)),
+            _ => None,
+        })
+    }
+
+    /// The platform calls made since the last look.
+    pub fn platform_calls(&mut self) -> Vec<(PlatformId, PlatformCall)> {
+        self.take(|output| match output {
+            Output::Platform { id, call } => Some((*id, call.clone())),
+            _ => None,
+        })
+    }
+
+    /// Whether the exit was asked for since the last look.
+    pub fn exited(&mut self) -> bool {
+        let exits = self.take(|output| matches!(output, Output::Exit).then_some(()));
+        !exits.is_empty()
+    }
+
+    /// Runs something with this daemon's context.
+    pub fn with<F>(&mut self, act: F)
+    where
+        F: FnOnce(&mut Parts<'_>, &mut Ctx<'_>),
+    {
+        let mut out = Vec::new();
+        let mut ctx = Ctx {
+            now: self.now,
+            me: &self.me,
+            options: &self.options,
+            rng: &mut self.rng,
+            drawn: &mut self.drawn,
+            out: &mut out,
+        };
+        let mut parts = Parts {
+            view: &self.view,
+            members: &mut self.members,
+            hosts: &mut self.hosts,
+            groups: &mut self.groups,
+            requests: &mut self.requests,
+        };
+        act(&mut parts, &mut ctx);
+        for output in out {
+            match output {
+                Output::SetTimer {
+                    timer: Timer::Request(timer),
+                    at,
+                } => {
+                    self.timers.insert((at, format!("{timer:?}")), timer);
+                }
+                output => self.out.push(output),
+            }
+        }
+    }
+
+    fn with_site<F>(&mut self, act: F)
+    where
+        F: FnOnce(&mut Requests, &mut Ctx<'_>, &Site<'_>),
+    {
+        self.with(|parts, ctx| {
+            let site = Site {
+                view: parts.view,
+                members: parts.members,
+                hosts: parts.hosts,
+                groups: parts.groups,
+            };
+            act(parts.requests, ctx, &site);
+        });
+    }
+
+    fn take<T, F>(&mut self, pick: F) -> Vec<T>
+    where
+        F: Fn(&Output) -> Option<T>,
+    {
+        let found = self.out.iter().filter_map(&pick).collect();
+        self.out.retain(|output| pick(output).is_none());
+        found
+    }
+}
+
+/// The parts, lent out apart from the context.
+pub struct Parts<'a> {
+    pub view: &'a View,
+    pub members: &'a mut Members,
+    pub hosts: &'a mut Hosts,
+    pub groups: &'a mut Groups,
+    pub requests: &'a mut Requests,
+}
+
+/// An attempt that was sent.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub attempt: AttemptId,
+    pub call: CallId,
+    pub route: Route,
+    pub fresh: bool,
+    pub resume_at: u32,
+}
+
+/// A call of a plain service by the account `clerk`.
+pub fn service_call(service: &str) -> CallRequest {
+    CallRequest {
+        credential: KeyHash([1; 32]),
+        target: Target::Service {
+            service: service.into(),
+        },
+        idempotent: true,
+        ticket: None,
+        idempotency_key: None,
+        deadline: None,
+        prompt_tokens: 0,
+        max_tokens: 0,
+        prefix: Vec::new(),
+        relayed_by: None,
+    }
+}
+
+fn service_host(service: &str, index: usize) -> HostEntry {
+    HostEntry {
+        host: format!("{service}-{index}").into(),
+        hall: "h1".into(),
+        domain: "f1".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
+        accelerators: 0,
+        kind: RunnerKind::Service(service.into()),
+        leaving: false,
+        checks: OrderChecks::Nothing,
+    }
+}
