--- a/src/core/config/record.rs
+++ b/src/core/config/record.rs
@@ -31,6 +31,8 @@
         pub open: u32,
         /// Models it may use; empty for all.
         pub models: Vec<ModelName>,
+        /// Set when it is gone; the record is kept a while for its operations.
+        pub deleted: bool,
         /// The operation that wrote it.
         pub operation: OperationId,
         /// Operations that took effect before, the latest last.
@@ -52,6 +54,8 @@
         pub floor: u16,
         /// Gigabytes read from the weight store for each host.
         pub weights_gb: u32,
+        /// Set when it is gone; the record is kept a while for its operations.
+        pub deleted: bool,
         /// The operation that wrote it.
         pub operation: OperationId,
         /// Operations that took effect before, the latest last.
@@ -144,6 +148,8 @@
         pub domain: DomainName,
         /// The groups placed in it.
         pub groups: BTreeMap<GroupName, PlacedGroup>,
+        /// Earlier placements of these groups that still finish what runs.
+        pub retiring: Vec<Retiring>,
         /// The fencing number of the daemon that wrote it.
         pub fence: Fence,
         /// Counts the writes of the record; epochs are drawn from it.
@@ -168,6 +174,20 @@
         pub adapters: Vec<AdapterName>,
         /// Where it is in its life.
         pub stage: Stage,
+        /// The placement that is being loaded to take its place.
+        pub next: Option<Box<PlacedGroup>>,
+    }
+
+    /// An earlier placement of a group: it gets no new work.
+    #[derive(Eq, Default)]
+    #[serde(default)]
+    pub struct Retiring {
+        /// The group.
+        pub group: GroupName,
+        /// The earlier placement's epoch.
+        pub epoch: Epoch,
+        /// Its hosts, the leading one first.
+        pub hosts: Vec<HostName>,
     }
 
     /// Where a placed group is in its life.
@@ -228,6 +248,7 @@
             rate: 0,
             open: 0,
             models: Vec::new(),
+            deleted: false,
             operation: OperationId::default(),
             applied: Vec::new(),
         }
@@ -243,6 +264,7 @@
             size: 1,
             floor: 0,
             weights_gb: 1,
+            deleted: false,
             operation: OperationId::default(),
             applied: Vec::new(),
         }
--- a/src/core/config/view.rs
+++ b/src/core/config/view.rs
@@ -15,7 +15,7 @@
         },
         record::{Account, Daemon, Duty, GroupSpec, Model, Placement, Service, Upgrade},
     },
-    std::collections::{BTreeMap, HashMap},
+    std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
 /// Where the system's keys live at the platform's service.
@@ -90,6 +90,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct View {
     revision: Revision,
+    any_order: bool,
     raw: BTreeMap<String, PlatformEntry>,
     by_key: HashMap<KeyHash, AccountName>,
     accounts: BTreeMap<AccountName, Versioned<Account>>,
@@ -139,6 +140,11 @@
         self.models.get(name).map(|v| &v.record)
     }
 
+    /// A model, with the revision of its last write.
+    pub fn model_entry(&self, name: &ModelName) -> Option<&Versioned<Model>> {
+        self.models.get(name)
+    }
+
     /// Every model, by name.
     pub fn models(&self) -> impl Iterator<Item = &Model> {
         self.models.values().map(|v| &v.record)
@@ -184,6 +190,11 @@
         self.duties.get(domain)
     }
 
+    /// A daemon registered.
+    pub fn daemon(&self, daemon: &DaemonName) -> Option<&Versioned<Daemon>> {
+        self.daemons.get(daemon)
+    }
+
     /// The daemons registered, by name.
     pub fn daemons(&self) -> impl Iterator<Item = &Versioned<Daemon>> {
         self.daemons.values()
@@ -192,11 +203,12 @@
 
 /// Commands.
 impl View {
-    /// Applies one change; an older revision of a key than the one held is left out.
+    /// Applies one change; one older than what is held, or deleted, is left out.
     ///
     /// Returns the key if its value has changed.
     pub fn apply(&mut self, event: WatchEvent) -> Option<Key> {
         match event {
+            WatchEvent::Put(entry) if self.is_outdated(&entry) => None,
             WatchEvent::Put(entry) => self.put(entry),
             WatchEvent::Deleted { key, revision } => self.delete(&key, revision),
         }
@@ -211,11 +223,10 @@
     ///
     /// A list older than the view changes nothing.
     pub fn replace(&mut self, entries: Vec<PlatformEntry>, revision: Revision) -> Vec<Key> {
-        if revision < self.revision {
+        if revision < self.revision && !self.any_order {
             return Vec::new();
         }
-        let listed: std::collections::BTreeSet<String> =
-            entries.iter().map(|e| e.key.clone()).collect();
+        let listed: BTreeSet<&String> = entries.iter().map(|e| &e.key).collect();
         let gone: Vec<String> = self
             .raw
             .keys()
@@ -229,15 +240,29 @@
         changed
     }
 
+    /// Lets older changes replace newer ones; for tests that show why not.
+    pub(super) fn allow_any_order(&mut self) {
+        self.any_order = true;
+    }
+
+    /// Whether a key not held was deleted after `entry` was written.
+    ///
+    /// The view is complete up to its revision, so a key that is not held then
+    /// has no write up to there that still counts.
+    fn is_outdated(&self, entry: &PlatformEntry) -> bool {
+        let is_held = self.raw.contains_key(&entry.key);
+        !self.any_order && !is_held && entry.revision <= self.revision
+    }
+
     fn put(&mut self, entry: PlatformEntry) -> Option<Key> {
         let key = Key::parse(&entry.key)?;
         let held = self.raw.get(&entry.key).map(|e| e.revision);
-        if held >= Some(entry.revision) {
+        if held >= Some(entry.revision) && !self.any_order {
             return None;
         }
-        self.decode(&key, &entry)?;
+        let known = self.decode(&key, &entry);
         self.raw.insert(entry.key.clone(), entry);
-        Some(key)
+        known.map(|()| key)
     }
 
     fn decode(&mut self, key: &Key, entry: &PlatformEntry) -> Option<()> {
@@ -254,12 +279,20 @@
         match key {
             Key::Account(name) => {
                 let account: Versioned<Account> = read(entry)?;
-                self.by_key.retain(|_, holder| holder != name);
+                self.forget(key);
+                if account.record.deleted {
+                    return Some(());
+                }
                 self.by_key.insert(account.record.key, name.clone());
                 self.accounts.insert(name.clone(), account);
             }
             Key::Model(name) => {
-                self.models.insert(name.clone(), read(entry)?);
+                let model: Versioned<Model> = read(entry)?;
+                self.forget(key);
+                if model.record.deleted {
+                    return Some(());
+                }
+                self.models.insert(name.clone(), model);
             }
             Key::Service(name) => {
                 self.services.insert(name.clone(), read(entry)?);
@@ -284,13 +317,18 @@
     }
 
     fn delete(&mut self, path: &str, revision: Revision) -> Option<Key> {
-        let held = self.raw.get(path)?.revision;
-        if held >= revision {
+        let held = self.raw.get(path).map(|entry| entry.revision);
+        if held >= Some(revision) && !self.any_order {
             return None;
         }
-        self.raw.remove(path);
+        self.raw.remove(path)?;
         let key = Key::parse(path)?;
-        match &key {
+        self.forget(&key);
+        Some(key)
+    }
+
+    fn forget(&mut self, key: &Key) {
+        match key {
             Key::Account(name) => {
                 self.by_key.retain(|_, holder| holder != name);
                 self.accounts.remove(name);
@@ -317,6 +355,5 @@
                 self.daemons.remove(name);
             }
         }
-        Some(key)
     }
 }
