--- a/src/core/request/attempt.rs
+++ b/src/core/request/attempt.rs
@@ -46,11 +46,6 @@
             version,
             wait,
         } = pick;
-        let silence = ctx.options.silence;
-        let patience = match &route {
-            Route::Group { .. } => silence + wait.times(2),
-            Route::Service { .. } | Route::Daemon { .. } => silence.times(2),
-        };
         let id = ctx.attempt();
         let call = &mut self.calls[key];
         if let Route::Group { host, .. } | Route::Service { host, .. } = &route {
@@ -65,7 +60,7 @@
             heard: ctx.now,
             accepted: false,
             flowing: false,
-            patience,
+            wait,
         });
         self.tally.attempts += 1;
         self.tally.resumed += u64::from(call.delivered > 0);
@@ -77,6 +72,7 @@
             fresh,
             resume_at: call.delivered,
         }));
+        let patience = wait + ctx.options.silence;
         ctx.timer(Timer::Request(RequestTimer::Silent(id)), patience);
     }
 
@@ -210,7 +206,7 @@
         let allowed = if attempt.flowing {
             silence
         } else {
-            attempt.patience
+            silence + attempt.wait
         };
         let silent = now.since(attempt.heard);
         if silent < allowed {
@@ -273,6 +269,7 @@
         let route = attempt.route.clone();
         let fresh = attempt.fresh;
         let version = attempt.version.clone();
+        let wait = attempt.wait;
         self.leave_stage(ctx, key, matches!(trouble, Trouble::Lost(_)));
         let call = &mut self.calls[key];
         if let Trouble::Lost(doubt) = trouble {
@@ -294,7 +291,7 @@
             let pick = Pick {
                 route,
                 version,
-                wait: Span::ZERO,
+                wait,
             };
             self.start(ctx, key, pick, true);
             return;
--- a/src/core/request/call.rs
+++ b/src/core/request/call.rs
@@ -133,8 +133,8 @@
     pub(super) accepted: bool,
     /// Whether a part of the answer has come.
     pub(super) flowing: bool,
-    /// How long it may be silent before its first part.
-    pub(super) patience: Span,
+    /// How long its first part may take beyond the usual silence.
+    pub(super) wait: Span,
 }
 
 impl Attempt {
--- a/src/core/request/routing.rs
+++ b/src/core/request/routing.rs
@@ -50,7 +50,7 @@
 pub(super) struct Pick {
     pub(super) route: Route,
     pub(super) version: Option<VersionName>,
-    /// The predicted time to the answer's first part.
+    /// How long the answer's first part may take beyond the usual silence.
     pub(super) wait: Span,
 }
 
@@ -60,6 +60,9 @@
 /// Up to so many runners, all are looked at.
 const SMALL_POOL: usize = 6;
 
+/// How long a plain service's answer may take beyond the usual silence.
+const SERVICE_WAIT: Span = Span::from_secs(2);
+
 /// Prompt processing time for one token.
 const PREFILL: Span = Span(50);
 
@@ -246,7 +249,7 @@
                 address: group.address,
             },
             version: Some(group.version.clone()),
-            wait: Span(score),
+            wait: Span(score).times(2),
         })
     }
 
@@ -279,7 +282,7 @@
                 address: host.entry.address,
             },
             version: None,
-            wait: Span::ZERO,
+            wait: SERVICE_WAIT,
         })
     }
 
@@ -322,16 +325,9 @@
         && !call.tried.contains(&group.hosts[0])
 }
 
-/// Whether all members of a group are there and its leading host is live.
+/// Whether all members of a group are there and take work.
 fn is_whole(site: &Site, options: &Options, group: &ServingGroup) -> bool {
-    if !options.has(Mechanism::CompleteGroups) {
-        return true;
-    }
-    let present = |host: &HostName| {
-        let health = site.hosts.get(host).map(|h| h.health);
-        matches!(health, Some(Health::Live | Health::Suspect))
-    };
-    group.hosts.iter().all(present) && is_live(site, &group.hosts[0])
+    !options.has(Mechanism::CompleteGroups) || group.hosts.iter().all(|host| is_live(site, host))
 }
 
 fn is_live(site: &Site, host: &HostName) -> bool {
--- a/tests/request/harness.rs
+++ b/tests/request/harness.rs
@@ -85,9 +85,12 @@
             revision: Revision(self.revision),
             lease: None,
         };
-        self.view
-            .apply(WatchEvent::Put(entry))
-            .expect("record is taken");
+        let key = self.view.apply(WatchEvent::Put(entry));
+        let keys = [key.expect("record is taken")];
+        self.with(|parts, ctx| {
+            let (view, hosts, members) = (parts.view, &*parts.hosts, &*parts.members);
+            parts.groups.on_config(ctx, view, hosts, members, &keys);
+        });
     }
 
     /// Writes an account whose key is told by `key`.
@@ -101,11 +104,45 @@
     pub fn put_service(&mut self, name: &str, idempotent: bool, runners: usize) {
         let record = serde_json::json!({ "name": name, "idempotent": idempotent });
         self.put(&format!("config/service/{name}"), record);
+        let kind = RunnerKind::Service(name.into());
         let entries = (0..runners)
-            .map(|index| service_host(name, index))
+            .map(|index| host(name, index, kind.clone()))
             .collect();
-        self.with(|rig, ctx| {
-            rig.hosts.on_listed(ctx, entries);
+        self.list(entries);
+    }
+
+    /// A model whose groups `NAME-0`, `NAME-1`, … have the sizes given, in domain `f1`.
+    pub fn put_groups(&mut self, model: &str, sizes: &[usize]) {
+        let record = serde_json::json!({ "name": model, "version": "v1" });
+        self.put(&format!("config/model/{model}"), record);
+        let mut entries = Vec::new();
+        let mut placed = serde_json::json!({});
+        for (index, size) in sizes.iter().enumerate() {
+            let group = format!("{model}-{index}");
+            let record = serde_json::json!({ "name": group, "model": model, "domain": "f1" });
+            self.put(&format!("config/group/{group}"), record);
+            let hosts: Vec<HostEntry> = (0..*size)
+                .map(|member| host(&group, member, RunnerKind::Engine))
+                .collect();
+            let names: Vec<_> = hosts.iter().map(|entry| entry.host.clone()).collect();
+            placed[group] = serde_json::json!({
+                "epoch": index + 1, "hosts": names, "model": model,
+                "version": "v1", "stage": "serving",
+            });
+            entries.extend(hosts);
+        }
+        self.list(entries);
+        let record = serde_json::json!({ "domain": "f1", "groups": placed, "serial": 100 });
+        self.put("placement/f1", record);
+        self.on_site();
+    }
+
+    /// Takes over entries of the list of hosts.
+    pub fn list(&mut self, entries: Vec<HostEntry>) {
+        self.with(|parts, ctx| {
+            let changed = parts.hosts.on_listed(ctx, entries);
+            let (view, hosts, members) = (parts.view, &*parts.hosts, &*parts.members);
+            parts.groups.on_hosts(ctx, view, hosts, members, &changed);
         });
         self.on_site();
     }
@@ -124,6 +161,12 @@
         call
     }
 
+    /// A caller goes away.
+    pub fn gone(&mut self, call: CallId) {
+        let input = CallInput::Gone { call };
+        self.with_site(|requests, ctx, site| requests.on_call(ctx, site, input));
+    }
+
     /// Hands over a runner's event; gives back the hosts suspected.
     pub fn runner(&mut self, input: RunnerInput) -> usize {
         let mut suspects = 0;
@@ -190,6 +233,18 @@
         suspects
     }
 
+    /// Lets time pass until an attempt is sent; gives back the hosts suspected.
+    pub fn pass_until_sent(&mut self) -> (Sent, usize) {
+        let mut suspects = 0;
+        for _ in 0..1_000 {
+            suspects += self.pass(Span::from_millis(10));
+            if let Some(sent) = self.sent().pop() {
+                return (sent, suspects);
+            }
+        }
+        panic!("no attempt is sent");
+    }
+
     /// The attempts sent since the last look.
     pub fn sent(&mut self) -> Vec<Sent> {
         self.take(|output| match output {
@@ -352,14 +407,29 @@
     }
 }
 
-fn service_host(service: &str, index: usize) -> HostEntry {
+/// A completion on a model by the account `clerk`.
+pub fn model_call(model: &str) -> CallRequest {
+    CallRequest {
+        target: Target::Model {
+            model: model.into(),
+            version: None,
+            adapter: None,
+        },
+        prompt_tokens: 100,
+        max_tokens: 100,
+        ..service_call("")
+    }
+}
+
+/// The host `GROUP-INDEX`.
+pub fn host(group: &str, index: usize, kind: RunnerKind) -> HostEntry {
     HostEntry {
-        host: format!("{service}-{index}").into(),
+        host: format!("{group}-{index}").into(),
         hall: "h1".into(),
         domain: "f1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
-        accelerators: 0,
-        kind: RunnerKind::Service(service.into()),
+        accelerators: 4,
+        kind,
         leaving: false,
         checks: OrderChecks::Nothing,
     }
