--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -137,16 +137,19 @@
     }
 }
 
+/// The library's message without its excerpt of the file, which may hold secrets.
 fn syntax(error: &serde_saphyr::Error) -> Fault {
+    let message = error.to_string();
+    let line = message.lines().next().unwrap_or_default();
     Fault {
         place: error.location().map(Place::from).unwrap_or_default(),
-        ..no_place(error.to_string())
+        ..no_place(line.trim_start_matches("error: ").to_owned())
     }
 }
 
 fn document(root: &Field, folder: &Path) -> Option<Settings> {
     let mut top = root.section()?;
-    let name = top.need("name").and_then(|f| f.text());
+    let name = top.need("name").and_then(|f| f.name());
     let site = site(&mut top);
     let listen = top.need("listen").and_then(|f| listen(&f));
     let peers = addresses(top.take("peers"));
@@ -181,7 +184,7 @@
     let region = top.need("region");
     let hall = top.need("hall");
     let (region, hall) = (region?, hall?);
-    let (name, hall_name) = (region.text(), hall.text());
+    let (name, hall_name) = (region.name(), hall.name());
     let regions = regions?;
     let (name, hall_name) = (name?, hall_name?);
     let Some(halls) = regions.get(name) else {
@@ -206,7 +209,7 @@
     for (region, list) in section.rest() {
         let mut halls = BTreeSet::new();
         for item in list.list() {
-            let Some(hall) = item.text() else { continue };
+            let Some(hall) = item.name() else { continue };
             if !seen.insert(hall) {
                 item.fault(format!("hall {hall:?} is declared twice"));
             }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -5,6 +5,9 @@
     std::{cell::RefCell, collections::BTreeMap, fmt, net::SocketAddr, ops::RangeInclusive},
 };
 
+/// The longest name, in bytes.
+const MAX_NAME: usize = 64;
+
 /// One thing wrong in a settings file.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fault {
@@ -170,6 +173,19 @@
         None
     }
 
+    /// The field as a name that can be part of a key at the platform's service.
+    pub(super) fn name(&self) -> Option<&'a str> {
+        let text = self.text()?;
+        let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        if text.len() > MAX_NAME || !text.chars().all(allowed) {
+            self.fault(format!(
+                "{text:?} is not 1 to {MAX_NAME} letters, digits, '-', '_' or '.'"
+            ));
+            return None;
+        }
+        Some(text)
+    }
+
     /// The field as an IP address and port.
     pub(super) fn address(&self) -> Option<SocketAddr> {
         let text = self.text()?;
