Callers: bounded senders and readers, and a stop that flushes

Cause: a call's events queued without bound for a caller who reads slowly; connections and heads had no limits of ours; the loop ended at the exit with the last answers still in hyper's buffers; and hyper drops what it holds when a body fails, so that the last 'event: error' of a cut stream was lost.

Now a queue holds 1 MiB before the call is given up, connections, heads and bodies being read are bounded and counted, the exit waits for the connections' ends, and a failed body pauses for the last event to be written.

Ruled out: waking the body once before it fails; the write is completion-based and may still be under way.

--- a/src/commands/entries.rs
+++ b/src/commands/entries.rs
@@ -11,8 +11,7 @@
         exit_codes::Exit,
     },
     bytes::Bytes,
-    cyper_core::HyperStream,
-    hickoryledge::shell::http::connect,
+    hickoryledge::shell::http::send_once,
     http::{Request, StatusCode, header},
     http_body_util::{BodyExt as _, Empty},
     serde::{Deserialize, Serialize},
@@ -74,17 +73,11 @@
     key: &str,
     model: Option<&str>,
 ) -> anyhow::Result<(StatusCode, Bytes)> {
-    let stream = HyperStream::new_plain(connect(peer).await?);
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(stream).await?;
-    compio::runtime::spawn(async move {
-        let _ = connection.await;
-    })
-    .detach();
     let query = model.map_or(String::new(), |model| format!("?model={model}"));
     let request = Request::get(format!("/v1/entries{query}"))
         .header(header::HOST, peer.to_string())
         .header(header::AUTHORIZATION, format!("Bearer {key}"))
         .body(Empty::<Bytes>::new())?;
-    let (head, body) = sender.send_request(request).await?.into_parts();
+    let (head, body) = send_once(peer, request).await?.into_parts();
     Ok((head.status, body.collect().await?.to_bytes()))
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -17,6 +17,7 @@
         fmt,
         net::SocketAddr,
         path::{Path, PathBuf},
+        time::Duration,
     },
     tree::{Node, Value},
 };
@@ -57,6 +58,8 @@
     pub max_body: usize,
     /// The most calls open at once.
     pub max_calls: usize,
+    /// How long a caller may take to send a request's head, and again its body.
+    pub sender_timeout: Duration,
     /// Tunables of the decision logic.
     pub options: Options,
 }
@@ -89,9 +92,11 @@
 /// The most open calls that may be allowed.
 const MAX_CALLS: u64 = 100_000;
 /// The largest body taken if the settings don't say, in bytes.
-const DEFAULT_BODY: usize = 1 << 20;
+const DEFAULT_BODY: u64 = 1 << 20;
 /// The most open calls if the settings don't say.
-const DEFAULT_CALLS: usize = 4_000;
+const DEFAULT_CALLS: u64 = 4_000;
+/// How long a caller may take to send, if the settings don't say, in milliseconds.
+const DEFAULT_SENDER_MS: u64 = 10_000;
 /// The longest span that an option may have, in milliseconds.
 const MAX_SPAN_MS: u64 = 3_600_000;
 /// Separates the peer key from other uses of the same secret.
@@ -161,7 +166,7 @@
     let options = options(top.take("options"));
     top.finish();
     let (region, hall) = site?;
-    let (max_body, max_calls) = limits?;
+    let limits = limits?;
     Some(Settings {
         name: name?.into(),
         region,
@@ -172,8 +177,9 @@
         host_list: host_list?,
         peer_key: blake3::derive_key(PEER_KEY_CONTEXT, peer_key?.as_bytes()),
         operator_token: operator_token?,
-        max_body,
-        max_calls,
+        max_body: limits.max_body,
+        max_calls: limits.max_calls,
+        sender_timeout: limits.sender_timeout,
         options: options?,
     })
 }
@@ -304,19 +310,33 @@
     Some(text)
 }
 
-fn limits(field: Option<Field>) -> Option<(usize, usize)> {
-    let Some(field) = field else {
-        return Some((DEFAULT_BODY, DEFAULT_CALLS));
+/// Limits towards callers.
+struct Limits {
+    max_body: usize,
+    max_calls: usize,
+    sender_timeout: Duration,
+}
+
+fn limits(field: Option<Field>) -> Option<Limits> {
+    let mut section = match field {
+        Some(field) => Some(field.section()?),
+        None => None,
     };
-    let mut section = field.section()?;
-    let mut take = |key, high, default| match section.take(key) {
-        Some(field) => field.whole(1..=high).map(|limit| limit as usize),
+    let mut take = |key, high, default| match section.as_mut().and_then(|s| s.take(key)) {
+        Some(field) => field.whole(1..=high),
         None => Some(default),
     };
     let max_body = take("max_body", MAX_BODY, DEFAULT_BODY);
     let max_calls = take("max_calls", MAX_CALLS, DEFAULT_CALLS);
-    section.finish();
-    Some((max_body?, max_calls?))
+    let sender_timeout = take("sender_timeout_ms", MAX_SPAN_MS, DEFAULT_SENDER_MS);
+    if let Some(section) = section {
+        section.finish();
+    }
+    Some(Limits {
+        max_body: max_body? as usize,
+        max_calls: max_calls? as usize,
+        sender_timeout: Duration::from_millis(sender_timeout?),
+    })
 }
 
 fn options(field: Option<Field>) -> Option<Options> {
--- a/src/shell/callers/body.rs
+++ b/src/shell/callers/body.rs
@@ -13,6 +13,7 @@
         fmt,
         pin::Pin,
         task::{Context, Poll, ready},
+        time::Duration,
     },
 };
 
@@ -42,13 +43,15 @@
     state: State,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
 enum State {
     Open,
     Done,
-    Cut,
+    Cut(Pin<Box<dyn Future<Output = ()>>>),
 }
 
+/// Time for the last event to be written: the HTTP library drops what waits when a body fails.
+const FLUSH_PAUSE: Duration = Duration::from_millis(200);
+
 const DONE: &[u8] = b"data: [DONE]\n\n";
 
 impl CallerBody {
@@ -67,10 +70,13 @@
     }
 
     fn poll_event(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Incomplete>>> {
-        match self.state {
+        match &mut self.state {
             State::Open => {}
             State::Done => return Poll::Ready(None),
-            State::Cut => return Poll::Ready(Some(Err(Incomplete))),
+            State::Cut(flushed) => {
+                ready!(flushed.as_mut().poll(cx));
+                return Poll::Ready(Some(Err(Incomplete)));
+            }
         }
         loop {
             let event = ready!(Pin::new(&mut self.open.events).poll_next(cx));
@@ -92,7 +98,7 @@
                 Bytes::from_static(DONE)
             }
             Some(outcome) => {
-                self.state = State::Cut;
+                self.state = State::Cut(Box::pin(compio::time::sleep(FLUSH_PAUSE)));
                 Bytes::from(format!("event: error\ndata: {outcome}\n\n"))
             }
         }
@@ -117,7 +123,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             CallerBody::Whole(bytes) => bytes.is_none(),
-            CallerBody::Stream(stream) => stream.state == State::Done,
+            CallerBody::Stream(stream) => matches!(stream.state, State::Done),
         }
     }
 
--- a/src/shell/callers/mod.rs
+++ b/src/shell/callers/mod.rs
@@ -6,6 +6,8 @@
 mod answer;
 mod ask;
 mod body;
+mod connections;
+mod counted;
 mod serve;
 
-pub use {ask::ticket_text, serve::start};
+pub use {ask::ticket_text, connections::Connections, serve::start};
--- a/src/shell/callers/serve.rs
+++ b/src/shell/callers/serve.rs
@@ -1,32 +1,31 @@
-//! Accepts callers' connections and answers their requests.
+//! Answers callers' requests.
 
 use {
     super::{
         super::{
             Clock, SharedCore,
             calls::{CallEvent, Calls},
-            http::serve_http1,
             metrics,
         },
         answer::{self, Answer},
         ask::{self, Fault},
+        connections::Connections,
+        counted::Counted,
     },
     crate::{
-        core::{input::Target, keys::ModelName, output::Refusal, time::Span},
+        core::{count::Count, input::Target, keys::ModelName, output::Refusal, time::Span},
         settings::Settings,
     },
+    bytes::Bytes,
     compio::net::TcpListener,
     futures_util::StreamExt as _,
     http::{Method, Request, StatusCode, request::Parts},
-    http_body_util::{BodyExt as _, Limited},
-    hyper::{body::Incoming, service::service_fn},
-    std::{convert::Infallible, rc::Rc, time::Duration},
+    http_body::Body as _,
+    http_body_util::{BodyExt as _, LengthLimitError, Limited},
+    hyper::body::Incoming,
+    std::{cell::Cell, rc::Rc, time::Duration},
 };
 
-/// How long a caller may take to send a request's body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long the loop waits after a failed accept, such as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// When a caller turned away for want of room may come back.
 const FULL_RETRY: Span = Span::from_secs(1);
 
@@ -34,48 +33,43 @@
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 
 /// What every connection needs.
-struct Site {
+pub(super) struct Site {
     calls: Rc<Calls>,
     core: SharedCore,
     clock: Clock,
     max_body: usize,
-    max_calls: usize,
+    /// The most calls open or being read.
+    pub(super) max_calls: usize,
+    /// How long a caller may take to send a head, and again a body.
+    pub(super) sender_timeout: Duration,
+    /// What this side has counted.
+    pub(super) counted: Counted,
+    reading: Cell<usize>,
 }
 
-/// Serves callers until the loop ends.
+/// Serves callers until told to stop.
 pub fn start(
     listener: TcpListener,
     calls: Rc<Calls>,
     core: SharedCore,
     clock: Clock,
     settings: &Settings,
-) {
-    let site = Rc::new(Site {
+) -> Connections {
+    let site = Site {
         calls,
         core,
         clock,
         max_body: settings.max_body,
         max_calls: settings.max_calls,
-    });
-    compio::runtime::spawn(accept(listener, site)).detach();
-}
-
-async fn accept(listener: TcpListener, site: Rc<Site>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            compio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let site = site.clone();
-        let service = service_fn(move |request| {
-            let site = site.clone();
-            async move { Ok::<_, Infallible>(respond(&site, request).await) }
-        });
-        compio::runtime::spawn(serve_http1(stream, service)).detach();
-    }
+        sender_timeout: settings.sender_timeout,
+        counted: Counted::default(),
+        reading: Cell::new(0),
+    };
+    Connections::start(listener, Rc::new(site))
 }
 
-async fn respond(site: &Site, request: Request<Incoming>) -> Answer {
+/// Answers one request.
+pub(super) async fn respond(site: &Site, request: Request<Incoming>) -> Answer {
     let (parts, body) = request.into_parts();
     let mut answer = match route(&parts) {
         Route::Health => answer::text(StatusCode::OK, "ok\n"),
@@ -135,7 +129,13 @@
 }
 
 fn counts(site: &Site) -> Answer {
-    let text = metrics::render(&site.core, site.calls.count());
+    let mut counts = site.core.borrow().counts();
+    counts.push(Count::gauge(
+        "hickoryledge_open_calls",
+        site.calls.count() as u64,
+    ));
+    site.counted.counts(&mut counts);
+    let text = metrics::render(&counts);
     answer::full(StatusCode::OK, METRICS_TYPE, text.into())
 }
 
@@ -144,7 +144,7 @@
         return answer::refused(Refusal::Unauthorized, None);
     };
     if is_full(site) {
-        return answer::refused(Refusal::Overloaded, Some(FULL_RETRY));
+        return full(site);
     }
     let model = ask::query(parts, "model").map(ModelName::from);
     let mut open = site.calls.ask_entries(credential, model);
@@ -164,11 +164,11 @@
         return answer::refused(Refusal::Unauthorized, None);
     };
     if is_full(site) {
-        return answer::refused(Refusal::Overloaded, Some(FULL_RETRY));
+        return full(site);
     }
     let bytes = match read_body(site, body).await {
         Ok(bytes) => bytes,
-        Err(fault) => return answer::fault(&fault),
+        Err(fault) => return bad_request(site, &fault),
     };
     let asked = match kind {
         CallKind::Completion => ask::completion(&parts, credential, bytes),
@@ -176,7 +176,7 @@
     };
     let mut asked = match asked {
         Ok(asked) => asked,
-        Err(fault) => return answer::fault(&fault),
+        Err(fault) => return bad_request(site, &fault),
     };
     mark_idempotent(site, &mut asked);
     let open = site.calls.open(asked.body);
@@ -188,18 +188,48 @@
 }
 
 fn is_full(site: &Site) -> bool {
-    site.calls.count() >= site.max_calls
+    site.calls.count() + site.reading.get() >= site.max_calls
+}
+
+fn full(site: &Site) -> Answer {
+    site.counted.full();
+    answer::refused(Refusal::Overloaded, Some(FULL_RETRY))
+}
+
+fn bad_request(site: &Site, fault: &Fault) -> Answer {
+    site.counted.bad_request();
+    answer::fault(fault)
+}
+
+/// Counts a request as being read, for as long as it lives.
+struct Reading<'a>(&'a Cell<usize>);
+
+impl<'a> Reading<'a> {
+    fn begin(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Reading<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 /// Reads a body whole, within the limits of size and time.
-async fn read_body(site: &Site, body: Incoming) -> Result<bytes::Bytes, Fault> {
+async fn read_body(site: &Site, body: Incoming) -> Result<Bytes, Fault> {
+    if body.size_hint().lower() > site.max_body as u64 {
+        return Err(Fault::too_large());
+    }
+    let _reading = Reading::begin(&site.reading);
     let limited = Limited::new(body, site.max_body).collect();
-    let read = compio::time::timeout(BODY_TIMEOUT, limited)
+    let read = compio::time::timeout(site.sender_timeout, limited)
         .await
         .map_err(|_| Fault::slow())?;
     match read {
         Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Fault::too_large()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Fault::too_large()),
         Err(_) => Err(Fault::cut()),
     }
 }
--- a/src/shell/calls.rs
+++ b/src/shell/calls.rs
@@ -4,7 +4,10 @@
 //! it; both get the same events.
 
 use {
-    super::Inbox,
+    super::{
+        Inbox,
+        events::{EventSender, Events, queue},
+    },
     crate::core::{
         input::{CallInput, CallRequest, Input, Ticket},
         keys::{AttemptId, CallId, KeyHash, ModelName},
@@ -12,7 +15,6 @@
         time::Span,
     },
     bytes::Bytes,
-    futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded},
     http::{HeaderMap, Method, StatusCode},
     std::{
         cell::{Cell, RefCell},
@@ -78,7 +80,7 @@
     /// Its identifier.
     pub call: CallId,
     /// What happens to its answer.
-    pub events: UnboundedReceiver<CallEvent>,
+    pub events: Events,
     calls: Rc<Calls>,
 }
 
@@ -91,7 +93,7 @@
 #[derive(Debug)]
 struct Entry {
     body: Option<Rc<CallBody>>,
-    sender: UnboundedSender<CallEvent>,
+    sender: EventSender,
 }
 
 /// Every call open on this daemon.
@@ -213,7 +215,7 @@
     fn register(self: &Rc<Self>, body: Option<Rc<CallBody>>) -> OpenCall {
         let call = CallId(self.last.get() + 1);
         self.last.set(call.0);
-        let (sender, events) = unbounded();
+        let (sender, events) = queue();
         self.open.borrow_mut().insert(call, Entry { body, sender });
         OpenCall {
             call,
@@ -222,15 +224,19 @@
         }
     }
 
+    /// Passes an event on; a caller who reads too slowly for it loses the call.
     fn send(&self, call: CallId, event: CallEvent) {
-        if let Some(entry) = self.open.borrow().get(&call) {
-            let _ = entry.sender.unbounded_send(event);
+        let open = self.open.borrow();
+        let keeps_up = open.get(&call).is_none_or(|entry| entry.sender.send(event));
+        drop(open);
+        if !keeps_up {
+            self.close(call);
         }
     }
 
     fn end(&self, call: CallId, event: CallEvent) {
         if let Some(entry) = self.open.borrow_mut().remove(&call) {
-            let _ = entry.sender.unbounded_send(event);
+            entry.sender.send(event);
         }
     }
 
--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -4,10 +4,17 @@
     bytes::Bytes,
     compio::net::{TcpListener, TcpStream},
     cyper_core::{CompioTimer, HyperStream},
+    futures_util::future::{Either, select},
     http::{Request, Response},
     http_body::Body,
     hyper::{body::Incoming, service::Service},
-    std::{future::Future, io, net::SocketAddr, time::Duration},
+    std::{
+        future::{Future, pending},
+        io,
+        net::SocketAddr,
+        pin::pin,
+        time::Duration,
+    },
 };
 
 /// Runs futures on the loop's own thread.
@@ -63,6 +70,27 @@
     Ok(stream)
 }
 
+/// What a connection may take of a request's head.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// How long its sending may last.
+    pub head: Duration,
+    /// The bytes that it and the start of the body may take.
+    pub buffer: usize,
+    /// How many headers it may have.
+    pub headers: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head: HEAD_TIMEOUT,
+            buffer: 64 << 10,
+            headers: 64,
+        }
+    }
+}
+
 /// Serves HTTP/1 on one accepted connection until it ends.
 pub async fn serve_http1<S, B>(stream: TcpStream, service: S)
 where
@@ -70,13 +98,31 @@
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    serve_http1_until(stream, service, Limits::default(), pending()).await;
+}
+
+/// Serves HTTP/1 on one accepted connection; after `stop`, only to the end of the answer under way.
+pub async fn serve_http1_until<S, B, F>(stream: TcpStream, service: S, limits: Limits, stop: F)
+where
+    S: Service<Request<Incoming>, Response = Response<B>> + 'static,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    F: Future<Output = ()>,
 {
     let _ = stream.set_nodelay(true);
-    let _ = hyper::server::conn::http1::Builder::new()
+    let connection = hyper::server::conn::http1::Builder::new()
         .timer(CompioTimer)
-        .header_read_timeout(HEAD_TIMEOUT)
-        .serve_connection(HyperStream::new_plain(stream), service)
-        .await;
+        .header_read_timeout(limits.head)
+        .max_buf_size(limits.buffer)
+        .max_headers(limits.headers)
+        .serve_connection(HyperStream::new_plain(stream), service);
+    let mut connection = pin!(connection);
+    if let Either::Right(_) = select(connection.as_mut(), pin!(stop)).await {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
 }
 
 /// Serves HTTP/2 on one accepted connection until it ends.
--- a/src/shell/metrics.rs
+++ b/src/shell/metrics.rs
@@ -1,7 +1,6 @@
 //! Metrics: what the parts have counted, as Prometheus text.
 
 use {
-    super::SharedCore,
     crate::core::count::{Count, CountKind},
     metrics::{Key, Label, Level, Metadata, Recorder as _},
     metrics_exporter_prometheus::PrometheusBuilder,
@@ -10,14 +9,8 @@
 const METADATA: Metadata<'static> =
     Metadata::new("hickoryledge", Level::INFO, Some(module_path!()));
 
-/// The text for the counts so far.
-pub fn render(core: &SharedCore, open_calls: usize) -> String {
-    let mut counts = core.borrow().counts();
-    counts.push(Count::gauge("hickoryledge_open_calls", open_calls as u64));
-    text(&counts)
-}
-
-fn text(counts: &[Count]) -> String {
+/// The text for some counts.
+pub fn render(counts: &[Count]) -> String {
     let recorder = PrometheusBuilder::new().build_recorder();
     for count in counts {
         let labels = match &count.label {
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod callers;
 pub mod calls;
+mod events;
 pub mod frames;
 pub mod host_list;
 pub mod http;
@@ -111,7 +112,7 @@
         settings.options.clone(),
         seed,
     )));
-    callers::start(caller, calls.clone(), core.clone(), clock, &settings);
+    let connections = callers::start(caller, calls.clone(), core.clone(), clock, &settings);
     host_list::start(inbox.clone(), settings.host_list);
     let drivers = Drivers {
         runners: runners::Runners::new(inbox.clone(), calls.clone(), &me, &settings),
@@ -142,6 +143,7 @@
         core.borrow_mut().step(clock.now(), input, &mut out);
         for output in out.drain(..) {
             if perform(output, &drivers, &mut timers, &log) {
+                connections.finish().await;
                 return Ok(());
             }
         }
--- /dev/null
+++ b/tests/callers.rs
@@ -0,0 +1,622 @@
+//! The HTTP side towards callers, with the test in the place of the decision logic.
+
+use {
+    bytes::Bytes,
+    compio::{
+        BufResult,
+        io::{AsyncRead as _, AsyncWrite as _, AsyncWriteExt as _},
+        net::TcpStream,
+    },
+    futures_channel::mpsc::UnboundedReceiver,
+    futures_util::StreamExt as _,
+    hickoryledge::{
+        core::{
+            Core,
+            ctx::Identity,
+            input::{CallInput, CallRequest, Input, Payload, Target},
+            keys::{AttemptId, CallId, Incarnation, KeyHash},
+            options::Options,
+            output::{CallOutput, Doubt, Ending, EntryAddress, Refusal},
+            time::Span,
+        },
+        settings::{self, Settings},
+        shell::{
+            Clock,
+            callers::{self, Connections},
+            calls::{Calls, Head},
+            http,
+            inbox::Inbox,
+        },
+    },
+    std::{cell::RefCell, net::SocketAddr, path::Path, rc::Rc, time::Duration},
+};
+
+/// How long a test waits for what must come.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The callers' side, and the inputs that it gives.
+struct Daemon {
+    address: SocketAddr,
+    inputs: UnboundedReceiver<Input>,
+    calls: Rc<Calls>,
+    connections: Connections,
+}
+
+impl Daemon {
+    async fn start(limits: &str) -> Self {
+        let settings = settings(limits);
+        let listener = http::bind(settings.listen.caller).await.expect("it binds");
+        let address = http::address(&listener).expect("it is bound");
+        let (inbox, inputs) = Inbox::new();
+        let calls = Rc::new(Calls::new(inbox));
+        let core = Core::new(identity(&settings), Options::default(), 1);
+        let core = Rc::new(RefCell::new(core));
+        let connections = callers::start(listener, calls.clone(), core, Clock::start(), &settings);
+        Self {
+            address,
+            inputs,
+            calls,
+            connections,
+        }
+    }
+
+    async fn input(&mut self) -> CallInput {
+        let input = compio::time::timeout(PATIENCE, self.inputs.next()).await;
+        match input.expect("an input in time") {
+            Some(Input::Call(input)) => input,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn arrived(&mut self) -> (CallId, CallRequest) {
+        match self.input().await {
+            CallInput::Arrived { call, request } => (call, request),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn gone(&mut self) -> CallId {
+        match self.input().await {
+            CallInput::Gone { call } => call,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn begin(&self, call: CallId) {
+        let attempt = AttemptId(call.0);
+        let head = Head {
+            status: ::http::StatusCode::OK,
+            headers: ::http::HeaderMap::new(),
+        };
+        self.calls.keep_head(attempt, head);
+        self.calls.perform(CallOutput::Begin { call, attempt });
+    }
+
+    fn deliver(&self, call: CallId, offset: u32, text: &str) {
+        let event = format!("data: {{\"offset\":{offset},\"tokens\":1,\"text\":\"{text}\"}}\n\n");
+        self.calls.perform(CallOutput::Deliver {
+            call,
+            offset,
+            tokens: 1,
+            payload: Payload(Bytes::from(event)),
+        });
+    }
+
+    fn end(&self, call: CallId, ending: Ending) {
+        self.calls.perform(CallOutput::End { call, ending });
+    }
+
+    /// Nothing is left open, and the decision logic heard of nothing more.
+    fn assert_quiet(&mut self) {
+        assert_eq!(self.calls.count(), 0);
+        assert!(self.inputs.try_recv().is_err());
+    }
+}
+
+fn settings(limits: &str) -> Settings {
+    let text = format!(
+        "name: entry-1\nregion: north\nhall: east\nregions: {{north: [east]}}\n\
+         listen: {{caller: 127.0.0.1:0, peer: 127.0.0.1:0, operator: 127.0.0.1:0}}\n\
+         platform: [127.0.0.1:1]\nhost_list: 127.0.0.1:1\n\
+         peer_key: a key of the daemons\noperator_token: a token of the operators\n\
+         limits: {limits}\n"
+    );
+    settings::parse(&text, Path::new(".")).expect("they are good")
+}
+
+fn identity(settings: &Settings) -> Identity {
+    Identity {
+        name: settings.name.clone(),
+        incarnation: Incarnation(1),
+        region: settings.region.clone(),
+        hall: settings.hall.clone(),
+        caller: settings.listen.caller,
+        peer: settings.listen.peer,
+        seeds: Vec::new(),
+        secret: 1,
+    }
+}
+
+/// A caller's connection.
+struct Caller {
+    stream: TcpStream,
+    read: String,
+}
+
+impl Caller {
+    async fn connect(daemon: &Daemon) -> Self {
+        let stream = http::connect(daemon.address).await.expect("it is reached");
+        let read = String::new();
+        Self { stream, read }
+    }
+
+    async fn send<T>(&mut self, text: T)
+    where
+        T: Into<Vec<u8>>,
+    {
+        let BufResult(sent, _) = self.stream.write_all(text.into()).await;
+        sent.expect("it is sent");
+    }
+
+    /// Reads until the text is there; false if the connection ends before.
+    async fn sees(&mut self, text: &str) -> bool {
+        while !self.read.contains(text) {
+            let read = self.stream.read(Vec::with_capacity(1 << 16));
+            let BufResult(read, bytes) = compio::time::timeout(PATIENCE, read)
+                .await
+                .expect("an answer in time");
+            if read.unwrap_or(0) == 0 {
+                return false;
+            }
+            self.read.push_str(&String::from_utf8_lossy(&bytes));
+        }
+        true
+    }
+
+    /// Reads to the end of the connection.
+    async fn rest(mut self) -> String {
+        while self.sees("\0").await {}
+        self.read
+    }
+}
+
+fn post(path: &str, key: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {key}\r\n{headers}\
+         content-length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn completion(key: &str, stream: bool) -> String {
+    let body = format!("{{\"model\":\"m\",\"prompt\":\"hello\",\"stream\":{stream}}}");
+    post("/v1/completions", key, "", &body)
+}
+
+const CLOSE: &str = "connection: close\r\n";
+
+#[compio::test]
+async fn a_complete_stream_ends_with_done() {
+    let mut daemon = Daemon::start("{}").await;
+    let mut caller = Caller::connect(&daemon).await;
+    caller.send(completion("k", true)).await;
+    let (call, request) = daemon.arrived().await;
+    assert_eq!(request.credential, KeyHash(*blake3::hash(b"k").as_bytes()));
+    daemon.begin(call);
+    daemon.deliver(call, 0, "yes");
+    assert!(caller.sees("yes").await);
+    daemon.end(call, Ending::Complete);
+    assert!(caller.sees("data: [DONE]\n\n\r\n0\r\n\r\n").await);
+    assert!(caller.read.contains("text/event-stream"));
+    drop(caller);
+    daemon.assert_quiet();
+}
+
+#[compio::test]
+async fn a_cut_stream_says_so_and_never_looks_complete() {
+    for (ending, said) in [
+        (
+            Ending::Unknown(Doubt::Cut),
+            r#"{"outcome":"unknown","reason":"cut"}"#,
+        ),
+        (
+            Ending::Refused {
+                reason: Refusal::Exhausted,
+                retry_after: None,
+            },
+            r#"{"outcome":"not_run","reason":"exhausted"}"#,
+        ),
+    ] {
+        let mut daemon = Daemon::start("{}").await;
+        let mut caller = Caller::connect(&daemon).await;
+        caller.send(completion("k", true)).await;
+        let (call, _) = daemon.arrived().await;
+        daemon.begin(call);
+        daemon.deliver(call, 0, "partly");
+        daemon.end(call, ending);
+        let read = caller.rest().await;
+        assert!(
+            read.contains(&format!("event: error\ndata: {said}")),
+            "{read}"
+        );
+        assert!(!read.contains("[DONE]"), "{read}");
+        assert!(!read.ends_with("0\r\n\r\n"), "the body looks whole: {read}");
+        daemon.assert_quiet();
+    }
+}
+
+#[compio::test]
+async fn a_whole_answer_joins_its_texts() {
+    let mut daemon = Daemon::start("{}").await;
+    let mut caller = Caller::connect(&daemon).await;
+    caller.send(completion("k", false)).await;
+    let (call, _) = daemon.arrived().await;
+    daemon.begin(call);
+    daemon.deliver(call, 0, "one ");
+    daemon.deliver(call, 1, "two");
+    daemon.end(call, Ending::Complete);
+    assert!(caller.sees(r#"{"text":"one two","tokens":2}"#).await);
+    assert!(caller.read.contains("x-outcome: complete"));
+}
+
+#[compio::test]
+async fn an_answer_with_a_gap_is_not_complete() {
+    let mut daemon = Daemon::start("{}").await;
+    let mut caller = Caller::connect(&daemon).await;
+    caller.send(completion("k", false)).await;
+    let (call, _) = daemon.arrived().await;
+    daemon.begin(call);
+    daemon.deliver(call, 0, "one");
+    daemon.deliver(call, 2, "three");
+    daemon.end(call, Ending::Complete);
+    assert!(caller.sees("\r\n\r\n{").await);
+    assert!(caller.read.starts_with("HTTP/1.1 502"), "{}", caller.read);
+    assert!(caller.read.contains("x-outcome: unknown"));
+}
+
+#[compio::test]
+async fn refusals_have_their_status_and_time() {
+    let cases = [
+        (Refusal::Unauthorized, 401),
+        (Refusal::NotFound, 404),
+        (Refusal::Invalid, 400),
+        (Refusal::Duplicate, 409),
+        (Refusal::OverLimit, 429),
+        (Refusal::NoGroup, 503),
+    ];
+    for (reason, status) in cases {
+        for stream in [true, false] {
+            let mut daemon = Daemon::start("{}").await;
+            let mut caller = Caller::connect(&daemon).await;
+            caller.send(completion("k", stream)).await;
+            let (call, _) = daemon.arrived().await;
+            let retry_after = Some(Span::from_millis(1_200));
+            daemon.end(
+                call,
+                Ending::Refused {
+                    reason,
+                    retry_after,
+                },
+            );
+            assert!(caller.sees("\"not_run\"").await);
+            let read = &caller.read;
+            assert!(read.starts_with(&format!("HTTP/1.1 {status}")), "{read}");
+            assert!(read.contains("x-outcome: not-run"), "{read}");
+            assert!(read.contains("retry-after: 2\r\n"), "{read}");
+        }
+    }
+}
+
+#[compio::test]
+async fn requests_are_read_as_documented() {
+    let mut daemon = Daemon::start("{}").await;
+    let mut caller = Caller::connect(&daemon).await;
+    let headers = "x-idempotent: false\r\nx-ticket: a-b-c-entry-2\r\nx-deadline-ms: 250\r\n\
+                   idempotency-key: invoice 7\r\nx-prompt-tokens: 9\r\ncookie: a=b\r\n";
+    caller
+        .send(post("/services/bills/send?to=1", "k", headers, "x"))
+        .await;
+    let (call, request) = daemon.arrived().await;
+    let service = "bills".into();
+    assert_eq!(request.target, Target::Service { service });
+    assert!(!request.idempotent);
+    assert_eq!(request.deadline, Some(Span::from_millis(250)));
+    assert_eq!(request.idempotency_key.as_deref(), Some("invoice 7"));
+    let ticket = request.ticket.expect("a ticket");
+    assert_eq!(callers::ticket_text(&ticket), "a-b-c-entry-2");
+    let body = daemon.calls.body(call).expect("it is open");
+    assert_eq!(body.path, "/send?to=1");
+    assert_eq!(body.headers.get("cookie").expect("it is passed on"), "a=b");
+    assert!(
+        body.headers.get("authorization").is_none(),
+        "a key is passed on"
+    );
+}
+
+#[compio::test]
+async fn entries_are_told() {
+    let mut daemon = Daemon::start("{}").await;
+    let mut caller = Caller::connect(&daemon).await;
+    let ask = "GET /v1/entries?model=m HTTP/1.1\r\nhost: e\r\nauthorization: Bearer k\r\n\r\n";
+    caller.send(ask).await;
+    let CallInput::Entries { call, model, .. } = daemon.input().await else {
+        panic!("no question");
+    };
+    assert_eq!(model, Some("m".into()));
+    let entry = EntryAddress {
+        daemon: "entry-1".into(),
+        address: daemon.address,
+        hall: "east".into(),
+    };
+    daemon.calls.perform(CallOutput::Entries {
+        call,
+        entries: vec![entry],
+        ttl: Span::from_secs(5),
+        ticket: None,
+    });
+    assert!(caller.sees("\"ttl_ms\":5000").await);
+    assert!(
+        caller
+            .read
+            .contains(r#"[{"daemon":"entry-1","address":"127.0.0.1:"#)
+    );
+    daemon.assert_quiet();
+}
+
+#[compio::test]
+async fn what_makes_no_sense_is_refused_and_never_starts() {
+    let mut daemon = Daemon::start("{max_body: 100}").await;
+    let big = "x".repeat(101);
+    let cases: Vec<(Vec<u8>, &str)> = vec![
+        (
+            post("/v1/completions", "k", CLOSE, "{\"model\":").into(),
+            "400",
+        ),
+        (post("/v1/completions", "k", CLOSE, "[]").into(), "400"),
+        (
+            post("/v1/completions", "k", CLOSE, r#"{"model":"","prompt":""}"#).into(),
+            "400",
+        ),
+        (post("/v1/completions", "k", CLOSE, &big).into(), "413"),
+        (post("/services//x", "k", CLOSE, "").into(), "400"),
+        (
+            post(
+                "/services/s/x",
+                "k",
+                "x-ticket: 7\r\nconnection: close\r\n",
+                "",
+            )
+            .into(),
+            "400",
+        ),
+        (
+            post(
+                "/services/s/x",
+                "k",
+                "x-idempotent: no\r\nconnection: close\r\n",
+                "",
+            )
+            .into(),
+            "400",
+        ),
+        (
+            post(
+                "/services/s/x",
+                "k",
+                "x-deadline-ms: -1\r\nconnection: close\r\n",
+                "",
+            )
+            .into(),
+            "400",
+        ),
+        (post("/nowhere", "k", CLOSE, "").into(), "404"),
+        (
+            post("/v1/completions", "", CLOSE, "{}")
+                .replace("Bearer ", "Basic ")
+                .into(),
+            "401",
+        ),
+        (
+            b"POST /v1/completions HTTP/1.1\r\nauthorization: Bearer k\r\ncontent-length: 2\r\n\
+           connection: close\r\n\r\n\xff\xfe"
+                .to_vec(),
+            "400",
+        ),
+        (
+            b"POST /services/s/x HTTP/1.1\r\nauthorization: Bearer k\r\nconnection: close\r\n\
+           idempotency-key: \xff\xfe\r\n\r\n"
+                .to_vec(),
+            "400",
+        ),
+        (
+            b"POST /v1/completions HTTP/1.1\r\nauthorization: Bearer k\r\nconnection: close\r\n\
+           transfer-encoding: chunked\r\n\r\nzz\r\n"
+                .to_vec(),
+            "400",
+        ),
+        (
+            format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(1 << 17)).into(),
+            "431",
+        ),
+        (
+            "GET / HTTP/1.1\r\n"
+                .to_owned()
+                .into_bytes()
+                .into_iter()
+                .chain("x: y\r\n".repeat(200).into_bytes())
+                .chain(*b"\r\n")
+                .collect(),
+            "431",
+        ),
+        (b"nonsense\r\n\r\n".to_vec(), "400"),
+    ];
+    for (text, status) in cases {
+        let shown = String::from_utf8_lossy(&text[..text.len().min(120)]).into_owned();
+        let mut caller = Caller::connect(&daemon).await;
+        let _ = caller.stream.write_all(text).await;
+        let read = caller.rest().await;
+        assert!(
+            read.starts_with(&format!("HTTP/1.1 {status}")),
+            "{shown:?}: {read:?}"
+        );
+        daemon.assert_quiet();
+    }
+}
+
+#[compio::test]
+async fn a_chunked_body_is_bounded_too() {
+    let mut daemon = Daemon::start("{max_body: 100}").await;
+    let mut caller = Caller::connect(&daemon).await;
+    let head = "POST /services/s/x HTTP/1.1\r\nhost: e\r\nauthorization: Bearer k\r\n\
+                transfer-encoding: chunked\r\n\r\n";
+    caller
+        .send(format!("{head}65\r\n{}\r\n0\r\n\r\n", "x".repeat(101)))
+        .await;
+    assert!(caller.rest().await.starts_with("HTTP/1.1 413"));
+    daemon.assert_quiet();
+}
+
+#[compio::test]
+async fn slow_and_half_closed_senders_are_closed() {
+    let mut daemon = Daemon::start("{sender_timeout_ms: 100}").await;
+    let begun = "POST /v1/completions HTTP/1.1\r\nauthorization: Bearer k\r\n";
+    let mut slow_head = Caller::connect(&daemon).await;
+    slow_head.send(begun).await;
+    assert!(!slow_head.rest().await.contains("HTTP/1.1 200"));
+    let mut slow_body = Caller::connect(&daemon).await;
+    slow_body
+        .send(format!("{begun}content-length: 9\r\n\r\nx"))
+        .await;
+    assert!(slow_body.rest().await.starts_with("HTTP/1.1 408"));
+    let mut half_closed = Caller::connect(&daemon).await;
+    half_closed
+        .send(format!("{begun}content-length: 9\r\n\r\nx"))
+        .await;
+    half_closed.stream.shutdown().await.expect("half is closed");
+    assert!(!half_closed.rest().await.contains("HTTP/1.1 200"));
+    daemon.assert_quiet();
+}
+
+#[compio::test]
+async fn a_caller_who_leaves_gives_the_call_up() {
+    for stream in [true, false] {
+        let mut daemon = Daemon::start("{}").await;
+        let mut caller = Caller::connect(&daemon).await;
+        caller.send(completion("k", stream)).await;
+        let (call, _) = daemon.arrived().await;
+        daemon.begin(call);
+        daemon.deliver(call, 0, "some");
+        drop(caller);
+        assert_eq!(daemon.gone().await, call);
+        daemon.deliver(call, 1, "late");
+        daemon.end(call, Ending::Complete);
+        daemon.assert_quiet();
+    }
+}
+
+#[compio::test]
+async fn calls_are_bounded() {
+    let mut daemon = Daemon::start("{max_calls: 1}").await;
+    let mut first = Caller::connect(&daemon).await;
+    first.send(completion("k", true)).await;
+    let (call, _) = daemon.arrived().await;
+    let mut second = Caller::connect(&daemon).await;
+    second.send(completion("k", true)).await;
+    assert!(second.sees("\"overloaded\"").await);
+    assert!(second.read.starts_with("HTTP/1.1 503"), "{}", second.read);
+    assert!(second.read.contains("retry-after: 1\r\n"));
+    daemon.end(call, Ending::Unknown(Doubt::Cut));
+    assert!(first.sees("\"unknown\"").await);
+    second.send(completion("k", true)).await;
+    daemon.arrived().await;
+}
+
+#[compio::test]
+async fn crossed_answers_reach_their_own_callers() {
+    let mut daemon = Daemon::start("{}").await;
+    let mut callers = Vec::new();
+    let mut calls = Vec::new();
+    for key in ["a", "b", "c"] {
+        let mut caller = Caller::connect(&daemon).await;
+        caller.send(completion(key, true)).await;
+        let (call, request) = daemon.arrived().await;
+        assert_eq!(
+            request.credential,
+            KeyHash(*blake3::hash(key.as_bytes()).as_bytes())
+        );
+        callers.push((key, caller));
+        calls.push((key, call));
+    }
+    calls.reverse();
+    for (_, call) in &calls {
+        daemon.begin(*call);
+    }
+    for (key, call) in &calls {
+        daemon.deliver(*call, 0, &format!("for-{key}"));
+    }
+    for (_, call) in &calls {
+        daemon.end(*call, Ending::Complete);
+    }
+    for (key, caller) in &mut callers {
+        assert!(caller.sees("[DONE]").await);
+        assert_eq!(caller.read.matches("for-").count(), 1, "{}", caller.read);
+        assert!(
+            caller.read.contains(&format!("for-{key}")),
+            "{}",
+            caller.read
+        );
+    }
+}
+
+#[compio::test]
+async fn a_caller_who_reads_too_slowly_loses_the_call() {
+    let mut daemon = Daemon::start("{}").await;
+    let mut caller = Caller::connect(&daemon).await;
+    caller.send(completion("k", true)).await;
+    let (call, _) = daemon.arrived().await;
+    daemon.begin(call);
+    let text = "x".repeat(64 << 10);
+    for offset in 0..17 {
+        daemon.deliver(call, offset, &text);
+    }
+    assert_eq!(daemon.gone().await, call);
+    daemon.end(call, Ending::Complete);
+    let read = caller.rest().await;
+    assert!(!read.contains("[DONE]"), "a cut answer looks complete");
+    assert!(read.contains(r#"{"outcome":"unknown","reason":"cut"}"#));
+    daemon.assert_quiet();
+}
+
+#[compio::test]
+async fn a_stop_lets_the_answer_under_way_end() {
+    let mut daemon = Daemon::start("{}").await;
+    let mut streaming = Caller::connect(&daemon).await;
+    streaming.send(completion("k", true)).await;
+    let (call, _) = daemon.arrived().await;
+    daemon.begin(call);
+    daemon.deliver(call, 0, "yes");
+    assert!(streaming.sees("yes").await);
+    let mut idle = Caller::connect(&daemon).await;
+    idle.send("GET /ready HTTP/1.1\r\nhost: e\r\n\r\n").await;
+    assert!(idle.sees("ready").await);
+    daemon.calls.stop();
+    let mut late = Caller::connect(&daemon).await;
+    late.send("GET /ready HTTP/1.1\r\nhost: e\r\n\r\n").await;
+    let read = late.rest().await;
+    assert!(read.starts_with("HTTP/1.1 503"), "{read}");
+    assert!(read.contains("connection: close"), "{read}");
+    daemon.end(call, Ending::Complete);
+    let address = daemon.address;
+    daemon.connections.finish().await;
+    assert!(
+        streaming
+            .rest()
+            .await
+            .ends_with("data: [DONE]\n\n\r\n0\r\n\r\n")
+    );
+    assert_eq!(idle.rest().await.matches("HTTP/1.1").count(), 1);
+    assert!(
+        http::connect(address).await.is_err(),
+        "new connections are taken"
+    );
+}
