--- a/src/core/config/view.rs
+++ b/src/core/config/view.rs
@@ -184,6 +184,11 @@
         self.duties.get(domain)
     }
 
+    /// A daemon registered.
+    pub fn daemon(&self, daemon: &DaemonName) -> Option<&Versioned<Daemon>> {
+        self.daemons.get(daemon)
+    }
+
     /// The daemons registered, by name.
     pub fn daemons(&self) -> impl Iterator<Item = &Versioned<Daemon>> {
         self.daemons.values()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -85,6 +85,7 @@
         let mut counts = Vec::new();
         self.parts.config.counts(&mut counts);
         self.parts.members.counts(&mut counts);
+        self.parts.hosts.counts(&mut counts);
         self.parts.groups.counts(&mut counts);
         self.parts.requests.counts(&mut counts);
         counts
--- /dev/null
+++ b/tests/member/registry.rs
@@ -0,0 +1,77 @@
+//! The daemons' records at the platform's service.
+
+use {
+    super::{SECOND, net::Net, started},
+    hickoryledge::core::{config::record::Daemon, input::Input, options::Options},
+};
+
+const KEY: &str = "/hickoryledge/daemon/d003";
+
+fn record(net: &Net) -> Option<Daemon> {
+    let value = net.value(KEY)?;
+    Some(serde_json::from_str(value).expect("a daemon's record"))
+}
+
+fn is_registered(net: &Net) -> bool {
+    let run = net.nodes[3].me.incarnation;
+    record(net).is_some_and(|daemon| daemon.incarnation == run && !daemon.leaving)
+}
+
+#[test]
+fn a_daemon_registers_and_takes_over_an_earlier_run() {
+    let mut net = started(4, 1, Options::default());
+    assert!(is_registered(&net));
+    net.kill(3);
+    net.restart(3, "d003", 2);
+    net.run_until(SECOND.times(5), is_registered)
+        .expect("the record is the new run's");
+    let lease = net.lease_of(KEY);
+    net.run(SECOND.times(120));
+    assert!(is_registered(&net));
+    assert_eq!(net.lease_of(KEY), lease, "written once, then renewed");
+}
+
+#[test]
+fn a_daemon_registers_after_an_outage_in_which_its_lease_lapsed() {
+    let mut net = started(4, 2, Options::default());
+    net.platform(false);
+    net.run(SECOND.times(90));
+    let lease = net.lease_of(KEY).expect("it was registered");
+    net.drop_lease(lease);
+    assert_eq!(record(&net), None);
+    net.platform(true);
+    net.run_until(SECOND.times(25), is_registered)
+        .expect("it is registered again");
+    assert_ne!(net.lease_of(KEY), Some(lease));
+}
+
+#[test]
+fn a_daemon_started_in_an_outage_registers_when_it_ends() {
+    let mut net = Net::new(4, 3, Options::default());
+    net.platform(false);
+    net.start();
+    net.run(SECOND.times(60));
+    assert!(record(&net).is_none());
+    net.platform(true);
+    net.run_until(SECOND.times(20), is_registered)
+        .expect("it is registered");
+}
+
+#[test]
+fn a_stopping_daemon_says_so_and_then_takes_its_record_away() {
+    let mut net = started(4, 4, Options::default());
+    net.step(3, Input::Stop);
+    let told = net.run_until(SECOND.times(3), |net| {
+        let leaving = |node: &super::net::Node| {
+            let view = hickoryledge::core::config::View::default();
+            let status = node.core.members().status(&view);
+            let mut status = status.into_iter();
+            status.any(|daemon| daemon.daemon.as_str() == "d003" && daemon.state == "leaving")
+        };
+        net.nodes.iter().all(leaving)
+    });
+    assert!(told.is_some(), "all know within seconds");
+    assert!(record(&net).is_some_and(|daemon| daemon.leaving));
+    net.run(SECOND.times(15));
+    assert_eq!(record(&net), None);
+}
