--- a/src/core/member/hosts.rs
+++ b/src/core/member/hosts.rs
@@ -32,7 +32,7 @@
 /// Answers in a row that a host taken for dead must give to be trusted again.
 const ANSWERS: u32 = 3;
 
-/// How long a reading of load may go unanswered, and what was read still counts.
+/// How long what was read or told still counts, and a reading is waited for.
 const STALE: Span = Span::from_secs(5);
 
 /// How long news of leaving counts that the list hasn't confirmed.
@@ -466,7 +466,7 @@
 }
 
 impl Reading {
-    fn is_due(&mut self, now: Time, pace: Span) -> bool {
+    fn is_due(&self, now: Time, pace: Span) -> bool {
         let Some(asked) = self.asked else {
             return true;
         };
@@ -474,9 +474,6 @@
         if !is_answered && now.since(asked) < STALE {
             return false;
         }
-        if !is_answered {
-            self.take(now, false);
-        }
         now.since(asked) >= pace
     }
 
