--- a/src/client.rs
+++ b/src/client.rs
@@ -10,15 +10,40 @@
     http::{HeaderValue, Request, Response, Uri, header},
     hyper::{body::Incoming, client::conn::http2},
     std::{
+        fmt,
         future::Future,
         net::SocketAddr,
         pin::Pin,
         task::{Context, Poll},
+        time::Duration,
     },
     tonic::body::Body,
     tower_service::Service,
 };
 
+/// How long an operator's call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Why a call got no answer.
+#[derive(Debug)]
+pub enum CallError {
+    /// The connection failed.
+    Cut(hyper::Error),
+    /// No answer within [`CALL_TIMEOUT`].
+    Timeout,
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::Cut(error) => write!(f, "the connection failed: {error}"),
+            CallError::Timeout => write!(f, "no answer within {CALL_TIMEOUT:?}"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
 /// A client of one daemon's operator calls.
 pub type Client = OperatorClient<Channel>;
 
@@ -57,16 +82,22 @@
 
 impl Service<Request<Body>> for Channel {
     type Response = Response<Incoming>;
-    type Error = hyper::Error;
+    type Error = CallError;
     type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>>>>;
 
     fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
-        self.sender.poll_ready(cx)
+        self.sender.poll_ready(cx).map_err(CallError::Cut)
     }
 
     fn call(&mut self, mut request: Request<Body>) -> Self::Future {
         let headers = request.headers_mut();
         headers.insert(header::AUTHORIZATION, self.token.clone());
-        Box::pin(self.sender.send_request(request))
+        let answer = self.sender.send_request(request);
+        Box::pin(async move {
+            match compio::time::timeout(CALL_TIMEOUT, answer).await {
+                Ok(answer) => answer.map_err(CallError::Cut),
+                Err(_) => Err(CallError::Timeout),
+            }
+        })
     }
 }
--- a/src/shell/operators/mod.rs
+++ b/src/shell/operators/mod.rs
@@ -24,6 +24,7 @@
     hyper::{body::Incoming, service::service_fn},
     std::{
         collections::BTreeMap,
+        rc::Rc,
         sync::{
             Arc, Mutex, PoisonError,
             atomic::{AtomicU64, Ordering},
@@ -36,6 +37,8 @@
 
 /// Operators' requests open at once.
 const MAX_OPEN: usize = 1_000;
+/// Operators' connections open at once.
+const MAX_CONNECTIONS: usize = 256;
 /// How long the loop waits after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -114,12 +117,16 @@
 }
 
 async fn accept(listener: TcpListener, server: OperatorServer<Handler>, token: blake3::Hash) {
+    let held = Rc::new(());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             compio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let server = server.clone();
+        if Rc::strong_count(&held) > MAX_CONNECTIONS {
+            continue;
+        }
+        let (server, held) = (server.clone(), held.clone());
         let service = service_fn(move |request: Request<Incoming>| {
             let mut server = server.clone();
             let allowed = is_allowed(request.headers(), &token);
@@ -130,7 +137,11 @@
                 server.call(request).await
             }
         });
-        compio::runtime::spawn(serve_http2(stream, service)).detach();
+        compio::runtime::spawn(async move {
+            serve_http2(stream, service).await;
+            drop(held);
+        })
+        .detach();
     }
 }
 
