--- a/tests/fakes/handover.rs
+++ b/tests/fakes/handover.rs
@@ -46,6 +46,7 @@
     pub cut: Vec<usize>,
     /// Daemons that get nothing at all; what is for them is kept.
     pub paused: Vec<usize>,
+    kept: Vec<Vec<Input>>,
     people: Vec<Identity>,
     timers: Vec<HashMap<Timer, u64>>,
     events: BTreeMap<(Time, u64), Event>,
@@ -68,6 +69,7 @@
             answers: BTreeMap::new(),
             cut: Vec::new(),
             paused: Vec::new(),
+            kept: vec![Vec::new(); halls.len()],
             timers: vec![HashMap::new(); halls.len()],
             people,
             events: BTreeMap::new(),
@@ -132,6 +134,15 @@
         true
     }
 
+    /// Lets every paused daemon go on with what was kept for it.
+    pub fn resume(&mut self) {
+        for daemon in std::mem::take(&mut self.paused) {
+            for input in std::mem::take(&mut self.kept[daemon]) {
+                self.step(daemon, input);
+            }
+        }
+    }
+
     /// Hands one input to a daemon now.
     pub fn step(&mut self, daemon: usize, input: Input) {
         let mut out = Vec::new();
@@ -151,7 +162,7 @@
                 }
             }
             Event::Input(daemon, input) if self.paused.contains(&daemon) => {
-                self.later(HOP, Event::Input(daemon, input));
+                self.kept[daemon].push(input);
             }
             Event::Input(daemon, input) => self.step(daemon, input),
             Event::Call(daemon, id, call) => {
