--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -331,6 +331,9 @@
         }
         match message {
             Message::Config(message) => {
+                if let Some(revision) = message.revision() {
+                    self.members.note_revision(&from, revision);
+                }
                 Change::keys(self.config.on_message(ctx, &self.members, &from, message))
             }
             Message::Member(message) => {
