--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -72,10 +72,6 @@
     #[serde(transparent)]
     pub struct OperationId(pub u64);
 
-    /// The hash of a caller's key.
-    #[serde(transparent)]
-    pub struct KeyHash(pub [u8; 32]);
-
     /// The part of the decision logic that made a platform call.
     pub enum Owner {
         /// Configuration.
@@ -97,3 +93,27 @@
         pub number: u64,
     }
 }
+
+/// The hash of a caller's key; written as hexadecimal text.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyHash(pub [u8; 32]);
+
+impl serde::Serialize for KeyHash {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        serializer.serialize_str(&blake3::Hash::from_bytes(self.0).to_hex())
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for KeyHash {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        let text = std::borrow::Cow::<'de, str>::deserialize(deserializer)?;
+        let hash = blake3::Hash::from_hex(text.as_bytes()).map_err(serde::de::Error::custom)?;
+        Ok(KeyHash(*hash.as_bytes()))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod core;
 mod derive;
+pub mod replay;
+pub mod report;
 pub mod settings;
 pub mod shell;
 pub mod wire;
--- /dev/null
+++ b/src/report/mod.rs
@@ -0,0 +1,32 @@
+//! The report on service-level burn: how fast the error budgets are spent, and why.
+//!
+//! A [`Tally`] watches a daemon's inputs and outputs, live or from a replayed
+//! recording. [`burn`] turns it into a [`Report`], which is written as text,
+//! JSON or one self-contained page.
+
+mod advice;
+mod burn;
+mod objective;
+mod page;
+mod tally;
+mod text;
+
+pub use burn::{Cause, Point, Report, Row, burn};
+pub use objective::{Objective, Objectives};
+pub use page::page;
+pub use tally::{Figures, SiteFigures, Slot, Subject, Tally};
+pub use text::text;
+
+use crate::{
+    core::{Core, input::Input, output::Output},
+    replay::{Trace, observe},
+};
+
+/// The report on a recording, by replaying it.
+pub fn of_trace(trace: &Trace, objectives: &Objectives) -> Report {
+    let mut tally = Tally::default();
+    observe(trace, |now, core: &Core, input: &Input, out: &[Output]| {
+        tally.watch(now, core, input, out);
+    });
+    burn(&tally, objectives)
+}
--- /dev/null
+++ b/src/report/tally.rs
@@ -0,0 +1,297 @@
+//! Counting what callers got, and what groups and accelerators did, by time.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::core::{
+    Core,
+    input::{CallInput, Input, Target},
+    keys::{AccountName, CallId},
+    output::{CallOutput, Doubt, Ending, Output, Refusal},
+    time::{Span, Time},
+};
+
+/// The length of one slot.
+pub(super) const SLOT: Span = Span::from_secs(10);
+
+/// How many slots are kept: one hour.
+pub(super) const SLOTS_KEPT: usize = 360;
+
+/// How often groups and accelerators are looked at.
+const SAMPLE_EVERY: Span = Span::from_secs(1);
+
+/// Latencies above this are counted as this.
+const MAX_LATENCY_MS: u64 = 60_000;
+
+crate::record! {
+    /// Whom a figure concerns.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct Subject {
+        /// The model or plain service.
+        pub target: String,
+        /// The account.
+        pub account: AccountName,
+    }
+}
+
+/// Latencies by whole milliseconds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Latencies {
+    by_millis: BTreeMap<u64, u64>,
+}
+
+impl Latencies {
+    fn add(&mut self, span: Span, count: u64) {
+        let millis = span.as_millis().min(MAX_LATENCY_MS);
+        *self.by_millis.entry(millis).or_default() += count;
+    }
+
+    /// How many were counted.
+    pub fn total(&self) -> u64 {
+        self.by_millis.values().sum()
+    }
+
+    /// How many were no longer than a bound.
+    pub fn within(&self, bound: Span) -> u64 {
+        self.by_millis
+            .range(..=bound.as_millis())
+            .map(|(_, count)| count)
+            .sum()
+    }
+
+    fn join(&mut self, other: &Latencies) {
+        for (millis, count) in &other.by_millis {
+            *self.by_millis.entry(*millis).or_default() += count;
+        }
+    }
+}
+
+/// What one subject got.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Figures {
+    /// Requests answered whole.
+    pub whole: u64,
+    /// Requests refused, by reason.
+    pub refused: BTreeMap<Refusal, u64>,
+    /// Requests whose end is not known, by reason.
+    pub unknown: BTreeMap<Doubt, u64>,
+    /// Times from arrival to the first token.
+    pub first_token: Latencies,
+    /// Times between tokens.
+    pub token_gap: Latencies,
+}
+
+impl Figures {
+    /// Adds other figures.
+    pub fn join(&mut self, other: &Figures) {
+        self.whole += other.whole;
+        for (reason, count) in &other.refused {
+            *self.refused.entry(*reason).or_default() += count;
+        }
+        for (reason, count) in &other.unknown {
+            *self.unknown.entry(*reason).or_default() += count;
+        }
+        self.first_token.join(&other.first_token);
+        self.token_gap.join(&other.token_gap);
+    }
+
+    /// Requests that should have been answered whole: without those that
+    /// callers gave up, or asked for wrongly or beyond their limits.
+    pub fn owed(&self) -> u64 {
+        let refused = self.refused.iter().filter(|(reason, _)| is_owed(**reason));
+        let unknown = self
+            .unknown
+            .iter()
+            .filter(|(reason, _)| **reason != Doubt::CallerGone);
+        let missed: u64 =
+            refused.map(|(_, n)| n).sum::<u64>() + unknown.map(|(_, n)| n).sum::<u64>();
+        self.whole + missed
+    }
+}
+
+/// Whether a refusal counts against the system rather than the caller.
+fn is_owed(reason: Refusal) -> bool {
+    !matches!(
+        reason,
+        Refusal::Unauthorized
+            | Refusal::NotFound
+            | Refusal::Invalid
+            | Refusal::OverLimit
+            | Refusal::Duplicate
+    )
+}
+
+/// Groups and accelerators, in samples.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SiteFigures {
+    /// Groups wanted in service, added up over the samples.
+    pub wanted: u64,
+    /// Of those, in service.
+    pub serving: u64,
+    /// Accelerators there, added up over the samples.
+    pub accelerators: u64,
+    /// Of those, in no group that serves.
+    pub stranded: u64,
+}
+
+/// What was counted in one slot.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Slot {
+    /// When it began.
+    pub start: Time,
+    /// By subject.
+    pub subjects: BTreeMap<Subject, Figures>,
+    /// Over everything.
+    pub site: SiteFigures,
+}
+
+#[derive(Debug)]
+struct Open {
+    subject: Subject,
+    arrived: Time,
+    last: Option<(Time, u32)>,
+}
+
+/// Everything counted in the last hour.
+#[derive(Debug, Default)]
+pub struct Tally {
+    open: BTreeMap<CallId, Open>,
+    slots: VecDeque<Slot>,
+    sampled: Option<Time>,
+    now: Time,
+}
+
+/// Queries.
+impl Tally {
+    /// The slots kept, oldest first.
+    pub fn slots(&self) -> impl DoubleEndedIterator<Item = &Slot> {
+        self.slots.iter()
+    }
+
+    /// When something was last counted.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+}
+
+/// Commands.
+impl Tally {
+    /// Counts one step of a daemon.
+    pub fn watch(&mut self, now: Time, core: &Core, input: &Input, out: &[Output]) {
+        self.now = now;
+        if let Input::Call(CallInput::Arrived { call, request }) = input {
+            let account = core.config().view().account_by_key(&request.credential);
+            let target = match &request.target {
+                Target::Model { model, .. } => model.to_string(),
+                Target::Service { service } => service.to_string(),
+            };
+            let account = account
+                .map(|account| account.name.clone())
+                .unwrap_or_default();
+            let subject = Subject { target, account };
+            self.open.insert(
+                *call,
+                Open {
+                    subject,
+                    arrived: now,
+                    last: None,
+                },
+            );
+        }
+        for output in out {
+            if let Output::Call(output) = output {
+                self.count(now, output);
+            }
+        }
+        if let Input::Call(CallInput::Gone { call }) = input {
+            self.open.remove(call);
+        }
+        self.sample(now, core);
+    }
+
+    fn count(&mut self, now: Time, output: &CallOutput) {
+        match output {
+            CallOutput::Deliver { call, offset, .. } => self.delivered(now, *call, *offset),
+            CallOutput::End { call, ending } => self.ended(now, *call, ending),
+            CallOutput::Begin { .. } | CallOutput::Entries { .. } => {}
+        }
+    }
+
+    fn delivered(&mut self, now: Time, call: CallId, offset: u32) {
+        let Some(open) = self.open.get_mut(&call) else {
+            return;
+        };
+        let subject = open.subject.clone();
+        let before = open.last.replace((now, offset));
+        let waited = now.since(open.arrived);
+        let figures = self.figures(now, subject);
+        match before {
+            None => figures.first_token.add(waited, 1),
+            Some((at, last)) => {
+                let tokens = u64::from(offset.saturating_sub(last)).max(1);
+                let gap = Span(now.since(at).0 / tokens);
+                figures.token_gap.add(gap, tokens);
+            }
+        }
+    }
+
+    fn ended(&mut self, now: Time, call: CallId, ending: &Ending) {
+        let Some(open) = self.open.remove(&call) else {
+            return;
+        };
+        let figures = self.figures(now, open.subject);
+        match ending {
+            Ending::Complete => figures.whole += 1,
+            Ending::Refused { reason, .. } => *figures.refused.entry(*reason).or_default() += 1,
+            Ending::Unknown(doubt) => *figures.unknown.entry(*doubt).or_default() += 1,
+        }
+    }
+
+    fn sample(&mut self, now: Time, core: &Core) {
+        if self.sampled.is_some_and(|at| now.since(at) < SAMPLE_EVERY) {
+            return;
+        }
+        self.sampled = Some(now);
+        let view = core.config().view();
+        let groups = view.groups().map(|group| &group.record);
+        let wanted = groups.filter(|group| !group.drained && !group.deleted);
+        let (mut count, mut serving) = (0, 0);
+        for group in wanted {
+            count += 1;
+            let keys = core.groups().serving(&group.model).iter();
+            let mut names = keys.filter_map(|key| core.groups().get(*key));
+            serving += u64::from(names.any(|held| held.name == group.name));
+        }
+        let domains = core.groups().domain_status(view, core.hosts());
+        let accelerators = core
+            .hosts()
+            .iter()
+            .map(|host| u64::from(host.entry.accelerators))
+            .sum::<u64>();
+        let site = &mut self.slot(now).site;
+        site.wanted += count;
+        site.serving += serving;
+        site.accelerators += accelerators;
+        site.stranded += domains
+            .iter()
+            .map(|domain| u64::from(domain.stranded))
+            .sum::<u64>();
+    }
+
+    fn figures(&mut self, now: Time, subject: Subject) -> &mut Figures {
+        self.slot(now).subjects.entry(subject).or_default()
+    }
+
+    fn slot(&mut self, now: Time) -> &mut Slot {
+        let start = Time(now.0 - now.0 % SLOT.0);
+        if self.slots.back().is_none_or(|slot| slot.start != start) {
+            self.slots.push_back(Slot {
+                start,
+                ..Slot::default()
+            });
+        }
+        while self.slots.len() > SLOTS_KEPT {
+            self.slots.pop_front();
+        }
+        self.slots.back_mut().expect("a slot was pushed")
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,564 @@
+//! Starts the whole path in separate processes, and faults it.
+//!
+//! Every wait is for a condition; [`PATIENCE`] only bounds a wait that fails.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Output, Stdio},
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hickoryledge::shell::http::send_once;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::{Value, json};
+
+/// How long a condition may take to come true.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// How often a condition is looked at.
+const POLL: Duration = Duration::from_millis(20);
+
+/// The account's key that every environment knows.
+pub const KEY: &str = "papadakis-press-key";
+
+/// The operators' token.
+const TOKEN: &str = "operators-token-of-tests";
+
+/// A process of the environment; ended when dropped.
+pub struct Process {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Process {
+    /// Starts a program and keeps what it prints.
+    pub fn start(program: &Path, args: &[&str]) -> Self {
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{} starts: {error}", program.display()));
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let kept = lines.clone();
+        let stdout = BufReader::new(child.stdout.take().expect("output is piped"));
+        std::thread::spawn(move || {
+            for line in stdout.lines().map_while(Result::ok) {
+                kept.lock().expect("lines are free").push(line);
+            }
+        });
+        Self { child, lines }
+    }
+
+    /// What it has printed so far.
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.lock().expect("lines are free").clone()
+    }
+
+    /// The first line printed that is JSON and has a field.
+    pub fn line_with(&self, field: &str) -> Value {
+        let found = || {
+            let lines = self.lines();
+            let mut values = lines
+                .iter()
+                .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+            values.find(|value| value.get(field).is_some())
+        };
+        wait_for(&format!("a line with {field}"), found)
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        kill(pid, signal).expect("process is there");
+    }
+
+    /// Ends it at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Its exit code, once it has ended.
+    pub fn wait_exit(&mut self) -> i32 {
+        wait_for("exit", || {
+            self.child
+                .try_wait()
+                .expect("process is ours")
+                .map(|s| s.code().unwrap_or(-1))
+        })
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Waits until `found` gives something.
+pub fn wait_for<T, F>(what: &str, mut found: F) -> T
+where
+    F: FnMut() -> Option<T>,
+{
+    let began = Instant::now();
+    loop {
+        if let Some(value) = found() {
+            return value;
+        }
+        assert!(began.elapsed() < PATIENCE, "no {what} in {PATIENCE:?}");
+        std::thread::sleep(POLL);
+    }
+}
+
+/// A daemon and its addresses.
+pub struct Daemon {
+    /// Its name.
+    pub name: String,
+    /// Its process.
+    pub process: Process,
+    /// Its settings.
+    pub settings: PathBuf,
+    /// Its address for callers.
+    pub caller: SocketAddr,
+    /// Its address for daemons.
+    pub peer: SocketAddr,
+    /// Its address for operators.
+    pub operator: SocketAddr,
+}
+
+/// A runner of the environment.
+#[derive(Clone)]
+pub struct Runner {
+    /// Its host's name.
+    pub name: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its entry in the list of hosts.
+    pub entry: Value,
+}
+
+/// How an answer ended, as a caller sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The `x-outcome` header.
+    pub outcome: String,
+    /// The body, as far as it came.
+    pub body: String,
+    /// Whether the body came whole.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// The text of a stream's events, and whether it ended with `[DONE]`.
+    pub fn stream(&self) -> (String, bool) {
+        let mut text = String::new();
+        let mut done = false;
+        for data in self
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "))
+        {
+            done = data == "[DONE]";
+            if let Ok(value) = serde_json::from_str::<Value>(data) {
+                text.push_str(value["text"].as_str().unwrap_or_default());
+            }
+        }
+        (text, done)
+    }
+}
+
+/// Daemons, runners and the platform's stand-in, each in a process of its own.
+pub struct TestEnv {
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+    /// The runners.
+    pub runners: Vec<Runner>,
+    /// The platform's stand-in.
+    pub platform: Process,
+    /// The runners' processes.
+    pub runner_processes: Vec<Process>,
+    kv: String,
+    hosts: SocketAddr,
+    folder: tempfile::TempDir,
+}
+
+impl TestEnv {
+    /// The platform's stand-in alone.
+    pub fn new() -> Self {
+        let platform = Process::start(&example("platform"), &[]);
+        let listening = platform.line_with("listening")["listening"].clone();
+        Self {
+            daemons: Vec::new(),
+            runners: Vec::new(),
+            platform,
+            runner_processes: Vec::new(),
+            kv: listening["kv"].as_str().expect("kv address").to_owned(),
+            hosts: address(&listening["hosts"]),
+            folder: tempfile::tempdir().expect("temporary folder"),
+        }
+    }
+
+    /// The usual small path: daemons, four engine hosts in one domain, one plain service,
+    /// an account, a model and a group of two hosts in service.
+    pub fn with_group(daemons: usize) -> Self {
+        let mut env = Self::new();
+        env.start_runners("kalamaria-1", &["e1", "e2", "e3", "e4"], &[]);
+        env.start_runners("kalamaria-1", &["s1"], &["--service", "mailroom-app"]);
+        env.publish_hosts();
+        for index in 0..daemons {
+            env.start_daemon(&format!("entry-{index}"));
+        }
+        env.operate(&["account", "put", "papadakis", "--key", KEY]);
+        env.operate(&[
+            "model",
+            "put",
+            "drafting-llm",
+            "--version",
+            "v1",
+            "--size",
+            "2",
+        ]);
+        env.operate(&["service", "put", "mailroom-app"]);
+        env.operate(&[
+            "group",
+            "create",
+            "drafting-1",
+            "--model",
+            "drafting-llm",
+            "--domain",
+            "kalamaria-1",
+        ]);
+        for index in 0..daemons {
+            env.wait_serving(index, "drafting-1");
+        }
+        env
+    }
+
+    /// Starts runners of one domain in one process.
+    pub fn start_runners(&mut self, domain: &str, names: &[&str], args: &[&str]) {
+        let joined = names.join(",");
+        let mut all = vec!["--names", &joined];
+        all.extend_from_slice(args);
+        let process = Process::start(&example("runner"), &all);
+        let listening = process.line_with("listening")["listening"].clone();
+        let option = |name: &str| {
+            args.iter()
+                .position(|arg| *arg == name)
+                .map(|at| args[at + 1])
+        };
+        let kind =
+            option("--service").map_or(json!("engine"), |service| json!({"service": service}));
+        for name in names {
+            let entry = json!({
+                "host": name, "hall": "kalamaria", "domain": domain, "address": listening[*name],
+                "accelerators": 4, "kind": kind, "leaving": false,
+                "checks": option("--checks").unwrap_or("fenced"),
+            });
+            let address = address(&listening[*name]);
+            self.runners.push(Runner {
+                name: (*name).to_owned(),
+                address,
+                entry,
+            });
+        }
+        self.runner_processes.push(process);
+    }
+
+    /// Puts every runner on the list of hosts.
+    pub fn publish_hosts(&self) {
+        let list: Vec<&Value> = self.runners.iter().map(|runner| &runner.entry).collect();
+        let answer = self.http(self.hosts, "PUT", "/hosts", &[], json!(list).to_string());
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+
+    /// Starts a daemon; it learns of the others from the platform and from the first.
+    pub fn start_daemon(&mut self, name: &str) -> usize {
+        self.start_daemon_with(name, "")
+    }
+
+    /// Starts a daemon with more lines of settings.
+    pub fn start_daemon_with(&mut self, name: &str, more: &str) -> usize {
+        let seeds: Vec<String> = self
+            .daemons
+            .iter()
+            .take(1)
+            .map(|d| d.peer.to_string())
+            .collect();
+        let any = "127.0.0.1:0".to_owned();
+        let ports = [any.clone(), any.clone(), any];
+        let settings = self.write_settings(name, &ports, &seeds, more);
+        let daemon = launch(name, settings);
+        self.daemons.push(daemon);
+        self.daemons.len() - 1
+    }
+
+    /// Starts a daemon that has ended again, at the same addresses.
+    pub fn restart_daemon(&mut self, index: usize) {
+        let old = &self.daemons[index];
+        let name = old.name.clone();
+        let ports = [old.caller, old.peer, old.operator].map(|address| address.to_string());
+        let others = self.daemons.iter().filter(|d| d.name != name);
+        let seeds: Vec<String> = others.map(|d| d.peer.to_string()).collect();
+        let settings = self.write_settings(&name, &ports, &seeds, "");
+        self.daemons[index].process.kill();
+        self.daemons[index] = launch(&name, settings);
+    }
+
+    fn write_settings(
+        &self,
+        name: &str,
+        ports: &[String; 3],
+        seeds: &[String],
+        more: &str,
+    ) -> PathBuf {
+        let path = self.folder.path().join(format!("{name}.yaml"));
+        let [caller, peer, operator] = ports;
+        let (kv, hosts) = (&self.kv, self.hosts);
+        let seeds = json!(seeds);
+        let text = format!(
+            "name: {name}\nregion: thessaloniki\nhall: kalamaria\n\
+             regions:\n  thessaloniki: [kalamaria, sindos, pylaia]\n\
+             listen:\n  caller: {caller}\n  peer: {peer}\n  operator: {operator}\n\
+             peers: {seeds}\nplatform: ['{kv}']\nhost_list: {hosts}\n\
+             peer_key: key-between-daemons-of-tests\noperator_token: {TOKEN}\n{more}\n"
+        );
+        std::fs::write(&path, text).expect("settings are written");
+        path
+    }
+
+    /// Runs an operator's command through the first daemon, and gives its JSON lines.
+    pub fn operate(&self, args: &[&str]) -> Vec<Value> {
+        let output = self.try_operate(0, args);
+        let stderr = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{args:?}: {stderr}");
+        let stdout = String::from_utf8_lossy(&output.stdout);
+        stdout
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()
+    }
+
+    /// Runs an operator's command through a daemon.
+    pub fn try_operate(&self, index: usize, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_hickoryledge"))
+            .args([
+                "--daemon",
+                &self.daemons[index].operator.to_string(),
+                "--token",
+                TOKEN,
+                "--json",
+            ])
+            .args(args)
+            .output()
+            .expect("command runs")
+    }
+
+    /// One daemon's report, line by line.
+    pub fn status(&self, index: usize) -> Vec<Value> {
+        let output = self.try_operate(index, &["status"]);
+        let stdout = String::from_utf8_lossy(&output.stdout);
+        stdout
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()
+    }
+
+    /// Waits until a daemon has a group in service.
+    pub fn wait_serving(&self, index: usize, group: &str) {
+        wait_for(&format!("{group} in service"), || {
+            let status = self.status(index);
+            let serving = |line: &Value| line["group"] == *group && line["state"] == "serving";
+            status.iter().any(serving).then_some(())
+        });
+    }
+
+    /// Streams a completion through a daemon.
+    pub fn complete(&self, index: usize, prompt: &str, max_tokens: u32) -> Answer {
+        self.complete_with(index, prompt, max_tokens, &[])
+    }
+
+    /// Streams a completion through a daemon, with more headers.
+    pub fn complete_with(
+        &self,
+        index: usize,
+        prompt: &str,
+        max_tokens: u32,
+        headers: &[(&str, &str)],
+    ) -> Answer {
+        let body = json!({"model": "drafting-llm", "prompt": prompt, "max_tokens": max_tokens, "stream": true});
+        self.call(index, "POST", "/v1/completions", headers, body.to_string())
+    }
+
+    /// Makes a call through a daemon with the account's key.
+    pub fn call(
+        &self,
+        index: usize,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Answer {
+        let key = format!("Bearer {KEY}");
+        let mut all = vec![("authorization", key.as_str())];
+        all.extend_from_slice(headers);
+        self.http(self.daemons[index].caller, method, path, &all, body)
+    }
+
+    /// Sends one request and reads what comes.
+    pub fn http(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Answer {
+        http_call(address, method, path, headers, body)
+    }
+
+    /// Tells a runner to misbehave.
+    pub fn runner_fault(&self, name: &str, fault: Value) {
+        let answer = self.http(
+            self.runner(name).address,
+            "POST",
+            "/fault",
+            &[],
+            fault.to_string(),
+        );
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+
+    /// Tells the platform's stand-in to misbehave.
+    pub fn platform_fault(&self, fault: Value) {
+        let answer = self.http(self.hosts, "POST", "/fault", &[], fault.to_string());
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+
+    /// How often runners have begun a body, all together.
+    pub fn begun(&self, body: &str) -> u64 {
+        let of = |runner: &Runner| {
+            let answer = self.http(runner.address, "GET", "/runs", &[], String::new());
+            let runs: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+            runs["begun"][body].as_u64().unwrap_or(0)
+        };
+        self.runners.iter().map(of).sum()
+    }
+
+    /// A runner.
+    pub fn runner(&self, name: &str) -> &Runner {
+        self.runners
+            .iter()
+            .find(|runner| runner.name == name)
+            .expect("runner is there")
+    }
+}
+
+/// Sends one request and reads what comes; status 0 if nothing did.
+pub fn http_call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: String,
+) -> Answer {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", address.to_string());
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request
+        .body(Full::new(Bytes::from(body)))
+        .expect("request is valid");
+    let runtime = compio::runtime::Runtime::new().expect("runtime starts");
+    runtime.block_on(async move {
+        match compio::time::timeout(PATIENCE, read(address, request)).await {
+            Ok(answer) => answer,
+            Err(_) => panic!("no whole answer from {address} in {PATIENCE:?}"),
+        }
+    })
+}
+
+async fn read(address: SocketAddr, request: Request<Full<Bytes>>) -> Answer {
+    let mut answer = Answer {
+        status: 0,
+        outcome: String::new(),
+        body: String::new(),
+        whole: false,
+    };
+    let Ok(response) = send_once(address, request).await else {
+        return answer;
+    };
+    answer.status = response.status().as_u16();
+    let outcome = response
+        .headers()
+        .get("x-outcome")
+        .and_then(|value| value.to_str().ok());
+    answer.outcome = outcome.unwrap_or_default().to_owned();
+    let mut body = response.into_body();
+    answer.whole = true;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            answer.whole = false;
+            break;
+        };
+        let data = frame.data_ref().map(Bytes::as_ref).unwrap_or_default();
+        answer.body.push_str(&String::from_utf8_lossy(data));
+    }
+    answer
+}
+
+/// The whole text that stand-in engines give for a prompt.
+pub fn text_of(prompt: &str, tokens: u32) -> String {
+    let digest = xxhash_rust::xxh3::xxh3_64(prompt.as_bytes()) as u16;
+    (0..tokens)
+        .map(|position| format!("{digest:04x}.{position} "))
+        .collect()
+}
+
+fn launch(name: &str, settings: PathBuf) -> Daemon {
+    let path = settings.to_str().expect("path is text");
+    let program = Path::new(env!("CARGO_BIN_EXE_hickoryledge"));
+    let process = Process::start(program, &["run", "--settings", path]);
+    let line = process.line_with("caller");
+    Daemon {
+        name: name.to_owned(),
+        caller: address(&line["caller"]),
+        peer: address(&line["peer"]),
+        operator: address(&line["operator"]),
+        process,
+        settings,
+    }
+}
+
+fn address(value: &Value) -> SocketAddr {
+    value
+        .as_str()
+        .and_then(|text| text.parse().ok())
+        .expect("address is valid")
+}
+
+/// A program built from `examples/`.
+pub fn example(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("own path is known");
+    let folder = test
+        .parent()
+        .and_then(Path::parent)
+        .expect("tests stand in deps");
+    folder.join("examples").join(name)
+}
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,46 @@
+//! The whole path in separate processes.
+
+mod common;
+
+use common::{TestEnv, text_of};
+
+#[test]
+fn caller_gets_the_whole_answer() {
+    let env = TestEnv::with_group(2);
+    for index in 0..2 {
+        let answer = env.complete(index, "summarise notice 17", 20);
+        assert_eq!(
+            answer.stream(),
+            (text_of("summarise notice 17", 20), true),
+            "{answer:?}"
+        );
+    }
+}
+
+#[test]
+fn service_call_runs_once() {
+    let env = TestEnv::with_group(1);
+    let answer = env.call(
+        0,
+        "POST",
+        "/services/mailroom-app/invoices",
+        &[],
+        "invoice 9".to_owned(),
+    );
+    assert_eq!(answer.outcome, "complete", "{answer:?}");
+    assert_eq!(env.begun("invoice 9"), 1);
+}
+
+#[test]
+fn unknown_key_is_refused() {
+    let env = TestEnv::with_group(1);
+    let wrong = [("authorization", "Bearer nobody")];
+    let answer = env.http(
+        env.daemons[0].caller,
+        "GET",
+        "/v1/entries",
+        &wrong,
+        String::new(),
+    );
+    assert_eq!((answer.status, answer.outcome.as_str()), (401, "not-run"));
+}
