--- a/src/cli.rs
+++ b/src/cli.rs
@@ -34,6 +34,10 @@
     Check(CheckArgs),
     /// Ask which daemons to use.
     Entries(EntriesArgs),
+    /// Replay traces.
+    Replay(ReplayArgs),
+    /// Report on service-level burn.
+    Report(ReportArgs),
     /// Ask a daemon as an operator.
     Operate(Operate),
 }
@@ -84,6 +88,8 @@
             Subcommand::Model(args) => Command::Operate(Operate::Model(args.command)),
             Subcommand::Service(args) => Command::Operate(Operate::Service(args.command)),
             Subcommand::Upgrade(args) => Command::Operate(Operate::Upgrade(args.command)),
+            Subcommand::Replay(args) => Command::Replay(args),
+            Subcommand::Report(args) => Command::Report(args),
             Subcommand::Status(_) => Command::Operate(Operate::Status),
         };
         Self {
@@ -129,6 +135,8 @@
     Service(ServiceArgs),
     Upgrade(UpgradeArgs),
     Status(StatusArgs),
+    Replay(ReplayArgs),
+    Report(ReportArgs),
 }
 
 /// Run a daemon until it is told to stop (SIGTERM or SIGINT) and its streams have ended.
@@ -138,6 +146,9 @@
     /// the settings file
     #[argh(option)]
     pub settings: PathBuf,
+    /// write every input to this file, for `replay` and `report`
+    #[argh(option)]
+    pub record: Option<PathBuf>,
 }
 
 /// Check a settings file and name every fault with its place.
@@ -525,6 +536,33 @@
 #[argh(subcommand, name = "status")]
 pub struct UpgradeShow {}
 
+/// Replay traces and check their stated outcomes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+pub struct ReplayArgs {
+    /// traces, or folders of traces
+    #[argh(positional)]
+    pub paths: Vec<PathBuf>,
+    /// print every output instead of the table
+    #[argh(switch)]
+    pub outputs: bool,
+}
+
+/// Report how fast the error budgets are spent, and what to do next.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "report")]
+pub struct ReportArgs {
+    /// a recording to report on; the running daemon if left out
+    #[argh(option)]
+    pub recording: Option<PathBuf>,
+    /// the settings whose objectives a recording is held to
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+    /// write a page with plots to this file
+    #[argh(option)]
+    pub html: Option<PathBuf>,
+}
+
 /// Show everything that one daemon knows, and the revision in force on each.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,5 +3,7 @@
 pub mod check;
 pub mod entries;
 pub mod operate;
+pub mod replay;
+pub mod report;
 pub mod run;
 mod table;
--- a/src/commands/operate/mod.rs
+++ b/src/commands/operate/mod.rs
@@ -20,9 +20,9 @@
 const TOKEN_VARIABLE: &str = "HICKORYLEDGE_TOKEN";
 
 /// A connection to the daemon that is asked.
-struct Session {
-    client: Client,
-    peer: SocketAddr,
+pub(super) struct Session {
+    pub(super) client: Client,
+    pub(super) peer: SocketAddr,
     json: bool,
 }
 
@@ -47,7 +47,7 @@
     }
 }
 
-async fn connect(target: &Target) -> Result<Session, CommandError> {
+pub(super) async fn connect(target: &Target) -> Result<Session, CommandError> {
     let peer = daemon(target)?;
     let token = token(target)?;
     let client = client::operator(peer, &token)
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -13,6 +13,6 @@
         .map_err(|error| CommandError::local(Exit::Failure, "start the loop", error))?;
     let (log, _guard) = logging::start();
     runtime
-        .block_on(shell::run(settings, log))
+        .block_on(shell::run(settings, args.record.as_deref(), log))
         .map_err(|error| CommandError::local(Exit::Failure, "run", format!("{error:#}")))
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,7 @@
 
 use {
     cli::{Cli, Command},
-    commands::{check, entries, operate, run},
+    commands::{check, entries, operate, replay, report, run},
     error::CommandError,
     exit_codes::Exit,
 };
@@ -32,6 +32,8 @@
         Command::Run(args) => run::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Entries(args) => entries::run(&cli.target, &args),
+        Command::Replay(args) => replay::run(&args),
+        Command::Report(args) => report::run(&cli.target, &args),
         Command::Operate(command) => operate::run(&cli.target, command),
     }
 }
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -6,12 +6,14 @@
 
 mod advice;
 mod burn;
+mod monitor;
 mod objective;
 mod page;
 mod tally;
 mod text;
 
 pub use burn::{Cause, Point, Report, Row, burn};
+pub use monitor::Monitor;
 pub use objective::{Objective, Objectives};
 pub use page::page;
 pub use tally::{Figures, SiteFigures, Slot, Subject, Tally};
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -6,10 +6,13 @@
 pub use {reader::Fault, tree::Place};
 
 use {
-    crate::core::{
-        keys::{DaemonName, HallName, RegionName},
-        options::Options,
-        time::Span,
+    crate::{
+        core::{
+            keys::{DaemonName, HallName, RegionName},
+            options::Options,
+            time::Span,
+        },
+        report::Objectives,
     },
     reader::{Faults, Field, Section},
     std::{
@@ -59,6 +62,8 @@
     pub max_calls: usize,
     /// Tunables of the decision logic.
     pub options: Options,
+    /// What the report holds the daemon to.
+    pub objectives: Objectives,
 }
 
 /// Why a settings file was refused.
@@ -94,6 +99,8 @@
 const DEFAULT_CALLS: usize = 4_000;
 /// The longest span that an option may have, in milliseconds.
 const MAX_SPAN_MS: u64 = 3_600_000;
+/// The highest target; one of 1 would leave no budget to spend.
+const MAX_TARGET: f64 = 0.999_999;
 /// Separates the peer key from other uses of the same secret.
 const PEER_KEY_CONTEXT: &str = "hickoryledge 2026 peer messages";
 
@@ -156,6 +163,7 @@
     let operator_token = secret(&mut top, "operator_token", folder);
     let limits = limits(top.take("limits"));
     let options = options(top.take("options"));
+    let objectives = objectives(top.take("objectives"));
     top.finish();
     let (region, hall) = site?;
     let (max_body, max_calls) = limits?;
@@ -172,6 +180,7 @@
         max_body,
         max_calls,
         options: options?,
+        objectives: objectives?,
     })
 }
 
@@ -360,3 +369,36 @@
     section.finish();
     Some(options)
 }
+
+fn objectives(field: Option<Field>) -> Option<Objectives> {
+    let mut objectives = Objectives::default();
+    let Some(field) = field else {
+        return Some(objectives);
+    };
+    let mut section = field.section()?;
+    let spans = [
+        ("first_token_ms", &mut objectives.first_token),
+        ("token_gap_ms", &mut objectives.token_gap),
+    ];
+    for (key, span) in spans {
+        let given = section
+            .take(key)
+            .and_then(|field| field.whole(1..=MAX_SPAN_MS));
+        *span = given.map_or(*span, Span::from_millis);
+    }
+    let targets = [
+        ("first_target", &mut objectives.first_target),
+        ("gap_target", &mut objectives.gap_target),
+        ("whole_target", &mut objectives.whole_target),
+        ("group_target", &mut objectives.group_target),
+        ("accelerator_target", &mut objectives.accelerator_target),
+    ];
+    for (key, target) in targets {
+        let given = section
+            .take(key)
+            .and_then(|field| field.real(0.0..=MAX_TARGET));
+        *target = given.unwrap_or(*target);
+    }
+    section.finish();
+    Some(objectives)
+}
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -28,6 +28,8 @@
             output::{Event, Level, Output},
             time::Time,
         },
+        replay::{DaemonHeader, Recorder},
+        report::Monitor,
         settings::Settings,
     },
     anyhow::Context as _,
@@ -37,7 +39,9 @@
     slog::Logger,
     std::{
         cell::RefCell,
+        path::Path,
         rc::Rc,
+        sync::Arc,
         time::{Instant, SystemTime, UNIX_EPOCH},
     },
     timers::Timers,
@@ -84,8 +88,9 @@
 ///
 /// # Errors
 ///
-/// Fails if an address can't be bound; later faults are counted and outlived.
-pub async fn run(settings: Settings, log: Logger) -> anyhow::Result<()> {
+/// Fails if an address can't be bound, or the recording can't be written; later
+/// faults of others are counted and outlived.
+pub async fn run(settings: Settings, record: Option<&Path>, log: Logger) -> anyhow::Result<()> {
     let clock = Clock::start();
     let (inbox, mut inputs) = Inbox::new();
     let calls = Rc::new(Calls::new(inbox.clone()));
@@ -111,13 +116,18 @@
         settings.options.clone(),
         seed,
     )));
+    let monitor = Arc::new(Monitor::new(settings.objectives.clone()));
+    let mut recorder = match record {
+        Some(path) => Some(begin_recording(path, &me, seed, &settings)?),
+        None => None,
+    };
     callers::start(caller, calls.clone(), core.clone(), clock, &settings);
     host_list::start(inbox.clone(), settings.host_list);
     let drivers = Drivers {
         runners: runners::Runners::new(inbox.clone(), calls.clone(), &me, &settings),
         platform: platform::Platform::new(inbox.clone(), &settings),
         peers: peers::Peers::start(sockets, inbox.clone(), calls.clone(), &me, &settings),
-        operators: operators::Operators::start(operator, inbox.clone(), &settings),
+        operators: operators::Operators::start(operator, inbox.clone(), monitor.clone(), &settings),
         calls,
     };
     stop_on_signal(inbox.clone());
@@ -139,7 +149,12 @@
         if let Input::Stop = input {
             drivers.calls.stop();
         }
-        core.borrow_mut().step(clock.now(), input, &mut out);
+        let now = clock.now();
+        if let Some(recorder) = &mut recorder {
+            recorder.input(now, &input).context("write the recording")?;
+        }
+        core.borrow_mut().step(now, input.clone(), &mut out);
+        monitor.watch(now, &core.borrow(), &input, &out);
         for output in out.drain(..) {
             if perform(output, &drivers, &mut timers, &log) {
                 return Ok(());
@@ -167,6 +182,21 @@
     false
 }
 
+/// Begins a recording of this run.
+fn begin_recording(
+    path: &Path,
+    me: &Identity,
+    seed: u64,
+    settings: &Settings,
+) -> anyhow::Result<Recorder> {
+    let header = DaemonHeader {
+        identity: me.clone(),
+        seed,
+        options: settings.options.clone(),
+    };
+    Recorder::create(path, header).with_context(|| format!("record to {}", path.display()))
+}
+
 async fn sleep_until(at: Option<Time>, clock: Clock) {
     match at {
         Some(at) => compio::time::sleep_until(clock.instant(at)).await,
--- a/src/shell/operators/handler.rs
+++ b/src/shell/operators/handler.rs
@@ -8,10 +8,12 @@
             keys::{OperationId, Revision},
             output::OperatorAnswer,
         },
+        report::Monitor,
         wire::operator::{
-            Change, ChangeGroupRequest, CreateGroupRequest, DrainGroupRequest, NameRequest,
-            PutAccountRequest, PutModelRequest, PutServiceRequest, StartUpgradeRequest,
-            StatusReply, StatusRequest, SteerUpgradeRequest, operator_server::Operator,
+            BurnReply, BurnRequest, Change, ChangeGroupRequest, CreateGroupRequest,
+            DrainGroupRequest, NameRequest, PutAccountRequest, PutModelRequest, PutServiceRequest,
+            StartUpgradeRequest, StatusReply, StatusRequest, SteerUpgradeRequest,
+            operator_server::Operator,
         },
     },
     std::sync::Arc,
@@ -23,11 +25,12 @@
 /// Answers operators' calls.
 pub(super) struct Handler {
     pending: Arc<Pending>,
+    monitor: Arc<Monitor>,
 }
 
 impl Handler {
-    pub(super) fn new(pending: Arc<Pending>) -> Self {
-        Self { pending }
+    pub(super) fn new(pending: Arc<Pending>, monitor: Arc<Monitor>) -> Self {
+        Self { pending, monitor }
     }
 
     async fn change(&self, operation: u64, request: OperatorRequest) -> Reply<Change> {
@@ -153,6 +156,12 @@
         self.change(steer.operation, change).await
     }
 
+    async fn get_burn(&self, _request: Request<BurnRequest>) -> Reply<BurnReply> {
+        let report = serde_json::to_string(&self.monitor.report())
+            .map_err(|error| Status::internal(error.to_string()))?;
+        Ok(Response::new(BurnReply { report }))
+    }
+
     async fn get_status(&self, _request: Request<StatusRequest>) -> Reply<StatusReply> {
         let asked = self
             .pending
--- a/src/shell/operators/mod.rs
+++ b/src/shell/operators/mod.rs
@@ -14,6 +14,7 @@
             keys::{CommandId, OperationId},
             output::OperatorAnswer,
         },
+        report::Monitor,
         settings::Settings,
         wire::operator::operator_server::OperatorServer,
     },
@@ -53,14 +54,19 @@
 
 impl Operators {
     /// Serves operators until the loop ends.
-    pub fn start(listener: TcpListener, inbox: Inbox, settings: &Settings) -> Self {
+    pub fn start(
+        listener: TcpListener,
+        inbox: Inbox,
+        monitor: Arc<Monitor>,
+        settings: &Settings,
+    ) -> Self {
         let pending = Arc::new(Pending {
             inbox,
             last: AtomicU64::new(0),
             waiting: Mutex::default(),
         });
         let token = blake3::hash(settings.operator_token.as_bytes());
-        let server = OperatorServer::new(Handler::new(pending.clone()));
+        let server = OperatorServer::new(Handler::new(pending.clone(), monitor));
         compio::runtime::spawn(accept(listener, server, token)).detach();
         Self { pending }
     }
--- a/src/wire/hickoryledge.v1.rs
+++ b/src/wire/hickoryledge.v1.rs
@@ -136,6 +136,14 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StatusRequest {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct BurnRequest {}
+/// The report as JSON text (docs/OPERATING.md).
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct BurnReply {
+    #[prost(string, tag = "1")]
+    pub report: ::prost::alloc::string::String,
+}
 /// A change that is durable at this revision.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Change {
@@ -594,6 +602,28 @@
                 .insert(GrpcMethod::new("hickoryledge.v1.Operator", "GetStatus"));
             self.inner.unary(req, path, codec).await
         }
+        /// Report on service-level burn as one daemon saw it.
+        pub async fn get_burn(
+            &mut self,
+            request: impl tonic::IntoRequest<super::BurnRequest>,
+        ) -> std::result::Result<tonic::Response<super::BurnReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/hickoryledge.v1.Operator/GetBurn",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("hickoryledge.v1.Operator", "GetBurn"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -669,6 +699,11 @@
             &self,
             request: tonic::Request<super::StatusRequest>,
         ) -> std::result::Result<tonic::Response<super::StatusReply>, tonic::Status>;
+        /// Report on service-level burn as one daemon saw it.
+        async fn get_burn(
+            &self,
+            request: tonic::Request<super::BurnRequest>,
+        ) -> std::result::Result<tonic::Response<super::BurnReply>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct OperatorServer<T> {
@@ -1276,6 +1311,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/hickoryledge.v1.Operator/GetBurn" => {
+                    #[allow(non_camel_case_types)]
+                    struct GetBurnSvc<T: Operator>(pub Arc<T>);
+                    impl<T: Operator> tonic::server::UnaryService<super::BurnRequest>
+                    for GetBurnSvc<T> {
+                        type Response = super::BurnReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::BurnRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operator>::get_burn(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = GetBurnSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
