--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod callers;
 pub mod calls;
+mod events;
 pub mod frames;
 pub mod host_list;
 pub mod http;
@@ -121,7 +122,7 @@
         Some(path) => Some(begin_recording(path, &me, seed, &settings)?),
         None => None,
     };
-    callers::start(caller, calls.clone(), core.clone(), clock, &settings);
+    let connections = callers::start(caller, calls.clone(), core.clone(), clock, &settings);
     host_list::start(inbox.clone(), settings.host_list);
     let drivers = Drivers {
         runners: runners::Runners::new(inbox.clone(), calls.clone(), &me, &settings),
@@ -157,6 +158,10 @@
         monitor.watch(now, &core.borrow(), &input, &out);
         for output in out.drain(..) {
             if perform(output, &drivers, &mut timers, &log) {
+                connections.finish().await;
+                if let Some(recorder) = &mut recorder {
+                    recorder.flush().context("write the recording")?;
+                }
                 return Ok(());
             }
         }
