--- a/src/report/monitor.rs
+++ b/src/report/monitor.rs
@@ -10,7 +10,7 @@
 use crate::core::{Core, input::Input, output::Output, time::Time};
 
 /// A running daemon's tally.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Monitor {
     objectives: Objectives,
     tally: Mutex<Tally>,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -16,7 +16,7 @@
         shell::{http, inbox::Inbox, operators::Operators},
     },
     serde_json::{Value, json},
-    std::{net::SocketAddr, path::Path, process::Output, time::Duration},
+    std::{net::SocketAddr, path::Path, process::Output, sync::Arc, time::Duration},
 };
 
 /// How long a test waits for what must come.
@@ -69,7 +69,7 @@
             .expect("it binds");
         let address = http::address(&listener).expect("it is bound");
         let (inbox, inputs) = Inbox::new();
-        let operators = Operators::start(listener, inbox, &settings);
+        let operators = Operators::start(listener, inbox, Arc::default(), &settings);
         Self {
             address,
             inputs,
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -30,3 +30,16 @@
     assert_eq!(answer.outcome, "complete", "{answer:?}");
     assert_eq!(env.begun("invoice 9"), 1);
 }
+#[test]
+fn unknown_key_is_refused() {
+    let env = TestEnv::with_group(1);
+    let wrong = [("authorization", "Bearer nobody")];
+    let answer = env.http(
+        env.daemons[0].caller,
+        "GET",
+        "/v1/entries",
+        &wrong,
+        String::new(),
+    );
+    assert_eq!((answer.status, answer.outcome.as_str()), (401, "not-run"));
+}
