--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,360 @@
+//! What must always hold, in separate processes, under failure.
+
+mod common;
+
+use std::thread;
+
+use common::{Answer, KEY, TestEnv, http_call, text_of, wait_for};
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+/// Streams `count` completions at once through a daemon, runs `during` once all
+/// run, and gives the answers.
+fn stream_during<F>(env: &mut TestEnv, count: usize, tokens: u32, during: F) -> Vec<Answer>
+where
+    F: FnOnce(&mut TestEnv),
+{
+    let address = env.daemons[0].caller;
+    let streams: Vec<_> = (0..count)
+        .map(|number| {
+            thread::spawn(move || {
+                let prompt = format!("notice {number}");
+                let body = json!({
+                    "model": "drafting-llm", "prompt": prompt, "max_tokens": tokens, "stream": true,
+                });
+                let key = format!("Bearer {KEY}");
+                let headers = [("authorization", key.as_str())];
+                http_call(
+                    address,
+                    "POST",
+                    "/v1/completions",
+                    &headers,
+                    body.to_string(),
+                )
+            })
+        })
+        .collect();
+    wait_for("streams running", || {
+        (env.running() >= count as u64).then_some(())
+    });
+    during(env);
+    streams
+        .into_iter()
+        .map(|stream| stream.join().expect("stream ends"))
+        .collect()
+}
+
+fn assert_all_whole(answers: &[Answer], tokens: u32) {
+    for (number, answer) in answers.iter().enumerate() {
+        let wanted = text_of(&format!("notice {number}"), tokens);
+        assert_eq!(answer.stream(), (wanted, true), "{answer:?}");
+    }
+}
+
+fn service_call(env: &TestEnv, daemon: usize, body: &str, headers: &[(&str, &str)]) -> Answer {
+    env.call(
+        daemon,
+        "POST",
+        "/services/mailroom-app/invoices",
+        headers,
+        body.to_owned(),
+    )
+}
+
+#[test]
+fn a_graceful_stop_cuts_no_stream() {
+    let mut env = TestEnv::with_group(2);
+    let answers = stream_during(&mut env, 8, 200, |env| {
+        env.daemons[0].process.signal(Signal::SIGTERM);
+        wait_for("the stopping daemon gone from discovery", || {
+            (env.listed(1) == ["entry-1"]).then_some(())
+        });
+        let late = env.complete(0, "late", 1);
+        assert!(late.status == 0 || late.outcome == "not-run", "{late:?}");
+    });
+    assert_all_whole(&answers, 200);
+    assert_eq!(env.daemons[0].process.wait_exit(), 0);
+    assert_eq!(env.begun("late"), 0);
+}
+
+#[test]
+fn a_killed_daemons_streams_never_look_complete() {
+    let mut env = TestEnv::with_group(2);
+    let answers = stream_during(&mut env, 4, 2_000, |env| env.daemons[0].process.kill());
+    for answer in answers {
+        assert!(!answer.stream().1, "{answer:?}");
+        assert_ne!(answer.outcome, "complete");
+    }
+    wait_for("the work given up", || (env.running() == 0).then_some(()));
+    let again = env.complete(1, "again", 5);
+    assert_eq!(again.stream(), (text_of("again", 5), true));
+}
+
+#[test]
+fn a_ticket_of_a_killed_daemon_runs_at_most_once() {
+    let mut env = TestEnv::with_group(2);
+    let ticket = env.entries(0)["ticket"]
+        .as_str()
+        .expect("a ticket")
+        .to_owned();
+    let headers = [("x-ticket", ticket.as_str())];
+    let first = service_call(&env, 0, "invoice 1", &headers);
+    assert_eq!(first.outcome, "complete", "{first:?}");
+    let relayed = service_call(&env, 1, "invoice 1", &headers);
+    assert_eq!(relayed.outcome, "unknown", "{relayed:?}");
+    env.daemons[0].process.kill();
+    let orphaned = service_call(&env, 1, "invoice 1", &headers);
+    assert_eq!(orphaned.outcome, "unknown", "{orphaned:?}");
+    env.restart_daemon(0);
+    let late = service_call(&env, 0, "invoice 1", &headers);
+    assert_eq!(late.outcome, "unknown", "{late:?}");
+    assert_eq!(env.begun("invoice 1"), 1);
+}
+
+#[test]
+fn a_ticket_used_through_two_daemons_at_once_runs_once() {
+    let env = TestEnv::with_group(2);
+    for round in 0..5 {
+        let ticket = env.entries(round % 2)["ticket"]
+            .as_str()
+            .expect("a ticket")
+            .to_owned();
+        let body = format!("demand {round}");
+        let outcomes: Vec<String> = thread::scope(|scope| {
+            let calls: Vec<_> = (0..4)
+                .map(|number| {
+                    let (env, body, ticket) = (&env, &body, &ticket);
+                    scope
+                        .spawn(move || service_call(env, number % 2, body, &[("x-ticket", ticket)]))
+                })
+                .collect();
+            calls
+                .into_iter()
+                .map(|call| call.join().expect("call ends").outcome)
+                .collect()
+        });
+        assert_eq!(env.begun(&body), 1, "{outcomes:?}");
+        assert!(!outcomes.contains(&"not-run".to_owned()), "{outcomes:?}");
+    }
+}
+
+#[test]
+fn an_own_key_without_the_platform_is_refused_and_not_run() {
+    let env = TestEnv::with_group(1);
+    env.platform_fault(json!({"mode": "refuse"}));
+    let refused = service_call(&env, 0, "invoice 2", &[("idempotency-key", "k2")]);
+    assert_eq!(refused.outcome, "not-run", "{refused:?}");
+    assert_eq!(env.begun("invoice 2"), 0);
+    env.platform_fault(json!({"mode": "ok"}));
+    let taken = wait_for("the platform used again", || {
+        let answer = service_call(&env, 0, "invoice 2", &[("idempotency-key", "k2")]);
+        (answer.outcome == "complete").then_some(answer)
+    });
+    assert_eq!(taken.status, 200);
+    let twice = service_call(&env, 0, "invoice 2", &[("idempotency-key", "k2")]);
+    assert_ne!(twice.outcome, "complete");
+    assert_eq!(env.begun("invoice 2"), 1);
+}
+
+#[test]
+fn connections_gone_silent_lose_no_stream() {
+    let mut env = TestEnv::with_group(1);
+    let answers = stream_during(&mut env, 4, 100, |env| {
+        for name in ["e1", "e2", "e3", "e4"] {
+            env.runner_fault(name, json!({"mute_open": true}));
+        }
+    });
+    assert_all_whole(&answers, 100);
+}
+
+#[test]
+fn a_dead_host_is_replaced_from_a_spare() {
+    let mut env = TestEnv::with_group(2);
+    let hosts = env.group_hosts(0, "drafting-1");
+    env.kill_runner(&hosts[0]);
+    wait_for("the group on other hosts", || {
+        let now = env.group_hosts(0, "drafting-1");
+        (!now.is_empty() && !now.contains(&hosts[0])).then_some(())
+    });
+    for index in 0..2 {
+        env.wait_serving(index, "drafting-1");
+        let answer = env.complete(index, "after", 10);
+        assert_eq!(answer.stream(), (text_of("after", 10), true), "{answer:?}");
+    }
+}
+
+#[test]
+fn a_leaving_host_gets_no_new_work_and_cuts_none() {
+    let mut env = TestEnv::with_group(2);
+    let hosts = env.group_hosts(0, "drafting-1");
+    let answers = stream_during(&mut env, 6, 300, |env| env.set_leaving(&hosts[1], true));
+    assert_all_whole(&answers, 300);
+    wait_for("the group without the leaving host", || {
+        let now = env.group_hosts(0, "drafting-1");
+        (now.len() == 2 && !now.contains(&hosts[1])).then_some(())
+    });
+    env.wait_serving(1, "drafting-1");
+    let answer = env.complete(1, "after", 10);
+    assert_eq!(answer.stream(), (text_of("after", 10), true), "{answer:?}");
+}
+
+#[test]
+fn an_outage_of_the_platform_stops_no_completion() {
+    let env = TestEnv::with_group(2);
+    env.platform_fault(json!({"mode": "hang"}));
+    for number in 0..20 {
+        let answer = env.complete(number % 2, "during", 50);
+        assert_eq!(answer.stream(), (text_of("during", 50), true), "{answer:?}");
+    }
+    env.platform_fault(json!({"mode": "ok"}));
+    wait_for("a change accepted again", || {
+        let output = env.try_operate(
+            0,
+            &[
+                "account",
+                "put",
+                "greenfry",
+                "--key",
+                "another-key-of-tests",
+            ],
+        );
+        output.status.success().then_some(())
+    });
+}
+
+#[test]
+fn a_lost_answer_does_not_lose_the_change() {
+    let env = TestEnv::with_group(1);
+    env.platform_fault(json!({"mode": "lose_answers", "for_ms": 1_000}));
+    let output = env.try_operate(
+        0,
+        &[
+            "model",
+            "put",
+            "second-llm",
+            "--version",
+            "v9",
+            "--size",
+            "1",
+        ],
+    );
+    assert!(output.status.success(), "{output:?}");
+    env.operate(&[
+        "group",
+        "create",
+        "second-1",
+        "--model",
+        "second-llm",
+        "--domain",
+        "kalamaria-1",
+    ]);
+    env.wait_serving(0, "second-1");
+}
+
+#[test]
+fn racing_operators_get_one_winner() {
+    let env = TestEnv::with_group(2);
+    let codes: Vec<Option<i32>> = thread::scope(|scope| {
+        let racers: Vec<_> = (0..6)
+            .map(|index| {
+                let env = &env;
+                let size = ["1", "2"][index % 2];
+                let create = ["group", "create", "race", "--model", "drafting-llm"];
+                let args = [&create[..], &["--domain", "kalamaria-1", "--size", size]].concat();
+                scope.spawn(move || env.try_operate(index % 2, &args).status.code())
+            })
+            .collect();
+        racers
+            .into_iter()
+            .map(|racer| racer.join().expect("operator ends"))
+            .collect()
+    });
+    let won = codes.iter().filter(|code| **code == Some(0)).count();
+    let lost = codes.iter().filter(|code| **code == Some(5)).count();
+    assert_eq!((won, lost), (1, 5), "{codes:?}");
+    for index in 0..2 {
+        env.wait_serving(index, "race");
+    }
+    assert_eq!(env.group_hosts(0, "race"), env.group_hosts(1, "race"));
+}
+
+#[test]
+fn a_paused_holder_that_wakes_does_no_harm() {
+    let env = TestEnv::with_options(3, "options:\n  lease_ms: 2000");
+    let holder = |index: usize| {
+        let status = env.status(index);
+        let line = status
+            .into_iter()
+            .find(|line| line.get("holder").is_some())?;
+        line["holder"].as_str().map(str::to_owned)
+    };
+    let first = wait_for("a holder", || holder(0).filter(|name| !name.is_empty()));
+    let paused = env
+        .daemons
+        .iter()
+        .position(|daemon| daemon.name == first)
+        .expect("it is ours");
+    let other = (paused + 1) % 3;
+    env.daemons[paused].process.signal(Signal::SIGSTOP);
+    wait_for("another holder", || {
+        holder(other).filter(|name| !name.is_empty() && *name != first)
+    });
+    let hosts = env.group_hosts(other, "drafting-1");
+    env.set_leaving(&hosts[0], true);
+    wait_for("the group moved", || {
+        let now = env.group_hosts(other, "drafting-1");
+        (now.len() == 2 && !now.contains(&hosts[0])).then_some(())
+    });
+    env.wait_serving(other, "drafting-1");
+    env.daemons[paused].process.signal(Signal::SIGCONT);
+    wait_for("the same placement on the daemon that woke", || {
+        (env.group_hosts(paused, "drafting-1") == env.group_hosts(other, "drafting-1"))
+            .then_some(())
+    });
+    for index in 0..3 {
+        env.wait_serving(index, "drafting-1");
+        let answer = env.complete(index, "after", 10);
+        assert_eq!(answer.stream(), (text_of("after", 10), true), "{answer:?}");
+    }
+}
+
+#[test]
+fn an_upgrade_cuts_no_request() {
+    let env = TestEnv::with_group(2);
+    env.operate(&[
+        "model",
+        "put",
+        "drafting-llm",
+        "--version",
+        "v1",
+        "--size",
+        "2",
+        "--floor",
+        "1",
+    ]);
+    env.operate(&[
+        "upgrade",
+        "start",
+        "night",
+        "--model",
+        "drafting-llm",
+        "--to",
+        "v2",
+    ]);
+    let upgraded = || {
+        let group = env.group(0, "drafting-1")?;
+        (group["version"] == "v2" && group["state"] == "serving").then_some(())
+    };
+    let mut calls = 0;
+    wait_for("the new version in service", || {
+        calls += 1;
+        let answer = env.complete(calls % 2, "nightly", 20);
+        assert_eq!(
+            answer.stream(),
+            (text_of("nightly", 20), true),
+            "call {calls}: {answer:?}"
+        );
+        upgraded()
+    });
+    assert!(calls > 0);
+}
