--- /dev/null
+++ b/tests/request_runners.rs
@@ -0,0 +1,256 @@
+//! The HTTP side towards runners, against a runner that follows a script.
+
+use {
+    bytes::Bytes,
+    futures_channel::mpsc::UnboundedReceiver,
+    futures_util::StreamExt as _,
+    hickoryledge::{
+        core::{
+            ctx::Identity,
+            input::{CallRequest, Failure, Input, RunnerInput, Target},
+            keys::{AttemptId, Epoch, Incarnation, KeyHash},
+            output::{Route, RunnerOutput},
+        },
+        settings::{self, Settings},
+        shell::{
+            calls::{CallBody, Calls, OpenCall},
+            inbox::Inbox,
+            runners::Runners,
+        },
+    },
+    http::{HeaderMap, Method},
+    std::{
+        io::{Read as _, Write as _},
+        net::{SocketAddr, TcpListener},
+        path::Path,
+        rc::Rc,
+        sync::mpsc::{Receiver, channel},
+        time::Duration,
+    },
+};
+
+/// How long a test waits for what must come.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nx-attempt: 1\r\nx-epoch: 5\r\n";
+const STREAM: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+const PART: &str = "data: {\"offset\":0,\"tokens\":2,\"text\":\"ab\"}\n\n";
+const DONE: &str = "data: [DONE]\n\n";
+
+/// Answers one connection after another with a script's parts, then closes each.
+fn runner(answers: Vec<String>) -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("it binds");
+    let address = listener.local_addr().expect("it is bound");
+    let (heads, seen) = channel();
+    std::thread::spawn(move || {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let mut bytes = [0; 4_096];
+            let length = stream.read(&mut bytes).expect("a request");
+            let head = String::from_utf8_lossy(&bytes[..length]).into_owned();
+            let _ = heads.send(head);
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    (address, seen)
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+struct Daemon {
+    runners: Runners,
+    calls: Rc<Calls>,
+    inputs: UnboundedReceiver<Input>,
+}
+
+impl Daemon {
+    fn start() -> Self {
+        let (inbox, inputs) = Inbox::new();
+        let calls = Rc::new(Calls::new(inbox.clone()));
+        let settings = settings();
+        let me = Identity {
+            name: settings.name.clone(),
+            incarnation: Incarnation(1),
+            region: settings.region.clone(),
+            hall: settings.hall.clone(),
+            caller: settings.listen.caller,
+            peer: settings.listen.peer,
+            seeds: Vec::new(),
+            secret: 1,
+        };
+        Self {
+            runners: Runners::new(inbox, calls.clone(), &me, &settings),
+            calls,
+            inputs,
+        }
+    }
+
+    fn open(&self) -> OpenCall {
+        self.calls.open(CallBody {
+            method: Method::POST,
+            path: "/v1/completions".to_owned(),
+            headers: HeaderMap::new(),
+            bytes: Bytes::from_static(b"{}"),
+            request: CallRequest {
+                credential: KeyHash([1; 32]),
+                target: Target::Service {
+                    service: "desk".into(),
+                },
+                idempotent: true,
+                ticket: None,
+                idempotency_key: None,
+                deadline: None,
+                prompt_tokens: 0,
+                max_tokens: 0,
+                prefix: Vec::new(),
+                relayed_by: None,
+            },
+        })
+    }
+
+    /// Makes attempt 1 on a group; gives its inputs up to the last one.
+    async fn attempt(&mut self, address: SocketAddr) -> Vec<RunnerInput> {
+        let open = self.open();
+        self.runners.perform(RunnerOutput::Attempt {
+            attempt: AttemptId(1),
+            call: open.call,
+            route: Route::Group {
+                group: "g".into(),
+                epoch: Epoch(5),
+                host: "h".into(),
+                address,
+            },
+            fresh: false,
+            resume_at: 7,
+        });
+        let mut seen = Vec::new();
+        loop {
+            let input = compio::time::timeout(PATIENCE, self.inputs.next()).await;
+            let Some(Input::Runner(input)) = input.expect("an input in time") else {
+                continue;
+            };
+            seen.push(input);
+            let last = seen.last();
+            if matches!(
+                last,
+                Some(RunnerInput::Finished { .. } | RunnerInput::Failed { .. })
+            ) {
+                return seen;
+            }
+        }
+    }
+}
+
+fn failure(seen: &[RunnerInput]) -> Option<&Failure> {
+    match seen.last() {
+        Some(RunnerInput::Failed { failure, .. }) => Some(failure),
+        _ => None,
+    }
+}
+
+#[compio::test]
+async fn a_stream_is_whole_once_its_last_event_came() {
+    let answer = format!("{HEAD}{STREAM}{}{}0\r\n\r\n", chunk(PART), chunk(DONE));
+    let (address, heads) = runner(vec![answer]);
+    let seen = Daemon::start().attempt(address).await;
+    assert!(matches!(&seen[0], RunnerInput::Accepted { echo, .. }
+        if echo.attempt == Some(AttemptId(1)) && echo.epoch == Some(Epoch(5))));
+    assert!(
+        matches!(&seen[1], RunnerInput::Chunk { offset: 0, tokens: 2, payload, .. }
+        if payload.0 == PART)
+    );
+    assert!(matches!(&seen[2], RunnerInput::Finished { .. }));
+    let head = heads.recv_timeout(PATIENCE).expect("a request was seen");
+    for line in ["x-attempt: 1", "x-group: g", "x-epoch: 5", "x-resume-at: 7"] {
+        assert!(head.contains(line), "{line} in {head}");
+    }
+}
+
+#[compio::test]
+async fn a_stream_without_its_last_event_is_cut() {
+    let whole_body = format!("{HEAD}{STREAM}{}0\r\n\r\n", chunk(PART));
+    let cut_body = format!("{HEAD}{STREAM}{}", chunk(PART));
+    for answer in [whole_body, cut_body] {
+        let (address, _heads) = runner(vec![answer]);
+        let seen = Daemon::start().attempt(address).await;
+        assert_eq!(failure(&seen), Some(&Failure::Cut));
+    }
+}
+
+#[compio::test]
+async fn a_whole_body_needs_its_declared_length() {
+    let whole = format!("{HEAD}content-length: 2\r\n\r\nab");
+    let short = format!("{HEAD}content-length: 3\r\n\r\nab");
+    let endless = format!("{HEAD}\r\nab");
+    let (address, _heads) = runner(vec![whole, short, endless]);
+    let mut daemon = Daemon::start();
+    let seen = daemon.attempt(address).await;
+    assert!(matches!(&seen[1], RunnerInput::Chunk { payload, .. } if payload.0 == "ab"));
+    assert_eq!(failure(&seen), None);
+    for _ in 0..2 {
+        let seen = Daemon::start().attempt(address).await;
+        assert_eq!(failure(&seen), Some(&Failure::Cut));
+        let parts = seen
+            .iter()
+            .filter(|i| matches!(i, RunnerInput::Chunk { .. }));
+        assert_eq!(parts.count(), 0, "no part of it is passed on");
+    }
+}
+
+#[compio::test]
+async fn what_was_written_is_never_called_unsent() {
+    let (address, _heads) = runner(vec![String::new()]);
+    let seen = Daemon::start().attempt(address).await;
+    assert_eq!(failure(&seen), Some(&Failure::Cut));
+    let closed = TcpListener::bind("127.0.0.1:0")
+        .and_then(|listener| listener.local_addr())
+        .expect("a free address");
+    let seen = Daemon::start().attempt(closed).await;
+    assert_eq!(failure(&seen), Some(&Failure::NotSent));
+}
+
+#[compio::test]
+async fn a_runner_may_disclaim_or_fail() {
+    let declined = "HTTP/1.1 409 Conflict\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let failed = "HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n";
+    let (address, _heads) = runner(vec![declined.to_owned(), failed.to_owned()]);
+    let seen = Daemon::start().attempt(address).await;
+    assert_eq!(failure(&seen), Some(&Failure::Declined));
+    let seen = Daemon::start().attempt(address).await;
+    assert_eq!(failure(&seen), Some(&Failure::Status(500)));
+}
+
+#[compio::test]
+async fn a_cancel_reaches_the_engine_even_after_a_cut() {
+    let cut = format!("{HEAD}{STREAM}{}", chunk(PART));
+    let (address, heads) = runner(vec![cut, String::new()]);
+    let mut daemon = Daemon::start();
+    daemon.attempt(address).await;
+    heads.recv_timeout(PATIENCE).expect("the attempt was seen");
+    daemon.runners.perform(RunnerOutput::Cancel {
+        attempt: AttemptId(1),
+    });
+    let waiting = compio::time::timeout(PATIENCE, async {
+        loop {
+            if let Ok(head) = heads.try_recv() {
+                return head;
+            }
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    let head = waiting.await.expect("the cancel was seen");
+    assert!(
+        head.starts_with("DELETE /v1/completions/1?from=d1 "),
+        "{head}"
+    );
+}
+
+fn settings() -> Settings {
+    let text = "name: d1\nregion: north\nhall: east\nregions: {north: [east]}\n\
+         listen: {caller: 127.0.0.1:0, peer: 127.0.0.1:0, operator: 127.0.0.1:0}\n\
+         platform: [127.0.0.1:1]\nhost_list: 127.0.0.1:1\n\
+         peer_key: a key of the daemons\noperator_token: a token of the operators\n";
+    settings::parse(text, Path::new(".")).expect("they are good")
+}
