--- a/tests/request/harness.rs
+++ b/tests/request/harness.rs
@@ -35,6 +35,8 @@
     drawn: u64,
     revision: i64,
     last_call: u64,
+    /// Whether the platform's service is heard.
+    pub is_heard: bool,
     /// Everything that came out and was not yet looked at.
     pub out: Vec<Output>,
     timers: BTreeMap<(Time, String), RequestTimer>,
@@ -43,7 +45,12 @@
 impl Rig {
     /// A daemon with one account, `clerk`.
     pub fn new(without: &[Mechanism]) -> Self {
-        let address: SocketAddr = "127.0.0.1:1".parse().expect("address is valid");
+        Self::numbered(1, 1, without)
+    }
+
+    /// A run of daemon `d1`, `d2`, …
+    pub fn numbered(number: u16, incarnation: u64, without: &[Mechanism]) -> Self {
+        let address = SocketAddr::from(([127, 0, 0, 1], number));
         let mut rig = Self {
             view: View::default(),
             members: Members::default(),
@@ -51,24 +58,25 @@
             groups: Groups::default(),
             requests: Requests::default(),
             me: Identity {
-                name: "d1".into(),
-                incarnation: Incarnation(1),
+                name: format!("d{number}").into(),
+                incarnation: Incarnation(incarnation),
                 region: "r1".into(),
                 hall: "h1".into(),
                 caller: address,
                 peer: address,
                 seeds: Vec::new(),
-                secret: 7,
+                secret: 7 + incarnation,
             },
             options: Options {
                 without: without.to_vec(),
                 ..Options::default()
             },
             now: Time(1),
-            rng: SmallRng::seed_from_u64(1),
+            rng: SmallRng::seed_from_u64(u64::from(number) + incarnation * 1_000),
             drawn: 0,
             revision: 0,
             last_call: 0,
+            is_heard: true,
             out: Vec::new(),
             timers: BTreeMap::new(),
         };
@@ -90,7 +98,19 @@
         self.with(|parts, ctx| {
             let (view, hosts, members) = (parts.view, &*parts.hosts, &*parts.members);
             parts.groups.on_config(ctx, view, hosts, members, &keys);
+            parts.members.on_config(ctx, view, &keys);
+        });
+    }
+
+    /// Makes a run of another daemon known.
+    pub fn put_daemon(&mut self, number: u16, incarnation: u64) {
+        let name = format!("d{number}");
+        let address = SocketAddr::from(([127, 0, 0, 1], number));
+        let record = serde_json::json!({
+            "name": name, "incarnation": incarnation, "region": "r1", "hall": "h1",
+            "caller": address, "peer": address,
         });
+        self.put(&format!("daemon/{name}"), record);
     }
 
     /// Writes an account whose key is told by `key`.
@@ -152,6 +172,11 @@
         self.with_site(|requests, ctx, site| requests.on_site(ctx, site));
     }
 
+    /// The identifier that the next call gets.
+    pub fn next_call(&self) -> CallId {
+        CallId(self.last_call + 1)
+    }
+
     /// Hands over a caller's request.
     pub fn call(&mut self, request: CallRequest) -> CallId {
         self.last_call += 1;
@@ -233,6 +258,11 @@
         suspects
     }
 
+    /// When the next timer is due.
+    pub fn next_due(&self) -> Option<Time> {
+        self.timers.keys().next().map(|(at, _)| *at)
+    }
+
     /// Lets time pass until an attempt is sent; gives back the hosts suspected.
     pub fn pass_until_sent(&mut self) -> (Sent, usize) {
         let mut suspects = 0;
@@ -315,6 +345,9 @@
     where
         F: FnOnce(&mut Parts<'_>, &mut Ctx<'_>),
     {
+        if self.is_heard {
+            self.members.on_platform_heard(self.now);
+        }
         let mut out = Vec::new();
         let mut ctx = Ctx {
             now: self.now,
--- a/tests/request/main.rs
+++ b/tests/request/main.rs
@@ -1,7 +1,13 @@
 //! The request part's decisions, in virtual time.
 
+#[path = "../fakes/mod.rs"]
+mod fakes;
+
 mod attempts;
+mod faulted;
+mod fleet;
 mod harness;
 mod once;
+mod plan;
 mod sharing;
 mod truth;
