--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,4 +1,6 @@
 //! Logs: readable lines on a terminal, JSON lines otherwise, both to stdout.
+//!
+//! A line that can't be written is lost; the daemon goes on.
 
 use {
     slog::{Drain as _, Logger, o},
@@ -13,13 +15,13 @@
 pub fn start() -> (Logger, AsyncGuard) {
     if stdout().is_terminal() {
         let decorator = slog_term::TermDecorator::new().stdout().build();
-        return queue(slog_term::FullFormat::new(decorator).build().fuse());
+        return queue(slog_term::FullFormat::new(decorator).build().ignore_res());
     }
     let json = slog_json::Json::new(stdout())
         .add_default_keys()
         .set_flush(true)
         .build();
-    queue(json.fuse())
+    queue(json.ignore_res())
 }
 
 fn queue<D>(drain: D) -> (Logger, AsyncGuard)
@@ -30,5 +32,5 @@
         .chan_size(QUEUE_LINES)
         .overflow_strategy(OverflowStrategy::DropAndReport)
         .build_with_guard();
-    (Logger::root(queue.fuse(), o!()), guard)
+    (Logger::root(queue.ignore_res(), o!()), guard)
 }
--- a/src/shell/callers/counted.rs
+++ b/src/shell/callers/counted.rs
@@ -19,7 +19,7 @@
             ("bad_request", &self.bad_requests),
         ];
         for (kind, count) in kinds {
-            let count = Count::counter("hickoryledge_turned_away_total", count.get());
+            let count = Count::counter("turned_away_total", count.get());
             counts.push(count.labelled("reason", kind));
         }
     }
--- a/src/shell/callers/serve.rs
+++ b/src/shell/callers/serve.rs
@@ -130,10 +130,7 @@
 
 fn counts(site: &Site) -> Answer {
     let mut counts = site.core.borrow().counts();
-    counts.push(Count::gauge(
-        "hickoryledge_open_calls",
-        site.calls.count() as u64,
-    ));
+    counts.push(Count::gauge("calls_open", site.calls.count() as u64));
     site.counted.counts(&mut counts);
     let text = metrics::render(&counts);
     answer::full(StatusCode::OK, METRICS_TYPE, text.into())
--- a/src/shell/metrics.rs
+++ b/src/shell/metrics.rs
@@ -6,6 +6,8 @@
     metrics_exporter_prometheus::PrometheusBuilder,
 };
 
+/// What every name begins with.
+const PREFIX: &str = "hickoryledge_";
 const METADATA: Metadata<'static> =
     Metadata::new("hickoryledge", Level::INFO, Some(module_path!()));
 
@@ -17,7 +19,7 @@
             Some((name, value)) => vec![Label::new(*name, value.clone())],
             None => Vec::new(),
         };
-        let key = Key::from_parts(count.name, labels);
+        let key = Key::from_parts(format!("{PREFIX}{}", count.name), labels);
         match count.kind {
             CountKind::Counter => {
                 let counter = recorder.register_counter(&key, &METADATA);
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -525,6 +525,11 @@
     assert!(second.sees("\"overloaded\"").await);
     assert!(second.read.starts_with("HTTP/1.1 503"), "{}", second.read);
     assert!(second.read.contains("retry-after: 1\r\n"));
+    second
+        .send("GET /metrics HTTP/1.1\r\nhost: e\r\n\r\n")
+        .await;
+    let counted = "hickoryledge_turned_away_total{reason=\"calls\"} 1\n";
+    assert!(second.sees(counted).await);
     daemon.end(call, Ending::Unknown(Doubt::Cut));
     assert!(first.sees("\"unknown\"").await);
     second.send(completion("k", true)).await;
