--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -85,6 +85,7 @@
         let mut counts = Vec::new();
         self.parts.config.counts(&mut counts);
         self.parts.members.counts(&mut counts);
+        self.parts.hosts.counts(&mut counts);
         self.parts.groups.counts(&mut counts);
         self.parts.requests.counts(&mut counts);
         counts
@@ -330,6 +331,9 @@
         }
         match message {
             Message::Config(message) => {
+                if let Some(revision) = message.revision() {
+                    self.members.note_revision(&from, revision);
+                }
                 Change::keys(self.config.on_message(ctx, &self.members, &from, message))
             }
             Message::Member(message) => {
