--- a/src/core/member/hosts.rs
+++ b/src/core/member/hosts.rs
@@ -47,8 +47,8 @@
 /// The longest wait before the list's news of leaving is told to others.
 const TELL_WITHIN: Span = Span::from_millis(500);
 
-/// Lists in a row that a host must be missing from to be gone.
-const ABSENCES: u32 = 2;
+/// How long a host must be missing from the list to be gone; until then it is suspected.
+const ABSENCE: Span = Span::from_secs(1);
 
 crate::record! {
     /// Whether a host can be worked with.
@@ -80,7 +80,7 @@
 /// What speaks for and against a host, by source.
 #[derive(Clone, Debug, Default)]
 struct Signs {
-    absences: u32,
+    absent: Option<Time>,
     reading: Reading,
     reported_leaving: Option<Time>,
     heard_leaving: Option<Time>,
@@ -184,12 +184,13 @@
             }
         }
         for (name, host) in &mut self.hosts {
-            let is_listed = listed.contains(name);
-            host.signs.absences = if is_listed {
-                0
-            } else {
-                host.signs.absences + 1
-            };
+            let signs = &mut host.signs;
+            if listed.contains(name) {
+                signs.absent = None;
+                continue;
+            }
+            signs.absent = signs.absent.or(Some(ctx.now));
+            self.watched.insert(name.clone());
         }
         self.index();
         let names: Vec<HostName> = self.hosts.keys().cloned().collect();
@@ -448,7 +449,8 @@
     fn shared_health(&self, now: Time, takes_evidence: bool) -> Health {
         let signs = &self.signs;
         let seen = signs.reading.health(now).or(signs.digest);
-        if signs.absences >= ABSENCES || seen == Some(Health::Dead) {
+        let absence = signs.absent.map(|since| now.since(since));
+        if absence >= Some(ABSENCE) || seen == Some(Health::Dead) {
             return Health::Dead;
         }
         let is_recent = |at: Option<Time>| at.is_some_and(|at| now.since(at) <= EVIDENCE);
@@ -460,6 +462,7 @@
         }
         match seen {
             Some(Health::Suspect) => Health::Suspect,
+            _ if absence.is_some() => Health::Suspect,
             _ => Health::Live,
         }
     }
