Streams between daemons: a message is tried on two connections

Cause: an acknowledgement lost on the first connection reported a message as undelivered that had arrived, and dropped those queued behind it. A stopping daemon sends the answers to relayed calls before it exits.

--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -144,6 +144,7 @@
         for output in out.drain(..) {
             if perform(output, &drivers, &mut timers, &log) {
                 connections.finish().await;
+                drivers.peers.finish().await;
                 return Ok(());
             }
         }
--- a/src/shell/peers.rs
+++ b/src/shell/peers.rs
@@ -29,7 +29,14 @@
     },
     futures_channel::mpsc::{Receiver, Sender, channel},
     futures_util::StreamExt as _,
-    std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
 };
 
 /// The longest datagram sent, in bytes.
@@ -44,11 +51,17 @@
 /// How long an acknowledgement may take.
 const ACK_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Connections on which a message is tried before it is given up.
+const SEND_TRIES: u32 = 2;
+
 /// How long an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// How long to wait after a socket error.
-const ERROR_PAUSE: Duration = Duration::from_millis(50);
+/// How long to wait after a socket error, and between looks at what is under way.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// How long the answers to relayed calls may take to be sent at the end.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The two sockets, on one port.
 pub struct Sockets {
@@ -107,6 +120,7 @@
     opener: RefCell<Opener>,
     peer: SocketAddr,
     max_body: usize,
+    relays: Cell<usize>,
 }
 
 impl Peers {
@@ -125,6 +139,7 @@
             opener: RefCell::new(Opener::new(settings.peer_key)),
             peer: me.peer,
             max_body: settings.max_body,
+            relays: Cell::new(0),
         });
         let Sockets { datagrams, streams } = sockets;
         match datagrams.try_clone().and_then(UdpSocket::from_std) {
@@ -155,6 +170,14 @@
         self.send_stream(to, frame);
     }
 
+    /// Waits until the answers to relayed calls have been sent, for a while.
+    pub async fn finish(&self) {
+        let end = Instant::now() + FLUSH_TIMEOUT;
+        while self.site.relays.get() > 0 && Instant::now() < end {
+            compio::time::sleep(PAUSE).await;
+        }
+    }
+
     fn send_datagram(&self, to: SocketAddr, frame: &[u8]) {
         match self.datagrams.send_to(frame, to) {
             Ok(_) => {
@@ -222,7 +245,7 @@
         let BufResult(result, filled) = socket.recv_from(buffer).await;
         buffer = filled;
         let Ok((length, from)) = result else {
-            compio::time::sleep(ERROR_PAUSE).await;
+            compio::time::sleep(PAUSE).await;
             continue;
         };
         metrics::counter!("peer_bytes_received_total").increment(length as u64);
@@ -254,25 +277,29 @@
     }
 }
 
-/// Sends one frame on the kept connection, then on a new one if that fails.
+/// Sends one frame on the kept connection, and again on a new one if that fails.
 async fn deliver(
     kept: &mut Option<TcpStream>,
     to: SocketAddr,
     frame: &[u8],
     site: &Site,
 ) -> io::Result<()> {
-    if let Some(stream) = kept {
-        if exchange(stream, frame, site).await.is_ok() {
-            return Ok(());
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let stream = match kept {
+            Some(stream) => stream,
+            None => kept.insert(connect(to).await?),
+        };
+        let result = exchange(stream, frame, site).await;
+        if result.is_ok() {
+            return result;
         }
         *kept = None;
+        if tries == SEND_TRIES {
+            return result;
+        }
     }
-    let stream = kept.insert(connect(to).await?);
-    let result = exchange(stream, frame, site).await;
-    if result.is_err() {
-        *kept = None;
-    }
-    result
 }
 
 async fn exchange(stream: &mut TcpStream, frame: &[u8], site: &Site) -> io::Result<()> {
@@ -294,7 +321,7 @@
 async fn accept(listener: TcpListener, site: Rc<Site>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            compio::time::sleep(ERROR_PAUSE).await;
+            compio::time::sleep(PAUSE).await;
             continue;
         };
         let _ = stream.set_nodelay(true);
@@ -310,8 +337,10 @@
         match take_frame(&frame, &site) {
             Ok(Taken::Message) => {}
             Ok(Taken::Relay(relayed, context)) => {
+                site.relays.update(|open| open + 1);
                 let calls = site.calls.clone();
                 relay::serve(stream, relayed, context, calls, &site.sealer).await;
+                site.relays.update(|open| open - 1);
                 return;
             }
             Err(reject) => {
