--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod client;
 pub mod core;
 mod derive;
+pub mod replay;
+pub mod report;
 pub mod settings;
 pub mod shell;
 pub mod wire;
