Membership tests: random faults, host health, digests, discovery

150 random sequences of kills, restarts, pauses, partitions, loss and platform outages end with all well within 30 s.

--- a/tests/member/main.rs
+++ b/tests/member/main.rs
@@ -1,5 +1,9 @@
 //! Membership, discovery, host health and freshness, decided by cores in virtual time.
 
+mod discovery;
+#[path = "../fakes/mod.rs"]
+mod fakes;
+mod faults;
 mod hosts;
 mod net;
 mod registry;
@@ -212,9 +216,9 @@
     }
     net.split(1, false);
     net.run(SECOND.times(20));
-    let calls = net.platform_calls();
+    let calls = net.calls;
     net.run(SECOND.times(60));
-    let calls = net.platform_calls() - calls;
+    let calls = net.calls - calls;
     assert!(
         calls <= 9 * 4,
         "{calls} calls by 9 daemons that hear each other"
--- a/tests/member/net.rs
+++ b/tests/member/net.rs
@@ -1,14 +1,19 @@
 //! Hands the outputs of a few cores to each other, in virtual time.
 
 use {
+    crate::fakes::kv::FakeKv,
     hickoryledge::{
         core::{
             Core,
             ctx::Identity,
-            input::{Input, PeerInput, PlatformAnswer, PlatformEntry, PlatformInput, WatchEvent},
-            keys::{Incarnation, LeaseId, Owner, PlatformId, Revision},
+            input::{
+                HostEntry, HostsInput, Input, LoadReport, OrderChecks, PeerInput, PlatformInput,
+                RunnerInput, RunnerKind,
+            },
+            keys::{HostName, Incarnation, Owner, PlatformId},
+            message::Message,
             options::Options,
-            output::{Expect, Output, PlatformCall, Transport},
+            output::{Output, PlatformCall, RunnerOutput, Transport},
             time::{Span, Time},
             timer::Timer,
         },
@@ -24,8 +29,8 @@
 /// What a datagram costs besides its frame, in bytes.
 const UDP_BYTES: u64 = 28;
 
-/// How often the platform's service tells watches that they are complete.
-const PROGRESS: Span = Span::from_secs(1);
+/// How often the platform's service is asked what it tells by itself.
+const POLL: Span = Span::from_millis(10);
 
 /// One daemon.
 pub struct Node {
@@ -44,15 +49,10 @@
     sealer: Sealer,
 }
 
-/// The platform's key-value service, whole and never wrong.
-#[derive(Default)]
-struct Store {
-    revision: i64,
-    lease: i64,
-    entries: BTreeMap<String, PlatformEntry>,
-    watches: Vec<(usize, PlatformId)>,
-    history: Vec<(Revision, WatchEvent)>,
-    calls: u64,
+/// The runner on a host.
+pub struct Runner {
+    pub is_up: bool,
+    pub report: LoadReport,
 }
 
 /// The cores and what is on its way between them.
@@ -66,13 +66,33 @@
     queue: BTreeMap<(Time, u64), (usize, Incarnation, Input)>,
     drawn: u64,
     rng: SmallRng,
-    store: Store,
+    pub kv: FakeKv,
+    pub calls: u64,
+    /// Load reports asked for.
+    pub reads: u64,
+    pub runners: BTreeMap<HostName, Runner>,
+    polled: Time,
 }
 
 pub fn peer(index: usize) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 10_000 + index as u16))
 }
 
+/// A host of the domain that its name begins with.
+fn host_entry(host: &HostName) -> HostEntry {
+    let (domain, _) = host.as_str().split_once('-').expect("a domain's host");
+    HostEntry {
+        host: host.clone(),
+        hall: "one".into(),
+        domain: domain.into(),
+        address: peer(900),
+        accelerators: 4,
+        kind: RunnerKind::Engine,
+        leaving: false,
+        checks: OrderChecks::Fenced,
+    }
+}
+
 impl Net {
     pub fn new(count: usize, seed: u64, options: Options) -> Self {
         let mut net = Self {
@@ -85,7 +105,11 @@
             queue: BTreeMap::new(),
             drawn: 0,
             rng: SmallRng::seed_from_u64(seed),
-            store: Store::default(),
+            kv: FakeKv::default(),
+            calls: 0,
+            reads: 0,
+            runners: BTreeMap::new(),
+            polled: Time(0),
         };
         for index in 0..count {
             let node = net.make(index, &format!("d{index:03}"), 1);
@@ -109,7 +133,6 @@
 
     pub fn kill(&mut self, index: usize) {
         self.nodes[index].is_up = false;
-        self.store.watches.retain(|(node, _)| *node != index);
     }
 
     pub fn pause(&mut self, index: usize) {
@@ -148,8 +171,37 @@
         }
     }
 
-    pub fn platform_calls(&self) -> u64 {
-        self.store.calls
+    /// Adds hosts to a domain, in the list that every daemon reads.
+    pub fn add_hosts(&mut self, domain: &str, count: usize) {
+        for index in 0..count {
+            let report = LoadReport::default();
+            let runner = Runner {
+                is_up: true,
+                report,
+            };
+            let name = format!("{domain}-{index:03}");
+            self.runners.insert(name.as_str().into(), runner);
+        }
+        let entries: Vec<HostEntry> = self.runners.keys().map(host_entry).collect();
+        for index in 0..self.nodes.len() {
+            let input = HostsInput::Listed(entries.clone());
+            self.step(index, Input::Hosts(input));
+        }
+    }
+
+    /// Asks for a group in a domain, so that somebody drives it.
+    pub fn put_group(&mut self, domain: &str) {
+        let model = serde_json::json!({ "name": "m", "version": "1" });
+        let group = serde_json::json!({ "name": domain, "model": "m", "domain": domain });
+        let group_key = format!("/hickoryledge/config/group/{domain}");
+        let store = &mut self.kv.store;
+        store.put(
+            "/hickoryledge/config/model/m",
+            &model.to_string(),
+            None,
+            None,
+        );
+        store.put(&group_key, &group.to_string(), None, None);
     }
 
     /// Lets time pass.
@@ -168,10 +220,8 @@
                 break;
             }
             let ((at, _), (index, run, input)) = entry.remove_entry();
-            if at.0 / PROGRESS.0 > self.now.0 / PROGRESS.0 {
-                self.mark_progress();
-            }
             self.now = at;
+            self.poll();
             let node = &mut self.nodes[index];
             if !node.is_up || node.me.incarnation != run {
                 continue;
@@ -247,17 +297,12 @@
                 message,
             } => self.send(index, to, transport, message),
             Output::Platform { id, call } => self.call(index, id, call),
+            Output::Runner(RunnerOutput::ReadLoad { host, .. }) => self.read_load(index, host),
             output => self.nodes[index].out.push(output),
         }
     }
 
-    fn send(
-        &mut self,
-        from: usize,
-        to: SocketAddr,
-        transport: Transport,
-        message: hickoryledge::core::message::Message,
-    ) {
+    fn send(&mut self, from: usize, to: SocketAddr, transport: Transport, message: Message) {
         let index = usize::from(to.port()) - 10_000;
         let frame = self.nodes[from]
             .sealer
@@ -296,144 +341,39 @@
     }
 
     fn call(&mut self, index: usize, id: PlatformId, call: PlatformCall) {
-        self.store.calls += u64::from(id.owner == Owner::Member);
+        self.calls += u64::from(id.owner == Owner::Member);
         let at = self.now + self.latency();
-        if !self.nodes[index].hears_platform {
-            let input = PlatformInput::Failed { id };
-            self.queue_at(at, index, Input::Platform(input));
-            return;
-        }
-        let Some(answer) = self.answer(index, id, call) else {
-            return;
-        };
-        let input = PlatformInput::Answered { id, answer };
-        self.queue_at(at, index, Input::Platform(input));
-    }
-
-    fn answer(
-        &mut self,
-        index: usize,
-        id: PlatformId,
-        call: PlatformCall,
-    ) -> Option<PlatformAnswer> {
-        let revision = Revision(self.store.revision);
-        let entries = &self.store.entries;
-        Some(match call {
-            PlatformCall::List { prefix } => {
-                let found = entries.values().filter(|e| e.key.starts_with(&prefix));
-                let entries = found.cloned().collect();
-                PlatformAnswer::Entries { revision, entries }
-            }
-            PlatformCall::Get { key } => {
-                let entries = entries.get(&key).cloned().into_iter().collect();
-                PlatformAnswer::Entries { revision, entries }
-            }
-            PlatformCall::Put {
-                key,
-                value,
-                expect,
-                lease,
-            } => {
-                let current = entries.get(&key).cloned();
-                let held = current.as_ref().map(|entry| entry.revision);
-                let wanted = match expect {
-                    Expect::Absent => None,
-                    Expect::At(revision) => Some(revision),
-                };
-                if held != wanted {
-                    return Some(PlatformAnswer::Conflict { revision, current });
-                }
-                let revision = self.put(key, value, lease);
-                PlatformAnswer::Written { revision }
-            }
-            PlatformCall::Grant { ttl } => {
-                self.store.lease += 1;
-                let lease = LeaseId(self.store.lease);
-                PlatformAnswer::Leased { lease, ttl }
-            }
-            PlatformCall::KeepAlive { lease } => {
-                let is_held = entries.values().any(|entry| entry.lease == Some(lease));
-                let ttl = Span::from_secs(if is_held { 60 } else { 0 });
-                PlatformAnswer::Leased { lease, ttl }
-            }
-            PlatformCall::Watch { from, .. } => {
-                let history = self.store.history.iter();
-                let missed = history.filter(|(revision, _)| *revision >= from);
-                let events = missed.map(|(_, event)| event.clone()).collect();
-                self.watched(index, id, events);
-                self.store.watches.push((index, id));
-                return None;
-            }
-            PlatformCall::Revoke { lease } => {
-                self.drop_lease(lease);
-                PlatformAnswer::Revoked
-            }
-            PlatformCall::Delete { .. } | PlatformCall::Unwatch { .. } => return None,
-        })
-    }
-
-    fn put(&mut self, key: String, value: String, lease: Option<LeaseId>) -> Revision {
-        self.store.revision += 1;
-        let revision = Revision(self.store.revision);
-        let entry = PlatformEntry {
-            key: key.clone(),
-            value,
-            revision,
-            lease,
+        let answer = if self.nodes[index].hears_platform {
+            self.kv.call(self.now, index, id, call)
+        } else {
+            Some(PlatformInput::Failed { id })
         };
-        self.store.entries.insert(key, entry.clone());
-        self.tell(WatchEvent::Put(entry));
-        revision
-    }
-
-    /// Ends a lease, and with it the entries that hang on it.
-    pub fn drop_lease(&mut self, lease: LeaseId) {
-        let hanging = self.store.entries.values();
-        let hanging = hanging.filter(|entry| entry.lease == Some(lease));
-        let keys: Vec<String> = hanging.map(|entry| entry.key.clone()).collect();
-        for key in keys {
-            self.store.entries.remove(&key);
-            self.store.revision += 1;
-            let revision = Revision(self.store.revision);
-            self.tell(WatchEvent::Deleted { key, revision });
+        if let Some(input) = answer {
+            self.queue_at(at, index, Input::Platform(input));
         }
     }
 
-    /// The lease that an entry hangs on.
-    pub fn lease_of(&self, key: &str) -> Option<LeaseId> {
-        self.store.entries.get(key)?.lease
-    }
-
-    /// An entry's value.
-    pub fn value(&self, key: &str) -> Option<&str> {
-        Some(&self.store.entries.get(key)?.value)
-    }
-
-    fn tell(&mut self, event: WatchEvent) {
-        let revision = Revision(self.store.revision);
-        self.store.history.push((revision, event.clone()));
-        for (index, id) in self.store.watches.clone() {
-            self.watched(index, id, vec![event.clone()]);
+    /// Hands over what the platform's service tells by itself.
+    fn poll(&mut self) {
+        if self.now.since(self.polled) < POLL {
+            return;
         }
-    }
-
-    /// Tells every watch that it is complete.
-    fn mark_progress(&mut self) {
-        for (index, id) in self.store.watches.clone() {
-            self.watched(index, id, Vec::new());
+        self.polled = self.now;
+        for (index, input) in self.kv.poll(self.now) {
+            let node = &self.nodes[index];
+            if node.is_up && node.hears_platform {
+                self.queue_at(self.now + POLL, index, Input::Platform(input));
+            }
         }
     }
 
-    fn watched(&mut self, index: usize, id: PlatformId, events: Vec<WatchEvent>) {
-        if !self.nodes[index].hears_platform {
-            return;
-        }
-        let input = PlatformInput::Watched {
-            id,
-            revision: Revision(self.store.revision),
-            events,
-        };
-        let at = self.now + Span::from_millis(5);
-        self.queue_at(at, index, Input::Platform(input));
+    /// Answers the reading of a load report.
+    fn read_load(&mut self, index: usize, host: HostName) {
+        let runner = self.runners.get(&host).filter(|runner| runner.is_up);
+        let report = runner.map(|runner| runner.report.clone());
+        let at = self.now + self.latency();
+        self.reads += 1;
+        let input = RunnerInput::Load { host, report };
+        self.queue_at(at, index, Input::Runner(input));
     }
 }
--- a/tests/member/registry.rs
+++ b/tests/member/registry.rs
@@ -2,14 +2,18 @@
 
 use {
     super::{SECOND, net::Net, started},
-    hickoryledge::core::{config::record::Daemon, input::Input, options::Options},
+    hickoryledge::core::{config::record::Daemon, input::Input, keys::LeaseId, options::Options},
 };
 
 const KEY: &str = "/hickoryledge/daemon/d003";
 
 fn record(net: &Net) -> Option<Daemon> {
-    let value = net.value(KEY)?;
-    Some(serde_json::from_str(value).expect("a daemon's record"))
+    let entry = net.kv.store.get(KEY)?;
+    Some(serde_json::from_str(&entry.value).expect("a daemon's record"))
+}
+
+fn lease(net: &Net) -> Option<LeaseId> {
+    net.kv.store.get(KEY)?.lease
 }
 
 fn is_registered(net: &Net) -> bool {
@@ -25,24 +29,23 @@
     net.restart(3, "d003", 2);
     net.run_until(SECOND.times(5), is_registered)
         .expect("the record is the new run's");
-    let lease = net.lease_of(KEY);
+    let held = lease(&net);
     net.run(SECOND.times(120));
     assert!(is_registered(&net));
-    assert_eq!(net.lease_of(KEY), lease, "written once, then renewed");
+    assert_eq!(lease(&net), held, "written once, then renewed");
 }
 
 #[test]
 fn a_daemon_registers_after_an_outage_in_which_its_lease_lapsed() {
     let mut net = started(4, 2, Options::default());
+    let lapsed = lease(&net);
     net.platform(false);
     net.run(SECOND.times(90));
-    let lease = net.lease_of(KEY).expect("it was registered");
-    net.drop_lease(lease);
     assert_eq!(record(&net), None);
     net.platform(true);
     net.run_until(SECOND.times(25), is_registered)
         .expect("it is registered again");
-    assert_ne!(net.lease_of(KEY), Some(lease));
+    assert_ne!(lease(&net), lapsed);
 }
 
 #[test]
