--- a/src/commands/operate/show.rs
+++ b/src/commands/operate/show.rs
@@ -97,11 +97,14 @@
     Ok(())
 }
 
-/// Writes one kind of rows, and leaves a line between tables.
+/// Writes one kind of rows, if there are any, and leaves a line after a table.
 fn section<R>(json: bool, rows: &[R])
 where
     R: Row,
 {
+    if rows.is_empty() {
+        return;
+    }
     table::print(json, rows);
     if !json {
         println!();
