--- a/src/core/group/check.rs
+++ b/src/core/group/check.rs
@@ -157,8 +157,12 @@
 
 /// The engine hosts of a domain.
 pub(super) fn engines<'a>(hosts: &'a Hosts, domain: &DomainName) -> impl Iterator<Item = &'a Host> {
-    let inside = hosts.in_domain(domain);
-    inside.filter(|host| host.entry.kind == RunnerKind::Engine)
+    hosts.in_domain(domain).filter(|host| is_engine(host))
+}
+
+/// Whether a host's runner is a model engine.
+pub(super) fn is_engine(host: &Host) -> bool {
+    host.entry.kind == RunnerKind::Engine
 }
 
 /// Finds a host that a placement gives to a group from outside its domain.
--- a/src/core/group/drive.rs
+++ b/src/core/group/drive.rs
@@ -21,6 +21,7 @@
     drain::Drains,
     order::{ORDER_TIMEOUT, OrderTally, Round, Runners},
     picture, plan,
+    relocate::Lacks,
     serving::Serving,
     steady::Steadiness,
 };
@@ -80,7 +81,9 @@
     pub(super) runners: Runners,
     pub(super) drains: Drains,
     pub(super) steadiness: Steadiness,
+    lacks: Lacks,
     share: Share,
+    rate: f64,
 }
 
 /// Queries.
@@ -93,6 +96,11 @@
         self.fence
     }
 
+    /// Gigabytes a second that the domain may load, as last worked out.
+    pub(super) fn rate(&self) -> f64 {
+        self.rate
+    }
+
     pub(super) fn waits_for(&self, id: PlatformId) -> bool {
         self.call.as_ref().is_some_and(|(call, _, _)| *call == id)
     }
@@ -116,7 +124,9 @@
             runners: Runners::default(),
             drains: Drains::default(),
             steadiness: Steadiness::default(),
+            lacks: Lacks::default(),
             share: Share::default(),
+            rate: 0.0,
         }
     }
 
@@ -131,6 +141,7 @@
             return;
         };
         let quiet = self.quiet.is_some_and(|until| ctx.now < until);
+        self.rate = self.share.rate(ctx, world.view, &basis.record);
         let weights = budget::weights(world.view);
         let round = Round {
             domain: &self.domain,
@@ -139,16 +150,18 @@
             fence: self.fence,
             orders: !quiet,
             weights: &weights,
-            rate: self.share.rate(ctx, world.view, &basis.record),
+            rate: self.rate,
         };
         self.runners.on_round(ctx, &round, &mut tally.orders);
         let over = picture::over(&basis.record);
         self.drains
             .on_round(ctx, world.members, &self.domain, basis.revision, &over);
         self.steadiness.on_round(ctx.now, world.hosts, &self.domain);
-        if quiet {
+        if quiet || check::engines(world.hosts, &self.domain).next().is_none() {
             return;
         }
+        self.lacks
+            .on_round(ctx, world.view, world.hosts, &basis.record);
         let picture = picture::draw(ctx, world, self, basis);
         let next = plan::next(&basis.record, &picture);
         if next != basis.record {
--- a/src/core/group/mod.rs
+++ b/src/core/group/mod.rs
@@ -14,6 +14,7 @@
 mod picture;
 mod place;
 pub mod plan;
+pub mod relocate;
 pub mod repair;
 mod report;
 mod serving;
--- a/src/core/group/picture.rs
+++ b/src/core/group/picture.rs
@@ -9,22 +9,33 @@
             },
             ctx::Ctx,
             keys::{Epoch, GroupName, HostName, ModelName},
+            options::Mechanism,
+            time::Span,
         },
         check,
         drain::Over,
         drive::{Basis, Driver, World},
-        plan::{Allowance, Picture, Wanted},
+        place,
+        plan::{Allowance, Condition, Picture, Wanted},
+        repair::{Costs, Policy},
         upgrade,
     },
     std::collections::{BTreeMap, BTreeSet},
 };
 
+/// The lowest rate that load times are estimated with, in gigabytes a second.
+const MIN_RATE: f64 = 0.01;
+
 /// The picture that a driver plans by.
 pub(super) fn draw(ctx: &Ctx, world: &World, driver: &Driver, basis: &Basis) -> Picture {
     let record = &basis.record;
+    let elsewhere = elsewhere(ctx, world.view, record);
     let hosts = check::engines(world.hosts, driver.domain()).map(|host| {
         let name = &host.entry.host;
-        let condition = driver.steadiness.condition(ctx.now, name, host.health);
+        let condition = match driver.steadiness.condition(ctx.now, name, host.health) {
+            Condition::Usable if elsewhere.contains(name) => Condition::Unsteady,
+            condition => condition,
+        };
         (name.clone(), condition)
     });
     Picture {
@@ -35,7 +46,14 @@
         emptied: emptied(driver, record),
         drained: drained(world, driver, record),
         allowance: allowance(ctx, world, record),
-        policy: Default::default(),
+        gone: driver.steadiness.gone(ctx.now),
+        accelerators: accelerators(world, driver),
+        load_time: load_times(world.view, driver.rate()),
+        costs: Costs {
+            downtime: ctx.options.downtime_cost,
+            stranded: ctx.options.stranded_cost,
+        },
+        policy: Policy::default(),
         floor: driver
             .runners
             .highest()
@@ -44,6 +62,19 @@
     }
 }
 
+/// Hosts that the records of other domains still give to a group, as after a
+/// host was moved to this domain.
+fn elsewhere<'a>(ctx: &Ctx, view: &'a View, record: &Placement) -> BTreeSet<&'a HostName> {
+    if !ctx.options.has(Mechanism::OneGroupPerHost) {
+        return BTreeSet::new();
+    }
+    let others = view.placements().map(|v| &v.record);
+    others
+        .filter(|other| other.domain != record.domain)
+        .flat_map(place::used)
+        .collect()
+}
+
 /// The placements of a record that get no new work.
 pub(super) fn over(record: &Placement) -> Vec<Over> {
     ended(record)
@@ -79,6 +110,22 @@
     wanted
 }
 
+fn accelerators(world: &World, driver: &Driver) -> BTreeMap<HostName, u16> {
+    let hosts = check::engines(world.hosts, driver.domain()).map(|host| &host.entry);
+    hosts
+        .map(|entry| (entry.host.clone(), entry.accelerators))
+        .collect()
+}
+
+/// How long one host takes to load each model at a rate in gigabytes a second.
+fn load_times(view: &View, rate: f64) -> BTreeMap<ModelName, Span> {
+    let times = view.models().map(|model| {
+        let secs = f64::from(model.weights_gb) / rate.max(MIN_RATE);
+        (model.name.clone(), Span::from_millis((secs * 1e3) as u64))
+    });
+    times.collect()
+}
+
 fn loaded(driver: &Driver, record: &Placement) -> BTreeSet<Epoch> {
     let ready = |(group, placed): &(&GroupName, &PlacedGroup)| driver.runners.loaded(group, placed);
     let loading = loading(record);
--- a/src/core/group/place.rs
+++ b/src/core/group/place.rs
@@ -46,11 +46,13 @@
     if spares.len() < count || count == 0 {
         return None;
     }
-    let cold = |host: &HostName| {
-        let held = picture.warm.get(host);
-        !held.is_some_and(|(model, version)| *model == wanted.model && *version == wanted.version)
-    };
     let mut ranked: Vec<&HostName> = spares.iter().collect();
-    ranked.sort_by_key(|host| (cold(host), *host));
+    ranked.sort_by_key(|host| (!is_warm(host, wanted, picture), *host));
     Some(ranked.into_iter().take(count).cloned().collect())
 }
+
+/// Whether a host holds the wanted weights already.
+pub(super) fn is_warm(host: &HostName, wanted: &Wanted, picture: &Picture) -> bool {
+    let held = picture.warm.get(host);
+    held.is_some_and(|(model, version)| *model == wanted.model && *version == wanted.version)
+}
--- a/src/core/group/plan.rs
+++ b/src/core/group/plan.rs
@@ -10,6 +10,7 @@
         super::{
             config::record::{PlacedGroup, Placement, Retiring, Stage},
             keys::{AdapterName, Epoch, GroupName, HostName, ModelName, VersionName},
+            time::Span,
         },
         place, repair,
     },
@@ -63,6 +64,14 @@
     pub drained: BTreeSet<Epoch>,
     /// What planned work may do now, by model.
     pub allowance: BTreeMap<ModelName, Allowance>,
+    /// How long lost hosts have been gone.
+    pub gone: BTreeMap<HostName, Span>,
+    /// Accelerators of each host.
+    pub accelerators: BTreeMap<HostName, u16>,
+    /// How long a host takes to load each model's weights.
+    pub load_time: BTreeMap<ModelName, Span>,
+    /// What downtime and stranded accelerators cost.
+    pub costs: repair::Costs,
     /// How broken groups are repaired.
     pub policy: repair::Policy,
     /// The lowest epoch that may be drawn.
@@ -116,6 +125,12 @@
         place::spares(&self.record, self.picture)
     }
 
+    /// How many groups of a model are placed.
+    fn placed_of(&self, model: &ModelName) -> usize {
+        let groups = self.record.groups.values();
+        groups.filter(|placed| placed.model == *model).count()
+    }
+
     /// Whether any host of a placement is in one of these conditions.
     fn any(&self, placed: &PlacedGroup, conditions: &[Condition]) -> bool {
         let hosts = &self.picture.hosts;
@@ -271,6 +286,13 @@
                 let again = self.loading(hosts, wanted);
                 self.record.groups.insert(name.clone(), again);
             }
+            repair::Choice::Merge(other, hosts) => {
+                if let Some(mut given_up) = self.record.groups.remove(&other) {
+                    self.retire_next(&other, &mut given_up);
+                }
+                let again = self.loading(hosts, wanted);
+                self.record.groups.insert(name.clone(), again);
+            }
         }
     }
 
@@ -287,13 +309,17 @@
         self.record.groups.insert(name.clone(), placed);
     }
 
-    /// Places wanted groups that have no hosts.
+    /// Places wanted groups that have no hosts, of the rarest model first.
     fn place_missing(&mut self) {
         let picture = self.picture;
-        for (name, wanted) in &picture.wanted {
-            if !wanted.runs || self.record.groups.contains_key(name) {
-                continue;
-            }
+        let mut missing: Vec<(usize, &GroupName, &Wanted)> = picture
+            .wanted
+            .iter()
+            .filter(|(name, wanted)| wanted.runs && !self.record.groups.contains_key(*name))
+            .map(|(name, wanted)| (self.placed_of(&wanted.model), name, wanted))
+            .collect();
+        missing.sort_by_key(|(placed, name, _)| (*placed, *name));
+        for (_, name, wanted) in missing {
             let spares = self.spares();
             let Some(hosts) = place::pick(&spares, wanted, picture) else {
                 continue;
--- a/src/core/group/steady.rs
+++ b/src/core/group/steady.rs
@@ -63,6 +63,13 @@
             }
         }
     }
+
+    /// How long hosts that are down have been so.
+    pub fn gone(&self, now: Time) -> BTreeMap<HostName, Span> {
+        let down = self.courses.iter().filter(|(_, course)| !course.up);
+        down.map(|(host, course)| (host.clone(), now.since(course.since)))
+            .collect()
+    }
 }
 
 /// Commands.
