--- a/tests/config.rs
+++ b/tests/config.rs
@@ -110,6 +110,7 @@
 #[test]
 fn one_operation_takes_effect_once_on_two_daemons() {
     let mut site = started(&["a", "b"], Options::default());
+    let before = site.kv.store.revision();
     site.ask(0, 7, account("clerks", 3));
     site.ask(1, 7, account("clerks", 3));
     site.run(SECOND);
@@ -122,7 +123,7 @@
         site.answers.get(&again),
         Some(OperatorAnswer::Accepted { .. })
     ));
-    assert_eq!(site.kv.store.revision().0, 2);
+    assert_eq!(site.kv.store.revision().0, before.0 + 2);
 }
 
 #[test]
@@ -137,3 +138,22 @@
     assert_eq!(answers[0], OperatorAnswer::Accepted { revision });
     assert_eq!(answers[1], OperatorAnswer::Conflict { revision });
 }
+
+#[test]
+fn a_delete_asked_again_spares_what_was_created_since() {
+    let mut site = started(&["a", "b"], Options::default());
+    site.ask(0, 7, account("clerks", 3));
+    site.run(SECOND);
+    let delete = || OperatorRequest::DeleteAccount("clerks".into());
+    site.ask(0, 8, delete());
+    assert!(site.run_until(SECOND, |s| weight(s, 1, "clerks").is_none()));
+    site.ask(0, 9, account("clerks", 5));
+    site.run(SECOND);
+    let again = site.ask(1, 8, delete());
+    site.run(SECOND);
+    assert!(matches!(
+        site.answers.get(&again),
+        Some(OperatorAnswer::Accepted { .. })
+    ));
+    assert!(in_force(&site, "clerks", 5));
+}
