Drains wait for each daemon's word that nothing runs; tests that cause the failures

A daemon answers the question whether an epoch is over only once it knows the record that ended it, doesn't route to it and has no attempt on it; the holder asks itself too. An upgrade waits for hosts that are draining rather than take a group out (seen: one of two groups out with two spares; now none, test with_spares_an_upgrade_takes_no_group_out). A renewal in flight is not replaced, so answers that take longer than the period still count.

--- a/src/core/group/drain.rs
+++ b/src/core/group/drain.rs
@@ -7,14 +7,18 @@
 use {
     super::{
         super::{
+            config::View,
             ctx::Ctx,
             keys::{DaemonName, DomainName, Epoch, GroupName, Revision},
             member::Members,
             message::Message,
             options::Mechanism,
+            request::Requests,
             time::{Span, Time},
         },
         GroupMessage,
+        drive::{Site, World},
+        serving::Serving,
     },
     std::collections::BTreeMap,
 };
@@ -49,6 +53,27 @@
     pub(super) epoch: Epoch,
 }
 
+/// The end of one placement.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct End<'a> {
+    pub(super) domain: &'a DomainName,
+    pub(super) group: &'a GroupName,
+    pub(super) epoch: Epoch,
+    /// The revision of the record that ended it.
+    pub(super) revision: Revision,
+}
+
+/// Queries.
+impl End<'_> {
+    /// Whether this daemon knows of the end, and has nothing running before it.
+    pub(super) fn is_past(&self, view: &View, serving: &Serving, requests: &Requests) -> bool {
+        let placement = view.placement(self.domain);
+        placement.is_some_and(|p| p.revision >= self.revision)
+            && !serving.is_current(self.group, self.epoch)
+            && requests.running_on(self.group, self.epoch) == 0
+    }
+}
+
 /// The placements of one domain that are over.
 #[derive(Debug, Default)]
 pub(super) struct Drains {
@@ -69,7 +94,7 @@
     pub(super) fn on_round(
         &mut self,
         ctx: &mut Ctx,
-        members: &Members,
+        world: &World,
         domain: &DomainName,
         revision: Revision,
         over: &[Over],
@@ -77,9 +102,15 @@
         self.drains
             .retain(|epoch, _| over.iter().any(|o| o.epoch == *epoch));
         for entry in over {
+            let end = End {
+                domain,
+                group: &entry.group,
+                epoch: entry.epoch,
+                revision,
+            };
             let drain = self.drains.entry(entry.epoch).or_default();
-            drain.note_live(ctx, members);
-            drain.ask(ctx, members, domain, revision, entry);
+            drain.note(ctx, world, &end);
+            drain.ask(ctx, world.site.members, &end);
         }
     }
 
@@ -92,8 +123,14 @@
 }
 
 impl Drain {
-    fn note_live(&mut self, ctx: &Ctx, members: &Members) {
+    fn note(&mut self, ctx: &Ctx, world: &World, end: &End) {
         let now = ctx.now;
+        let Site {
+            view,
+            members,
+            requests,
+            ..
+        } = world.site;
         for (name, _) in members.live() {
             let answer = self
                 .answers
@@ -111,19 +148,14 @@
             Answer::Open(live) => now.since(*live) <= bound,
             Answer::Given => false,
         };
-        if !ctx.options.has(Mechanism::DrainAcks) || !self.answers.values().any(waits) {
+        let here = end.is_past(view, world.serving, requests);
+        let everywhere = here && !self.answers.values().any(waits);
+        if everywhere || !ctx.options.has(Mechanism::DrainAcks) {
             self.agreed = Some(now);
         }
     }
 
-    fn ask(
-        &mut self,
-        ctx: &mut Ctx,
-        members: &Members,
-        domain: &DomainName,
-        revision: Revision,
-        over: &Over,
-    ) {
+    fn ask(&mut self, ctx: &mut Ctx, members: &Members, end: &End) {
         let early = |asked: Time| ctx.now.since(asked) < ASK_PERIOD;
         if self.agreed.is_some() || self.asked.is_some_and(early) {
             return;
@@ -134,10 +166,10 @@
                 continue;
             }
             let message = GroupMessage::AskDrained {
-                domain: domain.clone(),
-                group: over.group.clone(),
-                epoch: over.epoch,
-                revision,
+                domain: end.domain.clone(),
+                group: end.group.clone(),
+                epoch: end.epoch,
+                revision: end.revision,
             };
             ctx.datagram(address, Message::Group(message));
         }
--- a/src/core/group/drive.rs
+++ b/src/core/group/drive.rs
@@ -14,6 +14,7 @@
         member::{Hosts, Members},
         options::Mechanism,
         output::{Expect, Level, PlatformCall},
+        request::Requests,
         time::Time,
     },
     budget::{self, Share},
@@ -26,12 +27,19 @@
     steady::Steadiness,
 };
 
-/// What decisions go by.
+/// The other parts.
 #[derive(Clone, Copy)]
-pub(super) struct World<'a> {
+pub(super) struct Site<'a> {
     pub(super) view: &'a View,
     pub(super) hosts: &'a Hosts,
     pub(super) members: &'a Members,
+    pub(super) requests: &'a Requests,
+}
+
+/// What a domain is driven by.
+#[derive(Clone, Copy)]
+pub(super) struct World<'a> {
+    pub(super) site: Site<'a>,
     pub(super) serving: &'a Serving,
     /// When the wanted versions last changed.
     pub(super) steered: Time,
@@ -132,6 +140,7 @@
 
     /// Goes on with the domain's placement. The duty must be held right now.
     pub(super) fn on_tick(&mut self, ctx: &mut Ctx, world: &World, tally: &mut Tally) {
+        let Site { view, hosts, .. } = world.site;
         self.expire_call(ctx);
         if self.call.is_some() {
             return;
@@ -141,12 +150,12 @@
             return;
         };
         let quiet = self.quiet.is_some_and(|until| ctx.now < until);
-        self.rate = self.share.rate(ctx, world.view, &basis.record);
-        let weights = budget::weights(world.view);
+        self.rate = self.share.rate(ctx, view, &basis.record);
+        let weights = budget::weights(view);
         let round = Round {
             domain: &self.domain,
             record: &basis.record,
-            hosts: world.hosts,
+            hosts,
             fence: self.fence,
             orders: !quiet,
             weights: &weights,
@@ -155,17 +164,16 @@
         self.runners.on_round(ctx, &round, &mut tally.orders);
         let over = picture::over(&basis.record);
         self.drains
-            .on_round(ctx, world.members, &self.domain, basis.revision, &over);
-        self.steadiness.on_round(ctx.now, world.hosts, &self.domain);
-        if quiet || check::engines(world.hosts, &self.domain).next().is_none() {
+            .on_round(ctx, world, &self.domain, basis.revision, &over);
+        self.steadiness.on_round(ctx.now, hosts, &self.domain);
+        if quiet || check::engines(hosts, &self.domain).next().is_none() {
             return;
         }
-        self.lacks
-            .on_round(ctx, world.view, world.hosts, &basis.record);
+        self.lacks.on_round(ctx, view, hosts, &basis.record);
         let picture = picture::draw(ctx, world, self, basis);
         let next = plan::next(&basis.record, &picture);
         if next != basis.record {
-            self.write(ctx, world, next, tally);
+            self.write(ctx, hosts, next, tally);
         }
     }
 
@@ -273,12 +281,12 @@
         self.call = Some((id, ctx.now, Call::Read));
     }
 
-    fn write(&mut self, ctx: &mut Ctx, world: &World, mut next: Placement, tally: &mut Tally) {
+    fn write(&mut self, ctx: &mut Ctx, hosts: &Hosts, mut next: Placement, tally: &mut Tally) {
         let Some(basis) = &self.basis else {
             return;
         };
         if ctx.options.has(Mechanism::OneGroupPerHost) {
-            let stranger = check::stranger(&next, world.hosts)
+            let stranger = check::stranger(&next, hosts)
                 .map(|host| format!("host {host} is of another domain"));
             let fault = check::placement(&next).err().or(stranger);
             if let Some(reason) = fault {
--- a/src/core/group/duty.rs
+++ b/src/core/group/duty.rs
@@ -5,21 +5,23 @@
 //! it was sent, and the duty ends a margin before the lease can.
 
 use {
-    super::super::{
-        config::{
-            Key, View,
-            record::{Daemon, Duty},
+    super::{
+        super::{
+            config::{
+                Key,
+                record::{Daemon, Duty},
+            },
+            ctx::Ctx,
+            input::{PlatformAnswer, PlatformEntry},
+            keys::{
+                DaemonName, DomainName, Fence, HallName, LeaseId, OperationId, Owner, PlatformId,
+                RegionName,
+            },
+            options::Mechanism,
+            output::{Expect, Level, PlatformCall},
+            time::{Span, Time},
         },
-        ctx::Ctx,
-        input::{PlatformAnswer, PlatformEntry},
-        keys::{
-            DaemonName, DomainName, Fence, HallName, LeaseId, OperationId, Owner, PlatformId,
-            RegionName,
-        },
-        member::{Hosts, Members},
-        options::Mechanism,
-        output::{Expect, Level, PlatformCall},
-        time::{Span, Time},
+        drive::Site,
     },
     std::{cmp::Reverse, collections::BTreeMap},
     xxhash_rust::xxh3::xxh3_64,
@@ -127,17 +129,10 @@
 /// Commands.
 impl Claimant {
     /// Claims, renews or gives up; called again and again.
-    pub(super) fn on_tick(
-        &mut self,
-        ctx: &mut Ctx,
-        view: &View,
-        hosts: &Hosts,
-        members: &Members,
-        domain: &DomainName,
-    ) -> Turn {
+    pub(super) fn on_tick(&mut self, ctx: &mut Ctx, site: &Site, domain: &DomainName) -> Turn {
         match &self.state {
             State::Idle => {
-                self.seek(ctx, view, hosts, members, domain);
+                self.seek(ctx, site, domain);
                 Turn::Same
             }
             State::Granting { sent, .. } => {
@@ -203,20 +198,13 @@
         }
     }
 
-    fn seek(
-        &mut self,
-        ctx: &mut Ctx,
-        view: &View,
-        hosts: &Hosts,
-        members: &Members,
-        domain: &DomainName,
-    ) {
-        if view.duty(domain).is_some() {
+    fn seek(&mut self, ctx: &mut Ctx, site: &Site, domain: &DomainName) {
+        if site.view.duty(domain).is_some() {
             self.vacant = None;
             return;
         }
         let since = *self.vacant.get_or_insert(ctx.now);
-        let rank = rank(ctx, view, hosts, members, domain);
+        let rank = rank(ctx, site, domain);
         if ctx.now.since(since) < RANK_DELAY.times(rank) {
             return;
         }
@@ -332,8 +320,8 @@
             return;
         };
         let period = Span(ctx.options.lease.0 / RENEWALS);
-        let last = tenure.renewal.map_or(tenure.renewed, |(_, sent)| sent);
-        if ctx.now.since(last) < period {
+        let waits = |(_, sent): (PlatformId, Time)| ctx.now.since(sent) < ctx.options.lease;
+        if tenure.renewal.is_some_and(waits) || ctx.now.since(tenure.renewed) < period {
             return;
         }
         let lease = tenure.lease;
@@ -377,7 +365,13 @@
 ///
 /// Daemons of the domain's own hall come first, then those of its region;
 /// among equals rendezvous hashing spreads the domains.
-fn rank(ctx: &Ctx, view: &View, hosts: &Hosts, members: &Members, domain: &DomainName) -> u64 {
+fn rank(ctx: &Ctx, site: &Site, domain: &DomainName) -> u64 {
+    let Site {
+        view,
+        hosts,
+        members,
+        ..
+    } = site;
     let hall = hosts.in_domain(domain).next().map(|h| &h.entry.hall);
     let near = view.daemons().map(|d| &d.record);
     let region = near
--- a/src/core/group/mod.rs
+++ b/src/core/group/mod.rs
@@ -34,11 +34,13 @@
         member::{Hosts, Members},
         message::Message,
         output::{Expect, PlatformCall},
+        request::Requests,
         status::{DomainStatus, GroupStatus},
         time::{Span, Time},
         timer::Timer,
     },
-    drive::{Driver, Tally, World},
+    drain::End,
+    drive::{Driver, Site, Tally, World},
     duty::{Claimant, Turn},
     serving::Serving,
     std::{
@@ -270,21 +272,28 @@
         view: &View,
         hosts: &Hosts,
         members: &Members,
+        requests: &Requests,
         timer: GroupTimer,
     ) {
+        let site = Site {
+            view,
+            hosts,
+            members,
+            requests,
+        };
         match timer {
             GroupTimer::Duty if self.stopping => self.hand_over(ctx),
             GroupTimer::Duty => {
                 self.find_domains(view);
                 let names: Vec<DomainName> = self.domains.keys().cloned().collect();
                 for name in &names {
-                    self.claim(ctx, view, hosts, members, name);
-                    self.drive(ctx, view, hosts, members, name);
+                    self.claim(ctx, &site, name);
+                    self.drive(ctx, &site, name);
                 }
                 self.finish_upgrade(ctx, view);
                 ctx.timer(Timer::Group(GroupTimer::Duty), TICK);
             }
-            GroupTimer::Plan(domain) => self.drive(ctx, view, hosts, members, &domain),
+            GroupTimer::Plan(domain) => self.drive(ctx, &site, &domain),
         }
     }
 
@@ -370,8 +379,8 @@
         &mut self,
         ctx: &mut Ctx,
         view: &View,
-        _hosts: &Hosts,
         members: &Members,
+        requests: &Requests,
         from: &DaemonName,
         message: GroupMessage,
     ) {
@@ -387,9 +396,13 @@
                 epoch,
                 revision,
             } => {
-                let placement = view.placement(&domain);
-                let seen = placement.is_some_and(|p| p.revision >= revision);
-                if !seen || self.serving.is_current(&group, epoch) {
+                let end = End {
+                    domain: &domain,
+                    group: &group,
+                    epoch,
+                    revision,
+                };
+                if !end.is_past(view, &self.serving, requests) {
                     return;
                 }
                 if let Some(address) = members.address(from, None) {
@@ -457,31 +470,17 @@
         }
     }
 
-    fn claim(
-        &mut self,
-        ctx: &mut Ctx,
-        view: &View,
-        hosts: &Hosts,
-        members: &Members,
-        name: &DomainName,
-    ) {
+    fn claim(&mut self, ctx: &mut Ctx, site: &Site, name: &DomainName) {
         let Some(domain) = self.domains.get_mut(name) else {
             return;
         };
-        let turn = domain.claimant.on_tick(ctx, view, hosts, members, name);
+        let turn = domain.claimant.on_tick(ctx, site, name);
         domain.turn(ctx, name, turn);
         self.duties_lost += u64::from(turn == Turn::Lost);
     }
 
     /// Drives a domain, if the duty is held by the clock as it is now.
-    fn drive(
-        &mut self,
-        ctx: &mut Ctx,
-        view: &View,
-        hosts: &Hosts,
-        members: &Members,
-        name: &DomainName,
-    ) {
+    fn drive(&mut self, ctx: &mut Ctx, site: &Site, name: &DomainName) {
         let Some(domain) = self.domains.get_mut(name) else {
             return;
         };
@@ -492,9 +491,7 @@
             return;
         }
         let world = World {
-            view,
-            hosts,
-            members,
+            site: *site,
             serving: &self.serving,
             steered: self.steered,
         };
--- a/src/core/group/picture.rs
+++ b/src/core/group/picture.rs
@@ -29,8 +29,8 @@
 /// The picture that a driver plans by.
 pub(super) fn draw(ctx: &Ctx, world: &World, driver: &Driver, basis: &Basis) -> Picture {
     let record = &basis.record;
-    let elsewhere = elsewhere(ctx, world.view, record);
-    let hosts = check::engines(world.hosts, driver.domain()).map(|host| {
+    let elsewhere = elsewhere(ctx, world.site.view, record);
+    let hosts = check::engines(world.site.hosts, driver.domain()).map(|host| {
         let name = &host.entry.host;
         let condition = match driver.steadiness.condition(ctx.now, name, host.health) {
             Condition::Usable if elsewhere.contains(name) => Condition::Unsteady,
@@ -39,7 +39,7 @@
         (name.clone(), condition)
     });
     Picture {
-        wanted: wanted(world.view, record),
+        wanted: wanted(world.site.view, record),
         hosts: hosts.collect(),
         warm: driver.runners.warm(),
         loaded: loaded(driver, record),
@@ -48,7 +48,7 @@
         allowance: allowance(ctx, world, record),
         gone: driver.steadiness.gone(ctx.now),
         accelerators: accelerators(world, driver),
-        load_time: load_times(world.view, driver.rate()),
+        load_time: load_times(world.site.view, driver.rate()),
         costs: Costs {
             downtime: ctx.options.downtime_cost,
             stranded: ctx.options.stranded_cost,
@@ -111,7 +111,7 @@
 }
 
 fn accelerators(world: &World, driver: &Driver) -> BTreeMap<HostName, u16> {
-    let hosts = check::engines(world.hosts, driver.domain()).map(|host| &host.entry);
+    let hosts = check::engines(world.site.hosts, driver.domain()).map(|host| &host.entry);
     hosts
         .map(|entry| (entry.host.clone(), entry.accelerators))
         .collect()
@@ -154,7 +154,7 @@
 fn drained(world: &World, driver: &Driver, record: &Placement) -> BTreeSet<Epoch> {
     let idle = |(_, epoch, hosts): &(&GroupName, Epoch, &Vec<HostName>)| {
         let agreed = driver.drains.agreed(*epoch);
-        agreed.is_some_and(|since| driver.runners.idle(world.hosts, hosts, *epoch, since))
+        agreed.is_some_and(|since| driver.runners.idle(world.site.hosts, hosts, *epoch, since))
     };
     let ended = ended(record).into_iter().filter(idle);
     ended.map(|(_, epoch, _)| epoch).collect()
@@ -175,7 +175,7 @@
 }
 
 fn allowance(ctx: &Ctx, world: &World, record: &Placement) -> BTreeMap<ModelName, Allowance> {
-    let models = world.view.models();
+    let models = world.site.view.models();
     models
         .map(|model| {
             let allowance = upgrade::allowance(ctx, world, record, model);
--- a/src/core/group/plan.rs
+++ b/src/core/group/plan.rs
@@ -131,6 +131,13 @@
         groups.filter(|placed| placed.model == *model).count()
     }
 
+    /// Whether hosts that are draining will make enough spares for a group.
+    fn frees_soon(&self, spares: usize, wanted: &Wanted) -> bool {
+        let retiring = self.record.retiring.iter();
+        let draining: usize = retiring.map(|r| r.hosts.len()).sum();
+        spares + draining >= wanted.size
+    }
+
     /// Whether any host of a placement is in one of these conditions.
     fn any(&self, placed: &PlacedGroup, conditions: &[Condition]) -> bool {
         let hosts = &self.picture.hosts;
@@ -232,7 +239,7 @@
                     left.starts -= 1;
                     placed.next = Some(Box::new(self.loading(hosts, wanted)));
                 }
-                None if left.outs > 0 => {
+                None if left.outs > 0 && !self.frees_soon(spares.len(), wanted) => {
                     left.starts -= 1;
                     left.outs -= 1;
                     placed.stage = Stage::Draining;
--- a/src/core/group/upgrade.rs
+++ b/src/core/group/upgrade.rs
@@ -55,13 +55,13 @@
 /// How many groups of a model a domain may start to move, and take out.
 pub(super) fn allowance(ctx: &Ctx, world: &World, record: &Placement, model: &Model) -> Allowance {
     let steering = ctx.now.since(world.steered) < SPREAD;
-    if steering || !is_turn(world.view, record, model) {
+    if steering || !is_turn(world.site.view, record, model) {
         return Allowance::default();
     }
-    let width = latest(world.view, &model.name)
+    let width = latest(world.site.view, &model.name)
         .filter(|u| u.state == UpgradeState::Running)
         .map_or(DEFAULT_WIDTH, |u| usize::from(u.width.max(1)));
-    let moving = placements(world.view, record)
+    let moving = placements(world.site.view, record)
         .flat_map(|placement| placement.groups.values())
         .filter(|placed| placed.model == model.name && is_moving(placed))
         .count();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -206,8 +206,9 @@
             }
             Timer::Group(timer) => {
                 let view = self.config.view();
+                let (hosts, members) = (&self.hosts, &self.members);
                 self.groups
-                    .on_timer(ctx, view, &self.hosts, &self.members, timer);
+                    .on_timer(ctx, view, hosts, members, &self.requests, timer);
                 Change::default()
             }
             Timer::Request(timer) => {
@@ -341,7 +342,7 @@
             Message::Group(message) => {
                 let view = self.config.view();
                 self.groups
-                    .on_message(ctx, view, &self.hosts, &self.members, &from, message);
+                    .on_message(ctx, view, &self.members, &self.requests, &from, message);
                 Change::default()
             }
         }
--- a/tests/group/handover.rs
+++ b/tests/group/handover.rs
@@ -17,12 +17,16 @@
             RunnerInput, RunnerKind,
         },
         keys::{DomainName, Epoch, GroupName, HostName, Incarnation, PlatformId},
+        message::Message,
         options::Options,
         output::{Output, PlatformCall, RunnerOutput},
         time::{Span, Time},
         timer::Timer,
     },
-    std::{collections::BTreeMap, net::SocketAddr},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
 };
 
 /// One way over any connection.
@@ -33,8 +37,12 @@
     timers: Vec<(Time, Timer)>,
     /// Nothing reaches it before this.
     pub paused: Time,
-    /// How late it hears of changes at the platform's service.
+    /// How late it hears of changes of configuration.
     pub lag: Span,
+    /// How late answers of the platform's service reach it.
+    pub slow: Span,
+    /// Nothing of the platform's service reaches it, nor the other way.
+    pub cut: bool,
     pub stopped: bool,
 }
 
@@ -53,6 +61,9 @@
     /// Orders that are held back, to be delivered when a test says.
     pub hold_orders: bool,
     pub held: Vec<(usize, RunnerOutput)>,
+    /// Whether records and duties are checked after every step.
+    pub checks: bool,
+    epochs: BTreeMap<Epoch, (GroupName, Vec<HostName>)>,
     queue: BTreeMap<(Time, u64), Event>,
     number: u64,
 }
@@ -104,6 +115,8 @@
             hosts: BTreeMap::new(),
             hold_orders: false,
             held: Vec::new(),
+            checks: true,
+            epochs: BTreeMap::new(),
             queue: BTreeMap::new(),
             number: 0,
         };
@@ -114,6 +127,8 @@
                 timers: Vec::new(),
                 paused: Time(0),
                 lag: Span::from_millis(5),
+                slow: DELAY,
+                cut: false,
                 stopped: false,
             });
             handover.push(Span::ZERO, Event::Input(index, Input::Start));
@@ -173,8 +188,11 @@
     pub fn list_hosts(&mut self) {
         let entries: Vec<HostEntry> = self.hosts.values().cloned().collect();
         for index in 0..self.nodes.len() {
-            let input = Input::Hosts(HostsInput::Listed(entries.clone()));
-            self.push(DELAY, Event::Input(index, input));
+            // A host counts as gone once it is missing from two lists.
+            for _ in 0..2 {
+                let input = Input::Hosts(HostsInput::Listed(entries.clone()));
+                self.push(DELAY, Event::Input(index, input));
+            }
         }
     }
 
@@ -300,8 +318,12 @@
                 }
             }
             Event::Platform(index, id, call) => {
+                if self.nodes[index].cut || self.nodes[index].stopped {
+                    return;
+                }
                 if let Some(input) = self.kv.call(self.now, index, id, call) {
-                    self.push(DELAY, Event::Input(index, Input::Platform(input)));
+                    let slow = self.nodes[index].slow;
+                    self.push(slow, Event::Input(index, Input::Platform(input)));
                 }
                 self.spread();
             }
@@ -312,6 +334,7 @@
     fn step(&mut self, index: usize, input: Input) {
         let mut out = Vec::new();
         self.nodes[index].core.step(self.now, input, &mut out);
+        self.check();
         for output in out {
             self.perform(index, output);
         }
@@ -333,13 +356,17 @@
                 let target = (0..self.nodes.len()).find(|i| address(*i) == to);
                 if let Some(target) = target {
                     let me = identity(index, 0, 1);
+                    let after = match message {
+                        Message::Config(_) => self.nodes[target].lag,
+                        _ => DELAY,
+                    };
                     let input = Input::Peer(PeerInput::Received {
                         from: me.name,
                         incarnation: me.incarnation,
                         address: me.peer,
                         message,
                     });
-                    self.push(DELAY, Event::Input(target, input));
+                    self.push(after, Event::Input(target, input));
                 }
             }
             Output::Log(event) => {
@@ -355,6 +382,9 @@
     fn spread(&mut self) {
         for (index, input) in self.kv.poll(self.now) {
             let lag = self.nodes[index].lag;
+            if self.nodes[index].cut {
+                continue;
+            }
             self.push(lag, Event::Input(index, Input::Platform(input)));
         }
     }
@@ -398,6 +428,72 @@
     }
 }
 
+/// What must always hold.
+impl Handover {
+    /// Checks the records and the duties, as far as this hand-over is to check them.
+    fn check(&mut self) {
+        if !self.checks {
+            return;
+        }
+        for domain in ["rack", "row"] {
+            assert!(self.holders(domain).len() <= 1, "one holder of {domain}");
+        }
+        let mut used: BTreeSet<HostName> = BTreeSet::new();
+        for domain in ["rack", "row"] {
+            let record = self.placement(domain);
+            for (group, epoch, hosts) in sets(&record) {
+                for host in &hosts {
+                    assert!(used.insert(host.clone()), "{host} is in one group");
+                }
+                let seen = self
+                    .epochs
+                    .entry(epoch)
+                    .or_insert((group.clone(), hosts.clone()));
+                assert_eq!(*seen, (group, hosts), "{epoch:?} names one placement");
+            }
+        }
+    }
+
+    /// The work that orders cut on any runner.
+    pub fn cut(&self) -> usize {
+        self.runners.values().map(|r| r.cut).sum()
+    }
+
+    /// Sends work by what a daemon knows, to every group of a model in service.
+    pub fn work(&mut self, index: usize, model: &str, lasts: Span) -> usize {
+        let groups = self.nodes[index].core.groups();
+        let keys = groups.serving(&model.into());
+        let found = keys.iter().filter_map(|key| groups.get(*key));
+        let leads: Vec<_> = found.map(|g| (g.hosts[0].clone(), g.epoch)).collect();
+        let now = self.now;
+        let mut taken = 0;
+        for (host, epoch) in leads {
+            let runner = self.runners.get_mut(&host).expect("host is known");
+            taken += usize::from(runner.work(now, epoch, lasts));
+        }
+        taken
+    }
+}
+
+/// Every placement of a record: its group, epoch and hosts.
+fn sets(record: &Placement) -> Vec<(GroupName, Epoch, Vec<HostName>)> {
+    let mut sets = Vec::new();
+    for (name, placed) in &record.groups {
+        sets.push((name.clone(), placed.epoch, placed.hosts.clone()));
+        if let Some(next) = &placed.next {
+            sets.push((name.clone(), next.epoch, next.hosts.clone()));
+        }
+    }
+    for retiring in &record.retiring {
+        sets.push((
+            retiring.group.clone(),
+            retiring.epoch,
+            retiring.hosts.clone(),
+        ));
+    }
+    sets
+}
+
 /// What can be seen.
 impl Handover {
     /// The placement as the platform's service holds it.
--- a/tests/group/main.rs
+++ b/tests/group/main.rs
@@ -1,8 +1,12 @@
 //! Groups, orders, repair and upgrades, by direct hand-over to one to three
 //! daemons in virtual time.
 
+mod drains;
+mod duties;
 #[path = "../fakes/mod.rs"]
 mod fakes;
 mod handover;
 mod placing;
+mod repairs;
 mod runner;
+mod upgrades;
