--- a/src/core/group/picture.rs
+++ b/src/core/group/picture.rs
@@ -9,33 +9,51 @@
             },
             ctx::Ctx,
             keys::{Epoch, GroupName, HostName, ModelName},
+            options::Mechanism,
+            time::Span,
         },
         check,
         drain::Over,
         drive::{Basis, Driver, World},
-        plan::{Allowance, Picture, Wanted},
+        place,
+        plan::{Allowance, Condition, Picture, Wanted},
+        repair::{Costs, Policy},
         upgrade,
     },
     std::collections::{BTreeMap, BTreeSet},
 };
 
+/// The lowest rate that load times are estimated with, in gigabytes a second.
+const MIN_RATE: f64 = 0.01;
+
 /// The picture that a driver plans by.
 pub(super) fn draw(ctx: &Ctx, world: &World, driver: &Driver, basis: &Basis) -> Picture {
     let record = &basis.record;
-    let hosts = check::engines(world.hosts, driver.domain()).map(|host| {
+    let elsewhere = elsewhere(ctx, world.site.view, record);
+    let hosts = check::engines(world.site.hosts, driver.domain()).map(|host| {
         let name = &host.entry.host;
-        let condition = driver.steadiness.condition(ctx.now, name, host.health);
+        let condition = match driver.steadiness.condition(ctx.now, name, host.health) {
+            Condition::Usable if elsewhere.contains(name) => Condition::Unsteady,
+            condition => condition,
+        };
         (name.clone(), condition)
     });
     Picture {
-        wanted: wanted(world.view, record),
+        wanted: wanted(world.site.view, record),
         hosts: hosts.collect(),
         warm: driver.runners.warm(),
         loaded: loaded(driver, record),
         emptied: emptied(driver, record),
         drained: drained(world, driver, record),
         allowance: allowance(ctx, world, record),
-        policy: Default::default(),
+        gone: driver.steadiness.gone(ctx.now),
+        accelerators: accelerators(world, driver),
+        load_time: load_times(world.site.view, driver.rate()),
+        costs: Costs {
+            downtime: ctx.options.downtime_cost,
+            stranded: ctx.options.stranded_cost,
+        },
+        policy: Policy::default(),
         floor: driver
             .runners
             .highest()
@@ -44,6 +62,19 @@
     }
 }
 
+/// Hosts that the records of other domains still give to a group, as after a
+/// host was moved to this domain.
+fn elsewhere<'a>(ctx: &Ctx, view: &'a View, record: &Placement) -> BTreeSet<&'a HostName> {
+    if !ctx.options.has(Mechanism::OneGroupPerHost) {
+        return BTreeSet::new();
+    }
+    let others = view.placements().map(|v| &v.record);
+    others
+        .filter(|other| other.domain != record.domain)
+        .flat_map(place::used)
+        .collect()
+}
+
 /// The placements of a record that get no new work.
 pub(super) fn over(record: &Placement) -> Vec<Over> {
     ended(record)
@@ -79,6 +110,22 @@
     wanted
 }
 
+fn accelerators(world: &World, driver: &Driver) -> BTreeMap<HostName, u16> {
+    let hosts = check::engines(world.site.hosts, driver.domain()).map(|host| &host.entry);
+    hosts
+        .map(|entry| (entry.host.clone(), entry.accelerators))
+        .collect()
+}
+
+/// How long one host takes to load each model at a rate in gigabytes a second.
+fn load_times(view: &View, rate: f64) -> BTreeMap<ModelName, Span> {
+    let times = view.models().map(|model| {
+        let secs = f64::from(model.weights_gb) / rate.max(MIN_RATE);
+        (model.name.clone(), Span::from_millis((secs * 1e3) as u64))
+    });
+    times.collect()
+}
+
 fn loaded(driver: &Driver, record: &Placement) -> BTreeSet<Epoch> {
     let ready = |(group, placed): &(&GroupName, &PlacedGroup)| driver.runners.loaded(group, placed);
     let loading = loading(record);
@@ -107,7 +154,7 @@
 fn drained(world: &World, driver: &Driver, record: &Placement) -> BTreeSet<Epoch> {
     let idle = |(_, epoch, hosts): &(&GroupName, Epoch, &Vec<HostName>)| {
         let agreed = driver.drains.agreed(*epoch);
-        agreed.is_some_and(|since| driver.runners.idle(world.hosts, hosts, *epoch, since))
+        agreed.is_some_and(|since| driver.runners.idle(world.site.hosts, hosts, *epoch, since))
     };
     let ended = ended(record).into_iter().filter(idle);
     ended.map(|(_, epoch, _)| epoch).collect()
@@ -128,7 +175,7 @@
 }
 
 fn allowance(ctx: &Ctx, world: &World, record: &Placement) -> BTreeMap<ModelName, Allowance> {
-    let models = world.view.models();
+    let models = world.site.view.models();
     models
         .map(|model| {
             let allowance = upgrade::allowance(ctx, world, record, model);
