The test of hosts gone from the list states the new rule

The old one wanted two lists in a row; the list is passed on only when it changes, so the second never comes. As strict: suspected at once, dead within three seconds, an empty list kills nobody.

--- a/tests/member/hosts.rs
+++ b/tests/member/hosts.rs
@@ -145,14 +145,15 @@
 }
 
 #[test]
-fn a_host_gone_from_two_lists_is_dead_and_an_empty_list_kills_nobody() {
+fn a_host_gone_from_the_list_is_suspected_then_dead_and_an_empty_list_kills_nobody() {
     let mut net = alone();
     let listed = |net: &mut Net, entries| net.step(0, Input::Hosts(HostsInput::Listed(entries)));
     listed(&mut net, Vec::new());
-    listed(&mut net, Vec::new());
-    listed(&mut net, vec![host("h2", false)]);
+    net.run(SECOND.times(3));
     assert_eq!(health(&net, 0, "h1"), Health::Live);
     listed(&mut net, vec![host("h2", false)]);
+    assert_eq!(health(&net, 0, "h1"), Health::Suspect);
+    net.run(SECOND.times(3));
     assert_eq!(health(&net, 0, "h1"), Health::Dead);
     assert_eq!(health(&net, 0, "h2"), Health::Live);
     list(&mut net, 0, false);
