Deleted groups are forgotten once their hosts are free

Cause: nobody deleted the record of a group that operators had deleted; it stayed in the status and its name could not be used again. Ruled out: deleting it with the operator's write (hosts still hold it), and a tombstone under a lease (a group's name must be free for use). The duty holder deletes the record ten seconds after the last host is free.

--- a/src/core/group/drive.rs
+++ b/src/core/group/drive.rs
@@ -20,6 +20,7 @@
     budget::{self, Share},
     check,
     drain::Drains,
+    forget::Forgets,
     order::{ORDER_TIMEOUT, OrderTally, Round, Runners},
     picture, plan,
     relocate::Lacks,
@@ -90,6 +91,7 @@
     pub(super) drains: Drains,
     pub(super) steadiness: Steadiness,
     lacks: Lacks,
+    forgets: Forgets,
     share: Share,
     rate: f64,
 }
@@ -133,6 +135,7 @@
             drains: Drains::default(),
             steadiness: Steadiness::default(),
             lacks: Lacks::default(),
+            forgets: Forgets::default(),
             share: Share::default(),
             rate: 0.0,
         }
@@ -169,6 +172,7 @@
         if quiet || check::engines(hosts, &self.domain).next().is_none() {
             return;
         }
+        self.forgets.on_round(ctx, view, &basis.record);
         self.lacks.on_round(ctx, view, hosts, &basis.record);
         let picture = picture::draw(ctx, world, self, basis);
         let next = plan::next(&basis.record, &picture);
--- a/src/core/group/mod.rs
+++ b/src/core/group/mod.rs
@@ -10,6 +10,7 @@
 mod drain;
 mod drive;
 mod duty;
+mod forget;
 mod order;
 mod picture;
 mod place;
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -358,3 +358,17 @@
     });
     assert!(calls > 0);
 }
+
+#[test]
+fn a_deleted_group_is_forgotten_and_its_name_and_hosts_are_free() {
+    let env = TestEnv::with_group(2);
+    env.operate(&["group", "delete", "drafting-1"]);
+    for index in 0..2 {
+        wait_for("the group forgotten", || {
+            env.group(index, "drafting-1").is_none().then_some(())
+        });
+    }
+    let create = ["group", "create", "drafting-1", "--model", "drafting-llm"];
+    env.operate(&[&create[..], &["--domain", "kalamaria-1", "--size", "4"]].concat());
+    env.wait_serving(1, "drafting-1");
+}
