--- a/src/commands/report.rs
+++ b/src/commands/report.rs
@@ -45,7 +45,10 @@
         let reason = format!("{}: {fault}", path.display());
         CommandError::local(Exit::Failure, "read the recording", reason)
     })?;
-    Ok(report::of_trace(&trace, &objectives))
+    report::of_trace(&trace, &objectives).map_err(|divergence| {
+        let reason = format!("{}: {divergence}", path.display());
+        CommandError::local(Exit::Failure, "replay the recording", reason)
+    })
 }
 
 fn of_daemon(target: &Target) -> Result<Report, CommandError> {
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -22,6 +22,8 @@
     pub reason: String,
 }
 
+impl std::error::Error for Divergence {}
+
 impl fmt::Display for Divergence {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "line {}: {}", self.line, self.reason)
@@ -44,29 +46,20 @@
 /// Replays a trace, with mechanisms taken out if a test says so.
 pub fn replay(trace: &Trace, without: &[Mechanism]) -> Verdict {
     let mut player = Player::new(trace, without, |_, _: &Core, _: &Input, _: &[Output]| {});
-    for (number, line) in &trace.lines {
-        if let Err(reason) = player.play(*number, line) {
-            player.verdict.divergence = Some(Divergence {
-                line: *number,
-                reason,
-            });
-            break;
-        }
-    }
+    player.verdict.divergence = player.play_all(trace).err();
     player.verdict
 }
 
-/// Replays a trace and shows every step of it to `watch`, up to the first line that differs.
-pub fn observe<W>(trace: &Trace, watch: W)
+/// Replays a trace and shows every step of it to `watch`.
+///
+/// # Errors
+///
+/// Stops at the first line that differs from what happened.
+pub fn observe<W>(trace: &Trace, watch: W) -> Result<(), Divergence>
 where
     W: FnMut(Time, &Core, &Input, &[Output]),
 {
-    let mut player = Player::new(trace, &[], watch);
-    for (number, line) in &trace.lines {
-        if player.play(*number, line).is_err() {
-            return;
-        }
-    }
+    Player::new(trace, &[], watch).play_all(trace)
 }
 
 /// One daemon while it is replayed.
@@ -118,6 +111,16 @@
         }
     }
 
+    fn play_all(&mut self, trace: &Trace) -> Result<(), Divergence> {
+        for (number, line) in &trace.lines {
+            self.play(*number, line).map_err(|reason| Divergence {
+                line: *number,
+                reason,
+            })?;
+        }
+        Ok(())
+    }
+
     fn play(&mut self, number: usize, line: &Line) -> Result<(), String> {
         match line {
             Line::Input { at, daemon, event } => self.input(*at, *daemon, event),
--- a/src/report/advice.rs
+++ b/src/report/advice.rs
@@ -28,7 +28,8 @@
     let urgency = match (row.fast_burn > PAGE_BURN, row.slow_burn > TICKET_BURN) {
         (true, true) => "now",
         (true, false) => "now, it has just begun",
-        (false, true) => "today; it is getting better",
+        (false, true) if row.fast_burn < row.slow_burn => "today; it is getting better",
+        (false, true) => "today",
         (false, false) => "this week",
     };
     format!(
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -21,14 +21,18 @@
 
 use crate::{
     core::{Core, input::Input, output::Output},
-    replay::{Trace, observe},
+    replay::{Divergence, Trace, observe},
 };
 
 /// The report on a recording, by replaying it.
-pub fn of_trace(trace: &Trace, objectives: &Objectives) -> Report {
+///
+/// # Errors
+///
+/// Fails with the first line whose stated outcome differs.
+pub fn of_trace(trace: &Trace, objectives: &Objectives) -> Result<Report, Divergence> {
     let mut tally = Tally::default();
     observe(trace, |now, core: &Core, input: &Input, out: &[Output]| {
         tally.watch(now, core, input, out);
-    });
-    burn(&tally, objectives)
+    })?;
+    Ok(burn(&tally, objectives))
 }
