An empty key space is listed once, then watched

Cause: a list that came back at revision 0 was taken for no list, and asked again at once: one list a millisecond until the first write. Found by the measurement on a fresh stand-in, which held revision 0 when empty; it now begins at 1, as the real service does, and the decision no longer depends on it. Digests and fetches are counted.

--- a/examples/config_spread/main.rs
+++ b/examples/config_spread/main.rs
@@ -42,6 +42,9 @@
     outage: u64,
 }
 
+/// The pause before a change that wasn't accepted is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// How long the calls after an outage are counted, second by second.
 const AFTER_OUTAGE: u64 = 10;
 
@@ -113,16 +116,17 @@
             }),
         };
         let index = self.number as usize % self.clients.len();
-        while self.clients[index]
-            .put_account(request.clone())
-            .await
-            .is_err()
-        {
-            compio::time::sleep(Duration::from_millis(20)).await;
+        while let Err(status) = self.clients[index].put_account(request.clone()).await {
+            eprintln!(
+                "change {} is asked again: {}",
+                self.number,
+                status.message()
+            );
+            compio::time::sleep(RETRY_PAUSE).await;
         }
         let accepted = Instant::now();
         let waits = self.probes.iter_mut().map(|p| p.wait_known(&key, accepted));
-        Ok(join_all(waits).await)
+        join_all(waits).await.into_iter().collect()
     }
 }
 
--- a/examples/config_spread/probe.rs
+++ b/examples/config_spread/probe.rs
@@ -15,6 +15,12 @@
 /// How often a daemon is asked.
 const POLL: Duration = Duration::from_millis(5);
 
+/// How long a daemon may take to answer.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long a change may take to be in force.
+const PATIENCE: Duration = Duration::from_secs(30);
+
 /// One daemon, and a connection to it.
 pub struct Probe {
     address: SocketAddr,
@@ -31,15 +37,21 @@
     }
 
     /// Waits until the daemon knows a key; the time passed since a moment.
-    pub async fn wait_known(&mut self, key: &str, since: Instant) -> Duration {
-        loop {
-            match self.ask(key).await {
-                Ok(status) if status != StatusCode::UNAUTHORIZED => return since.elapsed(),
+    ///
+    /// # Errors
+    ///
+    /// Fails if that takes longer than [`PATIENCE`].
+    pub async fn wait_known(&mut self, key: &str, since: Instant) -> anyhow::Result<Duration> {
+        while since.elapsed() < PATIENCE {
+            let asked = compio::time::timeout(ASK_TIMEOUT, self.ask(key)).await;
+            match asked.unwrap_or_else(|late| Err(late.into())) {
+                Ok(status) if status != StatusCode::UNAUTHORIZED => return Ok(since.elapsed()),
                 Ok(_) => {}
-                Err(_) => self.sender = None,
+                Err(error) => eprintln!("{} is asked again: {error}", self.address),
             }
             compio::time::sleep(POLL).await;
         }
+        anyhow::bail!("{} does not know {key} after {PATIENCE:?}", self.address)
     }
 
     async fn ask(&mut self, key: &str) -> anyhow::Result<StatusCode> {
--- a/src/core/config/mod.rs
+++ b/src/core/config/mod.rs
@@ -131,7 +131,14 @@
             let count = Count::counter("config_writes_total", value);
             counts.push(count.labelled("end", end));
         }
-        counts.push(Count::counter("config_read_backs_total", writes.read_backs));
+        let gossip = &self.gossip.counted;
+        counts.extend([
+            Count::counter("config_read_backs_total", writes.read_backs),
+            Count::counter("config_digests_total", gossip.digests),
+            Count::counter("config_fetches_total", gossip.fetches),
+            Count::counter("config_changes_served_total", gossip.changes),
+            Count::counter("config_snapshots_served_total", gossip.snapshots),
+        ]);
     }
 }
 
@@ -160,7 +167,7 @@
         if let Some((revision, entries)) = self.sync.on_answer(ctx, id, answer.clone()) {
             let changed = self.mirror.replace(entries, revision, revision);
             self.on_confirmed(ctx);
-            self.sync.start(ctx, &self.mirror.view);
+            self.sync.follow(ctx, &self.mirror.view);
             return changed;
         }
         let view = &self.mirror.view;
--- a/src/core/config/sync.rs
+++ b/src/core/config/sync.rs
@@ -86,11 +86,17 @@
         if self.phase != Phase::Idle || self.is_off {
             return;
         }
-        if view.revision() > Revision::default() {
+        match view.revision() > Revision::default() {
+            true => self.watch(ctx, view),
+            false => self.list(ctx),
+        }
+    }
+
+    /// Goes on from a list, unless watching is not wanted.
+    pub(super) fn follow(&mut self, ctx: &mut Ctx, view: &View) {
+        if !self.is_off {
             self.watch(ctx, view);
-            return;
         }
-        self.list(ctx);
     }
 
     /// Says whether this daemon is to watch the platform.
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -3,10 +3,11 @@
 mod fakes;
 
 use {
-    fakes::{handover::Handover, kv::Fault},
+    fakes::{handover::Handover, kv::Fault, store::Store},
     hickoryledge::core::{
         config::{Key, record::Account},
         input::OperatorRequest,
+        keys::Revision,
         options::{Mechanism, Options},
         output::OperatorAnswer,
         time::Span,
@@ -54,6 +55,17 @@
     );
 }
 
+#[test]
+fn an_empty_service_is_listed_once() {
+    let mut site = Handover::new(&["a"], &Options::default());
+    site.kv.store = Store::empty_at(Revision(0));
+    site.kv.fault = Fault::LosesAnswers;
+    site.start(0);
+    site.run(SECOND.times(2));
+    assert_eq!(site.kv.calls["list"], 1);
+    assert_eq!(site.kv.watching(), [0]);
+}
+
 #[test]
 fn compaction_and_gaps_lose_no_change() {
     let mut site = started(&["a", "a"], Options::default());
--- a/tests/config_order.rs
+++ b/tests/config_order.rs
@@ -29,7 +29,7 @@
     /// Writes and deletes of a few accounts.
     fn new(writes: &[(u8, bool)]) -> Self {
         let mut store = Store::default();
-        let mut states = vec![Vec::new()];
+        let mut states = vec![Vec::new(); store.revision().0 as usize + 1];
         for (account, deleted) in writes {
             let key = Key::Account(format!("a{account}").into()).path();
             let before = store.revision();
@@ -155,8 +155,8 @@
 #[test]
 fn lagging_peers_change_nothing() {
     let options = Options::default();
-    assert!(told_by_lagging_peer(&options, |h| h.snapshot(2)));
-    assert!(told_by_lagging_peer(&options, |h| h.changes(0, 2)));
+    assert!(told_by_lagging_peer(&options, |h| h.snapshot(3)));
+    assert!(told_by_lagging_peer(&options, |h| h.changes(0, 3)));
 }
 
 #[test]
@@ -165,23 +165,23 @@
         without: vec![Mechanism::RevisionOrder],
         ..Options::default()
     };
-    assert!(!told_by_lagging_peer(&options, |h| h.snapshot(2)));
-    assert!(!told_by_lagging_peer(&options, |h| h.changes(0, 2)));
+    assert!(!told_by_lagging_peer(&options, |h| h.snapshot(3)));
+    assert!(!told_by_lagging_peer(&options, |h| h.changes(0, 3)));
 }
 
 #[test]
 fn an_own_delete_is_not_undone_by_the_write_before_it() {
     let history = History::new(&[(1, false), (0, false)]);
     let mut site = Handover::new(&["a"], &Options::default());
-    for entry in &history.states[2] {
+    for entry in &history.states[3] {
         site.kv.store.put(&entry.key, &entry.value, None, None);
     }
-    receive(&mut site, history.changes(0, 1));
+    receive(&mut site, history.changes(0, 2));
     site.ask(0, 7, OperatorRequest::DeleteAccount("a0".into()));
     site.run(Span::from_secs(1));
-    receive(&mut site, history.changes(1, 2));
+    receive(&mut site, history.changes(2, 3));
     let view = site.cores[0].config().view();
-    assert_eq!(view.revision(), Revision(2));
+    assert_eq!(view.revision(), Revision(3));
     assert_eq!(view.account(&"a0".into()), None);
     assert!(view.account(&"a1".into()).is_some());
 }
--- a/tests/fakes/store.rs
+++ b/tests/fakes/store.rs
@@ -14,7 +14,7 @@
 };
 
 /// The store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Store {
     revision: i64,
     compacted: i64,
@@ -24,6 +24,29 @@
     last_lease: i64,
 }
 
+/// The revision of an empty store.
+const FIRST_REVISION: i64 = 1;
+
+impl Default for Store {
+    fn default() -> Self {
+        Self::empty_at(Revision(FIRST_REVISION))
+    }
+}
+
+impl Store {
+    /// An empty store at a revision.
+    pub fn empty_at(revision: Revision) -> Self {
+        Self {
+            revision: revision.0,
+            compacted: 0,
+            entries: BTreeMap::new(),
+            history: Vec::new(),
+            leases: BTreeMap::new(),
+            last_lease: 0,
+        }
+    }
+}
+
 /// What came of a write.
 #[derive(Debug, PartialEq)]
 pub enum Written {
