--- a/src/shell/runners/attempt.rs
+++ b/src/shell/runners/attempt.rs
@@ -224,7 +224,7 @@
         if let Some(bytes) = frame.data_ref() {
             events.push(bytes);
         }
-        while let Some(event) = events.next().map_err(|_| Failure::Cut)? {
+        while let Some(event) = events.next_event().map_err(|_| Failure::Cut)? {
             match event {
                 Event::Empty => {}
                 Event::Part {
--- a/src/shell/runners/mod.rs
+++ b/src/shell/runners/mod.rs
@@ -7,7 +7,7 @@
 mod attempt;
 mod control;
 mod pool;
-mod sse;
+pub mod sse;
 
 use {
     super::{Inbox, calls::Calls, relay::Relays},
--- a/src/shell/runners/sse.rs
+++ b/src/shell/runners/sse.rs
@@ -13,7 +13,7 @@
 
 /// One event of a completion.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Event {
+pub enum Event {
     /// Part of the answer.
     Part {
         /// The position of its first token in the whole answer.
@@ -31,7 +31,7 @@
 
 /// The stream is not what was agreed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Malformed;
+pub struct Malformed;
 
 #[derive(Deserialize)]
 struct Position {
@@ -41,7 +41,7 @@
 
 /// Bytes not yet made into events.
 #[derive(Debug, Default)]
-pub(super) struct Events {
+pub struct Events {
     buffer: BytesMut,
     /// Bytes known to hold no end of an event.
     searched: usize,
@@ -49,7 +49,7 @@
 
 impl Events {
     /// Adds what has come.
-    pub(super) fn push(&mut self, bytes: &[u8]) {
+    pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
 
@@ -58,7 +58,7 @@
     /// # Errors
     ///
     /// Fails if an event is too long or can't be read.
-    pub(super) fn next(&mut self) -> Result<Option<Event>, Malformed> {
+    pub fn next_event(&mut self) -> Result<Option<Event>, Malformed> {
         let rest = &self.buffer[self.searched..];
         let Some(end) = rest.windows(2).position(|pair| pair == b"\n\n") else {
             self.searched = self.buffer.len().saturating_sub(1);
