--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -33,7 +33,7 @@
 pub const KEY: &str = "papadakis-press-key";
 
 /// The operators' token.
-const TOKEN: &str = "operators-token-of-tests";
+pub const TOKEN: &str = "operators-token-of-tests";
 
 /// A process of the environment; ended when dropped.
 pub struct Process {
@@ -220,17 +220,29 @@
 
     /// The usual small path, with more lines of settings for every daemon.
     pub fn with_options(daemons: usize, more: &str) -> Self {
+        let mut env = Self::with_hosts();
+        for index in 0..daemons {
+            env.start_daemon_with(&format!("entry-{index}"), more);
+        }
+        env.set_up();
+        env
+    }
+
+    /// The usual hosts on the list, and no daemon yet.
+    pub fn with_hosts() -> Self {
         let mut env = Self::new();
         for name in ["e1", "e2", "e3", "e4"] {
             env.start_runners("kalamaria-1", &[name], &[]);
         }
         env.start_runners("kalamaria-1", &["s1"], &["--service", "mailroom-app"]);
         env.publish_hosts();
-        for index in 0..daemons {
-            env.start_daemon_with(&format!("entry-{index}"), more);
-        }
-        env.operate(&["account", "put", "papadakis", "--key", KEY]);
-        env.operate(&[
+        env
+    }
+
+    /// Creates the usual account, model, service and group, and waits for the group.
+    pub fn set_up(&self) {
+        self.operate(&["account", "put", "papadakis", "--key", KEY]);
+        let model = [
             "model",
             "put",
             "drafting-llm",
@@ -238,21 +250,14 @@
             "v1",
             "--size",
             "2",
-        ]);
-        env.operate(&["service", "put", "mailroom-app"]);
-        env.operate(&[
-            "group",
-            "create",
-            "drafting-1",
-            "--model",
-            "drafting-llm",
-            "--domain",
-            "kalamaria-1",
-        ]);
-        for index in 0..daemons {
-            env.wait_serving(index, "drafting-1");
+        ];
+        self.operate(&model);
+        self.operate(&["service", "put", "mailroom-app"]);
+        let group = ["group", "create", "drafting-1", "--model", "drafting-llm"];
+        self.operate(&[&group[..], &["--domain", "kalamaria-1"]].concat());
+        for index in 0..self.daemons.len() {
+            self.wait_serving(index, "drafting-1");
         }
-        env
     }
 
     /// Starts runners of one domain in one process.
@@ -308,11 +313,21 @@
         let any = "127.0.0.1:0".to_owned();
         let ports = [any.clone(), any.clone(), any];
         let settings = self.write_settings(name, &ports, &seeds, more);
-        let daemon = launch(name, settings);
+        let daemon = launch(name, settings, &[]);
         self.daemons.push(daemon);
         self.daemons.len() - 1
     }
 
+    /// Starts a daemon that records its inputs to a file.
+    pub fn start_recorded(&mut self, name: &str, file: &Path) -> usize {
+        let any = || "127.0.0.1:0".to_owned();
+        let settings = self.write_settings(name, &[any(), any(), any()], &[], "");
+        let file = file.to_str().expect("path is text");
+        self.daemons
+            .push(launch(name, settings, &["--record", file]));
+        self.daemons.len() - 1
+    }
+
     /// Starts a daemon that has ended again, at the same addresses.
     pub fn restart_daemon(&mut self, index: usize) {
         let old = &self.daemons[index];
@@ -322,7 +337,7 @@
         let seeds: Vec<String> = others.map(|d| d.peer.to_string()).collect();
         let settings = self.write_settings(&name, &ports, &seeds, "");
         self.daemons[index].process.kill();
-        self.daemons[index] = launch(&name, settings);
+        self.daemons[index] = launch(&name, settings, &[]);
     }
 
     fn write_settings(
@@ -592,10 +607,10 @@
         .collect()
 }
 
-fn launch(name: &str, settings: PathBuf) -> Daemon {
+fn launch(name: &str, settings: PathBuf, more: &[&str]) -> Daemon {
     let path = settings.to_str().expect("path is text");
     let program = Path::new(env!("CARGO_BIN_EXE_hickoryledge"));
-    let process = Process::start(program, &["run", "--settings", path]);
+    let process = Process::start(program, &[&["run", "--settings", path], more].concat());
     let line = process.line_with("caller");
     Daemon {
         name: name.to_owned(),
