--- a/src/core/options.rs
+++ b/src/core/options.rs
@@ -28,10 +28,24 @@
         pub stranded_cost: f64,
         /// What the weight store gives, in gigabytes a second over all domains.
         pub weight_store: f64,
+        /// How runners are chosen.
+        pub routing: RoutingPolicy,
         /// Mechanisms taken out; for tests alone, never from settings.
         pub without: Vec<Mechanism>,
     }
 
+    /// How a runner is chosen among those that suit a request.
+    #[derive(Copy, Eq, Default)]
+    pub enum RoutingPolicy {
+        /// The least predicted wait of a few drawn by chance.
+        #[default]
+        Predicted,
+        /// The least loaded by the last report; for comparison.
+        LeastReported,
+        /// Any; for comparison.
+        Random,
+    }
+
     /// A mechanism that a test can take out to see its trace fail.
     #[derive(Copy, Eq)]
     pub enum Mechanism {
@@ -89,6 +103,7 @@
             downtime_cost: 1.0,
             stranded_cost: 0.1,
             weight_store: 10.0,
+            routing: RoutingPolicy::default(),
             without: Vec::new(),
         }
     }
--- a/src/core/request/routing.rs
+++ b/src/core/request/routing.rs
@@ -11,7 +11,7 @@
             input::{CacheEvent, Target},
             keys::{HostName, ModelName, ServiceName, VersionName},
             member::Health,
-            options::{Mechanism, Options},
+            options::{Mechanism, Options, RoutingPolicy},
             output::Route,
             time::{Span, Time},
         },
@@ -203,37 +203,23 @@
         model: &ModelName,
         call: &Call,
     ) -> Choice {
-        let serving = site.groups.serving(model);
-        let fits = |key: &GroupKey| {
-            let group = site.groups.get(*key)?;
-            let usable =
-                group.model == *model && is_whole(site, options, group) && suits(group, call);
-            usable.then_some((*key, group))
-        };
-        let hints = self
-            .prefixes
-            .holders(&call.request.prefix)
-            .iter()
-            .filter_map(|host| self.leads.get(host));
-        let mut drawn: Vec<_> = if serving.len() <= SMALL_POOL {
-            serving.iter().filter_map(fits).collect()
-        } else {
-            let random = (0..DRAWS).map(|_| &serving[rng.random_range(0..serving.len())]);
-            hints.chain(random).filter_map(fits).collect()
-        };
-        let has_room = |group: &ServingGroup| self.estimate(site, &group.hosts[0]).has_room();
-        if !drawn.iter().any(|(_, group)| has_room(group)) {
-            drawn = serving.iter().filter_map(fits).collect();
-        }
+        let drawn = self.draw(rng, options, site, model, call);
         if drawn.is_empty() {
             return Choice::Nothing;
         }
         let median = self.median(site, now, model);
+        let has_room = |host: &HostName| {
+            options.routing != RoutingPolicy::Predicted || self.estimate(site, host).has_room()
+        };
         let best = drawn
             .into_iter()
-            .filter(|(_, group)| self.estimate(site, &group.hosts[0]).has_room())
+            .filter(|(_, group)| has_room(&group.hosts[0]))
             .map(|(key, group)| {
-                let score = self.score(site, call, &group.hosts[0], median);
+                let score = match options.routing {
+                    RoutingPolicy::Predicted => self.score(site, call, &group.hosts[0], median),
+                    RoutingPolicy::LeastReported => reported(site, &group.hosts[0]),
+                    RoutingPolicy::Random => 0,
+                };
                 (score, rng.random::<u32>(), key, group)
             })
             .min_by_key(|(score, chance, ..)| (*score, *chance));
@@ -253,6 +239,37 @@
         })
     }
 
+    /// The groups to choose among: a few if one of them has room, else all.
+    fn draw<'a>(
+        &self,
+        rng: &mut SmallRng,
+        options: &Options,
+        site: &Site<'a>,
+        model: &ModelName,
+        call: &Call,
+    ) -> Vec<(GroupKey, &'a ServingGroup)> {
+        let serving = site.groups.serving(model);
+        let fits = |key: &GroupKey| {
+            let group = site.groups.get(*key)?;
+            let usable =
+                group.model == *model && is_whole(site, options, group) && suits(group, call);
+            usable.then_some((*key, group))
+        };
+        let all = || serving.iter().filter_map(fits).collect();
+        if serving.len() <= SMALL_POOL || options.routing != RoutingPolicy::Predicted {
+            return all();
+        }
+        let holders = self.prefixes.holders(&call.request.prefix).iter();
+        let hints = holders.filter_map(|host| self.leads.get(host));
+        let random = (0..DRAWS).map(|_| &serving[rng.random_range(0..serving.len())]);
+        let few: Vec<_> = hints.chain(random).filter_map(fits).collect();
+        let has_room = |group: &ServingGroup| self.estimate(site, &group.hosts[0]).has_room();
+        if few.iter().any(|(_, group)| has_room(group)) {
+            return few;
+        }
+        all()
+    }
+
     fn choose_service(
         &mut self,
         rng: &mut SmallRng,
@@ -305,6 +322,12 @@
     }
 }
 
+/// Requests at a runner by its last report.
+fn reported(site: &Site, host: &HostName) -> u64 {
+    let load = site.hosts.get(host).and_then(|h| h.load.as_ref());
+    load.map_or(0, |(_, report)| u64::from(report.running + report.waiting))
+}
+
 /// Whether a group suits a request.
 fn suits(group: &ServingGroup, call: &Call) -> bool {
     let Target::Model {
--- a/tests/request/fleet.rs
+++ b/tests/request/fleet.rs
@@ -61,6 +61,8 @@
     pub refused: u64,
     pub unknown: u64,
     pub attempts: u64,
+    /// Attempts that went to another daemon.
+    pub relayed: u64,
     /// Refusals of what did run.
     pub false_refusals: u64,
     /// Non-idempotent requests that ran more than once.
@@ -93,6 +95,7 @@
         self.refused += other.refused;
         self.unknown += other.unknown;
         self.attempts += other.attempts;
+        self.relayed += other.relayed;
         self.false_refusals += other.false_refusals;
         self.doubled += other.doubled;
         self.mixed += other.mixed;
@@ -493,6 +496,7 @@
         let fate = fates.get(*tries).copied().unwrap_or(Fate::Good);
         *tries += 1;
         if let Route::Daemon { daemon, .. } = &route {
+            self.outcome.relayed += 1;
             self.relay(from, request, daemon, fate);
             return;
         }
--- a/tests/request/harness.rs
+++ b/tests/request/harness.rs
@@ -382,7 +382,6 @@
     where
         F: FnOnce(&mut Requests, &mut Ctx<'_>, &Site<'_>),
     {
-        self.members.on_platform_heard(self.now);
         self.with(|parts, ctx| {
             let site = Site {
                 view: parts.view,
--- a/tests/request/once.rs
+++ b/tests/request/once.rs
@@ -6,7 +6,7 @@
         input::{CallRequest, Failure, PlatformAnswer, PlatformEntry, Ticket},
         keys::{Incarnation, LeaseId, Revision},
         options::Mechanism,
-        output::{Doubt, Ending, PlatformCall, Refusal},
+        output::{Doubt, Ending, PlatformCall, Refusal, Route},
         request::ticket,
         time::Span,
     },
@@ -194,3 +194,22 @@
         }
     ));
 }
+
+#[test]
+fn a_ticket_of_another_daemon_is_relayed_to_its_run_alone() {
+    let mut rig = rig(&[]);
+    rig.put_daemon(2, 5);
+    let ticket = Ticket {
+        daemon: "d2".into(),
+        incarnation: Incarnation(5),
+        number: 1,
+        proof: 1,
+    };
+    rig.call(ticketed(&ticket));
+    let sent = rig.sent_one();
+    assert!(matches!(&sent.route, Route::Daemon { daemon, .. } if daemon.as_str() == "d2"));
+    rig.put_daemon(2, 6);
+    rig.call(ticketed(&ticket));
+    assert!(rig.sent().is_empty());
+    assert_eq!(rig.ended()[0].1, Ending::Unknown(Doubt::ArbiterGone));
+}
--- a/tests/request/truth.rs
+++ b/tests/request/truth.rs
@@ -149,3 +149,24 @@
     assert!(!stop_with_work(&[]));
     assert!(stop_with_work(&[Mechanism::GracefulStop]), "cuts a request");
 }
+
+/// Sends a call to a daemon that hears nobody; true if it starts it.
+fn starts_when_stale(without: &[Mechanism]) -> bool {
+    let mut rig = rig(without);
+    rig.call(service_call("desk"));
+    let running = rig.sent_one();
+    rig.is_heard = false;
+    rig.pass(Span::from_secs(1));
+    rig.call(service_call("desk"));
+    let started = !rig.sent().is_empty();
+    finish(&mut rig, &running);
+    let ended = rig.ended();
+    assert_eq!(ended.last().map(|(_, e)| e), Some(&Ending::Complete));
+    started
+}
+
+#[test]
+fn a_daemon_that_hears_nobody_takes_no_new_work() {
+    assert!(!starts_when_stale(&[]));
+    assert!(starts_when_stale(&[Mechanism::FreshnessBound]));
+}
