--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -159,6 +159,7 @@
         for output in out.drain(..) {
             if perform(output, &drivers, &mut timers, &log) {
                 connections.finish().await;
+                drivers.peers.finish().await;
                 if let Some(recorder) = &mut recorder {
                     recorder.flush().context("write the recording")?;
                 }
