--- a/src/core/member/hosts.rs
+++ b/src/core/member/hosts.rs
@@ -47,8 +47,11 @@
 /// The longest wait before the list's news of leaving is told to others.
 const TELL_WITHIN: Span = Span::from_millis(500);
 
-/// Lists in a row that a host must be missing from to be gone.
-const ABSENCES: u32 = 2;
+/// How long a host that is gone from the list is remembered as dead.
+const FORGET: Span = Span::from_secs(600);
+
+/// How long a host may be missing from the list before it is gone.
+const ABSENCE: Span = Span::from_secs(1);
 
 crate::record! {
     /// Whether a host can be worked with.
@@ -80,7 +83,7 @@
 /// What speaks for and against a host, by source.
 #[derive(Clone, Debug, Default)]
 struct Signs {
-    absences: u32,
+    absent: Option<Time>,
     reading: Reading,
     reported_leaving: Option<Time>,
     heard_leaving: Option<Time>,
@@ -183,14 +186,7 @@
                 touched.insert(entry.host);
             }
         }
-        for (name, host) in &mut self.hosts {
-            let is_listed = listed.contains(name);
-            host.signs.absences = if is_listed {
-                0
-            } else {
-                host.signs.absences + 1
-            };
-        }
+        self.note_absent(ctx.now, &listed);
         self.index();
         let names: Vec<HostName> = self.hosts.keys().cloned().collect();
         touched.extend(self.judge(ctx, &names));
@@ -324,6 +320,7 @@
             names.extend(self.names(&domain));
         }
         let changed = self.judge(ctx, &names);
+        self.forget_gone(ctx.now);
         let is_live = |name: &HostName| {
             let host = self.hosts.get(name);
             host.is_none_or(|host| host.health == Health::Live)
@@ -332,6 +329,18 @@
         changed
     }
 
+    /// Forgets hosts that the list has not named for long.
+    fn forget_gone(&mut self, now: Time) {
+        let known = self.hosts.len();
+        self.hosts.retain(|_, host| {
+            let absent = host.signs.absent;
+            absent.is_none_or(|since| now.since(since) < FORGET)
+        });
+        if self.hosts.len() < known {
+            self.index();
+        }
+    }
+
     /// The domains whose digests have just run out; what they said counts no more.
     fn take_stale(&mut self, now: Time) -> Vec<DomainName> {
         let mut stale = Vec::new();
@@ -351,6 +360,22 @@
         stale
     }
 
+    /// Notes the hosts missing from a list, unless so many are that the list must be at fault.
+    fn note_absent(&mut self, now: Time, listed: &BTreeSet<HostName>) {
+        let is_missing = |name: &&HostName| !listed.contains(*name);
+        let missing = self.hosts.keys().filter(is_missing).count();
+        let is_faulty = missing * 2 > self.hosts.len();
+        for (name, host) in &mut self.hosts {
+            let absent = &mut host.signs.absent;
+            if listed.contains(name) {
+                *absent = None;
+            } else if !is_faulty && absent.is_none() {
+                *absent = Some(now);
+                self.watched.insert(name.clone());
+            }
+        }
+    }
+
     /// Takes an entry of the list; true if something other than health changed.
     fn list(&mut self, ctx: &mut Ctx, entry: &HostEntry) -> bool {
         let Some(host) = self.hosts.get_mut(&entry.host) else {
@@ -448,7 +473,8 @@
     fn shared_health(&self, now: Time, takes_evidence: bool) -> Health {
         let signs = &self.signs;
         let seen = signs.reading.health(now).or(signs.digest);
-        if signs.absences >= ABSENCES || seen == Some(Health::Dead) {
+        let absence = signs.absent.map(|since| now.since(since));
+        if absence >= Some(ABSENCE) || seen == Some(Health::Dead) {
             return Health::Dead;
         }
         let is_recent = |at: Option<Time>| at.is_some_and(|at| now.since(at) <= EVIDENCE);
@@ -458,10 +484,10 @@
         if self.entry.leaving || (takes_evidence && has_evidence) {
             return Health::Leaving;
         }
-        match seen {
-            Some(Health::Suspect) => Health::Suspect,
-            _ => Health::Live,
+        if absence.is_some() || seen == Some(Health::Suspect) {
+            return Health::Suspect;
         }
+        Health::Live
     }
 }
 
--- a/tests/member/main.rs
+++ b/tests/member/main.rs
@@ -7,6 +7,8 @@
 mod hosts;
 mod net;
 mod registry;
+#[path = "../group/runner.rs"]
+mod runner;
 
 use {
     hickoryledge::core::{
