--- a/src/core/options.rs
+++ b/src/core/options.rs
@@ -82,6 +82,27 @@
     }
 }
 
+impl Mechanism {
+    /// Every mechanism.
+    pub const ALL: [Mechanism; 15] = [
+        Mechanism::CompleteGroups,
+        Mechanism::OneGroupPerHost,
+        Mechanism::AnswerMatching,
+        Mechanism::RefusalTruth,
+        Mechanism::SingleStart,
+        Mechanism::LeavingEvidence,
+        Mechanism::GracefulStop,
+        Mechanism::RevisionOrder,
+        Mechanism::ReadBack,
+        Mechanism::DutyMargin,
+        Mechanism::RetryBudget,
+        Mechanism::FreshnessBound,
+        Mechanism::DrainAcks,
+        Mechanism::UpgradeFloor,
+        Mechanism::FairQueue,
+    ];
+}
+
 impl Options {
     /// Whether a mechanism is in place; always, outside tests.
     pub fn has(&self, mechanism: Mechanism) -> bool {
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -2,7 +2,10 @@
 
 use std::path::{Path, PathBuf};
 
-use hickoryledge::replay::{Fault, Trace, Verdict, corpus, print, replay};
+use hickoryledge::{
+    core::options::Mechanism,
+    replay::{Fault, Trace, Verdict, corpus, print, replay},
+};
 
 const HEADER: &str = r#"{"hickoryledge_trace":1,"title":"t","daemons":[{"identity":{"name":"d1","incarnation":1,"region":"r","hall":"h","caller":"127.0.0.1:1","peer":"127.0.0.1:2","seeds":[],"secret":7}}]}"#;
 const START: &str = r#"{"input":{"at":5,"event":"start"}}"#;
@@ -148,6 +151,17 @@
     }
 }
 
+#[test]
+fn every_mechanism_has_a_trace() {
+    let headers = traces()
+        .into_iter()
+        .map(|path| Trace::read(&path).expect("trace is valid").header);
+    let shown: Vec<Mechanism> = headers.filter_map(|header| header.mechanism).collect();
+    for mechanism in Mechanism::ALL {
+        assert!(shown.contains(&mechanism), "{mechanism:?}");
+    }
+}
+
 fn traces_folder() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/traces")
 }
