--- a/src/core/group/mod.rs
+++ b/src/core/group/mod.rs
@@ -42,7 +42,7 @@
     drain::End,
     drive::{Driver, Site, Tally, World},
     duty::{Claimant, Turn},
-    serving::Serving,
+    serving::{Scene, Serving},
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -222,15 +222,19 @@
         _members: &Members,
         changed: &[Key],
     ) {
+        let scene = Scene {
+            view,
+            hosts,
+            options: ctx.options,
+        };
         for key in changed {
             match key {
                 Key::Placement(domain) => {
-                    self.serving
-                        .refresh_domain(view, hosts, ctx.options, domain);
+                    self.serving.refresh_domain(&scene, domain);
                     self.on_placement(view, domain);
                 }
                 Key::Group(name) => {
-                    self.serving.refresh_group(view, hosts, ctx.options, name);
+                    self.serving.refresh_group(&scene, name);
                     self.steered = ctx.now;
                 }
                 Key::Model(_) | Key::Upgrade(_) => self.steered = ctx.now,
@@ -250,9 +254,14 @@
         _members: &Members,
         changed: &[HostName],
     ) {
+        let scene = Scene {
+            view,
+            hosts,
+            options: ctx.options,
+        };
         let mut moved = false;
         for host in changed {
-            if !self.serving.refresh_host(view, hosts, ctx.options, host) {
+            if !self.serving.refresh_host(&scene, ctx.now, host) {
                 continue;
             }
             moved = true;
@@ -284,6 +293,12 @@
         match timer {
             GroupTimer::Duty if self.stopping => self.hand_over(ctx),
             GroupTimer::Duty => {
+                let scene = Scene {
+                    view,
+                    hosts,
+                    options: ctx.options,
+                };
+                self.serving.on_tick(&scene, ctx.now);
                 self.find_domains(view);
                 let names: Vec<DomainName> = self.domains.keys().cloned().collect();
                 for name in &names {
--- a/tests/group/handover.rs
+++ b/tests/group/handover.rs
@@ -43,6 +43,10 @@
     pub slow: Span,
     /// Nothing of the platform's service reaches it, nor the other way.
     pub cut: bool,
+    /// What a watch has brought while it was cut off.
+    backlog: Vec<Input>,
+    /// When the last thing that a watch brought arrives.
+    last: Time,
     pub stopped: bool,
 }
 
@@ -129,6 +133,8 @@
                 lag: Span::from_millis(5),
                 slow: DELAY,
                 cut: false,
+                backlog: Vec::new(),
+                last: Time(0),
                 stopped: false,
             });
             handover.push(Span::ZERO, Event::Input(index, Input::Start));
@@ -230,8 +236,12 @@
         self.nodes[index].stopped = true;
     }
 
+    /// Pauses a daemon, unless it is paused already.
     pub fn pause(&mut self, index: usize, lasts: Span) {
-        self.nodes[index].paused = self.now + lasts;
+        let node = &mut self.nodes[index];
+        if node.paused <= self.now {
+            node.paused = self.now + lasts;
+        }
     }
 
     /// Delivers the orders held back so far.
@@ -381,11 +391,28 @@
     /// Hands changes at the platform's service to those who watch.
     fn spread(&mut self) {
         for (index, input) in self.kv.poll(self.now) {
-            let lag = self.nodes[index].lag;
+            let input = Input::Platform(input);
             if self.nodes[index].cut {
-                continue;
+                self.nodes[index].backlog.push(input);
+            } else {
+                self.watched(index, input);
             }
-            self.push(lag, Event::Input(index, Input::Platform(input)));
+        }
+    }
+
+    /// Hands on what a watch brought, in order.
+    fn watched(&mut self, index: usize, input: Input) {
+        let node = &mut self.nodes[index];
+        node.last = node.last.max(self.now + node.lag);
+        let after = node.last.since(self.now);
+        self.push(after, Event::Input(index, input));
+    }
+
+    /// Connects a daemon with the platform's service again.
+    pub fn reconnect(&mut self, index: usize) {
+        self.nodes[index].cut = false;
+        for input in std::mem::take(&mut self.nodes[index].backlog) {
+            self.watched(index, input);
         }
     }
 
@@ -460,16 +487,37 @@
     }
 
     /// Sends work by what a daemon knows, to every group of a model in service.
+    ///
+    /// Whatever is taken must find every host of the group holding its part,
+    /// but for those that have just died.
     pub fn work(&mut self, index: usize, model: &str, lasts: Span) -> usize {
         let groups = self.nodes[index].core.groups();
         let keys = groups.serving(&model.into());
-        let found = keys.iter().filter_map(|key| groups.get(*key));
-        let leads: Vec<_> = found.map(|g| (g.hosts[0].clone(), g.epoch)).collect();
+        let found: Vec<_> = keys
+            .iter()
+            .filter_map(|key| groups.get(*key))
+            .cloned()
+            .collect();
         let now = self.now;
         let mut taken = 0;
-        for (host, epoch) in leads {
-            let runner = self.runners.get_mut(&host).expect("host is known");
-            taken += usize::from(runner.work(now, epoch, lasts));
+        for group in found {
+            let runner = self
+                .runners
+                .get_mut(&group.hosts[0])
+                .expect("host is known");
+            if !runner.work(now, group.epoch, lasts) {
+                continue;
+            }
+            taken += 1;
+            for host in &group.hosts {
+                let runner = self.runners.get_mut(host).expect("host is known");
+                if !runner.up {
+                    continue;
+                }
+                let holding = runner.holding(now);
+                assert_eq!(holding.epoch, group.epoch, "{host} holds its part");
+                assert!(holding.ready, "{host} is ready");
+            }
         }
         taken
     }
--- a/tests/group/main.rs
+++ b/tests/group/main.rs
@@ -5,6 +5,7 @@
 mod duties;
 #[path = "../fakes/mod.rs"]
 mod fakes;
+mod faults;
 mod handover;
 mod placing;
 mod repairs;
