--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -78,6 +78,11 @@
         wait_for(&format!("a line with {field}"), found)
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32);
