--- a/benches/daemon.rs
+++ b/benches/daemon.rs
@@ -270,8 +270,12 @@
         let opened = join_all(batch).await;
         streams.extend(opened.into_iter().collect::<anyhow::Result<Vec<_>>>()?);
     }
-    let open = resident(daemon)?;
-    println!("resident with {} streams open: {open} KiB", streams.len());
+    let open = status(daemon, "VmRSS:")?;
+    let threads = status(daemon, "Threads:")?;
+    println!(
+        "with {} streams open: resident {open} KiB, {threads} threads",
+        streams.len()
+    );
     Ok(())
 }
 
@@ -279,7 +283,7 @@
     let before = cpu(daemon)?;
     std::thread::sleep(IDLE_TIME);
     let used = (cpu(daemon)? - before) / IDLE_TIME.as_secs_f64();
-    println!("resident idle: {} KiB", resident(daemon)?);
+    println!("resident idle: {} KiB", status(daemon, "VmRSS:")?);
     println!("idle, {:.2}% of a core", used * 100.0);
     Ok(())
 }
@@ -293,10 +297,10 @@
     Ok(ticks as f64 / TICKS)
 }
 
-/// A daemon's resident memory, in KiB.
-fn resident(daemon: &Daemon) -> anyhow::Result<u64> {
+/// A number that the system tells of a daemon's process.
+fn status(daemon: &Daemon, field: &str) -> anyhow::Result<u64> {
     let text = std::fs::read_to_string(format!("/proc/{}/status", daemon.process.id()))?;
-    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
-    let size = line.and_then(|line| line.split_whitespace().nth(1));
-    Ok(size.context("resident size is told")?.parse()?)
+    let line = text.lines().find(|line| line.starts_with(field));
+    let value = line.and_then(|line| line.split_whitespace().nth(1));
+    Ok(value.context("the field is told")?.parse()?)
 }
