Callers who read nothing are closed

Cause: once an answer had ended, a caller that never read it kept its connection and up to 1 MiB for good; enough of them fill the connections. Ruled out: TCP_USER_TIMEOUT, which a full window that is acknowledged never meets; a limit on an answer's whole time, which ends slow readers too. Now a write of 64 KiB must make progress within caller_timeout_ms (was sender_timeout_ms).

--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -61,8 +61,8 @@
     pub max_body: usize,
     /// The most calls open at once.
     pub max_calls: usize,
-    /// How long a caller may take to send a request's head, and again its body.
-    pub sender_timeout: Duration,
+    /// How long a caller may take to send a request's head, again its body, and to read nothing.
+    pub caller_timeout: Duration,
     /// Tunables of the decision logic.
     pub options: Options,
     /// What the report holds the daemon to.
@@ -100,8 +100,8 @@
 const DEFAULT_BODY: u64 = 1 << 20;
 /// The most open calls if the settings don't say.
 const DEFAULT_CALLS: u64 = 4_000;
-/// How long a caller may take to send, if the settings don't say, in milliseconds.
-const DEFAULT_SENDER_MS: u64 = 10_000;
+/// How long a caller may stall, if the settings don't say, in milliseconds.
+const DEFAULT_CALLER_MS: u64 = 10_000;
 /// The longest span that an option may have, in milliseconds.
 const MAX_SPAN_MS: u64 = 3_600_000;
 /// The highest target; one of 1 would leave no budget to spend.
@@ -187,7 +187,7 @@
         operator_token: operator_token?,
         max_body: limits.max_body,
         max_calls: limits.max_calls,
-        sender_timeout: limits.sender_timeout,
+        caller_timeout: limits.caller_timeout,
         options: options?,
         objectives: objectives?,
     })
@@ -323,7 +323,7 @@
 struct Limits {
     max_body: usize,
     max_calls: usize,
-    sender_timeout: Duration,
+    caller_timeout: Duration,
 }
 
 fn limits(field: Option<Field>) -> Option<Limits> {
@@ -337,14 +337,14 @@
     };
     let max_body = take("max_body", MAX_BODY, DEFAULT_BODY);
     let max_calls = take("max_calls", MAX_CALLS, DEFAULT_CALLS);
-    let sender_timeout = take("sender_timeout_ms", MAX_SPAN_MS, DEFAULT_SENDER_MS);
+    let caller_timeout = take("caller_timeout_ms", MAX_SPAN_MS, DEFAULT_CALLER_MS);
     if let Some(section) = section {
         section.finish();
     }
     Some(Limits {
         max_body: max_body? as usize,
         max_calls: max_calls? as usize,
-        sender_timeout: Duration::from_millis(sender_timeout?),
+        caller_timeout: Duration::from_millis(caller_timeout?),
     })
 }
 
--- a/src/shell/callers/connections.rs
+++ b/src/shell/callers/connections.rs
@@ -57,7 +57,6 @@
 
 async fn accept(listener: TcpListener, site: Rc<Site>, tether: Tether) {
     let most = site.max_calls * CONNECTIONS_PER_CALL + SPARE_CONNECTIONS;
-    let held = Rc::new(());
     loop {
         let next = pin!(listener.accept());
         let stream = match select(next, tether.stop.clone()).await {
@@ -68,14 +67,15 @@
             }
             Either::Right(_) => return,
         };
-        if Rc::strong_count(&held) > most {
+        if site.counted.open() >= most {
             site.counted.turned_away();
             continue;
         }
-        let (site, tether, held) = (site.clone(), tether.clone(), held.clone());
+        let (site, tether) = (site.clone(), tether.clone());
         compio::runtime::spawn(async move {
-            serve(stream, site, tether).await;
-            drop(held);
+            site.counted.opened();
+            serve(stream, site.clone(), tether).await;
+            site.counted.closed();
         })
         .detach();
     }
@@ -83,7 +83,8 @@
 
 async fn serve(stream: TcpStream, site: Rc<Site>, tether: Tether) {
     let limits = Limits {
-        head: site.sender_timeout,
+        head: site.caller_timeout,
+        stall: site.caller_timeout,
         ..Limits::default()
     };
     let service = service_fn(move |request| {
--- a/src/shell/callers/counted.rs
+++ b/src/shell/callers/counted.rs
@@ -2,9 +2,10 @@
 
 use {crate::core::count::Count, std::cell::Cell};
 
-/// Counts of requests that never reached the decision logic.
+/// Connections open, and counts of what never reached the decision logic.
 #[derive(Debug, Default)]
 pub(super) struct Counted {
+    open: Cell<usize>,
     turned_away: Cell<u64>,
     full: Cell<u64>,
     bad_requests: Cell<u64>,
@@ -12,7 +13,13 @@
 
 /// Queries.
 impl Counted {
+    /// Connections open.
+    pub(super) fn open(&self) -> usize {
+        self.open.get()
+    }
+
     pub(super) fn counts(&self, counts: &mut Vec<Count>) {
+        counts.push(Count::gauge("connections_open", self.open.get() as u64));
         let kinds = [
             ("connections", &self.turned_away),
             ("calls", &self.full),
@@ -27,6 +34,16 @@
 
 /// Commands.
 impl Counted {
+    /// A connection was accepted.
+    pub(super) fn opened(&self) {
+        self.open.set(self.open.get() + 1);
+    }
+
+    /// A connection has ended.
+    pub(super) fn closed(&self) {
+        self.open.set(self.open.get() - 1);
+    }
+
     /// A connection too many was closed.
     pub(super) fn turned_away(&self) {
         self.turned_away.set(self.turned_away.get() + 1);
--- a/src/shell/callers/serve.rs
+++ b/src/shell/callers/serve.rs
@@ -40,8 +40,8 @@
     max_body: usize,
     /// The most calls open or being read.
     pub(super) max_calls: usize,
-    /// How long a caller may take to send a head, and again a body.
-    pub(super) sender_timeout: Duration,
+    /// How long a caller may take to send a head, again a body, and to read nothing.
+    pub(super) caller_timeout: Duration,
     /// What this side has counted.
     pub(super) counted: Counted,
     reading: Cell<usize>,
@@ -61,7 +61,7 @@
         clock,
         max_body: settings.max_body,
         max_calls: settings.max_calls,
-        sender_timeout: settings.sender_timeout,
+        caller_timeout: settings.caller_timeout,
         counted: Counted::default(),
         reading: Cell::new(0),
     };
@@ -221,7 +221,7 @@
     }
     let _reading = Reading::begin(&site.reading);
     let limited = Limited::new(body, site.max_body).collect();
-    let read = compio::time::timeout(site.sender_timeout, limited)
+    let read = compio::time::timeout(site.caller_timeout, limited)
         .await
         .map_err(|_| Fault::slow())?;
     match read {
--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -1,6 +1,7 @@
 //! HTTP over the loop: listening, serving connections, and connecting out.
 
 use {
+    super::stall::Guarded,
     bytes::Bytes,
     compio::net::{TcpListener, TcpStream},
     cyper_core::{CompioTimer, HyperStream},
@@ -36,6 +37,9 @@
 /// How long a caller may take to send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long a reader of an answer may take nothing of it.
+const STALL_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// How long a connection attempt may take.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -70,14 +74,16 @@
     Ok(stream)
 }
 
-/// What a connection may take of a request's head.
+/// What a connection may take.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// How long its sending may last.
+    /// How long the sending of a head may last.
     pub head: Duration,
-    /// The bytes that it and the start of the body may take.
+    /// How long an answer's reading may make no progress.
+    pub stall: Duration,
+    /// The bytes that a head and the start of the body may take.
     pub buffer: usize,
-    /// How many headers it may have.
+    /// How many headers a head may have.
     pub headers: usize,
 }
 
@@ -85,6 +91,7 @@
     fn default() -> Self {
         Self {
             head: HEAD_TIMEOUT,
+            stall: STALL_TIMEOUT,
             buffer: 64 << 10,
             headers: 64,
         }
@@ -112,12 +119,13 @@
     F: Future<Output = ()>,
 {
     let _ = stream.set_nodelay(true);
+    let stream = Guarded::new(HyperStream::new_plain(stream), limits.stall);
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.head)
         .max_buf_size(limits.buffer)
         .max_headers(limits.headers)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(stream, service);
     let mut connection = pin!(connection);
     if let Either::Right(_) = select(connection.as_mut(), pin!(stop)).await {
         connection.as_mut().graceful_shutdown();
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -17,6 +17,7 @@
 pub mod platform;
 pub mod relay;
 pub mod runners;
+mod stall;
 pub mod timers;
 
 use {
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -123,6 +123,15 @@
         self.calls.perform(CallOutput::End { call, ending });
     }
 
+    /// A page, read on a connection of its own.
+    async fn page(&self, path: &str) -> String {
+        let mut caller = Caller::connect(self).await;
+        caller
+            .send(format!("GET {path} HTTP/1.1\r\nhost: e\r\n{CLOSE}\r\n"))
+            .await;
+        caller.rest().await
+    }
+
     /// Nothing is left open, and the decision logic heard of nothing more.
     fn assert_quiet(&mut self) {
         assert_eq!(self.calls.count(), 0);
@@ -495,7 +504,7 @@
 
 #[compio::test]
 async fn slow_and_half_closed_senders_are_closed() {
-    let mut daemon = Daemon::start("{sender_timeout_ms: 100}").await;
+    let mut daemon = Daemon::start("{caller_timeout_ms: 100}").await;
     let begun = "POST /v1/completions HTTP/1.1\r\nauthorization: Bearer k\r\n";
     let mut slow_head = Caller::connect(&daemon).await;
     slow_head.send(begun).await;
@@ -642,3 +651,30 @@
         "new connections are taken"
     );
 }
+
+#[compio::test]
+async fn a_caller_who_reads_nothing_is_closed() {
+    let mut daemon = Daemon::start("{caller_timeout_ms: 300}").await;
+    let mut caller = Caller::connect(&daemon).await;
+    caller.send(post("/services/s/x", "k", "", "")).await;
+    let (call, _) = daemon.arrived().await;
+    daemon.begin(call);
+    let text = "x".repeat(900 << 10);
+    for offset in 0..15 {
+        daemon.deliver(call, offset, &text);
+        daemon.page("/health").await;
+    }
+    daemon.end(call, Ending::Complete);
+    let closed = async {
+        while !daemon
+            .page("/metrics")
+            .await
+            .contains("connections_open 1\n")
+        {}
+    };
+    let closed = compio::time::timeout(PATIENCE, closed).await;
+    closed.expect("the connection is closed in time");
+    let read = caller.rest().await;
+    assert!(read.len() < 15 * text.len(), "the answer was read whole");
+    daemon.assert_quiet();
+}
