The platform's client sends no HTTP/2 pings

Cause: hyper polls its ping timer again on a connection left idle by a call that was given up, and cyper_core's timer panics then. Seen in daemons during an outage of the platform. Ruled out: pings while idle, which hide it and cost a packet every 2 s for each daemon. Calls and watches have timeouts already.

--- a/src/shell/platform/channel.rs
+++ b/src/shell/platform/channel.rs
@@ -2,6 +2,9 @@
 //!
 //! The connection is shared by all calls. One that has failed a call is left
 //! to what still runs on it, and the next call connects to the next address.
+//! HTTP/2 pings stay off: calls and watches have timeouts of their own, and
+//! `hyper`'s pings poll a finished timer again on an idle connection, which
+//! `cyper_core`'s timers answer with a panic.
 
 use {
     super::super::http::{self, LocalExecutor},
@@ -14,15 +17,11 @@
         net::SocketAddr,
         rc::Rc,
         task::{Context, Poll},
-        time::Duration,
     },
     tonic::body::Body,
     tower_service::Service,
 };
 
-/// How often an open connection is probed, and how long it may be silent.
-const PROBE_INTERVAL: Duration = Duration::from_secs(2);
-
 /// A way to the service, reconnecting as needed.
 #[derive(Clone)]
 pub(super) struct Channel {
@@ -108,8 +107,6 @@
         let stream = HyperStream::new_plain(http::connect(peer).await?);
         let (sender, connection) = http2::Builder::new(LocalExecutor)
             .timer(CompioTimer)
-            .keep_alive_interval(PROBE_INTERVAL)
-            .keep_alive_timeout(PROBE_INTERVAL)
             .handshake(stream)
             .await
             .map_err(io::Error::other)?;
--- a/tests/config_platform.rs
+++ b/tests/config_platform.rs
@@ -27,6 +27,10 @@
         net::SocketAddr,
         path::PathBuf,
         process::{Child, Command, Stdio},
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
         time::Duration,
     },
 };
@@ -369,6 +373,26 @@
     client.insist(get("/t/a")).await;
 }
 
+/// A call given up while nothing else is open once made a timer panic.
+#[compio::test]
+async fn a_call_given_up_leaves_the_connection_sound() {
+    let panics = Arc::new(AtomicU32::new(0));
+    let counted = panics.clone();
+    std::panic::set_hook(Box::new(move |panic| {
+        eprintln!("{panic}");
+        counted.fetch_add(1, Ordering::Relaxed);
+    }));
+    let stand_in = StandIn::start(&[]);
+    let mut client = Client::new(&[stand_in.kv]);
+    for _ in 0..2 {
+        stand_in.fault("hang").await;
+        assert_eq!(client.ask(get("/t/a")).await, None);
+        stand_in.fault("ok").await;
+        client.insist(get("/t/a")).await;
+    }
+    assert_eq!(panics.load(Ordering::Relaxed), 0);
+}
+
 #[compio::test]
 async fn hosts_are_passed_on_when_the_list_changes() {
     let stand_in = StandIn::start(&[]);
