The platform's stand-in never tells progress ahead of changes

Cause: progress was answered beside the feed of changes, up to 2 ms ahead of it; a watcher then held a revision without its change.

--- a/examples/config_spread/fleet.rs
+++ b/examples/config_spread/fleet.rs
@@ -174,8 +174,8 @@
         Ok(Usage {
             cpu_ms: ticks * 1_000.0 / TICKS_PER_S,
             rss_mb: resident / 1_024.0,
-            digests: number_after(&metrics, "\nconfig_digests_total"),
-            fetches: number_after(&metrics, "\nconfig_fetches_total"),
+            digests: number_after(&metrics, "\nhickoryledge_config_digests_total"),
+            fetches: number_after(&metrics, "\nhickoryledge_config_fetches_total"),
         })
     }
 }
--- a/examples/config_spread/probe.rs
+++ b/examples/config_spread/probe.rs
@@ -55,7 +55,7 @@
     }
 
     async fn ask(&mut self, key: &str) -> anyhow::Result<StatusCode> {
-        let mut sender = match self.sender.take() {
+        let mut sender = match self.sender.take().filter(|open| !open.is_closed()) {
             Some(sender) => sender,
             None => self.connect().await?,
         };
--- a/examples/platform/kv.rs
+++ b/examples/platform/kv.rs
@@ -33,7 +33,7 @@
     },
     hyper::body::Incoming,
     send_wrapper::SendWrapper,
-    std::{convert::Infallible, future::Future, rc::Rc, time::Duration},
+    std::{cell::Cell, convert::Infallible, future::Future, rc::Rc, time::Duration},
     tonic::{Request, Response, Status, Streaming, async_trait, body::Body, codegen::Service},
 };
 
@@ -242,25 +242,17 @@
     mut requests: Streaming<WatchRequest>,
     answers: UnboundedSender<Result<WatchResponse, Status>>,
 ) {
+    let asked = Rc::new(Cell::new(false));
     while let Ok(Some(request)) = requests.message().await {
         match request.request_union {
             Some(RequestUnion::CreateRequest(create)) => {
                 world.count("watch");
-                let feed = feed_watch(world.clone(), create, answers.clone());
+                let feed = feed_watch(world.clone(), create, asked.clone(), answers.clone());
                 compio::runtime::spawn(feed).detach();
             }
             Some(RequestUnion::ProgressRequest(_)) => {
                 world.count("watch_progress");
-                if is_silent(&world) {
-                    continue;
-                }
-                // Let the feed catch up: progress must not run ahead of it.
-                compio::time::sleep(WATCH_INTERVAL * 2).await;
-                let _ = answers.unbounded_send(Ok(WatchResponse {
-                    header: Some(header(&world.store.borrow())),
-                    watch_id: -1,
-                    ..WatchResponse::default()
-                }));
+                asked.set(true);
             }
             _ => break,
         }
@@ -269,9 +261,12 @@
 }
 
 /// Sends changes until the client goes away or the watch is ended.
+///
+/// Progress is told here as well, so that it can't run ahead of the changes.
 async fn feed_watch(
     world: Rc<World>,
     create: WatchCreateRequest,
+    asked: Rc<Cell<bool>>,
     answers: UnboundedSender<Result<WatchResponse, Status>>,
 ) {
     let prefix = String::from_utf8_lossy(&create.key).into_owned();
@@ -291,8 +286,15 @@
             let _ = answers.unbounded_send(Err(Status::unavailable("broken")));
             break;
         }
-        if !is_silent(&world) && !feed(&world.store.borrow(), &prefix, &mut from, &answers) {
-            break;
+        if !is_silent(&world) {
+            if !feed(&world.store.borrow(), &prefix, &mut from, &answers) {
+                break;
+            }
+            if asked.replace(false) {
+                let last = from.0 - 1;
+                let complete = world.store.borrow().revision().0.min(last);
+                let _ = answers.unbounded_send(Ok(progress(complete)));
+            }
         }
         compio::time::sleep(WATCH_INTERVAL).await;
     }
@@ -330,6 +332,18 @@
     true
 }
 
+/// Says that a watch is complete up to a revision.
+fn progress(revision: i64) -> WatchResponse {
+    WatchResponse {
+        header: Some(ResponseHeader {
+            revision,
+            ..ResponseHeader::default()
+        }),
+        watch_id: -1,
+        ..WatchResponse::default()
+    }
+}
+
 fn is_silent(world: &World) -> bool {
     world.fault().mode == Mode::Hang
 }
