--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -155,7 +155,7 @@
 }
 
 /// How an answer ended, as a caller sees it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Answer {
     /// The status.
     pub status: u16,
@@ -556,6 +556,20 @@
     headers: &[(&str, &str)],
     body: String,
 ) -> Answer {
+    let (answer, in_time) = patient_call(PATIENCE, address, method, path, headers, body);
+    assert!(in_time, "no whole answer from {address} in {PATIENCE:?}");
+    answer
+}
+
+/// Sends one request and reads what comes until the caller goes away; tells whether it ended before.
+pub fn patient_call(
+    patience: Duration,
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: String,
+) -> (Answer, bool) {
     let mut request = Request::builder()
         .method(method)
         .uri(path)
@@ -566,42 +580,31 @@
     let request = request
         .body(Full::new(Bytes::from(body)))
         .expect("request is valid");
+    let mut answer = Answer::default();
     let runtime = compio::runtime::Runtime::new().expect("runtime starts");
-    runtime.block_on(async move {
-        match compio::time::timeout(PATIENCE, read(address, request)).await {
-            Ok(answer) => answer,
-            Err(_) => panic!("no whole answer from {address} in {PATIENCE:?}"),
-        }
-    })
+    let read = runtime.block_on(async {
+        compio::time::timeout(patience, read(address, request, &mut answer)).await
+    });
+    (answer, read.is_ok())
 }
 
-async fn read(address: SocketAddr, request: Request<Full<Bytes>>) -> Answer {
-    let mut answer = Answer {
-        status: 0,
-        outcome: String::new(),
-        body: String::new(),
-        whole: false,
-    };
+async fn read(address: SocketAddr, request: Request<Full<Bytes>>, answer: &mut Answer) {
     let Ok(response) = send_once(address, request).await else {
-        return answer;
+        return;
     };
     answer.status = response.status().as_u16();
-    let outcome = response
-        .headers()
-        .get("x-outcome")
-        .and_then(|value| value.to_str().ok());
+    let outcome = response.headers().get("x-outcome");
+    let outcome = outcome.and_then(|value| value.to_str().ok());
     answer.outcome = outcome.unwrap_or_default().to_owned();
     let mut body = response.into_body();
-    answer.whole = true;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
-            answer.whole = false;
-            break;
+            return;
         };
         let data = frame.data_ref().map(Bytes::as_ref).unwrap_or_default();
         answer.body.push_str(&String::from_utf8_lossy(data));
     }
-    answer
+    answer.whole = true;
 }
 
 /// The whole text that stand-in engines give for a prompt.
