--- a/src/core/member/hosts.rs
+++ b/src/core/member/hosts.rs
@@ -14,6 +14,7 @@
             options::Mechanism,
             time::{Span, Time},
         },
+        health::{Health, STALE, Signs, Suspicion},
         load::Digest,
     },
     rand::Rng as _,
@@ -23,51 +24,12 @@
     },
 };
 
-/// Load reports that may be missed before a host is suspected.
-const MISSES: u32 = 2;
-
-/// How long a host may be silent before it is taken for dead.
-const SILENCE: Span = Span::from_secs(5);
-
-/// Answers in a row that a host taken for dead must give to be trusted again.
-const ANSWERS: u32 = 3;
-
-/// How long what was read or told still counts, and a reading is waited for.
-const STALE: Span = Span::from_secs(5);
-
-/// How long news of leaving counts that the list hasn't confirmed.
-const EVIDENCE: Span = Span::from_secs(30);
-
-/// The first time that a request's suspicion lasts; it doubles when repeated.
-const MIN_SUSPICION: Span = Span::from_secs(2);
-
-/// The longest time that a request's suspicion lasts.
-const MAX_SUSPICION: Span = Span::from_secs(30);
-
 /// The longest wait before the list's news of leaving is told to others.
 const TELL_WITHIN: Span = Span::from_millis(500);
 
 /// How long a host that is gone from the list is remembered as dead.
 const FORGET: Span = Span::from_secs(600);
 
-/// How long a host may be missing from the list before it is gone.
-const ABSENCE: Span = Span::from_secs(1);
-
-crate::record! {
-    /// Whether a host can be worked with.
-    #[derive(Copy, Eq)]
-    pub enum Health {
-        /// Nothing speaks against it.
-        Live,
-        /// It failed to answer; it gets no new work until it does.
-        Suspect,
-        /// It is leaving; it gets no new work.
-        Leaving,
-        /// It is gone from the list, or has not answered for long.
-        Dead,
-    }
-}
-
 /// One runner host.
 #[derive(Clone, Debug)]
 pub struct Host {
@@ -80,35 +42,6 @@
     signs: Signs,
 }
 
-/// What speaks for and against a host, by source.
-#[derive(Clone, Debug, Default)]
-struct Signs {
-    absent: Option<Time>,
-    reading: Reading,
-    reported_leaving: Option<Time>,
-    heard_leaving: Option<Time>,
-    digest: Option<Health>,
-    suspicion: Option<Suspicion>,
-}
-
-/// What reading the load showed.
-#[derive(Clone, Debug, Default)]
-struct Reading {
-    asked: Option<Time>,
-    answered: Option<Time>,
-    silent: Option<Time>,
-    misses: u32,
-    answers: u32,
-    is_dead: bool,
-}
-
-/// Doubt that requests have raised.
-#[derive(Clone, Copy, Debug)]
-struct Suspicion {
-    since: Time,
-    lasts: Span,
-}
-
 /// The last digest of a domain.
 #[derive(Clone, Copy, Debug)]
 struct Told {
@@ -460,94 +393,12 @@
     }
 
     fn judge(&self, now: Time, takes_evidence: bool) -> Health {
-        let shared = self.shared_health(now, takes_evidence);
-        let is_doubted = self.signs.suspicion.is_some_and(|s| s.holds(now));
-        if shared == Health::Live && is_doubted {
-            Health::Suspect
-        } else {
-            shared
-        }
+        self.signs.health(now, self.entry.leaving, takes_evidence)
     }
 
     /// The health that other daemons are told.
     fn shared_health(&self, now: Time, takes_evidence: bool) -> Health {
-        let signs = &self.signs;
-        let seen = signs.reading.health(now).or(signs.digest);
-        let absence = signs.absent.map(|since| now.since(since));
-        if absence >= Some(ABSENCE) || seen == Some(Health::Dead) {
-            return Health::Dead;
-        }
-        let is_recent = |at: Option<Time>| at.is_some_and(|at| now.since(at) <= EVIDENCE);
-        let has_evidence = is_recent(signs.reported_leaving)
-            || is_recent(signs.heard_leaving)
-            || signs.digest == Some(Health::Leaving);
-        if self.entry.leaving || (takes_evidence && has_evidence) {
-            return Health::Leaving;
-        }
-        if absence.is_some() || seen == Some(Health::Suspect) {
-            return Health::Suspect;
-        }
-        Health::Live
-    }
-}
-
-impl Reading {
-    fn is_due(&self, now: Time, pace: Span) -> bool {
-        let Some(asked) = self.asked else {
-            return true;
-        };
-        let is_answered = self.answered.is_some_and(|at| at >= asked);
-        if !is_answered && now.since(asked) < STALE {
-            return false;
-        }
-        now.since(asked) >= pace
-    }
-
-    fn take(&mut self, now: Time, is_answer: bool) {
-        self.answered = Some(now);
-        if !is_answer {
-            self.misses += 1;
-            self.answers = 0;
-            let silent = *self.silent.get_or_insert(now);
-            self.is_dead |= self.misses > MISSES && now.since(silent) >= SILENCE;
-            return;
-        }
-        self.misses = 0;
-        self.silent = None;
-        self.answers += 1;
-        self.is_dead &= self.answers < ANSWERS;
-    }
-
-    /// The health as read; nothing if this daemon hasn't read it of late.
-    fn health(&self, now: Time) -> Option<Health> {
-        let answered = self.answered?;
-        if now.since(answered) > STALE {
-            return None;
-        }
-        Some(if self.is_dead {
-            Health::Dead
-        } else if self.misses >= MISSES {
-            Health::Suspect
-        } else {
-            Health::Live
-        })
-    }
-}
-
-impl Suspicion {
-    fn after(held: Option<Suspicion>, now: Time) -> Self {
-        let lasts = match held {
-            Some(held) if held.holds(now) => return held,
-            Some(held) if now.since(held.since) < MAX_SUSPICION.times(2) => held.lasts.times(2),
-            _ => MIN_SUSPICION,
-        };
-        Self {
-            since: now,
-            lasts: lasts.clamp(MIN_SUSPICION, MAX_SUSPICION),
-        }
-    }
-
-    fn holds(self, now: Time) -> bool {
-        now.since(self.since) < self.lasts
+        let listed = self.entry.leaving;
+        self.signs.shared_health(now, listed, takes_evidence)
     }
 }
--- a/src/core/member/load.rs
+++ b/src/core/member/load.rs
@@ -15,7 +15,8 @@
             output::{Output, RunnerOutput},
             time::{Span, Time},
         },
-        hosts::{Health, Host, Hosts},
+        health::Health,
+        hosts::{Host, Hosts},
     },
     std::collections::{BTreeMap, BTreeSet},
 };
--- a/tests/member/faults.rs
+++ b/tests/member/faults.rs
@@ -22,6 +22,7 @@
     Resume(usize),
     Split(usize),
     Mend(usize),
+    Cut(usize, usize),
     Loss(u8),
     Platform(bool),
     Wait(u64),
@@ -36,6 +37,7 @@
         node.clone().prop_map(Fault::Resume),
         (1..COUNT).prop_map(Fault::Split),
         (1..COUNT).prop_map(Fault::Mend),
+        (node.clone(), node).prop_map(|(from, to)| Fault::Cut(from, to)),
         (0..50u8).prop_map(Fault::Loss),
         any::<bool>().prop_map(Fault::Platform),
         (100..8_000u64).prop_map(Fault::Wait),
@@ -58,6 +60,7 @@
         Fault::Resume(_) => {}
         Fault::Split(at) => net.split(at, true),
         Fault::Mend(at) => net.split(at, false),
+        Fault::Cut(from, to) => net.cut(from, to, true),
         Fault::Loss(percent) => net.loss = f64::from(percent) / 100.0,
         Fault::Platform(is_heard) => net.platform(is_heard),
         Fault::Wait(millis) => net.run(Span::from_millis(millis)),
@@ -68,8 +71,8 @@
 fn mend(net: &mut Net) {
     net.loss = 0.0;
     net.platform(true);
-    for at in 1..COUNT {
-        net.split(at, false);
+    for from in 0..COUNT {
+        (0..COUNT).for_each(|to| net.cut(from, to, false));
     }
     for index in 0..COUNT {
         if !net.nodes[index].is_up {
