--- a/examples/member_cost.rs
+++ b/examples/member_cost.rs
@@ -15,7 +15,7 @@
 
 use {
     argh::FromArgs,
-    hickoryledge::core::{options::Options, time::Span},
+    hickoryledge::core::{keys::HostName, member::Health, options::Options, time::Span},
     net::{Net, Node, Sent},
     serde_json::{Value, json},
 };
@@ -41,8 +41,14 @@
     /// how long it is measured, in seconds
     #[argh(option, default = "30")]
     seconds: u64,
+    /// how many deaths, leaving hosts and cut-off daemons are timed
+    #[argh(option, default = "0")]
+    events: usize,
 }
 
+/// The longest that an event is waited for.
+const PATIENCE: Span = Span::from_secs(60);
+
 /// How long the daemons have to find each other and to place the groups.
 const WARM_UP: Span = Span::from_secs(60);
 
@@ -67,22 +73,101 @@
     let seconds = args.seconds as f64;
     let per_s = |count: u64| count as f64 / seconds;
     let spent = |node: &Node| node.spent.as_secs_f64() / seconds;
+    let share_mean = mean(&net, spent);
+    let share_max = net.nodes.iter().map(spent).fold(0.0, f64::max);
+    let load_reads = per_s(net.reads - reads);
+    let registry_calls = per_s(net.calls - calls);
+    let sent = kinds(&net, seconds, |node| node.sent);
+    let received = kinds(&net, seconds, |node| node.received);
     let report = json!({
         "daemons": args.daemons,
         "hosts": args.domains * args.hosts,
         "groups": args.domains * args.groups,
         "live_seen": net.nodes.iter().map(|n| n.core.members().live().count()).min(),
         "hosts_with_load": hosts_with_load(&net),
-        "sent_bytes_per_s": kinds(&net, seconds, |node| node.sent),
-        "received_bytes_per_s": kinds(&net, seconds, |node| node.received),
-        "load_reads_per_s": per_s(net.reads - reads),
-        "registry_calls_per_s": per_s(net.calls - calls),
-        "decision_core_share_mean": mean(&net, spent),
-        "decision_core_share_max": net.nodes.iter().map(spent).fold(0.0, f64::max),
+        "sent_bytes_per_s": sent,
+        "received_bytes_per_s": received,
+        "load_reads_per_s": load_reads,
+        "registry_calls_per_s": registry_calls,
+        "death_known_everywhere_ms": deaths(&mut net, args.events),
+        "leaving_known_everywhere_ms": leavings(&mut net, args.events),
+        "cut_off_refuses_ms": cuts(&mut net, args.events),
+        "decision_core_share_mean": share_mean,
+        "decision_core_share_max": share_max,
     });
     println!("{report:#}");
 }
 
+/// Kills daemons one after the other; the time until none thinks the dead one alive.
+fn deaths(net: &mut Net, count: usize) -> Value {
+    let mut spans = Vec::new();
+    for number in 0..count {
+        let index = 2 + number % (net.nodes.len() - 2);
+        let name = net.nodes[index].me.name.clone();
+        let run = net.nodes[index].me.incarnation.0;
+        net.kill(index);
+        let known = net.run_until(PATIENCE, |net| {
+            let others = net.nodes.iter().filter(|node| node.is_up);
+            let mut address = others.map(|node| node.core.members().address(&name, None));
+            address.all(|address| address.is_none())
+        });
+        spans.push(known.unwrap_or(PATIENCE));
+        net.restart(index, name.as_str(), run + 1);
+        net.run(Span::from_millis(7_300 + 130 * number as u64));
+    }
+    quantiles(spans)
+}
+
+/// Has the load reports of hosts say that they leave; the time until all daemons know.
+fn leavings(net: &mut Net, count: usize) -> Value {
+    let hosts: Vec<_> = net.runners.keys().cloned().collect();
+    let mut spans = Vec::new();
+    for number in 0..count {
+        let host = &hosts[number * 7 % hosts.len()];
+        set_leaving(net, host, true);
+        let known = net.run_until(PATIENCE, |net| {
+            let health = |node: &Node| node.core.hosts().get(host).map(|h| h.health);
+            let mut all = net.nodes.iter().map(health);
+            all.all(|health| health.is_none_or(|health| health == Health::Leaving))
+        });
+        spans.push(known.unwrap_or(PATIENCE));
+        set_leaving(net, host, false);
+        net.run(Span::from_millis(40_300 + 70 * number as u64));
+    }
+    quantiles(spans)
+}
+
+fn set_leaving(net: &mut Net, host: &HostName, leaving: bool) {
+    let runner = net.runners.get_mut(host).expect("a runner");
+    runner.report.leaving = leaving;
+}
+
+/// Cuts the first daemon off from all; the time until it refuses new work.
+fn cuts(net: &mut Net, count: usize) -> Value {
+    let mut spans = Vec::new();
+    for number in 0..count {
+        net.split(1, true);
+        net.nodes[0].hears_platform = false;
+        let stale = net.run_until(PATIENCE, |net| {
+            !net.nodes[0].core.members().is_fresh(net.now)
+        });
+        spans.push(stale.unwrap_or(PATIENCE));
+        net.split(1, false);
+        net.nodes[0].hears_platform = true;
+        net.run(Span::from_millis(15_000 + 190 * number as u64));
+    }
+    quantiles(spans)
+}
+
+fn quantiles(mut spans: Vec<Span>) -> Value {
+    spans.sort_unstable();
+    let Some(last) = spans.len().checked_sub(1) else {
+        return Value::Null;
+    };
+    let at = |share: f64| spans[(last as f64 * share).round() as usize].as_millis();
+    json!({ "count": spans.len(), "p50": at(0.5), "p95": at(0.95), "max": at(1.0) })
+}
+
 /// Hosts whose load the last daemon knows.
 fn hosts_with_load(net: &Net) -> usize {
     let last = net.nodes.last().expect("a daemon");
--- a/src/core/member/table.rs
+++ b/src/core/member/table.rs
@@ -76,6 +76,15 @@
         self.news.standing != Standing::Dead
     }
 
+    /// Whether it ought to run, by all that is known.
+    pub fn is_expected(&self) -> bool {
+        match self.news.standing {
+            Standing::Alive => true,
+            Standing::Leaving => false,
+            Standing::Dead => self.registered && !self.news.daemon.leaving,
+        }
+    }
+
     /// Whether callers may be sent to it.
     pub fn takes_work(&self) -> bool {
         self.news.standing == Standing::Alive && !self.news.daemon.leaving && self.is_introduced()
@@ -111,6 +120,7 @@
     members: BTreeMap<DaemonName, Member>,
     addresses: BTreeMap<SocketAddr, DaemonName>,
     up: Vec<DaemonName>,
+    expected: usize,
 }
 
 /// Queries.
@@ -137,12 +147,7 @@
 
     /// How many daemons ought to be running, by all that is known.
     pub fn expected(&self) -> usize {
-        let expected = |m: &&Member| match m.news.standing {
-            Standing::Alive => true,
-            Standing::Leaving => false,
-            Standing::Dead => m.registered && !m.news.daemon.leaving,
-        };
-        self.members.values().filter(expected).count()
+        self.expected
     }
 }
 
@@ -233,6 +238,7 @@
         }
         if let Some(member) = self.members.get_mut(name) {
             member.registered = record.is_some();
+            self.list();
         }
         changed
     }
@@ -322,6 +328,8 @@
             (address, name.clone())
         });
         self.addresses = addresses.collect();
+        let expected = self.members.values().filter(|member| member.is_expected());
+        self.expected = expected.count();
     }
 }
 
