Loads go on when the weight store allows; groups leave domains that no list names

Cause: a domain was looked at again only at the 500 ms tick, so a load held back by its budget for 0.2 s waited for 0.5 s, and a runner's next reading likewise. The round of orders now says how soon more is due.

Besides: a duty holder that knows no host of a domain at all planned nothing, so groups of a dark domain stayed there once a new daemon held the duty. It now looks for another domain all the same (groups_of_a_domain_that_no_list_names_move_too, which fails with the earlier order).

--- a/src/core/group/drive.rs
+++ b/src/core/group/drive.rs
@@ -16,7 +16,9 @@
         output::{Expect, Level, PlatformCall},
         request::Requests,
         time::Time,
+        timer::Timer,
     },
+    GroupTimer, SOON,
     budget::{self, Share},
     check,
     drain::Drains,
@@ -164,16 +166,23 @@
             weights: &weights,
             rate: self.rate,
         };
-        self.runners.on_round(ctx, &round, &mut tally.orders);
+        let soon = self.runners.on_round(ctx, &round, &mut tally.orders);
+        if let Some(soon) = soon {
+            let timer = GroupTimer::Plan(self.domain.clone());
+            ctx.timer(Timer::Group(timer), soon.max(SOON));
+        }
         let over = picture::over(&basis.record);
         self.drains
             .on_round(ctx, world, &self.domain, basis.revision, &over);
         self.steadiness.on_round(ctx.now, hosts, &self.domain);
-        if quiet || check::engines(hosts, &self.domain).next().is_none() {
+        if quiet {
             return;
         }
         self.forgets.on_round(ctx, view, &basis.record);
         self.lacks.on_round(ctx, view, hosts, &basis.record);
+        if check::engines(hosts, &self.domain).next().is_none() {
+            return;
+        }
         let picture = picture::draw(ctx, world, self, basis);
         let next = plan::next(&basis.record, &picture);
         if next != basis.record {
--- a/src/core/group/order.rs
+++ b/src/core/group/order.rs
@@ -31,6 +31,9 @@
 /// How often a runner is asked when nothing is awaited of it.
 const AUDIT: Span = Span::from_secs(20);
 
+/// The longest wait for the weight store that is worked out ahead.
+const MAX_WAIT: Span = Span::from_secs(1);
+
 /// How long after a rejected order the next one waits.
 const REJECTED_PAUSE: Span = Span::from_secs(2);
 
@@ -107,6 +110,12 @@
         self.left = (self.left + rate * since.as_secs_f64()).min(0.0);
     }
 
+    /// How long until the next load is let through, at most [`MAX_WAIT`].
+    fn wait(&self, rate: f64) -> Span {
+        let secs = -self.left / rate.max(f64::MIN_POSITIVE);
+        Span((secs * 1e6).min(MAX_WAIT.0 as f64) as u64)
+    }
+
     fn charge(&mut self, gigabytes: f64) -> bool {
         if self.left < 0.0 {
             return false;
@@ -183,9 +192,15 @@
 
 /// Commands.
 impl Runners {
-    /// Reads and orders what is due.
-    pub(super) fn on_round(&mut self, ctx: &mut Ctx, round: &Round, tally: &mut OrderTally) {
+    /// Reads and orders what is due; gives how soon more will be, if anything is awaited.
+    pub(super) fn on_round(
+        &mut self,
+        ctx: &mut Ctx,
+        round: &Round,
+        tally: &mut OrderTally,
+    ) -> Option<Span> {
         self.budget.refill(ctx.now, round.rate);
+        let mut soonest = None;
         let tasks = tasks(round.record);
         let present: BTreeSet<&HostName> = check::engines(round.hosts, round.domain)
             .map(|host| &host.entry.host)
@@ -193,8 +208,10 @@
         self.runners.retain(|host, _| present.contains(host));
         for host in check::engines(round.hosts, round.domain) {
             let task = tasks.get(&host.entry.host).unwrap_or(&Task::Free);
-            self.visit(ctx, round, host, task, tally);
+            let soon = self.visit(ctx, round, host, task, tally);
+            soonest = earlier(soonest, soon);
         }
+        soonest
     }
 
     /// Asks a host again soon.
@@ -254,6 +271,7 @@
         None
     }
 
+    /// Reads or orders one host; gives how soon to look at it again.
     fn visit(
         &mut self,
         ctx: &mut Ctx,
@@ -261,32 +279,42 @@
         host: &Host,
         task: &Task,
         tally: &mut OrderTally,
-    ) {
+    ) -> Option<Span> {
         if host.health == Health::Dead {
             self.runners.remove(&host.entry.host);
-            return;
+            return None;
         }
         let runner = self.runners.entry(host.entry.host.clone()).or_default();
         if runner.is_ordered(ctx.now) {
-            return;
+            return None;
         }
         let action = runner.holding.as_ref().and_then(|h| due(task, h));
-        runner.ask(ctx, host, awaits(task, runner.holding.as_ref()));
+        let waits = awaits(task, runner.holding.as_ref());
+        runner.ask(ctx, host, waits);
         let Some(action) = action else {
-            return;
+            return waits.then_some(POLL);
         };
         if !round.orders || ctx.now < runner.pause || host.health == Health::Suspect {
-            return;
+            return None;
         }
         if let OrderAction::Load { model, version, .. } = &action {
             let warm = runner.holds_weights(model, version);
             let size = round.weights.get(model).copied().unwrap_or(1.0);
             if !warm && !self.budget.charge(size) {
-                return;
+                return Some(self.budget.wait(round.rate));
             }
         }
         runner.send(ctx, host, action, round.fence);
         tally.sent += 1;
+        None
+    }
+}
+
+/// The shorter of two waits.
+fn earlier(a: Option<Span>, b: Option<Span>) -> Option<Span> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
     }
 }
 
--- a/tests/group/main.rs
+++ b/tests/group/main.rs
@@ -7,6 +7,7 @@
 mod fakes;
 mod faults;
 mod handover;
+mod pace;
 mod placing;
 mod repairs;
 mod runner;
--- a/tests/group/repairs.rs
+++ b/tests/group/repairs.rs
@@ -6,11 +6,16 @@
         placing::two_groups,
     },
     hickoryledge::core::{
+        config::{
+            Key,
+            record::{PlacedGroup, Placement, Stage},
+        },
         input::OrderChecks,
-        keys::HostName,
+        keys::{Epoch, HostName},
         options::{Mechanism, Options},
         time::Span,
     },
+    std::collections::BTreeMap,
 };
 
 const LIMIT: Span = Span::from_secs(120);
@@ -121,6 +126,30 @@
     assert!(handover.until(LIMIT, |h| h.serving(0, "m").len() == 3));
 }
 
+#[test]
+fn groups_of_a_domain_that_no_list_names_move_too() {
+    let mut handover = Handover::new(2, &Options::default());
+    handover.add_hosts("row", "r", 2, OrderChecks::Fenced);
+    handover.put_model(&model("m", 2, 0));
+    let placed = PlacedGroup {
+        epoch: Epoch(1),
+        hosts: vec!["h0".into(), "h1".into()],
+        model: "m".into(),
+        version: "v1".into(),
+        stage: Stage::Serving,
+        ..PlacedGroup::default()
+    };
+    let record = Placement {
+        domain: "rack".into(),
+        groups: BTreeMap::from([("a".into(), placed)]),
+        ..Placement::default()
+    };
+    handover.put(&Key::Placement("rack".into()), &record);
+    handover.put_group(&spec("a", "m", "rack"));
+    assert!(handover.until(LIMIT, |h| h.serving(0, "m").len() == 1));
+    assert!(handover.is_placed("row", "a"));
+}
+
 /// A host changes its domain while a group holds it; gives whether it was in
 /// two groups at once.
 fn moved_host(options: &Options) -> bool {
