--- a/tests/member/net.rs
+++ b/tests/member/net.rs
@@ -159,6 +159,7 @@
     pub fn restart(&mut self, index: usize, name: &str, run: u64) {
         self.nodes[index] = self.make(index, name, run);
         self.step(index, Input::Start);
+        self.list_hosts(index);
     }
 
     pub fn kill(&mut self, index: usize) {
@@ -207,13 +208,18 @@
             let name = format!("{domain}-{index:03}");
             self.runners.insert(name.as_str().into(), Runner::default());
         }
-        let entries: Vec<HostEntry> = self.runners.keys().map(host_entry).collect();
         for index in 0..self.nodes.len() {
-            let input = HostsInput::Listed(entries.clone());
-            self.step(index, Input::Hosts(input));
+            self.list_hosts(index);
         }
     }
 
+    /// Hands the list of hosts to a daemon.
+    fn list_hosts(&mut self, index: usize) {
+        let entries: Vec<HostEntry> = self.runners.keys().map(host_entry).collect();
+        let input = HostsInput::Listed(entries);
+        self.step(index, Input::Hosts(input));
+    }
+
     /// Asks for groups of so many hosts in a domain, so that somebody drives it.
     pub fn put_groups(&mut self, domain: &str, count: usize, size: u16) {
         let model = serde_json::json!({ "name": "m", "version": "1" });
