--- a/tests/group/main.rs
+++ b/tests/group/main.rs
@@ -5,7 +5,9 @@
 mod duties;
 #[path = "../fakes/mod.rs"]
 mod fakes;
+mod faults;
 mod handover;
+mod pace;
 mod placing;
 mod repairs;
 mod runner;
