--- a/tests/config_daemons.rs
+++ b/tests/config_daemons.rs
@@ -16,7 +16,9 @@
     }
     for index in 0..count {
         let up = format!("hickoryledge_members_up {}", count - 1);
-        wait_for("members", || metrics(&env, index).contains(&up).then_some(()));
+        wait_for("members", || {
+            metrics(&env, index).contains(&up).then_some(())
+        });
     }
     env
 }
