--- a/tests/group/main.rs
+++ b/tests/group/main.rs
@@ -1,6 +1,7 @@
 //! Groups, orders, repair and upgrades, by direct hand-over to one to three
 //! daemons in virtual time.
 
+mod checks;
 mod drains;
 mod duties;
 #[path = "../fakes/mod.rs"]
