What drivers count is told by /metrics

Cause: the peers' side counts through the metrics macros, for which no recorder was installed, so its counts (rejected frames among them) went nowhere. Now one recorder is installed as the loop starts, with the common prefix. Also tested: a caller that half-closes after a whole request gives it up.

--- a/src/shell/metrics.rs
+++ b/src/shell/metrics.rs
@@ -1,9 +1,15 @@
-//! Metrics: what the parts have counted, as Prometheus text.
+//! Metrics as Prometheus text: what the parts of the decision logic have
+//! counted, read when asked for, and what drivers count through the `metrics`
+//! crate's macros.
 
 use {
     crate::core::count::{Count, CountKind},
-    metrics::{Key, Label, Level, Metadata, Recorder as _},
-    metrics_exporter_prometheus::PrometheusBuilder,
+    metrics::{
+        Counter, Gauge, Histogram, Key, KeyName, Label, Level, Metadata, Recorder, SharedString,
+        Unit,
+    },
+    metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder},
+    std::sync::OnceLock,
 };
 
 /// What every name begins with.
@@ -11,15 +17,28 @@
 const METADATA: Metadata<'static> =
     Metadata::new("hickoryledge", Level::INFO, Some(module_path!()));
 
-/// The text for some counts.
+/// What the drivers of this process have counted.
+static DRIVERS: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Begins to collect what drivers count; does nothing if it has begun.
+pub fn install() {
+    DRIVERS.get_or_init(|| {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        let _ = metrics::set_global_recorder(Prefixed(recorder));
+        handle
+    });
+}
+
+/// The text for some counts and for what drivers have counted.
 pub fn render(counts: &[Count]) -> String {
-    let recorder = PrometheusBuilder::new().build_recorder();
+    let recorder = Prefixed(PrometheusBuilder::new().build_recorder());
     for count in counts {
         let labels = match &count.label {
             Some((name, value)) => vec![Label::new(*name, value.clone())],
             None => Vec::new(),
         };
-        let key = Key::from_parts(format!("{PREFIX}{}", count.name), labels);
+        let key = Key::from_parts(count.name, labels);
         match count.kind {
             CountKind::Counter => {
                 let counter = recorder.register_counter(&key, &METADATA);
@@ -31,5 +50,37 @@
             }
         }
     }
-    recorder.handle().render()
+    let mut text = recorder.0.handle().render();
+    if let Some(drivers) = DRIVERS.get() {
+        text.push_str(&drivers.render());
+    }
+    text
+}
+
+/// Puts the prefix before every name.
+struct Prefixed(PrometheusRecorder);
+
+fn prefixed(key: &Key) -> Key {
+    let name = format!("{PREFIX}{}", key.name());
+    Key::from_parts(name, key.labels().cloned().collect::<Vec<_>>())
+}
+
+impl Recorder for Prefixed {
+    fn describe_counter(&self, _key: KeyName, _unit: Option<Unit>, _text: SharedString) {}
+
+    fn describe_gauge(&self, _key: KeyName, _unit: Option<Unit>, _text: SharedString) {}
+
+    fn describe_histogram(&self, _key: KeyName, _unit: Option<Unit>, _text: SharedString) {}
+
+    fn register_counter(&self, key: &Key, metadata: &Metadata<'_>) -> Counter {
+        self.0.register_counter(&prefixed(key), metadata)
+    }
+
+    fn register_gauge(&self, key: &Key, metadata: &Metadata<'_>) -> Gauge {
+        self.0.register_gauge(&prefixed(key), metadata)
+    }
+
+    fn register_histogram(&self, key: &Key, metadata: &Metadata<'_>) -> Histogram {
+        self.0.register_histogram(&prefixed(key), metadata)
+    }
 }
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -93,6 +93,7 @@
 /// Fails if an address can't be bound, or the recording can't be written; later
 /// faults of others are counted and outlived.
 pub async fn run(settings: Settings, record: Option<&Path>, log: Logger) -> anyhow::Result<()> {
+    metrics::install();
     let clock = Clock::start();
     let (inbox, mut inputs) = Inbox::new();
     let calls = Rc::new(Calls::new(inbox.clone()));
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -26,6 +26,7 @@
             calls::{Calls, Head},
             http,
             inbox::Inbox,
+            metrics as shell_metrics,
         },
     },
     std::{cell::RefCell, net::SocketAddr, path::Path, rc::Rc, time::Duration},
@@ -521,6 +522,12 @@
     half_closed.stream.shutdown().await.expect("half is closed");
     assert!(!half_closed.rest().await.contains("HTTP/1.1 200"));
     daemon.assert_quiet();
+    let mut asked = Caller::connect(&daemon).await;
+    asked.send(completion("k", true)).await;
+    let (call, _) = daemon.arrived().await;
+    asked.stream.shutdown().await.expect("half is closed");
+    assert_eq!(daemon.gone().await, call);
+    daemon.assert_quiet();
 }
 
 #[compio::test]
@@ -678,3 +685,13 @@
     assert!(read.len() < 15 * text.len(), "the answer was read whole");
     daemon.assert_quiet();
 }
+
+#[compio::test]
+async fn what_drivers_count_is_told() {
+    let daemon = Daemon::start("{}").await;
+    shell_metrics::install();
+    metrics::counter!("frames_total", "reason" => "late").increment(2);
+    let page = daemon.page("/metrics").await;
+    let counted = "hickoryledge_frames_total{reason=\"late\"} 2\n";
+    assert!(page.contains(counted), "{page}");
+}
