--- a/src/commands/entries.rs
+++ b/src/commands/entries.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         operate::{daemon, secret},
+        patience::talk,
         table::{self, Row},
     },
     crate::{
@@ -51,11 +52,10 @@
         let reason = "neither --key nor --key-file is given";
         CommandError::local(Exit::Usage, "find the key", reason)
     })?;
-    let runtime = compio::runtime::Runtime::new()
-        .map_err(|error| CommandError::local(Exit::Failure, "start the loop", error))?;
-    let (status, body) = runtime
-        .block_on(ask(peer, &key, args.model.as_deref()))
-        .map_err(|error| CommandError::unreachable("ask", peer, format!("{error:#}")))?;
+    let (status, body) = talk(target, async {
+        let asked = ask(peer, &key, args.model.as_deref()).await;
+        asked.map_err(|error| CommandError::unreachable("ask", peer, format!("{error:#}")))
+    })?;
     if status != StatusCode::OK {
         return Err(CommandError {
             peer: Some(peer),
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod entries;
 pub mod operate;
+mod patience;
 pub mod replay;
 pub mod report;
 pub mod run;
--- a/src/commands/operate/mod.rs
+++ b/src/commands/operate/mod.rs
@@ -4,6 +4,7 @@
 mod show;
 
 use {
+    super::patience::talk,
     crate::{
         cli::{GroupCommand, Operate, Target, UpgradeCommand},
         error::CommandError,
@@ -28,9 +29,7 @@
 
 /// Carries out an operator's command.
 pub fn run(target: &Target, command: Operate) -> Result<(), CommandError> {
-    let runtime = compio::runtime::Runtime::new()
-        .map_err(|error| CommandError::local(Exit::Failure, "start the loop", error))?;
-    runtime.block_on(operate(target, command))
+    talk(target, operate(target, command))
 }
 
 async fn operate(target: &Target, command: Operate) -> Result<(), CommandError> {
--- a/src/commands/report.rs
+++ b/src/commands/report.rs
@@ -9,7 +9,7 @@
     wire::operator::BurnRequest,
 };
 
-use super::operate;
+use super::{operate, patience::talk};
 use crate::{
     cli::{ReportArgs, Target},
     error::CommandError,
@@ -52,9 +52,7 @@
 }
 
 fn of_daemon(target: &Target) -> Result<Report, CommandError> {
-    let runtime = compio::runtime::Runtime::new()
-        .map_err(|error| CommandError::local(Exit::Failure, "start the loop", error))?;
-    runtime.block_on(async {
+    talk(target, async {
         let mut session = operate::connect(target).await?;
         let reply = session.client.get_burn(BurnRequest {}).await;
         let reply = reply
