--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -29,6 +29,11 @@
             metrics as shell_metrics,
         },
     },
+    proptest::{
+        prelude::{ProptestConfig, Strategy, any},
+        sample::Index,
+        test_runner::{RngSeed, TestRunner},
+    },
     std::{cell::RefCell, net::SocketAddr, path::Path, rc::Rc, time::Duration},
 };
 
@@ -695,3 +700,67 @@
     let counted = "hickoryledge_frames_total{reason=\"late\"} 2\n";
     assert!(page.contains(counted), "{page}");
 }
+
+/// A request whose bytes are changed here and there, and cut somewhere.
+fn garbled() -> impl Strategy<Value = Vec<u8>> {
+    let changes = proptest::collection::vec((any::<Index>(), any::<u8>()), 0..4);
+    (any::<bool>(), changes, any::<Index>(), any::<bool>()).prop_map(
+        |(stream, changes, end, is_cut)| {
+            let mut bytes = completion("k", stream).into_bytes();
+            for (at, byte) in changes {
+                let at = at.index(bytes.len());
+                bytes[at] = byte;
+            }
+            if is_cut {
+                bytes.truncate(end.index(bytes.len()));
+            }
+            bytes
+        },
+    )
+}
+
+/// Sends bytes and half of a close; then nothing of them is left.
+async fn leaves_nothing(bytes: Vec<u8>) {
+    let mut daemon = Daemon::start("{caller_timeout_ms: 5000}").await;
+    let mut caller = Caller::connect(&daemon).await;
+    let _ = caller.stream.write_all(bytes).await;
+    let _ = caller.stream.shutdown().await;
+    let read = caller.rest().await;
+    let closed = async {
+        while !daemon
+            .page("/metrics")
+            .await
+            .contains("connections_open 1\n")
+        {}
+    };
+    let closed = compio::time::timeout(PATIENCE, closed).await;
+    closed.expect("the connection is closed in time");
+    assert!(!read.contains("x-outcome: complete"), "{read}");
+    assert_eq!(daemon.calls.count(), 0, "a call is left open");
+    let mut balance = 0;
+    while let Ok(input) = daemon.inputs.try_recv() {
+        match input {
+            Input::Call(CallInput::Arrived { .. } | CallInput::Entries { .. }) => balance += 1,
+            Input::Call(CallInput::Gone { .. }) => balance -= 1,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(balance, 0, "the decision logic holds a call that is gone");
+}
+
+#[test]
+fn garbled_requests_leave_nothing() {
+    let config = ProptestConfig {
+        cases: 200,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(3),
+        ..ProptestConfig::default()
+    };
+    let runtime = compio::runtime::Runtime::new().expect("the loop starts");
+    let mut runner = TestRunner::new(config);
+    let run = runner.run(&garbled(), |bytes| {
+        runtime.block_on(leaves_nothing(bytes));
+        Ok(())
+    });
+    run.unwrap_or_else(|failure| panic!("{failure}"));
+}
