--- a/examples/policies/main.rs
+++ b/examples/policies/main.rs
@@ -52,6 +52,9 @@
     /// requests a second over all daemons
     #[argh(option, default = "450")]
     rate: u64,
+    /// groups that go dark in the middle
+    #[argh(option, default = "1")]
+    dark: usize,
     /// what the load is drawn from
     #[argh(option, default = "1")]
     seed: u64,
@@ -63,7 +66,7 @@
     Snapshot(usize),
     Report(usize, Option<hickoryledge::core::input::LoadReport>),
     Runner(usize, RunnerInput),
-    Dark,
+    Dark(usize),
 }
 
 struct Bench {
@@ -187,7 +190,10 @@
                 self.rig(daemon).runner(input);
                 self.collect(daemon);
             }
-            Event::Dark => self.engines[LOST].dead = true,
+            Event::Dark(count) => {
+                let lost = self.engines.iter_mut().skip(LOST).take(count);
+                lost.for_each(|engine| engine.dead = true);
+            }
         }
     }
 
@@ -325,7 +331,7 @@
         let daemon = rng.random_range(0..DAEMONS);
         bench.later(Span(at as u64), Event::Arrive(daemon, request));
     }
-    bench.later(Span::from_secs(args.seconds / 2), Event::Dark);
+    bench.later(Span::from_secs(args.seconds / 2), Event::Dark(args.dark));
 }
 
 fn main() {
