--- a/src/core/request/arrival.rs
+++ b/src/core/request/arrival.rs
@@ -210,10 +210,15 @@
         }
     }
 
-    /// Lets a request wait, if it can be answered in time.
+    /// Lets a request wait, if it can be answered in time; one tried before goes first.
     fn enqueue(&mut self, ctx: &mut Ctx, site: &Site, key: CallKey, pool: &Pool) {
         let call = &self.calls[key];
         let share = share(ctx, site, call);
+        if call.attempts > 0 {
+            self.queues.push_first(pool, key, share, ctx.now);
+            self.calls[key].stage = Stage::Queued;
+            return;
+        }
         let predicted = self.queues.predict(pool, &share, ctx.now);
         let left = call.deadline.since(ctx.now);
         if predicted > left {
--- a/src/core/request/queue.rs
+++ b/src/core/request/queue.rs
@@ -154,6 +154,19 @@
 impl Queues {
     /// Puts a request at the end of its account's line.
     pub(super) fn push(&mut self, pool: &Pool, key: CallKey, share: Share, now: Time) {
+        let cost = share.cost;
+        let line = self.line(pool, share, now);
+        line.waiting.push_back((key, cost));
+    }
+
+    /// Puts a request at the head of its account's line.
+    pub(super) fn push_first(&mut self, pool: &Pool, key: CallKey, share: Share, now: Time) {
+        let line = self.line(pool, share, now);
+        line.waiting.push_front((key, 0));
+    }
+
+    /// The line that one more request is put into.
+    fn line(&mut self, pool: &Pool, share: Share, now: Time) -> &mut Line {
         let queue = self.pools.entry(pool.clone()).or_default();
         if queue.len == 0 {
             queue.moved = now;
@@ -165,7 +178,7 @@
         if line.waiting.is_empty() {
             line.clock = line.clock.max(level.clock);
         }
-        line.waiting.push_back((key, share.cost));
+        line
     }
 
     /// Takes out the first request of an account's line, which now starts.
