--- a/tests/request/harness.rs
+++ b/tests/request/harness.rs
@@ -43,6 +43,7 @@
     pub out: Vec<Output>,
     timers: BTreeMap<(Time, String), RequestTimer>,
     prefixes: BTreeMap<CallId, Vec<u64>>,
+    listed: Vec<HostEntry>,
 }
 
 impl Rig {
@@ -84,6 +85,7 @@
             out: Vec::new(),
             timers: BTreeMap::new(),
             prefixes: BTreeMap::new(),
+            listed: Vec::new(),
         };
         rig.put_account("clerk", 1, serde_json::json!({}));
         rig
@@ -162,8 +164,10 @@
         self.on_site();
     }
 
-    /// Takes over entries of the list of hosts.
+    /// Adds entries to the list of hosts, which is then taken over whole.
     pub fn list(&mut self, entries: Vec<HostEntry>) {
+        self.listed.extend(entries);
+        let entries = self.listed.clone();
         self.with(|parts, ctx| {
             let changed = parts.hosts.on_listed(ctx, entries);
             let (view, hosts, members) = (parts.view, &*parts.hosts, &*parts.members);
