--- a/src/core/request/claim.rs
+++ b/src/core/request/claim.rs
@@ -7,7 +7,6 @@
 use {
     super::{
         super::{
-            config::ROOT,
             ctx::Ctx,
             input::{PlatformAnswer, PlatformEntry},
             keys::{DaemonName, LeaseId, OperationId, Owner, PlatformId},
@@ -22,6 +21,9 @@
     xxhash_rust::xxh3::xxh3_128,
 };
 
+/// Where claims live: apart from the records, which every daemon lists and watches.
+const CLAIMS: &str = "/hickoryledge-claims/";
+
 /// How long a claim lasts.
 const RETENTION: Span = Span::from_secs(24 * 3_600);
 
@@ -198,5 +200,5 @@
 fn path(call: &Call) -> String {
     let own_key = call.request.idempotency_key.as_deref().unwrap_or_default();
     let hash = xxh3_128(own_key.as_bytes());
-    format!("{ROOT}claim/{}/{hash:032x}", call.account)
+    format!("{CLAIMS}{}/{hash:032x}", call.account)
 }
--- a/tests/request/once.rs
+++ b/tests/request/once.rs
@@ -3,6 +3,7 @@
 use {
     super::harness::{Rig, service_call},
     hickoryledge::core::{
+        config::ROOT,
         input::{CallRequest, Failure, PlatformAnswer, PlatformEntry, Ticket},
         keys::{Incarnation, LeaseId, Revision},
         options::Mechanism,
@@ -148,7 +149,11 @@
 fn a_key_is_claimed_before_the_start() {
     let mut rig = rig(&[]);
     rig.call(keyed("a"));
-    let (id, ..) = write(&mut rig);
+    let (id, key, _) = write(&mut rig);
+    assert!(
+        !key.starts_with(ROOT),
+        "{key} would be watched by every daemon"
+    );
     assert!(rig.sent().is_empty());
     let revision = Revision(5);
     rig.platform(id, Some(PlatformAnswer::Written { revision }));
