--- a/src/core/options.rs
+++ b/src/core/options.rs
@@ -18,6 +18,8 @@
         pub grace: Span,
         /// Retries allowed for each hundred requests.
         pub retry_percent: u32,
+        /// Retries that can be saved up.
+        pub retry_burst: u32,
         /// The daemons that an account is sent to.
         pub entry_count: u16,
         /// How long callers may keep the entries they were given.
@@ -119,6 +121,7 @@
             deadline: Span::from_secs(60),
             grace: Span::from_secs(120),
             retry_percent: 10,
+            retry_burst: 512,
             entry_count: 3,
             entry_ttl: Span::from_secs(5),
             downtime_cost: 1.0,
