Routing: a straggler keeps a share by its speed; what is kept of gone runners is swept

Cause: a runner five times slower than its peers got none of 60 requests while each of the others held 20 (the slowness counted twice), so its recovery would never be seen. Now slowness multiplies the prompt's time once, and the batch counts the request itself.

--- a/src/core/request/limits.rs
+++ b/src/core/request/limits.rs
@@ -7,7 +7,7 @@
 
 use {
     super::super::{
-        config::record::Account,
+        config::{View, record::Account},
         keys::AccountName,
         time::{Span, Time},
     },
@@ -60,6 +60,12 @@
         self.meters.entry(account.clone()).or_default().open += 1;
     }
 
+    /// Forgets accounts that are gone and have nothing open.
+    pub(super) fn sweep(&mut self, view: &View) {
+        self.meters
+            .retain(|name, meter| meter.open > 0 || view.account(name).is_some());
+    }
+
     /// Notes that a request taken in has ended.
     pub(super) fn ended(&mut self, account: &AccountName) {
         if let Some(meter) = self.meters.get_mut(account) {
--- a/src/core/request/mod.rs
+++ b/src/core/request/mod.rs
@@ -168,7 +168,11 @@
             RequestTimer::Silent(attempt) => self.on_silent(ctx, site, attempt),
             RequestTimer::Retry(_) => self.free_all(),
             RequestTimer::Queue => self.on_tick(ctx, site),
-            RequestTimer::Sweep => self.on_sweep(ctx),
+            RequestTimer::Sweep => {
+                self.router.sweep(site);
+                self.limits.sweep(site.view);
+                self.on_sweep(ctx);
+            }
             RequestTimer::Stop => self.on_grace_over(ctx),
         }
         self.pump(ctx, site);
--- a/src/core/request/prefix.rs
+++ b/src/core/request/prefix.rs
@@ -89,6 +89,18 @@
         blocks.next = next.max(after);
     }
 
+    /// Forgets the blocks of the runners that aren't to be kept.
+    pub(super) fn retain<F>(&mut self, keep: F)
+    where
+        F: Fn(&HostName) -> bool,
+    {
+        let mut gone: Vec<HostName> = self.runners.keys().cloned().collect();
+        gone.retain(|host| !keep(host));
+        for host in gone {
+            self.clear(&host);
+        }
+    }
+
     /// Forgets a runner's blocks.
     pub(super) fn clear(&mut self, host: &HostName) {
         let Some(blocks) = self.runners.remove(host) else {
--- a/src/core/request/routing.rs
+++ b/src/core/request/routing.rs
@@ -66,6 +66,12 @@
 /// Tokens that a waiting request is taken to generate.
 const MEAN_TOKENS: u64 = 128;
 
+/// One, in hundredths.
+const PERCENT: u64 = 100;
+
+/// Running requests that cost as much as one token gap.
+const BATCH_SHARE: u64 = 4;
+
 /// How long a comparison of a model's runners is used.
 const PEERS_AGE: Span = Span::from_secs(1);
 
@@ -131,12 +137,13 @@
         let tokens = u64::from(call.request.prompt_tokens);
         let matched = self.prefixes.matched(prompt, host) as u64;
         let cached = tokens * matched / (prompt.len() as u64).max(1);
-        let prefill = (tokens - cached + u64::from(load.pending)) * PREFILL.0;
+        let slowness = load.gap.0.max(peers.gap.0) * PERCENT / peers.gap.0.max(1);
+        let unprocessed = tokens - cached + u64::from(load.pending);
+        let prefill = unprocessed * PREFILL.0 * slowness / PERCENT;
         let over = u64::from(load.running.saturating_sub(load.slots));
         let queued = over * load.gap.0 * MEAN_TOKENS / u64::from(load.slots);
-        let batch = u64::from(load.running) * load.gap.0 / 8;
-        let base = prefill + queued + batch + load.gap.0;
-        base * load.gap.0.max(peers.gap.0) / peers.gap.0.max(1)
+        let batch = u64::from(load.running + 1) * load.gap.0 / BATCH_SHARE;
+        prefill + queued + batch
     }
 }
 
@@ -195,6 +202,17 @@
         self.prefixes.on_events(host, first, events);
     }
 
+    /// Forgets runners that are gone and have nothing open, and models without groups.
+    pub(super) fn sweep(&mut self, site: &Site) {
+        self.lanes
+            .retain(|host, lane| lane.open() > 0 || site.hosts.get(host).is_some());
+        let lanes = &self.lanes;
+        self.leads.retain(|host, _| lanes.contains_key(host));
+        self.prefixes.retain(|host| lanes.contains_key(host));
+        self.peers
+            .retain(|model, _| !site.groups.serving(model).is_empty());
+    }
+
     /// Notes that hosts may have come or gone.
     pub(super) fn on_site(&mut self) {
         self.services.invalidate();
--- a/tests/request/harness.rs
+++ b/tests/request/harness.rs
@@ -277,6 +277,19 @@
         suspects
     }
 
+    /// Lets a hosts' part that knows nothing take the place of this one.
+    pub fn forget_hosts(&mut self) {
+        self.hosts = Hosts::default();
+    }
+
+    /// A counted value.
+    pub fn count(&self, name: &str) -> u64 {
+        let mut counts = Vec::new();
+        self.requests.counts(&mut counts);
+        let found = counts.iter().find(|count| count.name.ends_with(name));
+        found.expect("it is counted").value
+    }
+
     /// Takes a load report, or the lack of one.
     pub fn load(&mut self, host: HostName, report: Option<LoadReport>) {
         self.with(|parts, ctx| {
--- a/tests/request/main.rs
+++ b/tests/request/main.rs
@@ -10,5 +10,6 @@
 mod harness;
 mod once;
 mod plan;
+mod routes;
 mod sharing;
 mod truth;
--- a/tests/request/sharing.rs
+++ b/tests/request/sharing.rs
@@ -191,3 +191,22 @@
     rig.on_site();
     assert_eq!(rig.sent().len(), 1, "the report is old");
 }
+
+#[test]
+fn a_limit_is_divided_among_the_daemons_that_an_account_is_sent_to() {
+    let mut rig = rig(&[]);
+    rig.put_account("metered", 9, serde_json::json!({ "rate": 9 }));
+    for daemon in 2..=6 {
+        rig.put_daemon(daemon, 1);
+    }
+    let mut taken = 0;
+    for _ in 0..100 {
+        rig.call(by(9));
+        taken += rig.sent().len();
+        rig.pass(Span::from_millis(10));
+    }
+    assert!(
+        (5..=6).contains(&taken),
+        "{taken} of 9 a second on one of 3"
+    );
+}
