--- a/src/core/group/drive.rs
+++ b/src/core/group/drive.rs
@@ -28,6 +28,7 @@
     relocate::Lacks,
     serving::Serving,
     steady::Steadiness,
+    write,
 };
 
 /// The other parts.
@@ -310,20 +311,13 @@
         }
         next.fence = self.fence;
         next.operation = ctx.operation();
-        let Ok(value) = serde_json::to_string(&next) else {
-            return;
-        };
         let expect = match basis.revision {
             Revision(0) => Expect::Absent,
             revision => Expect::At(revision),
         };
-        let put = PlatformCall::Put {
-            key: Key::Placement(self.domain.clone()).path(),
-            value,
-            expect,
-            lease: None,
-        };
-        let id = ctx.platform(Owner::Group, put);
-        self.call = Some((id, ctx.now, Call::Write(Box::new(next))));
+        let key = Key::Placement(self.domain.clone());
+        if let Some(id) = write::put(ctx, &key, &next, expect, None) {
+            self.call = Some((id, ctx.now, Call::Write(Box::new(next))));
+        }
     }
 }
--- a/src/core/group/duty.rs
+++ b/src/core/group/duty.rs
@@ -22,6 +22,7 @@
             time::{Span, Time},
         },
         drive::Site,
+        write,
     },
     std::{cmp::Reverse, collections::BTreeMap},
     xxhash_rust::xxh3::xxh3_64,
@@ -239,17 +240,10 @@
             incarnation: ctx.me.incarnation,
             operation: claim.operation,
         };
-        let Ok(value) = serde_json::to_string(&record) else {
-            return;
-        };
-        let put = PlatformCall::Put {
-            key: Key::Duty(domain.clone()).path(),
-            value,
-            expect: Expect::Absent,
-            lease: Some(lease),
-        };
-        let call = ctx.platform(Owner::Group, put);
-        self.state = State::Claiming { call, claim };
+        let key = Key::Duty(domain.clone());
+        if let Some(call) = write::put(ctx, &key, &record, Expect::Absent, Some(lease)) {
+            self.state = State::Claiming { call, claim };
+        }
     }
 
     fn on_claimed(
--- a/src/core/group/mod.rs
+++ b/src/core/group/mod.rs
@@ -7,6 +7,7 @@
 
 mod budget;
 pub mod check;
+mod domain;
 mod drain;
 mod drive;
 mod duty;
@@ -21,28 +22,29 @@
 mod serving;
 pub mod steady;
 mod upgrade;
+mod write;
 
 use {
     super::{
-        config::{Key, View, record::UpgradeState},
+        config::{Key, View},
         count::Count,
         ctx::Ctx,
         input::{Holding, OperatorRequest, OrderOutcome, PlatformAnswer},
         keys::{
             AccountName, AdapterName, DaemonName, DomainName, Epoch, GroupName, HostName,
-            ModelName, OrderId, Owner, PlatformId, Revision, VersionName,
+            ModelName, OrderId, PlatformId, Revision, VersionName,
         },
         member::{Hosts, Members},
         message::Message,
-        output::{Expect, PlatformCall},
         request::Requests,
         status::{DomainStatus, GroupStatus},
         time::{Span, Time},
         timer::Timer,
     },
+    domain::Domain,
     drain::End,
     drive::{Driver, Site, Tally, World},
-    duty::{Claimant, Turn},
+    duty::Turn,
     serving::{Scene, Serving},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -137,13 +139,6 @@
     stopping: bool,
 }
 
-/// A domain that needs a duty holder.
-#[derive(Debug, Default)]
-struct Domain {
-    claimant: Claimant,
-    driver: Option<Driver>,
-}
-
 /// Queries.
 impl Groups {
     /// The groups that a model may be routed to now.
@@ -514,7 +509,7 @@
         driver.on_tick(ctx, &world, &mut self.tally);
     }
 
-    /// Writes the end of an upgrade: first the model's version, then its state.
+    /// Writes the end of an upgrade.
     ///
     /// Left to the holder of the last domain by name, which moves last.
     fn finish_upgrade(&mut self, ctx: &mut Ctx, view: &View) {
@@ -526,37 +521,9 @@
         if self.finished.is_some_and(recent) {
             return;
         }
-        let Some(upgrade) = upgrade::finished(view) else {
-            return;
-        };
-        let Some(model) = view.model_entry(&upgrade.record.model) else {
-            return;
-        };
-        self.finished = Some(ctx.now);
-        let operation = ctx.operation();
-        let write = if model.record.version == upgrade.record.to {
-            let mut record = upgrade.record.clone();
-            record.state = UpgradeState::Done;
-            record.operation = operation;
-            let key = Key::Upgrade(record.name.clone());
-            (key, serde_json::to_string(&record), upgrade.revision)
-        } else {
-            let mut record = model.record.clone();
-            record.version = upgrade.record.to.clone();
-            record.operation = operation;
-            let key = Key::Model(record.name.clone());
-            (key, serde_json::to_string(&record), model.revision)
-        };
-        let (key, Ok(value), revision) = write else {
-            return;
-        };
-        let put = PlatformCall::Put {
-            key: key.path(),
-            value,
-            expect: Expect::At(revision),
-            lease: None,
-        };
-        ctx.platform(Owner::Group, put);
+        if upgrade::finish(ctx, view) {
+            self.finished = Some(ctx.now);
+        }
     }
 
     /// Gives duties back, each once its last order and write are over.
@@ -575,40 +542,3 @@
         }
     }
 }
-
-/// Commands.
-impl Domain {
-    fn waits_for(&self, id: PlatformId) -> bool {
-        let driver = self.driver.as_ref();
-        self.claimant.waits_for(id) || driver.is_some_and(|d| d.waits_for(id))
-    }
-
-    fn on_record_answer(
-        &mut self,
-        ctx: &mut Ctx,
-        name: &DomainName,
-        answer: Option<PlatformAnswer>,
-        tally: &mut Tally,
-    ) -> Turn {
-        let Some(driver) = &mut self.driver else {
-            return Turn::Same;
-        };
-        match driver.on_platform(ctx, answer, &mut tally.records) {
-            Some(_) => self
-                .claimant
-                .lose(ctx, name, "the record is of a later holder"),
-            None => Turn::Same,
-        }
-    }
-
-    fn turn(&mut self, ctx: &Ctx, name: &DomainName, turn: Turn) {
-        match turn {
-            Turn::Same => {}
-            Turn::Taken => {
-                let fence = self.claimant.fence(ctx.now);
-                self.driver = fence.map(|fence| Driver::new(ctx.now, name.clone(), fence));
-            }
-            Turn::Lost => self.driver = None,
-        }
-    }
-}
--- a/src/core/group/relocate.rs
+++ b/src/core/group/relocate.rs
@@ -12,12 +12,12 @@
                 record::{Placement, Stage},
             },
             ctx::Ctx,
-            keys::{DomainName, GroupName, HostName, Owner},
+            keys::{DomainName, GroupName, HostName},
             member::{Health, Host, Hosts},
-            output::{Expect, Level, PlatformCall},
+            output::{Expect, Level},
             time::{Span, Time},
         },
-        check,
+        check, write,
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -134,14 +134,6 @@
     );
     record.domain = domain;
     record.operation = ctx.operation();
-    let Ok(value) = serde_json::to_string(&record) else {
-        return;
-    };
-    let put = PlatformCall::Put {
-        key: Key::Group(name.clone()).path(),
-        value,
-        expect: Expect::At(spec.revision),
-        lease: None,
-    };
-    ctx.platform(Owner::Group, put);
+    let key = Key::Group(name.clone());
+    write::put(ctx, &key, &record, Expect::At(spec.revision), None);
 }
--- a/src/core/group/upgrade.rs
+++ b/src/core/group/upgrade.rs
@@ -8,16 +8,18 @@
 use super::{
     super::{
         config::{
-            Versioned, View,
+            Key, Versioned, View,
             record::{GroupSpec, Model, PlacedGroup, Placement, Stage, Upgrade, UpgradeState},
         },
         ctx::Ctx,
         keys::{ModelName, VersionName},
         options::Mechanism,
+        output::Expect,
     },
     budget::SPREAD,
     drive::World,
     plan::Allowance,
+    write,
 };
 
 /// Groups of a model that move at once when no upgrade says otherwise.
@@ -76,7 +78,7 @@
 }
 
 /// An upgrade whose every group holds the version, in service.
-pub(super) fn finished(view: &View) -> Option<&Versioned<Upgrade>> {
+fn finished(view: &View) -> Option<&Versioned<Upgrade>> {
     view.upgrades().find(|upgrade| {
         let Upgrade {
             model, to, state, ..
@@ -85,6 +87,31 @@
     })
 }
 
+/// Writes the next part of an upgrade's end: the model's version, then the
+/// upgrade's state. False if no upgrade is at its end.
+pub(super) fn finish(ctx: &mut Ctx, view: &View) -> bool {
+    let Some(upgrade) = finished(view) else {
+        return false;
+    };
+    let Some(model) = view.model_entry(&upgrade.record.model) else {
+        return false;
+    };
+    if model.record.version == upgrade.record.to {
+        let mut record = upgrade.record.clone();
+        record.state = UpgradeState::Done;
+        record.operation = ctx.operation();
+        let key = Key::Upgrade(record.name.clone());
+        write::put(ctx, &key, &record, Expect::At(upgrade.revision), None);
+    } else {
+        let mut record = model.record.clone();
+        record.version = upgrade.record.to.clone();
+        record.operation = ctx.operation();
+        let key = Key::Model(record.name.clone());
+        write::put(ctx, &key, &record, Expect::At(model.revision), None);
+    }
+    true
+}
+
 fn before(upgrade: &Upgrade, model: &Model) -> VersionName {
     if upgrade.from.as_str().is_empty() {
         return model.version.clone();
--- /dev/null
+++ b/src/core/group/write.rs
@@ -0,0 +1,32 @@
+//! Writing records at the platform's service.
+
+use {
+    super::super::{
+        config::Key,
+        ctx::Ctx,
+        keys::{LeaseId, Owner, PlatformId},
+        output::{Expect, PlatformCall},
+    },
+    serde::Serialize,
+};
+
+/// Writes a record if its key is as expected; nothing if it can't be put as JSON.
+pub(super) fn put<T>(
+    ctx: &mut Ctx,
+    key: &Key,
+    record: &T,
+    expect: Expect,
+    lease: Option<LeaseId>,
+) -> Option<PlatformId>
+where
+    T: Serialize,
+{
+    let value = serde_json::to_string(record).ok()?;
+    let put = PlatformCall::Put {
+        key: key.path(),
+        value,
+        expect,
+        lease,
+    };
+    Some(ctx.platform(Owner::Group, put))
+}
