--- a/src/core/group/drive.rs
+++ b/src/core/group/drive.rs
@@ -16,7 +16,9 @@
         output::{Expect, Level, PlatformCall},
         request::Requests,
         time::Time,
+        timer::Timer,
     },
+    GroupTimer, SOON,
     budget::{self, Share},
     check,
     drain::Drains,
@@ -26,6 +28,7 @@
     relocate::Lacks,
     serving::Serving,
     steady::Steadiness,
+    write,
 };
 
 /// The other parts.
@@ -164,16 +167,23 @@
             weights: &weights,
             rate: self.rate,
         };
-        self.runners.on_round(ctx, &round, &mut tally.orders);
+        let soon = self.runners.on_round(ctx, &round, &mut tally.orders);
+        if let Some(soon) = soon {
+            let timer = GroupTimer::Plan(self.domain.clone());
+            ctx.timer(Timer::Group(timer), soon.max(SOON));
+        }
         let over = picture::over(&basis.record);
         self.drains
             .on_round(ctx, world, &self.domain, basis.revision, &over);
         self.steadiness.on_round(ctx.now, hosts, &self.domain);
-        if quiet || check::engines(hosts, &self.domain).next().is_none() {
+        if quiet {
             return;
         }
         self.forgets.on_round(ctx, view, &basis.record);
         self.lacks.on_round(ctx, view, hosts, &basis.record);
+        if check::engines(hosts, &self.domain).next().is_none() {
+            return;
+        }
         let picture = picture::draw(ctx, world, self, basis);
         let next = plan::next(&basis.record, &picture);
         if next != basis.record {
@@ -301,20 +311,13 @@
         }
         next.fence = self.fence;
         next.operation = ctx.operation();
-        let Ok(value) = serde_json::to_string(&next) else {
-            return;
-        };
         let expect = match basis.revision {
             Revision(0) => Expect::Absent,
             revision => Expect::At(revision),
         };
-        let put = PlatformCall::Put {
-            key: Key::Placement(self.domain.clone()).path(),
-            value,
-            expect,
-            lease: None,
-        };
-        let id = ctx.platform(Owner::Group, put);
-        self.call = Some((id, ctx.now, Call::Write(Box::new(next))));
+        let key = Key::Placement(self.domain.clone());
+        if let Some(id) = write::put(ctx, &key, &next, expect, None) {
+            self.call = Some((id, ctx.now, Call::Write(Box::new(next))));
+        }
     }
 }
