--- a/examples/config_spread/fleet.rs
+++ b/examples/config_spread/fleet.rs
@@ -1,19 +1,17 @@
 //! The platform's stand-in and daemons, in separate processes.
 
-use {
-    anyhow::Context as _,
-    bytes::Bytes,
-    hickoryledge::shell::http,
-    http_body_util::{BodyExt as _, Full},
-    hyper::Request,
-    serde_json::{Value, json},
-    std::{
-        fs,
-        io::{BufRead as _, BufReader},
-        net::SocketAddr,
-        path::{Path, PathBuf},
-        process::{Child, Command, Stdio},
-    },
+use anyhow::Context as _;
+use bytes::Bytes;
+use hickoryledge::shell::http;
+use http_body_util::{BodyExt as _, Full};
+use hyper::Request;
+use serde_json::{Value, json};
+use std::{
+    fs,
+    io::{BufRead as _, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
 };
 
 /// The operators' token of the daemons.
--- a/examples/config_spread/main.rs
+++ b/examples/config_spread/main.rs
@@ -9,18 +9,16 @@
 mod fleet;
 mod probe;
 
-use {
-    argh::FromArgs,
-    fleet::{Fleet, Usage},
-    futures_util::future::join_all,
-    hickoryledge::{
-        client::{self, Client},
-        wire::operator::{Account, PutAccountRequest},
-    },
-    probe::Probe,
-    serde_json::{Value, json},
-    std::time::{Duration, Instant},
+use argh::FromArgs;
+use fleet::{Fleet, Usage};
+use futures_util::future::join_all;
+use hickoryledge::{
+    client::{self, Client},
+    wire::operator::{Account, PutAccountRequest},
 };
+use probe::Probe;
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
 
 /// Measures how configuration spreads.
 #[derive(FromArgs)]
--- a/examples/config_spread/probe.rs
+++ b/examples/config_spread/probe.rs
@@ -1,15 +1,13 @@
 //! Asks one daemon as a caller whether it knows a key.
 
-use {
-    bytes::Bytes,
-    cyper_core::HyperStream,
-    hickoryledge::shell::http,
-    http_body_util::{BodyExt as _, Empty},
-    hyper::{Request, StatusCode, client::conn::http1},
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+use bytes::Bytes;
+use cyper_core::HyperStream;
+use hickoryledge::shell::http;
+use http_body_util::{BodyExt as _, Empty};
+use hyper::{Request, StatusCode, client::conn::http1};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
 };
 
 /// How often a daemon is asked.
--- a/examples/costs/main.rs
+++ b/examples/costs/main.rs
@@ -6,15 +6,13 @@
 #[allow(dead_code)]
 mod harness;
 
-use {
-    argh::FromArgs,
-    harness::{Rig, Sent, model_call},
-    hickoryledge::core::{
-        input::{CallRequest, LoadReport, RunnerInput},
-        time::Span,
-    },
-    std::{hint::black_box, time::Instant},
+use argh::FromArgs;
+use harness::{Rig, Sent, model_call};
+use hickoryledge::core::{
+    input::{CallRequest, LoadReport, RunnerInput},
+    time::Span,
 };
+use std::{hint::black_box, time::Instant};
 
 /// Prompt blocks of each request.
 const BLOCKS: u64 = 16;
--- a/examples/faulted/main.rs
+++ b/examples/faulted/main.rs
@@ -11,14 +11,12 @@
 #[path = "../../tests/request/plan.rs"]
 mod plan;
 
-use {
-    argh::FromArgs,
-    proptest::{
-        strategy::{Strategy as _, ValueTree as _},
-        test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
-    },
-    std::process::ExitCode,
+use argh::FromArgs;
+use proptest::{
+    strategy::{Strategy as _, ValueTree as _},
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
+use std::process::ExitCode;
 
 /// Requests in one plan.
 const REQUESTS: usize = 40;
--- a/examples/member_cost.rs
+++ b/examples/member_cost.rs
@@ -13,12 +13,10 @@
 #[path = "../tests/group/runner.rs"]
 mod runner;
 
-use {
-    argh::FromArgs,
-    hickoryledge::core::{keys::HostName, member::Health, options::Options, time::Span},
-    net::{Net, Node, Sent},
-    serde_json::{Value, json},
-};
+use argh::FromArgs;
+use hickoryledge::core::{keys::HostName, member::Health, options::Options, time::Span};
+use net::{Net, Node, Sent};
+use serde_json::{Value, json};
 
 /// Measures what membership and load digests cost.
 #[derive(FromArgs)]
--- a/examples/platform/hosts.rs
+++ b/examples/platform/hosts.rs
@@ -1,13 +1,11 @@
 //! The list of hosts, and the stand-in's own controls.
 
-use {
-    crate::world::World,
-    bytes::Bytes,
-    http_body_util::{BodyExt as _, Full},
-    hyper::{Method, Request, Response, StatusCode, body::Incoming},
-    serde_json::{Value, json},
-    std::{convert::Infallible, rc::Rc, time::Duration},
-};
+use crate::world::World;
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use serde_json::{Value, json};
+use std::{convert::Infallible, rc::Rc, time::Duration};
 
 /// Answers one request.
 pub async fn serve(
--- a/examples/platform/main.rs
+++ b/examples/platform/main.rs
@@ -20,14 +20,12 @@
 mod store;
 mod world;
 
-use {
-    argh::FromArgs,
-    compio::net::TcpListener,
-    hickoryledge::shell::http,
-    hyper::service::service_fn,
-    std::{net::SocketAddr, rc::Rc},
-    world::World,
-};
+use argh::FromArgs;
+use compio::net::TcpListener;
+use hickoryledge::shell::http;
+use hyper::service::service_fn;
+use std::{net::SocketAddr, rc::Rc};
+use world::World;
 
 /// Stand-in for the platform.
 #[derive(FromArgs)]
--- a/examples/platform/world.rs
+++ b/examples/platform/world.rs
@@ -1,16 +1,14 @@
 //! What the stand-in holds, and how it is told to misbehave.
 
-use {
-    crate::store::Store,
-    hickoryledge::{core::time::Time, shell::Clock},
-    serde::{Deserialize, Serialize},
-    serde_json::Value,
-    std::{
-        cell::{Cell, RefCell},
-        collections::BTreeMap,
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+use crate::store::Store;
+use hickoryledge::{core::time::Time, shell::Clock};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
 };
 
 /// How the service misbehaves.
--- a/examples/policies/engine.rs
+++ b/examples/policies/engine.rs
@@ -1,13 +1,11 @@
 //! A model engine in virtual time: batches continuously, caches prompt blocks.
 
-use {
-    hickoryledge::core::{
-        input::LoadReport,
-        keys::AttemptId,
-        time::{Span, Time},
-    },
-    std::collections::{HashMap, VecDeque},
+use hickoryledge::core::{
+    input::LoadReport,
+    keys::AttemptId,
+    time::{Span, Time},
 };
+use std::collections::{HashMap, VecDeque};
 
 /// Requests run at once.
 const SLOTS: usize = 16;
--- a/examples/policies/main.rs
+++ b/examples/policies/main.rs
@@ -7,21 +7,19 @@
 #[allow(dead_code)]
 mod harness;
 
-use {
-    argh::FromArgs,
-    engine::{BLOCK, Emitted, Engine, Run},
-    harness::{Rig, model_call},
-    hdrhistogram::Histogram,
-    hickoryledge::core::{
-        input::{CallRequest, Echo, Failure, Payload, RunnerInput},
-        keys::{AttemptId, CallId, Epoch, HostName},
-        options::RoutingPolicy,
-        output::{CallOutput, Ending, Output, Route, RunnerOutput},
-        time::{Span, Time},
-    },
-    rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::collections::{BTreeMap, HashMap},
+use argh::FromArgs;
+use engine::{BLOCK, Emitted, Engine, Run};
+use harness::{Rig, model_call};
+use hdrhistogram::Histogram;
+use hickoryledge::core::{
+    input::{CallRequest, Echo, Failure, Payload, RunnerInput},
+    keys::{AttemptId, CallId, Epoch, HostName},
+    options::RoutingPolicy,
+    output::{CallOutput, Ending, Output, Route, RunnerOutput},
+    time::{Span, Time},
 };
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::collections::{BTreeMap, HashMap};
 
 const DAEMONS: usize = 4;
 const ENGINES: usize = 24;
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,20 +4,16 @@
 mod record;
 mod upgrade;
 
-pub use {
-    group::GroupCommand,
-    record::{AccountCommand, ModelCommand, ServiceCommand},
-    upgrade::UpgradeCommand,
-};
-
-use {
-    crate::exit_codes::Exit,
-    argh::{EarlyExit, FromArgs},
-    group::GroupArgs,
-    record::{AccountArgs, ModelArgs, ServiceArgs},
-    std::{net::SocketAddr, path::PathBuf},
-    upgrade::UpgradeArgs,
-};
+pub use group::GroupCommand;
+pub use record::{AccountCommand, ModelCommand, ServiceCommand};
+pub use upgrade::UpgradeCommand;
+
+use crate::exit_codes::Exit;
+use argh::{EarlyExit, FromArgs};
+use group::GroupArgs;
+use record::{AccountArgs, ModelArgs, ServiceArgs};
+use std::{net::SocketAddr, path::PathBuf};
+use upgrade::UpgradeArgs;
 
 /// The command line, read.
 pub struct Cli {
--- a/src/cli/record.rs
+++ b/src/cli/record.rs
@@ -1,6 +1,7 @@
 //! The command line of accounts, models and plain services.
 
-use {argh::FromArgs, std::path::PathBuf};
+use argh::FromArgs;
+use std::path::PathBuf;
 
 /// Create, change or delete accounts.
 #[derive(FromArgs)]
--- a/src/client.rs
+++ b/src/client.rs
@@ -1,25 +1,23 @@
 //! The operators' client of a daemon.
 
-use {
-    crate::{
-        shell::http::{LocalExecutor, connect},
-        wire::operator::operator_client::OperatorClient,
-    },
-    anyhow::Context as _,
-    cyper_core::{CompioTimer, HyperStream},
-    http::{HeaderValue, Request, Response, Uri, header},
-    hyper::{body::Incoming, client::conn::http2},
-    std::{
-        fmt,
-        future::Future,
-        net::SocketAddr,
-        pin::Pin,
-        task::{Context, Poll},
-        time::Duration,
-    },
-    tonic::body::Body,
-    tower_service::Service,
+use crate::{
+    shell::http::{LocalExecutor, connect},
+    wire::operator::operator_client::OperatorClient,
 };
+use anyhow::Context as _;
+use cyper_core::{CompioTimer, HyperStream};
+use http::{HeaderValue, Request, Response, Uri, header};
+use hyper::{body::Incoming, client::conn::http2};
+use std::{
+    fmt,
+    future::Future,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+use tonic::body::Body;
+use tower_service::Service;
 
 /// How long an operator's call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -1,9 +1,7 @@
 //! `check`: settings without a daemon.
 
-use {
-    crate::{cli::CheckArgs, error::CommandError, exit_codes::Exit},
-    hickoryledge::settings,
-};
+use crate::{cli::CheckArgs, error::CommandError, exit_codes::Exit};
+use hickoryledge::settings;
 
 /// Reads a settings file and says whether a daemon would take it.
 pub fn run(args: &CheckArgs) -> Result<(), CommandError> {
--- a/src/commands/entries.rs
+++ b/src/commands/entries.rs
@@ -1,23 +1,21 @@
 //! `entries`: which daemons a caller is to use.
 
-use {
-    super::{
-        operate::{daemon, secret},
-        patience::talk,
-        table::{self, Row},
-    },
-    crate::{
-        cli::{EntriesArgs, Target},
-        error::CommandError,
-        exit_codes::Exit,
-    },
-    bytes::Bytes,
-    hickoryledge::shell::http::send_once,
-    http::{Request, StatusCode, header},
-    http_body_util::{BodyExt as _, Empty},
-    serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+use super::{
+    operate::{daemon, secret},
+    patience::talk,
+    table::{self, Row},
 };
+use crate::{
+    cli::{EntriesArgs, Target},
+    error::CommandError,
+    exit_codes::Exit,
+};
+use bytes::Bytes;
+use hickoryledge::shell::http::send_once;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt as _, Empty};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// What a daemon answers.
 #[derive(Deserialize)]
--- a/src/commands/operate/change.rs
+++ b/src/commands/operate/change.rs
@@ -1,20 +1,18 @@
 //! Commands that change the configuration.
 
-use {
-    super::{super::table, Session, secret},
-    crate::{
-        cli::{AccountCommand, GroupCommand, ModelCommand, ServiceCommand, UpgradeCommand},
-        error::CommandError,
-        exit_codes::Exit,
-    },
-    hickoryledge::wire::operator::{
-        Account, Change, ChangeGroupRequest, CreateGroupRequest, DrainGroupRequest, Group, Model,
-        NameRequest, PutAccountRequest, PutModelRequest, PutServiceRequest, Service,
-        StartUpgradeRequest, SteerUpgradeRequest, Upgrade, UpgradeAction,
-    },
-    serde::Serialize,
-    tonic::{Response, Status},
+use super::{super::table, Session, secret};
+use crate::{
+    cli::{AccountCommand, GroupCommand, ModelCommand, ServiceCommand, UpgradeCommand},
+    error::CommandError,
+    exit_codes::Exit,
 };
+use hickoryledge::wire::operator::{
+    Account, Change, ChangeGroupRequest, CreateGroupRequest, DrainGroupRequest, Group, Model,
+    NameRequest, PutAccountRequest, PutModelRequest, PutServiceRequest, Service,
+    StartUpgradeRequest, SteerUpgradeRequest, Upgrade, UpgradeAction,
+};
+use serde::Serialize;
+use tonic::{Response, Status};
 
 /// A change that took effect.
 #[derive(Serialize)]
--- a/src/commands/operate/mod.rs
+++ b/src/commands/operate/mod.rs
@@ -3,19 +3,17 @@
 mod change;
 mod show;
 
-use {
-    super::patience::talk,
-    crate::{
-        cli::{GroupCommand, Operate, Target, UpgradeCommand},
-        error::CommandError,
-        exit_codes::Exit,
-    },
-    hickoryledge::{
-        client::{self, Client},
-        wire::operator::{StatusReply, StatusRequest},
-    },
-    std::{net::SocketAddr, path::Path},
+use super::patience::talk;
+use crate::{
+    cli::{GroupCommand, Operate, Target, UpgradeCommand},
+    error::CommandError,
+    exit_codes::Exit,
 };
+use hickoryledge::{
+    client::{self, Client},
+    wire::operator::{StatusReply, StatusRequest},
+};
+use std::{net::SocketAddr, path::Path};
 
 /// Where the token is looked for if no option gives it.
 const TOKEN_VARIABLE: &str = "HICKORYLEDGE_TOKEN";
--- a/src/commands/operate/show.rs
+++ b/src/commands/operate/show.rs
@@ -1,14 +1,12 @@
 //! Commands that show what a daemon knows.
 
-use {
-    super::{
-        super::table::{self, Row},
-        Session,
-    },
-    crate::error::CommandError,
-    hickoryledge::wire::operator::{DaemonStatus, DomainStatus, GroupStatus, UpgradeStatus},
-    serde::Serialize,
+use super::{
+    super::table::{self, Row},
+    Session,
 };
+use crate::error::CommandError;
+use hickoryledge::wire::operator::{DaemonStatus, DomainStatus, GroupStatus, UpgradeStatus};
+use serde::Serialize;
 
 /// The daemon that answers.
 #[derive(Serialize)]
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -1,14 +1,12 @@
 //! `run`: the daemon.
 
-use {
-    crate::{cli::RunArgs, error::CommandError, exit_codes::Exit, logging},
-    compio::{
-        driver::ProactorBuilder,
-        runtime::{Runtime, RuntimeBuilder},
-    },
-    hickoryledge::{settings, shell},
-    std::io,
+use crate::{cli::RunArgs, error::CommandError, exit_codes::Exit, logging};
+use compio::{
+    driver::ProactorBuilder,
+    runtime::{Runtime, RuntimeBuilder},
 };
+use hickoryledge::{settings, shell};
+use std::io;
 
 /// Threads that open and close sockets for the loop.
 const HELPER_THREADS: usize = 2;
--- a/src/core/config/change.rs
+++ b/src/core/config/change.rs
@@ -3,17 +3,15 @@
 //! Every record names the operation that wrote it and those before it, so
 //! that the same operation asked twice, on any daemons, takes effect once.
 
-use {
-    super::{
-        record::{Account, GroupSpec, Model, Upgrade, UpgradeState},
-        view::{Key, View},
-    },
-    crate::core::{
-        input::{OperatorRequest, PlatformEntry, UpgradeAction},
-        keys::{OperationId, Revision},
-    },
-    serde::{Serialize, de::DeserializeOwned},
+use super::{
+    record::{Account, GroupSpec, Model, Upgrade, UpgradeState},
+    view::{Key, View},
 };
+use crate::core::{
+    input::{OperatorRequest, PlatformEntry, UpgradeAction},
+    keys::{OperationId, Revision},
+};
+use serde::{Serialize, de::DeserializeOwned};
 
 /// How many operations a record remembers besides the last.
 const REMEMBERED_OPERATIONS: usize = 16;
--- a/src/core/config/gossip.rs
+++ b/src/core/config/gossip.rs
@@ -10,20 +10,18 @@
 //! one after the other, when nobody but themselves has had word from the
 //! platform for a while, and step back when somebody has.
 
-use {
-    super::{ConfigMessage, mirror::Mirror, view::View},
-    crate::core::{
-        ctx::Ctx,
-        keys::{DaemonName, Revision},
-        member::Members,
-        message::Message,
-        time::{Span, Time},
-        timer::{ConfigTimer, Timer},
-    },
-    rand::{Rng as _, seq::IteratorRandom as _},
-    std::net::SocketAddr,
-    xxhash_rust::xxh3::xxh3_64_with_seed,
+use super::{ConfigMessage, mirror::Mirror, view::View};
+use crate::core::{
+    ctx::Ctx,
+    keys::{DaemonName, Revision},
+    member::Members,
+    message::Message,
+    time::{Span, Time},
+    timer::{ConfigTimer, Timer},
 };
+use rand::{Rng as _, seq::IteratorRandom as _};
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How often a digest is sent without need.
 const PERIOD: Span = Span::from_millis(500);
--- a/src/core/config/mirror.rs
+++ b/src/core/config/mirror.rs
@@ -3,18 +3,16 @@
 //! The changes are kept so that a peer that lags can be given just what it
 //! lacks; one that lags further gets every entry.
 
-use {
-    super::{
-        ConfigMessage,
-        view::{Key, View},
-    },
-    crate::core::{
-        input::{PlatformEntry, WatchEvent},
-        keys::Revision,
-        time::Time,
-    },
-    std::collections::VecDeque,
+use super::{
+    ConfigMessage,
+    view::{Key, View},
 };
+use crate::core::{
+    input::{PlatformEntry, WatchEvent},
+    keys::Revision,
+    time::Time,
+};
+use std::collections::VecDeque;
 
 /// The most bytes of changes kept.
 const MAX_LOG_BYTES: usize = 512 << 10;
--- a/src/core/config/mod.rs
+++ b/src/core/config/mod.rs
@@ -13,27 +13,23 @@
 mod view;
 mod write;
 
-pub use {
-    gossip::Digest,
-    view::{Key, ROOT, Versioned, View},
-};
+pub use gossip::Digest;
+pub use view::{Key, ROOT, Versioned, View};
 
-use {
-    super::{
-        count::Count,
-        ctx::Ctx,
-        input::{OperatorRequest, PlatformAnswer, PlatformEntry, WatchEvent},
-        keys::{CommandId, DaemonName, OperationId, PlatformId, Revision},
-        member::Members,
-        options::Mechanism,
-        time::{Span, Time},
-        timer::{ConfigTimer, Timer},
-    },
-    gossip::Gossip,
-    mirror::Mirror,
-    sync::Sync,
-    write::Writes,
+use super::{
+    count::Count,
+    ctx::Ctx,
+    input::{OperatorRequest, PlatformAnswer, PlatformEntry, WatchEvent},
+    keys::{CommandId, DaemonName, OperationId, PlatformId, Revision},
+    member::Members,
+    options::Mechanism,
+    time::{Span, Time},
+    timer::{ConfigTimer, Timer},
 };
+use gossip::Gossip;
+use mirror::Mirror;
+use sync::Sync;
+use write::Writes;
 
 crate::record! {
     /// Messages between the configuration parts of two daemons.
--- a/src/core/config/record.rs
+++ b/src/core/config/record.rs
@@ -4,14 +4,12 @@
 //! know and fill in those that are missing, so that daemons of two versions
 //! can share them while an upgrade runs.
 
-use {
-    super::super::keys::{
-        AccountName, AdapterName, DaemonName, DomainName, Epoch, Fence, GroupName, HallName,
-        HostName, Incarnation, KeyHash, ModelName, OperationId, RegionName, ServiceName,
-        UpgradeName, VersionName,
-    },
-    std::{collections::BTreeMap, net::SocketAddr},
+use super::super::keys::{
+    AccountName, AdapterName, DaemonName, DomainName, Epoch, Fence, GroupName, HallName, HostName,
+    Incarnation, KeyHash, ModelName, OperationId, RegionName, ServiceName, UpgradeName,
+    VersionName,
 };
+use std::{collections::BTreeMap, net::SocketAddr};
 
 crate::record! {
     /// A client account: who may call, and its share.
--- a/src/core/config/sync.rs
+++ b/src/core/config/sync.rs
@@ -6,18 +6,16 @@
 //! listed again. Failures are retried after growing, jittered pauses, so that
 //! daemons don't come back all at once after an outage.
 
-use {
-    super::view::{ROOT, View},
-    crate::core::{
-        ctx::Ctx,
-        input::{PlatformAnswer, PlatformEntry},
-        keys::{Owner, PlatformId, Revision},
-        output::PlatformCall,
-        time::{Span, Time},
-        timer::{ConfigTimer, Timer},
-    },
-    rand::Rng as _,
+use super::view::{ROOT, View};
+use crate::core::{
+    ctx::Ctx,
+    input::{PlatformAnswer, PlatformEntry},
+    keys::{Owner, PlatformId, Revision},
+    output::PlatformCall,
+    time::{Span, Time},
+    timer::{ConfigTimer, Timer},
 };
+use rand::Rng as _;
 
 /// The pause before a failed list or watch is tried again, at first.
 const FIRST_PAUSE: Span = Span::from_millis(100);
--- a/src/core/config/view.rs
+++ b/src/core/config/view.rs
@@ -4,19 +4,17 @@
 //! `config/service/NAME`, `config/group/NAME`, `config/upgrade/NAME`,
 //! `placement/DOMAIN`, `duty/DOMAIN` and `daemon/NAME`.
 
-use {
+use super::{
     super::{
-        super::{
-            input::{PlatformEntry, WatchEvent},
-            keys::{
-                AccountName, DaemonName, DomainName, GroupName, KeyHash, ModelName, Revision,
-                ServiceName, UpgradeName,
-            },
+        input::{PlatformEntry, WatchEvent},
+        keys::{
+            AccountName, DaemonName, DomainName, GroupName, KeyHash, ModelName, Revision,
+            ServiceName, UpgradeName,
         },
-        record::{Account, Daemon, Duty, GroupSpec, Model, Placement, Service, Upgrade},
     },
-    std::collections::{BTreeMap, BTreeSet, HashMap},
+    record::{Account, Daemon, Duty, GroupSpec, Model, Placement, Service, Upgrade},
 };
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Where the system's keys live at the platform's service.
 pub const ROOT: &str = "/hickoryledge/";
--- a/src/core/config/write.rs
+++ b/src/core/config/write.rs
@@ -8,23 +8,21 @@
 //! A record is deleted by a write that says so and hangs on a lease, so that
 //! the operations that it remembers outlive it for [`DELETED_KEPT`].
 
-use {
-    super::{
-        change::{self, Plan, Stamp},
-        view::View,
-    },
-    crate::core::{
-        ctx::Ctx,
-        input::{OperatorRequest, PlatformAnswer, PlatformEntry, WatchEvent},
-        keys::{CommandId, LeaseId, OperationId, Owner, PlatformId, Revision},
-        options::Mechanism,
-        output::{Expect, OperatorAnswer, Output, PlatformCall},
-        time::{Span, Time},
-        timer::{ConfigTimer, Timer},
-    },
-    rand::Rng as _,
-    std::collections::BTreeMap,
+use super::{
+    change::{self, Plan, Stamp},
+    view::View,
+};
+use crate::core::{
+    ctx::Ctx,
+    input::{OperatorRequest, PlatformAnswer, PlatformEntry, WatchEvent},
+    keys::{CommandId, LeaseId, OperationId, Owner, PlatformId, Revision},
+    options::Mechanism,
+    output::{Expect, OperatorAnswer, Output, PlatformCall},
+    time::{Span, Time},
+    timer::{ConfigTimer, Timer},
 };
+use rand::Rng as _;
+use std::collections::BTreeMap;
 
 /// How long an operator's write is tried.
 const WRITE_TIMEOUT: Span = Span::from_secs(8);
--- a/src/core/ctx.rs
+++ b/src/core/ctx.rs
@@ -1,20 +1,18 @@
 //! What every part of the decision logic is handed with an event.
 
-use {
-    super::{
-        keys::{
-            AttemptId, DaemonName, HallName, Incarnation, OperationId, OrderId, Owner, PlatformId,
-            RegionName,
-        },
-        message::Message,
-        options::Options,
-        output::{Event, Level, Output, PlatformCall, Transport},
-        time::{Span, Time},
-        timer::Timer,
+use super::{
+    keys::{
+        AttemptId, DaemonName, HallName, Incarnation, OperationId, OrderId, Owner, PlatformId,
+        RegionName,
     },
-    rand::{RngCore, SeedableRng, rngs::SmallRng},
-    std::net::SocketAddr,
+    message::Message,
+    options::Options,
+    output::{Event, Level, Output, PlatformCall, Transport},
+    time::{Span, Time},
+    timer::Timer,
 };
+use rand::{RngCore, SeedableRng, rngs::SmallRng};
+use std::net::SocketAddr;
 
 crate::record! {
     /// Who this daemon is.
--- a/src/core/group/budget.rs
+++ b/src/core/group/budget.rs
@@ -6,21 +6,19 @@
 //! share of the second half only once every daemon must have seen it, so the
 //! shares in use never add up to more than the whole.
 
-use {
+use super::{
     super::{
-        super::{
-            config::{
-                View,
-                record::{Placement, Stage},
-            },
-            ctx::Ctx,
-            keys::{DomainName, ModelName},
-            time::{Span, Time},
+        config::{
+            View,
+            record::{Placement, Stage},
         },
-        check,
+        ctx::Ctx,
+        keys::{DomainName, ModelName},
+        time::{Span, Time},
     },
-    std::collections::BTreeMap,
+    check,
 };
+use std::collections::BTreeMap;
 
 /// How long a change may take to be in force on every daemon.
 pub(super) const SPREAD: Span = Span::from_secs(5);
--- a/src/core/group/check.rs
+++ b/src/core/group/check.rs
@@ -1,20 +1,18 @@
 //! Checks: of a placement before it is written, and of operators' requests.
 
-use {
+use super::{
     super::{
-        super::{
-            config::{
-                View,
-                record::{GroupSpec, Model, Placement, Upgrade, UpgradeState},
-            },
-            input::{OperatorRequest, RunnerKind},
-            keys::{DomainName, HostName, ModelName},
-            member::{Health, Host, Hosts},
+        config::{
+            View,
+            record::{GroupSpec, Model, Placement, Upgrade, UpgradeState},
         },
-        place,
+        input::{OperatorRequest, RunnerKind},
+        keys::{DomainName, HostName, ModelName},
+        member::{Health, Host, Hosts},
     },
-    std::collections::BTreeSet,
+    place,
 };
+use std::collections::BTreeSet;
 
 /// Finds fault with a placement that is about to be written.
 ///
--- a/src/core/group/drain.rs
+++ b/src/core/group/drain.rs
@@ -4,24 +4,22 @@
 //! it, and reads the runners again after the last answer. A daemon that is no
 //! longer live is waited for as long as it may serve without hearing anyone.
 
-use {
+use super::{
     super::{
-        super::{
-            config::View,
-            ctx::Ctx,
-            keys::{DaemonName, DomainName, Epoch, GroupName, Revision},
-            member::Members,
-            message::Message,
-            options::Mechanism,
-            request::Requests,
-            time::{Span, Time},
-        },
-        GroupMessage,
-        drive::{Site, World},
-        serving::Serving,
+        config::View,
+        ctx::Ctx,
+        keys::{DaemonName, DomainName, Epoch, GroupName, Revision},
+        member::Members,
+        message::Message,
+        options::Mechanism,
+        request::Requests,
+        time::{Span, Time},
     },
-    std::collections::BTreeMap,
+    GroupMessage,
+    drive::{Site, World},
+    serving::Serving,
 };
+use std::collections::BTreeMap;
 
 /// How often daemons that have not answered are asked again.
 const ASK_PERIOD: Span = Span::from_millis(500);
--- a/src/core/group/duty.rs
+++ b/src/core/group/duty.rs
@@ -4,29 +4,27 @@
 //! fencing number. It trusts its own clock alone: a renewal counts from when
 //! it was sent, and the duty ends a margin before the lease can.
 
-use {
+use super::{
     super::{
-        super::{
-            config::{
-                Key,
-                record::{Daemon, Duty},
-            },
-            ctx::Ctx,
-            input::{PlatformAnswer, PlatformEntry},
-            keys::{
-                DaemonName, DomainName, Fence, HallName, LeaseId, OperationId, Owner, PlatformId,
-                RegionName,
-            },
-            options::Mechanism,
-            output::{Expect, Level, PlatformCall},
-            time::{Span, Time},
+        config::{
+            Key,
+            record::{Daemon, Duty},
         },
-        drive::Site,
-        write,
+        ctx::Ctx,
+        input::{PlatformAnswer, PlatformEntry},
+        keys::{
+            DaemonName, DomainName, Fence, HallName, LeaseId, OperationId, Owner, PlatformId,
+            RegionName,
+        },
+        options::Mechanism,
+        output::{Expect, Level, PlatformCall},
+        time::{Span, Time},
     },
-    std::{cmp::Reverse, collections::BTreeMap},
-    xxhash_rust::xxh3::xxh3_64,
+    drive::Site,
+    write,
 };
+use std::{cmp::Reverse, collections::BTreeMap};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The part of a lease that a holder leaves unused, as a divisor.
 const MARGIN_PART: u64 = 5;
--- a/src/core/group/forget.rs
+++ b/src/core/group/forget.rs
@@ -4,16 +4,14 @@
 //! than an operator's write is tried, so that a repeated operation still
 //! finds the record that remembers it.
 
-use {
-    super::super::{
-        config::{Key, View, record::Placement},
-        ctx::Ctx,
-        keys::{GroupName, Owner},
-        output::{Expect, PlatformCall},
-        time::{Span, Time},
-    },
-    std::collections::BTreeMap,
+use super::super::{
+    config::{Key, View, record::Placement},
+    ctx::Ctx,
+    keys::{GroupName, Owner},
+    output::{Expect, PlatformCall},
+    time::{Span, Time},
 };
+use std::collections::BTreeMap;
 
 /// How long a deleted group's record is kept after its hosts are free.
 const KEPT: Span = Span::from_secs(10);
--- a/src/core/group/mod.rs
+++ b/src/core/group/mod.rs
@@ -24,32 +24,30 @@
 mod upgrade;
 mod write;
 
-use {
-    super::{
-        config::{Key, View},
-        count::Count,
-        ctx::Ctx,
-        input::{Holding, OperatorRequest, OrderOutcome, PlatformAnswer},
-        keys::{
-            AccountName, AdapterName, DaemonName, DomainName, Epoch, GroupName, HostName,
-            ModelName, OrderId, PlatformId, Revision, VersionName,
-        },
-        member::{Hosts, Members},
-        message::Message,
-        request::Requests,
-        status::{DomainStatus, GroupStatus},
-        time::{Span, Time},
-        timer::Timer,
-    },
-    domain::Domain,
-    drain::End,
-    drive::{Driver, Site, Tally, World},
-    duty::Turn,
-    serving::{Scene, Serving},
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
+use super::{
+    config::{Key, View},
+    count::Count,
+    ctx::Ctx,
+    input::{Holding, OperatorRequest, OrderOutcome, PlatformAnswer},
+    keys::{
+        AccountName, AdapterName, DaemonName, DomainName, Epoch, GroupName, HostName, ModelName,
+        OrderId, PlatformId, Revision, VersionName,
     },
+    member::{Hosts, Members},
+    message::Message,
+    request::Requests,
+    status::{DomainStatus, GroupStatus},
+    time::{Span, Time},
+    timer::Timer,
+};
+use domain::Domain;
+use drain::End;
+use drive::{Driver, Site, Tally, World};
+use duty::Turn;
+use serving::{Scene, Serving};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
 };
 
 crate::record! {
--- a/src/core/group/order.rs
+++ b/src/core/group/order.rs
@@ -4,23 +4,19 @@
 //! lost answer, and now and then. An order carries the fencing number and the
 //! epoch; epochs grow, so a late or repeated order changes nothing.
 
-use {
+use super::{
     super::{
-        super::{
-            config::record::{PlacedGroup, Placement, Stage},
-            ctx::Ctx,
-            input::{Holding, OrderOutcome},
-            keys::{
-                DomainName, Epoch, Fence, GroupName, HostName, ModelName, OrderId, VersionName,
-            },
-            member::{Health, Host, Hosts},
-            output::{Level, OrderAction, Output, RunnerOutput},
-            time::{Span, Time},
-        },
-        check,
+        config::record::{PlacedGroup, Placement, Stage},
+        ctx::Ctx,
+        input::{Holding, OrderOutcome},
+        keys::{DomainName, Epoch, Fence, GroupName, HostName, ModelName, OrderId, VersionName},
+        member::{Health, Host, Hosts},
+        output::{Level, OrderAction, Output, RunnerOutput},
+        time::{Span, Time},
     },
-    std::collections::{BTreeMap, BTreeSet},
+    check,
 };
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How long an order may take to have its effect, or never to have one.
 pub(super) const ORDER_TIMEOUT: Span = Span::from_secs(3);
--- a/src/core/group/picture.rs
+++ b/src/core/group/picture.rs
@@ -1,27 +1,25 @@
 //! Draws the planner's picture of a domain from what its duty holder knows.
 
-use {
+use super::{
     super::{
-        super::{
-            config::{
-                View,
-                record::{PlacedGroup, Placement, Stage},
-            },
-            ctx::Ctx,
-            keys::{Epoch, GroupName, HostName, ModelName},
-            options::Mechanism,
-            time::Span,
+        config::{
+            View,
+            record::{PlacedGroup, Placement, Stage},
         },
-        check,
-        drain::Over,
-        drive::{Basis, Driver, World},
-        place,
-        plan::{Allowance, Condition, Picture, Wanted},
-        repair::{Costs, Policy},
-        upgrade,
+        ctx::Ctx,
+        keys::{Epoch, GroupName, HostName, ModelName},
+        options::Mechanism,
+        time::Span,
     },
-    std::collections::{BTreeMap, BTreeSet},
+    check,
+    drain::Over,
+    drive::{Basis, Driver, World},
+    place,
+    plan::{Allowance, Condition, Picture, Wanted},
+    repair::{Costs, Policy},
+    upgrade,
 };
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The lowest rate that load times are estimated with, in gigabytes a second.
 const MIN_RATE: f64 = 0.01;
--- a/src/core/group/place.rs
+++ b/src/core/group/place.rs
@@ -1,12 +1,10 @@
 //! Choosing hosts.
 
-use {
-    super::{
-        super::{config::record::Placement, keys::HostName},
-        plan::{Condition, Picture, Wanted},
-    },
-    std::collections::BTreeSet,
+use super::{
+    super::{config::record::Placement, keys::HostName},
+    plan::{Condition, Picture, Wanted},
 };
+use std::collections::BTreeSet;
 
 /// Every host that a record gives to a group, as often as it does.
 pub fn used(record: &Placement) -> impl Iterator<Item = &HostName> {
--- a/src/core/group/plan.rs
+++ b/src/core/group/plan.rs
@@ -5,17 +5,15 @@
 //! goes on where another one left off. It never names a host twice; the
 //! record is checked again before it is written (`check`).
 
-use {
+use super::{
     super::{
-        super::{
-            config::record::{PlacedGroup, Placement, Retiring, Stage},
-            keys::{AdapterName, Epoch, GroupName, HostName, ModelName, VersionName},
-            time::Span,
-        },
-        place, repair,
+        config::record::{PlacedGroup, Placement, Retiring, Stage},
+        keys::{AdapterName, Epoch, GroupName, HostName, ModelName, VersionName},
+        time::Span,
     },
-    std::collections::{BTreeMap, BTreeSet},
+    place, repair,
 };
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A group as operators want it, with its model's defaults filled in.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/core/group/relocate.rs
+++ b/src/core/group/relocate.rs
@@ -4,23 +4,21 @@
 //! after the lack has lasted for a while. The group is never moved back by
 //! itself, so a flapping domain moves it once at most.
 
-use {
+use super::{
     super::{
-        super::{
-            config::{
-                Key, View,
-                record::{Placement, Stage},
-            },
-            ctx::Ctx,
-            keys::{DomainName, GroupName, HostName},
-            member::{Health, Host, Hosts},
-            output::{Expect, Level},
-            time::{Span, Time},
+        config::{
+            Key, View,
+            record::{Placement, Stage},
         },
-        check, write,
+        ctx::Ctx,
+        keys::{DomainName, GroupName, HostName},
+        member::{Health, Host, Hosts},
+        output::{Expect, Level},
+        time::{Span, Time},
     },
-    std::collections::{BTreeMap, BTreeSet},
+    check, write,
 };
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a domain must lack the hosts for a group before it is moved.
 pub const LACK: Span = Span::from_secs(60);
--- a/src/core/group/repair.rs
+++ b/src/core/group/repair.rs
@@ -4,18 +4,16 @@
 //! accelerator-seconds stranded, at the operators' costs. Waiting wins unless
 //! another way is cheaper by a margin, so that small differences move nothing.
 
-use {
+use super::{
     super::{
-        super::{
-            config::record::{PlacedGroup, Placement, Stage},
-            keys::{GroupName, HostName, ModelName},
-            time::Span,
-        },
-        place,
-        plan::{Condition, Picture, Wanted},
+        config::record::{PlacedGroup, Placement, Stage},
+        keys::{GroupName, HostName, ModelName},
+        time::Span,
     },
-    std::collections::BTreeSet,
+    place,
+    plan::{Condition, Picture, Wanted},
 };
+use std::collections::BTreeSet;
 
 /// How far ahead the ways are priced.
 const HORIZON: Span = Span::from_secs(900);
--- a/src/core/group/report.rs
+++ b/src/core/group/report.rs
@@ -1,22 +1,20 @@
 //! The groups' part of the report.
 
-use {
+use super::{
     super::{
-        super::{
-            config::{
-                View,
-                record::{GroupSpec, PlacedGroup, Stage},
-            },
-            keys::{DomainName, HostName},
-            member::{Health, Host, Hosts},
-            status::{DomainStatus, GroupStatus},
+        config::{
+            View,
+            record::{GroupSpec, PlacedGroup, Stage},
         },
-        check, place,
-        serving::Serving,
-        upgrade,
+        keys::{DomainName, HostName},
+        member::{Health, Host, Hosts},
+        status::{DomainStatus, GroupStatus},
     },
-    std::collections::BTreeSet,
+    check, place,
+    serving::Serving,
+    upgrade,
 };
+use std::collections::BTreeSet;
 
 /// Every group wanted, by name.
 pub(super) fn groups(view: &View, hosts: &Hosts, serving: &Serving) -> Vec<GroupStatus> {
--- a/src/core/group/serving.rs
+++ b/src/core/group/serving.rs
@@ -5,23 +5,21 @@
 //! service at the first evidence, with no word from a duty holder. A change
 //! touches only the groups that it concerns.
 
-use {
+use super::{
     super::{
-        super::{
-            config::{
-                View,
-                record::{PlacedGroup, Stage},
-            },
-            keys::{DomainName, Epoch, GroupName, HostName, ModelName},
-            member::{Health, Hosts},
-            options::{Mechanism, Options},
-            time::{Span, Time},
+        config::{
+            View,
+            record::{PlacedGroup, Stage},
         },
-        GroupKey, ServingGroup,
+        keys::{DomainName, Epoch, GroupName, HostName, ModelName},
+        member::{Health, Hosts},
+        options::{Mechanism, Options},
+        time::{Span, Time},
     },
-    slotmap::SlotMap,
-    std::collections::{BTreeMap, BTreeSet},
+    GroupKey, ServingGroup,
 };
+use slotmap::SlotMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a group waits after a dead host of it came back: its duty holder
 /// finds out first whether the host still holds what it did.
--- a/src/core/group/steady.rs
+++ b/src/core/group/steady.rs
@@ -4,18 +4,16 @@
 //! spare only after it has been back for a while; that time doubles with each
 //! recent loss.
 
-use {
+use super::{
     super::{
-        super::{
-            keys::{DomainName, HostName},
-            member::{Health, Hosts},
-            time::{Span, Time},
-        },
-        check,
-        plan::Condition,
+        keys::{DomainName, HostName},
+        member::{Health, Hosts},
+        time::{Span, Time},
     },
-    std::collections::BTreeMap,
+    check,
+    plan::Condition,
 };
+use std::collections::BTreeMap;
 
 /// How long a dead host is waited for before its group is repaired.
 const HOLD: Span = Span::from_secs(2);
--- a/src/core/group/write.rs
+++ b/src/core/group/write.rs
@@ -1,14 +1,12 @@
 //! Writing records at the platform's service.
 
-use {
-    super::super::{
-        config::Key,
-        ctx::Ctx,
-        keys::{LeaseId, Owner, PlatformId},
-        output::{Expect, PlatformCall},
-    },
-    serde::Serialize,
+use super::super::{
+    config::Key,
+    ctx::Ctx,
+    keys::{LeaseId, Owner, PlatformId},
+    output::{Expect, PlatformCall},
 };
+use serde::Serialize;
 
 /// Writes a record if its key is as expected; nothing if it can't be put as JSON.
 pub(super) fn put<T>(
--- a/src/core/input.rs
+++ b/src/core/input.rs
@@ -4,21 +4,19 @@
 //! back, so that any run can be recorded and replayed. Request bodies stay in
 //! the shell; the decision logic sees their shape only.
 
-use {
-    super::{
-        config::record::{Account, GroupSpec, Model, Service, Upgrade},
-        keys::{
-            AccountName, AdapterName, AttemptId, CallId, CommandId, DaemonName, DomainName, Epoch,
-            Fence, GroupName, HallName, HostName, Incarnation, KeyHash, LeaseId, ModelName,
-            OperationId, OrderId, PlatformId, Revision, ServiceName, UpgradeName, VersionName,
-        },
-        message::Message,
-        time::Span,
-        timer::Timer,
+use super::{
+    config::record::{Account, GroupSpec, Model, Service, Upgrade},
+    keys::{
+        AccountName, AdapterName, AttemptId, CallId, CommandId, DaemonName, DomainName, Epoch,
+        Fence, GroupName, HallName, HostName, Incarnation, KeyHash, LeaseId, ModelName,
+        OperationId, OrderId, PlatformId, Revision, ServiceName, UpgradeName, VersionName,
     },
-    bytes::Bytes,
-    std::net::SocketAddr,
+    message::Message,
+    time::Span,
+    timer::Timer,
 };
+use bytes::Bytes;
+use std::net::SocketAddr;
 
 crate::record! {
     /// One event for the decision logic.
--- a/src/core/member/discovery.rs
+++ b/src/core/member/discovery.rs
@@ -5,16 +5,14 @@
 //! it ranks first for move. Among the few, near ones come first and the rest in
 //! random order, so that an account's callers spread over them.
 
-use {
-    super::super::{
-        ctx::Ctx,
-        keys::{AccountName, DaemonName, HallName, RegionName},
-        output::EntryAddress,
-    },
-    rand::seq::SliceRandom as _,
-    std::net::SocketAddr,
-    xxhash_rust::xxh3::Xxh3,
+use super::super::{
+    ctx::Ctx,
+    keys::{AccountName, DaemonName, HallName, RegionName},
+    output::EntryAddress,
 };
+use rand::seq::SliceRandom as _;
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::Xxh3;
 
 /// A daemon that callers may be sent to.
 #[derive(Clone, Copy, Debug)]
--- a/src/core/member/fresh.rs
+++ b/src/core/member/fresh.rs
@@ -5,10 +5,8 @@
 //! daemon can't hear all the others in that time, the answers to its probes,
 //! which go round all of them in random order, stand for the rest.
 
-use {
-    super::super::time::{Span, Time},
-    std::collections::VecDeque,
-};
+use super::super::time::{Span, Time};
+use std::collections::VecDeque;
 
 /// The most probe results kept.
 const MAX_RESULTS: usize = 64;
--- a/src/core/member/hosts.rs
+++ b/src/core/member/hosts.rs
@@ -4,24 +4,22 @@
 //! reports, if this daemon reads them; digests of the daemon that does; news of
 //! leaving from anywhere; and requests that found the host silent.
 
-use {
+use super::{
     super::{
-        super::{
-            count::Count,
-            ctx::Ctx,
-            input::{HostEntry, LoadReport},
-            keys::{DomainName, HostName, Revision},
-            options::Mechanism,
-            time::{Span, Time},
-        },
-        health::{Health, STALE, Signs, Suspicion},
-        load::Digest,
-    },
-    rand::Rng as _,
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
+        count::Count,
+        ctx::Ctx,
+        input::{HostEntry, LoadReport},
+        keys::{DomainName, HostName, Revision},
+        options::Mechanism,
+        time::{Span, Time},
     },
+    health::{Health, STALE, Signs, Suspicion},
+    load::Digest,
+};
+use rand::Rng as _;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
 };
 
 /// The longest wait before the list's news of leaving is told to others.
--- a/src/core/member/liveness.rs
+++ b/src/core/member/liveness.rs
@@ -1,23 +1,21 @@
 //! Keeping the table of daemons current: probes, news, and this daemon's own standing.
 
-use {
+use super::{
     super::{
-        super::{
-            ctx::Ctx,
-            keys::{DaemonName, Incarnation},
-            message::Message,
-            output::Level,
-            time::{Span, Time},
-            timer::Timer,
-        },
-        Gossip, MemberMessage, MemberTimer, Members, News,
-        probe::{self, HELPERS, PERIOD},
-        registry,
-        table::{Delta, Heard, Standing},
+        ctx::Ctx,
+        keys::{DaemonName, Incarnation},
+        message::Message,
+        output::Level,
+        time::{Span, Time},
+        timer::Timer,
     },
-    rand::Rng as _,
-    std::net::SocketAddr,
+    Gossip, MemberMessage, MemberTimer, Members, News,
+    probe::{self, HELPERS, PERIOD},
+    registry,
+    table::{Delta, Heard, Standing},
 };
+use rand::Rng as _;
+use std::net::SocketAddr;
 
 /// How soon the whole table is asked of another daemon again, at first.
 const FIRST_SYNC: Span = Span::from_millis(500);
--- a/src/core/member/load.rs
+++ b/src/core/member/load.rs
@@ -4,22 +4,20 @@
 //! the hosts that get requests, with their load, and those that can't be worked
 //! with. Digests of a domain are ordered by the holder's claim, then by number.
 
-use {
+use super::{
     super::{
-        super::{
-            config::View,
-            ctx::Ctx,
-            group::Groups,
-            input::{LoadReport, RunnerKind},
-            keys::{DomainName, HostName, Revision},
-            output::{Output, RunnerOutput},
-            time::{Span, Time},
-        },
-        health::Health,
-        hosts::{Host, Hosts},
+        config::View,
+        ctx::Ctx,
+        group::Groups,
+        input::{LoadReport, RunnerKind},
+        keys::{DomainName, HostName, Revision},
+        output::{Output, RunnerOutput},
+        time::{Span, Time},
     },
-    std::collections::{BTreeMap, BTreeSet},
+    health::Health,
+    hosts::{Host, Hosts},
 };
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How often load is looked after.
 pub const TICK: Span = Span::from_millis(250);
--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -17,43 +17,37 @@
 mod table;
 mod telling;
 
-pub use {
-    health::Health,
-    hosts::{Host, Hosts},
-    load::{Digest, HostLoad},
-    table::{Delta, Standing},
-};
+pub use health::Health;
+pub use hosts::{Host, Hosts};
+pub use load::{Digest, HostLoad};
+pub use table::{Delta, Standing};
 
-use {
-    super::{
-        config::{Key, View},
-        count::Count,
-        ctx::Ctx,
-        group::Groups,
-        input::PlatformAnswer,
-        keys::{
-            CallId, DaemonName, HostName, Incarnation, KeyHash, ModelName, PlatformId, Revision,
-        },
-        message::Message,
-        options::Mechanism,
-        output::{CallOutput, Ending, Output, Refusal},
-        request::ticket,
-        status::DaemonStatus,
-        time::{Span, Time},
-        timer::Timer,
-    },
-    discovery::Candidate,
-    fresh::Fresh,
-    liveness::Chores,
-    load::Loads,
-    probe::Prober,
-    registry::Registry,
-    rumors::Rumors,
-    spread::{Seen, Source},
-    std::net::SocketAddr,
-    table::Table,
-    telling::Repeat,
+use super::{
+    config::{Key, View},
+    count::Count,
+    ctx::Ctx,
+    group::Groups,
+    input::PlatformAnswer,
+    keys::{CallId, DaemonName, HostName, Incarnation, KeyHash, ModelName, PlatformId, Revision},
+    message::Message,
+    options::Mechanism,
+    output::{CallOutput, Ending, Output, Refusal},
+    request::ticket,
+    status::DaemonStatus,
+    time::{Span, Time},
+    timer::Timer,
 };
+use discovery::Candidate;
+use fresh::Fresh;
+use liveness::Chores;
+use load::Loads;
+use probe::Prober;
+use registry::Registry;
+use rumors::Rumors;
+use spread::{Seen, Source};
+use std::net::SocketAddr;
+use table::Table;
+use telling::Repeat;
 
 crate::record! {
     /// Messages between the membership parts of two daemons.
--- a/src/core/member/probe.rs
+++ b/src/core/member/probe.rs
@@ -5,18 +5,16 @@
 //! suspected is declared dead. Suspicions stay local; deaths are spread, and a
 //! daemon that hears of its own death refutes it.
 
-use {
+use super::{
     super::{
-        super::{
-            ctx::Ctx,
-            keys::DaemonName,
-            time::{Span, Time},
-        },
-        table::Table,
+        ctx::Ctx,
+        keys::DaemonName,
+        time::{Span, Time},
     },
-    rand::{Rng as _, seq::SliceRandom as _},
-    std::{collections::BTreeMap, net::SocketAddr},
+    table::Table,
 };
+use rand::{Rng as _, seq::SliceRandom as _};
+use std::{collections::BTreeMap, net::SocketAddr};
 
 /// How often a daemon is probed.
 pub const PERIOD: Span = Span::from_millis(500);
--- a/src/core/member/registry.rs
+++ b/src/core/member/registry.rs
@@ -4,17 +4,15 @@
 //! effect although its answer was lost, so each step looks at what is there
 //! before it goes on.
 
-use {
-    super::super::{
-        config::{Key, record::Daemon},
-        ctx::Ctx,
-        input::{PlatformAnswer, PlatformEntry},
-        keys::{Incarnation, LeaseId, Owner, PlatformId, Revision},
-        output::{Expect, Level, PlatformCall},
-        time::{Span, Time},
-    },
-    rand::Rng as _,
+use super::super::{
+    config::{Key, record::Daemon},
+    ctx::Ctx,
+    input::{PlatformAnswer, PlatformEntry},
+    keys::{Incarnation, LeaseId, Owner, PlatformId, Revision},
+    output::{Expect, Level, PlatformCall},
+    time::{Span, Time},
 };
+use rand::Rng as _;
 
 /// How long the record outlives its daemon.
 ///
--- a/src/core/member/spread.rs
+++ b/src/core/member/spread.rs
@@ -4,10 +4,8 @@
 //! another arrangement of them, so that one daemon that fails to forward cuts
 //! off others each time, and what is repeated reaches all.
 
-use {
-    super::super::keys::{DaemonName, Incarnation},
-    std::collections::BTreeMap,
-};
+use super::super::keys::{DaemonName, Incarnation};
+use std::collections::BTreeMap;
 
 /// Shifts the arrangement from one message to the next; odd and large.
 const STRIDE: u64 = 0x9E37_79B9;
--- a/src/core/member/table.rs
+++ b/src/core/member/table.rs
@@ -4,14 +4,12 @@
 //! a later refutation beats an earlier one, and within a refutation the worse
 //! standing beats the better. What is heard from a daemon itself beats hearsay.
 
-use {
-    super::super::{
-        config::record::Daemon,
-        keys::{DaemonName, Incarnation, Revision},
-        time::{Span, Time},
-    },
-    std::{collections::BTreeMap, net::SocketAddr},
+use super::super::{
+    config::record::Daemon,
+    keys::{DaemonName, Incarnation, Revision},
+    time::{Span, Time},
 };
+use std::{collections::BTreeMap, net::SocketAddr};
 
 /// How long a dead run is remembered, so that late news can't bring it back.
 const TOMBSTONE: Span = Span::from_secs(600);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,25 +21,23 @@
 pub mod time;
 pub mod timer;
 
-use {
-    config::{Config, Key},
-    count::Count,
-    ctx::{Ctx, Frame, Identity},
-    group::Groups,
-    input::{
-        CallInput, HostsInput, Input, OperatorInput, OperatorRequest, PeerInput, PlatformAnswer,
-        PlatformInput, RunnerInput,
-    },
-    keys::{HostName, Owner, PlatformId},
-    member::{Hosts, Members},
-    message::Message,
-    options::Options,
-    output::{OperatorAnswer, Output},
-    request::{Requests, Site},
-    status::{Status, UpgradeStatus},
-    time::Time,
-    timer::Timer,
+use config::{Config, Key};
+use count::Count;
+use ctx::{Ctx, Frame, Identity};
+use group::Groups;
+use input::{
+    CallInput, HostsInput, Input, OperatorInput, OperatorRequest, PeerInput, PlatformAnswer,
+    PlatformInput, RunnerInput,
 };
+use keys::{HostName, Owner, PlatformId};
+use member::{Hosts, Members};
+use message::Message;
+use options::Options;
+use output::{OperatorAnswer, Output};
+use request::{Requests, Site};
+use status::{Status, UpgradeStatus};
+use time::Time;
+use timer::Timer;
 
 /// One daemon's decision logic.
 #[derive(Debug)]
--- a/src/core/output.rs
+++ b/src/core/output.rs
@@ -3,20 +3,18 @@
 //! Outputs are carried out in order. None of them blocks: answers come back
 //! later as inputs.
 
-use {
-    super::{
-        input::{Payload, Target, Ticket},
-        keys::{
-            AdapterName, AttemptId, CallId, CommandId, DaemonName, Epoch, Fence, GroupName,
-            HallName, HostName, LeaseId, ModelName, OrderId, PlatformId, Revision, VersionName,
-        },
-        message::Message,
-        status::Status,
-        time::{Span, Time},
-        timer::Timer,
+use super::{
+    input::{Payload, Target, Ticket},
+    keys::{
+        AdapterName, AttemptId, CallId, CommandId, DaemonName, Epoch, Fence, GroupName, HallName,
+        HostName, LeaseId, ModelName, OrderId, PlatformId, Revision, VersionName,
     },
-    std::net::SocketAddr,
+    message::Message,
+    status::Status,
+    time::{Span, Time},
+    timer::Timer,
 };
+use std::net::SocketAddr;
 
 crate::record! {
     /// One thing for the shell to do.
--- a/src/core/request/claim.rs
+++ b/src/core/request/claim.rs
@@ -4,22 +4,20 @@
 //! anew every hour and never renewed, so that claims vanish after a day. A
 //! write whose answer was lost is read back; what can't be claimed is refused.
 
-use {
+use super::{
     super::{
-        super::{
-            ctx::Ctx,
-            input::{PlatformAnswer, PlatformEntry},
-            keys::{DaemonName, LeaseId, OperationId, Owner, PlatformId},
-            options::Mechanism,
-            output::{Doubt, Ending, Expect, PlatformCall, Refusal},
-            time::{Span, Time},
-        },
-        CallKey, Requests, Site, Stage,
-        call::{Call, Claim, ClaimStep, Held},
+        ctx::Ctx,
+        input::{PlatformAnswer, PlatformEntry},
+        keys::{DaemonName, LeaseId, OperationId, Owner, PlatformId},
+        options::Mechanism,
+        output::{Doubt, Ending, Expect, PlatformCall, Refusal},
+        time::{Span, Time},
     },
-    std::collections::HashMap,
-    xxhash_rust::xxh3::xxh3_128,
+    CallKey, Requests, Site, Stage,
+    call::{Call, Claim, ClaimStep, Held},
 };
+use std::collections::HashMap;
+use xxhash_rust::xxh3::xxh3_128;
 
 /// Where claims live: apart from the records, which every daemon lists and watches.
 const CLAIMS: &str = "/hickoryledge-claims/";
--- a/src/core/request/lane.rs
+++ b/src/core/request/lane.rs
@@ -1,13 +1,11 @@
 //! What this daemon knows of one runner's load: the last report, which lags,
 //! and what it has itself sent there since.
 
-use {
-    super::super::{
-        input::LoadReport,
-        time::{Span, Time},
-    },
-    std::collections::VecDeque,
+use super::super::{
+    input::LoadReport,
+    time::{Span, Time},
 };
+use std::collections::VecDeque;
 
 /// Requests that a runner is taken to run at once until it has reported.
 const DEFAULT_SLOTS: u32 = 32;
--- a/src/core/request/ledger.rs
+++ b/src/core/request/ledger.rs
@@ -4,10 +4,8 @@
 //! under the floor may have been used, and is answered so. Memory is bounded
 //! by [`MAX_ENTRIES`] and by [`RETENTION`].
 
-use {
-    super::super::time::{Span, Time},
-    std::collections::{BTreeSet, VecDeque},
-};
+use super::super::time::{Span, Time};
+use std::collections::{BTreeSet, VecDeque};
 
 /// How long a ticket can be used and its use be told.
 pub(super) const RETENTION: Span = Span::from_secs(15 * 60);
--- a/src/core/request/limits.rs
+++ b/src/core/request/limits.rs
@@ -5,14 +5,12 @@
 //! for as long as they keep them: the bound is then exceeded by at most the
 //! share of those others.
 
-use {
-    super::super::{
-        config::{View, record::Account},
-        keys::AccountName,
-        time::{Span, Time},
-    },
-    std::collections::HashMap,
+use super::super::{
+    config::{View, record::Account},
+    keys::AccountName,
+    time::{Span, Time},
 };
+use std::collections::HashMap;
 
 /// Millionths of a request in one.
 const ONE_REQUEST: u64 = 1_000_000;
--- a/src/core/request/mod.rs
+++ b/src/core/request/mod.rs
@@ -20,30 +20,28 @@
 mod tally;
 pub mod ticket;
 
-use {
-    super::{
-        config::View,
-        count::Count,
-        ctx::Ctx,
-        group::Groups,
-        input::{CallInput, PlatformAnswer, RunnerInput},
-        keys::{AttemptId, CallId, Epoch, GroupName, HostName, PlatformId},
-        member::{Hosts, Members},
-        output::{Output, Route, RunnerOutput},
-        time::Span,
-        timer::{RequestTimer, Timer},
-    },
-    budget::RetryBudget,
-    call::{Call, CallKey, Stage},
-    claim::Claims,
-    ledger::Ledger,
-    limits::Limits,
-    queue::Queues,
-    routing::{Pool, Router},
-    slotmap::SlotMap,
-    std::collections::HashMap,
-    tally::Tally,
+use super::{
+    config::View,
+    count::Count,
+    ctx::Ctx,
+    group::Groups,
+    input::{CallInput, PlatformAnswer, RunnerInput},
+    keys::{AttemptId, CallId, Epoch, GroupName, HostName, PlatformId},
+    member::{Hosts, Members},
+    output::{Output, Route, RunnerOutput},
+    time::Span,
+    timer::{RequestTimer, Timer},
 };
+use budget::RetryBudget;
+use call::{Call, CallKey, Stage};
+use claim::Claims;
+use ledger::Ledger;
+use limits::Limits;
+use queue::Queues;
+use routing::{Pool, Router};
+use slotmap::SlotMap;
+use std::collections::HashMap;
+use tally::Tally;
 
 /// How often what waits is looked at again.
 const TICK: Span = Span::from_secs(1);
--- a/src/core/request/prefix.rs
+++ b/src/core/request/prefix.rs
@@ -3,10 +3,8 @@
 //! Hints only: they come from requests sent there and from cache events, which
 //! are late and have gaps. A gap clears what is known of the runner.
 
-use {
-    super::super::{input::CacheEvent, keys::HostName},
-    std::collections::{HashMap, HashSet, VecDeque},
-};
+use super::super::{input::CacheEvent, keys::HostName};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// The most blocks remembered for one runner.
 const MAX_BLOCKS: usize = 2_048;
--- a/src/core/request/queue.rs
+++ b/src/core/request/queue.rs
@@ -4,17 +4,15 @@
 //! each has a virtual time that grows by the cost of what it was served,
 //! divided by its weight, and the account furthest behind is next.
 
-use {
+use super::{
     super::{
-        super::{
-            keys::AccountName,
-            time::{Span, Time},
-        },
-        call::CallKey,
-        routing::Pool,
+        keys::AccountName,
+        time::{Span, Time},
     },
-    std::collections::{BTreeMap, VecDeque},
+    call::CallKey,
+    routing::Pool,
 };
+use std::collections::{BTreeMap, VecDeque};
 
 /// The most requests of one account that wait in one pool.
 const MAX_LINE: usize = 512;
--- a/src/core/request/routing.rs
+++ b/src/core/request/routing.rs
@@ -4,26 +4,24 @@
 //! are added, and the one with the least predicted wait is taken. Chance keeps
 //! daemons that share a lagged report from all choosing the same runner.
 
-use {
+use super::{
     super::{
-        super::{
-            group::{GroupKey, ServingGroup},
-            input::{CacheEvent, Target},
-            keys::{HostName, ModelName, ServiceName, VersionName},
-            member::Health,
-            options::{Mechanism, Options, RoutingPolicy},
-            output::Route,
-            time::{Span, Time},
-        },
-        Site,
-        call::Call,
-        lane::{Estimate, Lane, PREFILL},
-        prefix::PrefixIndex,
-        services::ServiceIndex,
+        group::{GroupKey, ServingGroup},
+        input::{CacheEvent, Target},
+        keys::{HostName, ModelName, ServiceName, VersionName},
+        member::Health,
+        options::{Mechanism, Options, RoutingPolicy},
+        output::Route,
+        time::{Span, Time},
     },
-    rand::{Rng, rngs::SmallRng},
-    std::collections::HashMap,
+    Site,
+    call::Call,
+    lane::{Estimate, Lane, PREFILL},
+    prefix::PrefixIndex,
+    services::ServiceIndex,
 };
+use rand::{Rng, rngs::SmallRng};
+use std::collections::HashMap;
 
 /// Where requests wait and run.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/core/request/services.rs
+++ b/src/core/request/services.rs
@@ -1,16 +1,14 @@
 //! The runners of each plain service, gathered from the list of hosts.
 
-use {
+use super::{
     super::{
-        super::{
-            input::RunnerKind,
-            keys::{HostName, ServiceName},
-            time::{Span, Time},
-        },
-        Site,
+        input::RunnerKind,
+        keys::{HostName, ServiceName},
+        time::{Span, Time},
     },
-    std::collections::HashMap,
+    Site,
 };
+use std::collections::HashMap;
 
 /// How often the list of hosts is gone through at most.
 const REBUILD: Span = Span::from_millis(250);
--- a/src/core/request/tally.rs
+++ b/src/core/request/tally.rs
@@ -1,12 +1,10 @@
 //! What the request path has counted.
 
-use {
-    super::super::{
-        count::Count,
-        output::{Doubt, Ending, Refusal},
-    },
-    std::collections::BTreeMap,
+use super::super::{
+    count::Count,
+    output::{Doubt, Ending, Refusal},
 };
+use std::collections::BTreeMap;
 
 /// Counters of the request path.
 #[derive(Debug, Default)]
--- a/src/core/request/ticket.rs
+++ b/src/core/request/ticket.rs
@@ -3,14 +3,12 @@
 //! A ticket is drawn by the daemon that it names and can be checked by that
 //! daemon's same run alone, because the proof is keyed with its secret.
 
-use {
-    super::super::{
-        ctx::{Ctx, Identity},
-        input::Ticket,
-        keys::AccountName,
-    },
-    xxhash_rust::xxh3::xxh3_64_with_seed,
+use super::super::{
+    ctx::{Ctx, Identity},
+    input::Ticket,
+    keys::AccountName,
 };
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Draws a ticket for one non-idempotent request of an account.
 pub fn issue(ctx: &mut Ctx, account: &AccountName) -> Ticket {
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,10 +1,8 @@
 //! Why a command failed.
 
-use {
-    crate::exit_codes::Exit,
-    std::{fmt, net::SocketAddr},
-    tonic::{Code, Status},
-};
+use crate::exit_codes::Exit;
+use std::{fmt, net::SocketAddr};
+use tonic::{Code, Status};
 
 /// A command's failure: the step and the peer at which it arose.
 #[derive(Debug)]
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -2,11 +2,9 @@
 //!
 //! A line that can't be written is lost; the daemon goes on.
 
-use {
-    slog::{Drain as _, Logger, o},
-    slog_async::{Async, AsyncGuard, OverflowStrategy},
-    std::io::{IsTerminal as _, stdout},
-};
+use slog::{Drain as _, Logger, o};
+use slog_async::{Async, AsyncGuard, OverflowStrategy};
+use std::io::{IsTerminal as _, stdout};
 
 /// Lines that may wait to be written.
 const QUEUE_LINES: usize = 1_024;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,12 +6,10 @@
 mod exit_codes;
 mod logging;
 
-use {
-    cli::{Cli, Command},
-    commands::{check, entries, operate, replay, report, run},
-    error::CommandError,
-    exit_codes::Exit,
-};
+use cli::{Cli, Command};
+use commands::{check, entries, operate, replay, report, run};
+use error::CommandError;
+use exit_codes::Exit;
 
 fn main() -> Exit {
     let cli = match cli::parse() {
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -1,24 +1,22 @@
 //! The settings' fields: what each must be, and what it is if left out.
 
-use {
-    super::{
-        Listen, Settings,
-        reader::{Field, Section},
-    },
-    crate::{
-        core::{
-            keys::{HallName, RegionName},
-            options::Options,
-            time::Span,
-        },
-        report::Objectives,
-    },
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
-        path::Path,
-        time::Duration,
+use super::{
+    Listen, Settings,
+    reader::{Field, Section},
+};
+use crate::{
+    core::{
+        keys::{HallName, RegionName},
+        options::Options,
+        time::Span,
     },
+    report::Objectives,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    path::Path,
+    time::Duration,
 };
 
 /// The shortest secret taken, in bytes.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,26 +4,25 @@
 mod reader;
 mod tree;
 
-pub use {reader::Fault, tree::Place};
+pub use reader::Fault;
+pub use tree::Place;
 
-use {
-    crate::{
-        core::{
-            keys::{DaemonName, HallName, RegionName},
-            options::Options,
-        },
-        report::Objectives,
+use crate::{
+    core::{
+        keys::{DaemonName, HallName, RegionName},
+        options::Options,
     },
-    document::document,
-    reader::{Faults, Field},
-    std::{
-        fmt,
-        net::SocketAddr,
-        path::{Path, PathBuf},
-        time::Duration,
-    },
-    tree::{Node, Value},
+    report::Objectives,
+};
+use document::document;
+use reader::{Faults, Field};
+use std::{
+    fmt,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
 };
+use tree::{Node, Value};
 
 /// The addresses that a daemon listens on.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -1,9 +1,7 @@
 //! Typed reading of a settings tree that notes every fault and goes on.
 
-use {
-    super::tree::{Node, Place, Value},
-    std::{cell::RefCell, collections::BTreeMap, fmt, net::SocketAddr, ops::RangeInclusive},
-};
+use super::tree::{Node, Place, Value};
+use std::{cell::RefCell, collections::BTreeMap, fmt, net::SocketAddr, ops::RangeInclusive};
 
 /// The longest name, in bytes.
 const MAX_NAME: usize = 64;
--- a/src/settings/tree.rs
+++ b/src/settings/tree.rs
@@ -1,13 +1,11 @@
 //! A YAML document as a tree in which every value knows its place.
 
-use {
-    serde::{
-        Deserialize, Deserializer,
-        de::{MapAccess, SeqAccess, Visitor},
-    },
-    serde_saphyr::Spanned,
-    std::fmt,
+use serde::{
+    Deserialize, Deserializer,
+    de::{MapAccess, SeqAccess, Visitor},
 };
+use serde_saphyr::Spanned;
+use std::fmt;
 
 /// A place in a settings file, counted from one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/shell/callers/answer.rs
+++ b/src/shell/callers/answer.rs
@@ -1,21 +1,19 @@
 //! Writes answers: each ends in exactly one of the outcomes that callers know.
 
-use {
-    super::{
-        super::calls::{CallEvent, Head, OpenCall},
-        ask::{Fault, is_passed_on, ticket_text},
-        body::{CallerBody, EventStream},
-    },
-    crate::core::{
-        input::Ticket,
-        output::{Doubt, Ending, EntryAddress, Refusal},
-        time::Span,
-    },
-    bytes::{Bytes, BytesMut},
-    futures_util::StreamExt as _,
-    http::{HeaderName, HeaderValue, Response, StatusCode, header},
-    serde::{Deserialize, Serialize},
+use super::{
+    super::calls::{CallEvent, Head, OpenCall},
+    ask::{Fault, is_passed_on, ticket_text},
+    body::{CallerBody, EventStream},
 };
+use crate::core::{
+    input::Ticket,
+    output::{Doubt, Ending, EntryAddress, Refusal},
+    time::Span,
+};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt as _;
+use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use serde::{Deserialize, Serialize};
 
 /// An answer to a caller.
 pub(super) type Answer = Response<CallerBody>;
--- a/src/shell/callers/ask.rs
+++ b/src/shell/callers/ask.rs
@@ -1,18 +1,16 @@
 //! Reads what a caller asks from the head and body of a request.
 
-use {
-    super::super::calls::CallBody,
-    crate::core::{
-        input::{CallRequest, Target, Ticket},
-        keys::{AdapterName, Incarnation, KeyHash, ModelName, VersionName},
-        time::Span,
-    },
-    bytes::Bytes,
-    http::{HeaderMap, HeaderName, StatusCode, header, request::Parts},
-    serde::Deserialize,
-    std::{hash::Hasher as _, str::FromStr},
-    xxhash_rust::xxh3::Xxh3,
+use super::super::calls::CallBody;
+use crate::core::{
+    input::{CallRequest, Target, Ticket},
+    keys::{AdapterName, Incarnation, KeyHash, ModelName, VersionName},
+    time::Span,
 };
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, StatusCode, header, request::Parts};
+use serde::Deserialize;
+use std::{hash::Hasher as _, str::FromStr};
+use xxhash_rust::xxh3::Xxh3;
 
 /// Where calls of plain services begin.
 pub(super) const SERVICES: &str = "/services/";
--- a/src/shell/callers/body.rs
+++ b/src/shell/callers/body.rs
@@ -1,20 +1,18 @@
 //! The bodies of answers to callers.
 
-use {
-    super::{
-        super::calls::{CallEvent, OpenCall},
-        answer::outcome_json,
-    },
-    crate::core::output::{Doubt, Ending},
-    bytes::Bytes,
-    futures_util::Stream as _,
-    http_body::{Body, Frame, SizeHint},
-    std::{
-        fmt,
-        pin::Pin,
-        task::{Context, Poll, ready},
-        time::Duration,
-    },
+use super::{
+    super::calls::{CallEvent, OpenCall},
+    answer::outcome_json,
+};
+use crate::core::output::{Doubt, Ending};
+use bytes::Bytes;
+use futures_util::Stream as _;
+use http_body::{Body, Frame, SizeHint};
+use std::{
+    fmt,
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
 };
 
 /// The body of an answer.
--- a/src/shell/callers/connections.rs
+++ b/src/shell/callers/connections.rs
@@ -1,17 +1,15 @@
 //! Callers' connections: how many there may be, and how they end.
 
-use {
-    super::serve::{Site, respond},
-    crate::shell::http::{Limits, serve_http1_until},
-    compio::net::{TcpListener, TcpStream},
-    futures_channel::{mpsc, oneshot},
-    futures_util::{
-        FutureExt as _, StreamExt as _,
-        future::{Either, Shared, select},
-    },
-    hyper::service::service_fn,
-    std::{convert::Infallible, pin::pin, rc::Rc, time::Duration},
+use super::serve::{Site, respond};
+use crate::shell::http::{Limits, serve_http1_until};
+use compio::net::{TcpListener, TcpStream};
+use futures_channel::{mpsc, oneshot};
+use futures_util::{
+    FutureExt as _, StreamExt as _,
+    future::{Either, Shared, select},
 };
+use hyper::service::service_fn;
+use std::{convert::Infallible, pin::pin, rc::Rc, time::Duration};
 
 /// How long the loop waits after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/src/shell/callers/counted.rs
+++ b/src/shell/callers/counted.rs
@@ -1,6 +1,7 @@
 //! What the callers' side counts.
 
-use {crate::core::count::Count, std::cell::Cell};
+use crate::core::count::Count;
+use std::cell::Cell;
 
 /// Connections open, and counts of what never reached the decision logic.
 #[derive(Debug, Default)]
--- a/src/shell/callers/mod.rs
+++ b/src/shell/callers/mod.rs
@@ -10,4 +10,6 @@
 mod counted;
 mod serve;
 
-pub use {ask::ticket_text, connections::Connections, serve::start};
+pub use ask::ticket_text;
+pub use connections::Connections;
+pub use serve::start;
--- a/src/shell/callers/serve.rs
+++ b/src/shell/callers/serve.rs
@@ -1,30 +1,28 @@
 //! Answers callers' requests.
 
-use {
+use super::{
     super::{
-        super::{
-            Clock, SharedCore,
-            calls::{CallEvent, Calls},
-            metrics,
-        },
-        answer::{self, Answer},
-        ask::{self, Fault},
-        connections::Connections,
-        counted::Counted,
+        Clock, SharedCore,
+        calls::{CallEvent, Calls},
+        metrics,
     },
-    crate::{
-        core::{count::Count, input::Target, keys::ModelName, output::Refusal, time::Span},
-        settings::Settings,
-    },
-    bytes::Bytes,
-    compio::net::TcpListener,
-    futures_util::StreamExt as _,
-    http::{Method, Request, StatusCode, request::Parts},
-    http_body::Body as _,
-    http_body_util::{BodyExt as _, LengthLimitError, Limited},
-    hyper::body::Incoming,
-    std::{cell::Cell, rc::Rc, time::Duration},
+    answer::{self, Answer},
+    ask::{self, Fault},
+    connections::Connections,
+    counted::Counted,
+};
+use crate::{
+    core::{count::Count, input::Target, keys::ModelName, output::Refusal, time::Span},
+    settings::Settings,
 };
+use bytes::Bytes;
+use compio::net::TcpListener;
+use futures_util::StreamExt as _;
+use http::{Method, Request, StatusCode, request::Parts};
+use http_body::Body as _;
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 /// When a caller turned away for want of room may come back.
 const FULL_RETRY: Span = Span::from_secs(1);
--- a/src/shell/calls.rs
+++ b/src/shell/calls.rs
@@ -3,24 +3,22 @@
 //! A call comes from a caller over HTTP or from another daemon that relays
 //! it; both get the same events.
 
-use {
-    super::{
-        Inbox,
-        events::{EventSender, Events, queue},
-    },
-    crate::core::{
-        input::{CallInput, CallRequest, Input, Ticket},
-        keys::{AttemptId, CallId, KeyHash, ModelName},
-        output::{CallOutput, Ending, EntryAddress},
-        time::Span,
-    },
-    bytes::Bytes,
-    http::{HeaderMap, Method, StatusCode},
-    std::{
-        cell::{Cell, RefCell},
-        collections::HashMap,
-        rc::Rc,
-    },
+use super::{
+    Inbox,
+    events::{EventSender, Events, queue},
+};
+use crate::core::{
+    input::{CallInput, CallRequest, Input, Ticket},
+    keys::{AttemptId, CallId, KeyHash, ModelName},
+    output::{CallOutput, Ending, EntryAddress},
+    time::Span,
+};
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
 };
 
 /// What is sent on to a runner or a peer.
--- a/src/shell/events.rs
+++ b/src/shell/events.rs
@@ -1,15 +1,13 @@
 //! The queue of one call's events, bounded by the bytes that wait in it.
 
-use {
-    super::calls::CallEvent,
-    futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded},
-    futures_util::{Stream, stream::FusedStream},
-    std::{
-        cell::Cell,
-        pin::Pin,
-        rc::Rc,
-        task::{Context, Poll, ready},
-    },
+use super::calls::CallEvent;
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_util::{Stream, stream::FusedStream};
+use std::{
+    cell::Cell,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
 };
 
 /// The bytes that may wait for a caller who reads too slowly.
--- a/src/shell/frames.rs
+++ b/src/shell/frames.rs
@@ -1,13 +1,11 @@
 //! Frames on a TCP connection: a length of four bytes, then the frame.
 
-use {
-    compio::{
-        BufResult,
-        io::{AsyncReadExt as _, AsyncWriteExt as _},
-        net::TcpStream,
-    },
-    std::io,
+use compio::{
+    BufResult,
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
 };
+use std::io;
 
 /// Reads one frame of at most `max` bytes.
 ///
--- a/src/shell/host_list.rs
+++ b/src/shell/host_list.rs
@@ -1,17 +1,15 @@
 //! Reads the list of live and leaving hosts, again and again.
 
-use {
-    super::{
-        Inbox,
-        http::{self, LocalExecutor},
-    },
-    crate::core::input::{HostEntry, HostsInput, Input},
-    bytes::Bytes,
-    cyper_core::HyperStream,
-    http_body_util::{BodyExt as _, Empty, Limited},
-    hyper::{Request, client::conn::http1},
-    std::{net::SocketAddr, time::Duration},
+use super::{
+    Inbox,
+    http::{self, LocalExecutor},
 };
+use crate::core::input::{HostEntry, HostsInput, Input};
+use bytes::Bytes;
+use cyper_core::HyperStream;
+use http_body_util::{BodyExt as _, Empty, Limited};
+use hyper::{Request, client::conn::http1};
+use std::{net::SocketAddr, time::Duration};
 
 /// How often the list is read.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -1,21 +1,19 @@
 //! HTTP over the loop: listening, serving connections, and connecting out.
 
-use {
-    super::stall::Guarded,
-    bytes::Bytes,
-    compio::net::{TcpListener, TcpStream},
-    cyper_core::{CompioTimer, HyperStream},
-    futures_util::future::{Either, select},
-    http::{Request, Response},
-    http_body::Body,
-    hyper::{body::Incoming, service::Service},
-    std::{
-        future::{Future, pending},
-        io,
-        net::SocketAddr,
-        pin::pin,
-        time::Duration,
-    },
+use super::stall::Guarded;
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::future::{Either, select};
+use http::{Request, Response};
+use http_body::Body;
+use hyper::{body::Incoming, service::Service};
+use std::{
+    future::{Future, pending},
+    io,
+    net::SocketAddr,
+    pin::pin,
+    time::Duration,
 };
 
 /// Runs futures on the loop's own thread.
--- a/src/shell/inbox.rs
+++ b/src/shell/inbox.rs
@@ -1,9 +1,7 @@
 //! Where drivers put inputs for the loop.
 
-use {
-    crate::core::input::Input,
-    futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded},
-};
+use crate::core::input::Input;
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 
 /// The way in; cheap to clone.
 #[derive(Clone, Debug)]
--- a/src/shell/metrics.rs
+++ b/src/shell/metrics.rs
@@ -2,15 +2,12 @@
 //! counted, read when asked for, and what drivers count through the `metrics`
 //! crate's macros.
 
-use {
-    crate::core::count::{Count, CountKind},
-    metrics::{
-        Counter, Gauge, Histogram, Key, KeyName, Label, Level, Metadata, Recorder, SharedString,
-        Unit,
-    },
-    metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder},
-    std::sync::OnceLock,
+use crate::core::count::{Count, CountKind};
+use metrics::{
+    Counter, Gauge, Histogram, Key, KeyName, Label, Level, Metadata, Recorder, SharedString, Unit,
 };
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
+use std::sync::OnceLock;
 
 /// What every name begins with.
 const PREFIX: &str = "hickoryledge_";
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -20,34 +20,32 @@
 mod stall;
 pub mod timers;
 
-use {
-    crate::{
-        core::{
-            Core,
-            ctx::Identity,
-            input::Input,
-            keys::Incarnation,
-            output::{Event, Level, Output},
-            time::Time,
-        },
-        replay::{DaemonHeader, Recorder},
-        report::Monitor,
-        settings::Settings,
+use crate::{
+    core::{
+        Core,
+        ctx::Identity,
+        input::Input,
+        keys::Incarnation,
+        output::{Event, Level, Output},
+        time::Time,
     },
-    anyhow::Context as _,
-    calls::Calls,
-    futures_util::{FutureExt as _, StreamExt as _, select_biased},
-    inbox::Inbox,
-    slog::Logger,
-    std::{
-        cell::RefCell,
-        path::Path,
-        rc::Rc,
-        sync::Arc,
-        time::{Instant, SystemTime, UNIX_EPOCH},
-    },
-    timers::Timers,
+    replay::{DaemonHeader, Recorder},
+    report::Monitor,
+    settings::Settings,
+};
+use anyhow::Context as _;
+use calls::Calls;
+use futures_util::{FutureExt as _, StreamExt as _, select_biased};
+use inbox::Inbox;
+use slog::Logger;
+use std::{
+    cell::RefCell,
+    path::Path,
+    rc::Rc,
+    sync::Arc,
+    time::{Instant, SystemTime, UNIX_EPOCH},
 };
+use timers::Timers;
 
 /// The decision logic, shared with drivers that answer queries.
 pub type SharedCore = Rc<RefCell<Core>>;
--- a/src/shell/operators/convert.rs
+++ b/src/shell/operators/convert.rs
@@ -1,17 +1,15 @@
 //! Between the operators' schema and the decision logic's own records.
 
-use {
-    crate::{
-        core::{
-            config::record::{Account, GroupSpec, Model, Service, Upgrade, UpgradeState},
-            input,
-            keys::KeyHash,
-            status::{DaemonStatus, DomainStatus, GroupStatus, Status as Report, UpgradeStatus},
-        },
-        wire::operator as wire,
+use crate::{
+    core::{
+        config::record::{Account, GroupSpec, Model, Service, Upgrade, UpgradeState},
+        input,
+        keys::KeyHash,
+        status::{DaemonStatus, DomainStatus, GroupStatus, Status as Report, UpgradeStatus},
     },
-    tonic::Status,
+    wire::operator as wire,
 };
+use tonic::Status;
 
 /// The longest name, in bytes.
 const MAX_NAME: usize = 64;
--- a/src/shell/operators/handler.rs
+++ b/src/shell/operators/handler.rs
@@ -1,24 +1,21 @@
 //! One handler for each call of the operators' schema.
 
-use {
-    super::{Pending, convert},
-    crate::{
-        core::{
-            input::OperatorRequest,
-            keys::{OperationId, Revision},
-            output::OperatorAnswer,
-        },
-        report::Monitor,
-        wire::operator::{
-            BurnReply, BurnRequest, Change, ChangeGroupRequest, CreateGroupRequest,
-            DrainGroupRequest, NameRequest, PutAccountRequest, PutModelRequest, PutServiceRequest,
-            StartUpgradeRequest, StatusReply, StatusRequest, SteerUpgradeRequest,
-            operator_server::Operator,
-        },
+use super::{Pending, convert};
+use crate::{
+    core::{
+        input::OperatorRequest,
+        keys::{OperationId, Revision},
+        output::OperatorAnswer,
+    },
+    report::Monitor,
+    wire::operator::{
+        BurnReply, BurnRequest, Change, ChangeGroupRequest, CreateGroupRequest, DrainGroupRequest,
+        NameRequest, PutAccountRequest, PutModelRequest, PutServiceRequest, StartUpgradeRequest,
+        StatusReply, StatusRequest, SteerUpgradeRequest, operator_server::Operator,
     },
-    std::sync::Arc,
-    tonic::{Code, Request, Response, Status},
 };
+use std::sync::Arc;
+use tonic::{Code, Request, Response, Status};
 
 type Reply<T> = Result<Response<T>, Status>;
 
--- a/src/shell/operators/mod.rs
+++ b/src/shell/operators/mod.rs
@@ -6,35 +6,33 @@
 mod convert;
 mod handler;
 
-use {
-    super::{Inbox, http::serve_http2},
-    crate::{
-        core::{
-            input::{Input, OperatorInput, OperatorRequest},
-            keys::{CommandId, OperationId},
-            output::OperatorAnswer,
-        },
-        report::Monitor,
-        settings::Settings,
-        wire::operator::operator_server::OperatorServer,
+use super::{Inbox, http::serve_http2};
+use crate::{
+    core::{
+        input::{Input, OperatorInput, OperatorRequest},
+        keys::{CommandId, OperationId},
+        output::OperatorAnswer,
     },
-    compio::net::TcpListener,
-    futures_channel::oneshot,
-    handler::Handler,
-    http::{HeaderMap, Request, header},
-    hyper::{body::Incoming, service::service_fn},
-    std::{
-        collections::BTreeMap,
-        rc::Rc,
-        sync::{
-            Arc, Mutex, PoisonError,
-            atomic::{AtomicU64, Ordering},
-        },
-        time::Duration,
+    report::Monitor,
+    settings::Settings,
+    wire::operator::operator_server::OperatorServer,
+};
+use compio::net::TcpListener;
+use futures_channel::oneshot;
+use handler::Handler;
+use http::{HeaderMap, Request, header};
+use hyper::{body::Incoming, service::service_fn};
+use std::{
+    collections::BTreeMap,
+    rc::Rc,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
     },
-    tonic::Status,
-    tower_service::Service as _,
+    time::Duration,
 };
+use tonic::Status;
+use tower_service::Service as _;
 
 /// Operators' requests open at once.
 const MAX_OPEN: usize = 1_000;
--- a/src/shell/peers.rs
+++ b/src/shell/peers.rs
@@ -4,39 +4,37 @@
 //! connection to each peer; each message is acknowledged, so that a connection
 //! gone silent is found and replaced before the message is given up.
 
-use {
-    super::{
-        Inbox,
-        calls::Calls,
-        frames::{read_frame, write_frame},
-        http::connect,
-        relay,
-    },
-    crate::{
-        core::{
-            ctx::Identity,
-            input::{Input, PeerInput},
-            message::Message,
-            output::Transport,
-        },
-        settings::Settings,
-        wire::envelope::{self, Channel, Header, Opener, Reject, Sealer},
-    },
-    compio::{
-        BufResult,
-        net::{TcpListener, TcpStream, UdpSocket},
-        time::timeout,
-    },
-    futures_channel::mpsc::{Receiver, Sender, channel},
-    futures_util::StreamExt as _,
-    std::{
-        cell::{Cell, RefCell},
-        collections::HashMap,
-        io,
-        net::SocketAddr,
-        rc::Rc,
-        time::{Duration, Instant},
+use super::{
+    Inbox,
+    calls::Calls,
+    frames::{read_frame, write_frame},
+    http::connect,
+    relay,
+};
+use crate::{
+    core::{
+        ctx::Identity,
+        input::{Input, PeerInput},
+        message::Message,
+        output::Transport,
     },
+    settings::Settings,
+    wire::envelope::{self, Channel, Header, Opener, Reject, Sealer},
+};
+use compio::{
+    BufResult,
+    net::{TcpListener, TcpStream, UdpSocket},
+    time::timeout,
+};
+use futures_channel::mpsc::{Receiver, Sender, channel};
+use futures_util::StreamExt as _;
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
 };
 
 /// The longest datagram sent, in bytes.
--- a/src/shell/platform.rs
+++ b/src/shell/platform.rs
@@ -10,21 +10,19 @@
 
 pub use etcd::Etcd;
 
-use {
-    super::Inbox,
-    crate::{
-        core::{
-            input::{Input, PlatformAnswer, PlatformInput, WatchEvent},
-            keys::{PlatformId, Revision},
-            output::PlatformCall,
-        },
-        settings::Settings,
-    },
-    compio::runtime::JoinHandle,
-    std::{
-        cell::RefCell, collections::HashMap, fmt, future::Future, net::SocketAddr, rc::Rc,
-        time::Duration,
+use super::Inbox;
+use crate::{
+    core::{
+        input::{Input, PlatformAnswer, PlatformInput, WatchEvent},
+        keys::{PlatformId, Revision},
+        output::PlatformCall,
     },
+    settings::Settings,
+};
+use compio::runtime::JoinHandle;
+use std::{
+    cell::RefCell, collections::HashMap, fmt, future::Future, net::SocketAddr, rc::Rc,
+    time::Duration,
 };
 
 /// How long a call may go unanswered.
--- a/src/shell/platform/channel.rs
+++ b/src/shell/platform/channel.rs
@@ -6,21 +6,19 @@
 //! `hyper`'s pings poll a finished timer again on an idle connection, which
 //! `cyper_core`'s timers answer with a panic.
 
-use {
-    super::super::http::{self, LocalExecutor},
-    cyper_core::{CompioTimer, HyperStream},
-    futures_util::{future::LocalBoxFuture, lock::Mutex},
-    hyper::{body::Incoming, client::conn::http2},
-    std::{
-        cell::{Cell, RefCell},
-        io,
-        net::SocketAddr,
-        rc::Rc,
-        task::{Context, Poll},
-    },
-    tonic::body::Body,
-    tower_service::Service,
+use super::super::http::{self, LocalExecutor};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::{future::LocalBoxFuture, lock::Mutex};
+use hyper::{body::Incoming, client::conn::http2};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    task::{Context, Poll},
 };
+use tonic::body::Body;
+use tower_service::Service;
 
 /// A way to the service, reconnecting as needed.
 #[derive(Clone)]
--- a/src/shell/platform/etcd.rs
+++ b/src/shell/platform/etcd.rs
@@ -4,40 +4,38 @@
 //! the key if that differs. A watch has a stream of its own and asks for its
 //! progress again and again; one that stays silent is ended.
 
-use {
-    super::{
-        CALL_TIMEOUT, KeyValue, PlatformError, WatchEnd,
-        channel::{Channel, Link},
+use super::{
+    CALL_TIMEOUT, KeyValue, PlatformError, WatchEnd,
+    channel::{Channel, Link},
+};
+use crate::{
+    core::{
+        input::{PlatformAnswer, PlatformEntry, WatchEvent},
+        keys::{LeaseId, Revision},
+        output::{Expect, PlatformCall},
+        time::Span,
     },
-    crate::{
-        core::{
-            input::{PlatformAnswer, PlatformEntry, WatchEvent},
-            keys::{LeaseId, Revision},
-            output::{Expect, PlatformCall},
-            time::Span,
-        },
-        wire::{
-            etcdserverpb::{
-                Compare, DeleteRangeRequest, LeaseGrantRequest, LeaseKeepAliveRequest,
-                LeaseRevokeRequest, PutRequest, RangeRequest, RangeResponse, RequestOp,
-                ResponseHeader, TxnRequest, TxnResponse, WatchCreateRequest, WatchProgressRequest,
-                WatchRequest, WatchResponse,
-                compare::{CompareResult, CompareTarget, TargetUnion},
-                kv_client::KvClient,
-                lease_client::LeaseClient,
-                request_op::Request,
-                response_op::Response,
-                watch_client::WatchClient,
-                watch_request::RequestUnion,
-            },
-            mvccpb::{Event, KeyValue as Pair, event::EventType},
+    wire::{
+        etcdserverpb::{
+            Compare, DeleteRangeRequest, LeaseGrantRequest, LeaseKeepAliveRequest,
+            LeaseRevokeRequest, PutRequest, RangeRequest, RangeResponse, RequestOp, ResponseHeader,
+            TxnRequest, TxnResponse, WatchCreateRequest, WatchProgressRequest, WatchRequest,
+            WatchResponse,
+            compare::{CompareResult, CompareTarget, TargetUnion},
+            kv_client::KvClient,
+            lease_client::LeaseClient,
+            request_op::Request,
+            response_op::Response,
+            watch_client::WatchClient,
+            watch_request::RequestUnion,
         },
+        mvccpb::{Event, KeyValue as Pair, event::EventType},
     },
-    futures_channel::mpsc::{UnboundedSender, unbounded},
-    futures_util::stream,
-    std::{net::SocketAddr, time::Duration},
-    tonic::{Code, Status, codegen::http::Uri},
 };
+use futures_channel::mpsc::{UnboundedSender, unbounded};
+use futures_util::stream;
+use std::{net::SocketAddr, time::Duration};
+use tonic::{Code, Status, codegen::http::Uri};
 
 /// How often a watch asks for its progress.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/shell/relay.rs
+++ b/src/shell/relay.rs
@@ -5,29 +5,27 @@
 //! sends back its head, its parts and its one end, each bound to the opening
 //! frame and numbered. Closing the connection gives the call up.
 
-use {
-    super::{
-        Inbox,
-        calls::{CallBody, CallEvent, Calls, Head, OpenCall},
-        frames::{read_frame, write_frame},
-        http::connect,
-    },
-    crate::{
-        core::{
-            ctx::Identity,
-            input::{CallRequest, Echo, Failure, Input, Payload, RunnerInput},
-            keys::{AttemptId, CallId},
-            output::Ending,
-        },
-        settings::Settings,
-        wire::envelope::{self, Channel, Opener, Sealer, Tag},
+use super::{
+    Inbox,
+    calls::{CallBody, CallEvent, Calls, Head, OpenCall},
+    frames::{read_frame, write_frame},
+    http::connect,
+};
+use crate::{
+    core::{
+        ctx::Identity,
+        input::{CallRequest, Echo, Failure, Input, Payload, RunnerInput},
+        keys::{AttemptId, CallId},
+        output::Ending,
     },
-    bytes::Bytes,
-    compio::net::TcpStream,
-    futures_util::{FutureExt as _, StreamExt as _, select_biased},
-    http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode},
-    std::{net::SocketAddr, rc::Rc},
+    settings::Settings,
+    wire::envelope::{self, Channel, Opener, Sealer, Tag},
 };
+use bytes::Bytes;
+use compio::net::TcpStream;
+use futures_util::{FutureExt as _, StreamExt as _, select_biased};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use std::{net::SocketAddr, rc::Rc};
 
 /// What a frame may hold besides a body of the longest kind, in bytes.
 pub const HEAD_BYTES: usize = 1 << 20;
--- a/src/shell/runners/attempt.rs
+++ b/src/shell/runners/attempt.rs
@@ -1,28 +1,26 @@
 //! One attempt at a call, from its connection to its end.
 
-use {
-    super::{
-        AttemptEnd, Shared,
-        pool::{self, Sender},
-        sse::{Event, Events},
-    },
-    crate::{
-        core::{
-            input::{Echo, Failure, Payload, RunnerInput},
-            keys::{AttemptId, CallId, Epoch},
-            output::Route,
-        },
-        shell::calls::{CallBody, Head},
-    },
-    bytes::{Bytes, BytesMut},
-    http::{
-        HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode,
-        header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING},
+use super::{
+    AttemptEnd, Shared,
+    pool::{self, Sender},
+    sse::{Event, Events},
+};
+use crate::{
+    core::{
+        input::{Echo, Failure, Payload, RunnerInput},
+        keys::{AttemptId, CallId, Epoch},
+        output::Route,
     },
-    http_body_util::{BodyExt as _, Full},
-    hyper::body::Incoming,
-    std::{net::SocketAddr, rc::Rc},
+    shell::calls::{CallBody, Head},
+};
+use bytes::{Bytes, BytesMut};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode,
+    header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING},
 };
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use std::{net::SocketAddr, rc::Rc};
 
 /// The longest whole answer taken, in bytes.
 const MAX_WHOLE: usize = 16 << 20;
--- a/src/shell/runners/control.rs
+++ b/src/shell/runners/control.rs
@@ -1,18 +1,16 @@
 //! Orders to runners, and questions about their state.
 
-use {
-    super::Shared,
-    crate::core::{
-        input::{CacheEvent, Holding, LoadReport, OrderOutcome, RunnerInput},
-        keys::{AttemptId, DaemonName, Fence, HostName, OrderId},
-        output::OrderAction,
-    },
-    bytes::Bytes,
-    http::{Method, Request, StatusCode, header::HOST},
-    http_body_util::{BodyExt as _, Full, Limited},
-    serde::{Deserialize, Serialize, de::DeserializeOwned},
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+use super::Shared;
+use crate::core::{
+    input::{CacheEvent, Holding, LoadReport, OrderOutcome, RunnerInput},
+    keys::{AttemptId, DaemonName, Fence, HostName, OrderId},
+    output::OrderAction,
 };
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header::HOST};
+use http_body_util::{BodyExt as _, Full, Limited};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 /// How long a runner may take to answer a question.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
--- a/src/shell/runners/mod.rs
+++ b/src/shell/runners/mod.rs
@@ -9,23 +9,21 @@
 mod pool;
 pub mod sse;
 
-use {
-    super::{Inbox, calls::Calls, relay::Relays},
-    crate::{
-        core::{
-            ctx::Identity,
-            input::{Input, RunnerInput},
-            keys::{AttemptId, DaemonName},
-            output::{Route, RunnerOutput},
-        },
-        settings::Settings,
+use super::{Inbox, calls::Calls, relay::Relays};
+use crate::{
+    core::{
+        ctx::Identity,
+        input::{Input, RunnerInput},
+        keys::{AttemptId, DaemonName},
+        output::{Route, RunnerOutput},
     },
-    attempt::AttemptCall,
-    futures_channel::oneshot,
-    futures_util::{FutureExt as _, select_biased},
-    pool::Pool,
-    std::{cell::RefCell, collections::HashMap, future::Future, net::SocketAddr, rc::Rc},
+    settings::Settings,
 };
+use attempt::AttemptCall;
+use futures_channel::oneshot;
+use futures_util::{FutureExt as _, select_biased};
+use pool::Pool;
+use std::{cell::RefCell, collections::HashMap, future::Future, net::SocketAddr, rc::Rc};
 
 /// Connections to runners, and the attempts on them.
 pub struct Runners {
--- a/src/shell/runners/pool.rs
+++ b/src/shell/runners/pool.rs
@@ -1,13 +1,11 @@
 //! Connections to runners that are kept open between calls.
 
-use {
-    crate::shell::http::connect,
-    bytes::Bytes,
-    cyper_core::HyperStream,
-    http_body_util::Full,
-    hyper::client::conn::http1::{SendRequest, handshake},
-    std::{cell::RefCell, collections::HashMap, io, net::SocketAddr},
-};
+use crate::shell::http::connect;
+use bytes::Bytes;
+use cyper_core::HyperStream;
+use http_body_util::Full;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr};
 
 /// The most unused connections kept open to one address.
 const MAX_IDLE: usize = 8;
--- a/src/shell/runners/sse.rs
+++ b/src/shell/runners/sse.rs
@@ -1,9 +1,7 @@
 //! Splits a completion's stream into its events.
 
-use {
-    bytes::{Bytes, BytesMut},
-    serde::Deserialize,
-};
+use bytes::{Bytes, BytesMut};
+use serde::Deserialize;
 
 /// The longest event taken, in bytes.
 const MAX_EVENT: usize = 1 << 20;
--- a/src/shell/stall.rs
+++ b/src/shell/stall.rs
@@ -3,14 +3,12 @@
 //! Bytes are handed down in parts, each flushed before the next, so that a
 //! slow reader of a long answer makes progress that can be seen.
 
-use {
-    hyper::rt::{Read, ReadBufCursor, Write},
-    std::{
-        io,
-        pin::Pin,
-        task::{Context, Poll, ready},
-        time::{Duration, Instant},
-    },
+use hyper::rt::{Read, ReadBufCursor, Write};
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::{Duration, Instant},
 };
 
 /// The bytes handed down before they must be flushed.
--- a/src/shell/timers.rs
+++ b/src/shell/timers.rs
@@ -1,11 +1,9 @@
 //! The timers that the decision logic has set.
 
-use {
-    crate::core::{time::Time, timer::Timer},
-    std::{
-        cmp::Reverse,
-        collections::{BinaryHeap, HashMap},
-    },
+use crate::core::{time::Time, timer::Timer};
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
 };
 
 /// Timers by due time; setting one again replaces it.
--- a/src/wire/envelope.rs
+++ b/src/wire/envelope.rs
@@ -5,11 +5,9 @@
 //! or the exchange that it was made for. Header and body are `postcard`. Each
 //! sender numbers its frames; a receiver takes each number once.
 
-use {
-    crate::core::keys::{DaemonName, Incarnation},
-    serde::{Serialize, de::DeserializeOwned},
-    std::{cell::Cell, collections::HashMap, fmt, net::SocketAddr},
-};
+use crate::core::keys::{DaemonName, Incarnation};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{cell::Cell, collections::HashMap, fmt, net::SocketAddr};
 
 /// The protocol's version; frames of others are dropped.
 pub const VERSION: u8 = 1;
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -372,3 +372,11 @@
     env.operate(&[&create[..], &["--domain", "kalamaria-1", "--size", "4"]].concat());
     env.wait_serving(1, "drafting-1");
 }
+
+#[test]
+fn an_operator_of_a_paused_daemon_is_told_in_time() {
+    let env = TestEnv::with_group(1);
+    env.daemons[0].process.signal(Signal::SIGSTOP);
+    let output = env.try_operate(0, &["status"]);
+    assert_eq!(output.status.code(), Some(6), "{output:?}");
+}
--- a/tests/request/plan.rs
+++ b/tests/request/plan.rs
@@ -1,6 +1,7 @@
 //! Random sequences of requests and faults.
 
-use {hickoryledge::core::time::Span, proptest::prelude::*};
+use hickoryledge::core::time::Span;
+use proptest::prelude::*;
 
 /// What a request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/tests/style.rs
@@ -0,0 +1,73 @@
+//! What the formatter can't check: imports are nested, one statement a crate.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    path::{Path, PathBuf},
+};
+
+/// Code that a generator writes.
+const GENERATED: [&str; 3] = ["etcdserverpb.rs", "hickoryledge.v1.rs", "mvccpb.rs"];
+
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    let Ok(entries) = fs::read_dir(folder) else {
+        return;
+    };
+    for entry in entries {
+        let path = entry.expect("entry is read").path();
+        let name = path
+            .file_name()
+            .unwrap_or_default()
+            .to_string_lossy()
+            .into_owned();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if name.ends_with(".rs") && !GENERATED.contains(&name.as_str()) {
+            found.push(path);
+        }
+    }
+}
+
+/// The crates that a file's top level imports from, with the number of statements.
+fn imports(text: &str) -> BTreeMap<String, usize> {
+    let mut imports = BTreeMap::new();
+    for line in text.lines() {
+        let Some(path) = line.strip_prefix("use ").or(line.strip_prefix("pub use ")) else {
+            continue;
+        };
+        let visible = line.starts_with("pub ");
+        let root = path.split([':', ' ', ';', '{']).next().unwrap_or_default();
+        let key = if visible {
+            format!("pub {path}")
+        } else {
+            root.to_owned()
+        };
+        *imports.entry(key).or_default() += 1;
+    }
+    imports
+}
+
+#[test]
+fn imports_are_one_statement_a_crate() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut files = Vec::new();
+    for folder in ["src", "tests", "examples", "benches"] {
+        sources(&root.join(folder), &mut files);
+    }
+    assert!(files.len() > 100, "the sources were not found");
+    for file in files {
+        let text = fs::read_to_string(&file).expect("source is read");
+        for (path, count) in imports(&text) {
+            assert!(
+                !path.is_empty(),
+                "{}: a bare group of imports",
+                file.display()
+            );
+            assert!(
+                count == 1,
+                "{}: {count} statements import from {path}",
+                file.display()
+            );
+        }
+    }
+}
