--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -29,7 +29,7 @@
         output::{Output, PlatformCall},
         time::{Span, Time},
     },
-    shell::timers::Timers,
+    timers::Timers,
 };
 use serde_json::json;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod report;
 pub mod settings;
 pub mod shell;
+pub mod timers;
 pub mod wire;
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     core::{Core, input::Input, options::Mechanism, output::Output, time::Time},
-    shell::timers::Timers,
+    timers::Timers,
 };
 
 /// The first line of a trace that differs from what happened.
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -1,7 +1,7 @@
 //! The settings' fields: what each must be, and what it is if left out.
 
 use super::{
-    Listen, Settings,
+    Listen, Secret, Settings,
     reader::{Field, Section},
 };
 use crate::{
@@ -63,8 +63,8 @@
         peers,
         platform,
         host_list: host_list?,
-        peer_key: blake3::derive_key(PEER_KEY_CONTEXT, peer_key?.as_bytes()),
-        operator_token: operator_token?,
+        peer_key: Secret::new(blake3::derive_key(PEER_KEY_CONTEXT, peer_key?.as_bytes())),
+        operator_token: Secret::new(operator_token?),
         max_body: limits.max_body,
         max_calls: limits.max_calls,
         caller_timeout: limits.caller_timeout,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,9 +2,11 @@
 
 mod document;
 mod reader;
+mod secret;
 mod tree;
 
 pub use reader::Fault;
+pub use secret::Secret;
 pub use tree::Place;
 
 use crate::{
@@ -53,9 +55,9 @@
     /// The list of live and leaving hosts.
     pub host_list: SocketAddr,
     /// The key that daemons authenticate each other's messages with.
-    pub peer_key: [u8; 32],
+    pub peer_key: Secret<[u8; 32]>,
     /// The token that operators present.
-    pub operator_token: String,
+    pub operator_token: Secret<String>,
     /// The largest request body taken, in bytes.
     pub max_body: usize,
     /// The most calls open at once.
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -18,7 +18,6 @@
 pub mod relay;
 pub mod runners;
 mod stall;
-pub mod timers;
 
 use crate::{
     core::{
@@ -32,6 +31,7 @@
     replay::{DaemonHeader, Recorder},
     report::Monitor,
     settings::Settings,
+    timers::Timers,
 };
 use anyhow::Context as _;
 use calls::Calls;
@@ -45,7 +45,6 @@
     sync::Arc,
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
-use timers::Timers;
 
 /// The decision logic, shared with drivers that answer queries.
 pub type SharedCore = Rc<RefCell<Core>>;
--- a/src/shell/operators/mod.rs
+++ b/src/shell/operators/mod.rs
@@ -66,7 +66,7 @@
             last: AtomicU64::new(0),
             waiting: Mutex::default(),
         });
-        let token = blake3::hash(settings.operator_token.as_bytes());
+        let token = blake3::hash(settings.operator_token.expose().as_bytes());
         let server = OperatorServer::new(Handler::new(pending.clone(), monitor));
         compio::runtime::spawn(accept(listener, server, token)).detach();
         Self { pending }
--- a/src/shell/peers.rs
+++ b/src/shell/peers.rs
@@ -133,8 +133,8 @@
         let site = Rc::new(Site {
             inbox,
             calls,
-            sealer: Sealer::new(settings.peer_key, me.name.clone(), me.incarnation),
-            opener: RefCell::new(Opener::new(settings.peer_key)),
+            sealer: Sealer::new(*settings.peer_key.expose(), me.name.clone(), me.incarnation),
+            opener: RefCell::new(Opener::new(*settings.peer_key.expose())),
             peer: me.peer,
             max_body: settings.max_body,
             relays: Cell::new(0),
--- a/src/shell/relay.rs
+++ b/src/shell/relay.rs
@@ -70,7 +70,7 @@
 impl Relays {
     /// Relays calls of this daemon; only one is made in a run.
     pub fn new(inbox: Inbox, calls: Rc<Calls>, me: &Identity, settings: &Settings) -> Self {
-        let key = settings.peer_key;
+        let key = *settings.peer_key.expose();
         Self {
             inbox,
             calls,
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -186,7 +186,7 @@
         "operator_token_file: token",
     );
     let settings = settings::parse(&text, folder.path()).expect("they are good");
-    assert_eq!(settings.operator_token, "a token from a file");
+    assert_eq!(settings.operator_token.expose(), "a token from a file");
 }
 
 #[test]
@@ -222,3 +222,26 @@
         assert_eq!(settings.peers.len(), 7, "{name} has 8 entry hosts");
     }
 }
+
+#[test]
+fn secrets_are_not_printed() {
+    let settings = settings::parse(GOOD, Path::new(".")).expect("they are good");
+    let printed = format!("{settings:?}");
+    assert!(printed.contains("operator_token: (secret)"), "{printed}");
+    assert!(!printed.contains("a token of the operators"), "{printed}");
+}
+
+#[test]
+fn objectives_are_taken_and_leave_a_budget() {
+    let text = format!("{GOOD}objectives: {{first_token_ms: 200, whole_target: 0.99}}\n");
+    let settings = settings::parse(&text, Path::new(".")).expect("they are good");
+    assert_eq!(settings.objectives.first_token, Span::from_millis(200));
+    assert_eq!(settings.objectives.whole_target, 0.99);
+    let all = format!("{GOOD}objectives: {{whole_target: 1.0}}\n");
+    let found = faults(&all);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(
+        found[0].starts_with("16:28 objectives.whole_target"),
+        "{found:?}"
+    );
+}
