The test of garbled requests waits until a request is heard of

Trial with the notice taken out: the property fails ('the decision logic holds a call that is gone').

--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -7,7 +7,10 @@
     net::TcpStream,
 };
 use futures_channel::mpsc::UnboundedReceiver;
-use futures_util::StreamExt as _;
+use futures_util::{
+    StreamExt as _,
+    future::{Either, select},
+};
 use hickoryledge::{
     core::{
         Core,
@@ -33,7 +36,13 @@
     sample::Index,
     test_runner::{RngSeed, TestRunner},
 };
-use std::{cell::RefCell, net::SocketAddr, path::Path, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    path::Path,
+    rc::Rc,
+    time::Duration,
+};
 
 /// How long a test waits for what must come.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -700,7 +709,8 @@
 }
 
 /// A request whose bytes are changed here and there, and cut somewhere.
-fn garbled() -> impl Strategy<Value = Vec<u8>> {
+/// A request with some bytes changed, and whether it is cut short.
+fn garbled() -> impl Strategy<Value = (Vec<u8>, bool)> {
     let changes = proptest::collection::vec((any::<Index>(), any::<u8>()), 0..4);
     (any::<bool>(), changes, any::<Index>(), any::<bool>()).prop_map(
         |(stream, changes, end, is_cut)| {
@@ -712,16 +722,41 @@
             if is_cut {
                 bytes.truncate(end.index(bytes.len()));
             }
-            bytes
+            (bytes, is_cut)
         },
     )
 }
 
+/// What an input adds to the calls that the decision logic holds.
+fn weight(input: &Input) -> i32 {
+    match input {
+        Input::Call(CallInput::Arrived { .. } | CallInput::Entries { .. }) => 1,
+        Input::Call(CallInput::Gone { .. }) => -1,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Waits until a request is taken or answered; gives what was taken.
+async fn taken(daemon: &mut Daemon, caller: &mut Caller) -> Option<Input> {
+    let arrived = std::pin::pin!(daemon.inputs.next());
+    let answered = std::pin::pin!(caller.sees("HTTP/1.1 "));
+    match select(arrived, answered).await {
+        Either::Left((input, _)) => input,
+        Either::Right(_) => None,
+    }
+}
+
 /// Sends bytes and half of a close; then nothing of them is left.
-async fn leaves_nothing(bytes: Vec<u8>) {
-    let mut daemon = Daemon::start("{caller_timeout_ms: 5000}").await;
+///
+/// Tells whether the decision logic heard of a call.
+async fn leaves_nothing(bytes: Vec<u8>, is_cut: bool) -> bool {
+    let mut daemon = Daemon::start("{caller_timeout_ms: 300}").await;
     let mut caller = Caller::connect(&daemon).await;
     let _ = caller.stream.write_all(bytes).await;
+    let first = match is_cut {
+        true => None,
+        false => taken(&mut daemon, &mut caller).await,
+    };
     let _ = caller.stream.shutdown().await;
     let read = caller.rest().await;
     let closed = async {
@@ -735,15 +770,12 @@
     closed.expect("the connection is closed in time");
     assert!(!read.contains("x-outcome: complete"), "{read}");
     assert_eq!(daemon.calls.count(), 0, "a call is left open");
-    let mut balance = 0;
+    let mut balance = first.as_ref().map_or(0, weight);
     while let Ok(input) = daemon.inputs.try_recv() {
-        match input {
-            Input::Call(CallInput::Arrived { .. } | CallInput::Entries { .. }) => balance += 1,
-            Input::Call(CallInput::Gone { .. }) => balance -= 1,
-            other => panic!("{other:?}"),
-        }
+        balance += weight(&input);
     }
     assert_eq!(balance, 0, "the decision logic holds a call that is gone");
+    first.is_some()
 }
 
 #[test]
@@ -756,9 +788,12 @@
     };
     let runtime = compio::runtime::Runtime::new().expect("the loop starts");
     let mut runner = TestRunner::new(config);
-    let run = runner.run(&garbled(), |bytes| {
-        runtime.block_on(leaves_nothing(bytes));
+    let heard = Cell::new(0);
+    let run = runner.run(&garbled(), |(bytes, is_cut)| {
+        let was_heard = runtime.block_on(leaves_nothing(bytes, is_cut));
+        heard.set(heard.get() + u32::from(was_heard));
         Ok(())
     });
     run.unwrap_or_else(|failure| panic!("{failure}"));
+    assert!(heard.get() > 20, "only {} calls were heard of", heard.get());
 }
