The tally keeps no names that callers make up, and copies none for each token

Cause: a subject was kept for every model name asked for, by anybody, for an hour; and its text was copied for each token. Names without a record count as one, strangers not at all (tests/report.rs names_that_callers_make_up).

--- a/src/replay/table.rs
+++ b/src/replay/table.rs
@@ -99,7 +99,7 @@
     let [invariant, trace, inputs, checks, faults, verdict] = columns;
     writeln!(
         out,
-        "{invariant:<18} {trace:<34} {inputs:>6} {checks:>6}  {faults:<36} {verdict}"
+        "{invariant:<18} {trace:<46} {inputs:>6} {checks:>6}  {faults:<36} {verdict}"
     )?;
     for row in rows {
         let Row {
@@ -113,7 +113,7 @@
         let verdict = row.failure.as_deref().unwrap_or("holds");
         writeln!(
             out,
-            "{invariant:<18} {stem:<34} {inputs:>6} {checks:>6}  {faults:<36} {verdict}"
+            "{invariant:<18} {stem:<46} {inputs:>6} {checks:>6}  {faults:<36} {verdict}"
         )?;
     }
     Ok(())
--- a/src/report/tally.rs
+++ b/src/report/tally.rs
@@ -4,7 +4,7 @@
 
 use crate::core::{
     Core,
-    input::{CallInput, Input, PlatformInput, Target},
+    input::{CallInput, CallRequest, Input, PlatformInput, Target},
     keys::{AccountName, CallId, GroupName, HostName},
     output::{CallOutput, Doubt, Ending, Output, Refusal, Route, RunnerOutput},
     time::{Span, Time},
@@ -22,12 +22,17 @@
 /// Latencies above this are counted as this.
 const MAX_LATENCY_MS: u64 = 60_000;
 
+crate::name! {
+    /// A model or a plain service.
+    TargetName;
+}
+
 crate::record! {
     /// Whom a figure concerns.
     #[derive(Eq, PartialOrd, Ord)]
     pub struct Subject {
         /// The model or plain service.
-        pub target: String,
+        pub target: TargetName,
         /// The account.
         pub account: AccountName,
     }
@@ -186,24 +191,7 @@
     pub fn watch(&mut self, now: Time, core: &Core, input: &Input, out: &[Output]) {
         self.now = now;
         if let Input::Call(CallInput::Arrived { call, request }) = input {
-            let account = core.config().view().account_by_key(&request.credential);
-            let target = match &request.target {
-                Target::Model { model, .. } => model.to_string(),
-                Target::Service { service } => service.to_string(),
-            };
-            let account = account
-                .map(|account| account.name.clone())
-                .unwrap_or_default();
-            let subject = Subject { target, account };
-            self.open.insert(
-                *call,
-                Open {
-                    subject,
-                    arrived: now,
-                    last: None,
-                    host: None,
-                },
-            );
+            self.arrived(now, core, *call, request);
         }
         if let Input::Platform(PlatformInput::Failed { .. }) = input {
             self.slot(now).failures += 1;
@@ -223,6 +211,20 @@
         self.sample(now, core);
     }
 
+    /// Opens a call; one of an unknown account is owed nothing and not kept.
+    fn arrived(&mut self, now: Time, core: &Core, call: CallId, request: &CallRequest) {
+        let Some(subject) = subject(core, request) else {
+            return;
+        };
+        let open = Open {
+            subject,
+            arrived: now,
+            last: None,
+            host: None,
+        };
+        self.open.insert(call, open);
+    }
+
     fn count(&mut self, now: Time, output: &CallOutput) {
         match output {
             CallOutput::Deliver { call, offset, .. } => self.delivered(now, *call, *offset),
@@ -335,3 +337,16 @@
         self.slots.back_mut().expect("a slot was pushed")
     }
 }
+
+/// Whom a request concerns. Names that no record bears count as one, so that
+/// callers can't make the tally grow.
+fn subject(core: &Core, request: &CallRequest) -> Option<Subject> {
+    let view = core.config().view();
+    let account = view.account_by_key(&request.credential)?.name.clone();
+    let target = match &request.target {
+        Target::Model { model, .. } => view.model(model).map(|held| held.name.as_str()),
+        Target::Service { service } => view.service(service).map(|held| held.name.as_str()),
+    };
+    let target = TargetName::from(target.unwrap_or("(unknown)"));
+    Some(Subject { target, account })
+}
--- a/tests/report.rs
+++ b/tests/report.rs
@@ -170,3 +170,22 @@
     let row = row(&report, Objective::FirstToken);
     assert_eq!((row.good, row.total), (14, 14));
 }
+
+#[test]
+fn names_that_callers_make_up_count_as_one() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/recordings/unknown-names.jsonl");
+    let trace = Trace::read(&path).expect("recording is valid");
+    let report = of_trace(&trace, &Objectives::default()).expect("recording replays");
+    let causes: Vec<_> = report
+        .causes
+        .iter()
+        .map(|cause| {
+            (
+                cause.subject.target.as_str(),
+                cause.cause.as_str(),
+                cause.count,
+            )
+        })
+        .collect();
+    assert_eq!(causes, [("(unknown)", "refused: NotFound", 5)]);
+}
