--- a/src/replay/record.rs
+++ b/src/replay/record.rs
@@ -10,7 +10,7 @@
 use crate::core::{input::Input, time::Time};
 
 /// The most bytes written to one recording.
-const MAX_RECORDING_BYTES: u64 = 1 << 30;
+const MAX_RECORDING_BYTES: u64 = 128 << 20;
 
 /// Writes inputs to a file until it is full.
 #[derive(Debug)]
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -380,3 +380,25 @@
     let output = env.try_operate(0, &["status"]);
     assert_eq!(output.status.code(), Some(6), "{output:?}");
 }
+
+#[test]
+fn a_graceful_stop_hands_the_duty_over_before_the_lease_ends() {
+    let mut env = TestEnv::with_options(2, "options:\n  lease_ms: 120000");
+    let holder = |env: &TestEnv, index: usize| {
+        let status = env.status(index);
+        let line = status
+            .into_iter()
+            .find(|line| line.get("holder").is_some())?;
+        line["holder"].as_str().map(str::to_owned)
+    };
+    let first = wait_for("a holder", || {
+        holder(&env, 0).filter(|name| !name.is_empty())
+    });
+    let index = usize::from(env.daemons[0].name != first);
+    env.daemons[index].process.signal(Signal::SIGTERM);
+    assert_eq!(env.daemons[index].process.wait_exit(), 0);
+    let other = env.daemons[1 - index].name.clone();
+    wait_for("the duty handed over", || {
+        (holder(&env, 1 - index)? == other).then_some(())
+    });
+}
