The loop copies no input for the report

Cause: the tally was shown each input after the step that takes it, so the loop cloned every input, tokens and whole requests alike. It is now shown the input before the step and the outputs after it. No time was measured.

--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -32,7 +32,8 @@
 pub fn of_trace(trace: &Trace, objectives: &Objectives) -> Result<Report, Divergence> {
     let mut tally = Tally::default();
     observe(trace, |now, core: &Core, input: &Input, out: &[Output]| {
-        tally.watch(now, core, input, out);
+        tally.watch_input(now, core, input);
+        tally.watch_outputs(now, core, out);
     })?;
     Ok(burn(&tally, objectives))
 }
--- a/src/report/monitor.rs
+++ b/src/report/monitor.rs
@@ -30,9 +30,14 @@
         burn(&self.lock(), &self.objectives)
     }
 
-    /// Counts one step of the daemon.
-    pub fn watch(&self, now: Time, core: &Core, input: &Input, out: &[Output]) {
-        self.lock().watch(now, core, input, out);
+    /// Counts an event that the daemon is handed.
+    pub fn watch_input(&self, now: Time, core: &Core, input: &Input) {
+        self.lock().watch_input(now, core, input);
+    }
+
+    /// Counts what came of an event.
+    pub fn watch_outputs(&self, now: Time, core: &Core, out: &[Output]) {
+        self.lock().watch_outputs(now, core, out);
     }
 
     fn lock(&self) -> MutexGuard<'_, Tally> {
--- a/src/report/tally.rs
+++ b/src/report/tally.rs
@@ -187,15 +187,20 @@
 
 /// Commands.
 impl Tally {
-    /// Counts one step of a daemon.
-    pub fn watch(&mut self, now: Time, core: &Core, input: &Input, out: &[Output]) {
-        self.now = now;
-        if let Input::Call(CallInput::Arrived { call, request }) = input {
-            self.arrived(now, core, *call, request);
-        }
-        if let Input::Platform(PlatformInput::Failed { .. }) = input {
-            self.slot(now).failures += 1;
+    /// Counts an event that a daemon is handed.
+    pub fn watch_input(&mut self, now: Time, core: &Core, input: &Input) {
+        match input {
+            Input::Call(CallInput::Arrived { call, request }) => {
+                self.arrived(now, core, *call, request);
+            }
+            Input::Platform(PlatformInput::Failed { .. }) => self.slot(now).failures += 1,
+            _ => {}
         }
+    }
+
+    /// Counts what came of an event.
+    pub fn watch_outputs(&mut self, now: Time, core: &Core, out: &[Output]) {
+        self.now = now;
         for output in out {
             match output {
                 Output::Call(output) => self.count(now, output),
@@ -205,9 +210,6 @@
                 _ => {}
             }
         }
-        if let Input::Call(CallInput::Gone { call }) = input {
-            self.open.remove(call);
-        }
         self.sample(now, core);
     }
 
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -153,8 +153,9 @@
         if let Some(recorder) = &mut recorder {
             recorder.input(now, &input).context("write the recording")?;
         }
-        core.borrow_mut().step(now, input.clone(), &mut out);
-        monitor.watch(now, &core.borrow(), &input, &out);
+        monitor.watch_input(now, &core.borrow(), &input);
+        core.borrow_mut().step(now, input, &mut out);
+        monitor.watch_outputs(now, &core.borrow(), &out);
         for output in out.drain(..) {
             if perform(output, &drivers, &mut timers, &log) {
                 connections.finish().await;
