--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -39,6 +39,8 @@
 pub enum Command {
     /// Run a daemon.
     Run(RunArgs),
+    /// Run a daemon on the users' platform.
+    Platform(PlatformArgs),
     /// Check settings.
     Check(CheckArgs),
     /// Ask which daemons to use.
@@ -90,6 +92,7 @@
     fn from(args: Args) -> Self {
         let command = match args.command {
             Subcommand::Run(args) => Command::Run(args),
+            Subcommand::Platform(args) => Command::Platform(args),
             Subcommand::Check(args) => Command::Check(args),
             Subcommand::Entries(args) => Command::Entries(args),
             Subcommand::Group(args) => Command::Operate(Operate::Group(args.command)),
@@ -136,6 +139,7 @@
 #[argh(subcommand)]
 enum Subcommand {
     Run(RunArgs),
+    Platform(PlatformArgs),
     Check(CheckArgs),
     Entries(EntriesArgs),
     Group(GroupArgs),
@@ -160,6 +164,15 @@
     pub record: Option<PathBuf>,
 }
 
+/// Run a daemon on the users' platform until it is told to stop (SIGTERM) and its grace period is over.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub struct PlatformArgs {
+    /// the settings file; the one that the platform names if left out
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+}
+
 /// Check a settings file and name every fault with its place.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
--- /dev/null
+++ b/src/gateway/adapter.rs
@@ -0,0 +1,150 @@
+//! What a gateway needs to know of the platform that it runs on.
+//!
+//! An adapter holds names and formats and decides nothing. All its functions
+//! are pure; the store's calls stand behind [`KeyValue`].
+
+use super::{
+    load::Reported,
+    planner::Order,
+    roster::{Membership, Runner},
+    spec::Spec,
+};
+use crate::{
+    core::{
+        keys::{AccountName, HallName, HostName, KeyHash, ModelName},
+        time::Span,
+    },
+    shell::platform::KeyValue,
+};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, request, response};
+use std::{fmt, net::SocketAddr};
+
+/// Names and formats of a platform.
+pub trait Adapter: 'static {
+    /// The client of its store.
+    type Store: KeyValue;
+
+    /// The key under which operators keep the configuration.
+    const SPEC_KEY: &'static str;
+
+    /// What the keys of runners' entries begin with.
+    const RUNNER_PREFIX: &'static str;
+
+    /// What the keys of the gateway's own entries begin with.
+    const OWN_PREFIX: &'static str;
+
+    /// Reads a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is none.
+    fn spec(text: &str) -> Result<Spec, DecodeError>;
+
+    /// Reads a runner's entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text names no runner that can be used.
+    fn runner(text: &str) -> Result<Runner, DecodeError>;
+
+    /// Reads a runner's answer to a probe.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is no report.
+    fn report(text: &[u8]) -> Result<Option<Membership>, DecodeError>;
+
+    /// The path of a probe.
+    fn report_path() -> &'static str;
+
+    /// The path and the body of an order.
+    fn order(order: &Order) -> (&'static str, Bytes);
+
+    /// Reads the head of a caller's request.
+    fn call(head: &request::Parts) -> CallHead;
+
+    /// Sets the headers of a request that is passed on.
+    fn pass_on(headers: &mut HeaderMap, passed: &Passed<'_>);
+
+    /// Reads the head of a runner's answer.
+    fn answer(head: &response::Parts) -> AnswerHead;
+
+    /// Reads the head of a question for the daemons' addresses; none if it is another request.
+    fn question(head: &request::Parts) -> Option<Question>;
+
+    /// The answer to such a question.
+    fn addresses(addresses: &[SocketAddr], ttl: Span) -> Bytes;
+
+    /// Whether a request asks if this daemon is ready.
+    fn asks_readiness(head: &request::Parts) -> bool;
+}
+
+/// A caller's request, without its body.
+#[derive(Clone, Debug, Default)]
+pub struct CallHead {
+    /// The caller's identifier of this request.
+    pub id: Option<HeaderValue>,
+    /// The hash of the caller's key.
+    pub key: Option<KeyHash>,
+    /// How long the caller will wait.
+    pub deadline: Option<Span>,
+    /// The model asked for.
+    pub model: Option<ModelName>,
+    /// The prompt's tokens.
+    pub prompt: u32,
+    /// The most tokens of the answer.
+    pub answer: u32,
+    /// The last event that the caller has already.
+    pub resume_after: Option<u64>,
+}
+
+/// What a request that is passed on is told.
+#[derive(Clone, Copy, Debug)]
+pub struct Passed<'a> {
+    /// What is left of the caller's time.
+    pub left: Span,
+    /// The runner that it is meant for.
+    pub host: &'a HostName,
+    /// The caller's account.
+    pub account: Option<&'a AccountName>,
+    /// The last event that the caller has already.
+    pub resume_after: Option<u64>,
+}
+
+/// The head of a runner's answer.
+#[derive(Clone, Debug, Default)]
+pub struct AnswerHead {
+    /// The request that it belongs to.
+    pub id: Option<HeaderValue>,
+    /// Whether the runner says that it did not run the request.
+    pub not_run: bool,
+    /// Whether the runner vouches for the answer.
+    pub vouched: bool,
+    /// The runner's load.
+    pub load: Option<Reported>,
+}
+
+/// A question for the daemons' addresses.
+#[derive(Clone, Debug, Default)]
+pub struct Question {
+    /// Where the caller is.
+    pub hall: Option<HallName>,
+}
+
+/// Text that can't be read.
+#[derive(Clone, Debug)]
+pub struct DecodeError {
+    /// What was being read.
+    pub what: &'static str,
+    /// What is wrong with it.
+    pub cause: String,
+}
+
+impl fmt::Display for DecodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.what, self.cause)
+    }
+}
+
+impl std::error::Error for DecodeError {}
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,79 @@
+//! One request on one connection of its own.
+//!
+//! A connection is used once: a late or doubled answer can then belong to no
+//! other request, and dropping the exchange tells the runner that nobody waits.
+
+use crate::shell::http;
+use ::http::{Request, Response};
+use bytes::Bytes;
+use compio::runtime::JoinHandle;
+use cyper_core::HyperStream;
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{Builder, SendRequest},
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// How long connecting may take; links within a region take a few milliseconds.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Why no answer came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendError {
+    /// No byte was sent.
+    NotSent,
+    /// The request may have arrived.
+    Cut,
+}
+
+/// An open connection.
+pub struct Exchange {
+    sender: SendRequest<Full<Bytes>>,
+    /// Drives the connection; dropping it closes the connection.
+    _connection: JoinHandle<()>,
+}
+
+impl Exchange {
+    /// Connects to a runner.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be reached in time; nothing was sent then.
+    pub async fn open(address: SocketAddr) -> Result<Self, SendError> {
+        let stream = http::connect_within(address, CONNECT_TIMEOUT)
+            .await
+            .map_err(|_| SendError::NotSent)?;
+        let (sender, connection) = Builder::new()
+            .handshake(HyperStream::new_plain(stream))
+            .await
+            .map_err(|_| SendError::NotSent)?;
+        let connection = compio::runtime::spawn(async move {
+            // The sender and the body report a connection's fault.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            _connection: connection,
+        })
+    }
+
+    /// Sends the request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends first.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.sender.ready().await.map_err(|_| SendError::NotSent)?;
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| match error.take_message() {
+                Some(_) => SendError::NotSent,
+                None => SendError::Cut,
+            })
+    }
+}
--- /dev/null
+++ b/src/gateway/load.rs
@@ -0,0 +1,104 @@
+//! How loaded each runner is, from the answers it gave and what was sent since.
+
+use super::roster::HostKey;
+use crate::core::time::{Span, Time};
+use slotmap::SecondaryMap;
+
+/// How long a runner that could not be reached gets nothing, unless all are so.
+const AVOIDANCE: Span = Span::from_millis(1_000);
+
+/// How long a runner's own figures are worth something.
+const REPORT_LIFE: Span = Span::from_millis(2_000);
+
+/// A runner's own figures, as sent with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reported {
+    /// Requests being run.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// One runner's load.
+#[derive(Clone, Copy, Debug, Default)]
+struct Entry {
+    /// Requests of this daemon under way there.
+    own: u32,
+    /// Requests of others when it last answered.
+    others: u32,
+    /// When it last answered.
+    reported: Option<Time>,
+    /// Until when it is avoided.
+    avoided: Option<Time>,
+    /// Failures in a row.
+    failures: u32,
+}
+
+/// The load of all runners.
+#[derive(Debug, Default)]
+pub struct Loads {
+    entries: SecondaryMap<HostKey, Entry>,
+}
+
+impl Loads {
+    /// Counts a request sent to a runner.
+    pub fn sent(&mut self, host: HostKey) {
+        if let Some(entry) = self.entry(host) {
+            entry.own += 1;
+        }
+    }
+
+    /// Counts a request ended at a runner.
+    pub fn ended(&mut self, host: HostKey) {
+        if let Some(entry) = self.entries.get_mut(host) {
+            entry.own = entry.own.saturating_sub(1);
+        }
+    }
+
+    /// Takes in a runner's own figures; they include this daemon's requests.
+    pub fn reported(&mut self, host: HostKey, figures: Reported, now: Time) {
+        if let Some(entry) = self.entry(host) {
+            let total = figures.running + figures.waiting;
+            entry.others = total.saturating_sub(entry.own);
+            entry.reported = Some(now);
+        }
+    }
+
+    /// Takes in that a runner served a request.
+    pub fn served(&mut self, host: HostKey) {
+        if let Some(entry) = self.entry(host) {
+            entry.failures = 0;
+            entry.avoided = None;
+        }
+    }
+
+    /// Takes in that a runner could not be reached or turned a request away.
+    pub fn failed(&mut self, host: HostKey, now: Time) {
+        if let Some(entry) = self.entry(host) {
+            entry.failures += 1;
+            entry.avoided = Some(now + AVOIDANCE);
+        }
+    }
+
+    /// Whether a runner is avoided for now.
+    pub fn is_avoided(&self, host: HostKey, now: Time) -> bool {
+        let entry = self.entries.get(host);
+        entry.is_some_and(|entry| entry.avoided.is_some_and(|until| now < until))
+    }
+
+    /// The requests that a runner is thought to hold.
+    pub fn held(&self, host: HostKey, now: Time) -> u32 {
+        let Some(entry) = self.entries.get(host) else {
+            return 0;
+        };
+        let fresh = entry.reported.is_some_and(|at| now.since(at) < REPORT_LIFE);
+        let others = if fresh { entry.others } else { 0 };
+        entry.own + others
+    }
+
+    fn entry(&mut self, host: HostKey) -> Option<&mut Entry> {
+        self.entries.entry(host).map(|entry| entry.or_default())
+    }
+}
--- /dev/null
+++ b/src/gateway/planner.rs
@@ -0,0 +1,515 @@
+//! Decides which hosts form groups, and orders it.
+//!
+//! The planner looks at what runners report, not at what it ordered: an order
+//! may be lost, or carried out late. Only its formations under way are kept in
+//! memory; a successor finds everything else in the runners' own reports. An
+//! epoch is larger than every epoch of an earlier holder of the duty, so a late
+//! order of that holder is refused by the runners.
+//!
+//! A group is closed before any of its members is ordered into another one,
+//! and opened only once each member reports itself ready at its epoch.
+
+use super::{
+    budget::LoadBudget,
+    formation::{Formation, Pool, choose_members},
+    roster::{Group, Host, HostKey, MemberState, Roster},
+    spec::{Engine, Replication, Service, Spec},
+};
+use crate::core::{
+    keys::{DomainName, Epoch, GroupName, HostName, ModelName, ServiceName},
+    time::{Span, Time},
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The window of the weight store's limit on loads.
+const LOAD_WINDOW: Span = Span::from_secs(5);
+
+/// How long an order is left to show its effect before it is sent again.
+const ORDER_PATIENCE: Span = Span::from_millis(700);
+
+/// How much longer than foreseen a formation may take.
+const FORMATION_SLACK: Span = Span::from_secs(12);
+
+/// How much faster loads are before the first request.
+const EARLY_LOAD_FACTOR: u64 = 10;
+
+crate::record! {
+    /// An order to a runner.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub enum Order {
+        /// Become a member of a group.
+        Join {
+            /// The group.
+            group: GroupName,
+            /// Its epoch.
+            epoch: Epoch,
+            /// Its model.
+            model: ModelName,
+            /// Its members; the first is the head.
+            members: Vec<HostName>,
+        },
+        /// Begin to serve; for heads.
+        Open {
+            /// The group.
+            group: GroupName,
+            /// Its epoch.
+            epoch: Epoch,
+        },
+        /// Stop serving; for heads.
+        Close {
+            /// The group.
+            group: GroupName,
+            /// Its epoch.
+            epoch: Epoch,
+            /// Whether running requests are cut off.
+            cut: bool,
+        },
+        /// Stage a model's weights on the host.
+        Stage {
+            /// The model.
+            model: ModelName,
+        },
+    }
+
+    /// An order and the runner that it is for.
+    pub struct Directive {
+        /// The runner.
+        pub host: HostName,
+        /// What it is to do.
+        pub order: Order,
+    }
+}
+
+/// The state between two steps.
+#[derive(Debug)]
+pub struct Planner {
+    /// The last epoch given out.
+    epoch: i64,
+    formations: Vec<Formation>,
+    /// When each order was sent last.
+    sent: BTreeMap<(HostName, Order), Time>,
+    budget: LoadBudget,
+    /// Loads thought to be under way, with their likely ends.
+    loading: Vec<(HostName, Time)>,
+    /// Whether requests have begun to come.
+    pub busy: bool,
+}
+
+impl Planner {
+    /// A planner whose epochs are larger than `epoch`.
+    pub fn new(epoch: Epoch) -> Self {
+        Self {
+            epoch: epoch.0,
+            formations: Vec::new(),
+            sent: BTreeMap::new(),
+            budget: LoadBudget::new(LOAD_WINDOW),
+            loading: Vec::new(),
+            busy: false,
+        }
+    }
+
+    /// Decides what to order now.
+    pub fn step(&mut self, roster: &Roster, spec: &Spec, now: Time) -> Vec<Directive> {
+        let mut out = Vec::new();
+        self.loading.retain(|(_, end)| *end > now);
+        self.sent.retain(|_, at| now.since(*at) < FORMATION_SLACK);
+        for service in &spec.services {
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            self.advance(roster, &service.name, engine, now, &mut out);
+            self.tend(roster, &service.name, engine, now, &mut out);
+            self.form(roster, service, engine, now, &mut out);
+            self.stage(roster, service, engine, now, &mut out);
+        }
+        out
+    }
+
+    /// Formations under way.
+    pub fn formations(&self) -> &[Formation] {
+        &self.formations
+    }
+
+    /// Moves formations on, and drops those that can't succeed.
+    fn advance(
+        &mut self,
+        roster: &Roster,
+        service: &ServiceName,
+        engine: &Engine,
+        now: Time,
+        out: &mut Vec<Directive>,
+    ) {
+        let mut formations = std::mem::take(&mut self.formations);
+        formations.retain(|formation| {
+            if formation.service != *service {
+                return true;
+            }
+            if formation.is_hopeless(roster, now) {
+                return false;
+            }
+            self.push_forward(formation, roster, now, out)
+        });
+        self.adopt(&mut formations, roster, service, engine, now);
+        self.formations = formations;
+    }
+
+    /// Sends what a formation still needs; false once it serves.
+    fn push_forward(
+        &mut self,
+        formation: &Formation,
+        roster: &Roster,
+        now: Time,
+        out: &mut Vec<Directive>,
+    ) -> bool {
+        let mut ready = 0;
+        for name in &formation.members {
+            match formation.state_of(roster, name) {
+                Some(MemberState::Open | MemberState::Closing) => return false,
+                Some(MemberState::Ready) => ready += 1,
+                Some(MemberState::Joining | MemberState::Broken) => {}
+                None => self.send(name, formation.join(), now, out),
+            }
+        }
+        if ready == formation.members.len() {
+            let open = Order::Open {
+                group: formation.group.clone(),
+                epoch: formation.epoch,
+            };
+            self.send(&formation.members[0], open, now, out);
+        }
+        true
+    }
+
+    /// Takes over complete groups that an earlier holder left half formed.
+    fn adopt(
+        &self,
+        formations: &mut Vec<Formation>,
+        roster: &Roster,
+        service: &ServiceName,
+        engine: &Engine,
+        now: Time,
+    ) {
+        for group in roster.groups() {
+            let settled = group.is_active() || group.head_state == Some(MemberState::Broken);
+            if group.service != *service || !group.complete || settled {
+                continue;
+            }
+            let taken = formations
+                .iter()
+                .any(|formation| formation.overlaps(roster, group));
+            let Some(replication) = engine.replication(&group.model) else {
+                continue;
+            };
+            let sound = group.members.values().all(|key| {
+                roster
+                    .host(*key)
+                    .is_some_and(|host| is_eligible(roster, host))
+            });
+            if !taken && sound {
+                let until = now + replication.load + FORMATION_SLACK;
+                formations.push(Formation::adopted(roster, group, until));
+            }
+        }
+    }
+
+    /// Closes active groups that have lost a member or are losing one.
+    fn tend(
+        &mut self,
+        roster: &Roster,
+        service: &ServiceName,
+        _engine: &Engine,
+        now: Time,
+        out: &mut Vec<Directive>,
+    ) {
+        for group in roster.groups() {
+            if group.service != *service || !group.is_active() {
+                continue;
+            }
+            let Some(head) = group.head().and_then(|key| roster.host(key)) else {
+                continue;
+            };
+            let Some(cut) = must_close(roster, group, head) else {
+                continue;
+            };
+            let close = Order::Close {
+                group: group.name.clone(),
+                epoch: group.epoch,
+                cut,
+            };
+            self.send(&head.name, close, now, out);
+        }
+    }
+
+    /// Forms groups of free hosts, the model in greatest need first.
+    fn form(
+        &mut self,
+        roster: &Roster,
+        service: &Service,
+        engine: &Engine,
+        now: Time,
+        out: &mut Vec<Directive>,
+    ) {
+        let mut pools = self.pools(roster, &service.name);
+        let mut counts = self.counts(roster, &service.name);
+        loop {
+            let Some((domain, replication)) = next_group(engine, &counts, &pools) else {
+                return;
+            };
+            let pool = pools.get_mut(&domain).expect("the domain was chosen");
+            let members = choose_members(roster, pool, replication);
+            let loads: Vec<HostName> = members
+                .iter()
+                .filter(|key| needs_load(roster, **key, &replication.model))
+                .filter_map(|key| Some(roster.host(*key)?.name.clone()))
+                .collect();
+            if !self.may_load(loads.len(), engine, now) {
+                return;
+            }
+            let load = self.load_time(replication.load);
+            self.loading
+                .extend(loads.into_iter().map(|name| (name, now + load)));
+            *counts.entry(replication.model.clone()).or_default() += 1;
+            self.begin(roster, service, replication, &members, now, out);
+        }
+    }
+
+    fn begin(
+        &mut self,
+        roster: &Roster,
+        service: &Service,
+        replication: &Replication,
+        members: &[HostKey],
+        now: Time,
+        out: &mut Vec<Directive>,
+    ) {
+        self.epoch += 1;
+        let names = members
+            .iter()
+            .filter_map(|key| Some(roster.host(*key)?.name.clone()));
+        let formation = Formation {
+            service: service.name.clone(),
+            model: replication.model.clone(),
+            group: GroupName::from(format!("g{}", self.epoch)),
+            epoch: Epoch(self.epoch),
+            members: names.collect(),
+            lives: members
+                .iter()
+                .filter_map(|key| Some(roster.host(*key)?.runner.born))
+                .collect(),
+            until: now + replication.load.times(2) + FORMATION_SLACK,
+        };
+        for name in &formation.members {
+            self.send(name, formation.join(), now, out);
+        }
+        self.formations.push(formation);
+    }
+
+    /// Stages weights on hosts that are left over, so that they can replace a lost one quickly.
+    fn stage(
+        &mut self,
+        roster: &Roster,
+        service: &Service,
+        engine: &Engine,
+        now: Time,
+        out: &mut Vec<Directive>,
+    ) {
+        if self.loading.len() >= engine.load_parallel as usize {
+            return;
+        }
+        for pool in self.pools(roster, &service.name).into_values() {
+            for (key, model) in stagings(roster, &pool.free, engine) {
+                let Some(host) = roster.host(key) else {
+                    continue;
+                };
+                let busy = self.loading.iter().any(|(name, _)| *name == host.name);
+                if busy || !self.may_load(1, engine, now) {
+                    continue;
+                }
+                let Some(replication) = engine.replication(&model) else {
+                    continue;
+                };
+                let load = self.load_time(replication.load);
+                self.loading.push((host.name.clone(), now + load));
+                self.send(&host.name, Order::Stage { model }, now, out);
+            }
+        }
+    }
+
+    /// Hosts that may be ordered into a group, by domain.
+    fn pools(&self, roster: &Roster, service: &ServiceName) -> BTreeMap<DomainName, Pool> {
+        let held = self.held(roster, service);
+        let mut pools: BTreeMap<DomainName, Pool> = BTreeMap::new();
+        for (key, host) in roster.hosts() {
+            let Some(domain) = &host.runner.domain else {
+                continue;
+            };
+            if host.runner.service != *service || !is_eligible(roster, host) {
+                continue;
+            }
+            let pool = pools.entry(domain.clone()).or_default();
+            pool.total += 1;
+            if !held.contains(&key) {
+                pool.free.push(key);
+            }
+        }
+        pools
+    }
+
+    /// Hosts that a group holds: formations, and groups whose head may be running requests.
+    fn held(&self, roster: &Roster, service: &ServiceName) -> BTreeSet<HostKey> {
+        let forming = self
+            .formations
+            .iter()
+            .flat_map(|formation| &formation.members)
+            .filter_map(|name| Some(roster.named(name)?.0));
+        let active = roster
+            .groups()
+            .iter()
+            .filter(|group| group.service == *service && holds_members(roster, group))
+            .flat_map(|group| group.members.values().copied());
+        forming.chain(active).collect()
+    }
+
+    /// Groups of each model that serve or are being formed.
+    fn counts(&self, roster: &Roster, service: &ServiceName) -> BTreeMap<ModelName, u32> {
+        let mut counts = BTreeMap::new();
+        for group in roster.groups() {
+            let sound = group.complete && group.head_state == Some(MemberState::Open);
+            if group.service == *service && sound {
+                *counts.entry(group.model.clone()).or_default() += 1;
+            }
+        }
+        for formation in &self.formations {
+            *counts.entry(formation.model.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Whether `count` more loads may begin.
+    fn may_load(&mut self, count: usize, engine: &Engine, now: Time) -> bool {
+        if count == 0 {
+            return true;
+        }
+        if !self.busy {
+            return self.loading.len() < engine.load_parallel as usize;
+        }
+        let most = (engine.load_rate * LOAD_WINDOW.as_secs_f64()) as usize;
+        self.budget.take(count, most, now)
+    }
+
+    fn load_time(&self, load: Span) -> Span {
+        match self.busy {
+            true => load,
+            false => Span(load.0 / EARLY_LOAD_FACTOR),
+        }
+    }
+
+    /// Sends an order unless the same one was sent a moment ago.
+    fn send(&mut self, host: &HostName, order: Order, now: Time, out: &mut Vec<Directive>) {
+        let key = (host.clone(), order.clone());
+        let last = self.sent.get(&key);
+        if last.is_some_and(|at| now.since(*at) < ORDER_PATIENCE) {
+            return;
+        }
+        self.sent.insert(key, now);
+        out.push(Directive {
+            host: host.clone(),
+            order,
+        });
+    }
+}
+
+/// Whether a host may be part of a new group.
+pub(super) fn is_eligible(roster: &Roster, host: &Host) -> bool {
+    host.unlisted.is_none() && !host.runner.draining && !roster.is_lost(host)
+}
+
+/// Whether joining needs the weight store.
+fn needs_load(roster: &Roster, key: HostKey, model: &ModelName) -> bool {
+    roster
+        .host(key)
+        .is_some_and(|host| !host.runner.staged.contains(model))
+}
+
+/// Whether an active group must be closed, and if so, whether at once.
+fn must_close(roster: &Roster, group: &Group, head: &Host) -> Option<bool> {
+    let members: Vec<&Host> = group
+        .members
+        .values()
+        .filter_map(|key| roster.host(*key))
+        .collect();
+    let is_broken = !group.complete || members.iter().any(|host| roster.is_lost(host));
+    if is_broken {
+        return Some(true);
+    }
+    let is_leaving = members.iter().any(|host| host.runner.draining) || head.unlisted.is_some();
+    let is_open = group.head_state == Some(MemberState::Open);
+    (is_leaving && is_open).then_some(false)
+}
+
+/// Whether a group's members must not be ordered elsewhere.
+///
+/// A head that was found dead still holds them until its entry is gone: it may
+/// only be out of this daemon's reach.
+fn holds_members(roster: &Roster, group: &Group) -> bool {
+    if !group.is_active() {
+        return false;
+    }
+    let Some(head) = group.head().and_then(|key| roster.host(key)) else {
+        return false;
+    };
+    head.unlisted.is_none() || !roster.is_lost(head)
+}
+
+/// The model in greatest need that some domain has room for, and that domain.
+fn next_group<'a>(
+    engine: &'a Engine,
+    counts: &BTreeMap<ModelName, u32>,
+    pools: &BTreeMap<DomainName, Pool>,
+) -> Option<(DomainName, &'a Replication)> {
+    let mut models: Vec<&Replication> = engine.models.iter().collect();
+    models.sort_by(|a, b| need(b, counts).total_cmp(&need(a, counts)));
+    models.into_iter().find_map(|replication| {
+        let size = usize::from(replication.size);
+        let (domain, _) = pools
+            .iter()
+            .filter(|(_, pool)| pool.free.len() >= size)
+            .max_by_key(|(_, pool)| pool.free.len())?;
+        Some((domain.clone(), replication))
+    })
+}
+
+/// A model's work for each of its groups, were there one more.
+fn need(replication: &Replication, counts: &BTreeMap<ModelName, u32>) -> f64 {
+    let count = counts.get(&replication.model).copied().unwrap_or_default();
+    replication.share * replication.pace / f64::from(count + 1)
+}
+
+/// Which free hosts of a domain are to stage which model.
+fn stagings(roster: &Roster, free: &[HostKey], engine: &Engine) -> Vec<(HostKey, ModelName)> {
+    let mut wanted: Vec<&Replication> = engine.models.iter().collect();
+    wanted.sort_by_key(|replication| std::cmp::Reverse(replication.size));
+    let mut unstaged: Vec<HostKey> = Vec::new();
+    let mut held: BTreeMap<&ModelName, usize> = BTreeMap::new();
+    for key in free {
+        let Some(host) = roster.host(*key) else {
+            continue;
+        };
+        match host.runner.staged.last() {
+            Some(model) => *held.entry(model).or_default() += 1,
+            None => unstaged.push(*key),
+        }
+    }
+    let mut out = Vec::new();
+    for key in unstaged {
+        let next = wanted
+            .iter()
+            .min_by_key(|replication| held.get(&replication.model).copied().unwrap_or_default());
+        let Some(replication) = next else {
+            break;
+        };
+        *held.entry(&replication.model).or_default() += 1;
+        out.push((key, replication.model.clone()));
+    }
+    out
+}
--- /dev/null
+++ b/src/gateway/prober.rs
@@ -0,0 +1,239 @@
+//! Finds group members that no longer answer.
+//!
+//! A head keeps taking requests for seconds after it has lost a member, and
+//! entries in the store lag behind, so the holder of the duty asks each member
+//! itself over a connection kept open. A member counts as lost after fresh
+//! connections have failed too. When very many fail at once, it is this daemon
+//! that is cut off, and nothing is concluded.
+
+use super::{
+    adapter::Adapter,
+    exchange::Exchange,
+    roster::{Host, HostKey},
+    state::Site,
+};
+use crate::core::{
+    keys::HostName,
+    time::{Span, Time},
+};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt as _, Full, Limited};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    marker::PhantomData,
+    rc::Rc,
+    time::Duration,
+};
+
+/// How often a member is asked.
+const PROBE_INTERVAL: Span = Span::from_millis(500);
+
+/// How long an answer may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Fresh connections that must fail before a member counts as lost.
+const FRESH_TRIES: u32 = 2;
+
+/// The longest report taken, in bytes.
+const MAX_REPORT: usize = 256 << 10;
+
+/// The part of all members that may be lost at once.
+const MOST_LOST: f64 = 0.4;
+
+/// The members that are asked, and what came of it.
+#[derive(Default)]
+struct Probes {
+    entries: BTreeMap<HostKey, Probe>,
+}
+
+struct Probe {
+    name: HostName,
+    born: u64,
+    exchange: Option<Exchange>,
+    asked: Time,
+    is_asking: bool,
+    is_lost: bool,
+}
+
+/// Asks the members of groups whether they live.
+pub struct Prober<A> {
+    site: Rc<Site>,
+    probes: Rc<RefCell<Probes>>,
+    adapter: PhantomData<A>,
+}
+
+impl<A> Prober<A>
+where
+    A: Adapter,
+{
+    /// A prober that has asked nobody yet.
+    pub fn new(site: Rc<Site>) -> Self {
+        Self {
+            site,
+            probes: Rc::default(),
+            adapter: PhantomData,
+        }
+    }
+
+    /// Asks those whose turn it is.
+    pub fn step(&self) {
+        let now = self.site.now();
+        self.refresh(now);
+        let due: Vec<HostKey> = self
+            .probes
+            .borrow()
+            .entries
+            .iter()
+            .filter(|(_, probe)| !probe.is_asking && now.since(probe.asked) >= PROBE_INTERVAL)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in due {
+            self.ask(key, now);
+        }
+    }
+
+    /// The lifetimes found dead; none if it is this daemon that is cut off.
+    pub fn lost(&self) -> BTreeSet<(HostName, u64)> {
+        let probes = self.probes.borrow();
+        let lost: BTreeSet<(HostName, u64)> = probes
+            .entries
+            .values()
+            .filter(|probe| probe.is_lost)
+            .map(|probe| (probe.name.clone(), probe.born))
+            .collect();
+        if lost.len() as f64 > MOST_LOST * probes.entries.len() as f64 {
+            return BTreeSet::new();
+        }
+        lost
+    }
+
+    /// Begins to ask new members, and forgets those that are members no more.
+    fn refresh(&self, now: Time) {
+        let roster = self.site.roster.borrow();
+        let members: BTreeMap<HostKey, &Host> = roster
+            .hosts()
+            .filter(|(_, host)| host.runner.member.is_some() || roster.is_lost(host))
+            .collect();
+        let mut probes = self.probes.borrow_mut();
+        probes.entries.retain(|key, _| members.contains_key(key));
+        for (key, host) in members {
+            probes.entries.entry(key).or_insert_with(|| Probe {
+                name: host.name.clone(),
+                born: host.runner.born,
+                exchange: None,
+                asked: now,
+                is_asking: false,
+                is_lost: roster.is_lost(host),
+            });
+        }
+    }
+
+    fn ask(&self, key: HostKey, now: Time) {
+        let Some(address) = self
+            .site
+            .roster
+            .borrow()
+            .host(key)
+            .map(|host| host.runner.address)
+        else {
+            return;
+        };
+        let mut probes = self.probes.borrow_mut();
+        let Some(probe) = probes.entries.get_mut(&key) else {
+            return;
+        };
+        probe.asked = now;
+        probe.is_asking = true;
+        let kept = probe.exchange.take();
+        let (site, probes) = (self.site.clone(), self.probes.clone());
+        compio::runtime::spawn(async move {
+            let answered = probe_host::<A>(address, kept).await;
+            finish::<A>(&site, &probes, key, answered);
+        })
+        .detach();
+    }
+}
+
+/// Takes in the outcome of a probe.
+fn finish<A>(
+    site: &Site,
+    probes: &RefCell<Probes>,
+    key: HostKey,
+    answered: Option<(Exchange, Bytes)>,
+) where
+    A: Adapter,
+{
+    let mut probes = probes.borrow_mut();
+    let Some(probe) = probes.entries.get_mut(&key) else {
+        return;
+    };
+    probe.is_asking = false;
+    let is_lost = answered.is_none();
+    if is_lost != probe.is_lost {
+        slog::info!(site.log, "member probed";
+            "host" => probe.name.as_str(), "lost" => is_lost);
+    }
+    probe.is_lost = is_lost;
+    let Some((exchange, text)) = answered else {
+        return;
+    };
+    probe.exchange = Some(exchange);
+    match A::report(&text) {
+        Ok(member) => {
+            site.roster.borrow_mut().report(&probe.name, member);
+        }
+        Err(error) => slog::warn!(site.log, "report refused";
+            "host" => probe.name.as_str(), "cause" => error.to_string()),
+    }
+}
+
+/// Asks over the connection kept open, then over fresh ones.
+async fn probe_host<A>(
+    address: std::net::SocketAddr,
+    kept: Option<Exchange>,
+) -> Option<(Exchange, Bytes)>
+where
+    A: Adapter,
+{
+    if let Some(exchange) = kept
+        && let Some(answered) = within(read::<A>(exchange, address)).await
+    {
+        return Some(answered);
+    }
+    for _ in 0..FRESH_TRIES {
+        let fresh = within(async {
+            let exchange = Exchange::open(address).await.ok()?;
+            read::<A>(exchange, address).await
+        });
+        if let Some(answered) = fresh.await {
+            return Some(answered);
+        }
+    }
+    None
+}
+
+async fn within<F, T>(asked: F) -> Option<T>
+where
+    F: Future<Output = Option<T>>,
+{
+    compio::time::timeout(PROBE_TIMEOUT, asked).await.ok()?
+}
+
+async fn read<A>(mut exchange: Exchange, address: std::net::SocketAddr) -> Option<(Exchange, Bytes)>
+where
+    A: Adapter,
+{
+    let request = Request::get(A::report_path())
+        .header("host", address.to_string())
+        .body(Full::default())
+        .ok()?;
+    let answer = exchange.send(request).await.ok()?;
+    if !answer.status().is_success() {
+        return None;
+    }
+    let body = Limited::new(answer.into_body(), MAX_REPORT);
+    let text = body.collect().await.ok()?.to_bytes();
+    Some((exchange, text))
+}
--- /dev/null
+++ b/src/gateway/roster.rs
@@ -0,0 +1,325 @@
+//! What runners say of themselves, and the groups that follow from it.
+//!
+//! A runner's own entry is the only record of its membership: no second copy
+//! of a group is kept, so none can disagree with it. Hosts whose entry has
+//! gone stay known while a group counts on them, marked as unlisted.
+
+use super::spec::Spec;
+use crate::core::{
+    keys::{DomainName, Epoch, GroupName, HallName, HostName, ModelName, ServiceName},
+    time::{Span, Time},
+};
+use slotmap::{SlotMap, new_key_type};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+/// How long after an outage of the store a missing entry may still come back.
+pub const REENTRY: Span = Span::from_millis(2_000);
+
+/// How long a host without an entry is remembered.
+const MEMORY: Span = Span::from_secs(30);
+
+new_key_type! {
+    /// One lifetime of a host's runner.
+    pub struct HostKey;
+}
+
+crate::record! {
+    /// What a runner says of itself.
+    pub struct Runner {
+        /// The service that it is part of.
+        pub service: ServiceName,
+        /// Where it takes requests and orders.
+        pub address: SocketAddr,
+        /// Its hall.
+        pub hall: HallName,
+        /// Its fabric domain, if it can be part of a group.
+        pub domain: Option<DomainName>,
+        /// Requests that it runs at once.
+        pub slots: u32,
+        /// Whether it is leaving.
+        pub draining: bool,
+        /// When it started, in Unix milliseconds.
+        pub born: u64,
+        /// Models whose weights lie on its host.
+        pub staged: Vec<ModelName>,
+        /// The group that it belongs to.
+        pub member: Option<Membership>,
+    }
+
+    /// A runner's place in a group.
+    pub struct Membership {
+        /// The group.
+        pub group: GroupName,
+        /// The group's epoch.
+        pub epoch: Epoch,
+        /// Its rank; 0 is the head.
+        pub rank: u16,
+        /// The model, if the runner says.
+        pub model: Option<ModelName>,
+        /// How far it is.
+        pub state: MemberState,
+    }
+
+    /// How far a member is.
+    #[derive(Copy, Eq)]
+    pub enum MemberState {
+        /// Loading weights.
+        Joining,
+        /// Loaded, not serving.
+        Ready,
+        /// The head takes requests.
+        Open,
+        /// The head finishes its requests.
+        Closing,
+        /// A member was lost for too long.
+        Broken,
+    }
+}
+
+/// A known host.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// Its name.
+    pub name: HostName,
+    /// What it said last.
+    pub runner: Runner,
+    /// Since when its entry is gone.
+    pub unlisted: Option<Time>,
+}
+
+/// The members of one group at one epoch, as they say themselves.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// Its name.
+    pub name: GroupName,
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its model.
+    pub model: ModelName,
+    /// Its members by rank.
+    pub members: BTreeMap<u16, HostKey>,
+    /// The state that its head reports.
+    pub head_state: Option<MemberState>,
+    /// Whether every rank is there.
+    pub complete: bool,
+}
+
+impl Group {
+    /// The head's key.
+    pub fn head(&self) -> Option<HostKey> {
+        self.members.get(&0).copied()
+    }
+
+    /// Whether its head may be running requests.
+    pub fn is_active(&self) -> bool {
+        matches!(
+            self.head_state,
+            Some(MemberState::Open | MemberState::Closing)
+        )
+    }
+}
+
+/// Everything known of runners.
+#[derive(Debug, Default)]
+pub struct Roster {
+    hosts: SlotMap<HostKey, Host>,
+    names: BTreeMap<HostName, HostKey>,
+    /// Lifetimes found dead by a daemon that probes them.
+    lost: BTreeSet<(HostName, u64)>,
+    groups: Vec<Group>,
+    /// Until when a missing entry may still come back.
+    reentry: Time,
+    changes: u64,
+}
+
+impl Roster {
+    /// Takes in what a runner says of itself.
+    pub fn put(&mut self, name: HostName, runner: Runner) {
+        let known = self.names.get(&name).copied();
+        let same = known.filter(|key| self.hosts[*key].runner.born == runner.born);
+        match same {
+            Some(key) => {
+                let host = &mut self.hosts[key];
+                host.runner = runner;
+                host.unlisted = None;
+            }
+            None => {
+                self.forget(&name);
+                let host = Host {
+                    name: name.clone(),
+                    runner,
+                    unlisted: None,
+                };
+                let key = self.hosts.insert(host);
+                self.names.insert(name, key);
+            }
+        }
+        self.changes += 1;
+    }
+
+    /// Takes in that a runner's entry is gone.
+    pub fn remove(&mut self, name: &HostName, now: Time) {
+        let Some(key) = self.names.get(name) else {
+            return;
+        };
+        self.hosts[*key].unlisted.get_or_insert(now);
+        self.changes += 1;
+    }
+
+    /// Takes in a whole list: what it lacks is gone.
+    pub fn replace(&mut self, listed: Vec<(HostName, Runner)>, now: Time) {
+        let present: BTreeSet<HostName> = listed.iter().map(|(name, _)| name.clone()).collect();
+        for (name, runner) in listed {
+            self.put(name, runner);
+        }
+        let missing: Vec<HostName> = self
+            .names
+            .keys()
+            .filter(|name| !present.contains(*name))
+            .cloned()
+            .collect();
+        for name in missing {
+            self.remove(&name, now);
+        }
+    }
+
+    /// Takes in what an unlisted runner answered to a probe.
+    pub fn report(&mut self, name: &HostName, member: Option<Membership>) {
+        let Some(key) = self.names.get(name) else {
+            return;
+        };
+        let host = &mut self.hosts[*key];
+        if host.unlisted.is_some() && host.runner.member != member {
+            host.runner.member = member;
+            self.changes += 1;
+        }
+    }
+
+    /// Marks lifetimes as dead, in place of the marks before.
+    pub fn set_lost(&mut self, lost: BTreeSet<(HostName, u64)>) {
+        if self.lost != lost {
+            self.lost = lost;
+            self.changes += 1;
+        }
+    }
+
+    /// Takes in that the store answers again after an outage.
+    pub fn store_returned(&mut self, now: Time) {
+        self.reentry = now + REENTRY;
+    }
+
+    /// Drops hosts that have been without an entry for long.
+    pub fn expire(&mut self, now: Time) {
+        let old: Vec<HostName> = self
+            .hosts
+            .values()
+            .filter(|host| host.unlisted.is_some_and(|at| now.since(at) > MEMORY))
+            .map(|host| host.name.clone())
+            .collect();
+        for name in old {
+            self.forget(&name);
+            self.changes += 1;
+        }
+    }
+
+    /// Puts the groups together anew.
+    pub fn assemble(&mut self, spec: &Spec) {
+        let mut groups: BTreeMap<(GroupName, Epoch), Group> = BTreeMap::new();
+        for (key, host) in &self.hosts {
+            let Some(member) = &host.runner.member else {
+                continue;
+            };
+            let Some(model) = &member.model else {
+                continue;
+            };
+            let group = groups
+                .entry((member.group.clone(), member.epoch))
+                .or_insert_with(|| Group {
+                    name: member.group.clone(),
+                    epoch: member.epoch,
+                    service: host.runner.service.clone(),
+                    model: model.clone(),
+                    members: BTreeMap::new(),
+                    head_state: None,
+                    complete: false,
+                });
+            group.members.insert(member.rank, key);
+            if member.rank == 0 {
+                group.head_state = Some(member.state);
+            }
+        }
+        self.groups = groups.into_values().collect();
+        for group in &mut self.groups {
+            let size = size_of(spec, group);
+            let ranks = group.members.keys().copied();
+            group.complete = size.is_some_and(|size| ranks.eq(0..size));
+        }
+    }
+
+    /// Grows with every change.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// The groups, as assembled last.
+    pub fn groups(&self) -> &[Group] {
+        &self.groups
+    }
+
+    /// A host by its key.
+    pub fn host(&self, key: HostKey) -> Option<&Host> {
+        self.hosts.get(key)
+    }
+
+    /// A host by its name.
+    pub fn named(&self, name: &HostName) -> Option<(HostKey, &Host)> {
+        let key = *self.names.get(name)?;
+        Some((key, &self.hosts[key]))
+    }
+
+    /// All hosts.
+    pub fn hosts(&self) -> impl Iterator<Item = (HostKey, &Host)> {
+        self.hosts.iter()
+    }
+
+    /// Whether a host was found dead.
+    pub fn is_lost(&self, host: &Host) -> bool {
+        let life = (host.name.clone(), host.runner.born);
+        self.lost.contains(&life)
+    }
+
+    /// Whether a host may be sent requests.
+    pub fn is_usable(&self, host: &Host, now: Time) -> bool {
+        let listed = host.unlisted.is_none() || now < self.reentry;
+        listed && !host.runner.draining && !self.is_lost(host)
+    }
+
+    /// Whether a group may be sent requests.
+    pub fn is_serving(&self, group: &Group, now: Time) -> bool {
+        if group.head_state != Some(MemberState::Open) || !group.complete {
+            return false;
+        }
+        let head = group.head().and_then(|key| self.host(key));
+        head.is_some_and(|head| self.is_usable(head, now))
+            && group
+                .members
+                .values()
+                .all(|key| self.host(*key).is_some_and(|host| !self.is_lost(host)))
+    }
+
+    fn forget(&mut self, name: &HostName) {
+        if let Some(key) = self.names.remove(name) {
+            self.hosts.remove(key);
+        }
+    }
+}
+
+fn size_of(spec: &Spec, group: &Group) -> Option<u16> {
+    let engine = spec.service(&group.service)?.engine.as_ref()?;
+    Some(engine.replication(&group.model)?.size)
+}
--- /dev/null
+++ b/src/gateway/sinks.rs
@@ -0,0 +1,238 @@
+//! Takes the store's entries in: configuration, runners, and other daemons.
+
+use super::{
+    adapter::Adapter,
+    feed::Sink,
+    peers::{Presence, Verdict},
+    roster::Runner,
+    state::Site,
+};
+use crate::core::{
+    input::{PlatformEntry, WatchEvent},
+    keys::{DaemonName, HostName, Revision},
+};
+use serde::de::DeserializeOwned;
+use std::{marker::PhantomData, rc::Rc};
+
+/// Takes in the configuration.
+pub struct SpecSink<A> {
+    site: Rc<Site>,
+    adapter: PhantomData<A>,
+}
+
+impl<A> SpecSink<A>
+where
+    A: Adapter,
+{
+    /// A sink for a gateway.
+    pub fn new(site: Rc<Site>) -> Self {
+        Self {
+            site,
+            adapter: PhantomData,
+        }
+    }
+
+    fn take(&self, entry: &PlatformEntry) {
+        if entry.key != A::SPEC_KEY {
+            return;
+        }
+        match A::spec(&entry.value) {
+            Ok(spec) => self.site.adopt(spec),
+            Err(error) => slog::error!(self.site.log, "configuration refused";
+                "revision" => entry.revision.0, "cause" => error.to_string()),
+        }
+    }
+}
+
+impl<A> Sink for SpecSink<A>
+where
+    A: Adapter,
+{
+    fn listed(&self, entries: Vec<PlatformEntry>) {
+        entries.iter().for_each(|entry| self.take(entry));
+    }
+
+    fn changed(&self, events: Vec<WatchEvent>) {
+        for event in &events {
+            if let WatchEvent::Put(entry) = event {
+                self.take(entry);
+            }
+        }
+    }
+}
+
+/// Takes in runners' entries.
+pub struct RunnerSink<A> {
+    site: Rc<Site>,
+    adapter: PhantomData<A>,
+}
+
+impl<A> RunnerSink<A>
+where
+    A: Adapter,
+{
+    /// A sink for a gateway.
+    pub fn new(site: Rc<Site>) -> Self {
+        Self {
+            site,
+            adapter: PhantomData,
+        }
+    }
+
+    /// A runner's name and entry; one that can't be read names no runner.
+    fn read(&self, entry: &PlatformEntry) -> Option<(HostName, Runner)> {
+        let name = entry.key.strip_prefix(A::RUNNER_PREFIX)?;
+        match A::runner(&entry.value) {
+            Ok(runner) => Some((HostName::from(name), runner)),
+            Err(error) => {
+                slog::debug!(self.site.log, "runner entry refused";
+                    "host" => name, "cause" => error.to_string());
+                None
+            }
+        }
+    }
+
+    fn change(&self, event: &WatchEvent) {
+        let now = self.site.now();
+        let mut roster = self.site.roster.borrow_mut();
+        match event {
+            WatchEvent::Put(entry) => match self.read(entry) {
+                Some((name, runner)) => roster.put(name, runner),
+                None => {
+                    if let Some(name) = entry.key.strip_prefix(A::RUNNER_PREFIX) {
+                        roster.remove(&HostName::from(name), now);
+                    }
+                }
+            },
+            WatchEvent::Deleted { key, .. } => {
+                if let Some(name) = key.strip_prefix(A::RUNNER_PREFIX) {
+                    roster.remove(&HostName::from(name), now);
+                }
+            }
+        }
+    }
+}
+
+impl<A> Sink for RunnerSink<A>
+where
+    A: Adapter,
+{
+    fn listed(&self, entries: Vec<PlatformEntry>) {
+        let listed = entries
+            .iter()
+            .filter_map(|entry| self.read(entry))
+            .collect();
+        let now = self.site.now();
+        self.site.roster.borrow_mut().replace(listed, now);
+        self.site.assemble();
+        self.site.listed.set(true);
+    }
+
+    fn changed(&self, events: Vec<WatchEvent>) {
+        events.iter().for_each(|event| self.change(event));
+        let now = self.site.now();
+        self.site.roster.borrow_mut().expire(now);
+        self.site.assemble();
+    }
+
+    fn regained(&self) {
+        let now = self.site.now();
+        self.site.roster.borrow_mut().store_returned(now);
+    }
+}
+
+/// Takes in the daemons' own entries.
+pub struct PeerSink {
+    site: Rc<Site>,
+    prefix: &'static str,
+}
+
+/// The part of an own key that names a daemon's presence.
+pub const PRESENCE: &str = "daemons/";
+/// The own key of the duty's holder.
+pub const CLAIM: &str = "duty";
+/// The own key of the runners found dead.
+pub const VERDICT: &str = "lost";
+
+impl PeerSink {
+    /// A sink for a gateway.
+    pub fn new(site: Rc<Site>, prefix: &'static str) -> Self {
+        Self { site, prefix }
+    }
+
+    fn put(&self, entry: &PlatformEntry) {
+        let Some(key) = entry.key.strip_prefix(self.prefix) else {
+            return;
+        };
+        match key {
+            CLAIM => {
+                if let Some(claim) = self.read::<super::peers::Claim>(entry) {
+                    self.site.peers.borrow_mut().claim = Some((claim.holder, entry.revision));
+                }
+            }
+            VERDICT => self.take_verdict(entry),
+            _ => {
+                let name = key.strip_prefix(PRESENCE).map(DaemonName::from);
+                if let (Some(name), Some(presence)) = (name, self.read::<Presence>(entry)) {
+                    self.site.peers.borrow_mut().put(name, presence);
+                }
+            }
+        }
+    }
+
+    fn take_verdict(&self, entry: &PlatformEntry) {
+        if let Some(verdict) = self.read::<Verdict>(entry) {
+            self.site.peers.borrow_mut().verdict = Some(entry.revision);
+            let lost = verdict.lost.into_iter().collect();
+            self.site.roster.borrow_mut().set_lost(lost);
+        }
+    }
+
+    fn deleted(&self, key: &str, revision: Revision) {
+        let Some(key) = key.strip_prefix(self.prefix) else {
+            return;
+        };
+        let mut peers = self.site.peers.borrow_mut();
+        match key {
+            CLAIM => {
+                if peers.claim.as_ref().is_some_and(|(_, at)| *at < revision) {
+                    peers.claim = None;
+                }
+            }
+            VERDICT => peers.verdict = None,
+            _ => {
+                if let Some(name) = key.strip_prefix(PRESENCE) {
+                    peers.remove(&DaemonName::from(name));
+                }
+            }
+        }
+    }
+
+    fn read<T>(&self, entry: &PlatformEntry) -> Option<T>
+    where
+        T: DeserializeOwned,
+    {
+        let read = serde_json::from_str(&entry.value);
+        read.inspect_err(|error| {
+            slog::error!(self.site.log, "own entry refused";
+                "key" => &entry.key, "cause" => error.to_string());
+        })
+        .ok()
+    }
+}
+
+impl Sink for PeerSink {
+    fn listed(&self, entries: Vec<PlatformEntry>) {
+        self.site.peers.borrow_mut().clear();
+        entries.iter().for_each(|entry| self.put(entry));
+    }
+
+    fn changed(&self, events: Vec<WatchEvent>) {
+        for event in &events {
+            match event {
+                WatchEvent::Put(entry) => self.put(entry),
+                WatchEvent::Deleted { key, revision } => self.deleted(key, *revision),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,104 @@
+//! What a gateway knows, shared by its tasks.
+
+use super::{
+    budget::RetryBudget, load::Loads, peers::Peers, roster::Roster, routes::RouteTable,
+    settings::Settings, spec::Spec,
+};
+use crate::{
+    core::time::{Span, Time},
+    shell::Clock,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use slog::Logger;
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+/// A gateway's knowledge and means, shared by its tasks.
+pub struct Site {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its log.
+    pub log: Logger,
+    /// Its clock; counts the time of a suspended machine.
+    pub clock: Clock,
+    /// The version in force; none until one was read.
+    pub table: RefCell<Option<Rc<RouteTable>>>,
+    /// Runners and groups.
+    pub roster: RefCell<Roster>,
+    /// The load of runners.
+    pub loads: RefCell<Loads>,
+    /// Repeats allowed.
+    pub budget: RefCell<RetryBudget>,
+    /// Other daemons.
+    pub peers: RefCell<Peers>,
+    /// The source of chance.
+    pub rng: RefCell<SmallRng>,
+    /// Whether runners were listed once.
+    pub listed: Cell<bool>,
+    /// Whether the daemon was told to stop.
+    pub stopping: Cell<bool>,
+    /// Requests taken so far.
+    pub taken: Cell<u64>,
+}
+
+impl Site {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: Settings, log: Logger) -> Self {
+        let bounds = &settings.retry;
+        let share = f64::from(settings.daemons.max(1));
+        let budget = RetryBudget::new(bounds.ratio, bounds.slack / share, bounds.window);
+        Self {
+            log,
+            clock: Clock::start(),
+            table: RefCell::new(None),
+            roster: RefCell::default(),
+            loads: RefCell::default(),
+            budget: RefCell::new(budget),
+            peers: RefCell::default(),
+            rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
+            listed: Cell::new(false),
+            stopping: Cell::new(false),
+            taken: Cell::new(0),
+            settings,
+        }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// The version in force.
+    pub fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// Puts a version in force, unless a later one is.
+    pub fn adopt(&self, spec: Spec) {
+        let held = self.table().map(|table| table.spec().version);
+        if held.is_some_and(|held| held >= spec.version) {
+            return;
+        }
+        slog::info!(self.log, "configuration in force";
+            "version" => spec.version,
+            "before" => held.unwrap_or_default(),
+            "routes" => spec.routes.len(),
+            "accounts" => spec.accounts.len());
+        *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(spec)));
+        self.assemble();
+    }
+
+    /// Puts the groups together from what runners say.
+    pub fn assemble(&self) {
+        if let Some(table) = self.table() {
+            self.roster.borrow_mut().assemble(table.spec());
+        }
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.table.borrow().is_some() && self.listed.get()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod core;
 mod derive;
+pub mod gateway;
 pub mod replay;
 pub mod report;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,9 @@
 mod error;
 mod exit_codes;
 mod logging;
+#[path = "../platform/mod.rs"]
+mod platform;
+mod runtime;
 
 use cli::{Cli, Command};
 use commands::{check, entries, operate, replay, report, run};
@@ -28,6 +31,7 @@
 fn dispatch(cli: Cli) -> Result<(), CommandError> {
     match cli.command {
         Command::Run(args) => run::run(&args),
+        Command::Platform(args) => platform::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Entries(args) => entries::run(&cli.target, &args),
         Command::Replay(args) => replay::run(&args),
--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -65,7 +65,16 @@
 ///
 /// Fails if the address doesn't answer in time.
 pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let stream = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+    connect_within(address, CONNECT_TIMEOUT).await
+}
+
+/// Connects to an address, giving up after `timeout`.
+///
+/// # Errors
+///
+/// Fails if the address doesn't answer in time.
+pub async fn connect_within(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+    let stream = compio::time::timeout(timeout, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -37,41 +37,41 @@
 use calls::Calls;
 use futures_util::{FutureExt as _, StreamExt as _, select_biased};
 use inbox::Inbox;
+use rustix::time::ClockId;
 use slog::Logger;
 use std::{
     cell::RefCell,
     path::Path,
     rc::Rc,
     sync::Arc,
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 /// The decision logic, shared with drivers that answer queries.
 pub type SharedCore = Rc<RefCell<Core>>;
 
-/// Measures the decision logic's time.
+/// Measures the decision logic's time, including that of a suspended machine.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    began: Instant,
+    began: Duration,
 }
 
 impl Clock {
     /// A clock that begins now.
     pub fn start() -> Self {
-        Self {
-            began: Instant::now(),
-        }
+        Self { began: uptime() }
     }
 
     /// The time now.
     pub fn now(self) -> Time {
-        Time(self.began.elapsed().as_micros() as u64)
+        Time(uptime().saturating_sub(self.began).as_micros() as u64)
     }
+}
 
-    /// The system's instant of a time.
-    pub fn instant(self, time: Time) -> Instant {
-        self.began + std::time::Duration::from_micros(time.0)
-    }
+/// The time since the machine started, suspended or not.
+fn uptime() -> Duration {
+    let time = rustix::time::clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
 }
 
 /// The drivers that carry out outputs.
@@ -205,7 +205,7 @@
 
 async fn sleep_until(at: Option<Time>, clock: Clock) {
     match at {
-        Some(at) => compio::time::sleep_until(clock.instant(at)).await,
+        Some(at) => compio::time::sleep(at.since(clock.now()).into()).await,
         None => std::future::pending().await,
     }
 }
