Groups wait for their hosts' staged weights, and for all runners to appear

Cause: the first groups were formed from the few runners listed in the first tick, and leftovers staged weights that the next formation threw away; later, three hosts staged for the larger model were given to a second group of the smaller one and loaded anew (16 s). Loads before traffic were held to the weight store's parallel limit, which doesn't bind then.

Ruled out: slow loads before traffic (54 at once took 1.6 s each). Change: formation waits until no further runner appears for 600 ms; a domain keeps staged hosts for the model in greater need; two fresh probes at once instead of one after the other; every repeat draws on the retry budget.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -259,6 +259,7 @@
         holding.prober.step();
         let lost = holding.prober.lost();
         self.site.roster.borrow_mut().set_lost(lost.clone());
+        self.site.assemble();
         holding.planner.busy |= !self.site.settings.first || self.site.taken.get() > 0;
         let directives = {
             let roster = self.site.roster.borrow();
--- a/src/gateway/formation.rs
+++ b/src/gateway/formation.rs
@@ -1,24 +1,14 @@
-//! A group being formed, and the choice of its members.
+//! A group being formed.
 
 use super::{
     planner::{Order, is_eligible},
-    roster::{Group, Host, HostKey, MemberState, Membership, Roster},
-    spec::Replication,
+    roster::{Group, Host, MemberState, Membership, Roster},
 };
 use crate::core::{
     keys::{Epoch, GroupName, HostName, ModelName, ServiceName},
     time::Time,
 };
 
-/// A domain's hosts.
-#[derive(Clone, Debug, Default)]
-pub struct Pool {
-    /// Hosts that may be part of a group, in one or not.
-    pub total: usize,
-    /// Those that no group holds.
-    pub free: Vec<HostKey>,
-}
-
 /// A group being formed.
 #[derive(Clone, Debug)]
 pub struct Formation {
@@ -100,32 +90,3 @@
         member.is_some_and(|member| member.epoch > self.epoch)
     }
 }
-
-/// Takes the hosts of a new group out of a pool, those that are ready soonest first.
-pub(super) fn choose_members(
-    roster: &Roster,
-    pool: &mut Pool,
-    replication: &Replication,
-) -> Vec<HostKey> {
-    pool.free.sort_by_key(|key| {
-        roster
-            .host(*key)
-            .map(|host| delay_rank(host, &replication.model))
-    });
-    pool.free
-        .drain(..usize::from(replication.size).min(pool.free.len()))
-        .collect()
-}
-
-/// 0: was in a group of the model; 1: has its weights staged; 2: has none staged; 3: has others.
-fn delay_rank(host: &Host, model: &ModelName) -> u8 {
-    let member = host.runner.member.as_ref();
-    let is_loaded = member.is_some_and(|member| member.model.as_ref() == Some(model));
-    let is_staged = host.runner.staged.contains(model);
-    match (is_loaded, is_staged, host.runner.staged.is_empty()) {
-        (true, _, _) => 0,
-        (_, true, _) => 1,
-        (_, _, true) => 2,
-        _ => 3,
-    }
-}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -323,7 +323,7 @@
         let Some(place) = place(call) else {
             return Err(final_refusal(call, last));
         };
-        if call.sends > 0 && last != Miss::Unreached {
+        if call.sends > 0 {
             let now = call.site.now();
             if !call.site.budget.borrow_mut().take(now) {
                 return Err(final_refusal(call, last));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod peers;
 pub mod placement;
 pub mod planner;
+pub mod pool;
 mod prober;
 pub mod roster;
 pub mod routes;
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -11,7 +11,8 @@
 
 use super::{
     budget::LoadBudget,
-    formation::{Formation, Pool, choose_members},
+    formation::Formation,
+    pool::Pool,
     roster::{Group, Host, HostKey, MemberState, Roster},
     spec::{Engine, Replication, Service, Spec},
 };
@@ -30,6 +31,12 @@
 /// How much longer than foreseen a formation may take.
 const FORMATION_SLACK: Span = Span::from_secs(12);
 
+/// How long no further runner may have appeared before the first group is formed.
+const SURVEY_QUIET: Span = Span::from_millis(600);
+
+/// How long the first group waits for runners at the most.
+const SURVEY_LIMIT: Span = Span::from_millis(3_000);
+
 /// How much faster loads are before the first request.
 const EARLY_LOAD_FACTOR: u64 = 10;
 
@@ -93,6 +100,30 @@
     loading: Vec<(HostName, Time)>,
     /// Whether requests have begun to come.
     pub busy: bool,
+    survey: Survey,
+}
+
+/// Whether the runners that started together have all appeared.
+#[derive(Debug, Default)]
+struct Survey {
+    began: Option<Time>,
+    hosts: usize,
+    /// When a further host was seen last.
+    grown: Time,
+    is_over: bool,
+}
+
+impl Survey {
+    fn look(&mut self, hosts: usize, now: Time) -> bool {
+        let began = *self.began.get_or_insert(now);
+        if hosts > self.hosts {
+            self.grown = now;
+        }
+        self.hosts = hosts;
+        let is_quiet = hosts > 0 && now.since(self.grown) >= SURVEY_QUIET;
+        self.is_over |= is_quiet || now.since(began) >= SURVEY_LIMIT;
+        self.is_over
+    }
 }
 
 impl Planner {
@@ -105,6 +136,7 @@
             budget: LoadBudget::new(LOAD_WINDOW),
             loading: Vec::new(),
             busy: false,
+            survey: Survey::default(),
         }
     }
 
@@ -118,7 +150,10 @@
                 continue;
             };
             self.advance(roster, &service.name, engine, now, &mut out);
-            self.tend(roster, &service.name, engine, now, &mut out);
+            self.tend(roster, &service.name, now, &mut out);
+            if !self.survey.look(roster.hosts().count(), now) {
+                continue;
+            }
             self.form(roster, service, engine, now, &mut out);
             self.stage(roster, service, engine, now, &mut out);
         }
@@ -217,7 +252,6 @@
         &mut self,
         roster: &Roster,
         service: &ServiceName,
-        _engine: &Engine,
         now: Time,
         out: &mut Vec<Directive>,
     ) {
@@ -228,7 +262,8 @@
             let Some(head) = group.head().and_then(|key| roster.host(key)) else {
                 continue;
             };
-            let Some(cut) = must_close(roster, group, head) else {
+            let is_gone = head.unlisted.is_some() && roster.is_lost(head);
+            let Some(cut) = must_close(roster, group, head).filter(|_| !is_gone) else {
                 continue;
             };
             let close = Order::Close {
@@ -250,25 +285,24 @@
         out: &mut Vec<Directive>,
     ) {
         let mut pools = self.pools(roster, &service.name);
-        let mut counts = self.counts(roster, &service.name);
         loop {
-            let Some((domain, replication)) = next_group(engine, &counts, &pools) else {
+            let Some((domain, replication)) = next_group(roster, engine, &pools) else {
                 return;
             };
+            let ranked = by_need(engine, &pools);
             let pool = pools.get_mut(&domain).expect("the domain was chosen");
-            let members = choose_members(roster, pool, replication);
+            let members = pool.take(roster, &ranked, replication);
             let loads: Vec<HostName> = members
                 .iter()
                 .filter(|key| needs_load(roster, **key, &replication.model))
                 .filter_map(|key| Some(roster.host(*key)?.name.clone()))
                 .collect();
             if !self.may_load(loads.len(), engine, now) {
-                return;
+                continue;
             }
             let load = self.load_time(replication.load);
             self.loading
                 .extend(loads.into_iter().map(|name| (name, now + load)));
-            *counts.entry(replication.model.clone()).or_default() += 1;
             self.begin(roster, service, replication, &members, now, out);
         }
     }
@@ -339,6 +373,10 @@
     fn pools(&self, roster: &Roster, service: &ServiceName) -> BTreeMap<DomainName, Pool> {
         let held = self.held(roster, service);
         let mut pools: BTreeMap<DomainName, Pool> = BTreeMap::new();
+        for (model, domain) in self.placed(roster, service) {
+            let pool = pools.entry(domain).or_default();
+            *pool.groups.entry(model).or_default() += 1;
+        }
         for (key, host) in roster.hosts() {
             let Some(domain) = &host.runner.domain else {
                 continue;
@@ -346,10 +384,8 @@
             if host.runner.service != *service || !is_eligible(roster, host) {
                 continue;
             }
-            let pool = pools.entry(domain.clone()).or_default();
-            pool.total += 1;
             if !held.contains(&key) {
-                pool.free.push(key);
+                pools.entry(domain.clone()).or_default().free.push(key);
             }
         }
         pools
@@ -370,19 +406,25 @@
         forming.chain(active).collect()
     }
 
-    /// Groups of each model that serve or are being formed.
-    fn counts(&self, roster: &Roster, service: &ServiceName) -> BTreeMap<ModelName, u32> {
-        let mut counts = BTreeMap::new();
-        for group in roster.groups() {
-            let sound = group.complete && group.head_state == Some(MemberState::Open);
-            if group.service == *service && sound {
-                *counts.entry(group.model.clone()).or_default() += 1;
-            }
-        }
-        for formation in &self.formations {
-            *counts.entry(formation.model.clone()).or_default() += 1;
-        }
-        counts
+    /// The model and the domain of each group that serves or is being formed.
+    fn placed(&self, roster: &Roster, service: &ServiceName) -> Vec<(ModelName, DomainName)> {
+        let domain = |host: Option<&Host>| host?.runner.domain.clone();
+        let serving = roster
+            .groups()
+            .iter()
+            .filter(|group| group.service == *service && group.complete)
+            .filter(|group| group.head_state == Some(MemberState::Open))
+            .filter_map(|group| {
+                let head = roster.host(group.head()?);
+                Some((group.model.clone(), domain(head)?))
+            });
+        let forming = self.formations.iter().filter_map(|formation| {
+            let head = roster
+                .named(formation.members.first()?)
+                .map(|(_, host)| host);
+            Some((formation.model.clone(), domain(head)?))
+        });
+        serving.chain(forming).collect()
     }
 
     /// Whether `count` more loads may begin.
@@ -391,7 +433,7 @@
             return true;
         }
         if !self.busy {
-            return self.loading.len() < engine.load_parallel as usize;
+            return true;
         }
         let most = (engine.load_rate * LOAD_WINDOW.as_secs_f64()) as usize;
         self.budget.take(count, most, now)
@@ -461,55 +503,61 @@
     head.unlisted.is_none() || !roster.is_lost(head)
 }
 
-/// The model in greatest need that some domain has room for, and that domain.
+/// The model in greatest need that some domain has room for, and the domain that is ready soonest.
 fn next_group<'a>(
+    roster: &Roster,
     engine: &'a Engine,
-    counts: &BTreeMap<ModelName, u32>,
     pools: &BTreeMap<DomainName, Pool>,
 ) -> Option<(DomainName, &'a Replication)> {
-    let mut models: Vec<&Replication> = engine.models.iter().collect();
-    models.sort_by(|a, b| need(b, counts).total_cmp(&need(a, counts)));
-    models.into_iter().find_map(|replication| {
-        let size = usize::from(replication.size);
+    let ranked = by_need(engine, pools);
+    ranked.iter().find_map(|replication| {
         let (domain, _) = pools
             .iter()
-            .filter(|(_, pool)| pool.free.len() >= size)
-            .max_by_key(|(_, pool)| pool.free.len())?;
-        Some((domain.clone(), replication))
+            .filter(|(_, pool)| pool.has_room(roster, &ranked, replication))
+            .min_by_key(|(_, pool)| pool.loads(roster, &ranked, replication))?;
+        Some((domain.clone(), *replication))
     })
 }
 
+/// The models, the one in greatest need first.
+fn by_need<'a>(engine: &'a Engine, pools: &BTreeMap<DomainName, Pool>) -> Vec<&'a Replication> {
+    let mut models: Vec<&Replication> = engine.models.iter().collect();
+    models.sort_by(|a, b| need(b, pools).total_cmp(&need(a, pools)));
+    models
+}
+
 /// A model's work for each of its groups, were there one more.
-fn need(replication: &Replication, counts: &BTreeMap<ModelName, u32>) -> f64 {
-    let count = counts.get(&replication.model).copied().unwrap_or_default();
+fn need(replication: &Replication, pools: &BTreeMap<DomainName, Pool>) -> f64 {
+    let count: u32 = pools
+        .values()
+        .map(|pool| pool.count(&replication.model))
+        .sum();
     replication.share * replication.pace / f64::from(count + 1)
 }
 
 /// Which free hosts of a domain are to stage which model.
+///
+/// The larger replicas lose a member more often: their model comes first.
 fn stagings(roster: &Roster, free: &[HostKey], engine: &Engine) -> Vec<(HostKey, ModelName)> {
-    let mut wanted: Vec<&Replication> = engine.models.iter().collect();
-    wanted.sort_by_key(|replication| std::cmp::Reverse(replication.size));
-    let mut unstaged: Vec<HostKey> = Vec::new();
+    let mut models: Vec<&ModelName> = engine.models.iter().map(|known| &known.model).collect();
+    models.sort_by_key(|model| {
+        let size = engine.replication(model).map(|known| known.size);
+        std::cmp::Reverse(size)
+    });
+    let staged_on = |key: &HostKey| roster.host(*key).and_then(|host| host.runner.staged.last());
     let mut held: BTreeMap<&ModelName, usize> = BTreeMap::new();
-    for key in free {
-        let Some(host) = roster.host(*key) else {
-            continue;
-        };
-        match host.runner.staged.last() {
-            Some(model) => *held.entry(model).or_default() += 1,
-            None => unstaged.push(*key),
-        }
+    for model in free.iter().filter_map(staged_on) {
+        *held.entry(model).or_default() += 1;
     }
     let mut out = Vec::new();
-    for key in unstaged {
-        let next = wanted
+    for key in free.iter().filter(|key| staged_on(key).is_none()) {
+        let fewest = models
             .iter()
-            .min_by_key(|replication| held.get(&replication.model).copied().unwrap_or_default());
-        let Some(replication) = next else {
-            break;
-        };
-        *held.entry(&replication.model).or_default() += 1;
-        out.push((key, replication.model.clone()));
+            .min_by_key(|model| held.get(*model).copied().unwrap_or_default());
+        if let Some(model) = fewest {
+            *held.entry(model).or_default() += 1;
+            out.push((*key, (*model).clone()));
+        }
     }
     out
 }
--- /dev/null
+++ b/src/gateway/pool.rs
@@ -0,0 +1,117 @@
+//! A fabric domain's free hosts, and which of them a new group takes.
+//!
+//! A host that has a model's weights staged is worth more to that model than
+//! to any other: loading them again takes many times as long as joining. Hosts
+//! are therefore kept for the models in greater need that have no group in the
+//! domain, even if those must wait for one more host.
+
+use super::{
+    roster::{Host, HostKey, Roster},
+    spec::Replication,
+};
+use crate::core::keys::ModelName;
+use std::collections::BTreeMap;
+
+/// Hosts to be left free in a domain beside its second and later groups of a model.
+const SPARE_HOSTS: usize = 2;
+
+/// A domain's free hosts and groups.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    /// Hosts that no group holds.
+    pub free: Vec<HostKey>,
+    /// Groups of each model that serve or are being formed.
+    pub groups: BTreeMap<ModelName, u32>,
+}
+
+impl Pool {
+    /// Groups of a model here.
+    pub fn count(&self, model: &ModelName) -> u32 {
+        self.groups.get(model).copied().unwrap_or_default()
+    }
+
+    /// Whether a group can be formed here; `ranked` has the model in greatest need first.
+    pub fn has_room(&self, roster: &Roster, ranked: &[&Replication], wanted: &Replication) -> bool {
+        let usable = self.usable(roster, ranked, wanted).len();
+        let size = usize::from(wanted.size);
+        if self.count(&wanted.model) == 0 {
+            return usable >= size;
+        }
+        usable >= size + SPARE_HOSTS
+    }
+
+    /// How many of its members would have to load the weights.
+    pub fn loads(&self, roster: &Roster, ranked: &[&Replication], wanted: &Replication) -> usize {
+        let usable = self.usable(roster, ranked, wanted);
+        usable
+            .iter()
+            .take(usize::from(wanted.size))
+            .filter(|key| delay_rank(roster, **key, &wanted.model) > STAGED)
+            .count()
+    }
+
+    /// Takes the members of a new group out.
+    pub fn take(
+        &mut self,
+        roster: &Roster,
+        ranked: &[&Replication],
+        wanted: &Replication,
+    ) -> Vec<HostKey> {
+        let mut members = self.usable(roster, ranked, wanted);
+        members.truncate(usize::from(wanted.size));
+        self.free.retain(|key| !members.contains(key));
+        *self.groups.entry(wanted.model.clone()).or_default() += 1;
+        members
+    }
+
+    /// Free hosts that the model may take, those that are ready soonest first.
+    fn usable(
+        &self,
+        roster: &Roster,
+        ranked: &[&Replication],
+        wanted: &Replication,
+    ) -> Vec<HostKey> {
+        let kept_for = |key: &HostKey| {
+            ranked
+                .iter()
+                .take_while(|replication| replication.model != wanted.model)
+                .any(|other| self.count(&other.model) == 0 && is_staged(roster, *key, &other.model))
+        };
+        let mut usable: Vec<HostKey> = self
+            .free
+            .iter()
+            .filter(|key| !kept_for(key))
+            .copied()
+            .collect();
+        usable.sort_by_key(|key| delay_rank(roster, *key, &wanted.model));
+        usable
+    }
+}
+
+fn is_staged(roster: &Roster, key: HostKey, model: &ModelName) -> bool {
+    roster
+        .host(key)
+        .is_some_and(|host| host.runner.staged.contains(model))
+}
+
+/// The rank of a host with the weights staged.
+const STAGED: u8 = 1;
+
+/// 0: was in a group of the model; 1: has its weights staged; 2: has none staged; 3: has others.
+fn delay_rank(roster: &Roster, key: HostKey, model: &ModelName) -> u8 {
+    roster
+        .host(key)
+        .map_or(u8::MAX, |host| delay_rank_of(host, model))
+}
+
+fn delay_rank_of(host: &Host, model: &ModelName) -> u8 {
+    let member = host.runner.member.as_ref();
+    let is_loaded = member.is_some_and(|member| member.model.as_ref() == Some(model));
+    let is_staged = host.runner.staged.contains(model);
+    match (is_loaded, is_staged, host.runner.staged.is_empty()) {
+        (true, _, _) => 0,
+        (_, true, _) => STAGED,
+        (_, _, true) => 2,
+        _ => 3,
+    }
+}
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -17,6 +17,7 @@
     time::{Span, Time},
 };
 use bytes::Bytes;
+use futures_util::future::join;
 use http::Request;
 use http_body_util::{BodyExt as _, Full, Limited};
 use std::{
@@ -30,11 +31,11 @@
 /// How often a member is asked.
 const PROBE_INTERVAL: Span = Span::from_millis(500);
 
-/// How long an answer may take.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+/// How long an answer over the connection kept open may take.
+const KEPT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Fresh connections that must fail before a member counts as lost.
-const FRESH_TRIES: u32 = 2;
+/// How long an answer over a fresh connection may take.
+const FRESH_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// The longest report taken, in bytes.
 const MAX_REPORT: usize = 256 << 10;
@@ -198,27 +199,28 @@
     A: Adapter,
 {
     if let Some(exchange) = kept
-        && let Some(answered) = within(read::<A>(exchange, address)).await
+        && let Some(answered) = within(KEPT_TIMEOUT, read::<A>(exchange, address)).await
     {
         return Some(answered);
     }
-    for _ in 0..FRESH_TRIES {
-        let fresh = within(async {
-            let exchange = Exchange::open(address).await.ok()?;
-            read::<A>(exchange, address).await
-        });
-        if let Some(answered) = fresh.await {
-            return Some(answered);
-        }
-    }
-    None
+    let fresh = || async {
+        let exchange = Exchange::open(address).await.ok()?;
+        read::<A>(exchange, address).await
+    };
+    // Two at once: one lost packet says nothing of the member.
+    let (first, second) = join(
+        within(FRESH_TIMEOUT, fresh()),
+        within(FRESH_TIMEOUT, fresh()),
+    )
+    .await;
+    first.or(second)
 }
 
-async fn within<F, T>(asked: F) -> Option<T>
+async fn within<F, T>(timeout: Duration, asked: F) -> Option<T>
 where
     F: Future<Output = Option<T>>,
 {
-    compio::time::timeout(PROBE_TIMEOUT, asked).await.ok()?
+    compio::time::timeout(timeout, asked).await.ok()?
 }
 
 async fn read<A>(mut exchange: Exchange, address: std::net::SocketAddr) -> Option<(Exchange, Bytes)>
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -185,6 +185,7 @@
             self.site.peers.borrow_mut().verdict = Some(entry.revision);
             let lost = verdict.lost.into_iter().collect();
             self.site.roster.borrow_mut().set_lost(lost);
+            self.site.assemble();
         }
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,13 +5,17 @@
     settings::Settings, spec::Spec,
 };
 use crate::{
-    core::time::{Span, Time},
+    core::{
+        keys::{Epoch, ModelName},
+        time::Time,
+    },
     shell::Clock,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use slog::Logger;
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     rc::Rc,
 };
 
@@ -27,6 +31,8 @@
     pub table: RefCell<Option<Rc<RouteTable>>>,
     /// Runners and groups.
     pub roster: RefCell<Roster>,
+    /// The groups that served when last looked at.
+    serving: RefCell<BTreeMap<Epoch, ModelName>>,
     /// The load of runners.
     pub loads: RefCell<Loads>,
     /// Repeats allowed.
@@ -54,6 +60,7 @@
             clock: Clock::start(),
             table: RefCell::new(None),
             roster: RefCell::default(),
+            serving: RefCell::default(),
             loads: RefCell::default(),
             budget: RefCell::new(budget),
             peers: RefCell::default(),
@@ -90,11 +97,35 @@
         self.assemble();
     }
 
-    /// Puts the groups together from what runners say.
+    /// Puts the groups together from what runners say, and logs which begin and cease to serve.
     pub fn assemble(&self) {
-        if let Some(table) = self.table() {
-            self.roster.borrow_mut().assemble(table.spec());
+        let Some(table) = self.table() else {
+            return;
+        };
+        let mut roster = self.roster.borrow_mut();
+        roster.assemble(table.spec());
+        let now = self.now();
+        let serving: BTreeMap<Epoch, ModelName> = roster
+            .groups()
+            .iter()
+            .filter(|group| roster.is_serving(group, now))
+            .map(|group| (group.epoch, group.model.clone()))
+            .collect();
+        let mut before = self.serving.borrow_mut();
+        for (epoch, model) in serving
+            .iter()
+            .filter(|(epoch, _)| !before.contains_key(epoch))
+        {
+            slog::info!(self.log, "group serves"; "epoch" => epoch.0, "model" => model.as_str());
+        }
+        for (epoch, model) in before
+            .iter()
+            .filter(|(epoch, _)| !serving.contains_key(epoch))
+        {
+            slog::info!(self.log, "group no longer serves";
+                "epoch" => epoch.0, "model" => model.as_str());
         }
+        *before = serving;
     }
 
     /// Whether callers may be sent here.
