--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -4,6 +4,7 @@
 //! are pure; the store's calls stand behind [`KeyValue`].
 
 use super::{
+    admission::Standing,
     load::Reported,
     planner::Order,
     roster::{Membership, Runner},
@@ -110,6 +111,8 @@
     pub account: Option<&'a AccountName>,
     /// The last event that the caller has already.
     pub resume_after: Option<u64>,
+    /// How the request stands against its objective.
+    pub standing: Standing,
 }
 
 /// The head of a runner's answer.
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -7,18 +7,16 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     ratio: f64,
-    slack: f64,
     window: Span,
     requests: VecDeque<Time>,
     repeats: VecDeque<Time>,
 }
 
 impl RetryBudget {
-    /// A budget of `ratio` × requests + `slack` in any `window`.
-    pub fn new(ratio: f64, slack: f64, window: Span) -> Self {
+    /// A budget of `ratio` × requests, and a slack, in any `window`.
+    pub fn new(ratio: f64, window: Span) -> Self {
         Self {
             ratio,
-            slack,
             window,
             requests: VecDeque::new(),
             repeats: VecDeque::new(),
@@ -31,11 +29,11 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one repeat out of the budget, if there is one left.
-    pub fn take(&mut self, now: Time) -> bool {
+    /// Takes one repeat out of the budget, if there is one left; `slack` is allowed besides.
+    pub fn take(&mut self, slack: f64, now: Time) -> bool {
         expire(&mut self.requests, now, self.window);
         expire(&mut self.repeats, now, self.window);
-        let most = self.ratio * self.requests.len() as f64 + self.slack;
+        let most = self.ratio * self.requests.len() as f64 + slack;
         if (self.repeats.len() + 1) as f64 > most {
             return false;
         }
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -1,41 +1,29 @@
-//! A daemon's lease, its entry among the daemons, and the duty to order groups.
+//! The duty to order hosts into groups.
 //!
-//! One daemon holds the duty: the entry of the claim hangs on its lease, and
-//! the claim's revision begins its epochs. The holder counts its lease from
-//! the moment at which the renewal was sent and stops a margin before its end.
+//! One daemon holds the duty: its claim hangs on its lease, and the claim's
+//! revision begins its epochs. A holder whose lease may have ended stops at
+//! once; to go on it writes its claim again and so begins new epochs.
 
 use super::{
     adapter::Adapter,
+    lease::{Lease, RETRY_PAUSE},
     orders::Orders,
-    peers::{Claim, Presence, Verdict},
+    peers::{Claim, Verdict},
     planner::Planner,
     prober::Prober,
-    sinks::{CLAIM, PRESENCE, VERDICT},
+    sinks::{CLAIM, VERDICT},
     state::Site,
 };
-use crate::{
-    core::{
-        input::PlatformAnswer,
-        keys::{Epoch, LeaseId, Revision},
-        output::{Expect, PlatformCall},
-        time::{Span, Time},
-    },
-    shell::platform::KeyValue,
+use crate::core::{
+    input::PlatformAnswer,
+    keys::{Epoch, Revision},
+    output::Expect,
+};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
 };
-use serde::Serialize;
-use std::{rc::Rc, time::Duration};
-
-/// How long a lease lasts unrenewed.
-const LEASE: Span = Span::from_millis(2_500);
-
-/// How often a lease is renewed.
-const RENEWAL: Duration = Duration::from_millis(700);
-
-/// How long before its end a lease is taken as ended.
-const MARGIN: Span = Span::from_millis(400);
-
-/// The pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// How often the holder looks at the groups.
 const STEP: Duration = Duration::from_millis(100);
@@ -43,22 +31,17 @@
 /// Epochs of one claim; later claims have larger revisions.
 const EPOCHS_PER_CLAIM: i64 = 1_000;
 
-/// The daemon's side of its lease.
-pub struct Session<A>
+/// A daemon's part in the duty.
+pub struct Duty<A>
 where
     A: Adapter,
 {
     site: Rc<Site>,
-    store: A::Store,
-    lease: Option<LeaseId>,
-    /// Until when the lease surely holds.
-    until: Time,
-    /// Whether the entry among the daemons hangs on this lease.
-    is_present: bool,
+    lease: Rc<Lease<A>>,
     holding: Option<Holding<A>>,
 }
 
-/// What the holder of the duty keeps.
+/// What the holder keeps.
 struct Holding<A>
 where
     A: Adapter,
@@ -66,228 +49,166 @@
     planner: Planner,
     prober: Prober<A>,
     orders: Orders<A>,
-    /// The verdict as written last.
-    written: Option<Verdict>,
+    verdicts: Rc<Verdicts<A>>,
 }
 
-impl<A> Session<A>
+impl<A> Duty<A>
 where
     A: Adapter,
 {
-    /// A session without a lease.
-    pub fn new(site: Rc<Site>, store: A::Store) -> Self {
+    /// A daemon that doesn't hold the duty.
+    pub fn new(site: Rc<Site>, lease: Rc<Lease<A>>) -> Self {
         Self {
             site,
-            store,
-            lease: None,
-            until: Time::default(),
-            is_present: false,
+            lease,
             holding: None,
         }
     }
 
-    /// Renews the lease, and does the duty while it is held.
+    /// Claims the duty when nobody holds it, and does it, until the daemon stops.
     pub async fn run(mut self) {
-        let mut renewal = Time::default();
-        loop {
-            if self.site.now() >= renewal {
-                let kept = self.renew().await;
-                let pause = if kept { RENEWAL } else { RETRY_PAUSE };
-                renewal = self.site.now() + Span(pause.as_micros() as u64);
-            }
-            if self.site.stopping.get() {
-                self.leave().await;
-                return;
-            }
+        while !self.site.stopping.get() {
             self.step().await;
             compio::time::sleep(STEP).await;
         }
     }
 
-    /// Whether the lease surely holds now.
-    fn is_valid(&self) -> bool {
-        self.lease.is_some() && self.site.now() + MARGIN < self.until
-    }
-
-    /// Renews or grants the lease; false if that failed.
-    async fn renew(&mut self) -> bool {
-        let sent = self.site.now();
-        let call = match self.lease {
-            Some(lease) => PlatformCall::KeepAlive { lease },
-            None => PlatformCall::Grant { ttl: LEASE },
-        };
-        match self.store.ask(call).await {
-            Ok(PlatformAnswer::Leased { lease, ttl }) if ttl > Span::ZERO => {
-                self.lease = Some(lease);
-                self.until = sent + ttl;
-                self.announce().await
-            }
-            Ok(_) => {
-                self.lease = None;
-                self.is_present = false;
-                self.give_up("the lease has ended");
-                false
-            }
-            Err(_) => false,
-        }
-    }
-
-    /// Writes the entry among the daemons, once a lease.
-    async fn announce(&mut self) -> bool {
-        if self.is_present || self.site.stopping.get() {
-            return true;
-        }
-        let settings = &self.site.settings;
-        let presence = Presence {
-            caller: settings.listen.caller,
-            hall: settings.hall.clone(),
-        };
-        let key = format!("{}{PRESENCE}{}", A::OWN_PREFIX, settings.name);
-        self.is_present = self.overwrite(key, &presence).await.is_some();
-        self.is_present
-    }
-
-    /// Writes a key whatever it holds; none if that failed.
-    async fn overwrite<T>(&self, key: String, value: &T) -> Option<Revision>
-    where
-        T: Serialize,
-    {
-        let value = serde_json::to_string(value).expect("an own entry is plain data");
-        let mut expect = Expect::Absent;
-        for _ in 0..2 {
-            let put = PlatformCall::Put {
-                key: key.clone(),
-                value: value.clone(),
-                expect,
-                lease: self.lease,
-            };
-            match self.store.ask(put).await {
-                Ok(PlatformAnswer::Written { revision }) => return Some(revision),
-                Ok(PlatformAnswer::Conflict {
-                    current: Some(entry),
-                    ..
-                }) => expect = Expect::At(entry.revision),
-                Ok(_) => return None,
-                Err(error) => {
-                    slog::warn!(self.site.log, "write failed";
-                        "key" => &key, "cause" => error.to_string());
-                    return None;
-                }
-            }
-        }
-        None
-    }
-
-    /// Claims the duty if nobody holds it, and does it.
     async fn step(&mut self) {
-        if !self.is_valid() {
-            self.give_up("the lease may have ended");
+        if !self.lease.is_valid() {
+            if self.holding.take().is_some() {
+                slog::warn!(self.site.log, "duty given up"; "cause" => "the lease may have ended");
+            }
             return;
         }
         if self.holding.is_none() {
             self.claim().await;
         }
-        if self.holding.is_some() {
-            self.work().await;
+        if let Some(holding) = &mut self.holding
+            && self.lease.is_valid()
+        {
+            holding.work(&self.site);
         }
     }
 
     async fn claim(&mut self) {
-        let is_held = self.site.peers.borrow().claim.is_some();
-        if is_held || !self.site.is_ready() {
+        let me = &self.site.settings.name;
+        let expect = match &self.site.peers.borrow().claim {
+            None => Expect::Absent,
+            // Its own claim, from before its lease was in doubt or from an earlier run.
+            Some((holder, revision)) if holder == me => Expect::At(*revision),
+            Some(_) => return,
+        };
+        if !self.site.is_ready() {
             return;
         }
-        let claim = Claim {
-            holder: self.site.settings.name.clone(),
-        };
-        let put = PlatformCall::Put {
-            key: format!("{}{CLAIM}", A::OWN_PREFIX),
-            value: serde_json::to_string(&claim).expect("a claim is plain data"),
-            expect: Expect::Absent,
-            lease: self.lease,
-        };
-        match self.store.ask(put).await {
-            Ok(PlatformAnswer::Written { revision }) => self.begin(revision),
-            Ok(PlatformAnswer::Conflict {
-                current: Some(entry),
-                ..
-            }) => self.found(&entry.value, entry.revision),
-            Ok(_) => {}
-            Err(error) => {
-                slog::warn!(self.site.log, "claim failed"; "cause" => error.to_string());
-                compio::time::sleep(RETRY_PAUSE).await;
+        let claim = Claim { holder: me.clone() };
+        let key = format!("{}{CLAIM}", A::OWN_PREFIX);
+        match self.lease.write(&key, &claim, expect).await {
+            Some(PlatformAnswer::Written { revision }) => self.begin(revision),
+            Some(PlatformAnswer::Conflict { current, .. }) => {
+                let found = current.map(|entry| (entry.value, entry.revision));
+                self.found(found);
             }
+            _ => compio::time::sleep(RETRY_PAUSE).await,
         }
     }
 
     /// Takes in who holds the duty; it may be this daemon, whose write was not answered.
-    fn found(&mut self, value: &str, revision: Revision) {
-        let Ok(claim) = serde_json::from_str::<Claim>(value) else {
-            slog::error!(self.site.log, "claim refused"; "value" => value);
+    fn found(&mut self, current: Option<(String, Revision)>) {
+        let Some((value, revision)) = current else {
+            self.site.peers.borrow_mut().claim = None;
             return;
         };
-        let holder = claim.holder;
-        self.site.peers.borrow_mut().claim = Some((holder, revision));
+        match serde_json::from_str::<Claim>(&value) {
+            Ok(claim) => self.site.peers.borrow_mut().claim = Some((claim.holder, revision)),
+            Err(error) => slog::error!(self.site.log, "claim refused";
+                "value" => value, "cause" => error.to_string()),
+        }
     }
 
     fn begin(&mut self, revision: Revision) {
         slog::info!(self.site.log, "duty taken"; "revision" => revision.0);
+        let me = self.site.settings.name.clone();
+        self.site.peers.borrow_mut().claim = Some((me, revision));
         let epoch = Epoch(revision.0 * EPOCHS_PER_CLAIM);
         self.holding = Some(Holding {
             planner: Planner::new(epoch),
             prober: Prober::new(self.site.clone()),
             orders: Orders::new(self.site.clone()),
-            written: None,
+            verdicts: Rc::new(Verdicts::new(self.lease.clone())),
         });
     }
+}
 
-    fn give_up(&mut self, cause: &str) {
-        if self.holding.take().is_some() {
-            slog::warn!(self.site.log, "duty given up"; "cause" => cause);
-        }
-    }
-
+impl<A> Holding<A>
+where
+    A: Adapter,
+{
     /// Probes, plans and orders once.
-    async fn work(&mut self) {
-        let Some(table) = self.site.table() else {
-            return;
-        };
-        let now = self.site.now();
-        let Some(holding) = &mut self.holding else {
+    fn work(&mut self, site: &Site) {
+        let Some(table) = site.table() else {
             return;
         };
-        holding.prober.step();
-        let lost = holding.prober.lost();
-        self.site.roster.borrow_mut().set_lost(lost.clone());
-        self.site.assemble();
-        holding.planner.busy |= !self.site.settings.first || self.site.taken.get() > 0;
+        self.prober.step();
+        let lost = self.prober.lost();
+        site.roster.borrow_mut().set_lost(lost.clone());
+        site.assemble();
+        self.planner.busy |= !site.settings.first || site.taken.get() > 0;
         let directives = {
-            let roster = self.site.roster.borrow();
-            holding.planner.step(&roster, table.spec(), now)
+            let roster = site.roster.borrow();
+            self.planner.step(&roster, table.spec(), site.now())
         };
         for directive in directives {
-            holding.orders.send(directive);
+            self.orders.send(directive);
         }
         let verdict = Verdict {
             lost: lost.into_iter().collect(),
         };
-        let is_new = holding.written.as_ref() != Some(&verdict);
-        if is_new {
-            let key = format!("{}{VERDICT}", A::OWN_PREFIX);
-            let written = self.overwrite(key, &verdict).await;
-            if let (Some(_), Some(holding)) = (written, &mut self.holding) {
-                holding.written = Some(verdict);
-            }
+        Verdicts::publish(&self.verdicts, verdict);
+    }
+}
+
+/// Tells the other daemons which runners were found dead.
+struct Verdicts<A>
+where
+    A: Adapter,
+{
+    lease: Rc<Lease<A>>,
+    wanted: RefCell<Verdict>,
+    /// What was written last; none before the first write.
+    written: RefCell<Option<Verdict>>,
+    is_writing: Cell<bool>,
+}
+
+impl<A> Verdicts<A>
+where
+    A: Adapter,
+{
+    fn new(lease: Rc<Lease<A>>) -> Self {
+        Self {
+            lease,
+            wanted: RefCell::default(),
+            written: RefCell::default(),
+            is_writing: Cell::new(false),
         }
     }
 
-    /// Ends the lease, so that others need not wait for its end.
-    async fn leave(&mut self) {
-        self.give_up("the daemon stops");
-        if let Some(lease) = self.lease.take()
-            && let Err(error) = self.store.ask(PlatformCall::Revoke { lease }).await
-        {
-            slog::warn!(self.site.log, "lease not ended"; "cause" => error.to_string());
+    /// Writes a verdict, unless it stands there already.
+    fn publish(this: &Rc<Self>, verdict: Verdict) {
+        this.wanted.replace(verdict);
+        let is_written = this.written.borrow().as_ref() == Some(&*this.wanted.borrow());
+        if is_written || this.is_writing.replace(true) {
+            return;
         }
+        let this = this.clone();
+        compio::runtime::spawn(async move {
+            let verdict = this.wanted.borrow().clone();
+            let key = format!("{}{VERDICT}", A::OWN_PREFIX);
+            if this.lease.overwrite(key, &verdict).await.is_some() {
+                this.written.replace(Some(verdict));
+            }
+            this.is_writing.set(false);
+        })
+        .detach();
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,9 +6,10 @@
 
 use super::{
     adapter::{Adapter, AnswerHead, CallHead, Passed},
+    admission::Standing,
     answer::{self, Answer, Refusal, strip_hop_by_hop},
     exchange::{Exchange, SendError},
-    placement::{self, Place, Wanted},
+    placement::{self, Place, Shortage, Wanted},
     roster::HostKey,
     spec::{Kind, Route},
     state::Site,
@@ -27,7 +28,7 @@
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::Rng as _;
-use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 /// The longest whole answer taken, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
@@ -41,6 +42,9 @@
 /// How long an idempotent request waits for a plain service before it asks another runner.
 const PATIENCE: Span = Span::from_millis(900);
 
+/// How long a request waits for its first event at a head whose streams are silent.
+const STALL_PATIENCE: Span = Span::from_millis(500);
+
 /// The time that a caller waits, if it doesn't say.
 const USUAL_DEADLINE: Span = Span::from_secs(30);
 
@@ -77,6 +81,8 @@
     pub sends: u32,
     /// When it arrived.
     pub arrived: Time,
+    /// The time that its caller spent on earlier tries.
+    pub spent: Span,
 }
 
 /// A runner's answer, head only.
@@ -91,6 +97,27 @@
     pub counted: Counted,
 }
 
+impl Call {
+    /// How the request stands against its objective.
+    fn standing(&self, resume_after: Option<u64>) -> Standing {
+        if resume_after > self.head.resume_after {
+            return Standing::Resumed;
+        }
+        let spent = self.spent + self.site.now().since(self.arrived);
+        match spent > self.route.objective {
+            true => Standing::Late,
+            false => Standing::Timely,
+        }
+    }
+}
+
+/// What one send adds to a request.
+#[derive(Clone, Copy, Debug)]
+struct Passing {
+    resume_after: Option<u64>,
+    standing: Standing,
+}
+
 /// Counts a request at its runner for as long as it lives.
 pub struct Counted {
     site: Rc<Site>,
@@ -189,12 +216,14 @@
         return Err(Refusal::NoAccount);
     }
     site.taken.set(site.taken.get() + 1);
-    site.budget.borrow_mut().request(arrived);
     let most = table.spec().limits.body_bytes;
     let body = read_body(body, most, table.spec().limits.head_time).await?;
     let draw = site.rng.borrow_mut().random();
     let service = route.service(draw).ok_or(Refusal::NoRoute)?.clone();
-    let wait = head.deadline.unwrap_or(USUAL_DEADLINE).min(route.timeout);
+    site.count_request(&service);
+    let deadline = head.deadline.unwrap_or(USUAL_DEADLINE);
+    let spent = site.spent(&route.name, deadline);
+    let wait = deadline.min(route.timeout);
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
     headers.remove(EXPECT);
@@ -213,6 +242,7 @@
         sends: 0,
         route,
         arrived,
+        spent,
     })
 }
 
@@ -320,17 +350,25 @@
         if is_spent {
             return Err(final_refusal(call, last));
         }
-        let Some(place) = place(call) else {
-            return Err(final_refusal(call, last));
-        };
-        if call.sends > 0 {
-            let now = call.site.now();
-            if !call.site.budget.borrow_mut().take(now) {
-                return Err(final_refusal(call, last));
+        let standing = call.standing(resume_after);
+        let place = match place(call, standing) {
+            Ok(place) => place,
+            Err(Shortage::AllFull { retry }) if call.runs == 0 => {
+                return Err(Refusal::Unavailable {
+                    retry_ms: retry.as_millis(),
+                });
             }
+            Err(_) => return Err(final_refusal(call, last)),
+        };
+        if call.sends > 0 && !call.site.may_repeat(&call.service) {
+            return Err(final_refusal(call, last));
         }
         call.tried.push(place.host);
-        let miss = match attempt::<A>(call, &place, resume_after).await {
+        let passing = Passing {
+            resume_after,
+            standing,
+        };
+        let miss = match attempt::<A>(call, &place, passing).await {
             Ok(begun) => return Ok(begun),
             Err(miss) => miss,
         };
@@ -342,18 +380,17 @@
     }
 }
 
-fn place(call: &Call) -> Option<Place> {
+fn place(call: &Call, standing: Standing) -> Result<Place, Shortage> {
     let site = &call.site;
     let now = site.now();
-    let table = site.table()?;
-    let has_engine = table
-        .spec()
-        .service(&call.service)
-        .is_some_and(|service| service.engine.is_some());
-    let model = call.head.model.as_ref().filter(|_| has_engine);
+    let table = site.table().ok_or(Shortage::NoneServing)?;
+    let service = table.spec().service(&call.service);
+    let engine = service.and_then(|service| service.engine.as_ref());
+    let model = call.head.model.as_ref().zip(engine);
     let wanted = Wanted {
         service: &call.service,
         model,
+        standing,
         hall: &site.settings.hall,
         tried: &call.tried,
     };
@@ -367,21 +404,16 @@
 }
 
 /// One send to one runner.
-async fn attempt<A>(
-    call: &mut Call,
-    place: &Place,
-    resume_after: Option<u64>,
-) -> Result<Begun, Miss>
+async fn attempt<A>(call: &mut Call, place: &Place, passing: Passing) -> Result<Begun, Miss>
 where
     A: Adapter,
 {
     let counted = Counted::new(call.site.clone(), place.host);
     let opened = Exchange::open(place.address).await;
     let mut exchange = opened.map_err(|_| Miss::Unreached)?;
-    let request = request::<A>(call, place, resume_after);
+    let request = request::<A>(call, place, passing);
     call.sends += 1;
     call.runs += 1;
-    let sent = Cell::new(true);
     let response = {
         let sending = async {
             let sent = exchange.send(request).await;
@@ -392,7 +424,6 @@
         };
         until(call, place, sending).await.and_then(|sent| sent)
     };
-    sent.set(false);
     let response = match response {
         Ok(response) => response,
         Err(miss) => {
@@ -441,7 +472,7 @@
 }
 
 /// The request as it is sent to a runner.
-fn request<A>(call: &Call, place: &Place, resume_after: Option<u64>) -> Request<Full<Bytes>>
+fn request<A>(call: &Call, place: &Place, passing: Passing) -> Request<Full<Bytes>>
 where
     A: Adapter,
 {
@@ -454,7 +485,8 @@
         left: call.deadline.since(call.site.now()),
         host: &place.name,
         account: call.account.as_ref(),
-        resume_after,
+        resume_after: passing.resume_after,
+        standing: passing.standing,
     };
     A::pass_on(headers, &passed);
     request
@@ -491,8 +523,22 @@
     if !placement::still_serves(&call.site.roster.borrow(), place) {
         return true;
     }
-    let may_ask_another = call.runs < call.route.attempts;
-    place.epoch.is_none() && may_ask_another && waited > PATIENCE
+    if !may_move(call) {
+        return false;
+    }
+    match place.epoch {
+        None => waited > PATIENCE,
+        Some(_) => {
+            let now = call.site.now();
+            let silence = call.site.loads.borrow().stalled(place.host, now);
+            silence.is_some_and(|silence| silence.min(waited) > STALL_PATIENCE)
+        }
+    }
+}
+
+/// Whether a request may run on one more runner.
+pub(super) fn may_move(call: &Call) -> bool {
+    call.runs < call.route.attempts
 }
 
 /// Whether a request may run more than once.
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -10,6 +10,9 @@
 /// How long a runner's own figures are worth something.
 const REPORT_LIFE: Span = Span::from_millis(2_000);
 
+/// How long a head may be silent on all streams before it is avoided; passes take far less.
+const STALL: Span = Span::from_millis(400);
+
 /// A runner's own figures, as sent with an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Reported {
@@ -32,8 +35,10 @@
     reported: Option<Time>,
     /// Until when it is avoided.
     avoided: Option<Time>,
-    /// Failures in a row.
-    failures: u32,
+    /// Streams of this daemon that have begun there.
+    streams: u32,
+    /// When one of them last moved.
+    moved: Time,
 }
 
 /// The load of all runners.
@@ -69,7 +74,6 @@
     /// Takes in that a runner served a request.
     pub fn served(&mut self, host: HostKey) {
         if let Some(entry) = self.entry(host) {
-            entry.failures = 0;
             entry.avoided = None;
         }
     }
@@ -77,15 +81,44 @@
     /// Takes in that a runner could not be reached or turned a request away.
     pub fn failed(&mut self, host: HostKey, now: Time) {
         if let Some(entry) = self.entry(host) {
-            entry.failures += 1;
             entry.avoided = Some(now + AVOIDANCE);
         }
     }
 
+    /// Counts a stream that has begun at a runner.
+    pub fn begun(&mut self, host: HostKey, now: Time) {
+        if let Some(entry) = self.entry(host) {
+            entry.streams += 1;
+            entry.moved = now;
+        }
+    }
+
+    /// Takes in that a stream at a runner moved.
+    pub fn moved(&mut self, host: HostKey, now: Time) {
+        if let Some(entry) = self.entries.get_mut(host) {
+            entry.moved = now;
+        }
+    }
+
+    /// Counts a stream that has ended at a runner.
+    pub fn stopped(&mut self, host: HostKey) {
+        if let Some(entry) = self.entries.get_mut(host) {
+            entry.streams = entry.streams.saturating_sub(1);
+        }
+    }
+
+    /// For how long all streams at a runner have been silent, if that is too long.
+    pub fn stalled(&self, host: HostKey, now: Time) -> Option<Span> {
+        let entry = self.entries.get(host)?;
+        let silence = now.since(entry.moved);
+        (entry.streams > 0 && silence > STALL).then_some(silence)
+    }
+
     /// Whether a runner is avoided for now.
     pub fn is_avoided(&self, host: HostKey, now: Time) -> bool {
         let entry = self.entries.get(host);
-        entry.is_some_and(|entry| entry.avoided.is_some_and(|until| now < until))
+        let is_avoided = entry.is_some_and(|entry| entry.avoided.is_some_and(|until| now < until));
+        is_avoided || self.stalled(host, now).is_some()
     }
 
     /// The requests that a runner is thought to hold.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,11 +7,12 @@
 //! group is, its members say themselves; every daemon derives the same groups
 //! from their entries.
 //!
-//! Decisions (`routes`, `roster`, `placement`, `load`, `planner`, `formation`,
-//! `budget`) read no clock and do no I/O. The names and formats of a platform
+//! Decisions (`routes`, `roster`, `placement`, `admission`, `load`, `planner`,
+//! `formation`, `pool`, `budget`) read no clock and do no I/O. The names and formats of a platform
 //! stand behind [`adapter::Adapter`].
 
 pub mod adapter;
+pub mod admission;
 pub mod answer;
 pub mod budget;
 mod duty;
@@ -20,6 +21,7 @@
 mod feed;
 pub mod formation;
 mod forward;
+mod lease;
 mod listeners;
 pub mod load;
 mod orders;
@@ -39,11 +41,13 @@
 use crate::shell::{http, metrics};
 use adapter::Adapter;
 use anyhow::Context as _;
+use duty::Duty;
 use futures_channel::oneshot;
 use futures_util::{
     FutureExt as _,
-    future::{Either, select},
+    future::{Either, join, select},
 };
+use lease::Lease;
 use settings::Settings;
 use slog::Logger;
 use state::Site;
@@ -103,7 +107,9 @@
         A::OWN_PREFIX,
         sinks::PeerSink::new(site.clone(), A::OWN_PREFIX),
     ));
-    let session = compio::runtime::spawn(duty::Session::<A>::new(site.clone(), store).run());
+    let lease = Rc::new(Lease::<A>::new(site.clone(), store));
+    let kept = compio::runtime::spawn(lease.clone().keep());
+    start(Duty::new(site.clone(), lease).run());
     start(listeners::questions::<A>(
         ready,
         site.clone(),
@@ -124,8 +130,12 @@
     slog::info!(site.log, "stopping"; "taken" => site.taken.get());
     site.stopping.set(true);
     let grace = Duration::from_millis(site.settings.grace_ms).saturating_sub(LAST_WORDS);
-    let _ = compio::time::timeout(grace, session).await;
-    compio::time::sleep(grace).await;
+    let ended = compio::time::timeout(grace, kept);
+    // Work in hand and late callers have the whole grace period.
+    let (ended, ()) = join(ended, compio::time::sleep(grace)).await;
+    if ended.is_err() {
+        slog::warn!(site.log, "lease not ended in time");
+    }
     let _ = stop.send(());
     compio::time::sleep(LAST_WORDS / 2).await;
     slog::info!(site.log, "stopped"; "taken" => site.taken.get());
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,6 @@
 //! The other daemons, from their leased entries in the store.
 
-use crate::core::keys::{DaemonName, HallName, Revision};
+use crate::core::keys::{DaemonName, HallName, HostName, Revision};
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// The most addresses in one answer.
@@ -22,9 +22,10 @@
     }
 
     /// Runners that the holder of the duty found dead.
+    #[derive(Default)]
     pub struct Verdict {
         /// Their names and starts (Unix milliseconds).
-        pub lost: Vec<(crate::core::keys::HostName, u64)>,
+        pub lost: Vec<(HostName, u64)>,
     }
 }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -6,12 +6,14 @@
 //! the same runner.
 
 use super::{
+    admission::{self, Standing},
     load::Loads,
     roster::{HostKey, Roster},
+    spec::Engine,
 };
 use crate::core::{
     keys::{Epoch, HallName, HostName, ModelName, ServiceName},
-    time::Time,
+    time::{Span, Time},
 };
 use rand::{Rng, seq::IndexedRandom};
 use std::net::SocketAddr;
@@ -21,8 +23,10 @@
 pub struct Wanted<'a> {
     /// The service.
     pub service: &'a ServiceName,
-    /// The model, if the service serves models.
-    pub model: Option<&'a ModelName>,
+    /// The model and how its replicas work, if the service serves models.
+    pub model: Option<(&'a ModelName, &'a Engine)>,
+    /// How the request stands against its objective.
+    pub standing: Standing,
     /// The hall of this daemon.
     pub hall: &'a HallName,
     /// Runners that were tried already.
@@ -42,25 +46,42 @@
     pub epoch: Option<Epoch>,
 }
 
+/// A runner that could take a request.
 #[derive(Clone, Copy, Debug)]
-struct Candidate {
-    host: HostKey,
+pub(super) struct Candidate {
+    pub(super) host: HostKey,
     epoch: Option<Epoch>,
 }
 
-/// Chooses a runner; none if nothing serves the request now.
+/// Why no runner was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shortage {
+    /// Nothing serves the request now.
+    NoneServing,
+    /// Everything that serves it is full.
+    AllFull {
+        /// When to come back.
+        retry: Span,
+    },
+}
+
+/// Chooses a runner.
+///
+/// # Errors
+///
+/// Fails if nothing serves the request, or everything that does is full.
 pub fn choose<R>(
     roster: &Roster,
     loads: &Loads,
     wanted: Wanted<'_>,
     now: Time,
     rng: &mut R,
-) -> Option<Place>
+) -> Result<Place, Shortage>
 where
     R: Rng,
 {
     let mut candidates = match wanted.model {
-        Some(model) => heads(roster, wanted.service, model, now),
+        Some((model, _)) => heads(roster, wanted.service, model, now),
         None => plain(roster, wanted.service, now),
     };
     candidates.retain(|candidate| !wanted.tried.contains(&candidate.host));
@@ -69,12 +90,18 @@
     if candidates.is_empty() {
         candidates = all;
     }
+    if let Some((_, engine)) = wanted.model
+        && !candidates.is_empty()
+    {
+        candidates = with_places(candidates, loads, engine, wanted.standing, now, rng)?;
+    }
     let drawn: Vec<Candidate> = candidates.choose_multiple(rng, 2).copied().collect();
     let chosen = drawn
         .into_iter()
-        .min_by_key(|candidate| weigh(roster, loads, wanted.hall, candidate.host, now))?;
-    let host = roster.host(chosen.host)?;
-    Some(Place {
+        .min_by_key(|candidate| weigh(roster, loads, wanted.hall, candidate.host, now))
+        .ok_or(Shortage::NoneServing)?;
+    let host = roster.host(chosen.host).ok_or(Shortage::NoneServing)?;
+    Ok(Place {
         host: chosen.host,
         name: host.name.clone(),
         address: host.runner.address,
@@ -82,6 +109,27 @@
     })
 }
 
+/// The candidates that have a place left.
+fn with_places<R>(
+    candidates: Vec<Candidate>,
+    loads: &Loads,
+    engine: &Engine,
+    standing: Standing,
+    now: Time,
+    rng: &mut R,
+) -> Result<Vec<Candidate>, Shortage>
+where
+    R: Rng,
+{
+    let heads: Vec<HostKey> = candidates.iter().map(|candidate| candidate.host).collect();
+    let admitted = admission::admit(candidates, loads, engine.slots, standing, now);
+    if admitted.is_empty() {
+        let retry = admission::retry_after(&heads, loads, engine, now, rng);
+        return Err(Shortage::AllFull { retry });
+    }
+    Ok(admitted)
+}
+
 /// Whether a group or runner that was chosen may still be waited for.
 pub fn still_serves(roster: &Roster, place: &Place) -> bool {
     let Some(host) = roster.host(place.host) else {
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -350,8 +350,9 @@
         if self.loading.len() >= engine.load_parallel as usize {
             return;
         }
-        for pool in self.pools(roster, &service.name).into_values() {
-            for (key, model) in stagings(roster, &pool.free, engine) {
+        let pools = self.pools(roster, &service.name);
+        for pool in pools.values() {
+            for (key, model) in stagings(roster, engine, &pools, pool) {
                 let Some(host) = roster.host(key) else {
                     continue;
                 };
@@ -537,26 +538,32 @@
 
 /// Which free hosts of a domain are to stage which model.
 ///
-/// The larger replicas lose a member more often: their model comes first.
-fn stagings(roster: &Roster, free: &[HostKey], engine: &Engine) -> Vec<(HostKey, ModelName)> {
-    let mut models: Vec<&ModelName> = engine.models.iter().map(|known| &known.model).collect();
-    models.sort_by_key(|model| {
-        let size = engine.replication(model).map(|known| known.size);
-        std::cmp::Reverse(size)
-    });
+/// A host goes to the model whose groups carry the most work and have the most
+/// members that may be lost, for each host that has it staged already.
+fn stagings(
+    roster: &Roster,
+    engine: &Engine,
+    pools: &BTreeMap<DomainName, Pool>,
+    pool: &Pool,
+) -> Vec<(HostKey, ModelName)> {
     let staged_on = |key: &HostKey| roster.host(*key).and_then(|host| host.runner.staged.last());
     let mut held: BTreeMap<&ModelName, usize> = BTreeMap::new();
-    for model in free.iter().filter_map(staged_on) {
+    for model in pool.free.iter().filter_map(staged_on) {
         *held.entry(model).or_default() += 1;
     }
     let mut out = Vec::new();
-    for key in free.iter().filter(|key| staged_on(key).is_none()) {
-        let fewest = models
+    for key in pool.free.iter().filter(|key| staged_on(key).is_none()) {
+        let urgency = |replication: &&Replication| {
+            let staged = held.get(&replication.model).copied().unwrap_or_default();
+            need(replication, pools) * f64::from(replication.size) / (staged + 1) as f64
+        };
+        let next = engine
+            .models
             .iter()
-            .min_by_key(|model| held.get(*model).copied().unwrap_or_default());
-        if let Some(model) = fewest {
-            *held.entry(model).or_default() += 1;
-            out.push((*key, (*model).clone()));
+            .max_by(|a, b| urgency(a).total_cmp(&urgency(b)));
+        if let Some(replication) = next {
+            *held.entry(&replication.model).or_default() += 1;
+            out.push((*key, replication.model.clone()));
         }
     }
     out
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -12,6 +12,9 @@
 use crate::core::keys::ModelName;
 use std::collections::BTreeMap;
 
+/// Staged hosts that a domain keeps for a model in greater need, beside a group of it.
+const KEPT_HOSTS: usize = 1;
+
 /// Hosts to be left free in a domain beside its second and later groups of a model.
 const SPARE_HOSTS: usize = 2;
 
@@ -71,18 +74,20 @@
         ranked: &[&Replication],
         wanted: &Replication,
     ) -> Vec<HostKey> {
-        let kept_for = |key: &HostKey| {
-            ranked
-                .iter()
-                .take_while(|replication| replication.model != wanted.model)
-                .any(|other| self.count(&other.model) == 0 && is_staged(roster, *key, &other.model))
-        };
-        let mut usable: Vec<HostKey> = self
-            .free
+        let mut usable = self.free.clone();
+        let needier = ranked
             .iter()
-            .filter(|key| !kept_for(key))
-            .copied()
-            .collect();
+            .take_while(|replication| replication.model != wanted.model);
+        for other in needier {
+            let kept = match self.count(&other.model) {
+                0 => usize::from(other.size),
+                _ => KEPT_HOSTS,
+            };
+            let mut staged = usable.clone();
+            staged.retain(|key| is_staged(roster, *key, &other.model));
+            staged.truncate(kept);
+            usable.retain(|key| !staged.contains(key));
+        }
         usable.sort_by_key(|key| delay_rank(roster, *key, &wanted.model));
         usable
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -21,9 +21,6 @@
         pub store: SocketAddr,
         /// The limits on repeats, over all daemons.
         pub retry: RetryBounds,
-        /// How many daemons share those limits.
-        #[serde(default = "usual_daemons")]
-        pub daemons: u32,
         /// How long a stop may take, in milliseconds.
         pub grace_ms: u64,
         /// How long callers may keep the daemons' addresses, in milliseconds.
@@ -57,11 +54,6 @@
     }
 }
 
-/// Daemons of a deployment, if the settings don't say.
-fn usual_daemons() -> u32 {
-    8
-}
-
 mod seconds {
     use super::Span;
     use serde::{Deserialize as _, Deserializer, Serializer};
--- a/src/gateway/spec.rs
+++ b/src/gateway/spec.rs
@@ -169,4 +169,12 @@
     pub fn replication(&self, model: &ModelName) -> Option<&Replication> {
         self.models.iter().find(|known| known.model == *model)
     }
+
+    /// A replica's time for one usual request when all its slots are taken.
+    pub fn request_time(&self) -> Span {
+        let reading = f64::from(self.usual_prompt) / self.read_rate.max(1.0) * 1e6;
+        let step = self.step + self.step_each.times(u64::from(self.slots));
+        let writing = step.0 as f64 * f64::from(self.usual_answer) / f64::from(self.slots.max(1));
+        Span((reading + writing) as u64)
+    }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,8 +6,8 @@
 };
 use crate::{
     core::{
-        keys::{Epoch, ModelName},
-        time::Time,
+        keys::{Epoch, ModelName, ServiceName},
+        time::{Span, Time},
     },
     shell::Clock,
 };
@@ -19,6 +19,9 @@
     rc::Rc,
 };
 
+/// The part of the retry budget that is used: daemons that restart count anew.
+const BUDGET_PART: f64 = 0.75;
+
 /// A gateway's knowledge and means, shared by its tasks.
 pub struct Site {
     /// Its settings.
@@ -35,8 +38,10 @@
     serving: RefCell<BTreeMap<Epoch, ModelName>>,
     /// The load of runners.
     pub loads: RefCell<Loads>,
-    /// Repeats allowed.
-    pub budget: RefCell<RetryBudget>,
+    /// Repeats allowed at each service.
+    budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
+    /// The longest time that callers of each route have said they will wait.
+    patience: RefCell<BTreeMap<String, Span>>,
     /// Other daemons.
     pub peers: RefCell<Peers>,
     /// The source of chance.
@@ -52,9 +57,6 @@
 impl Site {
     /// A gateway that knows nothing yet.
     pub fn new(settings: Settings, log: Logger) -> Self {
-        let bounds = &settings.retry;
-        let share = f64::from(settings.daemons.max(1));
-        let budget = RetryBudget::new(bounds.ratio, bounds.slack / share, bounds.window);
         Self {
             log,
             clock: Clock::start(),
@@ -62,7 +64,8 @@
             roster: RefCell::default(),
             serving: RefCell::default(),
             loads: RefCell::default(),
-            budget: RefCell::new(budget),
+            budgets: RefCell::default(),
+            patience: RefCell::default(),
             peers: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
             listed: Cell::new(false),
@@ -128,6 +131,40 @@
         *before = serving;
     }
 
+    /// Counts a request for a service.
+    pub fn count_request(&self, service: &ServiceName) {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.request(now));
+    }
+
+    /// Takes one repeat at a service out of this daemon's part of the budget.
+    pub fn may_repeat(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        let daemons = self.peers.borrow().count().max(1);
+        let slack = self.settings.retry.slack * BUDGET_PART / daemons as f64;
+        self.with_budget(service, |budget| budget.take(slack, now))
+    }
+
+    /// The time that a caller has spent on earlier tries, judged by what others wait.
+    pub fn spent(&self, route: &str, deadline: Span) -> Span {
+        let mut patience = self.patience.borrow_mut();
+        let longest = patience.entry(route.to_owned()).or_default();
+        *longest = deadline.max(*longest);
+        *longest - deadline
+    }
+
+    fn with_budget<F, T>(&self, service: &ServiceName, act: F) -> T
+    where
+        F: FnOnce(&mut RetryBudget) -> T,
+    {
+        let bounds = &self.settings.retry;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(bounds.ratio * BUDGET_PART, bounds.window));
+        act(budget)
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         !self.stopping.get() && self.table.borrow().is_some() && self.listed.get()
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -8,10 +8,11 @@
     adapter::Adapter,
     answer::{Answer, Incomplete, strip_hop_by_hop},
     events::EventSplitter,
-    forward::{Begun, Call, LOOK_INTERVAL, Miss, begin, is_repeatable, note_miss},
+    forward::{Begun, Call, LOOK_INTERVAL, Miss, begin, is_repeatable, may_move, note_miss},
     placement,
     spec::Kind,
 };
+use crate::core::time::Span;
 use bytes::Bytes;
 use futures_channel::mpsc;
 use futures_util::SinkExt as _;
@@ -23,6 +24,9 @@
 /// Events that may wait for a slow caller.
 const QUEUE_EVENTS: usize = 16;
 
+/// How long all streams of a head may be silent before they go on elsewhere; callers leave after two seconds.
+const SILENCE: Span = Span::from_millis(900);
+
 type Sink = mpsc::Sender<Result<Frame<Bytes>, Incomplete>>;
 
 /// Whether an answer is a stream that is passed on event by event.
@@ -67,7 +71,10 @@
     let mut last = call.head.resume_after;
     loop {
         let body = begun.response.into_body();
+        let host = begun.place.host;
+        call.site.loads.borrow_mut().begun(host, call.site.now());
         let end = pass(&call, &begun.place, body, &mut last, &mut sink).await;
+        call.site.loads.borrow_mut().stopped(host);
         // The exchange lives until here: dropping it ends the runner's work.
         drop(begun.exchange);
         drop(begun.counted);
@@ -128,6 +135,10 @@
         if let Some(bytes) = frame.data_ref() {
             events.push(bytes);
         }
+        call.site
+            .loads
+            .borrow_mut()
+            .moved(place.host, call.site.now());
         if events.is_overlong() {
             return End::Broken;
         }
@@ -167,8 +178,17 @@
     if call.site.now() >= call.deadline {
         return Some(End::TimedOut);
     }
+    if !is_repeatable(call) {
+        return None;
+    }
     let is_served = placement::still_serves(&call.site.roster.borrow(), place);
-    (!is_served && is_repeatable(call)).then_some(End::Broken)
+    let silence = call
+        .site
+        .loads
+        .borrow()
+        .stalled(place.host, call.site.now());
+    let is_silent = silence.is_some_and(|silence| silence > SILENCE) && may_move(call);
+    (!is_served || is_silent).then_some(End::Broken)
 }
 
 fn log_end(call: &Call, outcome: &str, last: Option<u64>) {
