--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -156,7 +156,9 @@
         self.planner.busy |= !site.settings.first || site.taken.get() > 0;
         let directives = {
             let roster = site.roster.borrow();
-            self.planner.step(&roster, table.spec(), site.now())
+            let demand = site.demand.borrow();
+            self.planner
+                .step(&roster, table.spec(), &demand, site.now())
         };
         for directive in directives {
             self.orders.send(directive);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -11,7 +11,7 @@
     exchange::{Exchange, SendError},
     placement::{self, Place, Shortage, Wanted},
     roster::HostKey,
-    spec::{Kind, Route},
+    spec::{Kind, Route, Spec},
     state::Site,
     stream,
 };
@@ -221,6 +221,7 @@
     let draw = site.rng.borrow_mut().random();
     let service = route.service(draw).ok_or(Refusal::NoRoute)?.clone();
     site.count_request(&service);
+    count_demand(site, table.spec(), &service, &head, arrived);
     let deadline = head.deadline.unwrap_or(USUAL_DEADLINE);
     let spent = site.spent(&route.name, deadline);
     let wait = deadline.min(route.timeout);
@@ -246,6 +247,16 @@
     })
 }
 
+fn count_demand(site: &Site, spec: &Spec, service: &ServiceName, head: &CallHead, now: Time) {
+    let engine = spec
+        .service(service)
+        .and_then(|found| found.engine.as_ref());
+    if let (Some(engine), Some(model)) = (engine, &head.model) {
+        let mut demand = site.demand.borrow_mut();
+        demand.count(engine, model, head.prompt, head.answer, now);
+    }
+}
+
 async fn read_body(body: Incoming, most: usize, time: Span) -> Result<Bytes, Refusal> {
     let read = compio::time::timeout(time.into(), Limited::new(body, most).collect())
         .await
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod admission;
 pub mod answer;
 pub mod budget;
+pub mod demand;
 mod duty;
 pub mod events;
 mod exchange;
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -11,6 +11,7 @@
 
 use super::{
     budget::LoadBudget,
+    demand::{Demand, Needs},
     formation::Formation,
     pool::Pool,
     roster::{Group, Host, HostKey, MemberState, Roster},
@@ -31,6 +32,9 @@
 /// How long an order to open may take until the head reports that it is open.
 const OPEN_SETTLES: Span = Span::from_millis(1_500);
 
+/// How long a new holder probes members before it opens a group that was left ready.
+const ADOPTION_DELAY: Span = Span::from_millis(1_300);
+
 /// How much longer than foreseen a formation may take.
 const FORMATION_SLACK: Span = Span::from_secs(12);
 
@@ -106,6 +110,8 @@
     /// Whether requests have begun to come.
     pub busy: bool,
     survey: Survey,
+    /// The time of the first step.
+    began: Option<Time>,
 }
 
 /// Whether the runners that started together have all appeared.
@@ -143,12 +149,20 @@
             loading: Vec::new(),
             busy: false,
             survey: Survey::default(),
+            began: None,
         }
     }
 
     /// Decides what to order now.
-    pub fn step(&mut self, roster: &Roster, spec: &Spec, now: Time) -> Vec<Directive> {
+    pub fn step(
+        &mut self,
+        roster: &Roster,
+        spec: &Spec,
+        demand: &Demand,
+        now: Time,
+    ) -> Vec<Directive> {
         let mut out = Vec::new();
+        self.began.get_or_insert(now);
         self.loading.retain(|(_, end)| *end > now);
         self.sent.retain(|_, at| now.since(*at) < FORMATION_SLACK);
         self.opened.retain(|_, at| now.since(*at) < OPEN_SETTLES);
@@ -161,8 +175,9 @@
             if !self.survey.look(roster.hosts().count(), now) {
                 continue;
             }
-            self.form(roster, service, engine, now, &mut out);
-            self.stage(roster, service, engine, now, &mut out);
+            let needs = Needs::new(engine, demand);
+            self.form(roster, service, &needs, now, &mut out);
+            self.stage(roster, service, &needs, now, &mut out);
         }
         out
     }
@@ -232,6 +247,10 @@
         engine: &Engine,
         now: Time,
     ) {
+        let began = self.began.unwrap_or(now);
+        if now.since(began) < ADOPTION_DELAY {
+            return;
+        }
         for group in roster.groups() {
             let settled = group.is_active() || group.head_state == Some(MemberState::Broken);
             if group.service != *service || !group.complete || settled {
@@ -284,24 +303,24 @@
         &mut self,
         roster: &Roster,
         service: &Service,
-        engine: &Engine,
+        needs: &Needs<'_>,
         now: Time,
         out: &mut Vec<Directive>,
     ) {
         let mut pools = self.pools(roster, &service.name);
         loop {
-            let Some((domain, replication)) = next_group(roster, engine, &pools) else {
+            let Some((domain, replication)) = next_group(roster, needs, &pools) else {
                 return;
             };
-            let ranked = by_need(engine, &pools);
+            let rivals = needs.rivals(replication, &pools);
             let pool = pools.get_mut(&domain).expect("the domain was chosen");
-            let members = pool.take(roster, &ranked, replication);
+            let members = pool.take(roster, &rivals, replication);
             let loads: Vec<HostName> = members
                 .iter()
                 .filter(|key| needs_load(roster, **key, &replication.model))
                 .filter_map(|key| Some(roster.host(*key)?.name.clone()))
                 .collect();
-            if !self.may_load(loads.len(), engine, now) {
+            if !self.may_load(loads.len(), needs.engine, now) {
                 continue;
             }
             let load = self.load_time(replication.load);
@@ -347,24 +366,24 @@
         &mut self,
         roster: &Roster,
         service: &Service,
-        engine: &Engine,
+        needs: &Needs<'_>,
         now: Time,
         out: &mut Vec<Directive>,
     ) {
-        if self.loading.len() >= engine.load_parallel as usize {
+        if self.loading.len() >= needs.engine.load_parallel as usize {
             return;
         }
         let pools = self.pools(roster, &service.name);
         for pool in pools.values() {
-            for (key, model) in stagings(roster, engine, &pools, pool) {
+            for (key, model) in stagings(roster, needs, &pools, pool) {
                 let Some(host) = roster.host(key) else {
                     continue;
                 };
                 let busy = self.loading.iter().any(|(name, _)| *name == host.name);
-                if busy || !self.may_load(1, engine, now) {
+                if busy || !self.may_load(1, needs.engine, now) {
                     continue;
                 }
-                let Some(replication) = engine.replication(&model) else {
+                let Some(replication) = needs.engine.replication(&model) else {
                     continue;
                 };
                 let load = self.load_time(replication.load);
@@ -518,42 +537,26 @@
 /// The model in greatest need that some domain has room for, and the domain that is ready soonest.
 fn next_group<'a>(
     roster: &Roster,
-    engine: &'a Engine,
+    needs: &Needs<'a>,
     pools: &BTreeMap<DomainName, Pool>,
 ) -> Option<(DomainName, &'a Replication)> {
-    let ranked = by_need(engine, pools);
-    ranked.iter().find_map(|replication| {
+    needs.ranked(pools).into_iter().find_map(|replication| {
+        let rivals = needs.rivals(replication, pools);
         let (domain, _) = pools
             .iter()
-            .filter(|(_, pool)| pool.has_room(roster, &ranked, replication))
-            .min_by_key(|(_, pool)| pool.loads(roster, &ranked, replication))?;
-        Some((domain.clone(), *replication))
+            .filter(|(_, pool)| pool.has_room(roster, &rivals, replication))
+            .min_by_key(|(_, pool)| pool.loads(roster, &rivals, replication))?;
+        Some((domain.clone(), replication))
     })
 }
 
-/// The models, the one in greatest need first.
-fn by_need<'a>(engine: &'a Engine, pools: &BTreeMap<DomainName, Pool>) -> Vec<&'a Replication> {
-    let mut models: Vec<&Replication> = engine.models.iter().collect();
-    models.sort_by(|a, b| need(b, pools).total_cmp(&need(a, pools)));
-    models
-}
-
-/// A model's work for each of its groups, were there one more.
-fn need(replication: &Replication, pools: &BTreeMap<DomainName, Pool>) -> f64 {
-    let count: u32 = pools
-        .values()
-        .map(|pool| pool.count(&replication.model))
-        .sum();
-    replication.share * replication.pace / f64::from(count + 1)
-}
-
 /// Which free hosts of a domain are to stage which model.
 ///
 /// A host goes to the model whose groups carry the most work and have the most
 /// members that may be lost, for each host that has it staged already.
 fn stagings(
     roster: &Roster,
-    engine: &Engine,
+    needs: &Needs<'_>,
     pools: &BTreeMap<DomainName, Pool>,
     pool: &Pool,
 ) -> Vec<(HostKey, ModelName)> {
@@ -566,9 +569,10 @@
     for key in pool.free.iter().filter(|key| staged_on(key).is_none()) {
         let urgency = |replication: &&Replication| {
             let staged = held.get(&replication.model).copied().unwrap_or_default();
-            need(replication, pools) * f64::from(replication.size) / (staged + 1) as f64
+            needs.of(replication, pools) * f64::from(replication.size) / (staged + 1) as f64
         };
-        let next = engine
+        let next = needs
+            .engine
             .models
             .iter()
             .max_by(|a, b| urgency(a).total_cmp(&urgency(b)));
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -2,8 +2,8 @@
 //!
 //! A host that has a model's weights staged is worth more to that model than
 //! to any other: loading them again takes many times as long as joining. Hosts
-//! are therefore kept for the models in greater need that have no group in the
-//! domain, even if those must wait for one more host.
+//! are therefore kept for models that have no group in the domain, even if those
+//! must wait for one more host, unless another model is in far greater need.
 
 use super::{
     roster::{Host, HostKey, Roster},
@@ -12,9 +12,6 @@
 use crate::core::keys::ModelName;
 use std::collections::BTreeMap;
 
-/// Staged hosts that a domain keeps for a model in greater need, beside a group of it.
-const KEPT_HOSTS: usize = 1;
-
 /// Hosts to be left free in a domain beside its second and later groups of a model.
 const SPARE_HOSTS: usize = 2;
 
@@ -33,9 +30,9 @@
         self.groups.get(model).copied().unwrap_or_default()
     }
 
-    /// Whether a group can be formed here; `ranked` has the model in greatest need first.
-    pub fn has_room(&self, roster: &Roster, ranked: &[&Replication], wanted: &Replication) -> bool {
-        let usable = self.usable(roster, ranked, wanted).len();
+    /// Whether a group can be formed here, `rivals` keeping the hosts staged for them.
+    pub fn has_room(&self, roster: &Roster, rivals: &[&Replication], wanted: &Replication) -> bool {
+        let usable = self.usable(roster, rivals, wanted).len();
         let size = usize::from(wanted.size);
         if self.count(&wanted.model) == 0 {
             return usable >= size;
@@ -44,8 +41,8 @@
     }
 
     /// How many of its members would have to load the weights.
-    pub fn loads(&self, roster: &Roster, ranked: &[&Replication], wanted: &Replication) -> usize {
-        let usable = self.usable(roster, ranked, wanted);
+    pub fn loads(&self, roster: &Roster, rivals: &[&Replication], wanted: &Replication) -> usize {
+        let usable = self.usable(roster, rivals, wanted);
         usable
             .iter()
             .take(usize::from(wanted.size))
@@ -57,10 +54,10 @@
     pub fn take(
         &mut self,
         roster: &Roster,
-        ranked: &[&Replication],
+        rivals: &[&Replication],
         wanted: &Replication,
     ) -> Vec<HostKey> {
-        let mut members = self.usable(roster, ranked, wanted);
+        let mut members = self.usable(roster, rivals, wanted);
         members.truncate(usize::from(wanted.size));
         self.free.retain(|key| !members.contains(key));
         *self.groups.entry(wanted.model.clone()).or_default() += 1;
@@ -71,21 +68,17 @@
     fn usable(
         &self,
         roster: &Roster,
-        ranked: &[&Replication],
+        rivals: &[&Replication],
         wanted: &Replication,
     ) -> Vec<HostKey> {
         let mut usable = self.free.clone();
-        let needier = ranked
-            .iter()
-            .take_while(|replication| replication.model != wanted.model);
-        for other in needier {
-            let kept = match self.count(&other.model) {
-                0 => usize::from(other.size),
-                _ => KEPT_HOSTS,
-            };
+        for other in rivals {
+            if self.count(&other.model) > 0 {
+                continue;
+            }
             let mut staged = usable.clone();
             staged.retain(|key| is_staged(roster, *key, &other.model));
-            staged.truncate(kept);
+            staged.truncate(usize::from(other.size));
             usable.retain(|key| !staged.contains(key));
         }
         usable.sort_by_key(|key| delay_rank(roster, *key, &wanted.model));
--- a/src/gateway/spec.rs
+++ b/src/gateway/spec.rs
@@ -172,9 +172,14 @@
 
     /// A replica's time for one usual request when all its slots are taken.
     pub fn request_time(&self) -> Span {
-        let reading = f64::from(self.usual_prompt) / self.read_rate.max(1.0) * 1e6;
+        self.work(self.usual_prompt, self.usual_answer)
+    }
+
+    /// A replica's time for a request of so many tokens when all its slots are taken.
+    pub fn work(&self, prompt: u32, answer: u32) -> Span {
+        let reading = f64::from(prompt) / self.read_rate.max(1.0) * 1e6;
         let step = self.step + self.step_each.times(u64::from(self.slots));
-        let writing = step.0 as f64 * f64::from(self.usual_answer) / f64::from(self.slots.max(1));
+        let writing = step.0 as f64 * f64::from(answer) / f64::from(self.slots.max(1));
         Span((reading + writing) as u64)
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,8 +1,8 @@
 //! What a gateway knows, shared by its tasks.
 
 use super::{
-    budget::RetryBudget, load::Loads, peers::Peers, roster::Roster, routes::RouteTable,
-    settings::Settings, spec::Spec,
+    budget::RetryBudget, demand::Demand, load::Loads, peers::Peers, roster::Roster,
+    routes::RouteTable, settings::Settings, spec::Spec,
 };
 use crate::{
     core::{
@@ -38,6 +38,8 @@
     serving: RefCell<BTreeMap<Epoch, ModelName>>,
     /// The load of runners.
     pub loads: RefCell<Loads>,
+    /// Work asked of each model.
+    pub demand: RefCell<Demand>,
     /// Repeats allowed at each service.
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     /// The longest time that callers of each route have said they will wait.
@@ -64,6 +66,7 @@
             roster: RefCell::default(),
             serving: RefCell::default(),
             loads: RefCell::default(),
+            demand: RefCell::default(),
             budgets: RefCell::default(),
             patience: RefCell::default(),
             peers: RefCell::default(),
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -9,6 +9,7 @@
         time::{Span, Time},
     },
     gateway::{
+        demand::Demand,
         planner::{Directive, Order, Planner},
         roster::{MemberState, Membership, Roster, Runner},
         spec::{Engine, Replication, Service, Spec},
@@ -113,6 +114,7 @@
     pub now: Time,
     pub roster: Roster,
     pub planner: Planner,
+    pub demand: Demand,
     pub spec: Spec,
     hosts: BTreeMap<HostName, Real>,
     pending: Vec<(Time, Directive)>,
@@ -129,6 +131,7 @@
             now: Time(0),
             roster: Roster::default(),
             planner: Planner::new(Epoch(1_000)),
+            demand: Demand::default(),
             spec: spec(),
             hosts: BTreeMap::new(),
             pending: Vec::new(),
@@ -172,6 +175,11 @@
         }
     }
 
+    /// Forgets which hosts were found dead.
+    pub fn forget_lost(&mut self) {
+        self.lost.clear();
+    }
+
     /// Lets a host announce that it leaves.
     pub fn drain(&mut self, host: &HostName) {
         if let Some(real) = self.hosts.get_mut(host) {
@@ -195,7 +203,10 @@
             self.report();
             self.roster.set_lost(self.lost.clone());
             self.roster.assemble(&self.spec);
-            for directive in self.planner.step(&self.roster, &self.spec, self.now) {
+            for directive in self
+                .planner
+                .step(&self.roster, &self.spec, &self.demand, self.now)
+            {
                 match fate(&directive) {
                     Fate::Prompt => self.carry_out(&directive),
                     Fate::Late(delay) => self.pending.push((self.now + delay, directive)),
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -154,6 +154,24 @@
     assert_eq!(fleet.serving(LARGE), 2);
 }
 
+#[test]
+fn a_successor_opens_no_group_before_it_has_probed_the_members() {
+    let mut fleet = settled(1, 11);
+    let member = fleet.members(LARGE)[3].clone();
+    fleet.kill(&member, false);
+    fleet.settle(Span::from_millis(300));
+    // The successor doesn't know of the loss until its own probes fail.
+    fleet.forget_lost();
+    fleet.planner = Planner::new(Epoch(1_000_000));
+    fleet.planner.busy = true;
+    let mut opened = 0;
+    fleet.run(fleet.now + Span::from_millis(1_000), |directive| {
+        opened += usize::from(matches!(directive.order, Order::Open { .. }));
+        Fate::Prompt
+    });
+    assert_eq!(opened, 0);
+}
+
 #[test]
 fn a_successor_opens_a_group_that_was_left_ready() {
     let mut fleet = Fleet::new(1, 11);
