Slow members are replaced, slow groups get the overflow, runners that fail are avoided longer

Probes now tell each member's pace; a group with slow members closes without cutting when its domain has staged spares for them; others get only what fast groups have no place for. Callers that were turned away come back after 1.2 s at least, about the time of a repair. A group that was ordered to close is not opened again by adoption (found by the new test: it was, at once).

--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -57,7 +57,7 @@
     /// # Errors
     ///
     /// Fails if the text is no report.
-    fn report(text: &[u8]) -> Result<Option<Membership>, DecodeError>;
+    fn report(text: &[u8]) -> Result<Report, DecodeError>;
 
     /// The path of a probe.
     fn report_path() -> &'static str;
@@ -131,6 +131,15 @@
     pub load: Option<Reported>,
 }
 
+/// A runner's answer to a probe.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Its place in a group.
+    pub member: Option<Membership>,
+    /// How many times slower than usual it works.
+    pub pace: f64,
+}
+
 /// A question for the daemons' addresses.
 #[derive(Clone, Debug, Default)]
 pub struct Question {
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -15,8 +15,8 @@
 /// The part of a head's slots that late requests leave free for others.
 const LATE_RESERVE: f64 = 0.2;
 
-/// The shortest time after which a caller that was turned away comes back.
-const RETRY_MIN: Span = Span::from_millis(500);
+/// The shortest time after which a caller that was turned away comes back; repairs take two seconds.
+const RETRY_MIN: Span = Span::from_millis(1_200);
 
 /// How much later at the most it comes back, so that callers don't return together.
 const RETRY_SPREAD_MS: u64 = 1_000;
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -151,7 +151,12 @@
         };
         self.prober.step();
         let lost = self.prober.lost();
-        site.roster.borrow_mut().set_lost(lost.clone());
+        let slow = self.prober.slow();
+        {
+            let mut roster = site.roster.borrow_mut();
+            roster.set_lost(lost.clone());
+            roster.set_slow(slow.clone());
+        }
         site.assemble();
         self.planner.busy |= !site.settings.first || site.taken.get() > 0;
         let directives = {
@@ -165,6 +170,7 @@
         }
         let verdict = Verdict {
             lost: lost.into_iter().collect(),
+            slow: slow.into_iter().collect(),
         };
         Verdicts::publish(&self.verdicts, verdict);
     }
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -5,7 +5,10 @@
 use slotmap::SecondaryMap;
 
 /// How long a runner that could not be reached gets nothing, unless all are so.
-const AVOIDANCE: Span = Span::from_millis(1_000);
+const AVOIDANCE: Span = Span::from_millis(500);
+
+/// How often that time doubles with further failures.
+const MOST_DOUBLINGS: u32 = 4;
 
 /// How long a runner's own figures are worth something.
 const REPORT_LIFE: Span = Span::from_millis(2_000);
@@ -35,6 +38,8 @@
     reported: Option<Time>,
     /// Until when it is avoided.
     avoided: Option<Time>,
+    /// Failures in a row.
+    failures: u32,
     /// Streams of this daemon that have begun there.
     streams: u32,
     /// When one of them last moved.
@@ -75,13 +80,16 @@
     pub fn served(&mut self, host: HostKey) {
         if let Some(entry) = self.entry(host) {
             entry.avoided = None;
+            entry.failures = 0;
         }
     }
 
     /// Takes in that a runner could not be reached or turned a request away.
     pub fn failed(&mut self, host: HostKey, now: Time) {
         if let Some(entry) = self.entry(host) {
-            entry.avoided = Some(now + AVOIDANCE);
+            let doublings = entry.failures.min(MOST_DOUBLINGS);
+            entry.avoided = Some(now + AVOIDANCE.times(1 << doublings));
+            entry.failures += 1;
         }
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! The other daemons, from their leased entries in the store.
 
-use crate::core::keys::{DaemonName, HallName, HostName, Revision};
+use super::roster::Life;
+use crate::core::keys::{DaemonName, HallName, Revision};
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// The most addresses in one answer.
@@ -21,11 +22,14 @@
         pub holder: DaemonName,
     }
 
-    /// Runners that the holder of the duty found dead.
+    /// What the holder of the duty found out by its probes.
     #[derive(Default)]
     pub struct Verdict {
-        /// Their names and starts (Unix milliseconds).
-        pub lost: Vec<(HostName, u64)>,
+        /// Runners that are dead.
+        pub lost: Vec<Life>,
+        /// Runners that are slow, and how many times slower they work.
+        #[serde(default)]
+        pub slow: Vec<(Life, f64)>,
     }
 }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -18,6 +18,12 @@
 use rand::{Rng, seq::IndexedRandom};
 use std::net::SocketAddr;
 
+/// From how many times slower than usual on a group gets only what others have no place for.
+const SLOW: f64 = 2.0;
+
+/// What another hall weighs against one request more.
+const FAR: f64 = 0.5;
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
@@ -51,6 +57,8 @@
 pub(super) struct Candidate {
     pub(super) host: HostKey,
     epoch: Option<Epoch>,
+    /// How many times slower than usual it works.
+    pace: f64,
 }
 
 /// Why no runner was chosen.
@@ -98,7 +106,10 @@
     let drawn: Vec<Candidate> = candidates.choose_multiple(rng, 2).copied().collect();
     let chosen = drawn
         .into_iter()
-        .min_by_key(|candidate| weigh(roster, loads, wanted.hall, candidate.host, now))
+        .min_by(|a, b| {
+            let weight = |candidate| weigh(roster, loads, wanted.hall, candidate, now);
+            weight(a).total_cmp(&weight(b))
+        })
         .ok_or(Shortage::NoneServing)?;
     let host = roster.host(chosen.host).ok_or(Shortage::NoneServing)?;
     Ok(Place {
@@ -123,6 +134,14 @@
 {
     let heads: Vec<HostKey> = candidates.iter().map(|candidate| candidate.host).collect();
     let admitted = admission::admit(candidates, loads, engine.slots, standing, now);
+    let fast: Vec<Candidate> = admitted
+        .iter()
+        .filter(|candidate| candidate.pace < SLOW)
+        .copied()
+        .collect();
+    if !fast.is_empty() {
+        return Ok(fast);
+    }
     if admitted.is_empty() {
         let retry = admission::retry_after(&heads, loads, engine, now, rng);
         return Err(Shortage::AllFull { retry });
@@ -162,6 +181,7 @@
             Some(Candidate {
                 host: group.head()?,
                 epoch: Some(group.epoch),
+                pace: roster.group_pace(group),
             })
         })
         .collect()
@@ -174,14 +194,15 @@
         .map(|(key, _)| Candidate {
             host: key,
             epoch: None,
+            pace: 1.0,
         })
         .collect()
 }
 
-/// The load first, then the distance.
-fn weigh(roster: &Roster, loads: &Loads, hall: &HallName, host: HostKey, now: Time) -> (u32, bool) {
-    let far = roster
-        .host(host)
-        .is_some_and(|host| host.runner.hall != *hall);
-    (loads.held(host, now), far)
+/// What a request is thought to wait for, in requests; a farther hall weighs a part of one.
+fn weigh(roster: &Roster, loads: &Loads, hall: &HallName, candidate: &Candidate, now: Time) -> f64 {
+    let host = roster.host(candidate.host);
+    let is_far = host.is_some_and(|host| host.runner.hall != *hall);
+    let distance = if is_far { FAR } else { 0.0 };
+    f64::from(loads.held(candidate.host, now) + 1) * candidate.pace + distance
 }
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -104,6 +104,8 @@
     sent: BTreeMap<(HostName, Order), Time>,
     /// Groups whose heads were ordered to open, and when.
     opened: BTreeMap<GroupName, Time>,
+    /// Groups that were ordered to close: they are not opened again.
+    closed: BTreeSet<GroupName>,
     budget: LoadBudget,
     /// Loads thought to be under way, with their likely ends.
     loading: Vec<(HostName, Time)>,
@@ -145,6 +147,7 @@
             formations: Vec::new(),
             sent: BTreeMap::new(),
             opened: BTreeMap::new(),
+            closed: BTreeSet::new(),
             budget: LoadBudget::new(LOAD_WINDOW),
             loading: Vec::new(),
             busy: false,
@@ -165,6 +168,9 @@
         self.began.get_or_insert(now);
         self.loading.retain(|(_, end)| *end > now);
         self.sent.retain(|_, at| now.since(*at) < FORMATION_SLACK);
+        let known = roster.groups();
+        self.closed
+            .retain(|name| known.iter().any(|group| group.name == *name));
         self.opened.retain(|_, at| now.since(*at) < OPEN_SETTLES);
         for service in &spec.services {
             let Some(engine) = &service.engine else {
@@ -252,7 +258,9 @@
             return;
         }
         for group in roster.groups() {
-            let settled = group.is_active() || group.head_state == Some(MemberState::Broken);
+            let settled = group.is_active()
+                || group.head_state == Some(MemberState::Broken)
+                || self.closed.contains(&group.name);
             if group.service != *service || !group.complete || settled {
                 continue;
             }
@@ -278,6 +286,8 @@
         now: Time,
         out: &mut Vec<Directive>,
     ) {
+        let pools = self.pools(roster, service);
+        let mut replaced = BTreeSet::new();
         for group in roster.groups() {
             if group.service != *service || !group.is_active() {
                 continue;
@@ -286,9 +296,20 @@
                 continue;
             };
             let is_gone = head.unlisted.is_some() && roster.is_lost(head);
-            let Some(cut) = must_close(roster, group, head).filter(|_| !is_gone) else {
+            let mut cut = must_close(roster, group, head);
+            if cut.is_none()
+                && let Some(domain) = &head.runner.domain
+                && !replaced.contains(domain)
+                && let Some(pool) = pools.get(domain)
+                && is_outpaced(roster, group, pool)
+            {
+                replaced.insert(domain.clone());
+                cut = Some(false);
+            }
+            let Some(cut) = cut.filter(|_| !is_gone) else {
                 continue;
             };
+            self.closed.insert(group.name.clone());
             let close = Order::Close {
                 group: group.name.clone(),
                 epoch: group.epoch,
@@ -510,6 +531,14 @@
     (is_leaving && is_open).then_some(false)
 }
 
+/// Whether an open group has slow members that its domain can replace at once.
+fn is_outpaced(roster: &Roster, group: &Group, pool: &Pool) -> bool {
+    let is_slow = |host: &&Host| roster.pace(host) > 1.0;
+    let slow = members(roster, group).filter(is_slow).count();
+    let is_open = group.head_state == Some(MemberState::Open);
+    is_open && slow > 0 && pool.prompt(roster, &group.model) >= slow
+}
+
 /// The known members of a group.
 fn members<'a>(roster: &'a Roster, group: &'a Group) -> impl Iterator<Item = &'a Host> {
     group.members.values().filter_map(|key| roster.host(*key))
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -50,6 +50,12 @@
             .count()
     }
 
+    /// Free hosts that would join a group of the model without a load, and aren't slow.
+    pub fn prompt(&self, roster: &Roster, model: &ModelName) -> usize {
+        let prompt = |key: &&HostKey| delay_rank(roster, **key, model) <= STAGED;
+        self.free.iter().filter(prompt).count()
+    }
+
     /// Takes the members of a new group out.
     pub fn take(
         &mut self,
@@ -95,11 +101,18 @@
 /// The rank of a host with the weights staged.
 const STAGED: u8 = 1;
 
-/// 0: was in a group of the model; 1: has its weights staged; 2: has none staged; 3: has others.
+/// The rank of a slow host: its group would be as slow.
+const SLOW_RANK: u8 = 4;
+
+/// 0: was in a group of the model; 1: has its weights staged; 2: has none staged; 3: has others; 4: is slow.
 fn delay_rank(roster: &Roster, key: HostKey, model: &ModelName) -> u8 {
-    roster
-        .host(key)
-        .map_or(u8::MAX, |host| delay_rank_of(host, model))
+    let Some(host) = roster.host(key) else {
+        return u8::MAX;
+    };
+    match roster.pace(host) > 1.0 {
+        true => SLOW_RANK,
+        false => delay_rank_of(host, model),
+    }
 }
 
 fn delay_rank_of(host: &Host, model: &ModelName) -> u8 {
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -9,7 +9,7 @@
 use super::{
     adapter::Adapter,
     exchange::Exchange,
-    roster::{Host, HostKey},
+    roster::{Host, HostKey, Life},
     state::Site,
 };
 use crate::core::{
@@ -40,6 +40,9 @@
 /// The longest report taken, in bytes.
 const MAX_REPORT: usize = 256 << 10;
 
+/// From how many times slower than usual on a runner counts as slow.
+const SLOW: f64 = 2.0;
+
 /// The part of all members that may be lost at once.
 const MOST_LOST: f64 = 0.4;
 
@@ -56,6 +59,8 @@
     asked: Time,
     is_asking: bool,
     is_lost: bool,
+    /// How many times slower than usual it works, in halves.
+    pace: f64,
 }
 
 /// Asks the members of groups whether they live.
@@ -96,9 +101,9 @@
     }
 
     /// The lifetimes found dead; none if it is this daemon that is cut off.
-    pub fn lost(&self) -> BTreeSet<(HostName, u64)> {
+    pub fn lost(&self) -> BTreeSet<Life> {
         let probes = self.probes.borrow();
-        let lost: BTreeSet<(HostName, u64)> = probes
+        let lost: BTreeSet<Life> = probes
             .entries
             .values()
             .filter(|probe| probe.is_lost)
@@ -110,6 +115,14 @@
         lost
     }
 
+    /// The lifetimes that are slow, and how many times slower they work.
+    pub fn slow(&self) -> BTreeMap<Life, f64> {
+        let probes = self.probes.borrow();
+        let slow = probes.entries.values().filter(|probe| probe.pace >= SLOW);
+        slow.map(|probe| ((probe.name.clone(), probe.born), probe.pace))
+            .collect()
+    }
+
     /// Begins to ask new members, and forgets those that are members no more.
     fn refresh(&self, now: Time) {
         let roster = self.site.roster.borrow();
@@ -127,6 +140,7 @@
                 asked: now,
                 is_asking: false,
                 is_lost: roster.is_lost(host),
+                pace: roster.pace(host),
             });
         }
     }
@@ -182,8 +196,10 @@
     };
     probe.exchange = Some(exchange);
     match A::report(&text) {
-        Ok(member) => {
-            site.roster.borrow_mut().report(&probe.name, member);
+        Ok(report) => {
+            // Coarse steps: the verdict is written anew with each change.
+            probe.pace = (report.pace * 2.0).round() / 2.0;
+            site.roster.borrow_mut().report(&probe.name, report.member);
         }
         Err(error) => slog::warn!(site.log, "report refused";
             "host" => probe.name.as_str(), "cause" => error.to_string()),
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -21,6 +21,9 @@
 /// How long a host without an entry is remembered.
 const MEMORY: Span = Span::from_secs(30);
 
+/// A runner's name and start, in Unix milliseconds.
+pub type Life = (HostName, u64);
+
 new_key_type! {
     /// One lifetime of a host's runner.
     pub struct HostKey;
@@ -130,7 +133,9 @@
     hosts: SlotMap<HostKey, Host>,
     names: BTreeMap<HostName, HostKey>,
     /// Lifetimes found dead by a daemon that probes them.
-    lost: BTreeSet<(HostName, u64)>,
+    lost: BTreeSet<Life>,
+    /// Lifetimes found to be slow, and how many times slower they work.
+    slow: BTreeMap<Life, f64>,
     groups: Vec<Group>,
     /// Until when a missing entry may still come back.
     reentry: Time,
@@ -201,13 +206,18 @@
     }
 
     /// Marks lifetimes as dead, in place of the marks before.
-    pub fn set_lost(&mut self, lost: BTreeSet<(HostName, u64)>) {
+    pub fn set_lost(&mut self, lost: BTreeSet<Life>) {
         if self.lost != lost {
             self.lost = lost;
             self.changes += 1;
         }
     }
 
+    /// Marks lifetimes as slow, in place of the marks before.
+    pub fn set_slow(&mut self, slow: BTreeMap<Life, f64>) {
+        self.slow = slow;
+    }
+
     /// Takes in that the store answers again after an outage.
     pub fn store_returned(&mut self, now: Time) {
         self.reentry = now + REENTRY;
@@ -293,6 +303,18 @@
         self.lost.contains(&life)
     }
 
+    /// How many times slower than usual a host works.
+    pub fn pace(&self, host: &Host) -> f64 {
+        let life = (host.name.clone(), host.runner.born);
+        self.slow.get(&life).copied().unwrap_or(1.0)
+    }
+
+    /// How many times slower than usual a group works: as slow as its slowest member.
+    pub fn group_pace(&self, group: &Group) -> f64 {
+        let members = group.members.values().filter_map(|key| self.host(*key));
+        members.map(|host| self.pace(host)).fold(1.0, f64::max)
+    }
+
     /// Whether a host may be sent requests.
     pub fn is_usable(&self, host: &Host, now: Time) -> bool {
         let listed = host.unlisted.is_none() || now < self.reentry;
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -183,8 +183,10 @@
     fn take_verdict(&self, entry: &PlatformEntry) {
         if let Some(verdict) = self.read::<Verdict>(entry) {
             self.site.peers.borrow_mut().verdict = Some(entry.revision);
-            let lost = verdict.lost.into_iter().collect();
-            self.site.roster.borrow_mut().set_lost(lost);
+            let mut roster = self.site.roster.borrow_mut();
+            roster.set_lost(verdict.lost.into_iter().collect());
+            roster.set_slow(verdict.slow.into_iter().collect());
+            drop(roster);
             self.site.assemble();
         }
     }
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -180,6 +180,12 @@
         self.lost.clear();
     }
 
+    /// Lets a host work so many times slower.
+    pub fn slow_down(&mut self, host: &HostName, pace: f64) {
+        let life = (host.clone(), self.hosts[host].born);
+        self.roster.set_slow(BTreeMap::from([(life, pace)]));
+    }
+
     /// Lets a host announce that it leaves.
     pub fn drain(&mut self, host: &HostName) {
         if let Some(real) = self.hosts.get_mut(host) {
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -132,6 +132,26 @@
     fleet.broken
 }
 
+#[test]
+fn a_slow_member_is_replaced_by_a_staged_spare() {
+    let mut fleet = settled(1, 11);
+    let slow = fleet.members(LARGE)[2].clone();
+    fleet.slow_down(&slow, 5.0);
+    fleet.settle(Span::from_secs(4));
+    assert_eq!(fleet.serving(LARGE), 1);
+    assert!(!fleet.members(LARGE).contains(&slow));
+    assert_eq!(fleet.broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_slow_member_stays_where_nobody_can_replace_it() {
+    let mut fleet = settled(1, 9);
+    let slow = fleet.members(LARGE)[2].clone();
+    fleet.slow_down(&slow, 5.0);
+    fleet.settle(Span::from_secs(4));
+    assert!(fleet.members(LARGE).contains(&slow));
+}
+
 #[test]
 fn an_opening_group_keeps_its_members_though_one_is_lost() {
     for millis in [0, 100, 200, 300, 400, 500] {
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -109,6 +109,22 @@
     assert!(env.choose(Standing::Timely, &[]).is_ok());
 }
 
+#[test]
+fn a_slow_group_gets_only_what_others_have_no_place_for() {
+    let mut env = TestEnv::new(2);
+    let heads = env.heads();
+    let name = env.fleet.roster.host(heads[0]).expect("known").name.clone();
+    env.fleet.slow_down(&name, 5.0);
+    env.load(heads[1], 20, 0);
+    for _ in 0..20 {
+        let place = env.choose(Standing::Timely, &[]).expect("a place");
+        assert_eq!(place.host, heads[1]);
+    }
+    env.load(heads[1], 28, 0);
+    let place = env.choose(Standing::Timely, &[]).expect("a place");
+    assert_eq!(place.host, heads[0]);
+}
+
 #[test]
 fn a_head_whose_streams_are_silent_is_avoided() {
     let mut env = TestEnv::new(2);
