A head that left holds its members while it may be busy

Cause: a head left without announcing it (its entry went), was ordered to close, stopped listening at 30.3 s and was taken for dead, though it went on with its requests. Ruled out: a late order; a crash (it had answered probes after its entry was gone). Change: a dead head frees its members at once only if it was listed and staying when it last answered; else 11 s after its entry went. A closing head that takes longer than 1.8 s is cut, and its streams go on elsewhere.

The new test fails without the change.

--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -29,6 +29,12 @@
 /// How long an order is left to show its effect before it is sent again.
 const ORDER_PATIENCE: Span = Span::from_millis(700);
 
+/// How long a closing head may finish its requests; after that their streams go on elsewhere.
+const CLOSE_PATIENCE: Span = Span::from_millis(1_800);
+
+/// How long a head that leaves may go on with its requests once it listens no more.
+const LEAVING_LIMIT: Span = Span::from_millis(11_000);
+
 /// How long an order to open may take until the head reports that it is open.
 const OPEN_SETTLES: Span = Span::from_millis(1_500);
 
@@ -104,8 +110,8 @@
     sent: BTreeMap<(HostName, Order), Time>,
     /// Groups whose heads were ordered to open, and when.
     opened: BTreeMap<GroupName, Time>,
-    /// Groups that were ordered to close: they are not opened again.
-    closed: BTreeSet<GroupName>,
+    /// Groups that were ordered to close, and since when: they are not opened again.
+    closed: BTreeMap<GroupName, Time>,
     budget: LoadBudget,
     /// Loads thought to be under way, with their likely ends.
     loading: Vec<(HostName, Time)>,
@@ -147,7 +153,7 @@
             formations: Vec::new(),
             sent: BTreeMap::new(),
             opened: BTreeMap::new(),
-            closed: BTreeSet::new(),
+            closed: BTreeMap::new(),
             budget: LoadBudget::new(LOAD_WINDOW),
             loading: Vec::new(),
             busy: false,
@@ -170,7 +176,7 @@
         self.sent.retain(|_, at| now.since(*at) < FORMATION_SLACK);
         let known = roster.groups();
         self.closed
-            .retain(|name| known.iter().any(|group| group.name == *name));
+            .retain(|name, _| known.iter().any(|group| group.name == *name));
         self.opened.retain(|_, at| now.since(*at) < OPEN_SETTLES);
         for service in &spec.services {
             let Some(engine) = &service.engine else {
@@ -260,7 +266,7 @@
         for group in roster.groups() {
             let settled = group.is_active()
                 || group.head_state == Some(MemberState::Broken)
-                || self.closed.contains(&group.name);
+                || self.closed.contains_key(&group.name);
             if group.service != *service || !group.complete || settled {
                 continue;
             }
@@ -286,7 +292,7 @@
         now: Time,
         out: &mut Vec<Directive>,
     ) {
-        let pools = self.pools(roster, service);
+        let pools = self.pools(roster, service, now);
         let mut replaced = BTreeSet::new();
         for group in roster.groups() {
             if group.service != *service || !group.is_active() {
@@ -309,11 +315,11 @@
             let Some(cut) = cut.filter(|_| !is_gone) else {
                 continue;
             };
-            self.closed.insert(group.name.clone());
+            let since = *self.closed.entry(group.name.clone()).or_insert(now);
             let close = Order::Close {
                 group: group.name.clone(),
                 epoch: group.epoch,
-                cut,
+                cut: cut || now.since(since) >= CLOSE_PATIENCE,
             };
             self.send(&head.name, close, now, out);
         }
@@ -328,7 +334,7 @@
         now: Time,
         out: &mut Vec<Directive>,
     ) {
-        let mut pools = self.pools(roster, &service.name);
+        let mut pools = self.pools(roster, &service.name, now);
         loop {
             let Some((domain, replication)) = next_group(roster, needs, &pools) else {
                 return;
@@ -394,7 +400,7 @@
         if self.loading.len() >= needs.engine.load_parallel as usize {
             return;
         }
-        let pools = self.pools(roster, &service.name);
+        let pools = self.pools(roster, &service.name, now);
         for pool in pools.values() {
             for (key, model) in stagings(roster, needs, &pools, pool) {
                 let Some(host) = roster.host(key) else {
@@ -415,8 +421,13 @@
     }
 
     /// Hosts that may be ordered into a group, by domain.
-    fn pools(&self, roster: &Roster, service: &ServiceName) -> BTreeMap<DomainName, Pool> {
-        let held = self.held(roster, service);
+    fn pools(
+        &self,
+        roster: &Roster,
+        service: &ServiceName,
+        now: Time,
+    ) -> BTreeMap<DomainName, Pool> {
+        let held = self.held(roster, service, now);
         let mut pools: BTreeMap<DomainName, Pool> = BTreeMap::new();
         for (model, domain) in self.placed(roster, service) {
             let pool = pools.entry(domain).or_default();
@@ -437,7 +448,7 @@
     }
 
     /// Hosts that a group holds: formations, and groups whose head is or may become open.
-    fn held(&self, roster: &Roster, service: &ServiceName) -> BTreeSet<HostKey> {
+    fn held(&self, roster: &Roster, service: &ServiceName, now: Time) -> BTreeSet<HostKey> {
         let forming = self
             .formations
             .iter()
@@ -447,7 +458,9 @@
             .groups()
             .iter()
             .filter(|group| group.service == *service)
-            .filter(|group| holds_members(roster, group) || self.opened.contains_key(&group.name))
+            .filter(|group| {
+                holds_members(roster, group, now) || self.opened.contains_key(&group.name)
+            })
             .flat_map(|group| group.members.values().copied());
         forming.chain(active).collect()
     }
@@ -552,15 +565,19 @@
 /// Whether a group's members must not be ordered elsewhere.
 ///
 /// A head that was found dead still holds them until its entry is gone: it may
-/// only be out of this daemon's reach.
-fn holds_members(roster: &Roster, group: &Group) -> bool {
+/// only be out of this daemon's reach. One that was leaving may still be busy
+/// though it listens no more.
+fn holds_members(roster: &Roster, group: &Group, now: Time) -> bool {
     if !group.is_active() {
         return false;
     }
     let Some(head) = group.head().and_then(|key| roster.host(key)) else {
         return false;
     };
-    head.unlisted.is_none() || !roster.is_lost(head)
+    let Some(unlisted) = head.unlisted.filter(|_| roster.is_lost(head)) else {
+        return true;
+    };
+    head.stayed != Some(true) && now.since(unlisted) < LEAVING_LIMIT
 }
 
 /// The model in greatest need that some domain has room for, and the domain that is ready soonest.
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -91,6 +91,8 @@
     pub runner: Runner,
     /// Since when its entry is gone.
     pub unlisted: Option<Time>,
+    /// Whether it was listed and not leaving when it last answered a probe; none before any.
+    pub stayed: Option<bool>,
 }
 
 /// The members of one group at one epoch, as they say themselves.
@@ -159,6 +161,7 @@
                     name: name.clone(),
                     runner,
                     unlisted: None,
+                    stayed: None,
                 };
                 let key = self.hosts.insert(host);
                 self.names.insert(name, key);
@@ -193,12 +196,13 @@
         }
     }
 
-    /// Takes in what an unlisted runner answered to a probe.
+    /// Takes in what a runner answered to a probe; its entry, if it has one, is newer.
     pub fn report(&mut self, name: &HostName, member: Option<Membership>) {
         let Some(key) = self.names.get(name) else {
             return;
         };
         let host = &mut self.hosts[*key];
+        host.stayed = Some(host.unlisted.is_none() && !host.runner.draining);
         if host.unlisted.is_some() && host.runner.member != member {
             host.runner.member = member;
             self.changes += 1;
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -89,6 +89,8 @@
     born: u64,
     is_dead: bool,
     is_draining: bool,
+    /// Whether its entry has been removed.
+    is_unlisted: bool,
     staged: Vec<ModelName>,
     loading: Option<(ModelName, Time)>,
     member: Option<Place>,
@@ -154,6 +156,7 @@
             born: self.now.0 + 1,
             is_dead: false,
             is_draining: false,
+            is_unlisted: false,
             staged: Vec::new(),
             loading: None,
             member: None,
@@ -186,6 +189,19 @@
         self.roster.set_slow(BTreeMap::from([(life, pace)]));
     }
 
+    /// Lets a host's entry go without a word, as a host that leaves.
+    pub fn unlist(&mut self, host: &HostName) {
+        if let Some(real) = self.hosts.get_mut(host) {
+            real.is_unlisted = true;
+        }
+        self.roster.remove(host, self.now);
+    }
+
+    /// Lets a host answer no more, though it goes on with its requests.
+    pub fn deafen(&mut self, host: &HostName) {
+        self.lost.insert((host.clone(), self.hosts[host].born));
+    }
+
     /// Lets a host announce that it leaves.
     pub fn drain(&mut self, host: &HostName) {
         if let Some(real) = self.hosts.get_mut(host) {
@@ -475,6 +491,12 @@
 
         for (name, real) in self.hosts.iter().filter(|(_, real)| !real.is_dead) {
             let entry = entry(real);
+            if !self.lost.contains(&(name.clone(), real.born)) {
+                self.roster.report(name, entry.member.clone());
+            }
+            if real.is_unlisted {
+                continue;
+            }
             let is_known = self
                 .roster
                 .named(name)
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -132,6 +132,40 @@
     fleet.broken
 }
 
+#[test]
+fn a_head_that_left_holds_its_members_while_it_may_be_busy() {
+    let mut fleet = settled(1, 11);
+    let head = fleet.members(LARGE)[0].clone();
+    fleet.unlist(&head);
+    let busy = |directive: &Directive| match directive.order {
+        Order::Close { .. } => Fate::Lost,
+        _ => Fate::Prompt,
+    };
+    fleet.run(fleet.now + Span::from_secs(2), busy);
+    fleet.deafen(&head);
+    fleet.run(fleet.now + Span::from_secs(6), busy);
+    assert_eq!(fleet.broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_closing_head_is_cut_once_its_time_is_over() {
+    let mut fleet = settled(1, 11);
+    let member = fleet.members(SMALL)[1].clone();
+    fleet.drain(&member);
+    let mut cuts = Vec::new();
+    fleet.run(
+        fleet.now + Span::from_secs(3),
+        |directive| match directive.order {
+            Order::Close { cut, .. } => {
+                cuts.push(cut);
+                Fate::Lost
+            }
+            _ => Fate::Prompt,
+        },
+    );
+    assert_eq!((cuts.first(), cuts.last()), (Some(&false), Some(&true)));
+}
+
 #[test]
 fn a_slow_member_is_replaced_by_a_staged_spare() {
     let mut fleet = settled(1, 11);
