--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -19,6 +19,7 @@
     keys::{Epoch, Revision},
     output::Expect,
 };
+use metrics::gauge;
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -76,6 +77,7 @@
     async fn step(&mut self) {
         if !self.lease.is_valid() {
             if self.holding.take().is_some() {
+                gauge!("duty_held").set(0.0);
                 slog::warn!(self.site.log, "duty given up"; "cause" => "the lease may have ended");
             }
             return;
@@ -127,6 +129,7 @@
     }
 
     fn begin(&mut self, revision: Revision) {
+        gauge!("duty_held").set(1.0);
         slog::info!(self.site.log, "duty taken"; "revision" => revision.0);
         let me = self.site.settings.name.clone();
         self.site.peers.borrow_mut().claim = Some((me, revision));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -27,6 +27,7 @@
 };
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use metrics::{counter, histogram};
 use rand::Rng as _;
 use std::{pin::pin, rc::Rc, time::Duration};
 
@@ -152,6 +153,19 @@
     TimedOut,
 }
 
+impl Miss {
+    /// Its name in metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Miss::Unreached => "unreached",
+            Miss::Declined => "declined",
+            Miss::Unknown => "unknown",
+            Miss::Failed => "failed",
+            Miss::TimedOut => "timed_out",
+        }
+    }
+}
+
 /// Answers a request.
 pub async fn respond<A>(site: &Rc<Site>, request: Request<Incoming>) -> Answer
 where
@@ -168,6 +182,9 @@
             answer::refused(refusal)
         }
     };
+    let status = answer.status().as_u16().to_string();
+    counter!("answers_total", "status" => status).increment(1);
+    histogram!("answer_begins_seconds").record(site.now().since(arrived).as_secs_f64());
     if site.stopping.get() {
         let close = http::HeaderValue::from_static("close");
         answer.headers_mut().insert(http::header::CONNECTION, close);
@@ -586,6 +603,7 @@
     if matches!(miss, Miss::Unreached | Miss::Declined) {
         call.site.loads.borrow_mut().failed(place.host, now);
     }
+    counter!("sends_missed_total", "miss" => miss.name()).increment(1);
     slog::info!(call.site.log, "send missed";
         "request" => id_text(&call.head.id),
         "host" => place.name.as_str(),
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -6,6 +6,7 @@
 use super::{adapter::Adapter, exchange::Exchange, planner::Directive, state::Site};
 use http::{Request, header::CONTENT_TYPE};
 use http_body_util::Full;
+use metrics::counter;
 use std::{marker::PhantomData, net::SocketAddr, rc::Rc, time::Duration};
 
 /// How long a runner may take to answer an order.
@@ -39,6 +40,7 @@
         compio::runtime::spawn(async move {
             let sent = compio::time::timeout(ORDER_TIMEOUT, send::<A>(address, &directive)).await;
             let outcome = sent.unwrap_or_else(|_| "no answer in time".to_owned());
+            counter!("orders_total").increment(1);
             slog::info!(site.log, "order";
                 "host" => directive.host.as_str(),
                 "order" => format!("{:?}", directive.order),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
     },
     shell::Clock,
 };
+use metrics::gauge;
 use rand::{SeedableRng, rngs::SmallRng};
 use slog::Logger;
 use std::{
@@ -99,6 +100,7 @@
             "before" => held.unwrap_or_default(),
             "routes" => spec.routes.len(),
             "accounts" => spec.accounts.len());
+        gauge!("configuration_version").set(spec.version as f64);
         *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(spec)));
         self.assemble();
     }
@@ -131,6 +133,7 @@
             slog::info!(self.log, "group no longer serves";
                 "epoch" => epoch.0, "model" => model.as_str());
         }
+        gauge!("groups_serving").set(serving.len() as f64);
         *before = serving;
     }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -20,6 +20,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt as _, Either, StreamBody};
 use hyper::body::Incoming;
+use metrics::counter;
 
 /// Events that may wait for a slow caller.
 const QUEUE_EVENTS: usize = 16;
@@ -191,7 +192,8 @@
     (!is_served || is_silent).then_some(End::Broken)
 }
 
-fn log_end(call: &Call, outcome: &str, last: Option<u64>) {
+fn log_end(call: &Call, outcome: &'static str, last: Option<u64>) {
+    counter!("streams_ended_total", "outcome" => outcome).increment(1);
     slog::info!(call.site.log, "stream ended";
         "request" => call.head.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default(),
         "outcome" => outcome,
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -162,6 +162,15 @@
     assert_eq!(ask(env.ready, "GET", "/readyz", &[], "").status, 200);
 }
 
+#[test]
+fn answers_are_counted_on_the_metrics_address() {
+    let env = TestEnv::start();
+    let text = ask(env.ready, "GET", "/metrics", &[], "").body;
+    assert!(text.contains("hickoryledge_answers_total{status=\"200\"}"));
+    assert!(text.contains("hickoryledge_groups_serving 2"));
+    assert!(text.contains("hickoryledge_configuration_version 1"));
+}
+
 #[test]
 fn a_stop_finishes_what_is_under_way_and_takes_the_daemon_out() {
     let env = TestEnv::start();
