A request that may have begun goes on at a full head instead of ending as unknown

Admission now holds back only what has not begun. The new process test fails without the change (502 instead of 200).

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -24,7 +24,7 @@
 /// How a request stands against its objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
-    /// A stream that broke midway: its caller is waiting for the next event.
+    /// It may have begun to run, and goes on at another head.
     Resumed,
     /// It can still be on time.
     Timely,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -101,7 +101,8 @@
 impl Call {
     /// How the request stands against its objective.
     fn standing(&self, resume_after: Option<u64>) -> Standing {
-        if resume_after > self.head.resume_after {
+        // Refusing what has begun to run would be a failure, not a refusal.
+        if self.runs > 0 || resume_after > self.head.resume_after {
             return Standing::Resumed;
         }
         let spent = self.spent + self.site.now().since(self.arrived);
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -15,6 +15,8 @@
 pub enum Act {
     /// Answers with this status and body.
     Answer(u16, &'static str),
+    /// Answers, and says that all its slots are taken and more requests wait.
+    AnswerFull,
     /// Says that it did not run it.
     Decline,
     /// Runs it and closes the connection.
@@ -142,6 +144,10 @@
         );
         match act.unwrap_or(Act::Answer(200, "usual")) {
             Act::Answer(status, body) => write(stream, status, &proof, body),
+            Act::AnswerFull => {
+                let head = format!("{proof}X-Server-Load: 8,8,8\r\n");
+                write(stream, 200, &head, "usual")
+            }
             Act::Decline => write(stream, 503, &format!("{proof}X-Not-Run: 1\r\n"), ""),
             Act::LoseAnswer => false,
             Act::WrongEcho => {
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -57,3 +57,12 @@
     let answer = env(&[Act::Decline, whole(2)]).stream(&[]);
     assert_eq!((answer.status, ids(&answer.body)), (200, vec![1, 2]));
 }
+
+#[test]
+fn a_request_that_has_begun_goes_on_at_a_full_head() {
+    let env = env(&[Act::AnswerFull, Act::LoseAnswer, whole(2)]);
+    assert_eq!(env.stream(&[]).status, 200);
+    // The other head loses the answer; only the full one is left.
+    let answer = env.stream(&[]);
+    assert_eq!((answer.status, ids(&answer.body)), (200, vec![1, 2]));
+}
