--- a/src/wire/hickoryledge.v1.rs
+++ b/src/wire/hickoryledge.v1.rs
@@ -138,7 +138,7 @@
 pub struct StatusRequest {}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BurnRequest {}
-/// The report as JSON text (docs/OPERATING.md).
+/// The report as JSON text (docs/OPERATIONS.md).
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BurnReply {
     #[prost(string, tag = "1")]
