--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -75,6 +75,7 @@
     }
 
     async fn step(&mut self) {
+        self.lease.pace_watches(self.holding.is_some());
         if !self.lease.is_valid() {
             if self.holding.take().is_some() {
                 gauge!("duty_held").set(0.0);
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -26,6 +26,15 @@
 /// How long before its end a lease is taken as ended.
 const MARGIN: Span = Span::from_millis(400);
 
+/// How long changes gather at the least.
+const GATHER_MIN: Duration = Duration::from_millis(100);
+
+/// How long changes gather for each daemon that watches.
+const GATHER_EACH: Duration = Duration::from_millis(15);
+
+/// How long changes gather at the most; a configuration must be in force within two seconds.
+const GATHER_MAX: Duration = Duration::from_millis(900);
+
 /// The pause after a failed call.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -58,6 +67,17 @@
         }
     }
 
+    /// Lets changes gather: the holder of the duty must see them at once, and the others' calls
+    /// must not grow with their number.
+    pub fn pace_watches(&self, is_holder: bool) {
+        let daemons = self.site.peers.borrow().count() as u32;
+        let pause = match is_holder {
+            true => GATHER_MIN,
+            false => (GATHER_EACH * daemons).clamp(GATHER_MIN, GATHER_MAX),
+        };
+        self.store.gather(pause);
+    }
+
     /// Whether the lease surely holds now.
     pub fn is_valid(&self) -> bool {
         self.id.get().is_some() && self.site.now() + MARGIN < self.until.get()
--- a/src/shell/platform.rs
+++ b/src/shell/platform.rs
@@ -40,6 +40,9 @@
         call: PlatformCall,
     ) -> impl Future<Output = Result<PlatformAnswer, PlatformError>>;
 
+    /// Says how long changes may gather before a watch asks for them; a service that pushes has no use for it.
+    fn gather(&self, _time: Duration) {}
+
     /// Delivers every change under `prefix` from a revision on, until the watch ends.
     fn watch<D>(
         &self,
