A successor lets joins under way go on

Now joining groups are adopted at once, and only the order to open waits for the probes. The new test fails without the change.

--- a/src/gateway/formation.rs
+++ b/src/gateway/formation.rs
@@ -24,13 +24,15 @@
     pub members: Vec<HostName>,
     /// The start of each member's runner, in Unix milliseconds.
     pub lives: Vec<u64>,
+    /// When its head may be ordered to open.
+    pub open_from: Time,
     /// When it is given up.
     pub until: Time,
 }
 
 impl Formation {
     /// A formation that another daemon began.
-    pub(super) fn adopted(roster: &Roster, group: &Group, until: Time) -> Self {
+    pub(super) fn adopted(roster: &Roster, group: &Group, open_from: Time, until: Time) -> Self {
         let hosts = || group.members.values().filter_map(|key| roster.host(*key));
         Self {
             service: group.service.clone(),
@@ -39,6 +41,7 @@
             epoch: group.epoch,
             members: hosts().map(|host| host.name.clone()).collect(),
             lives: hosts().map(|host| host.runner.born).collect(),
+            open_from,
             until,
         }
     }
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -239,7 +239,7 @@
                 None => self.send(name, formation.join(), now, out),
             }
         }
-        if ready == formation.members.len() {
+        if ready == formation.members.len() && now >= formation.open_from {
             let open = Order::Open {
                 group: formation.group.clone(),
                 epoch: formation.epoch,
@@ -259,10 +259,7 @@
         engine: &Engine,
         now: Time,
     ) {
-        let began = self.began.unwrap_or(now);
-        if now.since(began) < ADOPTION_DELAY {
-            return;
-        }
+        let open_from = self.began.unwrap_or(now) + ADOPTION_DELAY;
         for group in roster.groups() {
             let settled = group.is_active()
                 || group.head_state == Some(MemberState::Broken)
@@ -279,7 +276,7 @@
             let sound = members(roster, group).all(|host| is_eligible(roster, host));
             if !taken && sound {
                 let until = now + replication.load + FORMATION_SLACK;
-                formations.push(Formation::adopted(roster, group, until));
+                formations.push(Formation::adopted(roster, group, open_from, until));
             }
         }
     }
@@ -380,6 +377,7 @@
                 .iter()
                 .filter_map(|key| Some(roster.host(*key)?.runner.born))
                 .collect(),
+            open_from: now,
             until: now + replication.load.times(2) + FORMATION_SLACK,
         };
         for name in &formation.members {
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -226,6 +226,21 @@
     assert_eq!(opened, 0);
 }
 
+#[test]
+fn a_successor_lets_a_load_under_way_go_on() {
+    let mut fleet = settled(1, 9);
+    let member = fleet.members(LARGE)[3].clone();
+    fleet.kill(&member, true);
+    fleet.add("d0", "d0-new");
+    // The new host loads the weights for sixteen seconds.
+    fleet.settle(Span::from_secs(10));
+    fleet.planner = Planner::new(Epoch(1_000_000));
+    fleet.planner.busy = true;
+    fleet.settle(Span::from_secs(9));
+    assert_eq!(fleet.serving(LARGE), 1, "the load began anew");
+    assert_eq!(fleet.broken, Vec::<String>::new());
+}
+
 #[test]
 fn a_successor_opens_a_group_that_was_left_ready() {
     let mut fleet = Fleet::new(1, 11);
