A holder reads the runners anew before it orders; an opening group is held as long as a watch may be silent

Cause: after an outage of the store the claim was written at 27.03 s, while the holder's watch of the runners was silent until 28.5 s; its picture was nine seconds old and showed an open head as ready. Ruled out: a late order. Change: a list of the runners follows each claim; a head that was ordered to open holds its members until its report, or six seconds, which is longer than a watch may be silent.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -107,7 +107,13 @@
         let claim = Claim { holder: me.clone() };
         let key = format!("{}{CLAIM}", A::OWN_PREFIX);
         match self.lease.write(&key, &claim, expect).await {
-            Some(PlatformAnswer::Written { revision }) => self.begin(revision),
+            Some(PlatformAnswer::Written { revision }) => {
+                self.site.peers.borrow_mut().claim = Some((claim.holder, revision));
+                // Its watch may have been silent while an earlier holder ordered.
+                if self.lease.read_runners().await {
+                    self.begin(revision);
+                }
+            }
             Some(PlatformAnswer::Conflict { current, .. }) => {
                 let found = current.map(|entry| (entry.value, entry.revision));
                 self.found(found);
@@ -132,8 +138,6 @@
     fn begin(&mut self, revision: Revision) {
         gauge!("duty_held").set(1.0);
         slog::info!(self.site.log, "duty taken"; "revision" => revision.0);
-        let me = self.site.settings.name.clone();
-        self.site.peers.borrow_mut().claim = Some((me, revision));
         let epoch = Epoch(revision.0 * EPOCHS_PER_CLAIM);
         self.holding = Some(Holding {
             planner: Planner::new(epoch),
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -4,7 +4,13 @@
 //! clock that counts a suspended machine, and is taken as ended a margin
 //! before its end.
 
-use super::{adapter::Adapter, peers::Presence, sinks::PRESENCE, state::Site};
+use super::{
+    adapter::Adapter,
+    feed::Sink as _,
+    peers::Presence,
+    sinks::{PRESENCE, RunnerSink},
+    state::Site,
+};
 use crate::{
     core::{
         input::PlatformAnswer,
@@ -138,6 +144,24 @@
         written.is_some()
     }
 
+    /// Reads all runners' entries anew; false if that failed.
+    pub async fn read_runners(&self) -> bool {
+        let list = PlatformCall::List {
+            prefix: A::RUNNER_PREFIX.to_owned(),
+        };
+        match self.store.ask(list).await {
+            Ok(PlatformAnswer::Entries { entries, .. }) => {
+                RunnerSink::<A>::new(self.site.clone()).listed(entries);
+                true
+            }
+            Ok(_) => unreachable!("a list is answered with entries"),
+            Err(error) => {
+                slog::warn!(self.site.log, "runners not read"; "cause" => error.to_string());
+                false
+            }
+        }
+    }
+
     /// Writes a key whatever it holds; none if that failed.
     pub async fn overwrite<T>(&self, key: String, value: &T) -> Option<Revision>
     where
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -35,8 +35,8 @@
 /// How long a head that leaves may go on with its requests once it listens no more.
 const LEAVING_LIMIT: Span = Span::from_millis(11_000);
 
-/// How long an order to open may take until the head reports that it is open.
-const OPEN_SETTLES: Span = Span::from_millis(1_500);
+/// How long an order to open may go without a report of the head: a watch may be silent so long.
+const OPEN_SETTLES: Span = Span::from_millis(6_000);
 
 /// How long a new holder probes members before it opens a group that was left ready.
 const ADOPTION_DELAY: Span = Span::from_millis(1_300);
@@ -177,7 +177,12 @@
         let known = roster.groups();
         self.closed
             .retain(|name, _| known.iter().any(|group| group.name == *name));
-        self.opened.retain(|_, at| now.since(*at) < OPEN_SETTLES);
+        self.opened.retain(|name, at| {
+            let reported = known
+                .iter()
+                .any(|group| group.name == *name && group.is_active());
+            !reported && now.since(*at) < OPEN_SETTLES
+        });
         for service in &spec.services {
             let Some(engine) = &service.engine else {
                 continue;
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -122,6 +122,8 @@
     pending: Vec<(Time, Directive)>,
     reported: BTreeMap<HostName, Runner>,
     lost: BTreeSet<(HostName, u64)>,
+    /// Whether entries reach the daemon no more.
+    pub is_dark: bool,
     /// What was broken, in words.
     pub broken: Vec<String>,
 }
@@ -139,6 +141,7 @@
             pending: Vec::new(),
             reported: BTreeMap::new(),
             lost: BTreeSet::new(),
+            is_dark: false,
             broken: Vec::new(),
         };
         for domain in 0..domains {
@@ -485,6 +488,9 @@
 
     /// Puts entries that changed into the roster, one step behind.
     fn report(&mut self) {
+        if self.is_dark {
+            return;
+        }
         for (name, runner) in std::mem::take(&mut self.reported) {
             self.roster.put(name, runner);
         }
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -194,6 +194,35 @@
     }
 }
 
+#[test]
+fn an_opening_group_keeps_its_members_while_the_watch_is_silent() {
+    let mut fleet = settled(1, 11);
+    let victim = fleet.members(LARGE)[3].clone();
+    fleet.kill(&victim, true);
+    let mut opening = None;
+    while opening.is_none() {
+        fleet.run(fleet.now + STEP, |directive| {
+            if let Order::Open { .. } = directive.order {
+                opening = Some(directive.host.clone());
+            }
+            Fate::Prompt
+        });
+    }
+    fleet.is_dark = true;
+    let (_, head) = fleet
+        .roster
+        .named(&opening.expect("opened"))
+        .expect("known");
+    let epoch = head.runner.member.as_ref().expect("a member").epoch;
+    let member = fleet.roster.hosts().find_map(|(_, host)| {
+        let member = host.runner.member.as_ref()?;
+        (member.epoch == epoch && member.rank == 3).then(|| host.name.clone())
+    });
+    fleet.kill(&member.expect("a member"), true);
+    fleet.settle(Span::from_secs(5));
+    assert_eq!(fleet.broken, Vec::<String>::new());
+}
+
 #[test]
 fn a_successor_goes_on_with_groups_that_stand() {
     let mut fleet = settled(2, 11);
