Group members and their losses in one place

Roster::members and Roster::has_lost replace three spellings in planner, placement and roster; the wrapper around the configuration's key goes; two tests share the loss and the reopening of a group.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -97,7 +97,7 @@
     start(feed::follow(
         site.clone(),
         store.clone(),
-        spec_prefix::<A>(),
+        A::SPEC_KEY,
         sinks::SpecSink::<A>::new(site.clone()),
     ));
     start(feed::follow(
@@ -147,14 +147,6 @@
     Ok(())
 }
 
-/// The prefix under which the configuration lies.
-fn spec_prefix<A>() -> &'static str
-where
-    A: Adapter,
-{
-    A::SPEC_KEY
-}
-
 fn start<F>(task: F)
 where
     F: Future<Output = ()> + 'static,
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -162,12 +162,7 @@
     };
     roster.groups().iter().any(|group| {
         let current = group.epoch == epoch && group.head() == Some(place.host);
-        current
-            && group.is_active()
-            && group
-                .members
-                .values()
-                .all(|key| roster.host(*key).is_some_and(|host| !roster.is_lost(host)))
+        current && group.is_active() && !roster.has_lost(group)
     })
 }
 
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -278,7 +278,7 @@
             let Some(replication) = engine.replication(&group.model) else {
                 continue;
             };
-            let sound = members(roster, group).all(|host| is_eligible(roster, host));
+            let sound = roster.members(group).all(|host| is_eligible(roster, host));
             if !taken && sound {
                 let until = now + replication.load + FORMATION_SLACK;
                 formations.push(Formation::adopted(roster, group, open_from, until));
@@ -476,7 +476,7 @@
             .iter()
             .filter(|group| group.service == *service && group.complete)
             .filter(|group| group.head_state == Some(MemberState::Open))
-            .filter(|group| !has_lost(roster, group))
+            .filter(|group| !roster.has_lost(group))
             .filter_map(|group| {
                 let head = roster.host(group.head()?);
                 Some((group.model.clone(), domain(head)?))
@@ -538,10 +538,10 @@
 
 /// Whether an active group must be closed, and if so, whether at once.
 fn must_close(roster: &Roster, group: &Group, head: &Host) -> Option<bool> {
-    if !group.complete || has_lost(roster, group) {
+    if !group.complete || roster.has_lost(group) {
         return Some(true);
     }
-    let is_draining = members(roster, group).any(|host| host.runner.draining);
+    let is_draining = roster.members(group).any(|host| host.runner.draining);
     let is_leaving = is_draining || head.unlisted.is_some();
     let is_open = group.head_state == Some(MemberState::Open);
     (is_leaving && is_open).then_some(false)
@@ -550,21 +550,11 @@
 /// Whether an open group has slow members that its domain can replace at once.
 fn is_outpaced(roster: &Roster, group: &Group, pool: &Pool) -> bool {
     let is_slow = |host: &&Host| roster.pace(host) > 1.0;
-    let slow = members(roster, group).filter(is_slow).count();
+    let slow = roster.members(group).filter(is_slow).count();
     let is_open = group.head_state == Some(MemberState::Open);
     is_open && slow > 0 && pool.prompt(roster, &group.model) >= slow
 }
 
-/// The known members of a group.
-fn members<'a>(roster: &'a Roster, group: &'a Group) -> impl Iterator<Item = &'a Host> {
-    group.members.values().filter_map(|key| roster.host(*key))
-}
-
-/// Whether a member of a group was found dead.
-fn has_lost(roster: &Roster, group: &Group) -> bool {
-    members(roster, group).any(|host| roster.is_lost(host))
-}
-
 /// Whether a group's members must not be ordered elsewhere.
 ///
 /// A head that was found dead still holds them until its entry is gone: it may
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -315,8 +315,8 @@
 
     /// How many times slower than usual a group works: as slow as its slowest member.
     pub fn group_pace(&self, group: &Group) -> f64 {
-        let members = group.members.values().filter_map(|key| self.host(*key));
-        members.map(|host| self.pace(host)).fold(1.0, f64::max)
+        let paces = self.members(group).map(|host| self.pace(host));
+        paces.fold(1.0, f64::max)
     }
 
     /// Whether a host may be sent requests.
@@ -325,17 +325,24 @@
         listed && !host.runner.draining && !self.is_lost(host)
     }
 
+    /// The known members of a group.
+    pub fn members<'a>(&'a self, group: &'a Group) -> impl Iterator<Item = &'a Host> {
+        group.members.values().filter_map(|key| self.host(*key))
+    }
+
+    /// Whether a member of a group was found dead, or is not known any more.
+    pub fn has_lost(&self, group: &Group) -> bool {
+        let mut hosts = group.members.values().map(|key| self.host(*key));
+        hosts.any(|host| host.is_none_or(|host| self.is_lost(host)))
+    }
+
     /// Whether a group may be sent requests.
     pub fn is_serving(&self, group: &Group, now: Time) -> bool {
         if group.head_state != Some(MemberState::Open) || !group.complete {
             return false;
         }
         let head = group.head().and_then(|key| self.host(key));
-        head.is_some_and(|head| self.is_usable(head, now))
-            && group
-                .members
-                .values()
-                .all(|key| self.host(*key).is_some_and(|host| !self.is_lost(host)))
+        head.is_some_and(|head| self.is_usable(head, now)) && !self.has_lost(group)
     }
 
     fn forget(&mut self, name: &HostName) {
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -105,22 +105,29 @@
     assert!(!closes.is_empty() && closes.iter().all(|cut| !cut));
 }
 
-/// Loses a member so long after the order to open its group.
-fn lose_while_opening(delay: Span) -> Vec<String> {
-    let mut fleet = settled(1, 11);
+/// Loses a member, and returns the head that is ordered to open the group formed anew.
+fn lose_and_reopen(fleet: &mut Fleet) -> HostName {
     let victim = fleet.members(LARGE)[3].clone();
     fleet.kill(&victim, true);
-    let mut opening = None;
-    while opening.is_none() {
+    loop {
+        let mut opening = None;
         fleet.run(fleet.now + STEP, |directive| {
             if let Order::Open { .. } = directive.order {
                 opening = Some(directive.host.clone());
             }
             Fate::Prompt
         });
+        if let Some(head) = opening {
+            return head;
+        }
     }
+}
+
+/// Loses a member so long after the order to open its group.
+fn lose_while_opening(delay: Span) -> Vec<String> {
+    let mut fleet = settled(1, 11);
+    let head = lose_and_reopen(&mut fleet);
     fleet.settle(delay);
-    let head = opening.expect("the group is formed anew");
     let next = fleet.alive().into_iter().find(|host| {
         let (_, known) = fleet.roster.named(host).expect("known");
         let member = known.runner.member.as_ref();
@@ -197,22 +204,9 @@
 #[test]
 fn an_opening_group_keeps_its_members_while_the_watch_is_silent() {
     let mut fleet = settled(1, 11);
-    let victim = fleet.members(LARGE)[3].clone();
-    fleet.kill(&victim, true);
-    let mut opening = None;
-    while opening.is_none() {
-        fleet.run(fleet.now + STEP, |directive| {
-            if let Order::Open { .. } = directive.order {
-                opening = Some(directive.host.clone());
-            }
-            Fate::Prompt
-        });
-    }
+    let head = lose_and_reopen(&mut fleet);
     fleet.is_dark = true;
-    let (_, head) = fleet
-        .roster
-        .named(&opening.expect("opened"))
-        .expect("known");
+    let (_, head) = fleet.roster.named(&head).expect("known");
     let epoch = head.runner.member.as_ref().expect("a member").epoch;
     let member = fleet.roster.hosts().find_map(|(_, host)| {
         let member = host.runner.member.as_ref()?;
