--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod entries;
+pub mod gateway;
 pub mod operate;
 mod patience;
 pub mod replay;
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -26,6 +26,9 @@
     /// The client of its store.
     type Store: KeyValue;
 
+    /// A client of the store at an address.
+    fn store(address: SocketAddr) -> Self::Store;
+
     /// The key under which operators keep the configuration.
     const SPEC_KEY: &'static str;
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,11 +3,11 @@
 //! A connection is used once: a late or doubled answer can then belong to no
 //! other request, and dropping the exchange tells the runner that nobody waits.
 
-use crate::shell::http;
-use ::http::{Request, Response};
+use crate::shell::http::connect_within;
 use bytes::Bytes;
 use compio::runtime::JoinHandle;
 use cyper_core::HyperStream;
+use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
@@ -41,7 +41,7 @@
     ///
     /// Fails if it can't be reached in time; nothing was sent then.
     pub async fn open(address: SocketAddr) -> Result<Self, SendError> {
-        let stream = http::connect_within(address, CONNECT_TIMEOUT)
+        let stream = connect_within(address, CONNECT_TIMEOUT)
             .await
             .map_err(|_| SendError::NotSent)?;
         let (sender, connection) = Builder::new()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -66,12 +66,12 @@
 /// # Errors
 ///
 /// Fails if an address can't be bound.
-pub async fn run<A>(settings: Settings, store: A::Store, log: Logger) -> anyhow::Result<()>
+pub async fn run<A>(mut settings: Settings, log: Logger) -> anyhow::Result<()>
 where
     A: Adapter,
 {
     metrics::install();
-    let listen = settings.listen.clone();
+    let listen = &mut settings.listen;
     let callers = http::bind(listen.caller)
         .await
         .context("listen for callers")?;
@@ -81,11 +81,15 @@
     let directory = http::bind(listen.directory)
         .await
         .context("listen for questions")?;
+    listen.caller = http::address(&callers)?;
+    listen.ready = http::address(&ready)?;
+    listen.directory = http::address(&directory)?;
     slog::info!(log, "listening";
         "daemon" => settings.name.as_str(),
-        "caller" => listen.caller.to_string(),
-        "ready" => listen.ready.to_string(),
-        "directory" => listen.directory.to_string());
+        "caller" => settings.listen.caller.to_string(),
+        "ready" => settings.listen.ready.to_string(),
+        "directory" => settings.listen.directory.to_string());
+    let store = A::store(settings.store);
     let site = Rc::new(Site::new(settings, log));
     let (stop, stopped) = oneshot::channel::<()>();
     let stopped = stopped.shared();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod core;
 mod derive;
 pub mod gateway;
+#[path = "../platform/mod.rs"]
+pub mod platform;
 pub mod replay;
 pub mod report;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,14 +5,13 @@
 mod error;
 mod exit_codes;
 mod logging;
-#[path = "../platform/mod.rs"]
-mod platform;
 mod runtime;
 
 use cli::{Cli, Command};
-use commands::{check, entries, operate, replay, report, run};
+use commands::{check, entries, gateway, operate, replay, report, run};
 use error::CommandError;
 use exit_codes::Exit;
+use hickoryledge::platform::{Platform, SETTINGS_VARIABLE};
 
 fn main() -> Exit {
     let cli = match cli::parse() {
@@ -31,7 +30,7 @@
 fn dispatch(cli: Cli) -> Result<(), CommandError> {
     match cli.command {
         Command::Run(args) => run::run(&args),
-        Command::Platform(args) => platform::run(&args),
+        Command::Platform(args) => gateway::run::<Platform>(&args, SETTINGS_VARIABLE),
         Command::Check(args) => check::run(&args),
         Command::Entries(args) => entries::run(&cli.target, &args),
         Command::Replay(args) => replay::run(&args),
--- /dev/null
+++ b/tests/platform/decoding.rs
@@ -0,0 +1,61 @@
+//! The adapter's formats.
+
+use hickoryledge::{
+    core::time::Span,
+    gateway::{
+        adapter::Adapter as _,
+        roster::{MemberState, Runner},
+        spec::Kind,
+    },
+    platform::Platform,
+};
+
+const ENTRY: &str = r#"{"Service":"s","Address":"10.0.0.9:80","Zone":"hall","Version":"v1",
+    "Slots":26,"State":"ready","ColdLeftMs":0,"Domain":"d1","Staged":["m"],"born":1700,
+    "Models":[{"Name":"m","Version":1,"Adapters":[]}],"Seq":4,
+    "group":{"Name":"g7","epoch":12,"rank":1,"State":"closing"}}"#;
+
+fn entry(text: &str) -> Option<Runner> {
+    Platform::runner(text).ok()
+}
+
+#[test]
+fn an_entry_tells_the_runners_place_in_its_group() {
+    let runner = entry(ENTRY).expect("an entry");
+    let member = runner.member.expect("a member");
+    assert_eq!((member.group.as_str(), member.epoch.0), ("g7", 12));
+    assert_eq!((member.rank, member.state), (1, MemberState::Closing));
+    assert_eq!(runner.born, 1_700);
+    assert!(!runner.draining);
+}
+
+#[test]
+fn an_entry_of_another_writer_names_no_runner() {
+    assert!(entry("").is_none());
+    assert!(entry("[]").is_none());
+    assert!(entry(&ENTRY.replace("\"ready\"", "\"odd\"")).is_none());
+    assert!(entry(&ENTRY.replace("\"closing\"", "\"odd\"")).is_none());
+    assert!(entry(&ENTRY.replace("10.0.0.9:80", "nowhere")).is_none());
+    assert!(entry(&ENTRY.replace("1700", "\"soon\"")).is_none());
+    assert!(entry(&ENTRY.replace("\"Service\":\"s\",", "")).is_none());
+}
+
+#[test]
+fn unknown_fields_of_an_entry_are_passed_over() {
+    assert!(entry(&ENTRY.replace("\"Seq\":4", "\"Seq\":4,\"Later\":{}")).is_some());
+}
+
+#[test]
+fn a_route_names_one_service_or_shares_of_several() {
+    let config = r#"{"Version":3,"Routes":[
+        {"Name":"a","Host":"h","Prefix":"/a/","Kind":"safe","TimeoutMs":2000,"SloMs":300,"Service":"s"},
+        {"Name":"b","Host":"h","Prefix":"/b/","Kind":"unsafe","TimeoutMs":2000,
+         "Split":[{"Service":"s","Weight":90},{"Service":"t","Weight":10}]}]}"#;
+    let spec = Platform::spec(config).expect("a configuration");
+    assert_eq!(spec.version, 3);
+    assert_eq!(spec.routes[0].kind, Kind::Idempotent);
+    assert_eq!(spec.routes[0].objective, Span::from_millis(300));
+    assert_eq!(spec.routes[0].split.len(), 1);
+    assert_eq!(spec.routes[1].split[1].weight, 10);
+    assert!(Platform::spec("{}").is_err());
+}
--- /dev/null
+++ b/tests/platform/store.rs
@@ -0,0 +1,173 @@
+//! A stand-in of the platform's store, in memory.
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use serde_json::{Value, json};
+use std::{collections::BTreeMap, sync::Mutex, time::Duration};
+
+/// How long a watch without changes waits here.
+const WATCH_WAIT: Duration = Duration::from_millis(300);
+
+#[derive(Clone)]
+struct Item {
+    value: String,
+    revision: i64,
+    lease: i64,
+}
+
+#[derive(Default)]
+struct State {
+    items: BTreeMap<String, Item>,
+    /// Every change, in order.
+    events: Vec<(String, i64, Option<Item>)>,
+    revision: i64,
+    leases: i64,
+}
+
+/// The store.
+#[derive(Default)]
+pub struct Store {
+    state: Mutex<State>,
+}
+
+impl Store {
+    /// Writes as the operator or a runner does.
+    pub fn put(&self, key: &str, value: &str) {
+        let mut state = self.state.lock().expect("not poisoned");
+        state.put(key, STANDARD.encode(value), 0);
+    }
+
+    /// Deletes as the platform does.
+    pub fn delete(&self, key: &str) {
+        let mut state = self.state.lock().expect("not poisoned");
+        state.delete(key);
+    }
+
+    /// Keys under a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.state.lock().expect("not poisoned");
+        let keys = state.items.keys();
+        keys.filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    /// Answers a call; none while a watch has nothing to tell.
+    pub fn answer(
+        &self,
+        method: &str,
+        path: &str,
+        query: &str,
+        body: &[u8],
+    ) -> Option<(u16, Value)> {
+        let mut state = self.state.lock().expect("not poisoned");
+        let query: BTreeMap<&str, &str> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        match (method, path) {
+            ("GET", "/kv-range") => Some((200, state.range(query["Prefix"]))),
+            ("GET", "/kv-watch") => {
+                let after = query["After"].parse().expect("a revision");
+                state
+                    .changes(query["Prefix"], after)
+                    .map(|changes| (200, changes))
+            }
+            ("POST", "/kv-txn") => Some(state.change(&body)),
+            ("POST", "/kv-lease") => {
+                state.leases += 1;
+                Some((200, json!({"Lease": state.leases, "TtlMs": body["TtlMs"]})))
+            }
+            ("POST", _) if path.starts_with("/kv-keep/") => Some((200, json!({"TtlMs": 3_000}))),
+            ("DELETE", _) => {
+                let lease = path.rsplit('/').next().and_then(|id| id.parse().ok());
+                state.end(lease.expect("a lease"));
+                Some((200, json!({})))
+            }
+            _ => Some((404, json!({}))),
+        }
+    }
+
+    /// An answer of a watch that saw nothing.
+    pub fn no_changes(&self) -> Value {
+        let state = self.state.lock().expect("not poisoned");
+        json!({"events": [], "CurrentRev": state.revision})
+    }
+
+    /// How long a watch waits.
+    pub fn wait(&self) -> Duration {
+        WATCH_WAIT
+    }
+}
+
+impl State {
+    fn put(&mut self, key: &str, value: String, lease: i64) {
+        self.revision += 1;
+        let item = Item {
+            value,
+            revision: self.revision,
+            lease,
+        };
+        self.items.insert(key.to_owned(), item.clone());
+        self.events
+            .push((key.to_owned(), self.revision, Some(item)));
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            self.events.push((key.to_owned(), self.revision, None));
+        }
+    }
+
+    fn end(&mut self, lease: i64) {
+        let keys = self.items.iter().filter(|(_, item)| item.lease == lease);
+        let keys: Vec<String> = keys.map(|(key, _)| key.clone()).collect();
+        keys.iter().for_each(|key| self.delete(key));
+    }
+
+    fn range(&self, prefix: &str) -> Value {
+        let found = self.items.iter().filter(|(key, _)| key.starts_with(prefix));
+        let items: Vec<Value> = found.map(|(key, item)| written(key, item)).collect();
+        json!({"Items": items, "MorePages": false, "CurrentRev": self.revision})
+    }
+
+    fn changes(&self, prefix: &str, after: i64) -> Option<Value> {
+        let found = self
+            .events
+            .iter()
+            .filter(|(key, revision, _)| *revision > after && key.starts_with(prefix));
+        let events: Vec<Value> = found
+            .map(|(key, revision, item)| match item {
+                Some(item) => written(key, item),
+                None => json!({"Key": key, "Revision": revision, "Deleted": true}),
+            })
+            .collect();
+        (!events.is_empty()).then(|| json!({"events": events, "CurrentRev": self.revision}))
+    }
+
+    fn change(&mut self, body: &Value) -> (u16, Value) {
+        for expected in body["Expected"].as_array().into_iter().flatten() {
+            let key = expected["Key"].as_str().expect("a key");
+            let held = self.items.get(key).map_or(0, |item| item.revision);
+            if held != expected["Revision"] {
+                let current = self.items.get(key).map(|item| written(key, item));
+                let items: Vec<Value> = current.into_iter().collect();
+                return (412, json!({"Items": items}));
+            }
+        }
+        for put in body["Puts"].as_array().into_iter().flatten() {
+            let key = put["Key"].as_str().expect("a key");
+            let value = put["Value"].as_str().expect("a value").to_owned();
+            self.put(key, value, put["Lease"].as_i64().unwrap_or_default());
+        }
+        (200, json!({"Revision": self.revision}))
+    }
+}
+
+fn written(key: &str, item: &Item) -> Value {
+    json!({
+        "Key": key, "Value": item.value, "Revision": item.revision,
+        "CreatedRev": item.revision, "Lease": item.lease,
+    })
+}
