A staged spare for each model of a domain; survivors of a group are waited for

Besides, a formation took unstaged hosts while the survivors of its group were held for 100 ms more by the closing head.

Change: the next spare of a model counts a quarter of the one before, and a surplus spare is staged anew for a model that has none; no group is formed with loads while a group of its model in the domain is ending.

The test that said that all spares hold the larger model's weights was wrong; it now asks for one spare of each model in each domain.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub mod settings;
 mod sinks;
 pub mod spec;
+mod staging;
 mod state;
 mod stream;
 
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -16,6 +16,7 @@
     pool::Pool,
     roster::{Group, Host, HostKey, MemberState, Roster},
     spec::{Engine, Replication, Service, Spec},
+    staging,
 };
 use crate::core::{
     keys::{DomainName, Epoch, GroupName, HostName, ModelName, ServiceName},
@@ -405,7 +406,7 @@
         }
         let pools = self.pools(roster, &service.name, now);
         for pool in pools.values() {
-            for (key, model) in stagings(roster, needs, &pools, pool) {
+            for (key, model) in staging::plan(roster, needs, &pools, pool) {
                 let Some(host) = roster.host(key) else {
                     continue;
                 };
@@ -436,6 +437,16 @@
             let pool = pools.entry(domain).or_default();
             *pool.groups.entry(model).or_default() += 1;
         }
+        for group in roster.groups() {
+            let head = group.head().and_then(|key| roster.host(key));
+            if group.service == *service
+                && self.is_ending(roster, group, now)
+                && let Some(domain) = head.and_then(|host| host.runner.domain.clone())
+            {
+                let pool = pools.entry(domain).or_default();
+                pool.ending.insert(group.model.clone());
+            }
+        }
         for (key, host) in roster.hosts() {
             let Some(domain) = &host.runner.domain else {
                 continue;
@@ -450,6 +461,12 @@
         pools
     }
 
+    /// Whether a group no longer serves but still holds its members.
+    fn is_ending(&self, roster: &Roster, group: &Group, now: Time) -> bool {
+        let is_over = roster.has_lost(group) || self.closed.contains_key(&group.name);
+        is_over && holds_members(roster, group, now)
+    }
+
     /// Hosts that a group holds: formations, and groups whose head is or may become open.
     fn held(&self, roster: &Roster, service: &ServiceName, now: Time) -> BTreeSet<HostKey> {
         let forming = self
@@ -584,41 +601,8 @@
         let (domain, _) = pools
             .iter()
             .filter(|(_, pool)| pool.has_room(roster, &rivals, replication))
+            .filter(|(_, pool)| pool.is_timely(roster, &rivals, replication))
             .min_by_key(|(_, pool)| pool.loads(roster, &rivals, replication))?;
         Some((domain.clone(), replication))
     })
 }
-
-/// Which free hosts of a domain are to stage which model.
-///
-/// A host goes to the model whose groups carry the most work and have the most
-/// members that may be lost, for each host that has it staged already.
-fn stagings(
-    roster: &Roster,
-    needs: &Needs<'_>,
-    pools: &BTreeMap<DomainName, Pool>,
-    pool: &Pool,
-) -> Vec<(HostKey, ModelName)> {
-    let staged_on = |key: &HostKey| roster.host(*key).and_then(|host| host.runner.staged.last());
-    let mut held: BTreeMap<&ModelName, usize> = BTreeMap::new();
-    for model in pool.free.iter().filter_map(staged_on) {
-        *held.entry(model).or_default() += 1;
-    }
-    let mut out = Vec::new();
-    for key in pool.free.iter().filter(|key| staged_on(key).is_none()) {
-        let urgency = |replication: &&Replication| {
-            let staged = held.get(&replication.model).copied().unwrap_or_default();
-            needs.of(replication, pools) * f64::from(replication.size) / (staged + 1) as f64
-        };
-        let next = needs
-            .engine
-            .models
-            .iter()
-            .max_by(|a, b| urgency(a).total_cmp(&urgency(b)));
-        if let Some(replication) = next {
-            *held.entry(&replication.model).or_default() += 1;
-            out.push((*key, replication.model.clone()));
-        }
-    }
-    out
-}
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -10,7 +10,7 @@
     spec::Replication,
 };
 use crate::core::keys::ModelName;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Hosts to be left free in a domain beside its second and later groups of a model.
 const SPARE_HOSTS: usize = 2;
@@ -22,6 +22,8 @@
     pub free: Vec<HostKey>,
     /// Groups of each model that serve or are being formed.
     pub groups: BTreeMap<ModelName, u32>,
+    /// Models of groups that no longer serve, and whose hosts will be free soon.
+    pub ending: BTreeSet<ModelName>,
 }
 
 impl Pool {
@@ -40,6 +42,16 @@
         usable >= size + SPARE_HOSTS
     }
 
+    /// Whether a group should be formed here now rather than wait for hosts that need no load.
+    pub fn is_timely(
+        &self,
+        roster: &Roster,
+        rivals: &[&Replication],
+        wanted: &Replication,
+    ) -> bool {
+        !self.ending.contains(&wanted.model) || self.loads(roster, rivals, wanted) == 0
+    }
+
     /// How many of its members would have to load the weights.
     pub fn loads(&self, roster: &Roster, rivals: &[&Replication], wanted: &Replication) -> usize {
         let usable = self.usable(roster, rivals, wanted);
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -30,11 +30,7 @@
     let fleet = settled(6, 11);
     assert_eq!(fleet.serving(LARGE), 6);
     assert_eq!(fleet.serving(SMALL), 6);
-    assert_eq!(
-        fleet.spares(LARGE),
-        12,
-        "spares wait for the model in greater need"
-    );
+    assert_eq!((fleet.spares(LARGE), fleet.spares(SMALL)), (6, 6));
 }
 
 #[test]
@@ -65,6 +61,39 @@
     assert_eq!(fleet.broken, Vec::<String>::new());
 }
 
+#[test]
+fn a_lost_member_of_either_model_is_replaced_without_a_load() {
+    for model in [LARGE, SMALL] {
+        let mut fleet = settled(1, 11);
+        let member = fleet.members(model)[2].clone();
+        fleet.kill(&member, false);
+        fleet.settle(Span::from_secs(3));
+        assert_eq!(fleet.serving(model), 1, "{model} waits for a load");
+    }
+}
+
+#[test]
+fn survivors_of_a_group_are_waited_for_rather_than_weights_loaded() {
+    let mut fleet = settled(1, 11);
+    fleet.add("d0", "d0-new");
+    let member = fleet.members(SMALL)[2].clone();
+    fleet.kill(&member, false);
+    fleet.settle(Span::from_secs(3));
+    assert_eq!(fleet.serving(SMALL), 1, "hosts without weights were taken");
+}
+
+#[test]
+fn a_second_spare_of_a_model_is_staged_anew_for_one_without() {
+    let mut fleet = settled(1, 11);
+    fleet.add("d0", "d0-new");
+    fleet.settle(Span::from_secs(20));
+    assert_eq!((fleet.spares(LARGE), fleet.spares(SMALL)), (2, 1));
+    let member = fleet.members(SMALL)[2].clone();
+    fleet.kill(&member, false);
+    fleet.settle(Span::from_secs(20));
+    assert_eq!((fleet.spares(LARGE), fleet.spares(SMALL)), (1, 1));
+}
+
 #[test]
 fn a_dead_head_holds_its_members_until_its_entry_is_gone() {
     let mut fleet = settled(1, 11);
