A newcomer holds the members of a head that it never saw

The head of a group had left or lapsed meanwhile, so that its entry was never listed there; the group seemed to have no head, and its members went to another group while the head was still open.

Ruled out: late orders (the join was answered at once), the limit on heads that left (the head was unknown, not unlisted).

Change: members of a group without a known head are held for 11 s after the daemon has begun to follow the entries without a gap. Test: a newcomer takes the duty while a head that left is busy; it fails without the change.

--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -14,7 +14,7 @@
     demand::{Demand, Needs},
     formation::Formation,
     pool::Pool,
-    roster::{Group, Host, HostKey, MemberState, Roster},
+    roster::{Group, Host, HostKey, LEAVING_LIMIT, MemberState, Roster},
     spec::{Engine, Replication, Service, Spec},
     staging,
 };
@@ -33,9 +33,6 @@
 /// How long a closing head may finish its requests; after that their streams go on elsewhere.
 const CLOSE_PATIENCE: Span = Span::from_millis(1_800);
 
-/// How long a head that leaves may go on with its requests once it listens no more.
-const LEAVING_LIMIT: Span = Span::from_millis(11_000);
-
 /// How long an order to open may go without a report of the head: a watch may be silent so long.
 const OPEN_SETTLES: Span = Span::from_millis(6_000);
 
@@ -579,7 +576,7 @@
 /// though it listens no more.
 fn holds_members(roster: &Roster, group: &Group, now: Time) -> bool {
     if !group.is_active() {
-        return false;
+        return roster.may_lack_head(group, now);
     }
     let Some(head) = group.head().and_then(|key| roster.host(key)) else {
         return false;
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -18,6 +18,9 @@
 /// How long after an outage of the store a missing entry may still come back.
 pub const REENTRY: Span = Span::from_millis(2_000);
 
+/// How long a head that leaves may go on with its requests once it listens no more.
+pub const LEAVING_LIMIT: Span = Span::from_millis(11_000);
+
 /// How long a host without an entry is remembered.
 const MEMORY: Span = Span::from_secs(30);
 
@@ -141,7 +144,8 @@
     groups: Vec<Group>,
     /// Until when a missing entry may still come back.
     reentry: Time,
-    changes: u64,
+    /// Since when changes have been followed without a gap.
+    followed: Option<Time>,
 }
 
 impl Roster {
@@ -167,7 +171,6 @@
                 self.names.insert(name, key);
             }
         }
-        self.changes += 1;
     }
 
     /// Takes in that a runner's entry is gone.
@@ -176,11 +179,11 @@
             return;
         };
         self.hosts[*key].unlisted.get_or_insert(now);
-        self.changes += 1;
     }
 
     /// Takes in a whole list: what it lacks is gone.
     pub fn replace(&mut self, listed: Vec<(HostName, Runner)>, now: Time) {
+        self.followed.get_or_insert(now);
         let present: BTreeSet<HostName> = listed.iter().map(|(name, _)| name.clone()).collect();
         for (name, runner) in listed {
             self.put(name, runner);
@@ -205,16 +208,12 @@
         host.stayed = Some(host.unlisted.is_none() && !host.runner.draining);
         if host.unlisted.is_some() && host.runner.member != member {
             host.runner.member = member;
-            self.changes += 1;
         }
     }
 
     /// Marks lifetimes as dead, in place of the marks before.
     pub fn set_lost(&mut self, lost: BTreeSet<Life>) {
-        if self.lost != lost {
-            self.lost = lost;
-            self.changes += 1;
-        }
+        self.lost = lost;
     }
 
     /// Marks lifetimes as slow, in place of the marks before.
@@ -225,6 +224,7 @@
     /// Takes in that the store answers again after an outage.
     pub fn store_returned(&mut self, now: Time) {
         self.reentry = now + REENTRY;
+        self.followed = Some(now);
     }
 
     /// Drops hosts that have been without an entry for long.
@@ -237,7 +237,6 @@
             .collect();
         for name in old {
             self.forget(&name);
-            self.changes += 1;
         }
     }
 
@@ -275,11 +274,6 @@
         }
     }
 
-    /// Grows with every change.
-    pub fn changes(&self) -> u64 {
-        self.changes
-    }
-
     /// The groups, as assembled last.
     pub fn groups(&self) -> &[Group] {
         &self.groups
@@ -336,6 +330,14 @@
         hosts.any(|host| host.is_none_or(|host| self.is_lost(host)))
     }
 
+    /// Whether a group may have a head that was never seen here: one that left before is listed
+    /// no more, and one that lapsed with the store is not listed yet.
+    pub fn may_lack_head(&self, group: &Group, now: Time) -> bool {
+        let is_unseen = group.head().is_none();
+        let followed = self.followed.map_or(Span::ZERO, |since| now.since(since));
+        is_unseen && followed < LEAVING_LIMIT
+    }
+
     /// Whether a group may be sent requests.
     pub fn is_serving(&self, group: &Group, now: Time) -> bool {
         if group.head_state != Some(MemberState::Open) || !group.complete {
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -181,6 +181,22 @@
         }
     }
 
+    /// Hands the duty to a daemon that has just started, and knows only what is listed now.
+    pub fn hand_to_newcomer(&mut self, epoch: Epoch) {
+        let listed = self
+            .hosts
+            .iter()
+            .filter(|(_, real)| !real.is_dead && !real.is_unlisted)
+            .map(|(name, real)| (name.clone(), entry(real)))
+            .collect();
+        self.roster = Roster::default();
+        self.roster.replace(listed, self.now);
+        self.reported.clear();
+        self.lost.clear();
+        self.planner = Planner::new(epoch);
+        self.planner.busy = true;
+    }
+
     /// Forgets which hosts were found dead.
     pub fn forget_lost(&mut self) {
         self.lost.clear();
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -183,6 +183,26 @@
     assert_eq!(fleet.broken, Vec::<String>::new());
 }
 
+#[test]
+fn a_newcomer_holds_the_members_of_a_head_that_it_never_saw() {
+    let mut fleet = settled(1, 11);
+    let head = fleet.members(SMALL)[0].clone();
+    fleet.unlist(&head);
+    fleet.hand_to_newcomer(Epoch(1_000_000));
+    fleet.settle(Span::from_secs(6));
+    assert_eq!(fleet.broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_newcomer_frees_the_members_of_a_head_that_stays_unseen() {
+    let mut fleet = settled(1, 11);
+    let head = fleet.members(SMALL)[0].clone();
+    fleet.kill(&head, true);
+    fleet.hand_to_newcomer(Epoch(1_000_000));
+    fleet.settle(Span::from_secs(15));
+    assert_eq!(fleet.serving(SMALL), 1);
+}
+
 #[test]
 fn a_closing_head_is_cut_once_its_time_is_over() {
     let mut fleet = settled(1, 11);
