A successor learns which dead heads were not leaving

Cause: a head that left may be busy for 11 s after its entry has gone, and only the daemon that had probed it knew that it had died instead.

Change: the verdict names the dead that were listed and not leaving when they last answered. Test fails without it.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -177,6 +177,11 @@
             self.orders.send(directive);
         }
         let verdict = Verdict {
+            stayed: {
+                let roster = site.roster.borrow();
+                let stayed = lost.iter().filter(|life| roster.has_stayed(life));
+                stayed.cloned().collect()
+            },
             lost: lost.into_iter().collect(),
             slow: slow.into_iter().collect(),
         };
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -27,6 +27,9 @@
     pub struct Verdict {
         /// Runners that are dead.
         pub lost: Vec<Life>,
+        /// Those of them that were listed and not leaving when they last answered.
+        #[serde(default)]
+        pub stayed: Vec<Life>,
         /// Runners that are slow, and how many times slower they work.
         #[serde(default)]
         pub slow: Vec<(Life, f64)>,
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -216,6 +216,25 @@
         self.lost = lost;
     }
 
+    /// Takes in which lifetimes were listed and not leaving when they last answered another daemon.
+    pub fn mark_stayed(&mut self, lives: &[Life]) {
+        for (name, born) in lives {
+            let Some(key) = self.names.get(name) else {
+                continue;
+            };
+            let host = &mut self.hosts[*key];
+            if host.runner.born == *born {
+                host.stayed.get_or_insert(true);
+            }
+        }
+    }
+
+    /// Whether a lifetime was listed and not leaving when it last answered a probe.
+    pub fn has_stayed(&self, (name, born): &Life) -> bool {
+        let host = self.named(name).map(|(_, host)| host);
+        host.is_some_and(|host| host.runner.born == *born && host.stayed == Some(true))
+    }
+
     /// Marks lifetimes as slow, in place of the marks before.
     pub fn set_slow(&mut self, slow: BTreeMap<Life, f64>) {
         self.slow = slow;
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -61,6 +61,14 @@
     }
 }
 
+/// The host that an entry's key names.
+fn host_name<A>(key: &str) -> Option<HostName>
+where
+    A: Adapter,
+{
+    key.strip_prefix(A::RUNNER_PREFIX).map(HostName::from)
+}
+
 /// Takes in runners' entries.
 pub struct RunnerSink<A> {
     site: Rc<Site>,
@@ -79,36 +87,29 @@
         }
     }
 
-    /// A runner's name and entry; one that can't be read names no runner.
-    fn read(&self, entry: &PlatformEntry) -> Option<(HostName, Runner)> {
-        let name = entry.key.strip_prefix(A::RUNNER_PREFIX)?;
-        match A::runner(&entry.value) {
-            Ok(runner) => Some((HostName::from(name), runner)),
-            Err(error) => {
-                slog::debug!(self.site.log, "runner entry refused";
-                    "host" => name, "cause" => error.to_string());
-                None
-            }
-        }
+    /// What an entry says of a runner; one that can't be read names no runner.
+    fn read(&self, name: &HostName, entry: &PlatformEntry) -> Option<Runner> {
+        let read = A::runner(&entry.value);
+        read.inspect_err(|error| {
+            slog::debug!(self.site.log, "runner entry refused";
+                "host" => name.as_str(), "cause" => error.to_string());
+        })
+        .ok()
     }
 
     fn change(&self, event: &WatchEvent) {
-        let now = self.site.now();
+        let (key, entry) = match event {
+            WatchEvent::Put(entry) => (&entry.key, Some(entry)),
+            WatchEvent::Deleted { key, .. } => (key, None),
+        };
+        let Some(name) = host_name::<A>(key) else {
+            return;
+        };
+        let runner = entry.and_then(|entry| self.read(&name, entry));
         let mut roster = self.site.roster.borrow_mut();
-        match event {
-            WatchEvent::Put(entry) => match self.read(entry) {
-                Some((name, runner)) => roster.put(name, runner),
-                None => {
-                    if let Some(name) = entry.key.strip_prefix(A::RUNNER_PREFIX) {
-                        roster.remove(&HostName::from(name), now);
-                    }
-                }
-            },
-            WatchEvent::Deleted { key, .. } => {
-                if let Some(name) = key.strip_prefix(A::RUNNER_PREFIX) {
-                    roster.remove(&HostName::from(name), now);
-                }
-            }
+        match runner {
+            Some(runner) => roster.put(name, runner),
+            None => roster.remove(&name, self.site.now()),
         }
     }
 }
@@ -118,10 +119,12 @@
     A: Adapter,
 {
     fn listed(&self, entries: Vec<PlatformEntry>) {
-        let listed = entries
-            .iter()
-            .filter_map(|entry| self.read(entry))
-            .collect();
+        let read = |entry: &PlatformEntry| {
+            let name = host_name::<A>(&entry.key)?;
+            let runner = self.read(&name, entry)?;
+            Some((name, runner))
+        };
+        let listed = entries.iter().filter_map(read).collect();
         let now = self.site.now();
         self.site.roster.borrow_mut().replace(listed, now);
         self.site.assemble();
@@ -184,6 +187,7 @@
         if let Some(verdict) = self.read::<Verdict>(entry) {
             self.site.peers.borrow_mut().verdict = Some(entry.revision);
             let mut roster = self.site.roster.borrow_mut();
+            roster.mark_stayed(&verdict.stayed);
             roster.set_lost(verdict.lost.into_iter().collect());
             roster.set_slow(verdict.slow.into_iter().collect());
             drop(roster);
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -11,7 +11,7 @@
     gateway::{
         demand::Demand,
         planner::{Directive, Order, Planner},
-        roster::{MemberState, Membership, Roster, Runner},
+        roster::{Life, MemberState, Membership, Roster, Runner},
         spec::{Engine, Replication, Service, Spec},
     },
 };
@@ -197,6 +197,25 @@
         self.planner.busy = true;
     }
 
+    /// Hands the duty to a daemon that has listed all hosts, but has probed none; it learns what
+    /// its predecessor found out.
+    pub fn hand_to_peer(&mut self, epoch: Epoch) {
+        let stayed: Vec<Life> = self
+            .lost
+            .iter()
+            .filter(|life| self.roster.has_stayed(life))
+            .cloned()
+            .collect();
+        let known = self.hosts.iter();
+        let listed = known.map(|(name, real)| (name.clone(), entry(real)));
+        self.roster = Roster::default();
+        self.roster.replace(listed.collect(), self.now);
+        self.roster.mark_stayed(&stayed);
+        self.reported.clear();
+        self.planner = Planner::new(epoch);
+        self.planner.busy = true;
+    }
+
     /// Forgets which hosts were found dead.
     pub fn forget_lost(&mut self) {
         self.lost.clear();
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -183,6 +183,18 @@
     assert_eq!(fleet.broken, Vec::<String>::new());
 }
 
+#[test]
+fn a_successor_learns_which_dead_heads_were_not_leaving() {
+    let mut fleet = settled(1, 11);
+    let head = fleet.members(LARGE)[0].clone();
+    fleet.kill(&head, false);
+    fleet.settle(Span::from_secs(1));
+    fleet.hand_to_peer(Epoch(1_000_000));
+    fleet.unlist(&head);
+    fleet.settle(Span::from_secs(4));
+    assert_eq!(fleet.serving(LARGE), 1);
+}
+
 #[test]
 fn a_newcomer_holds_the_members_of_a_head_that_it_never_saw() {
     let mut fleet = settled(1, 11);
