A newcomer learns which groups hold nobody

Cause: a daemon that has just started holds the members of any group whose head it never saw for 11 s; after rolling restarts such a daemon takes the duty, and groups of dead heads waited for nothing.

Change: the verdict names the groups that hold nobody, and is written without a lease so that a successor finds it. Test fails without it.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -106,7 +106,11 @@
         }
         let claim = Claim { holder: me.clone() };
         let key = format!("{}{CLAIM}", A::OWN_PREFIX);
-        match self.lease.write(&key, &claim, expect).await {
+        match self
+            .lease
+            .write(&key, &claim, expect, self.lease.id())
+            .await
+        {
             Some(PlatformAnswer::Written { revision }) => {
                 self.site.peers.borrow_mut().claim = Some((claim.holder, revision));
                 // Its watch may have been silent while an earlier holder ordered.
@@ -176,20 +180,19 @@
         for directive in directives {
             self.orders.send(directive);
         }
+        let roster = site.roster.borrow();
+        let stayed = lost.iter().filter(|life| roster.has_stayed(life));
         let verdict = Verdict {
-            stayed: {
-                let roster = site.roster.borrow();
-                let stayed = lost.iter().filter(|life| roster.has_stayed(life));
-                stayed.cloned().collect()
-            },
+            stayed: stayed.cloned().collect(),
             lost: lost.into_iter().collect(),
             slow: slow.into_iter().collect(),
+            ended: self.planner.ended(&roster, site.now()),
         };
         Verdicts::publish(&self.verdicts, verdict);
     }
 }
 
-/// Tells the other daemons which runners were found dead.
+/// Tells the other daemons, and successors, what the holder found out of runners.
 struct Verdicts<A>
 where
     A: Adapter,
@@ -225,7 +228,7 @@
         compio::runtime::spawn(async move {
             let verdict = this.wanted.borrow().clone();
             let key = format!("{}{VERDICT}", A::OWN_PREFIX);
-            if this.lease.overwrite(key, &verdict).await.is_some() {
+            if this.lease.overwrite(key, &verdict, None).await.is_some() {
                 this.written.replace(Some(verdict));
             }
             this.is_writing.set(false);
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -84,6 +84,11 @@
         self.store.gather(pause);
     }
 
+    /// The lease, if there is one.
+    pub fn id(&self) -> Option<LeaseId> {
+        self.id.get()
+    }
+
     /// Whether the lease surely holds now.
     pub fn is_valid(&self) -> bool {
         self.id.get().is_some() && self.site.now() + MARGIN < self.until.get()
@@ -139,7 +144,7 @@
             hall: settings.hall.clone(),
         };
         let key = format!("{}{PRESENCE}{}", A::OWN_PREFIX, settings.name);
-        let written = self.overwrite(key, &presence).await;
+        let written = self.overwrite(key, &presence, self.id()).await;
         self.is_present.set(written.is_some());
         written.is_some()
     }
@@ -162,14 +167,19 @@
         }
     }
 
-    /// Writes a key whatever it holds; none if that failed.
-    pub async fn overwrite<T>(&self, key: String, value: &T) -> Option<Revision>
+    /// Writes a key whatever it holds, so that it goes with `lease`; none if that failed.
+    pub async fn overwrite<T>(
+        &self,
+        key: String,
+        value: &T,
+        lease: Option<LeaseId>,
+    ) -> Option<Revision>
     where
         T: Serialize,
     {
         let mut expect = Expect::Absent;
         for _ in 0..2 {
-            match self.write(&key, value, expect).await? {
+            match self.write(&key, value, expect, lease).await? {
                 PlatformAnswer::Written { revision } => return Some(revision),
                 PlatformAnswer::Conflict {
                     current: Some(entry),
@@ -182,7 +192,13 @@
     }
 
     /// Writes a key if it is as expected; none if no answer came.
-    pub async fn write<T>(&self, key: &str, value: &T, expect: Expect) -> Option<PlatformAnswer>
+    pub async fn write<T>(
+        &self,
+        key: &str,
+        value: &T,
+        expect: Expect,
+        lease: Option<LeaseId>,
+    ) -> Option<PlatformAnswer>
     where
         T: Serialize,
     {
@@ -190,7 +206,7 @@
             key: key.to_owned(),
             value: serde_json::to_string(value).expect("an own entry is plain data"),
             expect,
-            lease: self.id.get(),
+            lease,
         };
         let answer = self.store.ask(put).await;
         answer
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,7 +1,7 @@
 //! The other daemons, from their leased entries in the store.
 
 use super::roster::Life;
-use crate::core::keys::{DaemonName, HallName, Revision};
+use crate::core::keys::{DaemonName, Epoch, HallName, Revision};
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// The most addresses in one answer.
@@ -30,6 +30,9 @@
         /// Those of them that were listed and not leaving when they last answered.
         #[serde(default)]
         pub stayed: Vec<Life>,
+        /// Groups whose heads are gone for good: their members are free.
+        #[serde(default)]
+        pub ended: Vec<Epoch>,
         /// Runners that are slow, and how many times slower they work.
         #[serde(default)]
         pub slow: Vec<(Life, f64)>,
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -202,6 +202,14 @@
         &self.formations
     }
 
+    /// Groups that don't serve and hold their members no more, because their heads are gone.
+    pub fn ended(&self, roster: &Roster, now: Time) -> Vec<Epoch> {
+        let is_headless = |group: &&Group| group.is_active() || group.head().is_none();
+        let groups = roster.groups().iter().filter(is_headless);
+        let over = groups.filter(|group| !holds_members(roster, group, now));
+        over.map(|group| group.epoch).collect()
+    }
+
     /// Moves formations on, and drops those that can't succeed.
     fn advance(
         &mut self,
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -146,6 +146,8 @@
     reentry: Time,
     /// Since when changes have been followed without a gap.
     followed: Option<Time>,
+    /// Groups that hold their members no more, as another daemon found out.
+    ended: BTreeSet<Epoch>,
 }
 
 impl Roster {
@@ -229,6 +231,11 @@
         }
     }
 
+    /// Takes in which groups hold their members no more, as another daemon found out.
+    pub fn mark_ended(&mut self, ended: &[Epoch]) {
+        self.ended = ended.iter().copied().collect();
+    }
+
     /// Whether a lifetime was listed and not leaving when it last answered a probe.
     pub fn has_stayed(&self, (name, born): &Life) -> bool {
         let host = self.named(name).map(|(_, host)| host);
@@ -352,7 +359,7 @@
     /// Whether a group may have a head that was never seen here: one that left before is listed
     /// no more, and one that lapsed with the store is not listed yet.
     pub fn may_lack_head(&self, group: &Group, now: Time) -> bool {
-        let is_unseen = group.head().is_none();
+        let is_unseen = group.head().is_none() && !self.ended.contains(&group.epoch);
         let followed = self.followed.map_or(Span::ZERO, |since| now.since(since));
         is_unseen && followed < LEAVING_LIMIT
     }
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -188,6 +188,7 @@
             self.site.peers.borrow_mut().verdict = Some(entry.revision);
             let mut roster = self.site.roster.borrow_mut();
             roster.mark_stayed(&verdict.stayed);
+            roster.mark_ended(&verdict.ended);
             roster.set_lost(verdict.lost.into_iter().collect());
             roster.set_slow(verdict.slow.into_iter().collect());
             drop(roster);
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -189,8 +189,10 @@
             .filter(|(_, real)| !real.is_dead && !real.is_unlisted)
             .map(|(name, real)| (name.clone(), entry(real)))
             .collect();
+        let ended = self.planner.ended(&self.roster, self.now);
         self.roster = Roster::default();
         self.roster.replace(listed, self.now);
+        self.roster.mark_ended(&ended);
         self.reported.clear();
         self.lost.clear();
         self.planner = Planner::new(epoch);
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -205,6 +205,17 @@
     assert_eq!(fleet.broken, Vec::<String>::new());
 }
 
+#[test]
+fn a_newcomer_learns_which_groups_hold_nobody() {
+    let mut fleet = settled(1, 11);
+    let head = fleet.members(SMALL)[0].clone();
+    fleet.kill(&head, true);
+    fleet.run(fleet.now + Span::from_secs(1), |_| Fate::Lost);
+    fleet.hand_to_newcomer(Epoch(1_000_000));
+    fleet.settle(Span::from_secs(4));
+    assert_eq!(fleet.serving(SMALL), 1);
+}
+
 #[test]
 fn a_newcomer_frees_the_members_of_a_head_that_stays_unseen() {
     let mut fleet = settled(1, 11);
