Loads under way guide the choice of members; a new prober asks at once

Change: hosts that stage the model come before empty ones, hosts that stage another come last; stagings of all domains are sorted by worth; first probes go out at once. Loads under way live in a module of their own.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod lease;
 mod listeners;
 pub mod load;
+mod loading;
 mod orders;
 pub mod peers;
 pub mod placement;
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -10,9 +10,9 @@
 //! and opened only once each member reports itself ready at its epoch.
 
 use super::{
-    budget::LoadBudget,
     demand::{Demand, Needs},
     formation::Formation,
+    loading::Loading,
     pool::Pool,
     roster::{Group, Host, HostKey, LEAVING_LIMIT, MemberState, Roster},
     spec::{Engine, Replication, Service, Spec},
@@ -24,9 +24,6 @@
 };
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The window of the weight store's limit on loads.
-const LOAD_WINDOW: Span = Span::from_secs(5);
-
 /// How long an order is left to show its effect before it is sent again.
 const ORDER_PATIENCE: Span = Span::from_millis(700);
 
@@ -48,9 +45,6 @@
 /// How long the first group waits for runners at the most.
 const SURVEY_LIMIT: Span = Span::from_millis(3_000);
 
-/// How much faster loads are before the first request.
-const EARLY_LOAD_FACTOR: u64 = 10;
-
 crate::record! {
     /// An order to a runner.
     #[derive(Eq, PartialOrd, Ord)]
@@ -110,9 +104,7 @@
     opened: BTreeMap<GroupName, Time>,
     /// Groups that were ordered to close, and since when: they are not opened again.
     closed: BTreeMap<GroupName, Time>,
-    budget: LoadBudget,
-    /// Loads thought to be under way, with their likely ends.
-    loading: Vec<(HostName, Time)>,
+    loading: Loading,
     /// Whether requests have begun to come.
     pub busy: bool,
     survey: Survey,
@@ -152,8 +144,7 @@
             sent: BTreeMap::new(),
             opened: BTreeMap::new(),
             closed: BTreeMap::new(),
-            budget: LoadBudget::new(LOAD_WINDOW),
-            loading: Vec::new(),
+            loading: Loading::new(),
             busy: false,
             survey: Survey::default(),
             began: None,
@@ -170,7 +161,7 @@
     ) -> Vec<Directive> {
         let mut out = Vec::new();
         self.began.get_or_insert(now);
-        self.loading.retain(|(_, end)| *end > now);
+        self.loading.expire(now);
         self.sent.retain(|_, at| now.since(*at) < FORMATION_SLACK);
         let known = roster.groups();
         self.closed
@@ -352,15 +343,15 @@
             let members = pool.take(roster, &rivals, replication);
             let loads: Vec<HostName> = members
                 .iter()
-                .filter(|key| needs_load(roster, **key, &replication.model))
+                .filter(|key| pool.needs_load(roster, **key, &replication.model))
                 .filter_map(|key| Some(roster.host(*key)?.name.clone()))
                 .collect();
-            if !self.may_load(loads.len(), needs.engine, now) {
+            if !self
+                .loading
+                .begin(&loads, replication, needs.engine, self.busy, now)
+            {
                 continue;
             }
-            let load = self.load_time(replication.load);
-            self.loading
-                .extend(loads.into_iter().map(|name| (name, now + load)));
             self.begin(roster, service, replication, &members, now, out);
         }
     }
@@ -406,26 +397,22 @@
         now: Time,
         out: &mut Vec<Directive>,
     ) {
-        if self.loading.len() >= needs.engine.load_parallel as usize {
-            return;
-        }
         let pools = self.pools(roster, &service.name, now);
-        for pool in pools.values() {
-            for (key, model) in staging::plan(roster, needs, &pools, pool) {
-                let Some(host) = roster.host(key) else {
-                    continue;
-                };
-                let busy = self.loading.iter().any(|(name, _)| *name == host.name);
-                if busy || !self.may_load(1, needs.engine, now) {
-                    continue;
-                }
-                let Some(replication) = needs.engine.replication(&model) else {
-                    continue;
-                };
-                let load = self.load_time(replication.load);
-                self.loading.push((host.name.clone(), now + load));
-                self.send(&host.name, Order::Stage { model }, now, out);
+        for staging in staging::plan(roster, needs, &pools) {
+            let Some(host) = roster.host(staging.host) else {
+                continue;
+            };
+            let name = host.name.clone();
+            let has_room = self.loading.has_room(needs.engine);
+            let begin = |loading: &mut Loading, is_busy| {
+                let hosts = std::slice::from_ref(&name);
+                loading.begin(hosts, staging.replication, needs.engine, is_busy, now)
+            };
+            if !has_room || !begin(&mut self.loading, self.busy) {
+                return;
             }
+            let model = staging.replication.model.clone();
+            self.send(&name, Order::Stage { model }, now, out);
         }
     }
 
@@ -459,8 +446,13 @@
             if host.runner.service != *service || !is_eligible(roster, host) {
                 continue;
             }
-            if !held.contains(&key) {
-                pools.entry(domain.clone()).or_default().free.push(key);
+            if held.contains(&key) {
+                continue;
+            }
+            let pool = pools.entry(domain.clone()).or_default();
+            pool.free.push(key);
+            if let Some(model) = self.loading.model_on(&host.name) {
+                pool.loading.insert(key, model.clone());
             }
         }
         pools
@@ -512,25 +504,6 @@
         serving.chain(forming).collect()
     }
 
-    /// Whether `count` more loads may begin.
-    fn may_load(&mut self, count: usize, engine: &Engine, now: Time) -> bool {
-        if count == 0 {
-            return true;
-        }
-        if !self.busy {
-            return true;
-        }
-        let most = (engine.load_rate * LOAD_WINDOW.as_secs_f64()) as usize;
-        self.budget.take(count, most, now)
-    }
-
-    fn load_time(&self, load: Span) -> Span {
-        match self.busy {
-            true => load,
-            false => Span(load.0 / EARLY_LOAD_FACTOR),
-        }
-    }
-
     /// Sends an order unless the same one was sent a moment ago.
     fn send(&mut self, host: &HostName, order: Order, now: Time, out: &mut Vec<Directive>) {
         let key = (host.clone(), order.clone());
@@ -551,13 +524,6 @@
     host.unlisted.is_none() && !host.runner.draining && !roster.is_lost(host)
 }
 
-/// Whether joining needs the weight store.
-fn needs_load(roster: &Roster, key: HostKey, model: &ModelName) -> bool {
-    roster
-        .host(key)
-        .is_some_and(|host| !host.runner.staged.contains(model))
-}
-
 /// Whether an active group must be closed, and if so, whether at once.
 fn must_close(roster: &Roster, group: &Group, head: &Host) -> Option<bool> {
     if !group.complete || roster.has_lost(group) {
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -20,6 +20,8 @@
 pub struct Pool {
     /// Hosts that no group holds.
     pub free: Vec<HostKey>,
+    /// The models that free hosts are loading.
+    pub loading: BTreeMap<HostKey, ModelName>,
     /// Groups of each model that serve or are being formed.
     pub groups: BTreeMap<ModelName, u32>,
     /// Models of groups that no longer serve, and whose hosts will be free soon.
@@ -58,16 +60,36 @@
         usable
             .iter()
             .take(usize::from(wanted.size))
-            .filter(|key| delay_rank(roster, **key, &wanted.model) > STAGED)
+            .filter(|key| self.delay_rank(roster, **key, &wanted.model) > Delay::Staged)
             .count()
     }
 
     /// Free hosts that would join a group of the model without a load, and aren't slow.
     pub fn prompt(&self, roster: &Roster, model: &ModelName) -> usize {
-        let prompt = |key: &&HostKey| delay_rank(roster, **key, model) <= STAGED;
+        let prompt = |key: &&HostKey| self.delay_rank(roster, **key, model) <= Delay::Staged;
         self.free.iter().filter(prompt).count()
     }
 
+    /// Whether a free host has yet to begin a load to join a group of the model.
+    pub fn needs_load(&self, roster: &Roster, key: HostKey, model: &ModelName) -> bool {
+        let is_staged = is_staged(roster, key, model);
+        !is_staged && self.loading.get(&key) != Some(model)
+    }
+
+    fn delay_rank(&self, roster: &Roster, key: HostKey, model: &ModelName) -> Delay {
+        let Some(host) = roster.host(key) else {
+            return Delay::Unknown;
+        };
+        if roster.pace(host) > 1.0 {
+            return Delay::Slow;
+        }
+        match self.loading.get(&key) {
+            Some(loading) if loading == model => Delay::Staging,
+            Some(_) if !host.runner.staged.contains(model) => Delay::StagingOther,
+            _ => delay_of(host, model),
+        }
+    }
+
     /// Takes the members of a new group out.
     pub fn take(
         &mut self,
@@ -99,7 +121,7 @@
             staged.truncate(usize::from(other.size));
             usable.retain(|key| !staged.contains(key));
         }
-        usable.sort_by_key(|key| delay_rank(roster, *key, &wanted.model));
+        usable.sort_by_key(|key| self.delay_rank(roster, *key, &wanted.model));
         usable
     }
 }
@@ -110,31 +132,35 @@
         .is_some_and(|host| host.runner.staged.contains(model))
 }
 
-/// The rank of a host with the weights staged.
-const STAGED: u8 = 1;
-
-/// The rank of a slow host: its group would be as slow.
-const SLOW_RANK: u8 = 4;
-
-/// 0: was in a group of the model; 1: has its weights staged; 2: has none staged; 3: has others; 4: is slow.
-fn delay_rank(roster: &Roster, key: HostKey, model: &ModelName) -> u8 {
-    let Some(host) = roster.host(key) else {
-        return u8::MAX;
-    };
-    match roster.pace(host) > 1.0 {
-        true => SLOW_RANK,
-        false => delay_rank_of(host, model),
-    }
+/// What keeps a host from being a ready member of a model's group, the shortest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Delay {
+    /// It was in a group of the model.
+    Loaded,
+    /// It has the weights staged.
+    Staged,
+    /// It is staging them.
+    Staging,
+    /// It has no weights.
+    Empty,
+    /// It has another model's weights.
+    Other,
+    /// It is staging another model's weights.
+    StagingOther,
+    /// It is slow, and its group would be as slow.
+    Slow,
+    /// It is not known.
+    Unknown,
 }
 
-fn delay_rank_of(host: &Host, model: &ModelName) -> u8 {
+fn delay_of(host: &Host, model: &ModelName) -> Delay {
     let member = host.runner.member.as_ref();
     let is_loaded = member.is_some_and(|member| member.model.as_ref() == Some(model));
     let is_staged = host.runner.staged.contains(model);
     match (is_loaded, is_staged, host.runner.staged.is_empty()) {
-        (true, _, _) => 0,
-        (_, true, _) => STAGED,
-        (_, _, true) => 2,
-        _ => 3,
+        (true, _, _) => Delay::Loaded,
+        (_, true, _) => Delay::Staged,
+        (_, _, true) => Delay::Empty,
+        _ => Delay::Other,
     }
 }
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -56,13 +56,21 @@
     name: HostName,
     born: u64,
     exchange: Option<Exchange>,
-    asked: Time,
+    /// When it was asked last.
+    asked: Option<Time>,
     is_asking: bool,
     is_lost: bool,
     /// How many times slower than usual it works, in halves.
     pace: f64,
 }
 
+impl Probe {
+    fn is_due(&self, now: Time) -> bool {
+        let waited = self.asked.map(|at| now.since(at));
+        !self.is_asking && waited.is_none_or(|waited| waited >= PROBE_INTERVAL)
+    }
+}
+
 /// Asks the members of groups whether they live.
 pub struct Prober<A> {
     site: Rc<Site>,
@@ -86,13 +94,13 @@
     /// Asks those whose turn it is.
     pub fn step(&self) {
         let now = self.site.now();
-        self.refresh(now);
+        self.refresh();
         let due: Vec<HostKey> = self
             .probes
             .borrow()
             .entries
             .iter()
-            .filter(|(_, probe)| !probe.is_asking && now.since(probe.asked) >= PROBE_INTERVAL)
+            .filter(|(_, probe)| probe.is_due(now))
             .map(|(key, _)| *key)
             .collect();
         for key in due {
@@ -124,7 +132,7 @@
     }
 
     /// Begins to ask new members, and forgets those that are members no more.
-    fn refresh(&self, now: Time) {
+    fn refresh(&self) {
         let roster = self.site.roster.borrow();
         let members: BTreeMap<HostKey, &Host> = roster
             .hosts()
@@ -137,7 +145,7 @@
                 name: host.name.clone(),
                 born: host.runner.born,
                 exchange: None,
-                asked: now,
+                asked: None,
                 is_asking: false,
                 is_lost: roster.is_lost(host),
                 pace: roster.pace(host),
@@ -159,7 +167,7 @@
         let Some(probe) = probes.entries.get_mut(&key) else {
             return;
         };
-        probe.asked = now;
+        probe.asked = Some(now);
         probe.is_asking = true;
         let kept = probe.exchange.take();
         let (site, probes) = (self.site.clone(), self.probes.clone());
--- a/src/gateway/staging.rs
+++ b/src/gateway/staging.rs
@@ -20,18 +20,46 @@
 /// How many times more a spare must be worth to another model to be staged anew.
 const RESTAGE: f64 = 1.5;
 
-/// Which hosts of a domain are to stage which model.
-pub(super) fn plan(
+/// A host that is to stage a model's weights.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Staging<'a> {
+    /// The host.
+    pub(super) host: HostKey,
+    /// The model.
+    pub(super) replication: &'a Replication,
+    /// What it is worth, in work of a group.
+    worth: f64,
+}
+
+/// Which free hosts are to stage which model, those worth most first.
+pub(super) fn plan<'a>(
+    roster: &Roster,
+    needs: &Needs<'a>,
+    pools: &BTreeMap<DomainName, Pool>,
+) -> Vec<Staging<'a>> {
+    let mut out: Vec<Staging<'a>> = pools
+        .values()
+        .flat_map(|pool| plan_domain(roster, needs, pools, pool))
+        .collect();
+    out.sort_by(|a, b| b.worth.total_cmp(&a.worth));
+    out
+}
+
+fn plan_domain<'a>(
     roster: &Roster,
-    needs: &Needs<'_>,
+    needs: &Needs<'a>,
     pools: &BTreeMap<DomainName, Pool>,
     pool: &Pool,
-) -> Vec<(HostKey, ModelName)> {
+) -> Vec<Staging<'a>> {
     let mut spares = Spares::count(roster, pool);
     let mut out = Vec::new();
-    for key in &pool.free {
-        let staged = staged_on(roster, *key);
-        let worth = |replication: &&Replication| {
+    let idle = pool
+        .free
+        .iter()
+        .filter(|key| !pool.loading.contains_key(key));
+    for key in idle {
+        let staged = staged_on(roster, pool, *key);
+        let worth = |replication: &Replication| {
             // A host gives no second spare to its own model.
             let own = staged.is_some_and(|model| *model == replication.model);
             spares.worth(needs, pools, replication, usize::from(own))
@@ -44,28 +72,35 @@
             None => true,
             Some(held) => {
                 let is_spare = pool.count(&held.model) > 0;
-                is_spare && worth(&best) > worth(&held) * RESTAGE
+                is_spare && worth(best) > worth(held) * RESTAGE
             }
         };
         if is_due {
+            out.push(Staging {
+                host: *key,
+                replication: best,
+                worth: worth(best),
+            });
             spares.move_one(staged, &best.model);
-            out.push((*key, best.model.clone()));
         }
     }
     out
 }
 
-fn staged_on(roster: &Roster, key: HostKey) -> Option<&ModelName> {
-    roster.host(key)?.runner.staged.last()
+/// The model that a host has staged or is staging.
+fn staged_on<'a>(roster: &'a Roster, pool: &'a Pool, key: HostKey) -> Option<&'a ModelName> {
+    let staged = || roster.host(key)?.runner.staged.last();
+    pool.loading.get(&key).or_else(staged)
 }
 
-/// Free hosts that have each model staged.
+/// Free hosts that have each model staged, or soon will.
 struct Spares(BTreeMap<ModelName, usize>);
 
 impl Spares {
     fn count(roster: &Roster, pool: &Pool) -> Self {
         let mut spares = BTreeMap::new();
-        for model in pool.free.iter().filter_map(|key| staged_on(roster, *key)) {
+        let free = pool.free.iter();
+        for model in free.filter_map(|key| staged_on(roster, pool, *key)) {
             *spares.entry(model.clone()).or_default() += 1;
         }
         Self(spares)
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,5 +5,6 @@
 mod fleet;
 mod groups;
 mod placement;
+mod pools;
 mod routes;
 mod streams;
