--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,7 +15,7 @@
 };
 use std::{net::SocketAddr, time::Duration};
 
-/// How long connecting may take; links within a region take a few milliseconds.
+/// How long connecting may take to a runner that was never reached.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Why no answer came.
@@ -40,8 +40,8 @@
     /// # Errors
     ///
     /// Fails if it can't be reached in time; nothing was sent then.
-    pub async fn open(address: SocketAddr) -> Result<Self, SendError> {
-        let stream = connect_within(address, CONNECT_TIMEOUT)
+    pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, SendError> {
+        let stream = connect_within(address, timeout)
             .await
             .map_err(|_| SendError::NotSent)?;
         let (sender, connection) = Builder::new()
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,7 +8,7 @@
     adapter::{Adapter, AnswerHead, CallHead, Passed},
     admission::Standing,
     answer::{self, Answer, Refusal, strip_hop_by_hop},
-    exchange::{Exchange, SendError},
+    exchange::{CONNECT_TIMEOUT, Exchange, SendError},
     placement::{self, Place, Shortage, Wanted},
     roster::HostKey,
     spec::{Kind, Route, Spec},
@@ -46,6 +46,9 @@
 /// How long a request waits for its first event at a head whose streams are silent.
 const STALL_PATIENCE: Span = Span::from_millis(500);
 
+/// The same at a head that passes on no other stream of this daemon.
+const LONE_PATIENCE: Span = Span::from_millis(1_000);
+
 /// The time that a caller waits, if it doesn't say.
 const USUAL_DEADLINE: Span = Span::from_secs(30);
 
@@ -438,8 +441,7 @@
     A: Adapter,
 {
     let counted = Counted::new(call.site.clone(), place.host);
-    let opened = Exchange::open(place.address).await;
-    let mut exchange = opened.map_err(|_| Miss::Unreached)?;
+    let mut exchange = open(call, place).await?;
     let request = request::<A>(call, place, passing);
     call.sends += 1;
     call.runs += 1;
@@ -500,6 +502,19 @@
     may_fail_over.then_some(Miss::Failed)
 }
 
+/// Connects to a runner; one that was reached before gets little longer than it took then.
+async fn open(call: &Call, place: &Place) -> Result<Exchange, Miss> {
+    let loads = &call.site.loads;
+    let began = call.site.now();
+    let limit = loads.borrow().connect_limit(place.host);
+    let timeout = limit.map_or(CONNECT_TIMEOUT, Duration::from);
+    let opened = Exchange::open(place.address, timeout).await;
+    let exchange = opened.map_err(|_| Miss::Unreached)?;
+    let took = call.site.now().since(began);
+    loads.borrow_mut().reached(place.host, took);
+    Ok(exchange)
+}
+
 /// The request as it is sent to a runner.
 fn request<A>(call: &Call, place: &Place, passing: Passing) -> Request<Full<Bytes>>
 where
@@ -555,14 +570,19 @@
     if !may_move(call) {
         return false;
     }
-    match place.epoch {
-        None => waited > PATIENCE,
-        Some(_) => {
-            let now = call.site.now();
-            let silence = call.site.loads.borrow().stalled(place.host, now);
-            silence.is_some_and(|silence| silence.min(waited) > STALL_PATIENCE)
-        }
+    if place.epoch.is_none() {
+        return waited > PATIENCE;
     }
+    let silence = call
+        .site
+        .loads
+        .borrow()
+        .silence(place.host, call.site.now());
+    let patience = match silence.has_streams {
+        true => STALL_PATIENCE,
+        false => LONE_PATIENCE,
+    };
+    silence.span.min(waited) > patience
 }
 
 /// Whether a request may run on one more runner.
@@ -601,7 +621,8 @@
 /// Logs a send that came to nothing, and remembers it of the runner.
 pub(super) fn note_miss(call: &Call, place: &Place, miss: Miss) {
     let now = call.site.now();
-    if matches!(miss, Miss::Unreached | Miss::Declined) {
+    let is_silent = place.epoch.is_some() && call.site.loads.borrow().stalled(place.host, now);
+    if is_silent || matches!(miss, Miss::Unreached | Miss::Declined) {
         call.site.loads.borrow_mut().failed(place.host, now);
     }
     counter!("sends_missed_total", "miss" => miss.name()).increment(1);
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -14,7 +14,13 @@
 const REPORT_LIFE: Span = Span::from_millis(2_000);
 
 /// How long a head may be silent on all streams before it is avoided; passes take far less.
-const STALL: Span = Span::from_millis(400);
+const STALL: Span = Span::from_millis(300);
+
+/// How many times longer than before connecting to a runner may take.
+const CONNECT_FACTOR: u64 = 4;
+
+/// How long connecting to a runner may take at the least.
+const CONNECT_MIN: Span = Span::from_millis(150);
 
 /// A runner's own figures, as sent with an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -44,6 +50,17 @@
     streams: u32,
     /// When one of them last moved.
     moved: Time,
+    /// How long connecting took last.
+    connect: Option<Span>,
+}
+
+/// How long a runner has passed nothing on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// The time.
+    pub span: Span,
+    /// Whether streams of this daemon should have moved meanwhile.
+    pub has_streams: bool,
 }
 
 /// The load of all runners.
@@ -115,18 +132,39 @@
         }
     }
 
-    /// For how long all streams at a runner have been silent, if that is too long.
-    pub fn stalled(&self, host: HostKey, now: Time) -> Option<Span> {
-        let entry = self.entries.get(host)?;
-        let silence = now.since(entry.moved);
-        (entry.streams > 0 && silence > STALL).then_some(silence)
+    /// Takes in how long connecting to a runner took.
+    pub fn reached(&mut self, host: HostKey, took: Span) {
+        if let Some(entry) = self.entry(host) {
+            entry.connect = Some(took);
+        }
+    }
+
+    /// How long connecting to a runner may take, if it was reached before.
+    pub fn connect_limit(&self, host: HostKey) -> Option<Span> {
+        let took = self.entries.get(host)?.connect?;
+        Some(CONNECT_MIN.max(took.times(CONNECT_FACTOR)))
+    }
+
+    /// For how long a runner has passed nothing on.
+    pub fn silence(&self, host: HostKey, now: Time) -> Silence {
+        let entry = self.entries.get(host).copied().unwrap_or_default();
+        Silence {
+            span: now.since(entry.moved),
+            has_streams: entry.streams > 0,
+        }
+    }
+
+    /// Whether all streams at a runner have been silent for too long.
+    pub fn stalled(&self, host: HostKey, now: Time) -> bool {
+        let silence = self.silence(host, now);
+        silence.has_streams && silence.span > STALL
     }
 
     /// Whether a runner is avoided for now.
     pub fn is_avoided(&self, host: HostKey, now: Time) -> bool {
         let entry = self.entries.get(host);
         let is_avoided = entry.is_some_and(|entry| entry.avoided.is_some_and(|until| now < until));
-        is_avoided || self.stalled(host, now).is_some()
+        is_avoided || self.stalled(host, now)
     }
 
     /// The requests that a runner is thought to hold.
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -3,7 +3,12 @@
 //! An answer only says whether the order arrived: what came of it is read from
 //! the runner's own reports, and the planner sends again what had no effect.
 
-use super::{adapter::Adapter, exchange::Exchange, planner::Directive, state::Site};
+use super::{
+    adapter::Adapter,
+    exchange::{CONNECT_TIMEOUT, Exchange},
+    planner::Directive,
+    state::Site,
+};
 use http::{Request, header::CONTENT_TYPE};
 use http_body_util::Full;
 use metrics::counter;
@@ -60,7 +65,7 @@
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(body))
         .expect("an order's head is well formed");
-    let answer = match Exchange::open(address).await {
+    let answer = match Exchange::open(address, CONNECT_TIMEOUT).await {
         Ok(mut exchange) => exchange.send(request).await,
         Err(error) => Err(error),
     };
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -8,7 +8,7 @@
 
 use super::{
     adapter::Adapter,
-    exchange::Exchange,
+    exchange::{CONNECT_TIMEOUT, Exchange},
     roster::{Host, HostKey, Life},
     state::Site,
 };
@@ -228,7 +228,7 @@
         return Some(answered);
     }
     let fresh = || async {
-        let exchange = Exchange::open(address).await.ok()?;
+        let exchange = Exchange::open(address, CONNECT_TIMEOUT).await.ok()?;
         read::<A>(exchange, address).await
     };
     // Two at once: one lost packet says nothing of the member.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -75,6 +75,9 @@
         let host = begun.place.host;
         call.site.loads.borrow_mut().begun(host, call.site.now());
         let end = pass(&call, &begun.place, body, &mut last, &mut sink).await;
+        if matches!(end, End::Broken) {
+            note_miss(&call, &begun.place, Miss::Unknown);
+        }
         call.site.loads.borrow_mut().stopped(host);
         // The exchange lives until here: dropping it ends the runner's work.
         drop(begun.exchange);
@@ -93,7 +96,7 @@
                 log_end(&call, "timed out", last);
                 break;
             }
-            End::Broken => note_miss(&call, &begun.place, Miss::Unknown),
+            End::Broken => {}
         }
         if !is_repeatable(&call) {
             log_end(&call, "cut", last);
@@ -183,12 +186,9 @@
         return None;
     }
     let is_served = placement::still_serves(&call.site.roster.borrow(), place);
-    let silence = call
-        .site
-        .loads
-        .borrow()
-        .stalled(place.host, call.site.now());
-    let is_silent = silence.is_some_and(|silence| silence > SILENCE) && may_move(call);
+    let now = call.site.now();
+    let silence = call.site.loads.borrow().silence(place.host, now);
+    let is_silent = silence.span > SILENCE && may_move(call);
     (!is_served || is_silent).then_some(End::Broken)
 }
 
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -136,6 +136,31 @@
     assert_eq!(place.host, heads[1]);
 }
 
+#[test]
+fn a_silent_head_stays_avoided_once_its_streams_have_gone() {
+    let mut env = TestEnv::new(2);
+    let heads = env.heads();
+    env.loads.begun(heads[0], env.fleet.now);
+    env.load(heads[1], 20, 0);
+    env.fleet.now = env.fleet.now + Span::from_millis(1_000);
+    assert!(env.loads.stalled(heads[0], env.fleet.now));
+    env.loads.failed(heads[0], env.fleet.now);
+    env.loads.stopped(heads[0]);
+    let place = env.choose(Standing::Timely, &[]).expect("a place");
+    assert_eq!(place.host, heads[1]);
+}
+
+#[test]
+fn connecting_may_take_little_longer_than_before() {
+    let mut env = TestEnv::new(1);
+    let head = env.heads()[0];
+    assert_eq!(env.loads.connect_limit(head), None);
+    env.loads.reached(head, Span::from_millis(2));
+    assert_eq!(env.loads.connect_limit(head), Some(Span::from_millis(150)));
+    env.loads.reached(head, Span::from_millis(90));
+    assert_eq!(env.loads.connect_limit(head), Some(Span::from_millis(360)));
+}
+
 #[test]
 fn a_lost_member_ends_the_wait_for_its_group() {
     let mut env = TestEnv::new(1);
--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -264,7 +264,7 @@
         let method = words.next().unwrap_or_default();
         let uri = words.next().unwrap_or_default();
         let (path, query) = uri.split_once('?').unwrap_or((uri, ""));
-        let until = Instant::now() + store.wait();
+        let until = Instant::now() + store.wait(path, query);
         let (status, body) = loop {
             if let Some(answer) = store.answer(method, path, query, &seen.body) {
                 break answer;
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -141,6 +141,19 @@
     });
 }
 
+#[test]
+fn a_new_watch_is_answered_at_once() {
+    let env = TestEnv::start();
+    let waits = env.store.waits("servers/");
+    assert_eq!(waits[0], 0, "a store that hangs is noticed late");
+    env.eventually("the next watch waits", |env| {
+        env.store
+            .waits("servers/")
+            .get(1)
+            .is_some_and(|wait| *wait > 0)
+    });
+}
+
 #[test]
 fn a_runner_that_has_left_gets_no_more_requests() {
     let env = TestEnv::start();
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -21,6 +21,8 @@
     events: Vec<(String, i64, Option<Item>)>,
     revision: i64,
     leases: i64,
+    /// How long each watch was to wait, in milliseconds, by its prefix.
+    waits: BTreeMap<String, Vec<u64>>,
 }
 
 /// The store.
@@ -51,6 +53,19 @@
             .collect()
     }
 
+    /// How long the watches of a prefix were to wait, in milliseconds.
+    pub fn waits(&self, prefix: &str) -> Vec<u64> {
+        let state = self.state.lock().expect("not poisoned");
+        state.waits.get(prefix).cloned().unwrap_or_default()
+    }
+
+    /// Takes in that a watch begins.
+    fn watched(&self, prefix: &str, wait_ms: u64) {
+        let mut state = self.state.lock().expect("not poisoned");
+        let waits = state.waits.entry(prefix.to_owned()).or_default();
+        waits.push(wait_ms);
+    }
+
     /// Answers a call; none while a watch has nothing to tell.
     pub fn answer(
         &self,
@@ -94,9 +109,19 @@
         json!({"events": [], "CurrentRev": state.revision})
     }
 
-    /// How long a watch waits.
-    pub fn wait(&self) -> Duration {
-        WATCH_WAIT
+    /// How long a call waits for a change; a watch says how long at the most.
+    pub fn wait(&self, path: &str, query: &str) -> Duration {
+        if path != "/kv-watch" {
+            return WATCH_WAIT;
+        }
+        let value = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            let found = pairs.find(|(key, _)| *key == name);
+            found.expect("a watch says it").1
+        };
+        let wait_ms = value("WaitMs").parse().expect("whole milliseconds");
+        self.watched(value("Prefix"), wait_ms);
+        WATCH_WAIT.min(Duration::from_millis(wait_ms))
     }
 }
 
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -1,6 +1,7 @@
 //! Streams of events.
 
 use super::{env::TestEnv, runner::Act};
+use std::time::Duration;
 
 fn ids(body: &str) -> Vec<u64> {
     let lines = body.lines().filter_map(|line| line.strip_prefix("id: "));
@@ -66,3 +67,10 @@
     let answer = env.stream(&[]);
     assert_eq!((answer.status, ids(&answer.body)), (200, vec![1, 2]));
 }
+
+#[test]
+fn a_head_that_never_answers_is_left_for_another() {
+    let silent = Act::Slow(Duration::from_secs(60), "too late");
+    let answer = env(&[silent, whole(2)]).stream(&[]);
+    assert_eq!((answer.status, ids(&answer.body)), (200, vec![1, 2]));
+}
