Heads that are dead are told from heads that leave

Its entry was still listed as ready when the store came back, it answered one probe, then refused connections while it was busy; that it had stayed when it answered was taken for proof that it had crashed.

Change: a head whose machine is silent is dead; one that refuses connections has crashed only if its entry had settled for 4 s after the last outage when it answered. Tests fail first.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -181,9 +181,8 @@
             self.orders.send(directive);
         }
         let roster = site.roster.borrow();
-        let stayed = lost.iter().filter(|life| roster.has_stayed(life));
         let verdict = Verdict {
-            stayed: stayed.cloned().collect(),
+            dead: roster.dead(),
             lost: lost.into_iter().collect(),
             slow: slow.into_iter().collect(),
             ended: self.planner.ended(&roster, site.now()),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,7 +13,7 @@
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
 };
-use std::{net::SocketAddr, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 /// How long connecting may take to a runner that was never reached.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -21,6 +21,8 @@
 /// Why no answer came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendError {
+    /// Nobody listens there; no byte was sent.
+    Refused,
     /// No byte was sent.
     NotSent,
     /// The request may have arrived.
@@ -41,9 +43,13 @@
     ///
     /// Fails if it can't be reached in time; nothing was sent then.
     pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, SendError> {
-        let stream = connect_within(address, timeout)
-            .await
-            .map_err(|_| SendError::NotSent)?;
+        let stream =
+            connect_within(address, timeout)
+                .await
+                .map_err(|error| match error.kind() {
+                    ErrorKind::ConnectionRefused => SendError::Refused,
+                    _ => SendError::NotSent,
+                })?;
         let (sender, connection) = Builder::new()
             .handshake(HyperStream::new_plain(stream))
             .await
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -449,7 +449,7 @@
         let sending = async {
             let sent = exchange.send(request).await;
             sent.map_err(|error| match error {
-                SendError::NotSent => Miss::Unreached,
+                SendError::Refused | SendError::NotSent => Miss::Unreached,
                 SendError::Cut => Miss::Unknown,
             })
         };
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -25,11 +25,11 @@
     /// What the holder of the duty found out by its probes.
     #[derive(Default)]
     pub struct Verdict {
-        /// Runners that are dead.
+        /// Runners that answer no more.
         pub lost: Vec<Life>,
-        /// Those of them that were listed and not leaving when they last answered.
+        /// Those of them that are dead rather than leaving.
         #[serde(default)]
-        pub stayed: Vec<Life>,
+        pub dead: Vec<Life>,
         /// Groups whose heads are gone for good: their members are free.
         #[serde(default)]
         pub ended: Vec<Epoch>,
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -558,7 +558,7 @@
     let Some(unlisted) = head.unlisted.filter(|_| roster.is_lost(head)) else {
         return true;
     };
-    head.stayed != Some(true) && now.since(unlisted) < LEAVING_LIMIT
+    !roster.is_dead(head) && now.since(unlisted) < LEAVING_LIMIT
 }
 
 /// The model in greatest need that some domain has room for, and the domain that is ready soonest.
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -8,8 +8,8 @@
 
 use super::{
     adapter::Adapter,
-    exchange::{CONNECT_TIMEOUT, Exchange},
-    roster::{Host, HostKey, Life},
+    exchange::{CONNECT_TIMEOUT, Exchange, SendError},
+    roster::{Failure, Host, HostKey, Life},
     state::Site,
 };
 use crate::core::{
@@ -24,6 +24,7 @@
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
     marker::PhantomData,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -184,7 +185,7 @@
     site: &Site,
     probes: &RefCell<Probes>,
     key: HostKey,
-    answered: Option<(Exchange, Bytes)>,
+    answered: Result<(Exchange, Bytes), Failure>,
 ) where
     A: Adapter,
 {
@@ -193,21 +194,23 @@
         return;
     };
     probe.is_asking = false;
-    let is_lost = answered.is_none();
+    let is_lost = answered.is_err();
     if is_lost != probe.is_lost {
         slog::info!(site.log, "member probed";
             "host" => probe.name.as_str(), "lost" => is_lost);
     }
     probe.is_lost = is_lost;
-    let Some((exchange, text)) = answered else {
-        return;
+    let mut roster = site.roster.borrow_mut();
+    let (exchange, text) = match answered {
+        Ok(answered) => answered,
+        Err(failure) => return roster.missed(&probe.name, failure),
     };
     probe.exchange = Some(exchange);
     match A::report(&text) {
         Ok(report) => {
             // Coarse steps: the verdict is written anew with each change.
             probe.pace = (report.pace * 2.0).round() / 2.0;
-            site.roster.borrow_mut().report(&probe.name, report.member);
+            roster.report(&probe.name, report.member, site.now());
         }
         Err(error) => slog::warn!(site.log, "report refused";
             "host" => probe.name.as_str(), "cause" => error.to_string()),
@@ -216,20 +219,20 @@
 
 /// Asks over the connection kept open, then over fresh ones.
 async fn probe_host<A>(
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     kept: Option<Exchange>,
-) -> Option<(Exchange, Bytes)>
+) -> Result<(Exchange, Bytes), Failure>
 where
     A: Adapter,
 {
     if let Some(exchange) = kept
-        && let Some(answered) = within(KEPT_TIMEOUT, read::<A>(exchange, address)).await
+        && let Ok(answered) = within(KEPT_TIMEOUT, read::<A>(exchange, address)).await
     {
-        return Some(answered);
+        return Ok(answered);
     }
     let fresh = || async {
-        let exchange = Exchange::open(address, CONNECT_TIMEOUT).await.ok()?;
-        read::<A>(exchange, address).await
+        let exchange = Exchange::open(address, CONNECT_TIMEOUT).await;
+        read::<A>(exchange.map_err(failure)?, address).await
     };
     // Two at once: one lost packet says nothing of the member.
     let (first, second) = join(
@@ -237,29 +240,42 @@
         within(FRESH_TIMEOUT, fresh()),
     )
     .await;
-    first.or(second)
+    match (first, second) {
+        (Ok(answered), _) | (_, Ok(answered)) => Ok(answered),
+        (Err(Failure::Refused), _) | (_, Err(Failure::Refused)) => Err(Failure::Refused),
+        _ => Err(Failure::Silent),
+    }
 }
 
-async fn within<F, T>(timeout: Duration, asked: F) -> Option<T>
+async fn within<F, T>(timeout: Duration, asked: F) -> Result<T, Failure>
 where
-    F: Future<Output = Option<T>>,
+    F: Future<Output = Result<T, Failure>>,
 {
-    compio::time::timeout(timeout, asked).await.ok()?
+    let answered = compio::time::timeout(timeout, asked).await;
+    answered.unwrap_or(Err(Failure::Silent))
+}
+
+fn failure(error: SendError) -> Failure {
+    match error {
+        SendError::NotSent => Failure::Silent,
+        // A connection that was cut was cut by somebody.
+        SendError::Refused | SendError::Cut => Failure::Refused,
+    }
 }
 
-async fn read<A>(mut exchange: Exchange, address: std::net::SocketAddr) -> Option<(Exchange, Bytes)>
+async fn read<A>(mut exchange: Exchange, address: SocketAddr) -> Result<(Exchange, Bytes), Failure>
 where
     A: Adapter,
 {
     let request = Request::get(A::report_path())
         .header("host", address.to_string())
         .body(Full::default())
-        .ok()?;
-    let answer = exchange.send(request).await.ok()?;
+        .expect("a probe's head is well formed");
+    let answer = exchange.send(request).await.map_err(failure)?;
     if !answer.status().is_success() {
-        return None;
+        return Err(Failure::Refused);
     }
     let body = Limited::new(answer.into_body(), MAX_REPORT);
-    let text = body.collect().await.ok()?.to_bytes();
-    Some((exchange, text))
+    let whole = body.collect().await.map_err(|_| Failure::Refused)?;
+    Ok((exchange, whole.to_bytes()))
 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -21,6 +21,9 @@
 /// How long a head that leaves may go on with its requests once it listens no more.
 pub const LEAVING_LIMIT: Span = Span::from_millis(11_000);
 
+/// How long after an outage an entry may still say what was so before it.
+const SETTLING: Span = Span::from_millis(4_000);
+
 /// How long a host without an entry is remembered.
 const MEMORY: Span = Span::from_secs(30);
 
@@ -94,8 +97,23 @@
     pub runner: Runner,
     /// Since when its entry is gone.
     pub unlisted: Option<Time>,
-    /// Whether it was listed and not leaving when it last answered a probe; none before any.
-    pub stayed: Option<bool>,
+    /// When it last answered a probe, if it was listed and not leaving then.
+    stayed: Option<Time>,
+    /// How its last probe failed, if it did.
+    failure: Option<Failure>,
+    /// Whether another daemon found it to be dead rather than leaving.
+    is_dead: bool,
+}
+
+crate::record! {
+    /// How a probe failed.
+    #[derive(Copy, Eq)]
+    pub enum Failure {
+        /// Nothing came back: its machine is gone.
+        Silent,
+        /// Its machine answers, but it listens no more.
+        Refused,
+    }
 }
 
 /// The members of one group at one epoch, as they say themselves.
@@ -168,6 +186,8 @@
                     runner,
                     unlisted: None,
                     stayed: None,
+                    failure: None,
+                    is_dead: false,
                 };
                 let key = self.hosts.insert(host);
                 self.names.insert(name, key);
@@ -202,32 +222,39 @@
     }
 
     /// Takes in what a runner answered to a probe; its entry, if it has one, is newer.
-    pub fn report(&mut self, name: &HostName, member: Option<Membership>) {
+    pub fn report(&mut self, name: &HostName, member: Option<Membership>, now: Time) {
         let Some(key) = self.names.get(name) else {
             return;
         };
         let host = &mut self.hosts[*key];
-        host.stayed = Some(host.unlisted.is_none() && !host.runner.draining);
+        let has_stayed = host.unlisted.is_none() && !host.runner.draining;
+        host.stayed = has_stayed.then_some(now);
+        host.failure = None;
         if host.unlisted.is_some() && host.runner.member != member {
             host.runner.member = member;
         }
     }
 
+    /// Takes in that a runner answered no probe.
+    pub fn missed(&mut self, name: &HostName, failure: Failure) {
+        if let Some(key) = self.names.get(name) {
+            self.hosts[*key].failure = Some(failure);
+        }
+    }
+
     /// Marks lifetimes as dead, in place of the marks before.
     pub fn set_lost(&mut self, lost: BTreeSet<Life>) {
         self.lost = lost;
     }
 
-    /// Takes in which lifetimes were listed and not leaving when they last answered another daemon.
-    pub fn mark_stayed(&mut self, lives: &[Life]) {
+    /// Takes in which lifetimes are dead rather than leaving, as another daemon found out.
+    pub fn mark_dead(&mut self, lives: &[Life]) {
         for (name, born) in lives {
             let Some(key) = self.names.get(name) else {
                 continue;
             };
             let host = &mut self.hosts[*key];
-            if host.runner.born == *born {
-                host.stayed.get_or_insert(true);
-            }
+            host.is_dead |= host.runner.born == *born;
         }
     }
 
@@ -236,10 +263,29 @@
         self.ended = ended.iter().copied().collect();
     }
 
-    /// Whether a lifetime was listed and not leaving when it last answered a probe.
-    pub fn has_stayed(&self, (name, born): &Life) -> bool {
-        let host = self.named(name).map(|(_, host)| host);
-        host.is_some_and(|host| host.runner.born == *born && host.stayed == Some(true))
+    /// Whether a host that was found lost is dead; one that leaves may listen no more and be
+    /// busy nevertheless.
+    ///
+    /// One that refuses connections has crashed only if it was seen to stay shortly before, which
+    /// nobody can tell while the store is away: runners that leave then can't say so.
+    pub fn is_dead(&self, host: &Host) -> bool {
+        let settled = self.followed.map(|since| since + SETTLING);
+        let has_crashed = || host.stayed.is_some() && host.stayed >= settled;
+        match host.failure {
+            _ if host.is_dead => true,
+            Some(Failure::Silent) => true,
+            Some(Failure::Refused) => has_crashed(),
+            None => false,
+        }
+    }
+
+    /// The lifetimes found lost that are dead.
+    pub fn dead(&self) -> Vec<Life> {
+        let lives = self.lost.iter().filter(|(name, born)| {
+            let host = self.named(name).map(|(_, host)| host);
+            host.is_some_and(|host| host.runner.born == *born && self.is_dead(host))
+        });
+        lives.cloned().collect()
     }
 
     /// Marks lifetimes as slow, in place of the marks before.
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -187,7 +187,7 @@
         if let Some(verdict) = self.read::<Verdict>(entry) {
             self.site.peers.borrow_mut().verdict = Some(entry.revision);
             let mut roster = self.site.roster.borrow_mut();
-            roster.mark_stayed(&verdict.stayed);
+            roster.mark_dead(&verdict.dead);
             roster.mark_ended(&verdict.ended);
             roster.set_lost(verdict.lost.into_iter().collect());
             roster.set_slow(verdict.slow.into_iter().collect());
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -11,11 +11,11 @@
     gateway::{
         demand::Demand,
         planner::{Directive, Order, Planner},
-        roster::{Life, MemberState, Membership, Roster, Runner},
+        roster::{Failure, Life, MemberState, Membership, Roster, Runner},
         spec::{Engine, Replication, Service, Spec},
     },
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// The time between two steps of the planner.
 pub const STEP: Span = Span::from_millis(100);
@@ -121,7 +121,8 @@
     hosts: BTreeMap<HostName, Real>,
     pending: Vec<(Time, Directive)>,
     reported: BTreeMap<HostName, Runner>,
-    lost: BTreeSet<(HostName, u64)>,
+    /// Hosts that answer no probe, and how they fail to.
+    lost: BTreeMap<Life, Failure>,
     /// Whether entries reach the daemon no more.
     pub is_dark: bool,
     /// What was broken, in words.
@@ -140,7 +141,7 @@
             hosts: BTreeMap::new(),
             pending: Vec::new(),
             reported: BTreeMap::new(),
-            lost: BTreeSet::new(),
+            lost: BTreeMap::new(),
             is_dark: false,
             broken: Vec::new(),
         };
@@ -169,13 +170,38 @@
         self.hosts.insert(HostName::from(host), real);
     }
 
-    /// Kills a host; it is found dead at once, and its entry goes if `unlisted`.
+    /// Cuts the daemon off from the store and from its duty.
+    pub fn lose_store(&mut self) {
+        self.is_dark = true;
+    }
+
+    /// Lets the store answer again: entries that are gone are so at once.
+    pub fn regain_store(&mut self) {
+        self.is_dark = false;
+        self.roster.store_returned(self.now);
+        let gone = self.hosts.iter();
+        let gone = gone.filter(|(_, real)| real.is_dead || real.is_unlisted);
+        for (name, _) in gone {
+            self.roster.remove(name, self.now);
+        }
+    }
+
+    /// Takes a host's power away; it is found lost at once, and its entry goes if `unlisted`.
     pub fn kill(&mut self, host: &HostName, unlisted: bool) {
+        self.lose(host, unlisted, Failure::Silent);
+    }
+
+    /// Ends a host's runner; it is found lost at once, and its entry goes.
+    pub fn crash(&mut self, host: &HostName) {
+        self.lose(host, true, Failure::Refused);
+    }
+
+    fn lose(&mut self, host: &HostName, unlisted: bool, failure: Failure) {
         let Some(real) = self.hosts.get_mut(host) else {
             return;
         };
         real.is_dead = true;
-        self.lost.insert((host.clone(), real.born));
+        self.lost.insert((host.clone(), real.born), failure);
         if unlisted {
             self.roster.remove(host, self.now);
         }
@@ -202,17 +228,12 @@
     /// Hands the duty to a daemon that has listed all hosts, but has probed none; it learns what
     /// its predecessor found out.
     pub fn hand_to_peer(&mut self, epoch: Epoch) {
-        let stayed: Vec<Life> = self
-            .lost
-            .iter()
-            .filter(|life| self.roster.has_stayed(life))
-            .cloned()
-            .collect();
+        let dead = self.roster.dead();
         let known = self.hosts.iter();
         let listed = known.map(|(name, real)| (name.clone(), entry(real)));
         self.roster = Roster::default();
         self.roster.replace(listed.collect(), self.now);
-        self.roster.mark_stayed(&stayed);
+        self.roster.mark_dead(&dead);
         self.reported.clear();
         self.planner = Planner::new(epoch);
         self.planner.busy = true;
@@ -239,7 +260,8 @@
 
     /// Lets a host answer no more, though it goes on with its requests.
     pub fn deafen(&mut self, host: &HostName) {
-        self.lost.insert((host.clone(), self.hosts[host].born));
+        let life = (host.clone(), self.hosts[host].born);
+        self.lost.insert(life, Failure::Refused);
     }
 
     /// Lets a host announce that it leaves.
@@ -263,7 +285,10 @@
         while self.now < until {
             self.tick();
             self.report();
-            self.roster.set_lost(self.lost.clone());
+            self.roster.set_lost(self.lost.keys().cloned().collect());
+            for ((name, _), failure) in &self.lost {
+                self.roster.missed(name, *failure);
+            }
             self.roster.assemble(&self.spec);
             for directive in self
                 .planner
@@ -534,8 +559,8 @@
 
         for (name, real) in self.hosts.iter().filter(|(_, real)| !real.is_dead) {
             let entry = entry(real);
-            if !self.lost.contains(&(name.clone(), real.born)) {
-                self.roster.report(name, entry.member.clone());
+            if !self.lost.contains_key(&(name.clone(), real.born)) {
+                self.roster.report(name, entry.member.clone(), self.now);
             }
             if real.is_unlisted {
                 continue;
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -226,6 +226,54 @@
     assert_eq!(fleet.serving(SMALL), 1);
 }
 
+#[test]
+fn a_head_that_left_while_the_store_was_away_holds_its_members() {
+    let mut fleet = settled(1, 11);
+    let head = fleet.members(SMALL)[0].clone();
+    fleet.lose_store();
+    fleet.settle(Span::from_secs(6));
+    fleet.unlist(&head);
+    fleet.regain_store();
+    fleet.deafen(&head);
+    fleet.settle(Span::from_secs(6));
+    assert_eq!(fleet.broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_head_that_left_shortly_after_the_stores_return_holds_its_members() {
+    let mut fleet = settled(1, 11);
+    let head = fleet.members(SMALL)[0].clone();
+    fleet.lose_store();
+    fleet.settle(Span::from_secs(6));
+    fleet.regain_store();
+    fleet.settle(Span::from_millis(500));
+    fleet.unlist(&head);
+    fleet.deafen(&head);
+    fleet.settle(Span::from_secs(6));
+    assert_eq!(fleet.broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_head_that_crashed_while_the_store_was_away_frees_them_if_its_machine_is_silent() {
+    let mut fleet = settled(1, 11);
+    let head = fleet.members(SMALL)[0].clone();
+    fleet.lose_store();
+    fleet.settle(Span::from_secs(6));
+    fleet.kill(&head, true);
+    fleet.regain_store();
+    fleet.settle(Span::from_secs(4));
+    assert_eq!(fleet.serving(SMALL), 1);
+}
+
+#[test]
+fn a_head_that_crashed_in_plain_sight_frees_its_members() {
+    let mut fleet = settled(1, 11);
+    let head = fleet.members(SMALL)[0].clone();
+    fleet.crash(&head);
+    fleet.settle(Span::from_secs(4));
+    assert_eq!(fleet.serving(SMALL), 1);
+}
+
 #[test]
 fn a_closing_head_is_cut_once_its_time_is_over() {
     let mut fleet = settled(1, 11);
