Refusal::Duplicate and the twin arms of the operators' changes go

No code has ended a request with Refusal::Duplicate since tickets replaced claims; doubts still name duplicates. Its status row goes from the test of statuses, and the fleet's check of it, which could not fire.

--- a/src/commands/operate/change.rs
+++ b/src/commands/operate/change.rs
@@ -34,6 +34,26 @@
     given.unwrap_or_else(|| rand::random_range(1..=u64::MAX))
 }
 
+/// The group that a command describes; creating and changing one take the same options.
+macro_rules! group_of {
+    ($args:expr) => {
+        Group {
+            name: $args.name,
+            model: $args.model,
+            version: $args.version,
+            size: $args.size,
+            domain: $args.domain,
+            accounts: $args.account,
+        }
+    };
+}
+
+/// A request that names what it is about.
+fn named(given: Option<u64>, name: String) -> NameRequest {
+    let operation = operation(given);
+    NameRequest { operation, name }
+}
+
 fn finish(
     session: &Session,
     operation: u64,
@@ -69,14 +89,7 @@
     match command {
         GroupCommand::Create(args) => {
             let operation = operation(args.operation);
-            let group = Group {
-                name: args.name,
-                model: args.model,
-                version: args.version,
-                size: args.size,
-                domain: args.domain,
-                accounts: args.account,
-            };
+            let group = group_of!(args);
             let request = CreateGroupRequest {
                 operation,
                 group: Some(group),
@@ -86,14 +99,7 @@
         }
         GroupCommand::Change(args) => {
             let operation = operation(args.operation);
-            let group = Group {
-                name: args.name,
-                model: args.model,
-                version: args.version,
-                size: args.size,
-                domain: args.domain,
-                accounts: args.account,
-            };
+            let group = group_of!(args);
             let request = ChangeGroupRequest {
                 operation,
                 group: Some(group),
@@ -105,11 +111,8 @@
         GroupCommand::Drain(args) => drain(session, args.operation, args.name, true).await,
         GroupCommand::Undrain(args) => drain(session, args.operation, args.name, false).await,
         GroupCommand::Delete(args) => {
-            let operation = operation(args.operation);
-            let request = NameRequest {
-                operation,
-                name: args.name,
-            };
+            let request = named(args.operation, args.name);
+            let operation = request.operation;
             let result = session.client.delete_group(request).await;
             finish(session, operation, result)
         }
@@ -161,11 +164,8 @@
             finish(session, operation, result)
         }
         AccountCommand::Delete(args) => {
-            let operation = operation(args.operation);
-            let request = NameRequest {
-                operation,
-                name: args.name,
-            };
+            let request = named(args.operation, args.name);
+            let operation = request.operation;
             let result = session.client.delete_account(request).await;
             finish(session, operation, result)
         }
@@ -195,11 +195,8 @@
             finish(session, operation, result)
         }
         ModelCommand::Delete(args) => {
-            let operation = operation(args.operation);
-            let request = NameRequest {
-                operation,
-                name: args.name,
-            };
+            let request = named(args.operation, args.name);
+            let operation = request.operation;
             let result = session.client.delete_model(request).await;
             finish(session, operation, result)
         }
--- a/src/core/output.rs
+++ b/src/core/output.rs
@@ -144,8 +144,6 @@
         Stale,
         /// The platform's service is needed and can't be reached.
         PlatformDown,
-        /// The same non-idempotent request was taken before.
-        Duplicate,
         /// Every attempt was declined or never sent.
         Exhausted,
         /// The deadline passed before it was started.
--- a/src/report/tally.rs
+++ b/src/report/tally.rs
@@ -117,11 +117,7 @@
 fn is_owed(reason: Refusal) -> bool {
     !matches!(
         reason,
-        Refusal::Unauthorized
-            | Refusal::NotFound
-            | Refusal::Invalid
-            | Refusal::OverLimit
-            | Refusal::Duplicate
+        Refusal::Unauthorized | Refusal::NotFound | Refusal::Invalid | Refusal::OverLimit
     )
 }
 
--- a/src/shell/callers/answer.rs
+++ b/src/shell/callers/answer.rs
@@ -263,7 +263,6 @@
         Refusal::Unauthorized => StatusCode::UNAUTHORIZED,
         Refusal::NotFound => StatusCode::NOT_FOUND,
         Refusal::Invalid => StatusCode::BAD_REQUEST,
-        Refusal::Duplicate => StatusCode::CONFLICT,
         Refusal::OverLimit => StatusCode::TOO_MANY_REQUESTS,
         Refusal::Overloaded
         | Refusal::NoGroup
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -319,7 +319,6 @@
         (Refusal::Unauthorized, 401),
         (Refusal::NotFound, 404),
         (Refusal::Invalid, 400),
-        (Refusal::Duplicate, 409),
         (Refusal::OverLimit, 429),
         (Refusal::NoGroup, 503),
     ];
--- a/tests/request/fleet.rs
+++ b/tests/request/fleet.rs
@@ -9,7 +9,7 @@
     input::{CallRequest, Echo, Failure, Payload, PlatformInput, RunnerInput, Ticket},
     keys::{AttemptId, CallId, DaemonName},
     options::Mechanism,
-    output::{CallOutput, Ending, Output, Refusal, Route, RunnerOutput},
+    output::{CallOutput, Ending, Output, Route, RunnerOutput},
     request::ticket,
     time::{Span, Time},
 };
@@ -472,13 +472,11 @@
         let Some(seen) = self.seen.get_mut(&place) else {
             return;
         };
-        if let Ending::Refused { reason, .. } = &ending {
+        if let Ending::Refused { .. } = &ending {
             let request = &self.plan.requests[seen.request];
-            let by_key = request.kind == Kind::Keyed;
             let ran_before = self.runs.get(&seen.request).is_some_and(|runs| *runs > 0);
             let named = matches!(request.kind, Kind::Ticketed(_)) && ran_before;
-            let same_key = by_key && ran_before && *reason == Refusal::Duplicate;
-            self.outcome.false_refusals += u64::from(seen.runs > 0 || named || same_key);
+            self.outcome.false_refusals += u64::from(seen.runs > 0 || named);
         }
         seen.endings.push(ending);
     }
