Connections notice a peer that is gone

What was sent to a server may go unacknowledged for 10 s, and idle connections are probed, so that a machine without power or a connection that fell silent frees its descriptors. Callers that read slowly are bound by the stall limit as before.

--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -8,6 +8,7 @@
 use http::{Request, Response};
 use http_body::Body;
 use hyper::{body::Incoming, service::Service};
+use socket2::{SockRef, TcpKeepalive};
 use std::{
     future::{Future, pending},
     io,
@@ -38,6 +39,20 @@
 /// How long a reader of an answer may take nothing of it.
 const STALL_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// How long what was sent to a server may go unacknowledged.
+///
+/// Callers have no such limit: it would also cut those that read slowly.
+const PEER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long a connection is idle before its peer is probed.
+const PROBE_IDLE: Duration = Duration::from_secs(5);
+
+/// The time between two probes of an idle connection.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Probes in a row that may go unanswered.
+const PROBES: u32 = 3;
+
 /// How long a connection attempt may take.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -77,10 +92,25 @@
     let stream = compio::time::timeout(timeout, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    stream.set_nodelay(true)?;
+    tune(&stream)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(PEER_TIMEOUT))?;
     Ok(stream)
 }
 
+/// Has a connection send at once, and fail while it is idle once its peer has gone without a word.
+///
+/// # Errors
+///
+/// Fails if the connection has ended.
+pub fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_IDLE)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    SockRef::from(stream).set_tcp_keepalive(&probes)
+}
+
 /// What a connection may take.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -125,7 +155,9 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     F: Future<Output = ()>,
 {
-    let _ = stream.set_nodelay(true);
+    if tune(&stream).is_err() {
+        return;
+    }
     let stream = Guarded::new(HyperStream::new_plain(stream), limits.stall);
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(CompioTimer)
@@ -149,7 +181,9 @@
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let _ = stream.set_nodelay(true);
+    if tune(&stream).is_err() {
+        return;
+    }
     let _ = hyper::server::conn::http2::Builder::new(LocalExecutor)
         .timer(CompioTimer)
         .serve_connection(HyperStream::new_plain(stream), service)
--- a/src/shell/peers.rs
+++ b/src/shell/peers.rs
@@ -8,7 +8,7 @@
     Inbox,
     calls::Calls,
     frames::{read_frame, write_frame},
-    http::connect,
+    http::{connect, tune},
     relay,
 };
 use crate::{
@@ -322,7 +322,9 @@
             compio::time::sleep(PAUSE).await;
             continue;
         };
-        let _ = stream.set_nodelay(true);
+        if tune(&stream).is_err() {
+            continue;
+        }
         compio::runtime::spawn(serve(stream, site.clone())).detach();
     }
 }
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -796,3 +796,15 @@
     run.unwrap_or_else(|failure| panic!("{failure}"));
     assert!(heard.get() > 20, "only {} calls were heard of", heard.get());
 }
+
+#[compio::test]
+async fn a_connection_to_a_server_fails_once_the_server_is_gone() {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let listener = http::bind(any).await.expect("a port is free");
+    let address = http::address(&listener).expect("bound");
+    let stream = http::connect(address).await.expect("it listens");
+    let socket = socket2::SockRef::from(&stream);
+    let timeout = socket.tcp_user_timeout().expect("an option of it");
+    assert_eq!(timeout, Some(Duration::from_secs(10)));
+    assert!(socket.keepalive().expect("an option of it"));
+}
