Repairs are measured from the loss of a group to the next that serves

Operators and users measure group downtime; each daemon now logs and counts it (repair_ms, group_repair_seconds).

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod load;
 mod loading;
 mod orders;
+pub mod outages;
 pub mod peers;
 pub mod placement;
 pub mod planner;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,17 +1,24 @@
 //! What a gateway knows, shared by its tasks.
 
 use super::{
-    budget::RetryBudget, demand::Demand, load::Loads, peers::Peers, roster::Roster,
-    routes::RouteTable, settings::Settings, spec::Spec,
+    budget::RetryBudget,
+    demand::Demand,
+    load::Loads,
+    outages::{Change, Outages},
+    peers::Peers,
+    roster::Roster,
+    routes::RouteTable,
+    settings::Settings,
+    spec::Spec,
 };
 use crate::{
     core::{
-        keys::{Epoch, ModelName, ServiceName},
+        keys::ServiceName,
         time::{Span, Time},
     },
     shell::Clock,
 };
-use metrics::gauge;
+use metrics::{gauge, histogram};
 use rand::{SeedableRng, rngs::SmallRng};
 use slog::Logger;
 use std::{
@@ -35,8 +42,8 @@
     pub table: RefCell<Option<Rc<RouteTable>>>,
     /// Runners and groups.
     pub roster: RefCell<Roster>,
-    /// The groups that served when last looked at.
-    serving: RefCell<BTreeMap<Epoch, ModelName>>,
+    /// The groups that served when last looked at, and those lost since.
+    outages: RefCell<Outages>,
     /// The load of runners.
     pub loads: RefCell<Loads>,
     /// Work asked of each model.
@@ -65,7 +72,7 @@
             clock: Clock::start(),
             table: RefCell::new(None),
             roster: RefCell::default(),
-            serving: RefCell::default(),
+            outages: RefCell::default(),
             loads: RefCell::default(),
             demand: RefCell::default(),
             budgets: RefCell::default(),
@@ -112,29 +119,33 @@
         };
         let mut roster = self.roster.borrow_mut();
         roster.assemble(table.spec());
-        let now = self.now();
-        let serving: BTreeMap<Epoch, ModelName> = roster
-            .groups()
-            .iter()
-            .filter(|group| roster.is_serving(group, now))
-            .map(|group| (group.epoch, group.model.clone()))
-            .collect();
-        let mut before = self.serving.borrow_mut();
-        for (epoch, model) in serving
-            .iter()
-            .filter(|(epoch, _)| !before.contains_key(epoch))
-        {
-            slog::info!(self.log, "group serves"; "epoch" => epoch.0, "model" => model.as_str());
+        let mut outages = self.outages.borrow_mut();
+        for change in outages.update(&roster, self.now()) {
+            self.note_change(change);
         }
-        for (epoch, model) in before
-            .iter()
-            .filter(|(epoch, _)| !serving.contains_key(epoch))
-        {
-            slog::info!(self.log, "group no longer serves";
-                "epoch" => epoch.0, "model" => model.as_str());
+        gauge!("groups_serving").set(outages.count() as f64);
+    }
+
+    fn note_change(&self, change: Change) {
+        match change {
+            Change::Ended { epoch, model } => {
+                slog::info!(self.log, "group no longer serves";
+                    "epoch" => epoch.0, "model" => model.as_str());
+            }
+            Change::Begun {
+                epoch,
+                model,
+                repair,
+            } => {
+                slog::info!(self.log, "group serves";
+                    "epoch" => epoch.0,
+                    "model" => model.as_str(),
+                    "repair_ms" => repair.map(Span::as_millis));
+                if let Some(repair) = repair {
+                    histogram!("group_repair_seconds").record(repair.as_secs_f64());
+                }
+            }
         }
-        gauge!("groups_serving").set(serving.len() as f64);
-        *before = serving;
     }
 
     /// Counts a request for a service.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod budgets;
 mod fleet;
 mod groups;
+mod outages;
 mod placement;
 mod pools;
 mod routes;
