--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -42,9 +42,12 @@
 /// How long no further runner may have appeared before the first group is formed.
 const SURVEY_QUIET: Span = Span::from_millis(600);
 
-/// How long the first group waits for runners at the most.
+/// How long the first group waits for runners at the most, once there are requests.
 const SURVEY_LIMIT: Span = Span::from_millis(3_000);
 
+/// The same before the first request: many runners that start together need seconds to appear.
+const SURVEY_LIMIT_EARLY: Span = Span::from_millis(6_000);
+
 crate::record! {
     /// An order to a runner.
     #[derive(Eq, PartialOrd, Ord)]
@@ -123,14 +126,18 @@
 }
 
 impl Survey {
-    fn look(&mut self, hosts: usize, now: Time) -> bool {
+    fn look(&mut self, hosts: usize, is_busy: bool, now: Time) -> bool {
         let began = *self.began.get_or_insert(now);
         if hosts > self.hosts {
             self.grown = now;
         }
         self.hosts = hosts;
         let is_quiet = hosts > 0 && now.since(self.grown) >= SURVEY_QUIET;
-        self.is_over |= is_quiet || now.since(began) >= SURVEY_LIMIT;
+        let limit = match is_busy {
+            true => SURVEY_LIMIT,
+            false => SURVEY_LIMIT_EARLY,
+        };
+        self.is_over |= is_quiet || now.since(began) >= limit;
         self.is_over
     }
 }
@@ -178,7 +185,7 @@
             };
             self.advance(roster, &service.name, engine, now, &mut out);
             self.tend(roster, &service.name, now, &mut out);
-            if !self.survey.look(roster.hosts().count(), now) {
+            if !self.survey.look(roster.hosts().count(), self.busy, now) {
                 continue;
             }
             let needs = Needs::new(engine, demand);
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -49,6 +49,21 @@
     );
 }
 
+#[test]
+fn groups_wait_for_many_runners_that_appear_one_by_one() {
+    let mut fleet = Fleet::new(1, 3);
+    for host in 3..27 {
+        fleet.add("d0", &format!("d0-h{host}"));
+        fleet.settle(Span::from_millis(200));
+    }
+    fleet.settle(SETTLED);
+    assert_eq!(
+        (fleet.serving(LARGE), fleet.serving(SMALL)),
+        (3, 2),
+        "hosts that had appeared went to the smaller model"
+    );
+}
+
 #[test]
 fn a_lost_member_is_replaced_by_a_staged_spare_within_three_seconds() {
     let mut fleet = settled(1, 11);
