--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -6,7 +6,7 @@
 use super::{
     admission::Standing,
     load::Reported,
-    planner::Order,
+    order::Order,
     roster::{Membership, Runner},
     spec::Spec,
 };
--- a/src/gateway/formation.rs
+++ b/src/gateway/formation.rs
@@ -1,8 +1,9 @@
 //! A group being formed.
 
 use super::{
-    planner::{Order, is_eligible},
+    order::Order,
     roster::{Group, Host, MemberState, Membership, Roster},
+    tenure::is_eligible,
 };
 use crate::core::{
     keys::{Epoch, GroupName, HostName, ModelName, ServiceName},
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,7 +14,9 @@
 pub mod adapter;
 pub mod admission;
 pub mod answer;
+mod attempt;
 pub mod budget;
+mod call;
 pub mod demand;
 mod duty;
 pub mod events;
@@ -26,6 +28,7 @@
 mod listeners;
 pub mod load;
 mod loading;
+pub mod order;
 mod orders;
 pub mod outages;
 pub mod peers;
@@ -41,6 +44,8 @@
 mod staging;
 mod state;
 mod stream;
+mod survey;
+mod tenure;
 
 use crate::shell::{http, metrics};
 use adapter::Adapter;
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -6,7 +6,7 @@
 use super::{
     adapter::Adapter,
     exchange::{CONNECT_TIMEOUT, Exchange},
-    planner::Directive,
+    order::Directive,
     state::Site,
 };
 use http::{Request, header::CONTENT_TYPE};
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -8,7 +8,7 @@
 use super::{
     admission::{self, Standing},
     load::Loads,
-    roster::{HostKey, Roster},
+    roster::{HostKey, Roster, SLOW},
     spec::Engine,
 };
 use crate::core::{
@@ -18,9 +18,6 @@
 use rand::{Rng, seq::IndexedRandom};
 use std::net::SocketAddr;
 
-/// From how many times slower than usual on a group gets only what others have no place for.
-const SLOW: f64 = 2.0;
-
 /// What another hall weighs against one request more.
 const FAR: f64 = 0.5;
 
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -13,10 +13,13 @@
     demand::{Demand, Needs},
     formation::Formation,
     loading::Loading,
+    order::{Directive, Order},
     pool::Pool,
-    roster::{Group, Host, HostKey, LEAVING_LIMIT, MemberState, Roster},
+    roster::{Group, Host, HostKey, MemberState, Roster},
     spec::{Engine, Replication, Service, Spec},
     staging,
+    survey::Survey,
+    tenure::{holds_members, is_eligible, is_outpaced, must_close},
 };
 use crate::core::{
     keys::{DomainName, Epoch, GroupName, HostName, ModelName, ServiceName},
@@ -39,62 +42,6 @@
 /// How much longer than foreseen a formation may take.
 const FORMATION_SLACK: Span = Span::from_secs(12);
 
-/// How long no further runner may have appeared before the first group is formed.
-const SURVEY_QUIET: Span = Span::from_millis(600);
-
-/// How long the first group waits for runners at the most, once there are requests.
-const SURVEY_LIMIT: Span = Span::from_millis(3_000);
-
-/// The same before the first request: many runners that start together need seconds to appear.
-const SURVEY_LIMIT_EARLY: Span = Span::from_millis(6_000);
-
-crate::record! {
-    /// An order to a runner.
-    #[derive(Eq, PartialOrd, Ord)]
-    pub enum Order {
-        /// Become a member of a group.
-        Join {
-            /// The group.
-            group: GroupName,
-            /// Its epoch.
-            epoch: Epoch,
-            /// Its model.
-            model: ModelName,
-            /// Its members; the first is the head.
-            members: Vec<HostName>,
-        },
-        /// Begin to serve; for heads.
-        Open {
-            /// The group.
-            group: GroupName,
-            /// Its epoch.
-            epoch: Epoch,
-        },
-        /// Stop serving; for heads.
-        Close {
-            /// The group.
-            group: GroupName,
-            /// Its epoch.
-            epoch: Epoch,
-            /// Whether running requests are cut off.
-            cut: bool,
-        },
-        /// Stage a model's weights on the host.
-        Stage {
-            /// The model.
-            model: ModelName,
-        },
-    }
-
-    /// An order and the runner that it is for.
-    pub struct Directive {
-        /// The runner.
-        pub host: HostName,
-        /// What it is to do.
-        pub order: Order,
-    }
-}
-
 /// The state between two steps.
 #[derive(Debug)]
 pub struct Planner {
@@ -115,33 +62,6 @@
     began: Option<Time>,
 }
 
-/// Whether the runners that started together have all appeared.
-#[derive(Debug, Default)]
-struct Survey {
-    began: Option<Time>,
-    hosts: usize,
-    /// When a further host was seen last.
-    grown: Time,
-    is_over: bool,
-}
-
-impl Survey {
-    fn look(&mut self, hosts: usize, is_busy: bool, now: Time) -> bool {
-        let began = *self.began.get_or_insert(now);
-        if hosts > self.hosts {
-            self.grown = now;
-        }
-        self.hosts = hosts;
-        let is_quiet = hosts > 0 && now.since(self.grown) >= SURVEY_QUIET;
-        let limit = match is_busy {
-            true => SURVEY_LIMIT,
-            false => SURVEY_LIMIT_EARLY,
-        };
-        self.is_over |= is_quiet || now.since(began) >= limit;
-        self.is_over
-    }
-}
-
 impl Planner {
     /// A planner whose epochs are larger than `epoch`.
     pub fn new(epoch: Epoch) -> Self {
@@ -526,48 +446,6 @@
     }
 }
 
-/// Whether a host may be part of a new group.
-pub(super) fn is_eligible(roster: &Roster, host: &Host) -> bool {
-    host.unlisted.is_none() && !host.runner.draining && !roster.is_lost(host)
-}
-
-/// Whether an active group must be closed, and if so, whether at once.
-fn must_close(roster: &Roster, group: &Group, head: &Host) -> Option<bool> {
-    if !group.complete || roster.has_lost(group) {
-        return Some(true);
-    }
-    let is_draining = roster.members(group).any(|host| host.runner.draining);
-    let is_leaving = is_draining || head.unlisted.is_some();
-    let is_open = group.head_state == Some(MemberState::Open);
-    (is_leaving && is_open).then_some(false)
-}
-
-/// Whether an open group has slow members that its domain can replace at once.
-fn is_outpaced(roster: &Roster, group: &Group, pool: &Pool) -> bool {
-    let is_slow = |host: &&Host| roster.pace(host) > 1.0;
-    let slow = roster.members(group).filter(is_slow).count();
-    let is_open = group.head_state == Some(MemberState::Open);
-    is_open && slow > 0 && pool.prompt(roster, &group.model) >= slow
-}
-
-/// Whether a group's members must not be ordered elsewhere.
-///
-/// A head that was found dead still holds them until its entry is gone: it may
-/// only be out of this daemon's reach. One that was leaving may still be busy
-/// though it listens no more.
-fn holds_members(roster: &Roster, group: &Group, now: Time) -> bool {
-    if !group.is_active() {
-        return roster.may_lack_head(group, now);
-    }
-    let Some(head) = group.head().and_then(|key| roster.host(key)) else {
-        return false;
-    };
-    let Some(unlisted) = head.unlisted.filter(|_| roster.is_lost(head)) else {
-        return true;
-    };
-    !roster.is_dead(head) && now.since(unlisted) < LEAVING_LIMIT
-}
-
 /// The model in greatest need that some domain has room for, and the domain that is ready soonest.
 fn next_group<'a>(
     roster: &Roster,
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -9,7 +9,7 @@
 use super::{
     adapter::Adapter,
     exchange::{CONNECT_TIMEOUT, Exchange, SendError},
-    roster::{Failure, Host, HostKey, Life},
+    roster::{Failure, Host, HostKey, Life, SLOW},
     state::Site,
 };
 use crate::core::{
@@ -41,9 +41,6 @@
 /// The longest report taken, in bytes.
 const MAX_REPORT: usize = 256 << 10;
 
-/// From how many times slower than usual on a runner counts as slow.
-const SLOW: f64 = 2.0;
-
 /// The part of all members that may be lost at once.
 const MOST_LOST: f64 = 0.4;
 
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -27,6 +27,9 @@
 /// How long a host without an entry is remembered.
 const MEMORY: Span = Span::from_secs(30);
 
+/// From how many times slower than usual on a runner or a group counts as slow.
+pub const SLOW: f64 = 2.0;
+
 /// A runner's name and start, in Unix milliseconds.
 pub type Life = (HostName, u64);
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -7,8 +7,10 @@
 use super::{
     adapter::Adapter,
     answer::{Answer, Incomplete, strip_hop_by_hop},
+    attempt::{LOOK_INTERVAL, note_miss},
+    call::{Begun, Call, Miss},
     events::EventSplitter,
-    forward::{Begun, Call, LOOK_INTERVAL, Miss, begin, is_repeatable, may_move, note_miss},
+    forward::begin,
     placement,
     spec::Kind,
 };
@@ -98,7 +100,7 @@
             }
             End::Broken => {}
         }
-        if !is_repeatable(&call) {
+        if !call.is_repeatable() {
             log_end(&call, "cut", last);
             break;
         }
@@ -182,20 +184,20 @@
     if call.site.now() >= call.deadline {
         return Some(End::TimedOut);
     }
-    if !is_repeatable(call) {
+    if !call.is_repeatable() {
         return None;
     }
     let is_served = placement::still_serves(&call.site.roster.borrow(), place);
     let now = call.site.now();
     let silence = call.site.loads.borrow().silence(place.host, now);
-    let is_silent = silence.span > SILENCE && may_move(call);
+    let is_silent = silence.span > SILENCE && call.may_move();
     (!is_served || is_silent).then_some(End::Broken)
 }
 
 fn log_end(call: &Call, outcome: &'static str, last: Option<u64>) {
     counter!("streams_ended_total", "outcome" => outcome).increment(1);
     slog::info!(call.site.log, "stream ended";
-        "request" => call.head.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default(),
+        "request" => call.id(),
         "outcome" => outcome,
         "last_event" => last.unwrap_or_default(),
         "sends" => call.sends,
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -10,7 +10,8 @@
     },
     gateway::{
         demand::Demand,
-        planner::{Directive, Order, Planner},
+        order::{Directive, Order},
+        planner::Planner,
         roster::{Failure, Life, MemberState, Membership, Roster, Runner},
         spec::{Engine, Replication, Service, Spec},
     },
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -6,7 +6,10 @@
         keys::{Epoch, HostName},
         time::{Span, Time},
     },
-    gateway::planner::{Directive, Order, Planner},
+    gateway::{
+        order::{Directive, Order},
+        planner::Planner,
+    },
 };
 use proptest::{
     collection::vec,
