--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -141,6 +141,18 @@
     });
 }
 
+#[test]
+fn the_holder_of_the_duty_reads_the_runners_after_its_claim() {
+    let env = TestEnv::start();
+    env.eventually("the runners are read after the claim", |env| {
+        let calls = env.store.calls();
+        let mut after = calls
+            .iter()
+            .skip_while(|(_, what)| !what.ends_with("/duty"));
+        after.any(|(path, what)| path == "/kv-range" && what == "servers/")
+    });
+}
+
 #[test]
 fn a_new_watch_is_answered_at_once() {
     let env = TestEnv::start();
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -21,6 +21,8 @@
     events: Vec<(String, i64, Option<Item>)>,
     revision: i64,
     leases: i64,
+    /// The lists and writes so far: the path, and the prefix or the key.
+    calls: Vec<(String, String)>,
     /// How long each watch was to wait, in milliseconds, by its prefix.
     waits: BTreeMap<String, Vec<u64>>,
 }
@@ -53,6 +55,12 @@
             .collect()
     }
 
+    /// The lists and writes so far: the path, and the prefix or the key.
+    pub fn calls(&self) -> Vec<(String, String)> {
+        let state = self.state.lock().expect("not poisoned");
+        state.calls.clone()
+    }
+
     /// How long the watches of a prefix were to wait, in milliseconds.
     pub fn waits(&self, prefix: &str) -> Vec<u64> {
         let state = self.state.lock().expect("not poisoned");
@@ -81,7 +89,11 @@
             .collect();
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
         match (method, path) {
-            ("GET", "/kv-range") => Some((200, state.range(query["Prefix"]))),
+            ("GET", "/kv-range") => {
+                let call = (path.to_owned(), query["Prefix"].to_owned());
+                state.calls.push(call);
+                Some((200, state.range(query["Prefix"])))
+            }
             ("GET", "/kv-watch") => {
                 let after = query["After"].parse().expect("a revision");
                 state
@@ -184,6 +196,7 @@
         for put in body["Puts"].as_array().into_iter().flatten() {
             let key = put["Key"].as_str().expect("a key");
             let value = put["Value"].as_str().expect("a value").to_owned();
+            self.calls.push(("/kv-txn".to_owned(), key.to_owned()));
             self.put(key, value, put["Lease"].as_i64().unwrap_or_default());
         }
         (200, json!({"Revision": self.revision}))
