--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -77,14 +77,42 @@
             false => Standing::Timely,
         }
     }
+
+    /// The request's own name, as its caller gave it.
+    pub(super) fn id(&self) -> &str {
+        id_text(&self.head.id)
+    }
+
+    /// Whether it may run on one more runner.
+    pub(super) fn may_move(&self) -> bool {
+        self.runs < self.route.attempts
+    }
+
+    /// Whether it may run more than once.
+    pub(super) fn is_repeatable(&self) -> bool {
+        match self.route.kind {
+            Kind::Idempotent => true,
+            Kind::Once => false,
+            Kind::Stream => self.route.resumable,
+        }
+    }
+
+    /// Whether it may be sent again after a send that came to nothing.
+    pub(super) fn may_repeat(&self, miss: Miss) -> bool {
+        match miss {
+            Miss::Unreached | Miss::Declined => true,
+            Miss::Unknown | Miss::Failed => self.is_repeatable(),
+            Miss::TimedOut => false,
+        }
+    }
 }
 
-/// What one send adds to a request.
+/// What one send says beside the request itself.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Passing {
-    /// The last event that the caller has.
+    /// The last event that the caller has, if a stream goes on.
     pub(super) resume_after: Option<u64>,
-    /// How it stands against its objective.
+    /// How the request stands against its objective now.
     pub(super) standing: Standing,
 }
 
@@ -135,36 +163,6 @@
     }
 }
 
-impl Call {
-    /// The request's own name, as its caller gave it.
-    pub(super) fn id(&self) -> &str {
-        id_text(&self.head.id)
-    }
-
-    /// Whether it may run on one more runner.
-    pub(super) fn may_move(&self) -> bool {
-        self.runs < self.route.attempts
-    }
-
-    /// Whether it may run more than once.
-    pub(super) fn is_repeatable(&self) -> bool {
-        match self.route.kind {
-            Kind::Idempotent => true,
-            Kind::Once => false,
-            Kind::Stream => self.route.resumable,
-        }
-    }
-
-    /// Whether it may be sent again after a send that came to nothing.
-    pub(super) fn may_repeat(&self, miss: Miss) -> bool {
-        match miss {
-            Miss::Unreached | Miss::Declined => true,
-            Miss::Unknown | Miss::Failed => self.is_repeatable(),
-            Miss::TimedOut => false,
-        }
-    }
-}
-
 /// A request's name in logs.
 pub(super) fn id_text(id: &Option<HeaderValue>) -> &str {
     let text = id.as_ref().and_then(|id| id.to_str().ok());
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -120,12 +120,13 @@
         &self.formations
     }
 
-    /// Groups that don't serve and hold their members no more, because their heads are gone.
+    /// Groups whose heads are gone for good, though their last word was that they serve or
+    /// nothing is known of them.
     pub fn ended(&self, roster: &Roster, now: Time) -> Vec<Epoch> {
-        let is_headless = |group: &&Group| group.is_active() || group.head().is_none();
-        let groups = roster.groups().iter().filter(is_headless);
-        let over = groups.filter(|group| !holds_members(roster, group, now));
-        over.map(|group| group.epoch).collect()
+        let may_serve = |group: &&Group| group.is_active() || group.head().is_none();
+        let groups = roster.groups().iter().filter(may_serve);
+        let ended = groups.filter(|group| !holds_members(roster, group, now));
+        ended.map(|group| group.epoch).collect()
     }
 
     /// Moves formations on, and drops those that can't succeed.
--- a/src/gateway/tenure.rs
+++ b/src/gateway/tenure.rs
@@ -32,9 +32,9 @@
 
 /// Whether a group's members must not be ordered elsewhere.
 ///
-/// A head that was found dead still holds them until its entry is gone: it may
-/// only be out of this daemon's reach. One that was leaving may still be busy
-/// though it listens no more.
+/// A head that answers no probes still holds them until its entry is gone: it
+/// may only be out of this daemon's reach. One that is leaving may be busy for
+/// longer though it listens no more, and so may one that was never seen here.
 pub(super) fn holds_members(roster: &Roster, group: &Group, now: Time) -> bool {
     if !group.is_active() {
         return roster.may_lack_head(group, now);
