A host that answers again is not dead any more

A whole domain that is dark for seconds is found dead by its silent machines; once back, its heads kept the mark, and would have freed their members at once when they left later. Test fails without the change.

--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -158,7 +158,7 @@
 pub struct Roster {
     hosts: SlotMap<HostKey, Host>,
     names: BTreeMap<HostName, HostKey>,
-    /// Lifetimes found dead by a daemon that probes them.
+    /// Lifetimes that answer no probes of some daemon.
     lost: BTreeSet<Life>,
     /// Lifetimes found to be slow, and how many times slower they work.
     slow: BTreeMap<Life, f64>,
@@ -181,6 +181,7 @@
                 let host = &mut self.hosts[key];
                 host.runner = runner;
                 host.unlisted = None;
+                host.is_dead = false;
             }
             None => {
                 self.forget(&name);
@@ -233,6 +234,7 @@
         let has_stayed = host.unlisted.is_none() && !host.runner.draining;
         host.stayed = has_stayed.then_some(now);
         host.failure = None;
+        host.is_dead = false;
         if host.unlisted.is_some() && host.runner.member != member {
             host.runner.member = member;
         }
@@ -245,7 +247,7 @@
         }
     }
 
-    /// Marks lifetimes as dead, in place of the marks before.
+    /// Marks lifetimes as lost, in place of the marks before.
     pub fn set_lost(&mut self, lost: BTreeSet<Life>) {
         self.lost = lost;
     }
@@ -370,7 +372,7 @@
         self.hosts.iter()
     }
 
-    /// Whether a host was found dead.
+    /// Whether a host answers no probes.
     pub fn is_lost(&self, host: &Host) -> bool {
         let life = (host.name.clone(), host.runner.born);
         self.lost.contains(&life)
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -186,18 +186,22 @@
     fleet.broken
 }
 
+/// Lets heads go on with their requests though they are ordered to close.
+fn stays_busy(directive: &Directive) -> Fate {
+    match directive.order {
+        Order::Close { .. } => Fate::Lost,
+        _ => Fate::Prompt,
+    }
+}
+
 #[test]
 fn a_head_that_left_holds_its_members_while_it_may_be_busy() {
     let mut fleet = settled(1, 11);
     let head = fleet.members(LARGE)[0].clone();
     fleet.unlist(&head);
-    let busy = |directive: &Directive| match directive.order {
-        Order::Close { .. } => Fate::Lost,
-        _ => Fate::Prompt,
-    };
-    fleet.run(fleet.now + Span::from_secs(2), busy);
+    fleet.run(fleet.now + Span::from_secs(2), stays_busy);
     fleet.deafen(&head);
-    fleet.run(fleet.now + Span::from_secs(6), busy);
+    fleet.run(fleet.now + Span::from_secs(6), stays_busy);
     assert_eq!(fleet.broken, Vec::<String>::new());
 }
 
@@ -213,6 +217,21 @@
     assert_eq!(fleet.serving(LARGE), 1);
 }
 
+#[test]
+fn a_host_that_answers_again_is_not_dead_any_more() {
+    let mut fleet = settled(1, 11);
+    let head = fleet.members(SMALL)[0].clone();
+    let (_, host) = fleet.roster.named(&head).expect("known");
+    let life = (head.clone(), host.runner.born);
+    fleet.roster.mark_dead(&[life]);
+    fleet.settle(Span::from_secs(1));
+    fleet.unlist(&head);
+    fleet.run(fleet.now + Span::from_secs(1), stays_busy);
+    fleet.deafen(&head);
+    fleet.run(fleet.now + Span::from_secs(6), stays_busy);
+    assert_eq!(fleet.broken, Vec::<String>::new());
+}
+
 #[test]
 fn a_newcomer_holds_the_members_of_a_head_that_it_never_saw() {
     let mut fleet = settled(1, 11);
