A daemon that stops takes no stream that it could not finish

Change: once told to stop, a request is taken only if its most tokens can be written at full slots before the end, plain ones up to 1 s before; others are refused, not run. Test fails without it.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -6,7 +6,10 @@
 //! missed its objective already only gets places that would stay free.
 
 use super::{load::Loads, placement::Candidate, roster::HostKey, spec::Engine};
-use crate::core::time::{Span, Time};
+use crate::core::{
+    keys::ModelName,
+    time::{Span, Time},
+};
 use rand::Rng;
 
 /// Requests that a head may have beyond its slots: figures are some hundred milliseconds old.
@@ -21,6 +24,12 @@
 /// How much later at the most it comes back, so that callers don't return together.
 const RETRY_SPREAD_MS: u64 = 1_000;
 
+/// What a request takes besides reading and writing: connecting, and waiting for a slot.
+const START_TIME: Span = Span::from_millis(300);
+
+/// How long a request to a plain service may last.
+const PLAIN_TIME: Span = Span::from_millis(1_000);
+
 /// How a request stands against its objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -41,6 +50,18 @@
     }
 }
 
+/// The time that a daemon that stops must have left to take a request.
+pub fn time_needed(engine: Option<(&Engine, &ModelName)>, prompt: u32, answer: u32) -> Span {
+    let replication = engine.and_then(|(engine, model)| {
+        let replication = engine.replication(model)?;
+        Some((engine, replication))
+    });
+    let Some((engine, replication)) = replication else {
+        return PLAIN_TIME;
+    };
+    START_TIME + engine.duration(replication, prompt, answer)
+}
+
 /// The candidates that may take a request of this standing.
 pub(super) fn admit(
     candidates: Vec<Candidate>,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,7 +6,7 @@
 
 use super::{
     adapter::{Adapter, CallHead},
-    admission::Standing,
+    admission::{self, Standing},
     answer::{self, Answer, Refusal, strip_hop_by_hop},
     attempt::{attempt, note_miss, until},
     call::{Begun, Call, Miss, Passing, id_text},
@@ -39,6 +39,9 @@
 /// The time that a caller waits, if it doesn't say.
 const USUAL_DEADLINE: Span = Span::from_secs(30);
 
+/// When to come back to another daemon, as this one stops.
+const ELSEWHERE_MS: u64 = 50;
+
 /// When to come back once nothing serves a request.
 const RETRY_MS: u64 = 700;
 
@@ -107,6 +110,11 @@
     let body = read_body(body, most, table.spec().limits.head_time).await?;
     let draw = site.rng.borrow_mut().random();
     let service = route.service(draw).ok_or(Refusal::NoRoute)?.clone();
+    if !site.has_time(time_needed(table.spec(), &service, &head)) {
+        return Err(Refusal::Unavailable {
+            retry_ms: ELSEWHERE_MS,
+        });
+    }
     site.count_request(&service);
     count_demand(site, table.spec(), &service, &head, arrived);
     let deadline = head.deadline.unwrap_or(USUAL_DEADLINE);
@@ -134,6 +142,13 @@
     })
 }
 
+/// The time that a daemon that stops must have left to take a request.
+fn time_needed(spec: &Spec, service: &ServiceName, head: &CallHead) -> Span {
+    let found = spec.service(service);
+    let engine = found.and_then(|found| found.engine.as_ref());
+    admission::time_needed(engine.zip(head.model.as_ref()), head.prompt, head.answer)
+}
+
 fn count_demand(site: &Site, spec: &Spec, service: &ServiceName, head: &CallHead, now: Time) {
     let engine = spec
         .service(service)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,7 +47,10 @@
 mod survey;
 mod tenure;
 
-use crate::shell::{http, metrics};
+use crate::{
+    core::time::Span,
+    shell::{http, metrics},
+};
 use adapter::Adapter;
 use anyhow::Context as _;
 use duty::Duty;
@@ -143,8 +146,10 @@
     slog::info!(site.log, "stopping"; "taken" => site.taken.get());
     site.stopping.set(true);
     let grace = Duration::from_millis(site.settings.grace_ms).saturating_sub(LAST_WORDS);
+    let left = Span::from_millis(grace.as_millis() as u64);
+    site.ends.set(Some(site.now() + left));
     let ended = compio::time::timeout(grace, kept);
-    // Work in hand and late callers have the whole grace period.
+    // Work in hand has the whole grace period, and so have late callers while there is time.
     let (ended, ()) = join(ended, compio::time::sleep(grace)).await;
     if ended.is_err() {
         slog::warn!(site.log, "lease not ended in time");
--- a/src/gateway/spec.rs
+++ b/src/gateway/spec.rs
@@ -175,6 +175,14 @@
         self.work(self.usual_prompt, self.usual_answer)
     }
 
+    /// How long a request of so many tokens lasts when all slots are taken.
+    pub fn duration(&self, replication: &Replication, prompt: u32, answer: u32) -> Span {
+        let reading = f64::from(prompt) / self.read_rate.max(1.0) * 1e6;
+        let step = self.step + self.step_each.times(u64::from(self.slots));
+        let writing = step.0 as f64 * f64::from(answer);
+        Span(((reading + writing) * replication.pace) as u64)
+    }
+
     /// A replica's time for a request of so many tokens when all its slots are taken.
     pub fn work(&self, prompt: u32, answer: u32) -> Span {
         let reading = f64::from(prompt) / self.read_rate.max(1.0) * 1e6;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -60,6 +60,8 @@
     pub listed: Cell<bool>,
     /// Whether the daemon was told to stop.
     pub stopping: Cell<bool>,
+    /// When answers under way are cut, once the daemon was told to stop.
+    pub ends: Cell<Option<Time>>,
     /// Requests taken so far.
     pub taken: Cell<u64>,
 }
@@ -81,6 +83,7 @@
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
             listed: Cell::new(false),
             stopping: Cell::new(false),
+            ends: Cell::new(None),
             taken: Cell::new(0),
             settings,
         }
@@ -182,6 +185,12 @@
         act(budget)
     }
 
+    /// Whether a request that needs so long can be answered before the daemon ends.
+    pub fn has_time(&self, needed: Span) -> bool {
+        let now = self.now();
+        self.ends.get().is_none_or(|end| now + needed <= end)
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         !self.stopping.get() && self.table.borrow().is_some() && self.listed.get()
--- a/tests/gateway/admission.rs
+++ b/tests/gateway/admission.rs
@@ -1,7 +1,10 @@
 //! A replay of the load that admission answers: more requests than places.
 
-use crate::fleet::spec;
-use hickoryledge::gateway::admission::{Standing, most_held};
+use crate::fleet::{LARGE, spec};
+use hickoryledge::{
+    core::{keys::ModelName, time::Span},
+    gateway::admission::{Standing, most_held, time_needed},
+};
 
 /// Requests that a group takes in a second, from its engine's figures.
 const SERVED_PER_S: f64 = 12.6;
@@ -55,3 +58,20 @@
     assert!(most_held(26, Standing::Late) < most_held(26, Standing::Timely));
     assert!(most_held(1, Standing::Late) >= 1);
 }
+
+#[test]
+fn a_daemon_that_stops_needs_time_for_the_most_tokens_of_an_answer() {
+    let engine = spec().services[0].engine.clone().expect("an engine");
+    let model = ModelName::from(LARGE);
+    let needed = |answer| time_needed(Some((&engine, &model)), 1_420, answer);
+    assert!(needed(20) < Span::from_secs(1));
+    assert!(
+        needed(174) > Span::from_millis(1_559),
+        "174 steps at full slots"
+    );
+    assert!(
+        needed(460) > Span::from_millis(4_121),
+        "460 steps at full slots"
+    );
+    assert_eq!(time_needed(None, 0, 0), Span::from_secs(1));
+}
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -196,6 +196,19 @@
     assert!(text.contains("hickoryledge_configuration_version 1"));
 }
 
+#[test]
+fn a_daemon_that_stops_takes_no_stream_that_it_could_not_finish() {
+    let env = TestEnv::start();
+    env.terminate();
+    env.eventually("not ready", |env| {
+        ask(env.ready, "GET", "/readyz", &[], "").status == 503
+    });
+    let long = ["X-Model: m", "X-Token-Count: 100,2000"];
+    let answer = env.call("POST", "/chat/long", &long, "{}");
+    assert_eq!(answer.status, 503);
+    assert_eq!(runs(&env, "/chat/long"), 0, "it was sent to a head");
+}
+
 #[test]
 fn a_stop_finishes_what_is_under_way_and_takes_the_daemon_out() {
     let env = TestEnv::start();
