Second reading: one copy of what stood twice, less work on the request path

Once instead of several times: - KeyHash::of: the hash of a caller's key (four places) - http::begin_http1: HTTP/1 on an open connection (five places) - http::is_event_stream, http::HOP_BY_HOP (two each) - Spec::engine; the times of reading and writing in Engine - runtime::run: how both daemons start; RETRY_PAUSE

Less work: - whether a host is lost or slow is noted on it when the marks change; it was looked up by name for every member of every group of each request - slow groups are found apart, and the pools for them only if there are any - what serves is not copied with each change of an entry

--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -1,6 +1,6 @@
 //! `platform`: a gateway on the users' platform.
 
-use crate::{cli::PlatformArgs, error::CommandError, exit_codes::Exit, logging, runtime};
+use crate::{cli::PlatformArgs, error::CommandError, exit_codes::Exit, runtime};
 use hickoryledge::gateway::{self, adapter::Adapter, settings::Settings};
 use std::path::PathBuf;
 
@@ -17,10 +17,5 @@
     let settings = Settings::read(&path).map_err(|error| {
         CommandError::local(Exit::BadSettings, "read settings", format!("{error:#}"))
     })?;
-    let runtime = runtime::build()
-        .map_err(|error| CommandError::local(Exit::Failure, "start the loop", error))?;
-    let (log, _guard) = logging::start();
-    runtime
-        .block_on(gateway::run::<A>(settings, log))
-        .map_err(|error| CommandError::local(Exit::Failure, "run", format!("{error:#}")))
+    runtime::run(|log| gateway::run::<A>(settings, log))
 }
--- a/src/commands/operate/change.rs
+++ b/src/commands/operate/change.rs
@@ -6,10 +6,13 @@
     error::CommandError,
     exit_codes::Exit,
 };
-use hickoryledge::wire::operator::{
-    Account, Change, ChangeGroupRequest, CreateGroupRequest, DrainGroupRequest, Group, Model,
-    NameRequest, PutAccountRequest, PutModelRequest, PutServiceRequest, Service,
-    StartUpgradeRequest, SteerUpgradeRequest, Upgrade, UpgradeAction,
+use hickoryledge::{
+    core::keys::KeyHash,
+    wire::operator::{
+        Account, Change, ChangeGroupRequest, CreateGroupRequest, DrainGroupRequest, Group, Model,
+        NameRequest, PutAccountRequest, PutModelRequest, PutServiceRequest, Service,
+        StartUpgradeRequest, SteerUpgradeRequest, Upgrade, UpgradeAction,
+    },
 };
 use serde::Serialize;
 use tonic::{Response, Status};
@@ -149,7 +152,7 @@
             })?;
             let account = Account {
                 name: args.name,
-                key_hash: blake3::hash(key.as_bytes()).as_bytes().to_vec(),
+                key_hash: KeyHash::of(&key).0.to_vec(),
                 weight: args.weight,
                 priority: args.priority,
                 rate: args.rate,
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -98,6 +98,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KeyHash(pub [u8; 32]);
 
+impl KeyHash {
+    /// The hash of a key.
+    pub fn of(key: &str) -> Self {
+        Self(*blake3::hash(key.as_bytes()).as_bytes())
+    }
+}
+
 impl serde::Serialize for KeyHash {
     fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
     where
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     core::{
-        keys::{AccountName, HallName, HostName, KeyHash, ModelName},
+        keys::{AccountName, HostName, KeyHash, ModelName},
         time::Span,
     },
     shell::platform::KeyValue,
@@ -74,8 +74,8 @@
     /// Reads the head of a runner's answer.
     fn answer(head: &response::Parts) -> AnswerHead;
 
-    /// Reads the head of a question for the daemons' addresses; none if it is another request.
-    fn question(head: &request::Parts) -> Option<Question>;
+    /// Whether a request asks for the daemons' addresses.
+    fn asks_addresses(head: &request::Parts) -> bool;
 
     /// The answer to such a question.
     fn addresses(addresses: &[SocketAddr], ttl: Span) -> Bytes;
@@ -140,13 +140,6 @@
     pub pace: f64,
 }
 
-/// A question for the daemons' addresses.
-#[derive(Clone, Debug, Default)]
-pub struct Question {
-    /// Where the caller is.
-    pub hall: Option<HallName>,
-}
-
 /// Text that can't be read.
 #[derive(Clone, Debug)]
 pub struct DecodeError {
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -1,10 +1,11 @@
 //! Answers to callers.
 
+use crate::shell::http::HOP_BY_HOP;
 use bytes::Bytes;
 use futures_channel::mpsc;
 use http::{
     HeaderMap, HeaderName, HeaderValue, Response, StatusCode,
-    header::{CONNECTION, CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING, UPGRADE},
+    header::{CONNECTION, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, RETRY_AFTER},
 };
 use http_body::Frame;
 use http_body_util::{Either, Full, StreamBody};
@@ -70,18 +71,8 @@
     }
 }
 
-/// Headers that concern one connection only.
-const HOP_BY_HOP: [HeaderName; 4] = [CONNECTION, TRANSFER_ENCODING, CONTENT_LENGTH, UPGRADE];
-
-/// Hop-by-hop headers without a constant of their own.
-const HOP_BY_HOP_NAMES: [&str; 6] = [
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-];
+/// Headers for a proxy before the callers.
+const PROXY_ONLY: [HeaderName; 2] = [PROXY_AUTHENTICATE, PROXY_AUTHORIZATION];
 
 /// Removes the headers that concern one connection only.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
@@ -95,10 +86,7 @@
     for name in named {
         headers.remove(name.as_str());
     }
-    for name in HOP_BY_HOP {
-        headers.remove(name);
-    }
-    for name in HOP_BY_HOP_NAMES {
+    for name in HOP_BY_HOP.into_iter().chain(PROXY_ONLY) {
         headers.remove(name);
     }
 }
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -7,7 +7,7 @@
 use super::{
     adapter::Adapter,
     lease::{Lease, RETRY_PAUSE},
-    orders::Orders,
+    orders,
     peers::{Claim, Verdict},
     planner::Planner,
     prober::Prober,
@@ -49,7 +49,6 @@
 {
     planner: Planner,
     prober: Prober<A>,
-    orders: Orders<A>,
     verdicts: Rc<Verdicts<A>>,
 }
 
@@ -146,7 +145,6 @@
         self.holding = Some(Holding {
             planner: Planner::new(epoch),
             prober: Prober::new(self.site.clone()),
-            orders: Orders::new(self.site.clone()),
             verdicts: Rc::new(Verdicts::new(self.lease.clone())),
         });
     }
@@ -157,7 +155,7 @@
     A: Adapter,
 {
     /// Probes, plans and orders once.
-    fn work(&mut self, site: &Site) {
+    fn work(&mut self, site: &Rc<Site>) {
         let Some(table) = site.table() else {
             return;
         };
@@ -178,7 +176,7 @@
                 .step(&roster, table.spec(), &demand, site.now())
         };
         for directive in directives {
-            self.orders.send(directive);
+            orders::send::<A>(site, directive);
         }
         let roster = site.roster.borrow();
         let verdict = Verdict {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,16 +3,12 @@
 //! A connection is used once: a late or doubled answer can then belong to no
 //! other request, and dropping the exchange tells the runner that nobody waits.
 
-use crate::shell::http::connect_within;
+use crate::shell::http::{begin_http1, connect_within};
 use bytes::Bytes;
 use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{Builder, SendRequest},
-};
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 /// How long connecting may take to a runner that was never reached.
@@ -50,14 +46,8 @@
                     ErrorKind::ConnectionRefused => SendError::Refused,
                     _ => SendError::NotSent,
                 })?;
-        let (sender, connection) = Builder::new()
-            .handshake(HyperStream::new_plain(stream))
-            .await
-            .map_err(|_| SendError::NotSent)?;
-        let connection = compio::runtime::spawn(async move {
-            // The sender and the body report a connection's fault.
-            let _ = connection.await;
-        });
+        let begun = begin_http1(stream).await;
+        let (sender, connection) = begun.map_err(|_| SendError::NotSent)?;
         Ok(Self {
             sender,
             _connection: connection,
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -4,7 +4,7 @@
 //! revision. A watch that broke goes on where it stopped; once its revisions
 //! are gone, the list is read again.
 
-use super::state::Site;
+use super::{lease::RETRY_PAUSE, state::Site};
 use crate::{
     core::{
         input::{PlatformAnswer, PlatformEntry, WatchEvent},
@@ -13,10 +13,7 @@
     },
     shell::platform::{KeyValue, WatchEnd},
 };
-use std::{cell::Cell, rc::Rc, time::Duration};
-
-/// The pause before a failed call is made again.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+use std::{cell::Cell, rc::Rc};
 
 /// Takes in what is under a prefix.
 pub trait Sink {
--- a/src/gateway/formation.rs
+++ b/src/gateway/formation.rs
@@ -62,7 +62,7 @@
         let has_lost = self.members.iter().zip(&self.lives).any(|(name, born)| {
             let host = roster.named(name).map(|(_, host)| host);
             host.is_none_or(|host| {
-                host.runner.born != *born || !is_eligible(roster, host) || self.is_outdated(host)
+                host.runner.born != *born || !is_eligible(host) || self.is_outdated(host)
             })
         });
         has_lost || now >= self.until
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -11,20 +11,17 @@
     attempt::{attempt, note_miss, until},
     call::{Begun, Call, Miss, Passing, id_text},
     placement::{self, Place, Shortage, Wanted},
-    spec::Spec,
     state::Site,
     stream,
 };
-use crate::core::{
-    keys::ServiceName,
-    time::{Span, Time},
-};
+use crate::core::time::{Span, Time};
 use bytes::Bytes;
 use http::{
-    Request, Response, StatusCode,
-    header::{EXPECT, HOST},
+    HeaderValue, Request, Response, StatusCode,
+    header::{CONNECTION, EXPECT, HOST},
+    request, response,
 };
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt as _, Either, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use metrics::{counter, histogram};
 use rand::Rng as _;
@@ -65,13 +62,13 @@
     counter!("answers_total", "status" => status).increment(1);
     histogram!("answer_begins_seconds").record(site.now().since(arrived).as_secs_f64());
     if site.stopping.get() {
-        let close = http::HeaderValue::from_static("close");
-        answer.headers_mut().insert(http::header::CONNECTION, close);
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
     }
     answer
 }
 
-fn log_refusal(site: &Site, id: &Option<http::HeaderValue>, refusal: Refusal) {
+fn log_refusal(site: &Site, id: &Option<HeaderValue>, refusal: Refusal) {
     slog::info!(site.log, "refused";
         "request" => id_text(id),
         "reason" => format!("{refusal:?}"),
@@ -82,7 +79,7 @@
 async fn admit(
     site: &Rc<Site>,
     head: CallHead,
-    parts: http::request::Parts,
+    parts: request::Parts,
     body: Incoming,
     arrived: Time,
 ) -> Result<Call, Refusal> {
@@ -110,13 +107,18 @@
     let body = read_body(body, most, table.spec().limits.head_time).await?;
     let draw = site.rng.borrow_mut().random();
     let service = route.service(draw).ok_or(Refusal::NoRoute)?.clone();
-    if !site.has_time(time_needed(table.spec(), &service, &head)) {
+    let engine = table.spec().engine(&service);
+    let model = engine.zip(head.model.as_ref());
+    if !site.has_time(admission::time_needed(model, head.prompt, head.answer)) {
         return Err(Refusal::Unavailable {
             retry_ms: ELSEWHERE_MS,
         });
     }
     site.count_request(&service);
-    count_demand(site, table.spec(), &service, &head, arrived);
+    if let Some((engine, model)) = model {
+        let mut demand = site.demand.borrow_mut();
+        demand.count(engine, model, head.prompt, head.answer, arrived);
+    }
     let deadline = head.deadline.unwrap_or(USUAL_DEADLINE);
     let spent = site.spent(&route.name, deadline);
     let wait = deadline.min(route.timeout);
@@ -142,23 +144,6 @@
     })
 }
 
-/// The time that a daemon that stops must have left to take a request.
-fn time_needed(spec: &Spec, service: &ServiceName, head: &CallHead) -> Span {
-    let found = spec.service(service);
-    let engine = found.and_then(|found| found.engine.as_ref());
-    admission::time_needed(engine.zip(head.model.as_ref()), head.prompt, head.answer)
-}
-
-fn count_demand(site: &Site, spec: &Spec, service: &ServiceName, head: &CallHead, now: Time) {
-    let engine = spec
-        .service(service)
-        .and_then(|found| found.engine.as_ref());
-    if let (Some(engine), Some(model)) = (engine, &head.model) {
-        let mut demand = site.demand.borrow_mut();
-        demand.count(engine, model, head.prompt, head.answer, now);
-    }
-}
-
 async fn read_body(body: Incoming, most: usize, time: Span) -> Result<Bytes, Refusal> {
     let read = compio::time::timeout(time.into(), Limited::new(body, most).collect())
         .await
@@ -234,9 +219,9 @@
         "after_ms" => call.site.now().since(call.arrived).as_millis());
 }
 
-fn pass_back(mut parts: http::response::Parts, bytes: Bytes) -> Answer {
+fn pass_back(mut parts: response::Parts, bytes: Bytes) -> Answer {
     strip_hop_by_hop(&mut parts.headers);
-    Response::from_parts(parts, http_body_util::Either::Left(Full::new(bytes)))
+    Response::from_parts(parts, Either::Left(Full::new(bytes)))
 }
 
 async fn read_answer(body: Incoming) -> Option<Bytes> {
@@ -297,8 +282,7 @@
     let site = &call.site;
     let now = site.now();
     let table = site.table().ok_or(Shortage::NoneServing)?;
-    let service = table.spec().service(&call.service);
-    let engine = service.and_then(|service| service.engine.as_ref());
+    let engine = table.spec().engine(&call.service);
     let model = call.head.model.as_ref().zip(engine);
     let wanted = Wanted {
         service: &call.service,
--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -116,9 +116,9 @@
     if parts.uri.path() == "/metrics" {
         return answer::whole(StatusCode::OK, metrics::render(&[]).into());
     }
-    match A::question(&parts) {
-        Some(_) => addresses::<A>(site),
-        None => answer::whole(StatusCode::NOT_FOUND, Bytes::new()),
+    match A::asks_addresses(&parts) {
+        true => addresses::<A>(site),
+        false => answer::whole(StatusCode::NOT_FOUND, Bytes::new()),
     }
 }
 
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -12,50 +12,35 @@
 use http::{Request, header::CONTENT_TYPE};
 use http_body_util::Full;
 use metrics::counter;
-use std::{marker::PhantomData, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 /// How long a runner may take to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Sends orders.
-pub struct Orders<A> {
-    site: Rc<Site>,
-    adapter: PhantomData<A>,
-}
-
-impl<A> Orders<A>
+/// Sends an order; its outcome is logged.
+pub fn send<A>(site: &Rc<Site>, directive: Directive)
 where
     A: Adapter,
 {
-    /// A sender for a gateway.
-    pub fn new(site: Rc<Site>) -> Self {
-        Self {
-            site,
-            adapter: PhantomData,
-        }
-    }
-
-    /// Sends an order; its outcome is logged.
-    pub fn send(&self, directive: Directive) {
-        let address = match self.site.roster.borrow().named(&directive.host) {
-            Some((_, host)) => host.runner.address,
-            None => return,
-        };
-        let site = self.site.clone();
-        compio::runtime::spawn(async move {
-            let sent = compio::time::timeout(ORDER_TIMEOUT, send::<A>(address, &directive)).await;
-            let outcome = sent.unwrap_or_else(|_| "no answer in time".to_owned());
-            counter!("orders_total").increment(1);
-            slog::info!(site.log, "order";
-                "host" => directive.host.as_str(),
-                "order" => format!("{:?}", directive.order),
-                "outcome" => outcome);
-        })
-        .detach();
-    }
+    let address = match site.roster.borrow().named(&directive.host) {
+        Some((_, host)) => host.runner.address,
+        None => return,
+    };
+    let site = site.clone();
+    compio::runtime::spawn(async move {
+        let sent = compio::time::timeout(ORDER_TIMEOUT, deliver::<A>(address, &directive)).await;
+        let outcome = sent.unwrap_or_else(|_| "no answer in time".to_owned());
+        counter!("orders_total").increment(1);
+        slog::info!(site.log, "order";
+            "host" => directive.host.as_str(),
+            "order" => format!("{:?}", directive.order),
+            "outcome" => outcome);
+    })
+    .detach();
 }
 
-async fn send<A>(address: SocketAddr, directive: &Directive) -> String
+/// Delivers an order; what came of the delivery, for the log.
+async fn deliver<A>(address: SocketAddr, directive: &Directive) -> String
 where
     A: Adapter,
 {
--- a/src/gateway/outages.rs
+++ b/src/gateway/outages.rs
@@ -62,7 +62,7 @@
                 (group.epoch, served)
             })
             .collect();
-        let before = std::mem::replace(&mut self.serving, serving.clone());
+        let before = std::mem::take(&mut self.serving);
         let mut out = Vec::new();
         for (epoch, served) in &before {
             if !serving.contains_key(epoch) {
@@ -86,6 +86,7 @@
             }
         }
         self.lost.retain(|(since, _)| now.since(*since) < MEMORY);
+        self.serving = serving;
         out
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -45,8 +45,6 @@
     present: BTreeMap<DaemonName, Presence>,
     /// Who orders groups, and since which revision.
     pub claim: Option<(DaemonName, Revision)>,
-    /// The revision of the last verdict.
-    pub verdict: Option<Revision>,
 }
 
 impl Peers {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -151,7 +151,7 @@
     let Some(host) = roster.host(place.host) else {
         return false;
     };
-    if roster.is_lost(host) {
+    if host.is_lost() {
         return false;
     }
     let Some(epoch) = place.epoch else {
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -115,11 +115,6 @@
         out
     }
 
-    /// Formations under way.
-    pub fn formations(&self) -> &[Formation] {
-        &self.formations
-    }
-
     /// Groups whose heads are gone for good, though their last word was that they serve or
     /// nothing is known of them.
     pub fn ended(&self, roster: &Roster, now: Time) -> Vec<Epoch> {
@@ -203,7 +198,7 @@
             let Some(replication) = engine.replication(&group.model) else {
                 continue;
             };
-            let sound = roster.members(group).all(|host| is_eligible(roster, host));
+            let sound = roster.members(group).all(is_eligible);
             if !taken && sound {
                 let until = now + replication.load + FORMATION_SLACK;
                 formations.push(Formation::adopted(roster, group, open_from, until));
@@ -219,8 +214,7 @@
         now: Time,
         out: &mut Vec<Directive>,
     ) {
-        let pools = self.pools(roster, service, now);
-        let mut replaced = BTreeSet::new();
+        let outpaced = self.outpaced(roster, service, now);
         for group in roster.groups() {
             if group.service != *service || !group.is_active() {
                 continue;
@@ -228,17 +222,9 @@
             let Some(head) = group.head().and_then(|key| roster.host(key)) else {
                 continue;
             };
-            let is_gone = head.unlisted.is_some() && roster.is_lost(head);
-            let mut cut = must_close(roster, group, head);
-            if cut.is_none()
-                && let Some(domain) = &head.runner.domain
-                && !replaced.contains(domain)
-                && let Some(pool) = pools.get(domain)
-                && is_outpaced(roster, group, pool)
-            {
-                replaced.insert(domain.clone());
-                cut = Some(false);
-            }
+            let is_gone = head.unlisted.is_some() && head.is_lost();
+            let is_outpaced = outpaced.contains(&(&group.name, group.epoch));
+            let cut = must_close(roster, group, head).or(is_outpaced.then_some(false));
             let Some(cut) = cut.filter(|_| !is_gone) else {
                 continue;
             };
@@ -252,6 +238,36 @@
         }
     }
 
+    /// Open groups that are closed because their slow members can be replaced, one a domain.
+    fn outpaced<'a>(
+        &self,
+        roster: &'a Roster,
+        service: &ServiceName,
+        now: Time,
+    ) -> BTreeSet<(&'a GroupName, Epoch)> {
+        let groups = roster.groups().iter();
+        let slow: Vec<&Group> = groups
+            .filter(|group| group.service == *service && roster.group_pace(group) > 1.0)
+            .collect();
+        if slow.is_empty() {
+            return BTreeSet::new();
+        }
+        let pools = self.pools(roster, service, now);
+        let mut domains = BTreeSet::new();
+        let outpaced = slow.into_iter().filter(|group| {
+            let head = group.head().and_then(|key| roster.host(key));
+            let domain = head.and_then(|head| head.runner.domain.as_ref());
+            let Some((head, domain)) = head.zip(domain) else {
+                return false;
+            };
+            let pool = pools.get(domain);
+            must_close(roster, group, head).is_none()
+                && pool.is_some_and(|pool| is_outpaced(roster, group, pool))
+                && domains.insert(domain)
+        });
+        outpaced.map(|group| (&group.name, group.epoch)).collect()
+    }
+
     /// Forms groups of free hosts, the model in greatest need first.
     fn form(
         &mut self,
@@ -371,7 +387,7 @@
             let Some(domain) = &host.runner.domain else {
                 continue;
             };
-            if host.runner.service != *service || !is_eligible(roster, host) {
+            if host.runner.service != *service || !is_eligible(host) {
                 continue;
             }
             if held.contains(&key) {
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -80,7 +80,7 @@
         let Some(host) = roster.host(key) else {
             return Delay::Unknown;
         };
-        if roster.pace(host) > 1.0 {
+        if host.pace() > 1.0 {
             return Delay::Slow;
         }
         match self.loading.get(&key) {
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -134,7 +134,7 @@
         let roster = self.site.roster.borrow();
         let members: BTreeMap<HostKey, &Host> = roster
             .hosts()
-            .filter(|(_, host)| host.runner.member.is_some() || roster.is_lost(host))
+            .filter(|(_, host)| host.runner.member.is_some() || host.is_lost())
             .collect();
         let mut probes = self.probes.borrow_mut();
         probes.entries.retain(|key, _| members.contains_key(key));
@@ -145,8 +145,8 @@
                 exchange: None,
                 asked: None,
                 is_asking: false,
-                is_lost: roster.is_lost(host),
-                pace: roster.pace(host),
+                is_lost: host.is_lost(),
+                pace: host.pace(),
             });
         }
     }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -106,6 +106,24 @@
     failure: Option<Failure>,
     /// Whether another daemon found it to be dead rather than leaving.
     is_dead: bool,
+    is_lost: bool,
+    pace: f64,
+}
+
+impl Host {
+    /// Whether it answers no probes.
+    pub fn is_lost(&self) -> bool {
+        self.is_lost
+    }
+
+    /// How many times slower than usual it works.
+    pub fn pace(&self) -> f64 {
+        self.pace
+    }
+
+    fn life(&self) -> Life {
+        (self.name.clone(), self.runner.born)
+    }
 }
 
 crate::record! {
@@ -185,6 +203,7 @@
             }
             None => {
                 self.forget(&name);
+                let life = (name.clone(), runner.born);
                 let host = Host {
                     name: name.clone(),
                     runner,
@@ -192,6 +211,8 @@
                     stayed: None,
                     failure: None,
                     is_dead: false,
+                    is_lost: self.lost.contains(&life),
+                    pace: pace_of(&self.slow, &life),
                 };
                 let key = self.hosts.insert(host);
                 self.names.insert(name, key);
@@ -249,6 +270,9 @@
 
     /// Marks lifetimes as lost, in place of the marks before.
     pub fn set_lost(&mut self, lost: BTreeSet<Life>) {
+        for host in self.hosts.values_mut() {
+            host.is_lost = lost.contains(&host.life());
+        }
         self.lost = lost;
     }
 
@@ -286,15 +310,16 @@
 
     /// The lifetimes found lost that are dead.
     pub fn dead(&self) -> Vec<Life> {
-        let lives = self.lost.iter().filter(|(name, born)| {
-            let host = self.named(name).map(|(_, host)| host);
-            host.is_some_and(|host| host.runner.born == *born && self.is_dead(host))
-        });
-        lives.cloned().collect()
+        let lost = self.hosts.values().filter(|host| host.is_lost());
+        let dead = lost.filter(|host| self.is_dead(host));
+        dead.map(Host::life).collect()
     }
 
     /// Marks lifetimes as slow, in place of the marks before.
     pub fn set_slow(&mut self, slow: BTreeMap<Life, f64>) {
+        for host in self.hosts.values_mut() {
+            host.pace = pace_of(&slow, &host.life());
+        }
         self.slow = slow;
     }
 
@@ -372,28 +397,16 @@
         self.hosts.iter()
     }
 
-    /// Whether a host answers no probes.
-    pub fn is_lost(&self, host: &Host) -> bool {
-        let life = (host.name.clone(), host.runner.born);
-        self.lost.contains(&life)
-    }
-
-    /// How many times slower than usual a host works.
-    pub fn pace(&self, host: &Host) -> f64 {
-        let life = (host.name.clone(), host.runner.born);
-        self.slow.get(&life).copied().unwrap_or(1.0)
-    }
-
     /// How many times slower than usual a group works: as slow as its slowest member.
     pub fn group_pace(&self, group: &Group) -> f64 {
-        let paces = self.members(group).map(|host| self.pace(host));
+        let paces = self.members(group).map(Host::pace);
         paces.fold(1.0, f64::max)
     }
 
     /// Whether a host may be sent requests.
     pub fn is_usable(&self, host: &Host, now: Time) -> bool {
         let listed = host.unlisted.is_none() || now < self.reentry;
-        listed && !host.runner.draining && !self.is_lost(host)
+        listed && !host.runner.draining && !host.is_lost()
     }
 
     /// The known members of a group.
@@ -404,7 +417,7 @@
     /// Whether a member of a group was found dead, or is not known any more.
     pub fn has_lost(&self, group: &Group) -> bool {
         let mut hosts = group.members.values().map(|key| self.host(*key));
-        hosts.any(|host| host.is_none_or(|host| self.is_lost(host)))
+        hosts.any(|host| host.is_none_or(Host::is_lost))
     }
 
     /// Whether a group may have a head that was never seen here: one that left before is listed
@@ -431,7 +444,11 @@
     }
 }
 
+fn pace_of(slow: &BTreeMap<Life, f64>, life: &Life) -> f64 {
+    slow.get(life).copied().unwrap_or(1.0)
+}
+
 fn size_of(spec: &Spec, group: &Group) -> Option<u16> {
-    let engine = spec.service(&group.service)?.engine.as_ref()?;
+    let engine = spec.engine(&group.service)?;
     Some(engine.replication(&group.model)?.size)
 }
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -185,7 +185,6 @@
 
     fn take_verdict(&self, entry: &PlatformEntry) {
         if let Some(verdict) = self.read::<Verdict>(entry) {
-            self.site.peers.borrow_mut().verdict = Some(entry.revision);
             let mut roster = self.site.roster.borrow_mut();
             roster.mark_dead(&verdict.dead);
             roster.mark_ended(&verdict.ended);
@@ -207,7 +206,8 @@
                     peers.claim = None;
                 }
             }
-            VERDICT => peers.verdict = None,
+            // It outlives its writer.
+            VERDICT => {}
             _ => {
                 if let Some(name) = key.strip_prefix(PRESENCE) {
                     peers.remove(&DaemonName::from(name));
--- a/src/gateway/spec.rs
+++ b/src/gateway/spec.rs
@@ -162,6 +162,11 @@
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.services.iter().find(|service| service.name == *name)
     }
+
+    /// How a service's engines work; none for plain and unknown services.
+    pub fn engine(&self, service: &ServiceName) -> Option<&Engine> {
+        self.service(service)?.engine.as_ref()
+    }
 }
 
 impl Engine {
@@ -177,17 +182,24 @@
 
     /// How long a request of so many tokens lasts when all slots are taken.
     pub fn duration(&self, replication: &Replication, prompt: u32, answer: u32) -> Span {
-        let reading = f64::from(prompt) / self.read_rate.max(1.0) * 1e6;
-        let step = self.step + self.step_each.times(u64::from(self.slots));
-        let writing = step.0 as f64 * f64::from(answer);
-        Span(((reading + writing) * replication.pace) as u64)
+        let time = self.reading(prompt) + self.writing(answer);
+        Span((time * replication.pace) as u64)
     }
 
     /// A replica's time for a request of so many tokens when all its slots are taken.
     pub fn work(&self, prompt: u32, answer: u32) -> Span {
-        let reading = f64::from(prompt) / self.read_rate.max(1.0) * 1e6;
+        let writing = self.writing(answer) / f64::from(self.slots.max(1));
+        Span((self.reading(prompt) + writing) as u64)
+    }
+
+    /// The time of reading a prompt, in microseconds.
+    fn reading(&self, prompt: u32) -> f64 {
+        f64::from(prompt) / self.read_rate.max(1.0) * 1e6
+    }
+
+    /// The time of writing one answer when all slots are taken, in microseconds.
+    fn writing(&self, answer: u32) -> f64 {
         let step = self.step + self.step_each.times(u64::from(self.slots));
-        let writing = step.0 as f64 * f64::from(answer) / f64::from(self.slots.max(1));
-        Span((reading + writing) as u64)
+        step.0 as f64 * f64::from(answer)
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,11 +14,11 @@
     placement,
     spec::Kind,
 };
-use crate::core::time::Span;
+use crate::{core::time::Span, shell::http::is_event_stream};
 use bytes::Bytes;
 use futures_channel::mpsc;
 use futures_util::SinkExt as _;
-use http::{Response, header::CONTENT_TYPE};
+use http::Response;
 use http_body::Frame;
 use http_body_util::{BodyExt as _, Either, StreamBody};
 use hyper::body::Incoming;
@@ -34,11 +34,10 @@
 
 /// Whether an answer is a stream that is passed on event by event.
 pub(super) fn is_stream(call: &Call, begun: &Begun) -> bool {
-    let headers = begun.response.headers();
-    let is_events = headers
-        .get(CONTENT_TYPE)
-        .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
-    call.route.kind == Kind::Stream && begun.response.status().is_success() && is_events
+    let response = &begun.response;
+    call.route.kind == Kind::Stream
+        && response.status().is_success()
+        && is_event_stream(response.headers())
 }
 
 /// Begins to pass a stream on.
--- a/src/gateway/tenure.rs
+++ b/src/gateway/tenure.rs
@@ -7,8 +7,8 @@
 use crate::core::time::Time;
 
 /// Whether a host may be part of a new group.
-pub(super) fn is_eligible(roster: &Roster, host: &Host) -> bool {
-    host.unlisted.is_none() && !host.runner.draining && !roster.is_lost(host)
+pub(super) fn is_eligible(host: &Host) -> bool {
+    host.unlisted.is_none() && !host.runner.draining && !host.is_lost()
 }
 
 /// Whether an active group must be closed, and if so, whether at once.
@@ -24,7 +24,7 @@
 
 /// Whether an open group has slow members that its domain can replace at once.
 pub(super) fn is_outpaced(roster: &Roster, group: &Group, pool: &Pool) -> bool {
-    let is_slow = |host: &&Host| roster.pace(host) > 1.0;
+    let is_slow = |host: &&Host| host.pace() > 1.0;
     let slow = roster.members(group).filter(is_slow).count();
     let is_open = group.head_state == Some(MemberState::Open);
     is_open && slow > 0 && pool.prompt(roster, &group.model) >= slow
@@ -42,7 +42,7 @@
     let Some(head) = group.head().and_then(|key| roster.host(key)) else {
         return false;
     };
-    let Some(unlisted) = head.unlisted.filter(|_| roster.is_lost(head)) else {
+    let Some(unlisted) = head.unlisted.filter(|_| head.is_lost()) else {
         return true;
     };
     !roster.is_dead(head) && now.since(unlisted) < LEAVING_LIMIT
--- a/src/shell/callers/ask.rs
+++ b/src/shell/callers/ask.rs
@@ -1,6 +1,6 @@
 //! Reads what a caller asks from the head and body of a request.
 
-use super::super::calls::CallBody;
+use super::super::{calls::CallBody, http::HOP_BY_HOP};
 use crate::core::{
     input::{CallRequest, Target, Ticket},
     keys::{AdapterName, Incarnation, KeyHash, ModelName, VersionName},
@@ -86,7 +86,7 @@
 pub(super) fn credential(headers: &HeaderMap) -> Option<KeyHash> {
     let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
     let key = value.strip_prefix("Bearer ")?;
-    Some(KeyHash(*blake3::hash(key.as_bytes()).as_bytes()))
+    Some(KeyHash::of(key))
 }
 
 /// A parameter of the request's query.
@@ -256,27 +256,16 @@
     blocks.map(hash).collect()
 }
 
-/// Headers that concern one connection or the system, not the runner.
-const OWN_HEADERS: [HeaderName; 9] = [
-    header::AUTHORIZATION,
-    header::CONNECTION,
-    header::CONTENT_LENGTH,
-    header::EXPECT,
-    header::HOST,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
+/// Headers that concern the system, not the runner.
+const OWN_HEADERS: [HeaderName; 3] = [header::AUTHORIZATION, header::EXPECT, header::HOST];
 
 /// Whether a header is passed through in either direction.
 pub(super) fn is_passed_on(name: &HeaderName) -> bool {
-    !OWN_HEADERS.contains(name)
+    !HOP_BY_HOP.contains(name)
+        && !OWN_HEADERS.contains(name)
         && !matches!(
             name.as_str(),
-            "keep-alive"
-                | "proxy-connection"
-                | "x-attempt"
+            "x-attempt"
                 | "x-deadline-ms"
                 | "x-epoch"
                 | "x-from"
--- a/src/shell/host_list.rs
+++ b/src/shell/host_list.rs
@@ -1,14 +1,10 @@
 //! Reads the list of live and leaving hosts, again and again.
 
-use super::{
-    Inbox,
-    http::{self, LocalExecutor},
-};
+use super::{Inbox, http};
 use crate::core::input::{HostEntry, HostsInput, Input};
 use bytes::Bytes;
-use cyper_core::HyperStream;
 use http_body_util::{BodyExt as _, Empty, Limited};
-use hyper::{Request, client::conn::http1};
+use hyper::{Request, client::conn::http1::SendRequest};
 use std::{net::SocketAddr, time::Duration};
 
 /// How often the list is read.
@@ -20,7 +16,7 @@
 /// The longest list taken, in bytes.
 const MAX_LIST: usize = 16 << 20;
 
-type Sender = http1::SendRequest<Empty<Bytes>>;
+type Sender = SendRequest<Empty<Bytes>>;
 
 /// Reads the list until the loop ends; an unchanged list is not passed on.
 pub fn start(inbox: Inbox, address: SocketAddr) {
@@ -71,11 +67,9 @@
 }
 
 async fn connect(address: SocketAddr) -> Option<Sender> {
-    let stream = HyperStream::new_plain(http::connect(address).await.ok()?);
-    let (sender, connection) = http1::handshake(stream).await.ok()?;
-    hyper::rt::Executor::execute(&LocalExecutor, async move {
-        let _ = connection.await;
-    });
+    let stream = http::connect(address).await.ok()?;
+    let (sender, connection) = http::begin_http1(stream).await.ok()?;
+    connection.detach();
     Some(sender)
 }
 
--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -2,12 +2,19 @@
 
 use super::stall::Guarded;
 use bytes::Bytes;
-use compio::net::{TcpListener, TcpStream};
+use compio::{
+    net::{TcpListener, TcpStream},
+    runtime::JoinHandle,
+};
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::future::{Either, select};
-use http::{Request, Response};
+use http::{HeaderMap, HeaderName, Request, Response, header};
 use http_body::Body;
-use hyper::{body::Incoming, service::Service};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{SendRequest, handshake},
+    service::Service,
+};
 use socket2::{SockRef, TcpKeepalive};
 use std::{
     future::{Future, pending},
@@ -190,6 +197,43 @@
         .await;
 }
 
+/// Headers that concern one connection, or are set anew on each.
+pub const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Whether a body is a series of events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    headers
+        .get(header::CONTENT_TYPE)
+        .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+}
+
+/// Begins HTTP/1 on an open connection; the task drives it, and dropping that closes it.
+///
+/// # Errors
+///
+/// Fails if the connection has ended.
+pub async fn begin_http1<B>(stream: TcpStream) -> hyper::Result<(SendRequest<B>, JoinHandle<()>)>
+where
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (sender, connection) = handshake(HyperStream::new_plain(stream)).await?;
+    let driver = compio::runtime::spawn(async move {
+        // The sender and the body report a connection's fault.
+        let _ = connection.await;
+    });
+    Ok((sender, driver))
+}
+
 /// Sends one request on a new HTTP/1 connection and returns the head; the body follows.
 ///
 /// # Errors
@@ -204,11 +248,7 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let stream = connect(address).await?;
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(HyperStream::new_plain(stream)).await?;
-    compio::runtime::spawn(async move {
-        let _ = connection.await;
-    })
-    .detach();
+    let (mut sender, connection) = begin_http1(stream).await?;
+    connection.detach();
     Ok(sender.send_request(request).await?)
 }
--- a/src/shell/runners/attempt.rs
+++ b/src/shell/runners/attempt.rs
@@ -11,12 +11,15 @@
         keys::{AttemptId, CallId, Epoch},
         output::Route,
     },
-    shell::calls::{CallBody, Head},
+    shell::{
+        calls::{CallBody, Head},
+        http::is_event_stream,
+    },
 };
 use bytes::{Bytes, BytesMut};
 use http::{
     HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode,
-    header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING},
+    header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
 };
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
@@ -92,7 +95,7 @@
     check(call, &response)?;
     begin(shared, call, &response);
     let (head, body) = response.into_parts();
-    if is_stream(&head.headers) {
+    if is_event_stream(&head.headers) {
         pass_stream(shared, call, body).await?;
     } else {
         let no_body = body_is_empty(head.status) || request_is_head(shared, call);
@@ -186,12 +189,6 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
-fn is_stream(headers: &HeaderMap) -> bool {
-    headers
-        .get(CONTENT_TYPE)
-        .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
-}
-
 /// Whether the body's end can be told from a cut connection.
 fn has_end(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
--- a/src/shell/runners/pool.rs
+++ b/src/shell/runners/pool.rs
@@ -1,10 +1,9 @@
 //! Connections to runners that are kept open between calls.
 
-use crate::shell::http::connect;
+use crate::shell::http::{begin_http1, connect};
 use bytes::Bytes;
-use cyper_core::HyperStream;
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::SendRequest;
 use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr};
 
 /// The most unused connections kept open to one address.
@@ -63,11 +62,7 @@
 /// Fails if the address can't be reached; nothing was sent then.
 pub(super) async fn open(address: SocketAddr) -> io::Result<Sender> {
     let stream = connect(address).await?;
-    let (sender, connection) = handshake(HyperStream::new_plain(stream))
-        .await
-        .map_err(io::Error::other)?;
-    super::spawn(async move {
-        let _ = connection.await;
-    });
+    let (sender, connection) = begin_http1(stream).await.map_err(io::Error::other)?;
+    connection.detach();
     Ok(sender)
 }
