--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -7,7 +7,11 @@
 
 mod common;
 
-use std::{sync::Mutex, thread, time::Duration};
+use std::{
+    sync::Mutex,
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use common::{KEY, TestEnv, call_with_timeout, completion_text, wait_for};
 use nix::sys::signal::Signal;
@@ -66,7 +70,10 @@
         let faults = [(); 2].map(|()| inject_fault(&mut rng, &mut env, &mut paused));
         let fault = faults.join(" and ");
         let calls = call_all(&env, &format!("{seed}.{step}"));
-        println!("seed {seed} step {step}: {fault}: {}", summary(&calls));
+        let line = format!("seed {seed} step {step}: {fault}: {}", summary(&calls));
+        println!("{line}");
+        env.trace.push(format!("{} {line}", unix_millis()));
+        env.trace.extend(calls.iter().map(|call| format!("{call:?}")));
         records.extend(calls);
     }
     recover(&mut env);
@@ -230,6 +237,8 @@
     for index in 0..env.daemons.len() {
         wait_for("a complete response after recovery", || {
             let record = complete(env, index, "afterwards");
+            let line = format!("{} daemon {index}: {record:?}", unix_millis());
+            env.trace.push(line);
             (record.outcome == Outcome::Complete).then_some(())
         });
     }
@@ -239,6 +248,11 @@
     assert!(hosts.iter().all(|hosts| hosts.len() == 2), "{hosts:?}");
 }
 
+fn unix_millis() -> u128 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.expect("the clock should be after 1970").as_millis()
+}
+
 fn check(env: &TestEnv, seed: u64, records: &[CallRecord]) {
     for record in records {
         let started = env.started_runs(&record.body);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -205,11 +205,24 @@
     pub platform: Process,
     /// Processes of the runners.
     pub runner_processes: Vec<Process>,
+    /// Trace of the callers, kept with the logs if the test fails.
+    pub trace: Vec<String>,
+    /// Logs of processes that were replaced by restarts.
+    replaced_logs: Vec<(String, Vec<String>)>,
     kv: String,
     host_list: SocketAddr,
     folder: tempfile::TempDir,
 }
 
+/// Keeps the evidence of a failed test.
+impl Drop for TestEnv {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.keep_logs();
+        }
+    }
+}
+
 impl TestEnv {
     /// Starts only the simulated platform.
     pub fn new() -> Self {
@@ -220,6 +233,8 @@
             runners: Vec::new(),
             platform,
             runner_processes: Vec::new(),
+            trace: Vec::new(),
+            replaced_logs: Vec::new(),
             kv: listening["kv"]
                 .as_str()
                 .expect("address of the key-value store should be printed")
@@ -360,9 +375,43 @@
         let seeds: Vec<String> = others.map(|d| d.peer.to_string()).collect();
         let settings = self.write_settings(&name, &ports, &seeds, "");
         self.daemons[index].process.kill();
+        let log = self.daemons[index].process.lines();
+        self.replaced_logs.push((name.clone(), log));
         self.daemons[index] = launch(&name, settings, &[]);
     }
 
+    /// Writes the trace and the log of every process to a folder, and prints its path.
+    fn keep_logs(&self) {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("failed");
+        let thread = std::thread::current();
+        let test = thread.name().unwrap_or("test").replace("::", "-");
+        let folder = folder.join(format!("{test}-{}", std::process::id()));
+        if let Err(error) = std::fs::create_dir_all(&folder) {
+            eprintln!("logs not kept: {error}");
+            return;
+        }
+        let mut logs = vec![
+            ("trace".to_owned(), self.trace.clone()),
+            ("platform".to_owned(), self.platform.lines()),
+        ];
+        for (index, (name, lines)) in self.replaced_logs.iter().enumerate() {
+            logs.push((format!("{name}-replaced-{index}"), lines.clone()));
+        }
+        for daemon in &self.daemons {
+            logs.push((daemon.name.clone(), daemon.process.lines()));
+        }
+        for (index, process) in self.runner_processes.iter().enumerate() {
+            logs.push((format!("runner-{index}"), process.lines()));
+        }
+        for (name, lines) in logs {
+            let path = folder.join(format!("{name}.log"));
+            if let Err(error) = std::fs::write(path, lines.join("\n")) {
+                eprintln!("log of {name} not kept: {error}");
+            }
+        }
+        eprintln!("logs kept in {}", folder.display());
+    }
+
     fn write_settings(
         &self,
         name: &str,
