Relay the store's changes between the daemons of a hall

Change: in a hall of six daemons or more the two with most processor time watch; the others subscribe to their changes over TCP, resume by revision, and go to the store if the watcher can't prove contact with it for 1.6 s. Tests: tests/gateway/changes.rs (choice and history, pure), tests/platform/relay.rs (eight processes, paused watchers).

--- /dev/null
+++ b/src/gateway/changes/source.rs
@@ -0,0 +1,104 @@
+//! Choice of the source of changes: the store, or a peer that watches it.
+//!
+//! The daemons of a hall are ranked by their processors, so that all of them
+//! agree on the watchers without a message, and machines with little processor
+//! time don't serve the others.
+
+use crate::{
+    core::{
+        keys::{DaemonName, HallName},
+        time::{Span, Time},
+    },
+    gateway::peers::{DaemonEntry, Peers},
+};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Number of daemons of a hall that watch the store.
+const WATCHERS_PER_HALL: usize = 2;
+
+/// Number of daemons from which a hall has subscribers; in a smaller one they would save little.
+const MIN_HALL_DAEMONS: usize = 6;
+
+/// Time for which a peer that failed is not subscribed to again.
+const AVOID_TIMEOUT: Span = Span::from_secs(5);
+
+/// Source of the store's changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The store itself.
+    Store,
+    /// A peer that watches the store.
+    Peer {
+        /// Name of the peer.
+        name: DaemonName,
+        /// Address for subscribers.
+        address: SocketAddr,
+    },
+}
+
+/// Peers that failed as a source, with the time at which they did.
+#[derive(Debug, Default)]
+pub struct AvoidedPeers(BTreeMap<DaemonName, Time>);
+
+impl AvoidedPeers {
+    /// Records that a peer failed as a source.
+    pub fn insert(&mut self, name: DaemonName, now: Time) {
+        self.0.insert(name, now);
+    }
+
+    fn contains(&self, name: &DaemonName, now: Time) -> bool {
+        let failed = self.0.get(name);
+        failed.is_some_and(|at| now.since(*at) < AVOID_TIMEOUT)
+    }
+}
+
+/// Chooses the source for a daemon that doesn't hold the duty.
+pub fn choose(
+    own: &DaemonName,
+    hall: &HallName,
+    peers: &Peers,
+    avoided: &AvoidedPeers,
+    now: Time,
+) -> Source {
+    let watchers = watchers(hall, peers);
+    if watchers.is_empty() || watchers.iter().any(|(name, _)| *name == own) {
+        return Source::Store;
+    }
+    // Each subscriber starts elsewhere, so that the watchers have about as many.
+    let offset = xxh3_64(own.as_str().as_bytes()) as usize % watchers.len();
+    let in_turn = watchers.iter().cycle().skip(offset).take(watchers.len());
+    let usable = in_turn.filter(|(name, _)| !avoided.contains(name, now));
+    let mut sources = usable.filter_map(|(name, entry)| {
+        Some(Source::Peer {
+            name: (*name).clone(),
+            address: entry.changes?,
+        })
+    });
+    sources.next().unwrap_or(Source::Store)
+}
+
+/// Returns the daemons of a hall that watch the store; none if all of them do.
+fn watchers<'a>(hall: &HallName, peers: &'a Peers) -> Vec<(&'a DaemonName, &'a DaemonEntry)> {
+    let in_hall = peers.daemons().filter(|(_, entry)| entry.hall == *hall);
+    let mut ranked: Vec<_> = in_hall.collect();
+    if ranked.len() < MIN_HALL_DAEMONS {
+        return Vec::new();
+    }
+    ranked.sort_by_key(|(name, entry)| (Reverse(entry.processor_percent), *name));
+    ranked.truncate(WATCHERS_PER_HALL);
+    ranked
+}
+
+/// Returns the number of daemons that watch the store.
+pub fn watcher_count(peers: &Peers) -> usize {
+    let mut halls: BTreeMap<&HallName, usize> = BTreeMap::new();
+    for (_, entry) in peers.daemons() {
+        *halls.entry(&entry.hall).or_default() += 1;
+    }
+    let watchers = halls.into_values().map(|daemons| match daemons {
+        MIN_HALL_DAEMONS.. => WATCHERS_PER_HALL,
+        _ => daemons,
+    });
+    watchers.sum()
+}
--- /dev/null
+++ b/src/gateway/changes/topic.rs
@@ -0,0 +1,92 @@
+//! Changes under one prefix, as kept for subscribers.
+
+use super::history::History;
+use crate::core::{
+    input::WatchEvent,
+    keys::Revision,
+    time::{Span, Time},
+};
+use futures_channel::oneshot;
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+};
+
+/// Topics by prefix.
+pub type Topics = BTreeMap<&'static str, Rc<Topic>>;
+
+/// Recent changes under one prefix, and the tasks that wait for the next.
+#[derive(Debug, Default)]
+pub struct Topic {
+    history: RefCell<History>,
+    /// Time at which the changes were last known to be current.
+    fresh_at: Cell<Time>,
+    /// Number of store outages that have ended.
+    outages: Cell<u32>,
+    waiting: RefCell<Vec<oneshot::Sender<()>>>,
+}
+
+impl Topic {
+    /// Forgets all changes and continues at a revision.
+    pub fn reset(&self, at: Revision, now: Time) {
+        self.history.borrow_mut().reset(at);
+        self.renew(now);
+    }
+
+    /// Adds the changes up to a revision, and wakes the waiting tasks if there are any.
+    pub fn extend(&self, end: Revision, events: &[WatchEvent], fresh_at: Time) {
+        self.history.borrow_mut().extend(end, events);
+        self.renew(fresh_at);
+        if !events.is_empty() {
+            self.wake();
+        }
+    }
+
+    /// Records that the changes were current at a time.
+    pub fn renew(&self, fresh_at: Time) {
+        self.fresh_at.set(self.fresh_at.get().max(fresh_at));
+    }
+
+    /// Counts a store outage that has ended.
+    pub fn count_outage(&self) {
+        self.outages.set(self.outages.get() + 1);
+        self.wake();
+    }
+
+    /// Returns the number of store outages that have ended.
+    pub fn outages(&self) -> u32 {
+        self.outages.get()
+    }
+
+    /// Returns the time since the changes were last known to be current.
+    pub fn age(&self, now: Time) -> Span {
+        now.since(self.fresh_at.get())
+    }
+
+    /// Returns the revision up to which all changes are known.
+    pub fn end(&self) -> Revision {
+        self.history.borrow().end()
+    }
+
+    /// Returns the changes after a revision; none if some of them are no longer kept.
+    pub fn since(&self, after: Revision) -> Option<Vec<WatchEvent>> {
+        self.history.borrow().since(after)
+    }
+
+    /// Returns a future that ends at the next change.
+    pub fn next_change(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|sender| !sender.is_canceled());
+        waiting.push(sender);
+        receiver
+    }
+
+    fn wake(&self) {
+        for waiting in self.waiting.take() {
+            // A task that no longer waits has nothing to be told.
+            let _ = waiting.send(());
+        }
+    }
+}
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -6,6 +6,7 @@
 
 use super::{
     adapter::Adapter,
+    changes::source,
     handlers::{DAEMON_PREFIX, RunnerHandler},
     peers::DaemonEntry,
     state::GatewayState,
@@ -35,8 +36,11 @@
 /// Minimum delay for which a watch collects changes before they are fetched.
 const MIN_BATCH_DELAY: Duration = Duration::from_millis(100);
 
+/// Minimum batch delay of a daemon that watches the store for others.
+const SHARED_BATCH_DELAY: Duration = Duration::from_millis(400);
+
 /// Batch delay for each daemon that watches the store.
-const BATCH_DELAY_PER_DAEMON: Duration = Duration::from_millis(15);
+const BATCH_DELAY_PER_WATCHER: Duration = Duration::from_millis(15);
 
 /// Maximum batch delay; a configuration must be in use within two seconds.
 const MAX_BATCH_DELAY: Duration = Duration::from_millis(900);
@@ -76,10 +80,15 @@
     /// Sets the delay for which watches collect changes: the holder of the duty must see changes
     /// at once, while the calls of the others must not grow with their number.
     pub fn set_batch_delay(&self, is_holder: bool) {
-        let daemons = self.state.peers.borrow().count() as u32;
+        let peers = self.state.peers.borrow();
+        let watchers = source::watcher_count(&peers);
+        let min = match watchers < peers.count() {
+            true => SHARED_BATCH_DELAY,
+            false => MIN_BATCH_DELAY,
+        };
         let delay = match is_holder {
             true => MIN_BATCH_DELAY,
-            false => (BATCH_DELAY_PER_DAEMON * daemons).clamp(MIN_BATCH_DELAY, MAX_BATCH_DELAY),
+            false => (BATCH_DELAY_PER_WATCHER * watchers as u32).clamp(min, MAX_BATCH_DELAY),
         };
         self.store.set_batch_delay(delay);
     }
@@ -125,6 +134,7 @@
             Ok(PlatformAnswer::Leased { lease, ttl }) if ttl > Span::ZERO => {
                 self.id.set(Some(lease));
                 self.expires.set(sent + ttl);
+                self.state.store_answered();
                 self.register().await
             }
             Ok(_) => {
@@ -146,6 +156,8 @@
         let entry = DaemonEntry {
             caller: settings.listen.caller,
             hall: settings.hall.clone(),
+            changes: settings.listen.peer,
+            processor_percent: (settings.cores * 100.0) as u32,
         };
         let key = format!("{}{DAEMON_PREFIX}{}", A::OWN_PREFIX, settings.name);
         let written = self.overwrite(key, &entry, self.id()).await;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod balancer;
 pub mod budget;
 mod call;
+pub mod changes;
 mod connection;
 pub mod demand;
 mod duty;
@@ -94,6 +95,11 @@
     let directory = http::bind(listen.directory)
         .await
         .context("listen for directory requests")?;
+    let peers = match listen.peer {
+        Some(address) => Some(http::bind(address).await.context("listen for peers")?),
+        None => None,
+    };
+    listen.peer = peers.as_ref().map(http::address).transpose()?;
     listen.caller = http::address(&callers)?;
     listen.ready = http::address(&ready)?;
     listen.directory = http::address(&directory)?;
@@ -103,7 +109,8 @@
         "ready" => settings.listen.ready.to_string(),
         "directory" => settings.listen.directory.to_string());
     let store = A::store(settings.store);
-    let state = Rc::new(GatewayState::new(settings, log));
+    let prefixes = [A::SPEC_KEY, A::RUNNER_PREFIX, A::OWN_PREFIX];
+    let state = Rc::new(GatewayState::new(settings, log, &prefixes));
     let (stop, stopped) = oneshot::channel::<()>();
     let stopped = stopped.shared();
 
@@ -125,6 +132,9 @@
         A::OWN_PREFIX,
         handlers::PeerHandler::new(state.clone(), A::OWN_PREFIX),
     ));
+    if let Some(listener) = peers {
+        spawn(changes::server::serve(listener, state.clone()));
+    }
     let lease = Rc::new(Lease::<A>::new(state.clone(), store));
     let lease_task = compio::runtime::spawn(lease.clone().maintain());
     spawn(Duty::new(state.clone(), lease).run());
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -14,6 +14,12 @@
         pub caller: SocketAddr,
         /// Hall of the daemon.
         pub hall: HallName,
+        /// Address for subscribers to the store's changes, if it has any.
+        #[serde(default)]
+        pub changes: Option<SocketAddr>,
+        /// Processor time that it may use, in percent of a core.
+        #[serde(default)]
+        pub processor_percent: u32,
     }
 
     /// Entry of the daemon that holds the duty to order hosts into groups.
@@ -63,6 +69,11 @@
         *self = Self::default();
     }
 
+    /// Returns the daemons with an entry.
+    pub fn daemons(&self) -> impl Iterator<Item = (&DaemonName, &DaemonEntry)> {
+        self.daemons.iter()
+    }
+
     /// Returns the number of daemons with an entry.
     pub fn count(&self) -> usize {
         self.daemons.len()
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -25,6 +25,9 @@
         pub grace_ms: u64,
         /// Time for which callers may cache the daemons' addresses, in milliseconds.
         pub entries_ms: u64,
+        /// Processor time that the daemon may use, in cores.
+        #[serde(default)]
+        pub cores: f64,
         /// True if the whole deployment starts for the first time.
         #[serde(default)]
         pub first: bool,
@@ -39,6 +42,9 @@
         pub ready: SocketAddr,
         /// Address for directory requests, which return the daemons' addresses.
         pub directory: SocketAddr,
+        /// Address for other daemons, which subscribe to the store's changes.
+        #[serde(default)]
+        pub peer: Option<SocketAddr>,
     }
 
     /// Limits on retries over all daemons.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,6 +2,10 @@
 
 use super::{
     budget::RetryBudget,
+    changes::{
+        Topics,
+        source::{self, AvoidedPeers, Source},
+    },
     demand::Demand,
     load::Loads,
     outages::{Outages, ServingChange},
@@ -55,6 +59,12 @@
     max_timeouts: RefCell<BTreeMap<String, Span>>,
     /// Other daemons.
     pub peers: RefCell<Peers>,
+    /// Changes of the store, as kept for subscribers.
+    pub topics: Topics,
+    /// Peers that failed as a source of changes.
+    pub avoided_peers: RefCell<AvoidedPeers>,
+    /// Number of subscriptions of other daemons.
+    pub subscriptions: Cell<usize>,
     /// Random number generator.
     pub rng: RefCell<SmallRng>,
     /// True once the runners' entries were listed.
@@ -69,7 +79,7 @@
 
 impl GatewayState {
     /// Creates the state of a daemon that has read nothing from the store yet.
-    pub fn new(settings: Settings, log: Logger) -> Self {
+    pub fn new(settings: Settings, log: Logger, prefixes: &[&'static str]) -> Self {
         Self {
             log,
             clock: Clock::start(),
@@ -81,6 +91,12 @@
             retry_budgets: RefCell::default(),
             max_timeouts: RefCell::default(),
             peers: RefCell::default(),
+            topics: prefixes
+                .iter()
+                .map(|prefix| (*prefix, Rc::default()))
+                .collect(),
+            avoided_peers: RefCell::default(),
+            subscriptions: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
             runners_listed: Cell::new(false),
             stopping: Cell::new(false),
@@ -195,6 +211,27 @@
             .is_none_or(|end| now + duration <= end)
     }
 
+    /// Returns the source from which this daemon follows the store's changes.
+    pub fn change_source(&self) -> Source {
+        let peers = self.peers.borrow();
+        let own = &self.settings.name;
+        let is_holder = peers.claim.as_ref().is_some_and(|(name, _)| name == own);
+        // The holder of the duty must see changes at once.
+        if is_holder {
+            return Source::Store;
+        }
+        let avoided = self.avoided_peers.borrow();
+        source::choose(own, &self.settings.hall, &peers, &avoided, self.now())
+    }
+
+    /// Records that the store has answered a call.
+    pub fn store_answered(&self) {
+        if self.change_source() == Source::Store {
+            let now = self.now();
+            self.topics.values().for_each(|topic| topic.renew(now));
+        }
+    }
+
     /// Returns true if callers may be sent to this daemon.
     pub fn is_ready(&self) -> bool {
         !self.stopping.get() && self.route_table.borrow().is_some() && self.runners_listed.get()
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,19 +1,34 @@
 //! Follows the store's entries under a prefix.
 //!
-//! A list is followed by a watch that starts at the list's revision. An
-//! interrupted watch resumes at the revision that it had reached; if the store
-//! has compacted that revision away, the list is read again.
+//! A list is followed by the changes since the list's revision, which come
+//! from the store or from a peer that watches it. Whoever delivers them, the
+//! next source continues at the revision that was reached; if the store has
+//! compacted that revision away, the list is read again.
 
-use super::{lease::RETRY_DELAY, state::GatewayState};
+use super::{
+    changes::{
+        Topic,
+        messages::{Changes, Subscribe},
+        source::Source,
+        subscription,
+    },
+    lease::RETRY_DELAY,
+    state::GatewayState,
+};
 use crate::{
     core::{
         input::{PlatformAnswer, PlatformEntry, WatchEvent},
-        keys::Revision,
+        keys::{DaemonName, Revision},
         output::PlatformCall,
+        time::Time,
     },
     shell::platform::{KeyValueStore, WatchEnd},
 };
-use std::{cell::Cell, rc::Rc};
+use futures_util::future::{Either, select};
+use std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+
+/// Interval at which a daemon that watches the store checks whether it could follow a peer.
+const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Receiver of the entries under a prefix.
 pub trait EntryHandler {
@@ -33,88 +48,154 @@
     K: KeyValueStore,
     H: EntryHandler,
 {
-    let mut health = StoreHealth::new(&state, prefix);
+    let mut watcher = Watcher {
+        topic: state.topics[prefix].clone(),
+        state: &state,
+        store,
+        prefix,
+        handler,
+        is_store_down: false,
+    };
     loop {
-        let list = PlatformCall::List {
-            prefix: prefix.to_owned(),
-        };
-        let (revision, entries) = match store.execute(list).await {
-            Ok(PlatformAnswer::Entries { revision, entries }) => (revision, entries),
-            Ok(_) => unreachable!("a list call returns entries"),
-            Err(error) => {
-                health.record_failure(&error.to_string());
+        match watcher.list().await {
+            Ok(()) => watcher.follow().await,
+            Err(cause) => {
+                watcher.record_failure(&cause);
                 compio::time::sleep(RETRY_DELAY).await;
-                continue;
             }
-        };
-        if health.record_success() {
-            handler.on_recovery();
         }
-        handler.on_list(entries);
-        watch(&store, prefix, revision, &handler, &mut health).await;
     }
 }
 
-/// Watches from a revision on, until a new list is needed.
-async fn watch<K, H>(
-    store: &K,
+/// Follower of the entries under one prefix.
+struct Watcher<'a, K, H> {
+    state: &'a GatewayState,
+    store: K,
     prefix: &'static str,
-    listed: Revision,
-    handler: &H,
-    health: &mut StoreHealth<'_>,
-) where
+    topic: Rc<Topic>,
+    handler: H,
+    /// Reachability of the store; each change is logged once.
+    is_store_down: bool,
+}
+
+impl<K, H> Watcher<'_, K, H>
+where
     K: KeyValueStore,
     H: EntryHandler,
 {
-    let seen = Cell::new(listed);
-    loop {
-        let from = Revision(seen.get().0 + 1);
-        let deliver = |revision: Revision, events: Vec<WatchEvent>| {
-            seen.set(seen.get().max(revision));
-            if health.record_success() {
-                handler.on_recovery();
-            }
-            if !events.is_empty() {
-                handler.on_change(events);
+    /// Lists all entries.
+    async fn list(&mut self) -> Result<(), String> {
+        let list = PlatformCall::List {
+            prefix: self.prefix.to_owned(),
+        };
+        let (revision, entries) = match self.store.execute(list).await {
+            Ok(PlatformAnswer::Entries { revision, entries }) => (revision, entries),
+            Ok(_) => unreachable!("a list call returns entries"),
+            Err(error) => return Err(error.to_string()),
+        };
+        self.record_success();
+        self.topic.reset(revision, self.state.now());
+        self.handler.on_list(entries);
+        Ok(())
+    }
+
+    /// Follows the changes since the list, until a new list is needed.
+    async fn follow(&mut self) {
+        loop {
+            let end = match self.state.change_source() {
+                Source::Store => self.watch_store().await,
+                Source::Peer { name, address } => {
+                    self.follow_peer(name, address).await;
+                    continue;
+                }
+            };
+            match end {
+                Some(WatchEnd::Compacted) => return,
+                Some(WatchEnd::Broken) => {
+                    self.record_failure("watch interrupted");
+                    compio::time::sleep(RETRY_DELAY).await;
+                }
+                None => {}
             }
+        }
+    }
+
+    /// Watches the store until that fails, or until there is a peer to follow.
+    async fn watch_store(&mut self) -> Option<WatchEnd> {
+        let store = self.store.clone();
+        let state = self.state;
+        let prefix = self.prefix.to_owned();
+        let from = Revision(self.topic.end().0 + 1);
+        let deliver = |revision: Revision, events: Vec<WatchEvent>| {
+            self.record_success();
+            self.apply(revision, events, state.now());
         };
-        match store.watch(prefix.to_owned(), from, deliver).await {
-            WatchEnd::Compacted => return,
-            WatchEnd::Broken => health.record_failure("watch interrupted"),
+        let watch = pin!(store.watch(prefix, from, deliver));
+        let has_peer = pin!(wait_for_peer(state));
+        match select(watch, has_peer).await {
+            Either::Left((end, _)) => Some(end),
+            Either::Right(_) => None,
         }
-        compio::time::sleep(RETRY_DELAY).await;
     }
-}
 
-/// Reachability of the store; each change is logged once.
-struct StoreHealth<'a> {
-    state: &'a GatewayState,
-    prefix: &'static str,
-    is_down: bool,
-}
+    /// Follows a peer until it can't be trusted to have all changes.
+    async fn follow_peer(&mut self, name: DaemonName, address: SocketAddr) {
+        slog::info!(self.state.log, "following a peer";
+            "prefix" => self.prefix, "peer" => name.as_str());
+        let state = self.state;
+        let request = Subscribe {
+            prefix: self.prefix.to_owned(),
+            after: self.topic.end(),
+        };
+        let mut outages = None;
+        let deliver = |changes: Changes, current_at: Time| {
+            let before = outages.replace(changes.outages);
+            if before.is_some_and(|before| before < changes.outages) {
+                self.record_recovery();
+            }
+            self.apply(changes.end, changes.events, current_at);
+        };
+        let end = subscription::follow(state, address, request, deliver).await;
+        slog::info!(state.log, "peer no longer followed";
+            "prefix" => self.prefix, "peer" => name.as_str(), "cause" => %end);
+        state.avoided_peers.borrow_mut().insert(name, state.now());
+    }
 
-impl<'a> StoreHealth<'a> {
-    fn new(state: &'a GatewayState, prefix: &'static str) -> Self {
-        Self {
-            state,
-            prefix,
-            is_down: false,
+    fn apply(&mut self, end: Revision, events: Vec<WatchEvent>, fresh_at: Time) {
+        self.topic.extend(end, &events, fresh_at);
+        if !events.is_empty() {
+            self.handler.on_change(events);
         }
     }
 
     fn record_failure(&mut self, cause: &str) {
-        if !self.is_down {
+        if !self.is_store_down {
             slog::warn!(self.state.log, "store unreachable";
                 "prefix" => self.prefix, "cause" => cause);
         }
-        self.is_down = true;
+        self.is_store_down = true;
     }
 
-    /// Returns true if this is the first success after a failure.
-    fn record_success(&mut self) -> bool {
-        if self.is_down {
+    fn record_success(&mut self) {
+        self.state.store_answered();
+        if std::mem::take(&mut self.is_store_down) {
             slog::info!(self.state.log, "store reachable again"; "prefix" => self.prefix);
+            self.record_recovery();
+        }
+    }
+
+    fn record_recovery(&mut self) {
+        self.topic.count_outage();
+        self.handler.on_recovery();
+    }
+}
+
+/// Waits until the daemon should follow a peer.
+async fn wait_for_peer(state: &GatewayState) {
+    loop {
+        compio::time::sleep(SOURCE_CHECK_INTERVAL).await;
+        if matches!(state.change_source(), Source::Peer { .. }) {
+            return;
         }
-        std::mem::take(&mut self.is_down)
     }
 }
--- /dev/null
+++ b/tests/gateway/changes.rs
@@ -0,0 +1,194 @@
+//! Changes kept for subscribers, and the choice of their source.
+
+use hickoryledge::{
+    core::{
+        input::{PlatformEntry, WatchEvent},
+        keys::{DaemonName, HallName, Revision},
+        time::{Span, Time},
+    },
+    gateway::{
+        changes::{
+            history::History,
+            source::{self, AvoidedPeers, Source},
+        },
+        peers::{DaemonEntry, Peers},
+    },
+};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+/// Returns a write of a key at a revision.
+fn put(revision: i64) -> WatchEvent {
+    WatchEvent::Put(PlatformEntry {
+        key: format!("key-{revision}"),
+        value: "{}".to_owned(),
+        revision: Revision(revision),
+        lease: None,
+    })
+}
+
+/// Returns daemons of one hall; the first `large` of them have more processor time.
+fn hall_of(daemons: usize, large: usize) -> Peers {
+    let mut peers = Peers::default();
+    for index in 0..daemons {
+        let entry = DaemonEntry {
+            caller: "10.0.0.1:80".parse().expect("an address"),
+            hall: HallName::from("hall"),
+            changes: Some(format!("10.0.0.1:{}", 7_000 + index).parse().expect("ok")),
+            processor_percent: if index < large { 50 } else { 12 },
+        };
+        peers.put(name(index), entry);
+    }
+    peers
+}
+
+fn name(index: usize) -> DaemonName {
+    // The names of the large machines come last in their order.
+    DaemonName::from(format!("d{:03}", 999 - index))
+}
+
+fn choose(own: usize, peers: &Peers, avoided: &AvoidedPeers, now: Time) -> Source {
+    source::choose(&name(own), &HallName::from("hall"), peers, avoided, now)
+}
+
+/// Returns the number of daemons that follow each source.
+fn count_followers(daemons: usize, peers: &Peers) -> BTreeMap<String, usize> {
+    let mut followers = BTreeMap::new();
+    for own in 0..daemons {
+        let source = match choose(own, peers, &AvoidedPeers::default(), Time(0)) {
+            Source::Store => "store".to_owned(),
+            Source::Peer { name, .. } => name.as_str().to_owned(),
+        };
+        *followers.entry(source).or_default() += 1;
+    }
+    followers
+}
+
+/// Calls to the store must not grow with the daemons of a hall.
+#[test]
+fn two_daemons_of_a_large_hall_watch_the_store() {
+    for daemons in [6, 39, 340] {
+        let followers = count_followers(daemons, &hall_of(daemons, 2));
+        assert_eq!(followers["store"], 2, "of {daemons} daemons");
+    }
+}
+
+/// In a hall of a few daemons a watcher would save few calls and be one more thing to fail.
+#[test]
+fn all_daemons_of_a_small_hall_watch_the_store() {
+    let followers = count_followers(5, &hall_of(5, 0));
+    assert_eq!(followers, BTreeMap::from([("store".to_owned(), 5)]));
+}
+
+/// Machines with little processor time must not serve the others.
+#[test]
+fn watchers_are_those_with_most_processor_time() {
+    let followers = count_followers(39, &hall_of(39, 2));
+    let sources: Vec<&str> = followers.keys().map(String::as_str).collect();
+    assert_eq!(sources, [name(1).as_str(), name(0).as_str(), "store"]);
+}
+
+#[test]
+fn subscribers_are_spread_over_the_watchers() {
+    let followers = count_followers(102, &hall_of(102, 2));
+    let fewest = followers.values().filter(|count| **count > 2).min();
+    assert!(fewest >= Some(&30), "{followers:?}");
+}
+
+/// A subscriber whose peer fails follows the other watcher, and the store if both fail.
+#[test]
+fn failed_peers_are_avoided_for_a_while() {
+    let peers = hall_of(10, 2);
+    let mut avoided = AvoidedPeers::default();
+    let mut followed = Vec::new();
+    for _ in 0..2 {
+        let Source::Peer { name, .. } = choose(9, &peers, &avoided, Time(0)) else {
+            panic!("a watcher is left");
+        };
+        avoided.insert(name.clone(), Time(0));
+        followed.push(name);
+    }
+    followed.sort();
+    assert_eq!(followed, [name(1), name(0)]);
+    assert_eq!(choose(9, &peers, &avoided, Time(0)), Source::Store);
+    let later = Time(0) + Span::from_secs(5);
+    assert_ne!(choose(9, &peers, &avoided, later), Source::Store);
+}
+
+/// A daemon of an earlier version has no address for subscribers.
+#[test]
+fn watcher_without_address_is_not_followed() {
+    let mut peers = hall_of(10, 2);
+    for index in 0..2 {
+        let entry = DaemonEntry {
+            changes: None,
+            ..peers.daemons().next().expect("a daemon").1.clone()
+        };
+        peers.put(
+            name(index),
+            DaemonEntry {
+                processor_percent: 50,
+                ..entry
+            },
+        );
+    }
+    assert_eq!(
+        choose(9, &peers, &AvoidedPeers::default(), Time(0)),
+        Source::Store
+    );
+}
+
+#[test]
+fn returns_changes_after_a_revision() {
+    let mut history = History::default();
+    history.reset(Revision(10));
+    history.extend(Revision(14), &[put(12), put(13)]);
+    assert_eq!(history.since(Revision(12)), Some(vec![put(13)]));
+    assert_eq!(history.since(Revision(20)), Some(vec![]));
+    assert_eq!(history.end(), Revision(14));
+}
+
+/// Changes before the list were not seen: whoever needs them must ask the store.
+#[test]
+fn refuses_changes_from_before_the_list() {
+    let mut history = History::default();
+    history.reset(Revision(10));
+    history.extend(Revision(12), &[put(12)]);
+    assert_eq!(history.since(Revision(9)), None);
+}
+
+#[test]
+fn forgets_oldest_changes() {
+    let mut history = History::default();
+    let events: Vec<WatchEvent> = (1..=10_000).map(put).collect();
+    history.extend(Revision(10_000), &events);
+    assert_eq!(history.since(Revision(1)), None);
+    let kept = history.since(Revision(9_000)).expect("kept");
+    assert_eq!(kept.len(), 1_000);
+}
+
+proptest! {
+    /// Whatever the batches, and however often they overlap, a subscriber gets each change once.
+    #[test]
+    fn subscriber_gets_each_change_once(
+        batches in prop::collection::vec((0..6_i64, 0..4_i64), 1..60),
+        reads in prop::collection::vec(any::<bool>(), 60),
+    ) {
+        let mut history = History::default();
+        let mut end = 0;
+        let mut after = Revision(0);
+        let mut received = Vec::new();
+        for ((new, repeated), read) in batches.into_iter().zip(reads) {
+            let from = (end - repeated).max(0);
+            let events: Vec<WatchEvent> = (from + 1..=end + new).map(put).collect();
+            end += new;
+            history.extend(Revision(end), &events);
+            if read {
+                received.extend(history.since(after).expect("kept"));
+                after = history.end();
+            }
+        }
+        received.extend(history.since(after).expect("kept"));
+        prop_assert_eq!(received, (1..=end).map(put).collect::<Vec<_>>());
+    }
+}
--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -4,6 +4,10 @@
     runner::{Runner, Script},
     store::Store,
 };
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
 use serde_json::{Value, json};
 use std::{
     io::{BufRead as _, BufReader, Read as _, Write as _},
@@ -32,6 +36,76 @@
     pub is_complete: bool,
 }
 
+/// Daemon as a separate process, which is killed when dropped.
+pub struct Daemon {
+    process: Child,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for readiness probes and metrics.
+    pub ready_address: SocketAddr,
+    /// Address for directory requests.
+    pub directory_address: SocketAddr,
+}
+
+impl Daemon {
+    /// Starts a daemon that uses the store at an address.
+    pub fn start(name: &str, store: SocketAddr) -> Self {
+        let directory = tempfile::tempdir().expect("a temporary directory");
+        let path = directory.path().join("settings.yaml");
+        let settings = format!(
+            "name: {name}\nhall: hall\nlisten:\n  caller: 127.0.0.1:0\n  ready: 127.0.0.1:0\n  \
+             directory: 127.0.0.1:0\n  peer: 127.0.0.1:0\nstore: {store}\nretry:\n  ratio: 0.2\n  \
+             slack: 100\n  window_s: 10\ngrace_ms: 3000\nentries_ms: 2000\ncores: 0.25\n\
+             first: true\n"
+        );
+        std::fs::write(&path, settings).expect("written");
+        let mut process = Command::new(env!("CARGO_BIN_EXE_hickoryledge"))
+            .arg("platform")
+            .arg("--settings")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the daemon starts");
+        let mut lines = BufReader::new(process.stdout.take().expect("piped")).lines();
+        let first_line = lines.next().expect("a line").expect("text");
+        let line: Value = serde_json::from_str(&first_line).expect("a log line");
+        // An unread log would fill the pipe and block the daemon.
+        std::thread::spawn(move || lines.for_each(drop));
+        let address_of = |name: &str| -> SocketAddr {
+            let text = line[name].as_str().expect("an address");
+            text.parse().expect("an address")
+        };
+        Self {
+            process,
+            caller_address: address_of("caller"),
+            ready_address: address_of("ready"),
+            directory_address: address_of("directory"),
+        }
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.process.id() as i32);
+        kill(pid, signal).expect("signalled");
+    }
+
+    /// Returns the value of a metric; zero if it was never set.
+    pub fn metric(&self, name: &str) -> f64 {
+        let response = send_request(self.ready_address, "GET", "/metrics", &[], "");
+        let lines = response.body.lines();
+        let value = lines.filter_map(|line| line.strip_prefix(name)).next();
+        value.map_or(0.0, |text| text.trim().parse().expect("a number"))
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // The process may have exited already.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
 /// Daemon with its store and its runners.
 pub struct TestEnv {
     /// Fake store.
@@ -40,13 +114,9 @@
     pub plain_runners: [Arc<Runner>; 2],
     /// Heads of a model whose replicas have one host each.
     pub heads: [Arc<Runner>; 2],
-    daemon: Child,
-    /// Address for callers.
-    pub caller_address: SocketAddr,
-    /// Address for readiness probes and metrics.
-    pub ready_address: SocketAddr,
-    /// Address for directory requests.
-    pub directory_address: SocketAddr,
+    /// The daemon.
+    pub daemon: Daemon,
+    store_address: SocketAddr,
 }
 
 impl TestEnv {
@@ -78,38 +148,12 @@
                 shared_script.clone(),
             )
         });
-        let directory = tempfile::tempdir().expect("a temporary directory");
-        let path = directory.path().join("settings.yaml");
-        let settings = format!(
-            "name: d1\nhall: hall\nlisten:\n  caller: 127.0.0.1:0\n  ready: 127.0.0.1:0\n  \
-             directory: 127.0.0.1:0\nstore: {address}\nretry:\n  ratio: 0.2\n  slack: 100\n  \
-             window_s: 10\ngrace_ms: 3000\nentries_ms: 2000\nfirst: true\n"
-        );
-        std::fs::write(&path, settings).expect("written");
-        let mut daemon = Command::new(env!("CARGO_BIN_EXE_hickoryledge"))
-            .arg("platform")
-            .arg("--settings")
-            .arg(&path)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the daemon starts");
-        let mut lines = BufReader::new(daemon.stdout.take().expect("piped")).lines();
-        let first_line = lines.next().expect("a line").expect("text");
-        let line: Value = serde_json::from_str(&first_line).expect("a log line");
-        // An unread log would fill the pipe and block the daemon.
-        std::thread::spawn(move || lines.for_each(drop));
-        let address_of = |name: &str| -> SocketAddr {
-            let text = line[name].as_str().expect("an address");
-            text.parse().expect("an address")
-        };
         Self {
             store,
             plain_runners,
             heads,
-            daemon,
-            caller_address: address_of("caller"),
-            ready_address: address_of("ready"),
-            directory_address: address_of("directory"),
+            daemon: Daemon::start("d1", address),
+            store_address: address,
         }
     }
 
@@ -150,11 +194,28 @@
         self.store.put("op/config", &config.to_string());
     }
 
+    /// Starts a further daemon on the same store.
+    pub fn start_daemon(&self, name: &str) -> Daemon {
+        Daemon::start(name, self.store_address)
+    }
+
     /// Sends a request with the API key to the daemon.
     pub fn call(&self, method: &str, path: &str, headers: &[&str], body: &str) -> Response {
+        self.call_at(&self.daemon, method, path, headers, body)
+    }
+
+    /// Sends a request with the API key to one of several daemons.
+    pub fn call_at(
+        &self,
+        daemon: &Daemon,
+        method: &str,
+        path: &str,
+        headers: &[&str],
+        body: &str,
+    ) -> Response {
         let key = format!("Authorization: Bearer {API_KEY}");
         let headers: Vec<&str> = headers.iter().copied().chain([key.as_str()]).collect();
-        send_request(self.caller_address, method, path, &headers, body)
+        send_request(daemon.caller_address, method, path, &headers, body)
     }
 
     /// Requests a stream from the model.
@@ -181,8 +242,7 @@
 
     /// Sends SIGTERM to the daemon.
     pub fn terminate(&self) {
-        let pid = nix::unistd::Pid::from_raw(self.daemon.id() as i32);
-        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGTERM).expect("signalled");
+        self.daemon.signal(Signal::SIGTERM);
     }
 
     /// Sends streams to the heads; returns true once each has received a request.
@@ -194,14 +254,6 @@
     }
 }
 
-impl Drop for TestEnv {
-    fn drop(&mut self) {
-        // The daemon may have exited already.
-        let _ = self.daemon.kill();
-        let _ = self.daemon.wait();
-    }
-}
-
 /// Sends one request on a new connection and returns the response.
 pub fn send_request(
     address: SocketAddr,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod decoding;
 mod env;
+mod relay;
 mod requests;
 mod runner;
 mod store;
--- /dev/null
+++ b/tests/platform/relay.rs
@@ -0,0 +1,75 @@
+//! Changes of the store that daemons of a hall relay to each other.
+
+use super::env::{Daemon, TestEnv};
+use nix::sys::signal::Signal;
+
+/// Daemons besides the first: enough for a hall with subscribers.
+const OTHER_DAEMONS: usize = 7;
+
+/// Prefixes that each daemon follows.
+const PREFIXES: usize = 3;
+
+/// Daemons of a hall that watch the store.
+const WATCHERS: usize = 2;
+
+/// Starts a hall of daemons and waits until all but the watchers are subscribers.
+fn start_hall() -> (TestEnv, Vec<Daemon>) {
+    let env = TestEnv::start();
+    let others: Vec<Daemon> = (0..OTHER_DAEMONS)
+        .map(|index| env.start_daemon(&format!("e{index}")))
+        .collect();
+    env.eventually("the others subscribe", |env| {
+        let followed = count_subscriptions([&env.daemon].into_iter().chain(&others));
+        followed == ((OTHER_DAEMONS + 1 - WATCHERS) * PREFIXES) as f64
+    });
+    (env, others)
+}
+
+fn count_subscriptions<'a, I>(daemons: I) -> f64
+where
+    I: Iterator<Item = &'a Daemon>,
+{
+    daemons.map(|daemon| daemon.metric("hickoryledge_subscriptions")).sum()
+}
+
+/// Returns true if a daemon uses a configuration that routes `/moved/`.
+fn has_moved_route(env: &TestEnv, daemon: &Daemon) -> bool {
+    env.call_at(daemon, "GET", "/moved/x", &[], "").status == 200
+}
+
+/// Subscribers learn of a configuration although they don't watch the store.
+#[test]
+fn subscribers_get_changes_from_watchers() {
+    let (env, others) = start_hall();
+    env.configure(2);
+    env.eventually("all daemons use version 2", |env| {
+        others.iter().all(|daemon| !has_moved_route(env, daemon))
+    });
+    env.configure(3);
+    env.eventually("all daemons use version 3", |env| {
+        others.iter().all(|daemon| has_moved_route(env, daemon))
+    });
+}
+
+/// A watcher that hangs keeps its connections open. Its subscribers notice that it no longer proves
+/// contact with the store.
+#[test]
+fn subscribers_leave_paused_watchers() {
+    let (env, others) = start_hall();
+    let (watchers, subscribers): (Vec<&Daemon>, Vec<&Daemon>) = others
+        .iter()
+        .partition(|daemon| daemon.metric("hickoryledge_subscriptions") > 0.0);
+    for watcher in &watchers {
+        watcher.signal(Signal::SIGSTOP);
+    }
+    env.configure(2);
+    env.eventually("the subscribers use version 2", |env| {
+        subscribers.iter().all(|daemon| !has_moved_route(env, daemon))
+    });
+    for watcher in &watchers {
+        watcher.signal(Signal::SIGCONT);
+    }
+    env.eventually("the watchers use version 2", |env| {
+        watchers.iter().all(|daemon| !has_moved_route(env, daemon))
+    });
+}
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -57,7 +57,7 @@
     let env = TestEnv::unconfigured();
     assert_eq!(env.call("GET", "/read/x", &[], "").status, 503);
     assert_eq!(
-        send_request(env.ready_address, "GET", "/readyz", &[], "").status,
+        send_request(env.daemon.ready_address, "GET", "/readyz", &[], "").status,
         503
     );
 }
@@ -66,12 +66,12 @@
 fn rejects_unknown_keys_and_routes() {
     let env = TestEnv::start();
     assert_eq!(
-        send_request(env.caller_address, "GET", "/read/x", &[], "").status,
+        send_request(env.daemon.caller_address, "GET", "/read/x", &[], "").status,
         401
     );
     let wrong = ["Authorization: Bearer wrong"];
     assert_eq!(
-        send_request(env.caller_address, "GET", "/read/x", &wrong, "").status,
+        send_request(env.daemon.caller_address, "GET", "/read/x", &wrong, "").status,
         401
     );
     assert_eq!(env.call("GET", "/none/x", &[], "").status, 404);
@@ -210,11 +210,11 @@
 fn directory_returns_addresses_of_ready_daemons() {
     let env = TestEnv::start();
     let path = "/resolve?Name=a.example&Region=r&Zone=hall";
-    let response = send_request(env.directory_address, "GET", path, &[], "");
+    let response = send_request(env.daemon.directory_address, "GET", path, &[], "");
     assert_eq!(response.status, 200);
-    assert!(response.body.contains(&env.caller_address.to_string()));
+    assert!(response.body.contains(&env.daemon.caller_address.to_string()));
     assert_eq!(
-        send_request(env.ready_address, "GET", "/readyz", &[], "").status,
+        send_request(env.daemon.ready_address, "GET", "/readyz", &[], "").status,
         200
     );
 }
@@ -222,7 +222,7 @@
 #[test]
 fn serves_metrics() {
     let env = TestEnv::start();
-    let text = send_request(env.ready_address, "GET", "/metrics", &[], "").body;
+    let text = send_request(env.daemon.ready_address, "GET", "/metrics", &[], "").body;
     assert!(text.contains("hickoryledge_answers_total{status=\"200\"}"));
     assert!(text.contains("hickoryledge_groups_serving 2"));
     assert!(text.contains("hickoryledge_configuration_version 1"));
@@ -233,7 +233,7 @@
     let env = TestEnv::start();
     env.terminate();
     env.eventually("the daemon is not ready", |env| {
-        send_request(env.ready_address, "GET", "/readyz", &[], "").status == 503
+        send_request(env.daemon.ready_address, "GET", "/readyz", &[], "").status == 503
     });
     let long_stream = ["X-Model: m", "X-Token-Count: 100,2000"];
     let response = env.call("POST", "/chat/long", &long_stream, "{}");
@@ -255,7 +255,7 @@
         env.eventually("the request runs", |env| count_runs(env, "/once/slow") == 1);
         env.terminate();
         env.eventually("the daemon is not ready", |env| {
-            send_request(env.ready_address, "GET", "/readyz", &[], "").status == 503
+            send_request(env.daemon.ready_address, "GET", "/readyz", &[], "").status == 503
         });
         assert_eq!(env.call("GET", "/read/late", &[], "").status, 200);
         let response = call.join().expect("called");
