Hold the members of a group that may be open although it reports ready

A successor of the duty, or a holder whose view is seconds old, sees a group as ready that an order of its predecessor has opened or will open, takes its members for free and joins them elsewhere. The wait of 6 s for the head's report covered only orders of the same holder. Ruled out: wrong epochs (runners refuse lower ones), members of heads seen as dead. Change: Openings knows which groups were ordered to open, answered and reported since; any other ready group holds its members until it is adopted or its head is ordered to leave and has left.

--- a/src/gateway/changes/messages.rs
+++ b/src/gateway/changes/messages.rs
@@ -1,10 +1,6 @@
 //! Messages between a subscriber and the peer that it follows.
 
-use crate::core::{
-    input::WatchEvent,
-    keys::Revision,
-    time::Span,
-};
+use crate::core::{input::WatchEvent, keys::Revision, time::Span};
 
 crate::record! {
     /// Request for the changes of the entries under a prefix; the only message of a subscriber.
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -9,7 +9,7 @@
     adapter::Adapter,
     handlers::{CLAIM_KEY, RUNNER_HEALTH_KEY},
     lease::{Lease, RETRY_DELAY},
-    orders::{self, AcceptedOrders},
+    orders::{self, OrderAnswers},
     peers::{Claim, RunnerHealth},
     planner::Planner,
     prober::Prober,
@@ -52,7 +52,7 @@
     planner: Planner,
     prober: Prober<A>,
     publisher: Rc<HealthPublisher<A>>,
-    accepted: AcceptedOrders,
+    answers: OrderAnswers,
 }
 
 impl<A> Duty<A>
@@ -152,7 +152,7 @@
             planner: Planner::new(epoch),
             prober: Prober::new(self.state.clone()),
             publisher: Rc::new(HealthPublisher::new(self.lease.clone())),
-            accepted: AcceptedOrders::default(),
+            answers: OrderAnswers::default(),
         });
     }
 }
@@ -176,8 +176,8 @@
         }
         state.refresh_groups();
         self.planner.has_traffic |= !state.settings.first || state.accepted.get() > 0;
-        for directive in self.accepted.take() {
-            self.planner.order_accepted(directive);
+        for answer in self.answers.take() {
+            self.planner.order_answered(answer);
         }
         let directives = {
             let roster = state.roster.borrow();
@@ -186,7 +186,7 @@
                 .step(&roster, table.spec(), &demand, state.now())
         };
         for directive in directives {
-            orders::send::<A>(state, directive, self.accepted.clone());
+            orders::send::<A>(state, directive, self.answers.clone());
         }
         let roster = state.roster.borrow();
         let health = RunnerHealth {
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -40,9 +40,14 @@
 /// be out of reach of this daemon. A draining head may run requests for longer
 /// although it no longer listens; so may a head that this daemon never saw.
 pub(super) fn holds_members(roster: &Roster, group: &Group, now: Time) -> bool {
-    if !group.is_active() {
-        return roster.may_have_unseen_head(group, now);
+    match group.is_active() {
+        true => may_act_as_head(roster, group, now),
+        false => roster.may_have_unseen_head(group, now),
     }
+}
+
+/// Returns true if the head of a group may still run requests or carry out orders.
+pub(super) fn may_act_as_head(roster: &Roster, group: &Group, now: Time) -> bool {
     let Some(head) = group.head().and_then(|key| roster.host(key)) else {
         return false;
     };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,8 +7,8 @@
 //! every daemon derives the same groups from their entries.
 //!
 //! Modules that decide (`routes`, `roster`, `balancer`, `admission`, `load`,
-//! `demand`, `planner`, `startup`, `formation`, `sent_orders`, `lifecycle`,
-//! `pool`, `staging`, `weight_loads`, `outages`, `budget`) read no clock and do
+//! `demand`, `planner`, `startup`, `formation`, `sent_orders`, `openings`,
+//! `lifecycle`, `pool`, `staging`, `weight_loads`, `outages`, `budget`) read no clock and do
 //! no I/O. The names and formats of a platform are hidden behind
 //! [`adapter::Adapter`].
 
@@ -30,6 +30,7 @@
 mod lifecycle;
 mod listeners;
 pub mod load;
+mod openings;
 pub mod order;
 mod orders;
 pub mod outages;
--- a/src/gateway/order.rs
+++ b/src/gateway/order.rs
@@ -34,6 +34,13 @@
             /// True if running requests are ended at once rather than finished.
             cut: bool,
         },
+        /// Leave a group at once.
+        Leave {
+            /// Name of the group.
+            group: GroupName,
+            /// Epoch of the group.
+            epoch: Epoch,
+        },
         /// Stage a model's weights on the host.
         Stage {
             /// Model to stage.
@@ -41,6 +48,14 @@
         },
     }
 
+    /// A runner's response to an order.
+    pub struct OrderAnswer {
+        /// The order and its receiver.
+        pub directive: Directive,
+        /// True if the runner carries the order out, or already did.
+        pub is_accepted: bool,
+    }
+
     /// An order together with the host whose runner receives it.
     pub struct Directive {
         /// Host of the runner.
@@ -57,6 +72,7 @@
             Order::Open { group, .. } => write!(f, "open {group}"),
             Order::Close { group, cut, .. } if *cut => write!(f, "close {group} at once"),
             Order::Close { group, .. } => write!(f, "close {group}"),
+            Order::Leave { group, .. } => write!(f, "leave {group}"),
             Order::Stage { model } => write!(f, "stage {model}"),
         }
     }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -6,7 +6,7 @@
 use super::{
     adapter::Adapter,
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
-    order::Directive,
+    order::{Directive, OrderAnswer},
     state::GatewayState,
 };
 use http::{Request, StatusCode, header::CONTENT_TYPE};
@@ -17,8 +17,8 @@
 /// Timeout of an order, from connecting to the response.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Orders that runners accepted since they were last taken.
-pub type AcceptedOrders = Rc<RefCell<Vec<Directive>>>;
+/// Responses of runners to orders since they were last taken.
+pub type OrderAnswers = Rc<RefCell<Vec<OrderAnswer>>>;
 
 /// Outcome of sending an order.
 enum Outcome {
@@ -29,9 +29,8 @@
     TimedOut,
 }
 
-/// Sends an order in the background, logs the outcome, and adds it to `accepted` if its runner
-/// accepted it.
-pub fn send<A>(state: &Rc<GatewayState>, directive: Directive, accepted: AcceptedOrders)
+/// Sends an order in the background, logs the outcome, and adds the runner's response to `answers`.
+pub fn send<A>(state: &Rc<GatewayState>, directive: Directive, answers: OrderAnswers)
 where
     A: Adapter,
 {
@@ -52,8 +51,12 @@
             "host" => directive.host.as_str(),
             "order" => %directive.order,
             "outcome" => %outcome);
-        if matches!(outcome, Outcome::Status(status) if status.is_success()) {
-            accepted.borrow_mut().push(directive);
+        if let Outcome::Status(status) = outcome {
+            let is_accepted = status.is_success();
+            answers.borrow_mut().push(OrderAnswer {
+                directive,
+                is_accepted,
+            });
         }
     })
     .detach();
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -12,8 +12,9 @@
 use super::{
     demand::{Demand, Needs},
     formation::Formation,
-    lifecycle::{can_replace_slow, holds_members, is_eligible, must_close},
-    order::{Directive, Order},
+    lifecycle::{can_replace_slow, holds_members, is_eligible, may_act_as_head, must_close},
+    openings::Openings,
+    order::{Directive, Order, OrderAnswer},
     pool::Pool,
     roster::{Group, Host, HostKey, MemberState, Roster},
     sent_orders::SentOrders,
@@ -32,10 +33,6 @@
 /// elsewhere.
 const CLOSE_TIMEOUT: Span = Span::from_millis(1_800);
 
-/// Wait for the head's report after an order to open, in which the group holds its members; a
-/// watch may be silent for that long.
-const OPEN_REPORT_TIMEOUT: Span = Span::from_millis(6_000);
-
 /// Delay before a new holder of the duty opens a group that was left ready; it probes the members
 /// meanwhile.
 const ADOPTION_DELAY: Span = Span::from_millis(1_300);
@@ -50,8 +47,7 @@
     last_epoch: i64,
     formations: Vec<Formation>,
     sent_orders: SentOrders,
-    /// Time of the last order to open each group whose head hasn't reported to be open yet.
-    opening: BTreeMap<GroupName, Time>,
+    openings: Openings,
     /// Time of the first order to close each group; such a group isn't opened again.
     closing: BTreeMap<GroupName, Time>,
     weight_loads: WeightLoads,
@@ -69,7 +65,7 @@
             last_epoch: epoch.0,
             formations: Vec::new(),
             sent_orders: SentOrders::default(),
-            opening: BTreeMap::new(),
+            openings: Openings::default(),
             closing: BTreeMap::new(),
             weight_loads: WeightLoads::new(),
             has_traffic: false,
@@ -93,18 +89,14 @@
         let known = roster.groups();
         self.closing
             .retain(|name, _| known.iter().any(|group| group.name == *name));
-        self.opening.retain(|name, at| {
-            let reported = known
-                .iter()
-                .any(|group| group.name == *name && group.is_active());
-            !reported && now.since(*at) < OPEN_REPORT_TIMEOUT
-        });
+        self.openings.expire(roster, now);
         for service in &spec.services {
             let Some(engine) = &service.engine else {
                 continue;
             };
             self.advance_formations(roster, &service.name, engine, now, &mut out);
             self.close_groups(roster, &service.name, now, &mut out);
+            self.release_ready_groups(roster, &service.name, now, &mut out);
             if !self
                 .startup
                 .update(roster.hosts().count(), self.has_traffic, now)
@@ -164,7 +156,9 @@
                 Some(MemberState::Open | MemberState::Closing) => return false,
                 Some(MemberState::Ready) => ready += 1,
                 Some(MemberState::Joining | MemberState::Broken) => {}
-                None => self.send(name, formation.join_order(), now, out),
+                None => {
+                    self.send(name, formation.join_order(), now, out);
+                }
             }
         }
         if ready == formation.members.len() && now >= formation.open_from {
@@ -172,8 +166,9 @@
                 group: formation.group.clone(),
                 epoch: formation.epoch,
             };
-            self.opening.insert(formation.group.clone(), now);
-            self.send(&formation.members[0], open, now, out);
+            if self.send(&formation.members[0], open, now, out) {
+                self.openings.sent(&formation.group, now);
+            }
         }
         true
     }
@@ -242,6 +237,41 @@
         }
     }
 
+    /// Orders the heads of groups that are not to open any more to leave them, if they report to be
+    /// ready but may be open.
+    fn release_ready_groups(
+        &mut self,
+        roster: &Roster,
+        service: &ServiceName,
+        now: Time,
+        out: &mut Vec<Directive>,
+    ) {
+        for group in roster.groups() {
+            let is_forming = self.formations.iter().any(|f| f.epoch == group.epoch);
+            if group.service != *service || is_forming || !self.holds_ready(roster, group, now) {
+                continue;
+            }
+            let is_over = !group.complete
+                || roster.has_unreachable_member(group)
+                || self.closing.contains_key(&group.name);
+            let Some(head) = group.head().and_then(|key| roster.host(key)) else {
+                continue;
+            };
+            if is_over {
+                let leave = Order::Leave {
+                    group: group.name.clone(),
+                    epoch: group.epoch,
+                };
+                self.send(&head.name, leave, now, out);
+            }
+        }
+    }
+
+    /// Returns true if a group holds its members although its head last reported to be ready.
+    fn holds_ready(&self, roster: &Roster, group: &Group, now: Time) -> bool {
+        self.openings.may_be_open(roster, group) && may_act_as_head(roster, group, now)
+    }
+
     /// Returns the open groups to close because their slow members can be replaced, at most one in
     /// each domain.
     fn replaceable_groups<'a>(
@@ -339,6 +369,7 @@
             open_from: now,
             deadline: now + replication.load.times(2) + FORMATION_SLACK,
         };
+        self.openings.formed(formation.group.clone(), now);
         for name in &formation.members {
             self.send(name, formation.join_order(), now, out);
         }
@@ -434,7 +465,7 @@
             .iter()
             .filter(|group| group.service == *service)
             .filter(|group| {
-                holds_members(roster, group, now) || self.opening.contains_key(&group.name)
+                holds_members(roster, group, now) || self.holds_ready(roster, group, now)
             })
             .flat_map(|group| group.members.values().copied());
         forming.chain(active).collect()
@@ -466,14 +497,28 @@
         serving.chain(forming).collect()
     }
 
-    /// Sends an order unless the same one was sent too recently.
-    fn send(&mut self, host: &HostName, order: Order, now: Time, out: &mut Vec<Directive>) {
-        out.extend(self.sent_orders.send(host, order, now));
+    /// Sends an order unless the same one was sent too recently; returns true if it is sent.
+    fn send(&mut self, host: &HostName, order: Order, now: Time, out: &mut Vec<Directive>) -> bool {
+        let sent = self.sent_orders.send(host, order, now);
+        let is_sent = sent.is_some();
+        out.extend(sent);
+        is_sent
     }
 
-    /// Records that a runner accepted an order, whose effect it has yet to report.
-    pub fn order_accepted(&mut self, directive: Directive) {
-        self.sent_orders.accepted(directive);
+    /// Records that a runner responded to an order, whose effect it has yet to report.
+    pub fn order_answered(&mut self, answer: OrderAnswer) {
+        let OrderAnswer {
+            directive,
+            is_accepted,
+        } = answer;
+        match &directive.order {
+            Order::Open { group, .. } => self.openings.answered(group),
+            Order::Leave { epoch, .. } if is_accepted => self.openings.head_left(*epoch),
+            _ => {}
+        }
+        if is_accepted {
+            self.sent_orders.accepted(directive);
+        }
     }
 }
 
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -73,7 +73,8 @@
         let line = format!("seed {seed} step {step}: {fault}: {}", summary(&calls));
         println!("{line}");
         env.trace.push(format!("{} {line}", unix_millis()));
-        env.trace.extend(calls.iter().map(|call| format!("{call:?}")));
+        env.trace
+            .extend(calls.iter().map(|call| format!("{call:?}")));
         records.extend(calls);
     }
     recover(&mut env);
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -10,7 +10,7 @@
     },
     gateway::{
         demand::Demand,
-        order::{Directive, Order},
+        order::{Directive, Order, OrderAnswer},
         planner::Planner,
         roster::{MemberState, Membership, ProbeFailure, Roster, Runner, RunnerInstance},
         spec::{Engine, Replication, Service, Spec},
@@ -306,7 +306,10 @@
                 match delivery(&directive) {
                     Delivery::Immediate => {
                         self.execute(&directive);
-                        self.planner.order_accepted(directive);
+                        self.planner.order_answered(OrderAnswer {
+                            directive,
+                            is_accepted: true,
+                        });
                     }
                     Delivery::Delayed(delay) => {
                         self.pending_orders.push((self.now + delay, directive))
@@ -447,6 +450,16 @@
                     member.due = None;
                 });
             }
+            Order::Leave { group, epoch } => {
+                let runner = self.hosts.get_mut(&directive.host).expect("known");
+                let is_member = runner
+                    .member
+                    .as_ref()
+                    .is_some_and(|member| member.group == *group && member.epoch == *epoch);
+                if is_member {
+                    runner.member = None;
+                }
+            }
             Order::Stage { model } => {
                 let load = self.load_time(model);
                 let runner = self.hosts.get_mut(&directive.host).expect("known");
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -530,6 +530,8 @@
     Drain { host: usize },
     Add { domain: usize },
     Successor,
+    StopStore,
+    RecoverStore,
     Wait { millis: u64 },
 }
 
@@ -544,6 +546,15 @@
     ]
 }
 
+/// Returns events in which the holder's view of the runners is out of date for seconds.
+fn event_with_outages() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        6 => event(),
+        1 => Just(Event::StopStore),
+        1 => Just(Event::RecoverStore),
+    ]
+}
+
 fn delivery() -> impl Strategy<Value = Delivery> {
     prop_oneof![
         6 => Just(Delivery::Immediate),
@@ -552,6 +563,40 @@
     ]
 }
 
+/// Plays events, with these deliveries in turn for the orders sent meanwhile.
+fn play(fleet: &mut Fleet, events: Vec<Event>, deliveries: Vec<Delivery>) {
+    let mut deliveries = deliveries.into_iter().cycle();
+    for (number, event) in events.into_iter().enumerate() {
+        let alive = fleet.alive();
+        let pick = |host: usize| -> Option<HostName> {
+            (!alive.is_empty()).then(|| alive[host % alive.len()].clone())
+        };
+        match event {
+            Event::PowerOff { host, unlisted } => {
+                if let Some(host) = pick(host) {
+                    fleet.power_off(&host, unlisted);
+                }
+            }
+            Event::Drain { host } => {
+                if let Some(host) = pick(host) {
+                    fleet.drain(&host);
+                }
+            }
+            Event::Add { domain } => fleet.add(&format!("d{domain}"), &format!("new{number}")),
+            Event::Successor => {
+                fleet.planner = Planner::new(Epoch(1_000 * (number as i64 + 100)));
+                fleet.planner.has_traffic = true;
+            }
+            Event::StopStore => fleet.stop_store(),
+            Event::RecoverStore => fleet.recover_store(),
+            Event::Wait { millis } => {
+                let until = fleet.now + Span::from_millis(millis);
+                fleet.run(until, |_| deliveries.next().expect("endless"));
+            }
+        }
+    }
+}
+
 /// Random losses, drains, arrivals and changes of the holder, with orders that are dropped or
 /// delayed.
 #[test]
@@ -567,34 +612,7 @@
     let outcome = runner.run(&cases, |(events, deliveries)| {
         let mut fleet = Fleet::new(2, 11);
         fleet.run_for(Span::from_secs(12));
-        let mut deliveries = deliveries.into_iter().cycle();
-        for (number, event) in events.into_iter().enumerate() {
-            let alive = fleet.alive();
-            let pick = |host: usize| -> Option<HostName> {
-                (!alive.is_empty()).then(|| alive[host % alive.len()].clone())
-            };
-            match event {
-                Event::PowerOff { host, unlisted } => {
-                    if let Some(host) = pick(host) {
-                        fleet.power_off(&host, unlisted);
-                    }
-                }
-                Event::Drain { host } => {
-                    if let Some(host) = pick(host) {
-                        fleet.drain(&host);
-                    }
-                }
-                Event::Add { domain } => fleet.add(&format!("d{domain}"), &format!("new{number}")),
-                Event::Successor => {
-                    fleet.planner = Planner::new(Epoch(1_000 * (number as i64 + 100)));
-                    fleet.planner.has_traffic = true;
-                }
-                Event::Wait { millis } => {
-                    let until = fleet.now + Span::from_millis(millis);
-                    fleet.run(until, |_| deliveries.next().expect("endless"));
-                }
-            }
-        }
+        play(&mut fleet, events, deliveries);
         fleet.run_for(Span::from_secs(5));
         proptest::prop_assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
         Ok(())
@@ -638,3 +656,26 @@
     let joins = count_joins_without_reports(Span::from_millis(2_000), Delivery::Dropped);
     assert!(joins >= 2, "{joins} joins to one host");
 }
+
+/// A large domain has several groups of a model, and a formation takes hosts of more than one that
+/// was broken. A late order to open one of those must not let it serve without them.
+#[test]
+fn no_host_serves_two_groups_in_large_domain() {
+    let config = Config {
+        cases: 256,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let cases = (vec(event_with_outages(), 1..40), vec(delivery(), 1..40));
+    let outcome = runner.run(&cases, |(events, deliveries)| {
+        let mut fleet = Fleet::new(1, 35);
+        fleet.run_for(Span::from_secs(12));
+        play(&mut fleet, events, deliveries);
+        fleet.run_for(Span::from_secs(5));
+        proptest::prop_assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
+        Ok(())
+    });
+    outcome.unwrap();
+}
--- a/tests/platform/relay.rs
+++ b/tests/platform/relay.rs
@@ -29,7 +29,9 @@
 where
     I: Iterator<Item = &'a Daemon>,
 {
-    daemons.map(|daemon| daemon.metric("hickoryledge_subscriptions")).sum()
+    daemons
+        .map(|daemon| daemon.metric("hickoryledge_subscriptions"))
+        .sum()
 }
 
 /// Returns true if a daemon uses a configuration that routes `/moved/`.
@@ -64,7 +66,9 @@
     }
     env.configure(2);
     env.eventually("the subscribers use version 2", |env| {
-        subscribers.iter().all(|daemon| !has_moved_route(env, daemon))
+        subscribers
+            .iter()
+            .all(|daemon| !has_moved_route(env, daemon))
     });
     for watcher in &watchers {
         watcher.signal(Signal::SIGCONT);
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -212,7 +212,11 @@
     let path = "/resolve?Name=a.example&Region=r&Zone=hall";
     let response = send_request(env.daemon.directory_address, "GET", path, &[], "");
     assert_eq!(response.status, 200);
-    assert!(response.body.contains(&env.daemon.caller_address.to_string()));
+    assert!(
+        response
+            .body
+            .contains(&env.daemon.caller_address.to_string())
+    );
     assert_eq!(
         send_request(env.daemon.ready_address, "GET", "/readyz", &[], "").status,
         200
