Let the daemon with most processor time claim the duty first

Cause: the holder probes and orders every runner. Change: candidates are ranked by processor time, each claims 0.3 s after the one before it; a daemon that has just started waits for the entries of the others. A list of the runners that a new holder reads is no longer undone by older changes of its watch. Tests: tests/gateway/candidacy.rs.

--- a/src/core/input.rs
+++ b/src/core/input.rs
@@ -526,3 +526,13 @@
 
 /// Maximum length of a payload that a recording may give, in bytes.
 const MAX_PAYLOAD_BYTES: u64 = 16 << 20;
+
+impl WatchEvent {
+    /// Returns the revision of the change.
+    pub fn revision(&self) -> Revision {
+        match self {
+            WatchEvent::Put(entry) => entry.revision,
+            WatchEvent::Deleted { revision, .. } => *revision,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/candidacy.rs
@@ -0,0 +1,64 @@
+//! Order in which daemons claim the duty.
+//!
+//! The holder of the duty probes and orders all runners, so it should be a
+//! daemon with much processor time. The candidates are ranked by theirs, and
+//! each waits a little longer than the one before it; if those have failed, it
+//! claims the duty itself.
+
+use super::peers::Peers;
+use crate::core::{
+    keys::DaemonName,
+    time::{Span, Time},
+};
+
+/// Time after the start in which the other daemons' entries arrive.
+const STARTUP_WAIT: Span = Span::from_millis(600);
+
+/// Delay of a candidate's claim after that of the one before it.
+const RANK_DELAY: Span = Span::from_millis(300);
+
+/// Number of candidates after which all others claim together.
+const MAX_RANK: usize = 8;
+
+/// A daemon's candidacy for the duty.
+#[derive(Debug)]
+pub struct Candidacy {
+    own: DaemonName,
+    started: Time,
+    /// Time since which the duty has no holder.
+    vacant_since: Option<Time>,
+}
+
+impl Candidacy {
+    /// Creates the candidacy of a daemon that starts now.
+    pub fn new(own: DaemonName, now: Time) -> Self {
+        Self {
+            own,
+            started: now,
+            vacant_since: None,
+        }
+    }
+
+    /// Returns true if the daemon should claim the duty, as far as it knows of a holder.
+    pub fn should_claim(&mut self, peers: &Peers, now: Time) -> bool {
+        match &peers.claim {
+            // A claim of its own, from before its lease was in doubt or from an earlier run.
+            Some((holder, _)) if *holder == self.own => true,
+            Some(_) => {
+                self.vacant_since = None;
+                false
+            }
+            None => {
+                let vacant_since = *self.vacant_since.get_or_insert(now);
+                let from = vacant_since.max(self.started + STARTUP_WAIT);
+                now >= from + RANK_DELAY.times(self.rank(peers) as u64)
+            }
+        }
+    }
+
+    fn rank(&self, peers: &Peers) -> usize {
+        let ranked = peers.ranked();
+        let rank = ranked.iter().position(|(name, _)| **name == self.own);
+        rank.unwrap_or(ranked.len()).min(MAX_RANK)
+    }
+}
--- a/src/gateway/changes/source.rs
+++ b/src/gateway/changes/source.rs
@@ -11,7 +11,7 @@
     },
     gateway::peers::{DaemonEntry, Peers},
 };
-use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Number of daemons of a hall that watch the store.
@@ -80,12 +80,11 @@
 
 /// Returns the daemons of a hall that watch the store; none if all of them do.
 fn watchers<'a>(hall: &HallName, peers: &'a Peers) -> Vec<(&'a DaemonName, &'a DaemonEntry)> {
-    let in_hall = peers.daemons().filter(|(_, entry)| entry.hall == *hall);
-    let mut ranked: Vec<_> = in_hall.collect();
+    let mut ranked = peers.ranked();
+    ranked.retain(|(_, entry)| entry.hall == *hall);
     if ranked.len() < MIN_HALL_DAEMONS {
         return Vec::new();
     }
-    ranked.sort_by_key(|(name, entry)| (Reverse(entry.processor_percent), *name));
     ranked.truncate(WATCHERS_PER_HALL);
     ranked
 }
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -7,6 +7,7 @@
 
 use super::{
     adapter::Adapter,
+    candidacy::Candidacy,
     handlers::{CLAIM_KEY, RUNNER_HEALTH_KEY},
     lease::{Lease, RETRY_DELAY},
     orders::{self, OrderAnswers},
@@ -40,6 +41,7 @@
 {
     state: Rc<GatewayState>,
     lease: Rc<Lease<A>>,
+    candidacy: Candidacy,
     /// Set while this daemon holds the duty.
     active: Option<ActiveDuty<A>>,
 }
@@ -61,9 +63,11 @@
 {
     /// Creates a candidate, which doesn't hold the duty yet.
     pub fn new(state: Rc<GatewayState>, lease: Rc<Lease<A>>) -> Self {
+        let candidacy = Candidacy::new(state.settings.name.clone(), state.now());
         Self {
             state,
             lease,
+            candidacy,
             active: None,
         }
     }
@@ -98,15 +102,18 @@
     /// Writes this daemon's claim unless another daemon holds the duty.
     async fn try_claim(&mut self) {
         let me = &self.state.settings.name;
-        let expect = match &self.state.peers.borrow().claim {
-            None => Expect::Absent,
-            // Its own claim, from before its lease was in doubt or from an earlier run of the daemon.
-            Some((holder, revision)) if holder == me => Expect::At(*revision),
-            Some(_) => return,
-        };
+        let now = self.state.now();
         if !self.state.is_ready() {
             return;
         }
+        let expect = {
+            let peers = self.state.peers.borrow();
+            if !self.candidacy.should_claim(&peers, now) {
+                return;
+            }
+            let known = peers.claim.as_ref();
+            known.map_or(Expect::Absent, |(_, revision)| Expect::At(*revision))
+        };
         let claim = Claim { holder: me.clone() };
         let key = format!("{}{CLAIM_KEY}", A::OWN_PREFIX);
         match self
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -48,7 +48,7 @@
 where
     A: Adapter,
 {
-    fn on_list(&self, entries: Vec<PlatformEntry>) {
+    fn on_list(&self, _: Revision, entries: Vec<PlatformEntry>) {
         entries.iter().for_each(|entry| self.apply(entry));
     }
 
@@ -102,6 +102,10 @@
             WatchEvent::Put(entry) => (&entry.key, Some(entry)),
             WatchEvent::Deleted { key, .. } => (key, None),
         };
+        // A new holder of the duty lists the entries while its watch may still be behind the list.
+        if event.revision() <= self.state.runners_revision.get() {
+            return;
+        }
         let Some(name) = host_name::<A>(key) else {
             return;
         };
@@ -118,7 +122,8 @@
 where
     A: Adapter,
 {
-    fn on_list(&self, entries: Vec<PlatformEntry>) {
+    fn on_list(&self, revision: Revision, entries: Vec<PlatformEntry>) {
+        self.state.runners_revision.set(revision);
         let decode = |entry: &PlatformEntry| {
             let name = host_name::<A>(&entry.key)?;
             let runner = self.decode(&name, entry)?;
@@ -230,7 +235,7 @@
 }
 
 impl EntryHandler for PeerHandler {
-    fn on_list(&self, entries: Vec<PlatformEntry>) {
+    fn on_list(&self, _: Revision, entries: Vec<PlatformEntry>) {
         self.state.peers.borrow_mut().clear();
         entries.iter().for_each(|entry| self.put(entry));
     }
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -171,8 +171,8 @@
             prefix: A::RUNNER_PREFIX.to_owned(),
         };
         match self.store.execute(list).await {
-            Ok(PlatformAnswer::Entries { entries, .. }) => {
-                RunnerHandler::<A>::new(self.state.clone()).on_list(entries);
+            Ok(PlatformAnswer::Entries { revision, entries }) => {
+                RunnerHandler::<A>::new(self.state.clone()).on_list(revision, entries);
                 true
             }
             Ok(_) => unreachable!("a list call returns entries"),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! the duty to order hosts into groups. Members report their group themselves;
 //! every daemon derives the same groups from their entries.
 //!
-//! Modules that decide (`routes`, `roster`, `balancer`, `admission`, `load`,
+//! Modules that decide (`routes`, `roster`, `candidacy`, `balancer`, `admission`, `load`,
 //! `demand`, `planner`, `startup`, `formation`, `sent_orders`, `openings`,
 //! `lifecycle`, `pool`, `staging`, `weight_loads`, `outages`, `budget`) read no clock and do
 //! no I/O. The names and formats of a platform are hidden behind
@@ -18,6 +18,7 @@
 pub mod balancer;
 pub mod budget;
 mod call;
+pub mod candidacy;
 pub mod changes;
 mod connection;
 pub mod demand;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,7 +2,7 @@
 
 use super::roster::RunnerInstance;
 use crate::core::keys::{DaemonName, Epoch, HallName, Revision};
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
 /// Maximum number of addresses in a response to a directory request.
 const MAX_ADDRESSES: usize = 64;
@@ -74,6 +74,13 @@
         self.daemons.iter()
     }
 
+    /// Returns the daemons with an entry, those with most processor time first.
+    pub fn ranked(&self) -> Vec<(&DaemonName, &DaemonEntry)> {
+        let mut ranked: Vec<_> = self.daemons.iter().collect();
+        ranked.sort_by_key(|(name, entry)| (Reverse(entry.processor_percent), *name));
+        ranked
+    }
+
     /// Returns the number of daemons with an entry.
     pub fn count(&self) -> usize {
         self.daemons.len()
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,7 +17,7 @@
 };
 use crate::{
     core::{
-        keys::ServiceName,
+        keys::{Revision, ServiceName},
         time::{Span, Time},
     },
     shell::Clock,
@@ -69,6 +69,8 @@
     pub rng: RefCell<SmallRng>,
     /// True once the runners' entries were listed.
     pub runners_listed: Cell<bool>,
+    /// Revision of the last full list of the runners' entries.
+    pub runners_revision: Cell<Revision>,
     /// True once the daemon was told to stop.
     pub stopping: Cell<bool>,
     /// Time at which responses still in flight are cut, set when the daemon is told to stop.
@@ -99,6 +101,7 @@
             subscriptions: Cell::new(0),
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
             runners_listed: Cell::new(false),
+            runners_revision: Cell::default(),
             stopping: Cell::new(false),
             drain_deadline: Cell::new(None),
             accepted: Cell::new(0),
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -32,8 +32,8 @@
 
 /// Receiver of the entries under a prefix.
 pub trait EntryHandler {
-    /// Replaces everything known by a full list of the entries.
-    fn on_list(&self, entries: Vec<PlatformEntry>);
+    /// Replaces everything known by a full list of the entries as of a revision.
+    fn on_list(&self, revision: Revision, entries: Vec<PlatformEntry>);
 
     /// Applies changes, in order.
     fn on_change(&self, events: Vec<WatchEvent>);
@@ -95,7 +95,7 @@
         };
         self.record_success();
         self.topic.reset(revision, self.state.now());
-        self.handler.on_list(entries);
+        self.handler.on_list(revision, entries);
         Ok(())
     }
 
--- /dev/null
+++ b/tests/gateway/candidacy.rs
@@ -0,0 +1,77 @@
+//! Order in which daemons claim the duty.
+
+use hickoryledge::{
+    core::{
+        keys::{DaemonName, HallName, Revision},
+        time::{Span, Time},
+    },
+    gateway::{
+        candidacy::Candidacy,
+        peers::{DaemonEntry, Peers},
+    },
+};
+
+/// Returns daemons with this processor time, in percent of a core.
+fn daemons(processors: &[(&str, u32)]) -> Peers {
+    let mut peers = Peers::default();
+    for (name, processor_percent) in processors {
+        let entry = DaemonEntry {
+            caller: "10.0.0.1:80".parse().expect("an address"),
+            hall: HallName::from("hall"),
+            changes: None,
+            processor_percent: *processor_percent,
+        };
+        peers.put(DaemonName::from(*name), entry);
+    }
+    peers
+}
+
+/// Returns the time from which a daemon claims a duty that has no holder.
+fn claim_time(name: &str, peers: &Peers, start: Time) -> Time {
+    let mut candidacy = Candidacy::new(DaemonName::from(name), Time(0));
+    let mut now = start;
+    while !candidacy.should_claim(peers, now) {
+        now = now + Span::from_millis(100);
+    }
+    now
+}
+
+const LATER: Time = Time(60_000_000);
+
+/// On a weak machine the duty takes the processor time that requests and the configuration need.
+#[test]
+fn daemon_with_most_processor_time_claims_first() {
+    let peers = daemons(&[("a", 12), ("b", 12), ("c", 50), ("d", 50)]);
+    let times = ["c", "d", "a", "b"].map(|name| claim_time(name, &peers, LATER));
+    assert_eq!(times[0], LATER);
+    assert!(
+        times.is_sorted_by(|before, next| before < next),
+        "{times:?}"
+    );
+}
+
+/// If the candidates before it are cut off from the store, the last of many claims soon.
+#[test]
+fn last_candidate_claims_within_seconds() {
+    let names: Vec<String> = (0..340).map(|index| format!("d{index:03}")).collect();
+    let processors: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 12)).collect();
+    let time = claim_time("d339", &daemons(&processors), LATER);
+    assert!(time.since(LATER) <= Span::from_secs(3), "{time:?}");
+}
+
+/// A daemon that starts knows no others yet and would take itself for the strongest.
+#[test]
+fn starting_daemon_waits_for_entries_of_others() {
+    let alone = daemons(&[]);
+    assert!(claim_time("a", &alone, Time(0)) >= Time(500_000));
+}
+
+#[test]
+fn claims_duty_again_only_if_it_was_its_own() {
+    let mut peers = daemons(&[("a", 50), ("b", 12)]);
+    peers.claim = Some((DaemonName::from("b"), Revision(7)));
+    let mut strong = Candidacy::new(DaemonName::from("a"), Time(0));
+    let mut holder = Candidacy::new(DaemonName::from("b"), Time(0));
+    assert!(!strong.should_claim(&peers, LATER));
+    assert!(holder.should_claim(&peers, LATER));
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod balancer;
 mod budgets;
+mod candidacy;
 mod changes;
 mod fleet;
 mod groups;
