--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,7 +26,7 @@
 pub mod events;
 pub mod formation;
 mod forward;
-mod handlers;
+pub mod handlers;
 mod lease;
 mod lifecycle;
 mod listeners;
@@ -47,9 +47,9 @@
 pub mod spec;
 mod staging;
 mod startup;
-mod state;
+pub mod state;
 mod stream;
-mod watch;
+pub mod watch;
 mod weight_loads;
 
 use crate::{
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod budgets;
 mod candidacy;
 mod changes;
+mod entries;
 mod fleet;
 mod groups;
 mod outages;
