Probe only members that nothing else proves to be alive

Change: data on a stream of a head proves all members of its group, since a group makes no progress without one of them. A member is probed half a second after the last proof, as before, and at least every two seconds for its speed. Tests: tests/gateway/liveness.rs.

--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -48,8 +48,10 @@
     failures: u32,
     /// Streams that are open to this daemon.
     streams: u32,
-    /// Time of the last data on any of them.
-    last_data: Time,
+    /// Time of the last data on any of them, or of the start of the last one that began.
+    silent_since: Time,
+    /// Time of the last data on any stream.
+    last_data: Option<Time>,
     /// Time that the last connect took.
     connect_time: Option<Span>,
 }
@@ -114,17 +116,23 @@
     pub fn stream_started(&mut self, host: HostKey, now: Time) {
         if let Some(entry) = self.entry(host) {
             entry.streams += 1;
-            entry.last_data = now;
+            entry.silent_since = now;
         }
     }
 
     /// Records that data arrived on a stream of a runner.
     pub fn data_received(&mut self, host: HostKey, now: Time) {
         if let Some(entry) = self.entries.get_mut(host) {
-            entry.last_data = now;
+            entry.silent_since = now;
+            entry.last_data = Some(now);
         }
     }
 
+    /// Returns the time of the last data on any stream of a runner.
+    pub fn last_data(&self, host: HostKey) -> Option<Time> {
+        self.entries.get(host)?.last_data
+    }
+
     /// Counts a stream of a runner as ended.
     pub fn stream_ended(&mut self, host: HostKey) {
         if let Some(entry) = self.entries.get_mut(host) {
@@ -149,7 +157,7 @@
     pub fn silence(&self, host: HostKey, now: Time) -> Silence {
         let entry = self.entries.get(host).copied().unwrap_or_default();
         Silence {
-            span: now.since(entry.last_data),
+            span: now.since(entry.silent_since),
             has_streams: entry.streams > 0,
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,7 @@
 //!
 //! Modules that decide (`routes`, `roster`, `candidacy`, `balancer`, `admission`, `load`,
 //! `demand`, `planner`, `startup`, `formation`, `sent_orders`, `openings`,
-//! `lifecycle`, `pool`, `staging`, `weight_loads`, `outages`, `budget`) read no clock and do
+//! `lifecycle`, `liveness`, `pool`, `staging`, `weight_loads`, `outages`, `budget`) read no clock and do
 //! no I/O. The names and formats of a platform are hidden behind
 //! [`adapter::Adapter`].
 
@@ -30,6 +30,7 @@
 mod lease;
 mod lifecycle;
 mod listeners;
+pub mod liveness;
 pub mod load;
 mod openings;
 pub mod order;
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -2,7 +2,8 @@
 //!
 //! A head keeps taking requests for seconds after it has lost a member, and
 //! entries in the store lag behind. The holder of the duty therefore probes
-//! each member itself over a connection that is kept open. A member counts as
+//! each member that nothing else proves to be alive, over a connection that is
+//! kept open. A member counts as
 //! unreachable only after new connections have failed too. If a large fraction
 //! of members fails at once, this daemon itself is assumed to be cut off, and
 //! none is reported.
@@ -10,13 +11,11 @@
 use super::{
     adapter::Adapter,
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
+    liveness,
     roster::{Host, HostKey, ProbeFailure, RunnerInstance, SLOW_FACTOR},
     state::GatewayState,
 };
-use crate::core::{
-    keys::HostName,
-    time::{Span, Time},
-};
+use crate::core::{keys::HostName, time::Time};
 use bytes::Bytes;
 use futures_util::future::join;
 use http::Request;
@@ -30,9 +29,6 @@
     time::Duration,
 };
 
-/// Interval between probes of one member.
-const PROBE_INTERVAL: Span = Span::from_millis(500);
-
 /// Timeout of a probe over the connection that is kept open.
 const REUSED_CONNECTION_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -65,13 +61,6 @@
     slowdown: f64,
 }
 
-impl Probe {
-    fn is_due(&self, now: Time) -> bool {
-        let waited = self.last_sent.map(|at| now.since(at));
-        !self.is_in_flight && waited.is_none_or(|waited| waited >= PROBE_INTERVAL)
-    }
-}
-
 /// Probes the members of groups.
 pub struct Prober<A> {
     state: Rc<GatewayState>,
@@ -96,12 +85,20 @@
     pub fn step(&self) {
         let now = self.state.now();
         self.sync_members();
+        let proofs = {
+            let state = &self.state;
+            liveness::proofs(&state.roster.borrow(), &state.loads.borrow())
+        };
+        let is_due = |key: &HostKey, probe: &Probe| {
+            let proof = proofs.get(key).copied();
+            !probe.is_in_flight && liveness::is_probe_due(probe.last_sent, proof, now)
+        };
         let due: Vec<HostKey> = self
             .probes
             .borrow()
             .entries
             .iter()
-            .filter(|(_, probe)| probe.is_due(now))
+            .filter(|(key, probe)| is_due(key, probe))
             .map(|(key, _)| *key)
             .collect();
         for key in due {
--- /dev/null
+++ b/tests/gateway/liveness.rs
@@ -0,0 +1,76 @@
+//! Which members are probed, and when.
+
+use crate::fleet::{Fleet, LARGE, SMALL};
+use hickoryledge::{
+    core::{
+        keys::HostName,
+        time::{Span, Time},
+    },
+    gateway::{
+        liveness::{is_probe_due, proofs},
+        load::Loads,
+        roster::HostKey,
+    },
+};
+
+/// Returns a fleet in which the larger model's group has just sent data.
+fn fleet_with_data() -> (Fleet, Loads) {
+    let mut fleet = Fleet::new(1, 11);
+    fleet.run_for(Span::from_secs(40));
+    let mut loads = Loads::default();
+    let head = key(&fleet, &fleet.members(LARGE)[0]);
+    loads.stream_started(head, fleet.now);
+    loads.data_received(head, fleet.now);
+    (fleet, loads)
+}
+
+fn key(fleet: &Fleet, name: &HostName) -> HostKey {
+    fleet.roster.host_by_name(name).expect("known").0
+}
+
+/// A group makes no progress without one of its members, so data of its head proves them all.
+#[test]
+fn data_of_head_proves_all_members_alive() {
+    let (fleet, loads) = fleet_with_data();
+    let proofs = proofs(&fleet.roster, &loads);
+    let is_proven = |name: &HostName| proofs.contains_key(&key(&fleet, name));
+    assert!(fleet.members(LARGE).iter().all(is_proven));
+    assert!(!fleet.members(SMALL).iter().any(is_proven));
+}
+
+/// A stream that has only started proves nothing: a head accepts requests without its members.
+#[test]
+fn started_stream_proves_nothing() {
+    let (fleet, _) = fleet_with_data();
+    let mut loads = Loads::default();
+    loads.stream_started(key(&fleet, &fleet.members(LARGE)[0]), fleet.now);
+    assert!(proofs(&fleet.roster, &loads).is_empty());
+}
+
+/// The members of a group that has lost one are probed as before.
+#[test]
+fn group_with_unreachable_member_proves_nothing() {
+    let (mut fleet, loads) = fleet_with_data();
+    let lost = fleet.members(LARGE)[3].clone();
+    fleet.power_off(&lost, false);
+    fleet.run_for(Span::from_millis(100));
+    assert!(proofs(&fleet.roster, &loads).is_empty());
+}
+
+/// A loss must be noticed as soon as with probes alone: half a second after the last proof.
+#[test]
+fn probes_half_a_second_after_last_proof() {
+    let at = |millis| Time(0) + Span::from_millis(millis);
+    assert!(is_probe_due(None, None, at(0)));
+    assert!(!is_probe_due(Some(at(0)), None, at(499)));
+    assert!(is_probe_due(Some(at(0)), None, at(500)));
+    assert!(!is_probe_due(Some(at(0)), Some(at(600)), at(1_099)));
+    assert!(is_probe_due(Some(at(0)), Some(at(600)), at(1_100)));
+}
+
+/// A probe also reports how fast a member works, which its group's data doesn't.
+#[test]
+fn probes_members_that_are_proven_alive_now_and_then() {
+    let at = |millis| Time(0) + Span::from_millis(millis);
+    assert!(is_probe_due(Some(at(0)), Some(at(1_990)), at(2_000)));
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod entries;
 mod fleet;
 mod groups;
+mod liveness;
 mod outages;
 mod pools;
 mod routes;
