Follow the right watcher: check the source while following, know who watches

Its own lease renewals made the changes look current, as the code went by the source that was right and not by the one in use. Change: a daemon checks every 0.7 s whether its source is still the right one, follows nobody before its own entry has arrived, and counts the store's answers as proof only while it watches the store itself. Tests: later_daemons_take_over_from_watchers and daemon_without_own_entry_watches_the_store, both failing before.

--- a/src/gateway/changes/source.rs
+++ b/src/gateway/changes/source.rs
@@ -62,7 +62,9 @@
     now: Time,
 ) -> Source {
     let watchers = watchers(hall, peers);
-    if watchers.is_empty() || watchers.iter().any(|(name, _)| *name == own) {
+    let is_watcher = watchers.iter().any(|(name, _)| *name == own);
+    // Before its own entry has arrived, a daemon doesn't know its rank.
+    if watchers.is_empty() || is_watcher || !peers.contains(own) {
         return Source::Store;
     }
     // Each subscriber starts elsewhere, so that the watchers have about as many.
--- a/src/gateway/changes/topic.rs
+++ b/src/gateway/changes/topic.rs
@@ -22,6 +22,8 @@
     history: RefCell<History>,
     /// Time at which the changes were last known to be current.
     fresh_at: Cell<Time>,
+    /// True while this daemon watches the store for them.
+    is_watched: Cell<bool>,
     /// Number of store outages that have ended.
     outages: Cell<u32>,
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
@@ -43,8 +45,21 @@
         }
     }
 
+    /// Records whether this daemon watches the store for the changes.
+    pub fn set_watched(&self, is_watched: bool) {
+        self.is_watched.set(is_watched);
+    }
+
+    /// Records that the store answered a call of this daemon.
+    pub fn store_answered(&self, now: Time) {
+        // For a subscriber this says nothing about the peer that it follows.
+        if self.is_watched.get() {
+            self.renew(now);
+        }
+    }
+
     /// Records that the changes were current at a time.
-    pub fn renew(&self, fresh_at: Time) {
+    fn renew(&self, fresh_at: Time) {
         self.fresh_at.set(self.fresh_at.get().max(fresh_at));
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -74,6 +74,11 @@
         self.daemons.iter()
     }
 
+    /// Returns true if a daemon has an entry.
+    pub fn contains(&self, name: &DaemonName) -> bool {
+        self.daemons.contains_key(name)
+    }
+
     /// Returns the daemons with an entry, those with most processor time first.
     pub fn ranked(&self) -> Vec<(&DaemonName, &DaemonEntry)> {
         let mut ranked: Vec<_> = self.daemons.iter().collect();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -229,9 +229,9 @@
 
     /// Records that the store has answered a call.
     pub fn store_answered(&self) {
-        if self.change_source() == Source::Store {
-            let now = self.now();
-            self.topics.values().for_each(|topic| topic.renew(now));
+        let now = self.now();
+        for topic in self.topics.values() {
+            topic.store_answered(now);
         }
     }
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -27,7 +27,7 @@
 use futures_util::future::{Either, select};
 use std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
-/// Interval at which a daemon that watches the store checks whether it could follow a peer.
+/// Interval at which a daemon checks whether its source is still the right one.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Receiver of the entries under a prefix.
@@ -101,11 +101,14 @@
 
     /// Follows the changes since the list, until a new list is needed.
     async fn follow(&mut self) {
+        let state = self.state;
         loop {
-            let end = match self.state.change_source() {
+            let source = self.state.change_source();
+            let end = match &source {
                 Source::Store => self.watch_store().await,
                 Source::Peer { name, address } => {
-                    self.follow_peer(name, address).await;
+                    let follow = self.follow_peer(name, *address);
+                    select(pin!(follow), pin!(wait_for_change(state, &source))).await;
                     continue;
                 }
             };
@@ -125,21 +128,25 @@
         let store = self.store.clone();
         let state = self.state;
         let prefix = self.prefix.to_owned();
+        let topic = self.topic.clone();
         let from = Revision(self.topic.end().0 + 1);
         let deliver = |revision: Revision, events: Vec<WatchEvent>| {
             self.record_success();
             self.apply(revision, events, state.now());
         };
+        topic.set_watched(true);
         let watch = pin!(store.watch(prefix, from, deliver));
-        let has_peer = pin!(wait_for_peer(state));
-        match select(watch, has_peer).await {
+        let source_change = pin!(wait_for_change(state, &Source::Store));
+        let end = match select(watch, source_change).await {
             Either::Left((end, _)) => Some(end),
             Either::Right(_) => None,
-        }
+        };
+        topic.set_watched(false);
+        end
     }
 
     /// Follows a peer until it can't be trusted to have all changes.
-    async fn follow_peer(&mut self, name: DaemonName, address: SocketAddr) {
+    async fn follow_peer(&mut self, name: &DaemonName, address: SocketAddr) {
         slog::info!(self.state.log, "following a peer";
             "prefix" => self.prefix, "peer" => name.as_str());
         let state = self.state;
@@ -147,8 +154,10 @@
             prefix: self.prefix.to_owned(),
             after: self.topic.end(),
         };
+        let prefix = self.prefix;
         let mut outages = None;
         let deliver = |changes: Changes, current_at: Time| {
+            self.record_contact();
             let before = outages.replace(changes.outages);
             if before.is_some_and(|before| before < changes.outages) {
                 self.record_recovery();
@@ -157,8 +166,9 @@
         };
         let end = subscription::follow(state, address, request, deliver).await;
         slog::info!(state.log, "peer no longer followed";
-            "prefix" => self.prefix, "peer" => name.as_str(), "cause" => %end);
-        state.avoided_peers.borrow_mut().insert(name, state.now());
+            "prefix" => prefix, "peer" => name.as_str(), "cause" => %end);
+        let mut avoided = state.avoided_peers.borrow_mut();
+        avoided.insert(name.clone(), state.now());
     }
 
     fn apply(&mut self, end: Revision, events: Vec<WatchEvent>, fresh_at: Time) {
@@ -178,6 +188,11 @@
 
     fn record_success(&mut self) {
         self.state.store_answered();
+        self.record_contact();
+    }
+
+    /// Records that changes arrive again, from whichever source.
+    fn record_contact(&mut self) {
         if std::mem::take(&mut self.is_store_down) {
             slog::info!(self.state.log, "store reachable again"; "prefix" => self.prefix);
             self.record_recovery();
@@ -190,11 +205,11 @@
     }
 }
 
-/// Waits until the daemon should follow a peer.
-async fn wait_for_peer(state: &GatewayState) {
+/// Waits until another source is the right one for this daemon.
+async fn wait_for_change(state: &GatewayState, current: &Source) {
     loop {
         compio::time::sleep(SOURCE_CHECK_INTERVAL).await;
-        if matches!(state.change_source(), Source::Peer { .. }) {
+        if state.change_source() != *current {
             return;
         }
     }
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -115,6 +115,14 @@
     assert_ne!(choose(9, &peers, &avoided, later), Source::Store);
 }
 
+/// A daemon that has just started would otherwise follow a peer that is about to follow it.
+#[test]
+fn daemon_without_own_entry_watches_the_store() {
+    let peers = hall_of(10, 2);
+    let source = choose(11, &peers, &AvoidedPeers::default(), Time(0));
+    assert_eq!(source, Source::Store);
+}
+
 /// A daemon of an earlier version has no address for subscribers.
 #[test]
 fn watcher_without_address_is_not_followed() {
--- a/tests/platform/relay.rs
+++ b/tests/platform/relay.rs
@@ -9,6 +9,9 @@
 /// Prefixes that each daemon follows.
 const PREFIXES: usize = 3;
 
+/// Metric that is 1 for the holder of the duty, which watches the store itself.
+const HOLDS_DUTY: &str = "hickoryledge_duty_held";
+
 /// Daemons of a hall that watch the store.
 const WATCHERS: usize = 2;
 
@@ -53,6 +56,28 @@
     });
 }
 
+/// Daemons that rank before the watchers become watchers themselves. They may have followed the
+/// earlier ones at first; if they still did once those follow them, nobody would watch the store.
+#[test]
+fn later_daemons_take_over_from_watchers() {
+    let (env, others) = start_hall();
+    let first: Vec<Daemon> = ["a0", "a1"]
+        .map(|name| env.start_daemon(name))
+        .into_iter()
+        .collect();
+    env.eventually("the daemons that rank first have all subscribers", |env| {
+        let all = [&env.daemon].into_iter().chain(&others).chain(&first);
+        let subscribers = OTHER_DAEMONS + 1 - usize::from(env.daemon.metric(HOLDS_DUTY) > 0.0);
+        count_subscriptions(all) == (subscribers * PREFIXES) as f64
+            && count_subscriptions(others.iter()) == 0.0
+    });
+    env.configure(2);
+    env.eventually("all daemons use version 2", |env| {
+        let mut all = others.iter().chain(&first);
+        all.all(|daemon| !has_moved_route(env, daemon))
+    });
+}
+
 /// A watcher that hangs keeps its connections open. Its subscribers notice that it no longer proves
 /// contact with the store.
 #[test]
