Free the members of a group whose head was seen to leave it

Change: the roster remembers the groups whose heads it has seen. Test: new_daemon_repairs_group_without_delay, failing before.

--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -191,6 +191,8 @@
     watched_since: Option<Time>,
     /// Groups that no longer hold their members, as another daemon reported.
     released: BTreeSet<Epoch>,
+    /// Groups whose heads this daemon has seen, also if they have left since.
+    seen_heads: BTreeSet<Epoch>,
 }
 
 impl Roster {
@@ -377,6 +379,7 @@
             }
         }
         self.groups = groups.into_values().collect();
+        self.remember_heads();
         for group in &mut self.groups {
             let size = expected_size(spec, group);
             let ranks = group.members.keys().copied();
@@ -384,6 +387,14 @@
         }
     }
 
+    /// Remembers which groups have been seen with a head, and forgets groups that are gone.
+    fn remember_heads(&mut self) {
+        let groups = self.groups.iter();
+        let seen =
+            groups.filter(|group| group.head().is_some() || self.seen_heads.contains(&group.epoch));
+        self.seen_heads = seen.map(|group| group.epoch).collect();
+    }
+
     /// Returns the groups as of the last rebuild.
     pub fn groups(&self) -> &[Group] {
         &self.groups
@@ -431,7 +442,8 @@
     /// Returns true if a group may have a head that this daemon never saw: a head that left earlier
     /// is no longer listed, and one whose entry expired in a store outage isn't listed yet.
     pub fn may_have_unseen_head(&self, group: &Group, now: Time) -> bool {
-        let is_unseen = group.head().is_none() && !self.released.contains(&group.epoch);
+        let is_known = |epoch| self.released.contains(epoch) || self.seen_heads.contains(epoch);
+        let is_unseen = group.head().is_none() && !is_known(&group.epoch);
         let watched = self
             .watched_since
             .map_or(Span::ZERO, |since| now.since(since));
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -620,6 +620,28 @@
     outcome.unwrap();
 }
 
+/// A daemon that has just started can't know whether an earlier holder's order to open a group is
+/// still on its way, and so orders the head to leave. The group is without a head then, but none is
+/// out of its sight.
+#[test]
+fn new_daemon_repairs_group_without_delay() {
+    let mut fleet = settled_fleet(1, 11);
+    fleet.hand_over_to_new_daemon(Epoch(1_000_000));
+    fleet.run_for(Span::from_secs(1));
+    let member = fleet.members(LARGE)[3].clone();
+    fleet.power_off(&member, false);
+    // The head's report arrives before its response to the order.
+    fleet.run(
+        fleet.now + Span::from_secs(4),
+        |directive| match directive.order {
+            Order::Leave { .. } => Delivery::Delayed(STEP_INTERVAL),
+            _ => Delivery::Immediate,
+        },
+    );
+    assert_eq!(fleet.serving_count(LARGE), 1);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
+
 /// Returns the largest number of joins that one host is sent while its reports don't arrive.
 fn count_joins_without_reports(span: Span, delivery: Delivery) -> usize {
     let mut fleet = Fleet::new(2, 11);
--- a/tests/platform/decoding.rs
+++ b/tests/platform/decoding.rs
@@ -1,9 +1,13 @@
-//! Decoding of runner entries and of the configuration.
+//! Decoding of runner entries and of the configuration, and encoding of orders.
 
 use hickoryledge::{
-    core::time::Span,
+    core::{
+        keys::{Epoch, GroupName},
+        time::Span,
+    },
     gateway::{
         adapter::Adapter as _,
+        order::Order,
         roster::{MemberState, Runner},
         spec::RouteKind,
     },
@@ -59,3 +63,18 @@
     assert_eq!(spec.routes[1].split[1].weight, 10);
     assert!(Platform::decode_spec("{}").is_err());
 }
+
+#[test]
+fn encodes_order_to_leave() {
+    let order = Order::Leave {
+        group: GroupName::from("g7"),
+        epoch: Epoch(12),
+    };
+    let (path, body) = Platform::encode_order(&order);
+    let body: serde_json::Value = serde_json::from_slice(&body).expect("JSON");
+    assert_eq!(path, "/order");
+    assert_eq!(
+        body,
+        serde_json::json!({"Op": "leave", "group": "g7", "epoch": 12})
+    );
+}
