Report groups' progress to the holder of the duty

Cause: the holder sees one in 195 of the streams, so that its own data proves few members alive and it still probes 1,700 a second. Change: every daemon tells the holder four times a second, in one datagram, the groups whose heads sent it data; these count like the holder's own data. A report is evidence that a group is alive, never that it is not. Tests: tests/gateway/liveness.rs.

--- a/src/gateway/changes/source.rs
+++ b/src/gateway/changes/source.rs
@@ -74,7 +74,7 @@
     let mut sources = usable.filter_map(|(name, entry)| {
         Some(Source::Peer {
             name: (*name).clone(),
-            address: entry.changes?,
+            address: entry.peer?,
         })
     });
     sources.next().unwrap_or(Source::Store)
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -156,7 +156,7 @@
         let entry = DaemonEntry {
             caller: settings.listen.caller,
             hall: settings.hall.clone(),
-            changes: settings.listen.peer,
+            peer: settings.listen.peer,
             processor_percent: (settings.cores * 100.0) as u32,
         };
         let key = format!("{}{DAEMON_PREFIX}{}", A::OWN_PREFIX, settings.name);
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -2,13 +2,18 @@
 //!
 //! A group makes progress only while all of its members work together. Data on
 //! a stream of its head therefore proves that every member is alive, and a
-//! member is probed only if there was no such proof recently.
+//! member is probed only if there was no such proof recently. The holder of the
+//! duty sees few of the streams itself, so the other daemons tell it which
+//! groups have sent them data.
 
 use super::{
     load::Loads,
-    roster::{HostKey, MemberState, Roster},
+    roster::{Group, HostKey, MemberState, Roster},
+};
+use crate::core::{
+    keys::Epoch,
+    time::{Span, Time},
 };
-use crate::core::time::{Span, Time};
 use std::collections::BTreeMap;
 
 /// Time without a proof after which a member is probed.
@@ -20,18 +25,69 @@
 /// Times at which members were last proven to be alive by a stream of their group.
 pub type Proofs = BTreeMap<HostKey, Time>;
 
+crate::record! {
+    /// Progress of a group, as one daemon reports it to the holder of the duty.
+    pub struct GroupProgress {
+        /// Epoch of the group.
+        pub epoch: Epoch,
+        /// Time since its head sent data.
+        pub age: Span,
+    }
+}
+
+/// Times at which the heads of groups last sent data to other daemons.
+#[derive(Debug, Default)]
+pub struct ReportedProgress(BTreeMap<Epoch, Time>);
+
+impl ReportedProgress {
+    /// Records a daemon's report that has just arrived.
+    pub fn record(&mut self, report: &[GroupProgress], now: Time) {
+        for progress in report {
+            let at = Time(now.0.saturating_sub(progress.age.0));
+            let latest = self.0.entry(progress.epoch).or_default();
+            *latest = at.max(*latest);
+        }
+    }
+
+    /// Forgets progress that is too old to matter.
+    pub fn expire(&mut self, now: Time) {
+        self.0.retain(|_, at| now.since(*at) < MAX_PROBE_INTERVAL);
+    }
+
+    fn get(&self, epoch: Epoch) -> Option<Time> {
+        self.0.get(&epoch).copied()
+    }
+}
+
+/// Returns the groups whose heads have sent data to this daemon less than `window` ago.
+pub fn recent_progress(
+    roster: &Roster,
+    loads: &Loads,
+    window: Span,
+    now: Time,
+) -> Vec<GroupProgress> {
+    let progress = roster.groups().iter().filter_map(|group| {
+        let at = own_progress(group, loads)?;
+        Some(GroupProgress {
+            epoch: group.epoch,
+            age: now.since(at),
+        })
+    });
+    progress.filter(|progress| progress.age < window).collect()
+}
+
 /// Returns the latest proof of each member of the groups that serve.
-pub fn proofs(roster: &Roster, loads: &Loads) -> Proofs {
+pub fn proofs(roster: &Roster, loads: &Loads, reported: &ReportedProgress) -> Proofs {
     let mut proofs = Proofs::new();
     for group in roster.groups() {
         let is_open = group.head_state == Some(MemberState::Open) && group.complete;
         if !is_open || roster.has_unreachable_member(group) {
             continue;
         }
-        let Some(at) = group.head().and_then(|head| loads.last_data(head)) else {
-            continue;
-        };
-        proofs.extend(group.members.values().map(|key| (*key, at)));
+        let progress = own_progress(group, loads).max(reported.get(group.epoch));
+        if let Some(at) = progress {
+            proofs.extend(group.members.values().map(|key| (*key, at)));
+        }
     }
     proofs
 }
@@ -44,3 +100,8 @@
     let last_proof = proof.map_or(last_probe, |proof| proof.max(last_probe));
     now.since(last_proof) >= PROBE_INTERVAL || now.since(last_probe) >= MAX_PROBE_INTERVAL
 }
+
+/// Returns the time at which the head of a group last sent data to this daemon.
+fn own_progress(group: &Group, loads: &Loads) -> Option<Time> {
+    loads.last_data(group.head()?)
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 pub mod planner;
 pub mod pool;
 mod prober;
+mod progress;
 pub mod responses;
 pub mod roster;
 pub mod routes;
@@ -55,10 +56,11 @@
 
 use crate::{
     core::time::Span,
-    shell::{http, metrics},
+    shell::{http, metrics, peers::Sockets},
 };
 use adapter::Adapter;
 use anyhow::Context as _;
+use compio::net::UdpSocket;
 use duty::Duty;
 use futures_channel::oneshot;
 use futures_util::{
@@ -99,10 +101,10 @@
         .await
         .context("listen for directory requests")?;
     let peers = match listen.peer {
-        Some(address) => Some(http::bind(address).await.context("listen for peers")?),
+        Some(address) => Some(Sockets::bind(address).await.context("listen for peers")?),
         None => None,
     };
-    listen.peer = peers.as_ref().map(http::address).transpose()?;
+    listen.peer = peers.as_ref().map(Sockets::address).transpose()?;
     listen.caller = http::address(&callers)?;
     listen.ready = http::address(&ready)?;
     listen.directory = http::address(&directory)?;
@@ -135,8 +137,12 @@
         A::OWN_PREFIX,
         handlers::PeerHandler::new(state.clone(), A::OWN_PREFIX),
     ));
-    if let Some(listener) = peers {
+    if let Some(sockets) = peers {
+        let (datagrams, listener) = sockets.into_parts();
+        let datagrams = UdpSocket::from_std(datagrams).context("use the datagram socket")?;
         spawn(changes::server::serve(listener, state.clone()));
+        spawn(progress::report(datagrams.clone(), state.clone()));
+        spawn(progress::receive(datagrams, state.clone()));
     }
     let lease = Rc::new(Lease::<A>::new(state.clone(), store));
     let lease_task = compio::runtime::spawn(lease.clone().maintain());
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -14,9 +14,9 @@
         pub caller: SocketAddr,
         /// Hall of the daemon.
         pub hall: HallName,
-        /// Address for subscribers to the store's changes, if it has any.
+        /// Address for other daemons, if it has any.
         #[serde(default)]
-        pub changes: Option<SocketAddr>,
+        pub peer: Option<SocketAddr>,
         /// Processor time that it may use, in percent of a core.
         #[serde(default)]
         pub processor_percent: u32,
@@ -86,6 +86,12 @@
         ranked
     }
 
+    /// Returns the address of the duty's holder for other daemons.
+    pub fn holder_address(&self) -> Option<SocketAddr> {
+        let (holder, _) = self.claim.as_ref()?;
+        self.daemons.get(holder)?.peer
+    }
+
     /// Returns the number of daemons with an entry.
     pub fn count(&self) -> usize {
         self.daemons.len()
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -87,7 +87,9 @@
         self.sync_members();
         let proofs = {
             let state = &self.state;
-            liveness::proofs(&state.roster.borrow(), &state.loads.borrow())
+            let mut reported = state.progress.borrow_mut();
+            reported.expire(now);
+            liveness::proofs(&state.roster.borrow(), &state.loads.borrow(), &reported)
         };
         let is_due = |key: &HostKey, probe: &Probe| {
             let proof = proofs.get(key).copied();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,6 +7,7 @@
         source::{self, AvoidedPeers, Source},
     },
     demand::Demand,
+    liveness::ReportedProgress,
     load::Loads,
     outages::{Outages, ServingChange},
     peers::Peers,
@@ -51,6 +52,8 @@
     outages: RefCell<Outages>,
     /// Request load of each runner.
     pub loads: RefCell<Loads>,
+    /// Progress of groups that other daemons reported.
+    pub progress: RefCell<ReportedProgress>,
     /// Recent demand for each model.
     pub demand: RefCell<Demand>,
     /// Retry budget of each service.
@@ -89,6 +92,7 @@
             roster: RefCell::default(),
             outages: RefCell::default(),
             loads: RefCell::default(),
+            progress: RefCell::default(),
             demand: RefCell::default(),
             retry_budgets: RefCell::default(),
             max_timeouts: RefCell::default(),
--- a/src/shell/peers.rs
+++ b/src/shell/peers.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Returns the socket for datagrams and the listener for streams.
+    pub fn into_parts(self) -> (std::net::UdpSocket, TcpListener) {
+        (self.datagrams, self.streams)
+    }
+
     /// Returns the address that both sockets are bound to.
     ///
     /// # Errors
--- a/tests/gateway/candidacy.rs
+++ b/tests/gateway/candidacy.rs
@@ -18,7 +18,7 @@
         let entry = DaemonEntry {
             caller: "10.0.0.1:80".parse().expect("an address"),
             hall: HallName::from("hall"),
-            changes: None,
+            peer: None,
             processor_percent: *processor_percent,
         };
         peers.put(DaemonName::from(*name), entry);
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -34,7 +34,7 @@
         let entry = DaemonEntry {
             caller: "10.0.0.1:80".parse().expect("an address"),
             hall: HallName::from("hall"),
-            changes: Some(format!("10.0.0.1:{}", 7_000 + index).parse().expect("ok")),
+            peer: Some(format!("10.0.0.1:{}", 7_000 + index).parse().expect("ok")),
             processor_percent: if index < large { 50 } else { 12 },
         };
         peers.put(name(index), entry);
@@ -129,7 +129,7 @@
     let mut peers = hall_of(10, 2);
     for index in 0..2 {
         let entry = DaemonEntry {
-            changes: None,
+            peer: None,
             ..peers.daemons().next().expect("a daemon").1.clone()
         };
         peers.put(
--- a/tests/gateway/liveness.rs
+++ b/tests/gateway/liveness.rs
@@ -7,7 +7,7 @@
         time::{Span, Time},
     },
     gateway::{
-        liveness::{is_probe_due, proofs},
+        liveness::{GroupProgress, ReportedProgress, is_probe_due, proofs, recent_progress},
         load::Loads,
         roster::HostKey,
     },
@@ -32,19 +32,56 @@
 #[test]
 fn data_of_head_proves_all_members_alive() {
     let (fleet, loads) = fleet_with_data();
-    let proofs = proofs(&fleet.roster, &loads);
+    let proofs = proofs(&fleet.roster, &loads, &ReportedProgress::default());
     let is_proven = |name: &HostName| proofs.contains_key(&key(&fleet, name));
     assert!(fleet.members(LARGE).iter().all(is_proven));
     assert!(!fleet.members(SMALL).iter().any(is_proven));
 }
 
+/// The holder sees one of many streams: what other daemons report counts like its own data.
+#[test]
+fn report_of_other_daemon_proves_all_members_alive() {
+    let (fleet, loads) = fleet_with_data();
+    let now = fleet.now + Span::from_millis(100);
+    let report = recent_progress(&fleet.roster, &loads, Span::from_millis(250), now);
+    let mut reported = ReportedProgress::default();
+    reported.record(&report, now);
+    let proofs = proofs(&fleet.roster, &Loads::default(), &reported);
+    let members = fleet.members(LARGE);
+    let times = members.iter().map(|name| proofs.get(&key(&fleet, name)));
+    assert!(times.clone().all(|at| at == Some(&fleet.now)), "{proofs:?}");
+}
+
+#[test]
+fn old_progress_is_not_reported() {
+    let (fleet, loads) = fleet_with_data();
+    let now = fleet.now + Span::from_millis(250);
+    let report = recent_progress(&fleet.roster, &loads, Span::from_millis(250), now);
+    assert_eq!(report, Vec::<GroupProgress>::new());
+}
+
+/// Reports may overtake each other.
+#[test]
+fn earlier_progress_does_not_replace_later() {
+    let (fleet, _) = fleet_with_data();
+    let epoch = fleet.roster.groups()[0].epoch;
+    let mut reported = ReportedProgress::default();
+    for age in [10, 200] {
+        let age = Span::from_millis(age);
+        reported.record(&[GroupProgress { epoch, age }], fleet.now);
+    }
+    let proofs = proofs(&fleet.roster, &Loads::default(), &reported);
+    let at = Time(fleet.now.0 - Span::from_millis(10).0);
+    assert!(!proofs.is_empty() && proofs.values().all(|proof| *proof == at));
+}
+
 /// A stream that has only started proves nothing: a head accepts requests without its members.
 #[test]
 fn started_stream_proves_nothing() {
     let (fleet, _) = fleet_with_data();
     let mut loads = Loads::default();
     loads.stream_started(key(&fleet, &fleet.members(LARGE)[0]), fleet.now);
-    assert!(proofs(&fleet.roster, &loads).is_empty());
+    assert!(proofs(&fleet.roster, &loads, &ReportedProgress::default()).is_empty());
 }
 
 /// The members of a group that has lost one are probed as before.
@@ -54,7 +91,7 @@
     let lost = fleet.members(LARGE)[3].clone();
     fleet.power_off(&lost, false);
     fleet.run_for(Span::from_millis(100));
-    assert!(proofs(&fleet.roster, &loads).is_empty());
+    assert!(proofs(&fleet.roster, &loads, &ReportedProgress::default()).is_empty());
 }
 
 /// A loss must be noticed as soon as with probes alone: half a second after the last proof.
