Renew subscribers' leases once a second; groups in a module of their own

No other daemon counts on a subscriber's renewals; three lost in a row still end the lease. The assembly of groups from reports moves out of roster (no change of behaviour).

--- a/src/gateway/formation.rs
+++ b/src/gateway/formation.rs
@@ -4,9 +4,10 @@
 //! what their runners report.
 
 use super::{
+    group::Group,
     lifecycle::is_eligible,
     order::Order,
-    roster::{Group, Host, MemberState, Membership, Roster},
+    roster::{Host, MemberState, Membership, Roster},
 };
 use crate::core::{
     keys::{Epoch, GroupName, HostName, ModelName, ServiceName},
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -6,7 +6,7 @@
 
 use super::{
     adapter::Adapter,
-    changes::source,
+    changes::source::{self, Source},
     handlers::{DAEMON_PREFIX, RunnerHandler},
     peers::DaemonEntry,
     state::GatewayState,
@@ -27,9 +27,13 @@
 /// Time to live of the lease.
 const LEASE_TTL: Span = Span::from_millis(3_000);
 
-/// Interval between renewals of the lease.
+/// Interval between renewals of the lease. They also prove to subscribers that this daemon is in
+/// contact with the store.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Interval between renewals of a subscriber's lease, on which no other daemon counts.
+const SUBSCRIBER_RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Time before its end from which the lease is treated as expired.
 const EXPIRY_MARGIN: Span = Span::from_millis(400);
 
@@ -107,10 +111,10 @@
     pub async fn maintain(self: Rc<Self>) {
         while !self.state.stopping.get() {
             let is_renewed = self.renew().await;
-            let delay = if is_renewed {
-                RENEWAL_INTERVAL
-            } else {
-                RETRY_DELAY
+            let delay = match self.state.change_source() {
+                _ if !is_renewed => RETRY_DELAY,
+                Source::Store => RENEWAL_INTERVAL,
+                Source::Peer { .. } => SUBSCRIBER_RENEWAL_INTERVAL,
             };
             compio::time::sleep(delay).await;
         }
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -4,8 +4,9 @@
 //! its members, and which hosts are eligible for a new group.
 
 use super::{
+    group::Group,
     pool::Pool,
-    roster::{DRAIN_TIMEOUT, Group, Host, MemberState, Roster},
+    roster::{DRAIN_TIMEOUT, Host, MemberState, Roster},
 };
 use crate::core::time::Time;
 
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -7,8 +7,9 @@
 //! groups have sent them data.
 
 use super::{
+    group::Group,
     load::Loads,
-    roster::{Group, HostKey, MemberState, Roster},
+    roster::{HostKey, MemberState, Roster},
 };
 use crate::core::{
     keys::Epoch,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! the duty to order hosts into groups. Members report their group themselves;
 //! every daemon derives the same groups from their entries.
 //!
-//! Modules that decide (`routes`, `roster`, `candidacy`, `balancer`, `admission`, `load`,
+//! Modules that decide (`routes`, `roster`, `group`, `candidacy`, `balancer`, `admission`, `load`,
 //! `demand`, `planner`, `startup`, `formation`, `sent_orders`, `openings`,
 //! `lifecycle`, `liveness`, `pool`, `staging`, `weight_loads`, `outages`, `budget`) read no clock and do
 //! no I/O. The names and formats of a platform are hidden behind
@@ -26,6 +26,7 @@
 pub mod events;
 pub mod formation;
 mod forward;
+pub mod group;
 pub mod handlers;
 mod lease;
 mod lifecycle;
--- a/src/gateway/openings.rs
+++ b/src/gateway/openings.rs
@@ -5,7 +5,10 @@
 //! its head last reported to be ready: otherwise a member could join another
 //! group while the head serves.
 
-use super::roster::{Group, MemberState, Roster};
+use super::{
+    group::Group,
+    roster::{MemberState, Roster},
+};
 use crate::core::{
     keys::{Epoch, GroupName},
     time::{Span, Time},
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -12,11 +12,12 @@
 use super::{
     demand::{Demand, Needs},
     formation::Formation,
+    group::Group,
     lifecycle::{can_replace_slow, holds_members, is_eligible, may_act_as_head, must_close},
     openings::Openings,
     order::{Directive, Order, OrderAnswer},
     pool::Pool,
-    roster::{Group, Host, HostKey, MemberState, Roster},
+    roster::{Host, HostKey, MemberState, Roster},
     sent_orders::SentOrders,
     spec::{Engine, Replication, Service, Spec},
     staging,
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -1,4 +1,4 @@
-//! Runners as they report themselves, and the groups derived from their reports.
+//! Known runners, as they report themselves, and their groups.
 //!
 //! A runner's own entry is the only record of its membership: no second copy
 //! of a group is kept that could disagree with it.
@@ -7,7 +7,10 @@
 //! long as a group may count on it. It is unreachable if it answers no probe,
 //! and dead if it is also known to run no more requests.
 
-use super::spec::Spec;
+use super::{
+    group::{self, Group},
+    spec::Spec,
+};
 use crate::core::{
     keys::{DomainName, Epoch, GroupName, HallName, HostName, ModelName, ServiceName},
     time::{Span, Time},
@@ -140,40 +143,6 @@
     }
 }
 
-/// A group at one epoch, assembled from its members' reports.
-#[derive(Clone, Debug)]
-pub struct Group {
-    /// Name of the group.
-    pub name: GroupName,
-    /// Epoch of the group.
-    pub epoch: Epoch,
-    /// Service that it belongs to.
-    pub service: ServiceName,
-    /// Model that it serves.
-    pub model: ModelName,
-    /// Members by rank.
-    pub members: BTreeMap<u16, HostKey>,
-    /// State that the head reports.
-    pub head_state: Option<MemberState>,
-    /// True if every rank is present.
-    pub complete: bool,
-}
-
-impl Group {
-    /// Returns the key of the head.
-    pub fn head(&self) -> Option<HostKey> {
-        self.members.get(&0).copied()
-    }
-
-    /// Returns true if the head may be running requests.
-    pub fn is_active(&self) -> bool {
-        matches!(
-            self.head_state,
-            Some(MemberState::Open | MemberState::Closing)
-        )
-    }
-}
-
 /// Known hosts, and the groups that their runners form.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -354,37 +323,8 @@
 
     /// Rebuilds the groups from the members' reports.
     pub fn rebuild_groups(&mut self, spec: &Spec) {
-        let mut groups: BTreeMap<(GroupName, Epoch), Group> = BTreeMap::new();
-        for (key, host) in &self.hosts {
-            let Some(member) = &host.runner.member else {
-                continue;
-            };
-            let Some(model) = &member.model else {
-                continue;
-            };
-            let group = groups
-                .entry((member.group.clone(), member.epoch))
-                .or_insert_with(|| Group {
-                    name: member.group.clone(),
-                    epoch: member.epoch,
-                    service: host.runner.service.clone(),
-                    model: model.clone(),
-                    members: BTreeMap::new(),
-                    head_state: None,
-                    complete: false,
-                });
-            group.members.insert(member.rank, key);
-            if member.rank == 0 {
-                group.head_state = Some(member.state);
-            }
-        }
-        self.groups = groups.into_values().collect();
+        self.groups = group::assemble(&self.hosts, spec);
         self.remember_heads();
-        for group in &mut self.groups {
-            let size = expected_size(spec, group);
-            let ranks = group.members.keys().copied();
-            group.complete = size.is_some_and(|size| ranks.eq(0..size));
-        }
     }
 
     /// Remembers which groups have been seen with a head, and forgets groups that are gone.
@@ -469,8 +409,3 @@
 fn slowdown_of(slow: &BTreeMap<RunnerInstance, f64>, instance: &RunnerInstance) -> f64 {
     slow.get(instance).copied().unwrap_or(1.0)
 }
-
-fn expected_size(spec: &Spec, group: &Group) -> Option<u16> {
-    let engine = spec.engine(&group.service)?;
-    Some(engine.replication(&group.model)?.size)
-}
