--- a/src/gateway/planner.rs
+++ b/src/gateway/planner/mod.rs
@@ -9,15 +9,17 @@
 //! A group is closed before any of its members is ordered into another one,
 //! and opened only once each member reports that it is ready at its epoch.
 
+mod ending;
+mod pools;
+
 use super::{
     demand::{Demand, Needs},
     formation::Formation,
     group::Group,
-    lifecycle::{can_replace_slow, holds_members, is_eligible, may_act_as_head, must_close},
+    lifecycle::{holds_members, is_eligible},
     openings::Openings,
     order::{Directive, Order, OrderAnswer},
-    pool::Pool,
-    roster::{Host, HostKey, MemberState, Roster},
+    roster::{HostKey, MemberState, Roster},
     sent_orders::SentOrders,
     spec::{Engine, Replication, Service, Spec},
     staging,
@@ -25,14 +27,11 @@
     weight_loads::WeightLoads,
 };
 use crate::core::{
-    keys::{DomainName, Epoch, GroupName, HostName, ModelName, ServiceName},
+    keys::{Epoch, GroupName, HostName, ServiceName},
     time::{Span, Time},
 };
-use std::collections::{BTreeMap, BTreeSet};
-
-/// Time for a closing head to finish its requests; then they are cut, and their streams resume
-/// elsewhere.
-const CLOSE_TIMEOUT: Span = Span::from_millis(1_800);
+use pools::next_group;
+use std::collections::BTreeMap;
 
 /// Delay before a new holder of the duty opens a group that was left ready; it probes the members
 /// meanwhile.
@@ -205,107 +204,6 @@
         }
     }
 
-    /// Closes active groups that have lost a member or are losing one, or that can replace a slow
-    /// one.
-    fn close_groups(
-        &mut self,
-        roster: &Roster,
-        service: &ServiceName,
-        now: Time,
-        out: &mut Vec<Directive>,
-    ) {
-        let replaceable = self.replaceable_groups(roster, service, now);
-        for group in roster.groups() {
-            if group.service != *service || !group.is_active() {
-                continue;
-            }
-            let Some(head) = group.head().and_then(|key| roster.host(key)) else {
-                continue;
-            };
-            let has_head_left = head.unlisted_since.is_some() && head.is_unreachable();
-            let is_replaceable = replaceable.contains(&(&group.name, group.epoch));
-            let cut = must_close(roster, group, head).or(is_replaceable.then_some(false));
-            let Some(cut) = cut.filter(|_| !has_head_left) else {
-                continue;
-            };
-            let since = *self.closing.entry(group.name.clone()).or_insert(now);
-            let close = Order::Close {
-                group: group.name.clone(),
-                epoch: group.epoch,
-                cut: cut || now.since(since) >= CLOSE_TIMEOUT,
-            };
-            self.send(&head.name, close, now, out);
-        }
-    }
-
-    /// Orders the heads of groups that are not to open any more to leave them, if they report to be
-    /// ready but may be open.
-    fn release_ready_groups(
-        &mut self,
-        roster: &Roster,
-        service: &ServiceName,
-        now: Time,
-        out: &mut Vec<Directive>,
-    ) {
-        for group in roster.groups() {
-            let is_forming = self.formations.iter().any(|f| f.epoch == group.epoch);
-            if group.service != *service || is_forming || !self.holds_ready(roster, group, now) {
-                continue;
-            }
-            let is_over = !group.complete
-                || roster.has_unreachable_member(group)
-                || self.closing.contains_key(&group.name);
-            let Some(head) = group.head().and_then(|key| roster.host(key)) else {
-                continue;
-            };
-            if is_over {
-                let leave = Order::Leave {
-                    group: group.name.clone(),
-                    epoch: group.epoch,
-                };
-                self.send(&head.name, leave, now, out);
-            }
-        }
-    }
-
-    /// Returns true if a group holds its members although its head last reported to be ready.
-    fn holds_ready(&self, roster: &Roster, group: &Group, now: Time) -> bool {
-        self.openings.may_be_open(roster, group) && may_act_as_head(roster, group, now)
-    }
-
-    /// Returns the open groups to close because their slow members can be replaced, at most one in
-    /// each domain.
-    fn replaceable_groups<'a>(
-        &self,
-        roster: &'a Roster,
-        service: &ServiceName,
-        now: Time,
-    ) -> BTreeSet<(&'a GroupName, Epoch)> {
-        let groups = roster.groups().iter();
-        let slow: Vec<&Group> = groups
-            .filter(|group| group.service == *service && roster.group_slowdown(group) > 1.0)
-            .collect();
-        if slow.is_empty() {
-            return BTreeSet::new();
-        }
-        let pools = self.pools(roster, service, now);
-        let mut domains = BTreeSet::new();
-        let replaceable = slow.into_iter().filter(|group| {
-            let head = group.head().and_then(|key| roster.host(key));
-            let domain = head.and_then(|head| head.runner.domain.as_ref());
-            let Some((head, domain)) = head.zip(domain) else {
-                return false;
-            };
-            let pool = pools.get(domain);
-            must_close(roster, group, head).is_none()
-                && pool.is_some_and(|pool| can_replace_slow(roster, group, pool))
-                && domains.insert(domain)
-        });
-        replaceable
-            .map(|group| (&group.name, group.epoch))
-            .collect()
-    }
-
     /// Forms groups of free hosts, for the models in greatest need first.
     fn form_groups(
         &mut self,
@@ -405,99 +303,6 @@
         }
     }
 
-    /// Returns each domain's free hosts, which may be ordered into a group, and its groups.
-    fn pools(
-        &self,
-        roster: &Roster,
-        service: &ServiceName,
-        now: Time,
-    ) -> BTreeMap<DomainName, Pool> {
-        let held = self.held_hosts(roster, service, now);
-        let mut pools: BTreeMap<DomainName, Pool> = BTreeMap::new();
-        for (model, domain) in self.placed_groups(roster, service) {
-            let pool = pools.entry(domain).or_default();
-            *pool.groups.entry(model).or_default() += 1;
-        }
-        for group in roster.groups() {
-            let head = group.head().and_then(|key| roster.host(key));
-            if group.service == *service
-                && self.is_ending(roster, group, now)
-                && let Some(domain) = head.and_then(|host| host.runner.domain.clone())
-            {
-                let pool = pools.entry(domain).or_default();
-                pool.ending.insert(group.model.clone());
-            }
-        }
-        for (key, host) in roster.hosts() {
-            let Some(domain) = &host.runner.domain else {
-                continue;
-            };
-            if host.runner.service != *service || !is_eligible(host) {
-                continue;
-            }
-            if held.contains(&key) {
-                continue;
-            }
-            let pool = pools.entry(domain.clone()).or_default();
-            pool.free.push(key);
-            if let Some(model) = self.weight_loads.model_on(&host.name) {
-                pool.loading.insert(key, model.clone());
-            }
-        }
-        pools
-    }
-
-    /// Returns true if a group no longer serves but still holds its members.
-    fn is_ending(&self, roster: &Roster, group: &Group, now: Time) -> bool {
-        let has_stopped =
-            roster.has_unreachable_member(group) || self.closing.contains_key(&group.name);
-        has_stopped && holds_members(roster, group, now)
-    }
-
-    /// Returns the hosts held by formations and by groups whose head is or may become open.
-    fn held_hosts(&self, roster: &Roster, service: &ServiceName, now: Time) -> BTreeSet<HostKey> {
-        let forming = self
-            .formations
-            .iter()
-            .flat_map(|formation| &formation.members)
-            .filter_map(|name| Some(roster.host_by_name(name)?.0));
-        let active = roster
-            .groups()
-            .iter()
-            .filter(|group| group.service == *service)
-            .filter(|group| {
-                holds_members(roster, group, now) || self.holds_ready(roster, group, now)
-            })
-            .flat_map(|group| group.members.values().copied());
-        forming.chain(active).collect()
-    }
-
-    /// Returns the model and the domain of each group that serves or is being formed.
-    fn placed_groups(
-        &self,
-        roster: &Roster,
-        service: &ServiceName,
-    ) -> Vec<(ModelName, DomainName)> {
-        let domain = |host: Option<&Host>| host?.runner.domain.clone();
-        let serving = roster
-            .groups()
-            .iter()
-            .filter(|group| group.service == *service && group.complete)
-            .filter(|group| group.head_state == Some(MemberState::Open))
-            .filter(|group| !roster.has_unreachable_member(group))
-            .filter_map(|group| {
-                let head = roster.host(group.head()?);
-                Some((group.model.clone(), domain(head)?))
-            });
-        let forming = self.formations.iter().filter_map(|formation| {
-            let head = roster
-                .host_by_name(formation.members.first()?)
-                .map(|(_, host)| host);
-            Some((formation.model.clone(), domain(head)?))
-        });
-        serving.chain(forming).collect()
-    }
-
     /// Sends an order unless the same one was sent too recently; returns true if it is sent.
     fn send(&mut self, host: &HostName, order: Order, now: Time, out: &mut Vec<Directive>) -> bool {
         let sent = self.sent_orders.send(host, order, now);
@@ -522,21 +327,3 @@
         }
     }
 }
-
-/// Returns the model in greatest need that some domain has room for, and the domain where the
-/// fewest members need a load.
-fn next_group<'a>(
-    roster: &Roster,
-    needs: &Needs<'a>,
-    pools: &BTreeMap<DomainName, Pool>,
-) -> Option<(DomainName, &'a Replication)> {
-    needs.ranked(pools).into_iter().find_map(|replication| {
-        let protected = needs.protected(replication, pools);
-        let (domain, _) = pools
-            .iter()
-            .filter(|(_, pool)| pool.has_room(roster, &protected, replication))
-            .filter(|(_, pool)| pool.should_form_now(roster, &protected, replication))
-            .min_by_key(|(_, pool)| pool.load_count(roster, &protected, replication))?;
-        Some((domain.clone(), replication))
-    })
-}
--- /dev/null
+++ b/src/gateway/planner/pools.rs
@@ -0,0 +1,131 @@
+//! Free hosts and groups of each domain, as the planner sees them.
+
+use super::Planner;
+use crate::{
+    core::{
+        keys::{DomainName, ModelName, ServiceName},
+        time::Time,
+    },
+    gateway::{
+        demand::Needs,
+        group::Group,
+        lifecycle::{holds_members, is_eligible},
+        pool::Pool,
+        roster::{Host, HostKey, MemberState, Roster},
+        spec::Replication,
+    },
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+impl Planner {
+    /// Returns each domain's free hosts, which may be ordered into a group, and its groups.
+    pub(super) fn pools(
+        &self,
+        roster: &Roster,
+        service: &ServiceName,
+        now: Time,
+    ) -> BTreeMap<DomainName, Pool> {
+        let held = self.held_hosts(roster, service, now);
+        let mut pools: BTreeMap<DomainName, Pool> = BTreeMap::new();
+        for (model, domain) in self.placed_groups(roster, service) {
+            let pool = pools.entry(domain).or_default();
+            *pool.groups.entry(model).or_default() += 1;
+        }
+        for group in roster.groups() {
+            let head = group.head().and_then(|key| roster.host(key));
+            if group.service == *service
+                && self.is_ending(roster, group, now)
+                && let Some(domain) = head.and_then(|host| host.runner.domain.clone())
+            {
+                let pool = pools.entry(domain).or_default();
+                pool.ending.insert(group.model.clone());
+            }
+        }
+        for (key, host) in roster.hosts() {
+            let Some(domain) = &host.runner.domain else {
+                continue;
+            };
+            if host.runner.service != *service || !is_eligible(host) {
+                continue;
+            }
+            if held.contains(&key) {
+                continue;
+            }
+            let pool = pools.entry(domain.clone()).or_default();
+            pool.free.push(key);
+            if let Some(model) = self.weight_loads.model_on(&host.name) {
+                pool.loading.insert(key, model.clone());
+            }
+        }
+        pools
+    }
+
+    /// Returns true if a group no longer serves but still holds its members.
+    fn is_ending(&self, roster: &Roster, group: &Group, now: Time) -> bool {
+        let has_stopped =
+            roster.has_unreachable_member(group) || self.closing.contains_key(&group.name);
+        has_stopped && holds_members(roster, group, now)
+    }
+
+    /// Returns the hosts held by formations and by groups whose head is or may become open.
+    fn held_hosts(&self, roster: &Roster, service: &ServiceName, now: Time) -> BTreeSet<HostKey> {
+        let forming = self
+            .formations
+            .iter()
+            .flat_map(|formation| &formation.members)
+            .filter_map(|name| Some(roster.host_by_name(name)?.0));
+        let active = roster
+            .groups()
+            .iter()
+            .filter(|group| group.service == *service)
+            .filter(|group| {
+                holds_members(roster, group, now) || self.holds_ready(roster, group, now)
+            })
+            .flat_map(|group| group.members.values().copied());
+        forming.chain(active).collect()
+    }
+
+    /// Returns the model and the domain of each group that serves or is being formed.
+    fn placed_groups(
+        &self,
+        roster: &Roster,
+        service: &ServiceName,
+    ) -> Vec<(ModelName, DomainName)> {
+        let domain = |host: Option<&Host>| host?.runner.domain.clone();
+        let serving = roster
+            .groups()
+            .iter()
+            .filter(|group| group.service == *service && group.complete)
+            .filter(|group| group.head_state == Some(MemberState::Open))
+            .filter(|group| !roster.has_unreachable_member(group))
+            .filter_map(|group| {
+                let head = roster.host(group.head()?);
+                Some((group.model.clone(), domain(head)?))
+            });
+        let forming = self.formations.iter().filter_map(|formation| {
+            let head = roster
+                .host_by_name(formation.members.first()?)
+                .map(|(_, host)| host);
+            Some((formation.model.clone(), domain(head)?))
+        });
+        serving.chain(forming).collect()
+    }
+}
+
+/// Returns the model in greatest need that some domain has room for, and the domain where the
+/// fewest members need a load.
+pub(super) fn next_group<'a>(
+    roster: &Roster,
+    needs: &Needs<'a>,
+    pools: &BTreeMap<DomainName, Pool>,
+) -> Option<(DomainName, &'a Replication)> {
+    needs.ranked(pools).into_iter().find_map(|replication| {
+        let protected = needs.protected(replication, pools);
+        let (domain, _) = pools
+            .iter()
+            .filter(|(_, pool)| pool.has_room(roster, &protected, replication))
+            .filter(|(_, pool)| pool.should_form_now(roster, &protected, replication))
+            .min_by_key(|(_, pool)| pool.load_count(roster, &protected, replication))?;
+        Some((domain.clone(), replication))
+    })
+}
