Send nothing to a slow group that it can't finish by the deadline

Groups marked as slow take what others have no place for, also requests that they can't finish: an answer of 1.5 s takes 13 s at a ninth of the speed. Ruled out: a lost member (the holder's probes reached all; the group was closed to replace a member and not cut). Change: a new request goes to a slow group only if its expected duration there fits the time left; else it is refused at once. Test: refuses_request_that_only_a_slow_group_could_take_and_not_finish, failing before.

--- a/src/core/time.rs
+++ b/src/core/time.rs
@@ -43,6 +43,11 @@
         self.0 as f64 / 1e6
     }
 
+    /// Returns the span multiplied by a fractional factor.
+    pub fn scaled(self, factor: f64) -> Span {
+        Span((self.0 as f64 * factor) as u64)
+    }
+
     /// Returns the span multiplied by a factor.
     pub const fn times(self, factor: u64) -> Span {
         Span(self.0.saturating_mul(factor))
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -30,6 +30,10 @@
     pub model: Option<(&'a ModelName, &'a Engine)>,
     /// Admission class of the request.
     pub class: AdmissionClass,
+    /// Expected duration of the request at a group that isn't slow.
+    pub duration: Span,
+    /// Time left until the request's deadline.
+    pub remaining: Span,
     /// Hall of this daemon.
     pub hall: &'a HallName,
     /// Runners that were tried already, which are excluded.
@@ -58,6 +62,16 @@
     slowdown: f64,
 }
 
+impl Criteria<'_> {
+    /// Returns true unless a group is so slow that the request would end there without a response.
+    fn can_finish_at(&self, candidate: &Candidate) -> bool {
+        let is_slow = candidate.slowdown >= SLOW_FACTOR;
+        // A request that may have run goes on wherever it can.
+        let is_new = self.class != AdmissionClass::Resumed;
+        !is_slow || !is_new || self.duration.scaled(candidate.slowdown) <= self.remaining
+    }
+}
+
 /// Reason for which no runner was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChooseError {
@@ -98,7 +112,7 @@
     if let Some((_, engine)) = criteria.model
         && !candidates.is_empty()
     {
-        candidates = admit(candidates, loads, engine, criteria.class, now, rng)?;
+        candidates = admit(candidates, loads, engine, &criteria, now, rng)?;
     }
     let drawn: Vec<Candidate> = candidates.choose_multiple(rng, 2).copied().collect();
     let chosen = drawn
@@ -117,12 +131,13 @@
     })
 }
 
-/// Returns the candidates below their limit, only slow ones if there are no others.
+/// Returns the candidates below their limit that can finish the request in time, only slow ones if
+/// there are no others.
 fn admit<R>(
     candidates: Vec<Candidate>,
     loads: &Loads,
     engine: &Engine,
-    class: AdmissionClass,
+    criteria: &Criteria<'_>,
     now: Time,
     rng: &mut R,
 ) -> Result<Vec<Candidate>, ChooseError>
@@ -130,7 +145,8 @@
     R: Rng,
 {
     let heads: Vec<HostKey> = candidates.iter().map(|candidate| candidate.host).collect();
-    let admitted = admission::admit(candidates, loads, engine.slots, class, now);
+    let mut admitted = admission::admit(candidates, loads, engine.slots, criteria.class, now);
+    admitted.retain(|candidate| criteria.can_finish_at(candidate));
     let fast: Vec<Candidate> = admitted
         .iter()
         .filter(|candidate| candidate.slowdown < SLOW_FACTOR)
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -302,6 +302,12 @@
         service: &call.service,
         model,
         class,
+        duration: admission::expected_duration(
+            model.map(|(model, engine)| (engine, model)),
+            call.head.prompt_tokens,
+            call.head.max_tokens,
+        ),
+        remaining: call.deadline.since(now),
         hall: &state.settings.hall,
         tried: &call.tried,
     };
--- a/tests/gateway/balancer.rs
+++ b/tests/gateway/balancer.rs
@@ -19,6 +19,8 @@
     fleet: Fleet,
     loads: Loads,
     rng: SmallRng,
+    /// Expected duration of the request.
+    duration: Span,
 }
 
 impl TestEnv {
@@ -29,6 +31,7 @@
             fleet,
             loads: Loads::default(),
             rng: SmallRng::seed_from_u64(1),
+            duration: Span::from_millis(1_500),
         }
     }
 
@@ -46,6 +49,8 @@
             service: &service,
             model: Some((&model, engine)),
             class,
+            duration: self.duration,
+            remaining: Span::from_secs(8),
             hall: &HallName::from("hall"),
             tried,
         };
@@ -141,6 +146,29 @@
     assert_eq!(endpoint.host, heads[0]);
 }
 
+/// At a group that works nine times slower an answer ends past its deadline. Such a request is
+/// refused at once while the other groups are full, rather than run in vain; a short one still goes
+/// there.
+#[test]
+fn refuses_request_that_only_a_slow_group_could_take_and_not_finish() {
+    let mut env = TestEnv::new(2);
+    let heads = env.heads();
+    let name = env.fleet.roster.host(heads[0]).expect("known").name.clone();
+    env.fleet.slow_down(&name, 9.0);
+    env.report_load(heads[1], 28, 0);
+    let outcome = env.choose(AdmissionClass::OnTime, &[]);
+    assert!(
+        matches!(outcome, Err(ChooseError::AllFull { .. })),
+        "{outcome:?}"
+    );
+    assert!(env.choose(AdmissionClass::Resumed, &[]).is_ok());
+    env.duration = Span::from_millis(500);
+    let endpoint = env
+        .choose(AdmissionClass::OnTime, &[])
+        .expect("an endpoint");
+    assert_eq!(endpoint.host, heads[0]);
+}
+
 #[test]
 fn avoids_head_whose_streams_are_silent() {
     let mut env = TestEnv::new(2);
