List anew with the watchers when the store has forgotten its history

The watchers list anew, 818 subscriptions end with 'changes no longer kept', and each subscriber took its watcher for failed and watched the store itself for five seconds. Change: a subscriber whose changes are no longer kept lists the entries and follows the same watcher from there. Test: subscribers_stay_with_watchers_after_compaction. The fake runner stages weights when it is ordered to, as groups are formed of staged hosts now.

--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -10,7 +10,7 @@
         Topic,
         messages::{Changes, Subscribe},
         source::Source,
-        subscription,
+        subscription::{self, FollowEnd},
     },
     lease::RETRY_DELAY,
     state::GatewayState,
@@ -107,9 +107,11 @@
             let end = match &source {
                 Source::Store => self.watch_store().await,
                 Source::Peer { name, address } => {
-                    let follow = self.follow_peer(name, *address);
-                    select(pin!(follow), pin!(wait_for_change(state, &source))).await;
-                    continue;
+                    let follow = pin!(self.follow_peer(name, *address));
+                    match select(follow, pin!(wait_for_change(state, &source))).await {
+                        Either::Left((FollowEnd::Compacted, _)) => Some(WatchEnd::Compacted),
+                        _ => None,
+                    }
                 }
             };
             match end {
@@ -146,7 +148,7 @@
     }
 
     /// Follows a peer until it can't be trusted to have all changes.
-    async fn follow_peer(&mut self, name: &DaemonName, address: SocketAddr) {
+    async fn follow_peer(&mut self, name: &DaemonName, address: SocketAddr) -> FollowEnd {
         slog::info!(self.state.log, "following a peer";
             "prefix" => self.prefix, "peer" => name.as_str());
         let state = self.state;
@@ -167,8 +169,12 @@
         let end = subscription::follow(state, address, request, deliver).await;
         slog::info!(state.log, "peer no longer followed";
             "prefix" => prefix, "peer" => name.as_str(), "cause" => %end);
-        let mut avoided = state.avoided_peers.borrow_mut();
-        avoided.insert(name.clone(), state.now());
+        // A peer that has listed the entries anew can be followed from a new list on.
+        if !matches!(end, FollowEnd::Compacted) {
+            let mut avoided = state.avoided_peers.borrow_mut();
+            avoided.insert(name.clone(), state.now());
+        }
+        end
     }
 
     fn apply(&mut self, end: Revision, events: Vec<WatchEvent>, fresh_at: Time) {
--- a/tests/platform/relay.rs
+++ b/tests/platform/relay.rs
@@ -102,3 +102,29 @@
         watchers.iter().all(|daemon| !has_moved_route(env, daemon))
     });
 }
+
+/// The store may forget its history at any time. The watchers then list the entries anew, and their
+/// subscribers go on with them and not each with the store.
+#[test]
+fn subscribers_stay_with_watchers_after_compaction() {
+    let (env, others) = start_hall();
+    env.store.forget_history();
+    env.configure(2);
+    env.eventually("all daemons use version 2", |env| {
+        others.iter().all(|daemon| !has_moved_route(env, daemon))
+    });
+    env.eventually("the others subscribe", |env| {
+        let followed = count_subscriptions([&env.daemon].into_iter().chain(&others));
+        followed == ((OTHER_DAEMONS + 1 - WATCHERS) * PREFIXES) as f64
+    });
+    let lists = |env: &TestEnv| {
+        let calls = env.store.calls();
+        calls.iter().filter(|(path, _)| path == "/kv-range").count()
+    };
+    let before = lists(&env);
+    env.configure(3);
+    env.eventually("all daemons use version 3", |env| {
+        others.iter().all(|daemon| has_moved_route(env, daemon))
+    });
+    assert_eq!(lists(&env), before, "lists without a reason");
+}
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -203,6 +203,7 @@
                         "rank": rank, "State": "ready",
                     });
                 }
+                Some("Phase") => entry["Staged"] = json!([order["Model"]]),
                 Some("open") => entry["group"]["State"] = json!("open"),
                 Some("close") => entry["group"]["State"] = json!("ready"),
                 _ => {}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -20,6 +20,8 @@
     /// All changes, in order: the key, the revision, and the item unless it was deleted.
     events: Vec<(String, i64, Option<Item>)>,
     revision: i64,
+    /// Revision before which all changes were dropped.
+    compacted: i64,
     /// Id of the lease that was granted last.
     last_lease: i64,
     /// Lists and writes so far: the path, and the prefix or the key.
@@ -47,6 +49,15 @@
         state.delete(key);
     }
 
+    /// Drops all changes so far; a watch that needs them must list again.
+    pub fn forget_history(&self) {
+        let mut state = self.state.lock().expect("not poisoned");
+        state.events.clear();
+        // Whatever was read before the next change is too old.
+        state.revision += 1;
+        state.compacted = state.revision;
+    }
+
     /// Returns the keys under a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.state.lock().expect("not poisoned");
@@ -97,6 +108,9 @@
             }
             ("GET", "/kv-watch") => {
                 let after = query["After"].parse().expect("a revision");
+                if after < state.compacted {
+                    return Some((410, json!({})));
+                }
                 state
                     .changes(query["Prefix"], after)
                     .map(|changes| (200, changes))
