--- a/src/gateway/openings.rs
+++ b/src/gateway/openings.rs
@@ -96,12 +96,10 @@
         if group.head_state != Some(MemberState::Ready) || self.left.contains(&group.epoch) {
             return false;
         }
-        let states = roster
+        let mut members = roster
             .members(group)
-            .filter_map(|host| Some(host.runner.member.as_ref()?.state));
-        let was_ready = states
-            .into_iter()
-            .all(|state| state != MemberState::Joining);
+            .filter_map(|host| host.runner.member.as_ref());
+        let was_ready = members.all(|member| member.state != MemberState::Joining);
         let opening = self.formed.get(&group.name);
         was_ready && opening.is_none_or(Opening::may_be_in_effect)
     }
