--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -6,6 +6,7 @@
 
 use super::{
     adapter::Adapter,
+    backoff::Backoff,
     changes::source::{self, Source},
     handlers::{DAEMON_PREFIX, RunnerHandler},
     peers::DaemonEntry,
@@ -109,12 +110,14 @@
 
     /// Renews the lease until the daemon stops, then revokes it.
     pub async fn maintain(self: Rc<Self>) {
+        let mut backoff = Backoff::default();
         while !self.state.stopping.get() {
-            let is_renewed = self.renew().await;
-            let delay = match self.state.change_source() {
-                _ if !is_renewed => RETRY_DELAY,
-                Source::Store => RENEWAL_INTERVAL,
-                Source::Peer { .. } => SUBSCRIBER_RENEWAL_INTERVAL,
+            let delay = match self.renew().await {
+                true => {
+                    backoff.reset();
+                    self.renewal_interval()
+                }
+                false => backoff.next_delay(),
             };
             compio::time::sleep(delay).await;
         }
@@ -127,6 +130,13 @@
         }
     }
 
+    fn renewal_interval(&self) -> Duration {
+        match self.state.change_source() {
+            Source::Store => RENEWAL_INTERVAL,
+            Source::Peer { .. } => SUBSCRIBER_RENEWAL_INTERVAL,
+        }
+    }
+
     /// Renews the lease, or obtains one; false if that failed.
     async fn renew(&self) -> bool {
         let sent = self.state.now();
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -6,13 +6,13 @@
 //! compacted that revision away, the list is read again.
 
 use super::{
+    backoff::Backoff,
     changes::{
         Topic,
         messages::{Changes, Subscribe},
         source::Source,
         subscription::{self, FollowEnd},
     },
-    lease::RETRY_DELAY,
     state::GatewayState,
 };
 use crate::{
@@ -55,13 +55,14 @@
         prefix,
         handler,
         is_store_down: false,
+        backoff: Backoff::default(),
     };
     loop {
         match watcher.list().await {
             Ok(()) => watcher.follow().await,
             Err(cause) => {
                 watcher.record_failure(&cause);
-                compio::time::sleep(RETRY_DELAY).await;
+                watcher.wait_after_failure().await;
             }
         }
     }
@@ -76,6 +77,7 @@
     handler: H,
     /// Reachability of the store; each change is logged once.
     is_store_down: bool,
+    backoff: Backoff,
 }
 
 impl<K, H> Watcher<'_, K, H>
@@ -118,7 +120,7 @@
                 Some(WatchEnd::Compacted) => return,
                 Some(WatchEnd::Broken) => {
                     self.record_failure("watch interrupted");
-                    compio::time::sleep(RETRY_DELAY).await;
+                    self.wait_after_failure().await;
                 }
                 None => {}
             }
@@ -197,8 +199,13 @@
         self.record_contact();
     }
 
+    async fn wait_after_failure(&mut self) {
+        compio::time::sleep(self.backoff.next_delay()).await;
+    }
+
     /// Records that changes arrive again, from whichever source.
     fn record_contact(&mut self) {
+        self.backoff.reset();
         if std::mem::take(&mut self.is_store_down) {
             slog::info!(self.state.log, "store reachable again"; "prefix" => self.prefix);
             self.record_recovery();
