--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,11 +6,11 @@
 //! the duty to order hosts into groups. Members report their group themselves;
 //! every daemon derives the same groups from their entries.
 //!
-//! Modules that decide (`routes`, `roster`, `group`, `candidacy`, `balancer`, `admission`, `load`,
-//! `demand`, `planner`, `startup`, `formation`, `sent_orders`, `openings`,
-//! `lifecycle`, `liveness`, `pool`, `staging`, `weight_loads`, `outages`, `budget`) read no clock and do
-//! no I/O. The names and formats of a platform are hidden behind
-//! [`adapter::Adapter`].
+//! Modules that decide (`routes`, `roster`, `group`, `candidacy`, `balancer`,
+//! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
+//! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
+//! `weight_loads`, `outages`, `budget`, `backoff`) read no clock and do no I/O.
+//! The names and formats of a platform are hidden behind [`adapter::Adapter`].
 
 pub mod adapter;
 pub mod admission;
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -3,10 +3,9 @@
 //! A head keeps taking requests for seconds after it has lost a member, and
 //! entries in the store lag behind. The holder of the duty therefore probes
 //! each member that nothing else proves to be alive, over a connection that is
-//! kept open. A member counts as
-//! unreachable only after new connections have failed too. If a large fraction
-//! of members fails at once, this daemon itself is assumed to be cut off, and
-//! none is reported.
+//! kept open. A member counts as unreachable only after new connections have
+//! failed too. If a large fraction of members fails at once, this daemon itself
+//! is assumed to be cut off, and none is reported.
 
 use super::{
     adapter::Adapter,
