Pace a new holder's first probes, and believe none of a mass failure

Ruled out: the cut of the former holder (the others' groups fall at 25 s, not at 24), the runners (all answer at 25.4 to 26.9 s). Change: at most 64 probes over new connections at a time; when most members fail, all failures are forgotten and must be seen again. Tests: new_holder_opens_few_connections_at_a_time, assumes_to_be_cut_off_if_most_members_fail.

--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -23,6 +23,13 @@
 /// Maximum time between two probes of a member, which also report how fast it works.
 const MAX_PROBE_INTERVAL: Span = Span::from_millis(2_000);
 
+/// Maximum number of probes over new connections at a time. A new holder of the duty has none yet;
+/// if it opened all at once, they would time out for want of its own processor time.
+const MAX_NEW_PROBES: usize = 64;
+
+/// Fraction of unreachable members above which this daemon itself is assumed to be cut off.
+const MAX_UNREACHABLE_FRACTION: f64 = 0.4;
+
 /// Times at which members were last proven to be alive by a stream of their group.
 pub type Proofs = BTreeMap<HostKey, Time>;
 
@@ -102,6 +109,30 @@
     now.since(last_proof) >= PROBE_INTERVAL || now.since(last_probe) >= MAX_PROBE_INTERVAL
 }
 
+/// Returns the members to probe of those that are due, given with whether a connection to them is
+/// open; `in_flight` probes over new connections are under way.
+pub fn select_probes<I>(due: I, in_flight: usize) -> Vec<HostKey>
+where
+    I: IntoIterator<Item = (HostKey, bool)>,
+{
+    let mut new_probes = MAX_NEW_PROBES.saturating_sub(in_flight);
+    let mut selected = Vec::new();
+    for (key, has_connection) in due {
+        if has_connection {
+            selected.push(key);
+        } else if new_probes > 0 {
+            new_probes -= 1;
+            selected.push(key);
+        }
+    }
+    selected
+}
+
+/// Returns true if so many members are unreachable that this daemon itself must be cut off.
+pub fn is_cut_off(unreachable: usize, members: usize) -> bool {
+    unreachable as f64 > MAX_UNREACHABLE_FRACTION * members as f64
+}
+
 /// Returns the time at which the head of a group last sent data to this daemon.
 fn own_progress(group: &Group, loads: &Loads) -> Option<Time> {
     loads.last_data(group.head()?)
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -37,15 +37,28 @@
 /// Largest report that is read.
 const MAX_REPORT_BYTES: usize = 256 << 10;
 
-/// Fraction of unreachable members above which this daemon itself is assumed to be cut off.
-const MAX_UNREACHABLE_FRACTION: f64 = 0.4;
-
 /// Probes by member.
 #[derive(Default)]
 struct Probes {
     entries: BTreeMap<HostKey, Probe>,
 }
 
+impl Probes {
+    /// Returns the number of probes in flight over new connections.
+    fn count_new(&self) -> usize {
+        let probes = self.entries.values();
+        probes
+            .filter(|probe| probe.is_in_flight && probe.is_new)
+            .count()
+    }
+
+    fn forget_failures(&mut self) {
+        for probe in self.entries.values_mut() {
+            probe.is_unreachable = false;
+        }
+    }
+}
+
 /// Probe state of one member.
 struct Probe {
     name: HostName,
@@ -55,6 +68,8 @@
     /// Time at which the last probe was sent.
     last_sent: Option<Time>,
     is_in_flight: bool,
+    /// True if the probe in flight opens a new connection.
+    is_new: bool,
     is_unreachable: bool,
     /// Slowdown factor, rounded to halves.
     slowdown: f64,
@@ -94,29 +109,32 @@
             let proof = proofs.get(key).copied();
             !probe.is_in_flight && liveness::is_probe_due(probe.last_sent, proof, now)
         };
-        let due: Vec<HostKey> = self
-            .probes
-            .borrow()
-            .entries
-            .iter()
-            .filter(|(key, probe)| is_due(key, probe))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in due {
+        let selected = {
+            let probes = self.probes.borrow();
+            let due = probes
+                .entries
+                .iter()
+                .filter(|(key, probe)| is_due(key, probe));
+            let due = due.map(|(key, probe)| (*key, probe.connection.is_some()));
+            liveness::select_probes(due, probes.count_new())
+        };
+        for key in selected {
             self.probe(key, now);
         }
     }
 
-    /// Returns the unreachable runner instances; none if this daemon itself is cut off.
+    /// Returns the unreachable runner instances; none if this daemon itself is cut off. Then all
+    /// must fail again to count, since those that answer first would leave the others behind.
     pub fn unreachable(&self) -> BTreeSet<RunnerInstance> {
-        let probes = self.probes.borrow();
+        let mut probes = self.probes.borrow_mut();
         let unreachable: BTreeSet<RunnerInstance> = probes
             .entries
             .values()
             .filter(|probe| probe.is_unreachable)
             .map(|probe| (probe.name.clone(), probe.born))
             .collect();
-        if unreachable.len() as f64 > MAX_UNREACHABLE_FRACTION * probes.entries.len() as f64 {
+        if liveness::is_cut_off(unreachable.len(), probes.entries.len()) {
+            probes.forget_failures();
             return BTreeSet::new();
         }
         unreachable
@@ -149,6 +167,7 @@
                 connection: None,
                 last_sent: None,
                 is_in_flight: false,
+                is_new: false,
                 is_unreachable: host.is_unreachable(),
                 slowdown: host.slowdown(),
             });
@@ -173,6 +192,7 @@
         probe.last_sent = Some(now);
         probe.is_in_flight = true;
         let kept = probe.connection.take();
+        probe.is_new = kept.is_none();
         let (state, probes) = (self.state.clone(), self.probes.clone());
         compio::runtime::spawn(async move {
             let outcome = probe_host::<A>(address, kept).await;
--- a/tests/gateway/liveness.rs
+++ b/tests/gateway/liveness.rs
@@ -7,11 +7,15 @@
         time::{Span, Time},
     },
     gateway::{
-        liveness::{GroupProgress, ReportedProgress, is_probe_due, proofs, recent_progress},
+        liveness::{
+            GroupProgress, ReportedProgress, is_cut_off, is_probe_due, proofs, recent_progress,
+            select_probes,
+        },
         load::Loads,
         roster::HostKey,
     },
 };
+use slotmap::SlotMap;
 
 /// Returns a fleet in which the larger model's group has just sent data.
 fn fleet_with_data() -> (Fleet, Loads) {
@@ -111,3 +115,22 @@
     let at = |millis| Time(0) + Span::from_millis(millis);
     assert!(is_probe_due(Some(at(0)), Some(at(1_990)), at(2_000)));
 }
+
+/// A new holder of the duty has no connections yet. If it opened hundreds at once, most would time
+/// out for want of its own processor time, and the groups of their members would be closed.
+#[test]
+fn new_holder_opens_few_connections_at_a_time() {
+    let mut hosts = SlotMap::<HostKey, ()>::with_key();
+    let keys: Vec<HostKey> = (0..830).map(|_| hosts.insert(())).collect();
+    let due = || keys.iter().map(|key| (*key, false));
+    assert_eq!(select_probes(due(), 0).len(), 64);
+    assert_eq!(select_probes(due(), 60).len(), 4);
+    let kept = keys.iter().map(|key| (*key, true));
+    assert_eq!(select_probes(kept, 64).len(), 830);
+}
+
+#[test]
+fn assumes_to_be_cut_off_if_most_members_fail() {
+    assert!(is_cut_off(681, 830));
+    assert!(!is_cut_off(35, 830));
+}
