Name the follower of a prefix apart from a watcher

A watcher is a daemon that watches the store for others; the struct that follows one prefix, from either source, is now Follower. No change of code.

--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -48,7 +48,7 @@
     K: KeyValueStore,
     H: EntryHandler,
 {
-    let mut watcher = Watcher {
+    let mut follower = Follower {
         topic: state.topics[prefix].clone(),
         state: &state,
         store,
@@ -58,18 +58,18 @@
         backoff: Backoff::default(),
     };
     loop {
-        match watcher.list().await {
-            Ok(()) => watcher.follow().await,
+        match follower.list().await {
+            Ok(()) => follower.follow().await,
             Err(cause) => {
-                watcher.record_failure(&cause);
-                watcher.wait_after_failure().await;
+                follower.record_failure(&cause);
+                follower.wait_after_failure().await;
             }
         }
     }
 }
 
 /// Follower of the entries under one prefix.
-struct Watcher<'a, K, H> {
+struct Follower<'a, K, H> {
     state: &'a GatewayState,
     store: K,
     prefix: &'static str,
@@ -80,7 +80,7 @@
     backoff: Backoff,
 }
 
-impl<K, H> Watcher<'_, K, H>
+impl<K, H> Follower<'_, K, H>
 where
     K: KeyValueStore,
     H: EntryHandler,
