Two comments in plainer words; the large domain's test plays 256 cases again

Cause: read as a newcomer, 'let go' is a figure of speech and a comment did not say how often a lease is renewed. No code outside the tests changed.

--- a/src/gateway/changes/subscription.rs
+++ b/src/gateway/changes/subscription.rs
@@ -15,8 +15,8 @@
 /// Timeout for connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Age of a peer's last contact with the store from which it is no longer followed. A lease
-/// is renewed and a message sent several times in it.
+/// Age of a peer's last contact with the store from which it is no longer followed; a watcher
+/// renews its lease twice in that time.
 const MAX_AGE: Span = Span::from_millis(1_600);
 
 /// Maximum size of a message.
--- a/src/gateway/planner/ending.rs
+++ b/src/gateway/planner/ending.rs
@@ -1,4 +1,4 @@
-//! Closes groups that can't go on, and makes sure that their heads have let go of the members.
+//! Closes groups that have lost members, and orders heads to leave groups that may still open.
 
 use super::Planner;
 use crate::{
--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -685,7 +685,7 @@
 #[test]
 fn no_host_serves_two_groups_in_large_domain() {
     let config = Config {
-        cases: 128,
+        cases: 256,
         failure_persistence: None,
         ..Config::default()
     };
