Read the rate limit that a runner names, and log it

The logs could not tell whether daemons don't hear a runner's limit or each keep it for themselves: no line showed what a daemon had heard, nor to which runner a stream went.

The adapter decodes the field into a typed notice, with a stated result for zero, fractions, negative, infinite and unreadable values; the daemon keeps the latest notice of each runner instance and logs each change with its age; sends_total counts requests to limited runners apart; the line at a stream's end names its host. No decision changes.

Ruled out: reading it from probes, whose responses need not carry it, so that its absence there says nothing.

--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -7,6 +7,7 @@
 use super::{
     admission::AdmissionClass,
     load::LoadReport,
+    notices::RateNotice,
     order::Order,
     roster::{Membership, Runner},
     spec::Spec,
@@ -130,6 +131,8 @@
     pub has_proof: bool,
     /// Load of the runner.
     pub load: Option<LoadReport>,
+    /// Rate limit of the runner.
+    pub rate_notice: RateNotice,
 }
 
 /// Decoded response of a runner to a probe.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -5,6 +5,7 @@
     balancer::{self, Endpoint},
     call::{AttemptError, AttemptParams, Call, InFlightGuard, StartedResponse},
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
+    notices::RateNotice,
     spec::RouteKind,
 };
 use crate::core::time::Span;
@@ -42,6 +43,7 @@
     let request = request::<A>(call, endpoint, params);
     call.attempts += 1;
     call.runs += 1;
+    count_send(call, endpoint);
     let response = {
         let sending = async {
             let sent = connection.send(request).await;
@@ -72,6 +74,7 @@
             .borrow_mut()
             .load_reported(endpoint.host, load, now);
     }
+    record_notice(call, endpoint, parts.status, &head);
     if let Some(error) = check_response(call, &parts, &head) {
         if error == AttemptError::Declined {
             call.runs -= 1;
@@ -86,6 +89,32 @@
     })
 }
 
+/// Counts a request that goes out to a runner.
+fn count_send(call: &Call, endpoint: &Endpoint) {
+    let limit = call.state.notices.borrow().rate_limit(endpoint.host);
+    let is_limited = limit.is_some().to_string();
+    counter!("sends_total", "limited" => is_limited).increment(1);
+}
+
+/// Records what the runner says of itself, if the response is its own.
+fn record_notice(call: &Call, endpoint: &Endpoint, status: StatusCode, head: &ResponseHead) {
+    let is_own = head.id == call.head.id && status != StatusCode::MISDIRECTED_REQUEST;
+    if !is_own {
+        return;
+    }
+    let rate_limit = match head.rate_notice {
+        RateNotice::Unlimited => None,
+        RateNotice::Limited(limit) => Some(limit),
+        RateNotice::Invalid => {
+            slog::warn!(call.state.log, "invalid rate limit ignored";
+                "request" => call.id(), "host" => endpoint.name.as_str());
+            return;
+        }
+    };
+    call.state
+        .record_rate_limit(endpoint.host, rate_limit, call.state.now());
+}
+
 /// Returns the reason for which a response must not be forwarded, if there is one.
 fn check_response(
     call: &Call,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,7 +9,8 @@
 //! Modules that decide (`routes`, `roster`, `group`, `candidacy`, `balancer`,
 //! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
-//! `weight_loads`, `outages`, `budget`, `backoff`) read no clock and do no I/O.
+//! `weight_loads`, `outages`, `budget`, `backoff`, `notices`) read no clock and
+//! do no I/O.
 //! The names and formats of a platform are hidden behind [`adapter::Adapter`].
 
 pub mod adapter;
@@ -34,6 +35,7 @@
 mod listeners;
 pub mod liveness;
 pub mod load;
+pub mod notices;
 mod openings;
 pub mod order;
 mod orders;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,9 +9,10 @@
     demand::Demand,
     liveness::ReportedProgress,
     load::Loads,
+    notices::{Notices, RateLimit},
     outages::{Outages, ServingChange},
     peers::Peers,
-    roster::Roster,
+    roster::{HostKey, Roster},
     routes::RouteTable,
     settings::Settings,
     spec::Spec,
@@ -52,6 +53,8 @@
     outages: RefCell<Outages>,
     /// Request load of each runner.
     pub loads: RefCell<Loads>,
+    /// What runners say of themselves.
+    pub notices: RefCell<Notices>,
     /// Progress of groups that other daemons reported.
     pub progress: RefCell<ReportedProgress>,
     /// Recent demand for each model.
@@ -92,6 +95,7 @@
             roster: RefCell::default(),
             outages: RefCell::default(),
             loads: RefCell::default(),
+            notices: RefCell::default(),
             progress: RefCell::default(),
             demand: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -175,6 +179,21 @@
         }
     }
 
+    /// Records a runner's rate limit, or that it has none, and logs a change.
+    pub fn record_rate_limit(&self, host: HostKey, limit: Option<RateLimit>, heard_at: Time) {
+        let mut notices = self.notices.borrow_mut();
+        let Some(change) = notices.record(host, limit, heard_at) else {
+            return;
+        };
+        let roster = self.roster.borrow();
+        let name = roster.host(host).map(|host| host.name.as_str());
+        slog::info!(self.log, "rate limit of runner changed";
+            "host" => name.unwrap_or_default(),
+            "per_second" => change.after.map(RateLimit::per_second),
+            "before" => change.before.map(RateLimit::per_second),
+            "age_ms" => self.now().since(heard_at).as_millis());
+    }
+
     /// Counts a request for a service towards its retry budget.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -93,27 +93,27 @@
                     .loads
                     .borrow_mut()
                     .request_served(started.endpoint.host);
-                log_end(&call, "complete", last);
+                log_end(&call, &started.endpoint, "complete", last);
                 return;
             }
             StreamEnd::CallerGone => {
-                log_end(&call, "caller left", last);
+                log_end(&call, &started.endpoint, "caller left", last);
                 return;
             }
             StreamEnd::TimedOut => {
-                log_end(&call, "timed out", last);
+                log_end(&call, &started.endpoint, "timed out", last);
                 break;
             }
             StreamEnd::Broken => {}
         }
         if !call.is_repeatable() {
-            log_end(&call, "cut", last);
+            log_end(&call, &started.endpoint, "cut", last);
             break;
         }
         started = match send_with_retries::<A>(&mut call, last).await {
             Ok(started) if is_stream(&call, &started) => started,
             _ => {
-                log_end(&call, "cut", last);
+                log_end(&call, &started.endpoint, "cut", last);
                 break;
             }
         };
@@ -204,10 +204,11 @@
     (!is_serving || is_stalled).then_some(StreamEnd::Broken)
 }
 
-fn log_end(call: &Call, outcome: &'static str, last: Option<u64>) {
+fn log_end(call: &Call, endpoint: &balancer::Endpoint, outcome: &'static str, last: Option<u64>) {
     counter!("streams_ended_total", "outcome" => outcome).increment(1);
     slog::info!(call.state.log, "stream ended";
         "request" => call.id(),
+        "host" => endpoint.name.as_str(),
         "outcome" => outcome,
         "last_event" => last.unwrap_or_default(),
         "sends" => call.attempts,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod groups;
 mod liveness;
+mod notices;
 mod outages;
 mod pools;
 mod routes;
--- a/tests/platform/decoding.rs
+++ b/tests/platform/decoding.rs
@@ -7,12 +7,14 @@
     },
     gateway::{
         adapter::Adapter as _,
+        notices::{RateLimit, RateNotice},
         order::Order,
         roster::{MemberState, Runner},
         spec::RouteKind,
     },
     platform::Platform,
 };
+use http::Response;
 
 const ENTRY: &str = r#"{"Service":"s","Address":"10.0.0.9:80","Zone":"hall","Version":"v1",
     "Slots":26,"State":"ready","ColdLeftMs":0,"Domain":"d1","Staged":["m"],"born":1700,
@@ -78,3 +80,26 @@
         serde_json::json!({"Op": "leave", "group": "g7", "epoch": 12})
     );
 }
+
+#[test]
+fn decodes_rate_limit_of_response() {
+    let notice_of = |value: &str| {
+        let response = Response::builder().header("Server-Limit", value).body(());
+        let (parts, ()) = response.expect("a response").into_parts();
+        Platform::decode_response(&parts).rate_notice
+    };
+    let limited = |per_second| RateNotice::Limited(RateLimit::new(per_second).expect("valid"));
+    assert_eq!(notice_of("3.4"), limited(3.4));
+    assert_eq!(notice_of(" 12 "), limited(12.0));
+    assert_eq!(notice_of("0"), limited(0.0));
+    assert_eq!(notice_of("0.2"), limited(0.2));
+    assert_eq!(notice_of("1000000000000"), limited(1e12));
+    for invalid in ["", "-1", "many", "NaN", "inf", "3,4"] {
+        assert_eq!(notice_of(invalid), RateNotice::Invalid, "{invalid:?}");
+    }
+    let (parts, ()) = Response::new(()).into_parts();
+    assert_eq!(
+        Platform::decode_response(&parts).rate_notice,
+        RateNotice::Unlimited
+    );
+}
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -60,6 +60,8 @@
     /// Name of its host.
     pub name: &'static str,
     script: Script,
+    /// Headers of all its responses beyond the usual ones.
+    notices: Mutex<String>,
     requests: Mutex<Vec<RecordedRequest>>,
     entry: Mutex<Value>,
     store: Arc<Store>,
@@ -84,6 +86,7 @@
         let runner = Arc::new(Self {
             name,
             script,
+            notices: Mutex::default(),
             requests: Mutex::default(),
             entry: Mutex::new(entry),
             store,
@@ -107,6 +110,15 @@
             .push_back(behavior);
     }
 
+    /// Names a rate limit in all further responses, or none if the text is empty.
+    pub fn name_rate_limit(&self, per_second: &str) {
+        let header = match per_second {
+            "" => String::new(),
+            _ => format!("Server-Limit: {per_second}\r\n"),
+        };
+        *self.notices.lock().expect("not poisoned") = header;
+    }
+
     /// Returns the requests that were received, without probes and orders.
     pub fn requests(&self) -> Vec<RecordedRequest> {
         self.requests.lock().expect("not poisoned").clone()
@@ -150,8 +162,9 @@
         self.requests.lock().expect("not poisoned").push(request);
         let behavior = self.script.lock().expect("not poisoned").pop_front();
         let own_headers = format!(
-            "X-Request-Id: {id}\r\nX-Response-Stamp: of-{}\r\n",
-            self.name
+            "X-Request-Id: {id}\r\nX-Response-Stamp: of-{}\r\n{}",
+            self.name,
+            self.notices.lock().expect("not poisoned")
         );
         match behavior.unwrap_or(Behavior::Respond(200, "usual")) {
             Behavior::Respond(status, body) => write_response(stream, status, &own_headers, body),
