Test that daemons together keep a runner's rate limit; it fails

Three daemons, two runners of a plain service, one of which names 0.5 requests a second in each response. It gets 45 of 90 requests in a second (allowed: 1.5 times the limit over the time that the test took, and 5). Every daemon had heard of the limit before the count began.

Half of the requests go to each of the two runners: a daemon that alone exceeds the limit changes nothing either.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod decoding;
 mod env;
+mod limits;
 mod relay;
 mod requests;
 mod runner;
