Keep the rate limit of a runner over all daemons together

What callers saw: nothing; the runner in need got three times what it takes. The class of fault: a promise that is summed over all daemons, made in a response that each daemon reads alone.

One daemon a runner, chosen by hash, counts the requests and issues permits; each attempt needs a Permit, which only that module makes, so first attempts, retries and resumed streams all ask. A daemon that may have been replaced unnoticed issues a quarter. Notices are passed on, so that daemons which have not heard the runner keep its limit too.

Ruled out: equal shares by the count of daemons, see docs/design/rate-limits.md.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -102,6 +102,21 @@
         .min()
         .unwrap_or_default();
     let drain_time = engine.mean_request_time().times(u64::from(excess));
-    let jitter = Span::from_millis(rng.random_range(0..MAX_RETRY_JITTER_MS));
-    MIN_RETRY_DELAY.max(drain_time) + jitter
+    MIN_RETRY_DELAY.max(drain_time) + retry_jitter(rng)
+}
+
+/// Returns the delay after which a caller should retry that was refused because of rate limits,
+/// which allow the next request after `wait`.
+pub(super) fn limited_retry_delay<R>(wait: Span, rng: &mut R) -> Span
+where
+    R: Rng,
+{
+    MIN_RETRY_DELAY.max(wait) + retry_jitter(rng)
+}
+
+fn retry_jitter<R>(rng: &mut R) -> Span
+where
+    R: Rng,
+{
+    Span::from_millis(rng.random_range(0..MAX_RETRY_JITTER_MS))
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,6 +6,7 @@
     call::{AttemptError, AttemptParams, Call, InFlightGuard, StartedResponse},
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
     notices::RateNotice,
+    permits::{self, Permit},
     spec::RouteKind,
 };
 use crate::core::time::Span;
@@ -33,6 +34,7 @@
 pub(super) async fn attempt<A>(
     call: &mut Call,
     endpoint: &Endpoint,
+    _permit: Permit,
     params: AttemptParams,
 ) -> Result<StartedResponse, AttemptError>
 where
@@ -111,8 +113,7 @@
             return;
         }
     };
-    call.state
-        .record_rate_limit(endpoint.host, rate_limit, call.state.now());
+    permits::response_received(&call.state, endpoint.host, rate_limit);
 }
 
 /// Returns the reason for which a response must not be forwarded, if there is one.
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -8,6 +8,7 @@
 use super::{
     admission::{self, AdmissionClass},
     load::Loads,
+    notices::Notices,
     roster::{HostKey, Roster, SLOW_FACTOR},
     spec::Engine,
 };
@@ -21,6 +22,17 @@
 /// Cost of a runner in another hall, in requests ahead of this one.
 const REMOTE_HALL_COST: f64 = 0.5;
 
+/// What is known of the runners.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// Runners and groups.
+    pub roster: &'a Roster,
+    /// Load of the runners.
+    pub loads: &'a Loads,
+    /// What runners say of themselves.
+    pub notices: &'a Notices,
+}
+
 /// Criteria for choosing a runner.
 #[derive(Clone, Copy, Debug)]
 pub struct Criteria<'a> {
@@ -38,6 +50,8 @@
     pub hall: &'a HallName,
     /// Runners that were tried already, which are excluded.
     pub tried: &'a [HostKey],
+    /// True if only a runner without a rate limit will do.
+    pub unlimited: bool,
 }
 
 /// Chosen runner.
@@ -82,6 +96,11 @@
         /// Delay after which the caller should retry.
         retry_delay: Span,
     },
+    /// The rate limits of all runners that serve the request allow none now.
+    RateLimited {
+        /// Time until the first of them may allow one.
+        wait: Span,
+    },
 }
 
 /// Chooses a runner.
@@ -90,8 +109,7 @@
 ///
 /// Fails if no runner serves the request, or all that do are at their limit.
 pub fn choose<R>(
-    roster: &Roster,
-    loads: &Loads,
+    view: View<'_>,
     criteria: Criteria<'_>,
     now: Time,
     rng: &mut R,
@@ -99,11 +117,13 @@
 where
     R: Rng,
 {
+    let View { roster, loads, .. } = view;
     let mut candidates = match criteria.model {
         Some((model, _)) => serving_heads(roster, criteria.service, model, now),
         None => plain_runners(roster, criteria.service, now),
     };
     candidates.retain(|candidate| !criteria.tried.contains(&candidate.host));
+    let mut candidates = within_limits(candidates, view.notices, criteria.unlimited, now)?;
     let all = candidates.clone();
     candidates.retain(|candidate| !loads.is_avoided(candidate.host, now));
     if candidates.is_empty() {
@@ -131,6 +151,30 @@
     })
 }
 
+/// Returns the candidates whose rate limits may allow a request now.
+fn within_limits(
+    mut candidates: Vec<Candidate>,
+    notices: &Notices,
+    unlimited: bool,
+    now: Time,
+) -> Result<Vec<Candidate>, ChooseError> {
+    let waits = candidates
+        .iter()
+        .map(|candidate| notices.wait(candidate.host, now));
+    let Some(wait) = waits.min() else {
+        return Ok(candidates);
+    };
+    candidates.retain(|candidate| {
+        let is_limited = notices.rate_limit(candidate.host).is_some();
+        let is_excluded = unlimited && is_limited;
+        !is_excluded && notices.wait(candidate.host, now) == Span::ZERO
+    });
+    match candidates.is_empty() {
+        true => Err(ChooseError::RateLimited { wait }),
+        false => Ok(candidates),
+    }
+}
+
 /// Returns the candidates below their limit that can finish the request in time, only slow ones if
 /// there are no others.
 fn admit<R>(
--- /dev/null
+++ b/src/gateway/datagrams.rs
@@ -0,0 +1,122 @@
+//! Datagrams between daemons.
+//!
+//! A datagram may be lost: each kind is repeated, or its sender does without a
+//! response.
+
+use super::{
+    liveness::GroupProgress,
+    notices::RateLimit,
+    permits::{self, Verdict},
+    progress,
+    roster::RunnerInstance,
+    state::GatewayState,
+};
+use crate::core::time::Span;
+use compio::{BufResult, net::UdpSocket};
+use futures_channel::mpsc;
+use futures_util::StreamExt as _;
+use metrics::counter;
+use std::{cell::OnceCell, net::SocketAddr, rc::Rc, time::Duration};
+
+/// Size of the largest datagram that is read.
+const MAX_BYTES: usize = 2_048;
+
+/// Delay after a socket error.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+
+crate::record! {
+    /// Message to another daemon.
+    pub enum Datagram {
+        /// Groups that make progress, for the holder of the duty.
+        Progress(Vec<GroupProgress>),
+        /// Request for a permit to send one request to a runner that names a rate limit.
+        PermitRequest {
+            /// Identifier of the request at its sender.
+            id: u64,
+            /// What the sender knows of the runner.
+            notice: RunnerNotice,
+        },
+        /// Response to a request for a permit.
+        PermitResponse {
+            /// Identifier of the request.
+            id: u64,
+            /// Whether the permit is granted.
+            verdict: Verdict,
+        },
+        /// Rate limit that a runner has named or no longer names.
+        Notice(RunnerNotice),
+    }
+
+    /// What a runner has said of its rate limit.
+    pub struct RunnerNotice {
+        /// The runner.
+        pub runner: RunnerInstance,
+        /// Its limit, if it names one.
+        pub rate_limit: Option<RateLimit>,
+        /// Time since it said so.
+        pub age: Span,
+    }
+}
+
+/// Datagrams to be sent; they are dropped if the daemon has no address for other daemons.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    sender: OnceCell<mpsc::UnboundedSender<(SocketAddr, Datagram)>>,
+}
+
+impl Outbox {
+    /// Sends a datagram in the background.
+    pub fn send(&self, to: SocketAddr, datagram: Datagram) {
+        if let Some(sender) = self.sender.get() {
+            // Fails only if the sending task has ended with the process.
+            let _ = sender.unbounded_send((to, datagram));
+        }
+    }
+}
+
+/// Sends the datagrams of the outbox for the lifetime of the process.
+pub async fn send(socket: UdpSocket, state: Rc<GatewayState>) {
+    let (sender, mut outgoing) = mpsc::unbounded();
+    let is_first = state.outbox.sender.set(sender).is_ok();
+    assert!(is_first, "one task sends the datagrams");
+    while let Some((to, datagram)) = outgoing.next().await {
+        let bytes = postcard::to_stdvec(&datagram).expect("a datagram serializes");
+        let BufResult(sent, _) = socket.send_to(bytes, to).await;
+        if let Err(error) = sent {
+            counter!("datagrams_unsent_total").increment(1);
+            slog::debug!(state.log, "datagram not sent";
+                "to" => to.to_string(), "cause" => error.to_string());
+        }
+    }
+}
+
+/// Receives other daemons' datagrams for the lifetime of the process.
+pub async fn receive(socket: UdpSocket, state: Rc<GatewayState>) {
+    let mut buffer = Vec::with_capacity(MAX_BYTES);
+    loop {
+        let BufResult(received, filled) = socket.recv_from(buffer).await;
+        buffer = filled;
+        match received {
+            Ok((length, from)) => handle(&state, &buffer[..length], from),
+            Err(_) => compio::time::sleep(RETRY_DELAY).await,
+        }
+        buffer.clear();
+    }
+}
+
+fn handle(state: &GatewayState, bytes: &[u8], from: SocketAddr) {
+    match postcard::from_bytes::<Datagram>(bytes) {
+        Ok(Datagram::Progress(report)) => progress::record(state, &report),
+        Ok(Datagram::PermitRequest { id, notice }) => {
+            permits::answer_request(state, id, &notice, from);
+        }
+        Ok(Datagram::PermitResponse { id, verdict }) => {
+            permits::accept_response(state, id, verdict)
+        }
+        Ok(Datagram::Notice(notice)) => {
+            permits::accept_notice(state, &notice);
+        }
+        Err(error) => slog::debug!(state.log, "invalid datagram ignored";
+            "from" => from.to_string(), "cause" => error.to_string()),
+    }
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,8 +9,9 @@
     adapter::{Adapter, CallHead},
     admission::{self, AdmissionClass},
     attempt::{attempt, record_failure, wait_while_serving},
-    balancer::{self, ChooseError, Criteria, Endpoint},
+    balancer::{self, ChooseError, Criteria, Endpoint, View},
     call::{AttemptError, AttemptParams, Call, StartedResponse, id_text},
+    permits,
     responses::{self, CallResponse, Refusal, strip_hop_by_hop},
     state::GatewayState,
     stream,
@@ -43,6 +44,13 @@
 /// Retry delay of a request that no runner could take.
 const UNAVAILABLE_RETRY_DELAY_MS: u64 = 700;
 
+/// Permits that a request may be denied before it looks for a runner without a rate limit.
+const MAX_DENIALS: u32 = 3;
+
+/// Maximum time that a request which may have run waits for rate limits; callers of a stream give
+/// up after two seconds.
+const MAX_LIMIT_WAIT: Span = Span::from_millis(1_000);
+
 /// Serves a request.
 pub async fn respond<A>(state: &Rc<GatewayState>, request: Request<Incoming>) -> CallResponse
 where
@@ -253,6 +261,8 @@
     A: Adapter,
 {
     let mut last = AttemptError::Unreached;
+    let mut denials = 0;
+    let mut waited = Span::ZERO;
     loop {
         if call.state.now() >= call.deadline {
             return Err(final_refusal(call, AttemptError::TimedOut));
@@ -263,15 +273,29 @@
             return Err(final_refusal(call, last));
         }
         let class = call.admission_class(resume_after);
-        let endpoint = match choose_endpoint(call, class) {
+        let endpoint = match choose_endpoint(call, class, denials >= MAX_DENIALS) {
             Ok(endpoint) => endpoint,
             Err(ChooseError::AllFull { retry_delay }) if call.runs == 0 => {
                 return Err(Refusal::Unavailable {
                     retry_ms: retry_delay.as_millis(),
                 });
             }
+            Err(ChooseError::RateLimited { wait }) if call.runs == 0 => {
+                return Err(refuse_limited(call, wait));
+            }
+            // To the caller of a request that may have run, a refusal would be a failure.
+            Err(ChooseError::RateLimited { wait }) if waited + wait <= MAX_LIMIT_WAIT => {
+                compio::time::sleep(wait.into()).await;
+                waited = waited + wait;
+                denials = 0;
+                continue;
+            }
             Err(_) => return Err(final_refusal(call, last)),
         };
+        let Some(permit) = permits::acquire(&call.state, &endpoint).await else {
+            denials += 1;
+            continue;
+        };
         if call.attempts > 0 && !call.state.take_retry(&call.service) {
             return Err(final_refusal(call, last));
         }
@@ -280,7 +304,7 @@
             resume_after,
             class,
         };
-        let error = match attempt::<A>(call, &endpoint, params).await {
+        let error = match attempt::<A>(call, &endpoint, permit, params).await {
             Ok(started) => return Ok(started),
             Err(error) => error,
         };
@@ -292,7 +316,11 @@
     }
 }
 
-fn choose_endpoint(call: &Call, class: AdmissionClass) -> Result<Endpoint, ChooseError> {
+fn choose_endpoint(
+    call: &Call,
+    class: AdmissionClass,
+    unlimited: bool,
+) -> Result<Endpoint, ChooseError> {
     let state = &call.state;
     let now = state.now();
     let table = state.route_table().ok_or(ChooseError::NoneServing)?;
@@ -310,14 +338,27 @@
         remaining: call.deadline.since(now),
         hall: &state.settings.hall,
         tried: &call.tried,
+        unlimited,
     };
-    balancer::choose(
-        &state.roster.borrow(),
-        &state.loads.borrow(),
-        criteria,
-        now,
-        &mut *state.rng.borrow_mut(),
-    )
+    let view = View {
+        roster: &state.roster.borrow(),
+        loads: &state.loads.borrow(),
+        notices: &state.notices.borrow(),
+    };
+    balancer::choose(view, criteria, now, &mut *state.rng.borrow_mut())
+}
+
+/// Returns the refusal of a request that has not run, because the rate limits of all its runners
+/// allow none for some time.
+fn refuse_limited(call: &Call, wait: Span) -> Refusal {
+    let retry_delay = admission::limited_retry_delay(wait, &mut *call.state.rng.borrow_mut());
+    slog::info!(call.state.log, "rate limits of all runners reached";
+        "request" => call.id(),
+        "service" => call.service.as_str(),
+        "wait_ms" => wait.as_millis());
+    Refusal::Unavailable {
+        retry_ms: retry_delay.as_millis(),
+    }
 }
 
 /// Returns the refusal for the caller after the last attempt.
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -10,6 +10,7 @@
     changes::source::{self, Source},
     handlers::{DAEMON_PREFIX, RunnerHandler},
     peers::DaemonEntry,
+    permits::Registration,
     state::GatewayState,
     watch::EntryHandler as _,
 };
@@ -121,6 +122,7 @@
             };
             compio::time::sleep(delay).await;
         }
+        self.state.registration.set(Registration::default());
         let Some(lease) = self.id.take() else {
             return;
         };
@@ -148,6 +150,9 @@
             Ok(PlatformAnswer::Leased { lease, ttl }) if ttl > Span::ZERO => {
                 self.id.set(Some(lease));
                 self.expires.set(sent + ttl);
+                let mut registration = self.state.registration.get();
+                registration.renew(sent, sent + (ttl - EXPIRY_MARGIN));
+                self.state.registration.set(registration);
                 self.state.store_answered();
                 self.register().await
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub mod candidacy;
 pub mod changes;
 mod connection;
+mod datagrams;
 pub mod demand;
 mod duty;
 pub mod events;
@@ -41,6 +42,7 @@
 mod orders;
 pub mod outages;
 pub mod peers;
+pub mod permits;
 pub mod planner;
 pub mod pool;
 mod prober;
@@ -145,8 +147,9 @@
         let (datagrams, listener) = sockets.into_parts();
         let datagrams = UdpSocket::from_std(datagrams).context("use the datagram socket")?;
         spawn(changes::server::serve(listener, state.clone()));
-        spawn(progress::report(datagrams.clone(), state.clone()));
-        spawn(progress::receive(datagrams, state.clone()));
+        spawn(datagrams::send(datagrams.clone(), state.clone()));
+        spawn(datagrams::receive(datagrams, state.clone()));
+        spawn(progress::report(state.clone()));
     }
     let lease = Rc::new(Lease::<A>::new(state.clone(), store));
     let lease_task = compio::runtime::spawn(lease.clone().maintain());
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -5,7 +5,7 @@
 //! yet.
 
 use super::roster::HostKey;
-use crate::core::time::Time;
+use crate::core::time::{Span, Time};
 use slotmap::SecondaryMap;
 
 crate::record! {
@@ -40,11 +40,18 @@
     Invalid,
 }
 
+/// Minimum interval between two announcements of a runner's notices.
+const ANNOUNCEMENT_INTERVAL: Span = Span::from_millis(1_000);
+
 /// Latest notice of one runner.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Notice {
     rate_limit: Option<RateLimit>,
     heard_at: Time,
+    /// Time until which the limit allows no further request.
+    held_until: Option<Time>,
+    /// Time at which the notice was last announced to other daemons.
+    announced_at: Option<Time>,
 }
 
 /// Latest notices of all runners.
@@ -62,6 +69,13 @@
     pub after: Option<RateLimit>,
 }
 
+impl LimitChange {
+    /// Returns true unless a limit was replaced by another one.
+    pub fn is_start_or_end(self) -> bool {
+        self.before.is_some() != self.after.is_some()
+    }
+}
+
 impl Notices {
     /// Records a runner's rate limit, or that it has none, as of `heard_at`; returns the change if
     /// there is one. Older notices than the latest are ignored.
@@ -71,27 +85,59 @@
         rate_limit: Option<RateLimit>,
         heard_at: Time,
     ) -> Option<LimitChange> {
-        let known = self.entries.get(host).copied();
-        if known.is_some_and(|known| heard_at < known.heard_at) {
+        let notice = self.entries.entry(host)?.or_default();
+        if heard_at < notice.heard_at {
             return None;
         }
-        self.entries.insert(
-            host,
-            Notice {
-                rate_limit,
-                heard_at,
-            },
-        );
-        let before = known.and_then(|known| known.rate_limit);
         let change = LimitChange {
-            before,
+            before: notice.rate_limit,
             after: rate_limit,
         };
-        (before != rate_limit).then_some(change)
+        notice.rate_limit = rate_limit;
+        notice.heard_at = heard_at;
+        if change.before == change.after {
+            return None;
+        }
+        notice.held_until = None;
+        Some(change)
     }
 
     /// Returns the rate limit of a runner, if it names one.
     pub fn rate_limit(&self, host: HostKey) -> Option<RateLimit> {
         self.entries.get(host)?.rate_limit
     }
+
+    /// Returns the time since a runner's latest notice; a runner that was never heard has a long
+    /// one.
+    pub fn age(&self, host: HostKey, now: Time) -> Span {
+        let heard_at = self.entries.get(host).map(|notice| notice.heard_at);
+        now.since(heard_at.unwrap_or_default())
+    }
+
+    /// Holds back requests to a runner until its limit allows the next one.
+    pub fn hold_back(&mut self, host: HostKey, until: Time) {
+        if let Some(notice) = self.entries.get_mut(host) {
+            notice.held_until = Some(until);
+        }
+    }
+
+    /// Returns the time until a runner may be asked to take a request; zero if it may be now.
+    pub fn wait(&self, host: HostKey, now: Time) -> Span {
+        let held_until = self.entries.get(host).and_then(|notice| notice.held_until);
+        held_until.map_or(Span::ZERO, |until| until.since(now))
+    }
+
+    /// Returns true if a runner's notice may be announced to other daemons now, and counts it as
+    /// announced.
+    pub fn try_announce(&mut self, host: HostKey, now: Time) -> bool {
+        let Some(notice) = self.entries.get_mut(host) else {
+            return false;
+        };
+        let last = notice.announced_at;
+        if last.is_some_and(|at| now.since(at) < ANNOUNCEMENT_INTERVAL) {
+            return false;
+        }
+        notice.announced_at = Some(now);
+        true
+    }
 }
--- /dev/null
+++ b/src/gateway/permits/bucket.rs
@@ -0,0 +1,53 @@
+//! Token bucket over the requests to one runner.
+
+use crate::{
+    core::time::{Span, Time},
+    gateway::notices::RateLimit,
+};
+
+/// Number of unused permits that may add up, besides those of a short time.
+const MIN_BURST: f64 = 2.0;
+
+/// Time over which unused permits may add up.
+const BURST_WINDOW: Span = Span::from_millis(250);
+
+/// Minimum rate of permits, in permits a second. A runner that takes no requests gets one now and
+/// then, since only a response can end its limit.
+const MIN_RATE: f64 = 0.1;
+
+/// Permits to send requests to one runner. Starts empty, so that a change of the daemon that issues
+/// permits adds none.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Bucket {
+    permits: f64,
+    filled_at: Time,
+}
+
+impl Bucket {
+    pub(super) fn new(now: Time) -> Self {
+        Self {
+            permits: 0.0,
+            filled_at: now,
+        }
+    }
+
+    /// Takes one permit out of a `share` of the limit, or returns the time until there is one.
+    pub(super) fn try_take(&mut self, limit: RateLimit, share: f64, now: Time) -> Result<(), Span> {
+        let rate = limit.per_second().max(MIN_RATE) * share;
+        let max = MIN_BURST + rate * BURST_WINDOW.as_secs_f64();
+        let added = rate * now.since(self.filled_at).as_secs_f64();
+        self.permits = (self.permits + added).min(max);
+        self.filled_at = now;
+        let wait = Span(((1.0 - self.permits) / rate * 1e6) as u64);
+        if wait > Span::ZERO {
+            return Err(wait);
+        }
+        self.permits -= 1.0;
+        Ok(())
+    }
+
+    /// Returns true if nobody has asked for a permit since `time`.
+    pub(super) fn is_idle_since(&self, time: Time) -> bool {
+        self.filled_at < time
+    }
+}
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -127,7 +127,8 @@
         self.slowdown
     }
 
-    fn instance(&self) -> RunnerInstance {
+    /// Returns the identity of the run that the host's runner is in.
+    pub fn instance(&self) -> RunnerInstance {
         (self.name.clone(), self.runner.born)
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,12 +6,14 @@
         Topics,
         source::{self, AvoidedPeers, Source},
     },
+    datagrams::Outbox,
     demand::Demand,
     liveness::ReportedProgress,
     load::Loads,
-    notices::{Notices, RateLimit},
+    notices::{LimitChange, Notices, RateLimit},
     outages::{Outages, ServingChange},
     peers::Peers,
+    permits::{Permits, Registration},
     roster::{HostKey, Roster},
     routes::RouteTable,
     settings::Settings,
@@ -55,6 +57,12 @@
     pub loads: RefCell<Loads>,
     /// What runners say of themselves.
     pub notices: RefCell<Notices>,
+    /// Permits for runners that name a rate limit.
+    pub permits: Permits,
+    /// Time during which the store holds this daemon's entry.
+    pub registration: Cell<Registration>,
+    /// Datagrams to other daemons.
+    pub outbox: Outbox,
     /// Progress of groups that other daemons reported.
     pub progress: RefCell<ReportedProgress>,
     /// Recent demand for each model.
@@ -96,6 +104,9 @@
             outages: RefCell::default(),
             loads: RefCell::default(),
             notices: RefCell::default(),
+            permits: Permits::default(),
+            registration: Cell::default(),
+            outbox: Outbox::default(),
             progress: RefCell::default(),
             demand: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -179,12 +190,15 @@
         }
     }
 
-    /// Records a runner's rate limit, or that it has none, and logs a change.
-    pub fn record_rate_limit(&self, host: HostKey, limit: Option<RateLimit>, heard_at: Time) {
-        let mut notices = self.notices.borrow_mut();
-        let Some(change) = notices.record(host, limit, heard_at) else {
-            return;
-        };
+    /// Records a runner's rate limit, or that it has none; logs and returns the change if there is
+    /// one.
+    pub fn record_rate_limit(
+        &self,
+        host: HostKey,
+        limit: Option<RateLimit>,
+        heard_at: Time,
+    ) -> Option<LimitChange> {
+        let change = self.notices.borrow_mut().record(host, limit, heard_at)?;
         let roster = self.roster.borrow();
         let name = roster.host(host).map(|host| host.name.as_str());
         slog::info!(self.log, "rate limit of runner changed";
@@ -192,6 +206,7 @@
             "per_second" => change.after.map(RateLimit::per_second),
             "before" => change.before.map(RateLimit::per_second),
             "age_ms" => self.now().since(heard_at).as_millis());
+        Some(change)
     }
 
     /// Counts a request for a service towards its retry budget.
--- a/tests/gateway/balancer.rs
+++ b/tests/gateway/balancer.rs
@@ -8,8 +8,9 @@
     },
     gateway::{
         admission::AdmissionClass,
-        balancer::{ChooseError, Criteria, Endpoint, choose, still_serves},
+        balancer::{ChooseError, Criteria, Endpoint, View, choose, still_serves},
         load::{LoadReport, Loads},
+        notices::{Notices, RateLimit},
         roster::HostKey,
     },
 };
@@ -18,9 +19,12 @@
 struct TestEnv {
     fleet: Fleet,
     loads: Loads,
+    notices: Notices,
     rng: SmallRng,
     /// Expected duration of the request.
     duration: Span,
+    /// True if only runners without a rate limit will do.
+    unlimited: bool,
 }
 
 impl TestEnv {
@@ -30,8 +34,10 @@
         Self {
             fleet,
             loads: Loads::default(),
+            notices: Notices::default(),
             rng: SmallRng::seed_from_u64(1),
             duration: Span::from_millis(1_500),
+            unlimited: false,
         }
     }
 
@@ -53,15 +59,15 @@
             remaining: Span::from_secs(8),
             hall: &HallName::from("hall"),
             tried,
+            unlimited: self.unlimited,
         };
         let now = self.fleet.now;
-        choose(
-            &self.fleet.roster,
-            &self.loads,
-            criteria,
-            now,
-            &mut self.rng,
-        )
+        let view = View {
+            roster: &self.fleet.roster,
+            loads: &self.loads,
+            notices: &self.notices,
+        };
+        choose(view, criteria, now, &mut self.rng)
     }
 
     fn heads(&self) -> Vec<HostKey> {
@@ -246,3 +252,41 @@
         Err(ChooseError::NoneServing)
     );
 }
+
+#[test]
+fn runner_is_held_back_until_its_limit_allows_a_request() {
+    let mut env = TestEnv::new(2);
+    let heads = env.heads();
+    let now = env.fleet.now;
+    let limit = RateLimit::new(1.0);
+    heads.iter().for_each(|head| {
+        env.notices.record(*head, limit, now);
+    });
+    env.notices
+        .hold_back(heads[0], now + Span::from_millis(400));
+    for _ in 0..20 {
+        let chosen = env.choose(AdmissionClass::OnTime, &[]);
+        assert_ne!(chosen.expect("a head is left").host, heads[0]);
+    }
+    heads[1..]
+        .iter()
+        .for_each(|head| env.notices.hold_back(*head, now + Span::from_millis(300)));
+    let wait = Span::from_millis(300);
+    let refused = Err(ChooseError::RateLimited { wait });
+    assert_eq!(env.choose(AdmissionClass::OnTime, &[]), refused);
+    assert_eq!(env.choose(AdmissionClass::Resumed, &[]), refused);
+}
+
+// A request that was denied several permits must not go on asking one runner after the other.
+#[test]
+fn chooses_only_runners_without_limit_if_asked_to() {
+    let mut env = TestEnv::new(2);
+    let heads = env.heads();
+    let now = env.fleet.now;
+    env.notices.record(heads[0], RateLimit::new(1.0), now);
+    env.unlimited = true;
+    for _ in 0..20 {
+        let chosen = env.choose(AdmissionClass::OnTime, &[]);
+        assert_ne!(chosen.expect("a head is left").host, heads[0]);
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod entries;
 mod fleet;
 mod groups;
+mod limits;
 mod liveness;
 mod notices;
 mod outages;
--- a/tests/platform/limits.rs
+++ b/tests/platform/limits.rs
@@ -25,7 +25,9 @@
     let env = TestEnv::start();
     let others = ["d2", "d3"].map(|name| env.start_daemon(name));
     let daemons = [&env.daemon, &others[0], &others[1]];
-    daemons.iter().for_each(|daemon| await_serving(&env, daemon));
+    daemons
+        .iter()
+        .for_each(|daemon| await_serving(&env, daemon));
     let limited = &env.plain_runners[0];
     limited.name_rate_limit(&limit.to_string());
     for daemon in daemons {
@@ -58,3 +60,47 @@
         "{received} requests, allowed {allowed}"
     );
 }
+
+#[test]
+fn limit_ends_with_a_response_that_names_none() {
+    let env = TestEnv::start();
+    let limited = &env.plain_runners[0];
+    limited.name_rate_limit("0.5");
+    let count_of = |requests: usize| {
+        let before = limited.requests().len();
+        (0..requests).for_each(|_| {
+            env.call("GET", "/read/x", &[], "");
+        });
+        limited.requests().len() - before
+    };
+    env.eventually("the limit is kept", |_| count_of(20) <= 2);
+    limited.name_rate_limit("");
+    env.eventually("the limit is forgotten", |_| count_of(20) > 5);
+}
+
+// Waiting for a permit until the deadline would keep the caller from other daemons and runners.
+#[test]
+fn request_is_refused_at_once_if_all_runners_are_limited() {
+    let env = TestEnv::start();
+    env.plain_runners
+        .iter()
+        .for_each(|runner| runner.name_rate_limit("0"));
+    let refused = |env: &TestEnv| {
+        let response = env.call("GET", "/read/x", &[], "");
+        (response.status == 503).then_some(response.head)
+    };
+    env.eventually("requests are refused", |env| refused(env).is_some());
+    let received = || -> usize {
+        let runners = env.plain_runners.iter();
+        runners.map(|runner| runner.requests().len()).sum()
+    };
+    let before = received();
+    let heads: Vec<String> = (0..20).filter_map(|_| refused(&env)).collect();
+    assert!(
+        heads.len() >= 18,
+        "only a trial may be sent: {}",
+        heads.len()
+    );
+    assert!(received() - before <= 2);
+    assert!(heads.iter().all(|head| head.contains("retry-after: ")));
+}
