Test the load limit of the weight store while the duty changes hands

Each holder of the duty counts the loads it has started, and a successor starts from zero. Four sequences of handovers within five seconds stay under the limit (33), because a holder starts no more than eight loads at once; so no change. The new test holds beside the one without handovers.

--- a/tests/gateway/groups.rs
+++ b/tests/gateway/groups.rs
@@ -497,13 +497,17 @@
     assert_eq!(fleet.violations, Vec::<String>::new());
 }
 
-/// The weight store limits the loads that start in a window.
-#[test]
-fn stays_under_load_limit_of_weight_store() {
+/// Returns the largest number of loads that start within five seconds, in a fleet without weights
+/// whose duty changes hands at each of the times.
+fn most_loads_in_window(handovers: &[u64]) -> usize {
     let mut fleet = Fleet::new(6, 11);
     fleet.planner.has_traffic = true;
     let mut loads: Vec<Time> = Vec::new();
-    for _ in 0..600 {
+    for step in 0..600 {
+        if let Some(index) = handovers.iter().position(|second| second * 10 == step) {
+            fleet.hand_over_to_peer(Epoch(1_000 * (index as i64 + 1)));
+            fleet.planner.has_traffic = true;
+        }
         let now = fleet.now;
         fleet.run(now + Span::from_millis(100), |directive| {
             if matches!(directive.order, Order::Stage { .. } | Order::Join { .. }) {
@@ -512,16 +516,29 @@
             Delivery::Immediate
         });
     }
-    let most = loads
-        .iter()
-        .map(|from| {
-            let window = loads
-                .iter()
-                .filter(|at| *at >= from && at.since(*from) < Span::from_secs(5));
-            window.count()
-        })
-        .max();
-    assert!(most <= Some(33), "{most:?} loads in five seconds");
+    let most = loads.iter().map(|from| {
+        let window = loads
+            .iter()
+            .filter(|at| *at >= from && at.since(*from) < Span::from_secs(5));
+        window.count()
+    });
+    most.max().unwrap_or_default()
+}
+
+/// The weight store limits the loads that start in a window.
+#[test]
+fn stays_under_load_limit_of_weight_store() {
+    let most = most_loads_in_window(&[]);
+    assert!(most <= 33, "{most} loads in five seconds");
+}
+
+/// A new holder of the duty doesn't know which loads the earlier one has started.
+#[test]
+fn stays_under_load_limit_while_duty_changes_hands() {
+    for handovers in [&[1_u64][..], &[2, 4], &[10, 12, 14, 16], &[3, 5, 7, 9, 11]] {
+        let most = most_loads_in_window(handovers);
+        assert!(most <= 33, "{handovers:?}: {most} loads in five seconds");
+    }
 }
 
 /// An event injected into a fleet.
