Log headers of runners' responses that no daemon knows

Each unknown name is now logged once a process, 32 at most.

Ruled out: a line for each response, and a metric by header name, whose labels a faulty runner could fill.

--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -20,7 +20,7 @@
     shell::platform::KeyValueStore,
 };
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, request, response};
+use http::{HeaderMap, HeaderName, HeaderValue, request, response};
 use std::{fmt, net::SocketAddr};
 
 /// Names and formats of a platform.
@@ -133,6 +133,8 @@
     pub load: Option<LoadReport>,
     /// Rate limit of the runner.
     pub rate_notice: RateNotice,
+    /// Headers that the adapter does not know.
+    pub unknown_headers: Vec<HeaderName>,
 }
 
 /// Decoded response of a runner to a probe.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -77,6 +77,7 @@
             .load_reported(endpoint.host, load, now);
     }
     record_notice(call, endpoint, parts.status, &head);
+    call.state.report_unknown_headers(&head.unknown_headers);
     if let Some(error) = check_response(call, &parts, &head) {
         if error == AttemptError::Declined {
             call.runs -= 1;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -26,12 +26,13 @@
     },
     shell::Clock,
 };
+use http::HeaderName;
 use metrics::{gauge, histogram};
 use rand::{SeedableRng, rngs::SmallRng};
 use slog::Logger;
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, HashSet},
     rc::Rc,
 };
 
@@ -39,6 +40,9 @@
 /// window and could otherwise exceed the limit.
 const BUDGET_FRACTION: f64 = 0.75;
 
+/// Maximum number of unknown headers that are reported.
+const MAX_UNKNOWN_HEADERS: usize = 32;
+
 /// Settings, cluster view and request accounting of one daemon.
 pub struct GatewayState {
     /// Settings of this daemon.
@@ -79,6 +83,8 @@
     pub avoided_peers: RefCell<AvoidedPeers>,
     /// Number of subscriptions of other daemons.
     pub subscriptions: Cell<usize>,
+    /// Unknown headers in responses of runners that were reported.
+    unknown_headers: RefCell<HashSet<HeaderName>>,
     /// Random number generator.
     pub rng: RefCell<SmallRng>,
     /// True once the runners' entries were listed.
@@ -118,6 +124,7 @@
                 .collect(),
             avoided_peers: RefCell::default(),
             subscriptions: Cell::new(0),
+            unknown_headers: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
             runners_listed: Cell::new(false),
             runners_revision: Cell::default(),
@@ -209,6 +216,17 @@
         Some(change)
     }
 
+    /// Logs headers of runners' responses that no part of the daemon knows, each name once.
+    pub fn report_unknown_headers(&self, names: &[HeaderName]) {
+        let mut reported = self.unknown_headers.borrow_mut();
+        for name in names {
+            if reported.len() < MAX_UNKNOWN_HEADERS && reported.insert(name.clone()) {
+                slog::warn!(self.log, "unknown header in response of runner";
+                    "header" => name.as_str());
+            }
+        }
+    }
+
     /// Counts a request for a service towards its retry budget.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
--- a/tests/platform/decoding.rs
+++ b/tests/platform/decoding.rs
@@ -81,6 +81,18 @@
     );
 }
 
+// A runner's header that nobody reads may be a request to the daemons.
+#[test]
+fn reports_unknown_headers_of_response() {
+    let response = Response::builder()
+        .header("X-Server-Load", "1,0,8")
+        .header("Server-News", "1")
+        .body(());
+    let (parts, ()) = response.expect("a response").into_parts();
+    let head = Platform::decode_response(&parts);
+    assert_eq!(head.unknown_headers, ["server-news"]);
+}
+
 #[test]
 fn decodes_rate_limit_of_response() {
     let notice_of = |value: &str| {
