Divide the retry budget by the largest recent count of daemons

Each daemon's share of the slack was divided by the count of listed daemons. While the store refuses half of them, the others see these as gone and double their shares, and the refused ones go on with theirs: eight daemons with 22 requests each took 172 retries, allowed 169 (the new test on the code before). Now the largest count of the last one to two minutes divides; the test takes no more than the budget.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -3,6 +3,33 @@
 use crate::core::time::{Span, Time};
 use std::collections::VecDeque;
 
+/// Period over which the largest count is remembered, at least; the store refuses some daemons for a
+/// shorter time.
+const PEAK_PERIOD: Span = Span::from_secs(60);
+
+/// Largest recent count of daemons. Daemons that are no longer listed may still serve, and use their
+/// shares.
+#[derive(Debug, Default)]
+pub struct PeakCount {
+    peak: usize,
+    /// Largest count of the period before.
+    previous_peak: usize,
+    period_start: Time,
+}
+
+impl PeakCount {
+    /// Records the current count and returns the largest recent one.
+    pub fn record(&mut self, count: usize, now: Time) -> usize {
+        if now.since(self.period_start) >= PEAK_PERIOD {
+            self.previous_peak = self.peak;
+            self.peak = 0;
+            self.period_start = now;
+        }
+        self.peak = self.peak.max(count);
+        self.peak.max(self.previous_peak)
+    }
+}
+
 /// Retry budget in proportion to the recent requests.
 #[derive(Debug)]
 pub struct RetryBudget {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! State of a gateway, shared by its tasks.
 
 use super::{
-    budget::RetryBudget,
+    budget::{PeakCount, RetryBudget},
     changes::{
         Topics,
         source::{self, AvoidedPeers, Source},
@@ -73,6 +73,8 @@
     pub demand: RefCell<Demand>,
     /// Retry budget of each service.
     retry_budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
+    /// Largest recent count of daemons, which share the retry budgets.
+    daemon_count: RefCell<PeakCount>,
     /// Longest timeout that callers of each route have sent.
     max_timeouts: RefCell<BTreeMap<String, Span>>,
     /// Other daemons.
@@ -116,6 +118,7 @@
             progress: RefCell::default(),
             demand: RefCell::default(),
             retry_budgets: RefCell::default(),
+            daemon_count: RefCell::default(),
             max_timeouts: RefCell::default(),
             peers: RefCell::default(),
             topics: prefixes
@@ -230,17 +233,23 @@
     /// Counts a request for a service towards its retry budget.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
+        self.count_daemons(now);
         self.with_retry_budget(service, |budget| budget.record_request(now));
     }
 
     /// Takes one retry out of this daemon's part of a service's budget; false if none is left.
     pub fn take_retry(&self, service: &ServiceName) -> bool {
         let now = self.now();
-        let daemons = self.peers.borrow().count().max(1);
+        let daemons = self.count_daemons(now).max(1);
         let slack = self.settings.retry.slack * BUDGET_FRACTION / daemons as f64;
         self.with_retry_budget(service, |budget| budget.try_take(slack, now))
     }
 
+    fn count_daemons(&self, now: Time) -> usize {
+        let count = self.peers.borrow().count();
+        self.daemon_count.borrow_mut().record(count, now)
+    }
+
     /// Estimates the time that a caller spent on earlier attempts of its own: the longest timeout
     /// seen on the route less the timeout that it sends now.
     pub fn estimate_time_spent(&self, route: &str, timeout: Span) -> Span {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,5 +14,6 @@
 mod notices;
 mod outages;
 mod pools;
+mod retry_shares;
 mod routes;
 mod streams;
