--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! State of a gateway, shared by its tasks.
 
 use super::{
-    budget::RetryBudget,
+    budget::{PeakCount, RetryBudget},
     changes::{
         Topics,
         source::{self, AvoidedPeers, Source},
@@ -26,12 +26,13 @@
     },
     shell::Clock,
 };
+use http::HeaderName;
 use metrics::{gauge, histogram};
 use rand::{SeedableRng, rngs::SmallRng};
 use slog::Logger;
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, HashSet},
     rc::Rc,
 };
 
@@ -39,6 +40,9 @@
 /// window and could otherwise exceed the limit.
 const BUDGET_FRACTION: f64 = 0.75;
 
+/// Maximum number of unknown headers that are reported.
+const MAX_UNKNOWN_HEADERS: usize = 32;
+
 /// Settings, cluster view and request accounting of one daemon.
 pub struct GatewayState {
     /// Settings of this daemon.
@@ -69,6 +73,8 @@
     pub demand: RefCell<Demand>,
     /// Retry budget of each service.
     retry_budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
+    /// Largest recent count of daemons, which share the retry budgets.
+    daemon_count: RefCell<PeakCount>,
     /// Longest timeout that callers of each route have sent.
     max_timeouts: RefCell<BTreeMap<String, Span>>,
     /// Other daemons.
@@ -79,6 +85,8 @@
     pub avoided_peers: RefCell<AvoidedPeers>,
     /// Number of subscriptions of other daemons.
     pub subscriptions: Cell<usize>,
+    /// Unknown headers in responses of runners that were reported.
+    unknown_headers: RefCell<HashSet<HeaderName>>,
     /// Random number generator.
     pub rng: RefCell<SmallRng>,
     /// True once the runners' entries were listed.
@@ -110,6 +118,7 @@
             progress: RefCell::default(),
             demand: RefCell::default(),
             retry_budgets: RefCell::default(),
+            daemon_count: RefCell::default(),
             max_timeouts: RefCell::default(),
             peers: RefCell::default(),
             topics: prefixes
@@ -118,6 +127,7 @@
                 .collect(),
             avoided_peers: RefCell::default(),
             subscriptions: Cell::new(0),
+            unknown_headers: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
             runners_listed: Cell::new(false),
             runners_revision: Cell::default(),
@@ -209,20 +219,37 @@
         Some(change)
     }
 
+    /// Logs headers of runners' responses that no part of the daemon knows, each name once.
+    pub fn report_unknown_headers(&self, names: &[HeaderName]) {
+        let mut reported = self.unknown_headers.borrow_mut();
+        for name in names {
+            if reported.len() < MAX_UNKNOWN_HEADERS && reported.insert(name.clone()) {
+                slog::warn!(self.log, "unknown header in response of runner";
+                    "header" => name.as_str());
+            }
+        }
+    }
+
     /// Counts a request for a service towards its retry budget.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
+        self.count_daemons(now);
         self.with_retry_budget(service, |budget| budget.record_request(now));
     }
 
     /// Takes one retry out of this daemon's part of a service's budget; false if none is left.
     pub fn take_retry(&self, service: &ServiceName) -> bool {
         let now = self.now();
-        let daemons = self.peers.borrow().count().max(1);
+        let daemons = self.count_daemons(now).max(1);
         let slack = self.settings.retry.slack * BUDGET_FRACTION / daemons as f64;
         self.with_retry_budget(service, |budget| budget.try_take(slack, now))
     }
 
+    fn count_daemons(&self, now: Time) -> usize {
+        let count = self.peers.borrow().count();
+        self.daemon_count.borrow_mut().record(count, now)
+    }
+
     /// Estimates the time that a caller spent on earlier attempts of its own: the longest timeout
     /// seen on the route less the timeout that it sends now.
     pub fn estimate_time_spent(&self, route: &str, timeout: Span) -> Span {
