--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -117,15 +117,16 @@
 fn checks_notice_shares_by_the_number_of_known_daemons() {
     let is_limit_broken = |policy, seed| {
         let mut fleet = Fleet::with_policy(policy, 8, 3.0, seed);
-        for is_refused in [false, true, false] {
+        for (is_refused, seconds) in [(false, 10), (true, 15), (false, 10)] {
             for daemon in fleet.daemons.iter_mut().step_by(2) {
                 daemon.is_refused = is_refused;
             }
-            fleet.run_for(Span::from_secs(10), 30.0);
+            fleet.run_for(Span::from_secs(seconds), 12.0);
         }
         fleet.worst_window() as f64 > fleet.allowed()
     };
     let breaks = |policy| (0..50).any(|seed| is_limit_broken(policy, seed));
     assert!(breaks(Policy::EqualShares));
+    assert!(breaks(Policy::FewDaemons(4)));
     assert!(!breaks(Policy::Permits));
 }
