Honour that a runner leaves, or asks for a pause

Both are notices now, beside the rate limit. Leaving is kept by runner instance in the roster, where entries can't undo it, counts as draining for groups, and is told to all daemons; a pause is each daemon's own. Requests whose runners are all held back are refused at once with the time until the first may take one. Both are checked again once a connection is open, and notices in probes' responses are read. One test names the places that send, and fails for a new one.

A test with two daemons timed out once: the first did not know the second yet, so told nobody; the test now waits for that first. Daemons that join later hear the runner itself.

--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -7,7 +7,7 @@
 use super::{
     admission::AdmissionClass,
     load::LoadReport,
-    notices::RateNotice,
+    notices::Notice,
     order::Order,
     roster::{Membership, Runner},
     spec::Spec,
@@ -131,8 +131,8 @@
     pub has_proof: bool,
     /// Load of the runner.
     pub load: Option<LoadReport>,
-    /// Rate limit of the runner.
-    pub rate_notice: RateNotice,
+    /// What the runner says of itself.
+    pub notice: Notice,
     /// Headers that the adapter does not know.
     pub unknown_headers: Vec<HeaderName>,
 }
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -105,9 +105,9 @@
     MIN_RETRY_DELAY.max(drain_time) + retry_jitter(rng)
 }
 
-/// Returns the delay after which a caller should retry that was refused because of rate limits,
-/// which allow the next request after `wait`.
-pub(super) fn limited_retry_delay<R>(wait: Span, rng: &mut R) -> Span
+/// Returns the delay after which a caller should retry that was refused because its runners want no
+/// request before `wait` has passed.
+pub(super) fn held_back_retry_delay<R>(wait: Span, rng: &mut R) -> Span
 where
     R: Rng,
 {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,11 +2,13 @@
 
 use super::{
     adapter::{Adapter, ForwardHeaders, ResponseHead},
+    announcements,
     balancer::{self, Endpoint},
     call::{AttemptError, AttemptParams, Call, InFlightGuard, StartedResponse},
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
-    notices::RateNotice,
-    permits::{self, Permit},
+    notices::Stated,
+    permits::Permit,
+    roster::Host,
     spec::RouteKind,
 };
 use crate::core::time::Span;
@@ -42,6 +44,9 @@
 {
     let in_flight = InFlightGuard::new(call.state.clone(), endpoint.host);
     let mut connection = open(call, endpoint).await?;
+    if !wants_requests(call, endpoint) {
+        return Err(AttemptError::Unreached);
+    }
     let request = request::<A>(call, endpoint, params);
     call.attempts += 1;
     call.runs += 1;
@@ -92,6 +97,16 @@
     })
 }
 
+/// Returns false if a runner has said, while the connection was opened, that it leaves or wants no
+/// requests for some time.
+fn wants_requests(call: &Call, endpoint: &Endpoint) -> bool {
+    let state = &call.state;
+    let roster = state.roster.borrow();
+    let is_leaving = roster.host(endpoint.host).is_some_and(Host::says_leaving);
+    let notices = state.notices.borrow();
+    !is_leaving && !notices.is_paused(endpoint.host, state.now())
+}
+
 /// Counts a request that goes out to a runner.
 fn count_send(call: &Call, endpoint: &Endpoint) {
     let limit = call.state.notices.borrow().rate_limit(endpoint.host);
@@ -105,16 +120,15 @@
     if !is_own {
         return;
     }
-    let rate_limit = match head.rate_notice {
-        RateNotice::Unlimited => None,
-        RateNotice::Limited(limit) => Some(limit),
-        RateNotice::Invalid => {
-            slog::warn!(call.state.log, "invalid rate limit ignored";
-                "request" => call.id(), "host" => endpoint.name.as_str());
-            return;
-        }
-    };
-    permits::response_received(&call.state, endpoint.host, rate_limit);
+    let is_invalid =
+        head.notice.rate_limit == Stated::Invalid || head.notice.pause == Stated::Invalid;
+    if is_invalid {
+        slog::warn!(call.state.log, "invalid notice of runner ignored";
+            "request" => call.id(),
+            "host" => endpoint.name.as_str(),
+            "notice" => format!("{:?}", head.notice));
+    }
+    announcements::response_received(&call.state, endpoint.host, &head.notice);
 }
 
 /// Returns the reason for which a response must not be forwarded, if there is one.
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -96,9 +96,9 @@
         /// Delay after which the caller should retry.
         retry_delay: Span,
     },
-    /// The rate limits of all runners that serve the request allow none now.
-    RateLimited {
-        /// Time until the first of them may allow one.
+    /// All runners that serve the request want none now, by their rate limits or pauses.
+    HeldBack {
+        /// Time until the first of them may take one.
         wait: Span,
     },
 }
@@ -123,7 +123,7 @@
         None => plain_runners(roster, criteria.service, now),
     };
     candidates.retain(|candidate| !criteria.tried.contains(&candidate.host));
-    let mut candidates = within_limits(candidates, view.notices, criteria.unlimited, now)?;
+    let mut candidates = not_held_back(candidates, view.notices, criteria.unlimited, now)?;
     let all = candidates.clone();
     candidates.retain(|candidate| !loads.is_avoided(candidate.host, now));
     if candidates.is_empty() {
@@ -151,8 +151,8 @@
     })
 }
 
-/// Returns the candidates whose rate limits may allow a request now.
-fn within_limits(
+/// Returns the candidates that may take a request now, by their rate limits and pauses.
+fn not_held_back(
     mut candidates: Vec<Candidate>,
     notices: &Notices,
     unlimited: bool,
@@ -170,7 +170,7 @@
         !is_excluded && notices.wait(candidate.host, now) == Span::ZERO
     });
     match candidates.is_empty() {
-        true => Err(ChooseError::RateLimited { wait }),
+        true => Err(ChooseError::HeldBack { wait }),
         false => Ok(candidates),
     }
 }
--- a/src/gateway/datagrams.rs
+++ b/src/gateway/datagrams.rs
@@ -4,6 +4,7 @@
 //! response.
 
 use super::{
+    announcements,
     liveness::GroupProgress,
     notices::RateLimit,
     permits::{self, Verdict},
@@ -43,18 +44,20 @@
             /// Whether the permit is granted.
             verdict: Verdict,
         },
-        /// Rate limit that a runner has named or no longer names.
+        /// What a runner has said of itself.
         Notice(RunnerNotice),
     }
 
-    /// What a runner has said of its rate limit.
+    /// What a runner has said of itself.
     pub struct RunnerNotice {
         /// The runner.
         pub runner: RunnerInstance,
-        /// Its limit, if it names one.
+        /// Its rate limit, if it names one.
         pub rate_limit: Option<RateLimit>,
-        /// Time since it said so.
+        /// Time since it last said whether it has a limit.
         pub age: Span,
+        /// True if it has said that it leaves.
+        pub is_leaving: bool,
     }
 }
 
@@ -114,7 +117,7 @@
             permits::accept_response(state, id, verdict)
         }
         Ok(Datagram::Notice(notice)) => {
-            permits::accept_notice(state, &notice);
+            announcements::accept(state, &notice);
         }
         Err(error) => slog::debug!(state.log, "invalid datagram ignored";
             "from" => from.to_string(), "cause" => error.to_string()),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -280,11 +280,11 @@
                     retry_ms: retry_delay.as_millis(),
                 });
             }
-            Err(ChooseError::RateLimited { wait }) if call.runs == 0 => {
-                return Err(refuse_limited(call, wait));
+            Err(ChooseError::HeldBack { wait }) if call.runs == 0 => {
+                return Err(refuse_held_back(call, wait));
             }
             // To the caller of a request that may have run, a refusal would be a failure.
-            Err(ChooseError::RateLimited { wait }) if waited + wait <= MAX_LIMIT_WAIT => {
+            Err(ChooseError::HeldBack { wait }) if waited + wait <= MAX_LIMIT_WAIT => {
                 compio::time::sleep(wait.into()).await;
                 waited = waited + wait;
                 denials = 0;
@@ -348,11 +348,11 @@
     balancer::choose(view, criteria, now, &mut *state.rng.borrow_mut())
 }
 
-/// Returns the refusal of a request that has not run, because the rate limits of all its runners
-/// allow none for some time.
-fn refuse_limited(call: &Call, wait: Span) -> Refusal {
-    let retry_delay = admission::limited_retry_delay(wait, &mut *call.state.rng.borrow_mut());
-    slog::info!(call.state.log, "rate limits of all runners reached";
+/// Returns the refusal of a request that has not run, because all its runners want none for some
+/// time, by their rate limits or pauses.
+fn refuse_held_back(call: &Call, wait: Span) -> Refusal {
+    let retry_delay = admission::held_back_retry_delay(wait, &mut *call.state.rng.borrow_mut());
+    slog::info!(call.state.log, "rate limits and pauses of all runners";
         "request" => call.id(),
         "service" => call.service.as_str(),
         "wait_ms" => wait.as_millis());
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -12,7 +12,7 @@
 
 /// Returns true if a host may become a member of a new group.
 pub(super) fn is_eligible(host: &Host) -> bool {
-    host.unlisted_since.is_none() && !host.runner.draining && !host.is_unreachable()
+    host.unlisted_since.is_none() && !host.is_draining() && !host.is_unreachable()
 }
 
 /// Returns `Some(cut)` if an active group must be closed; `cut` also ends its running requests.
@@ -20,7 +20,7 @@
     if !group.complete || roster.has_unreachable_member(group) {
         return Some(true);
     }
-    let is_draining = roster.members(group).any(|host| host.runner.draining);
+    let is_draining = roster.members(group).any(Host::is_draining);
     let is_leaving = is_draining || head.unlisted_since.is_some();
     let is_open = group.head_state == Some(MemberState::Open);
     (is_leaving && is_open).then_some(false)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 
 pub mod adapter;
 pub mod admission;
+mod announcements;
 mod attempt;
 pub mod backoff;
 pub mod balancer;
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -1,13 +1,20 @@
 //! What runners say of themselves in their responses.
 //!
-//! A notice holds until a later response no longer contains it. It belongs to
-//! one runner instance: a restarted runner has another key and has said nothing
-//! yet.
+//! A runner may name a rate limit, ask for a pause, or say that it leaves. What
+//! it says belongs to one runner instance: a restarted runner has another key
+//! and has said nothing yet. A rate limit holds until a response without one; a
+//! pause holds for this daemon, until it is over; who leaves, leaves for good.
 
 use super::roster::HostKey;
 use crate::core::time::{Span, Time};
 use slotmap::SecondaryMap;
 
+/// Minimum interval between two announcements of a runner's rate limit.
+const ANNOUNCEMENT_INTERVAL: Span = Span::from_millis(1_000);
+
+/// Maximum length of a pause that a runner asks for.
+const MAX_PAUSE: Span = Span::from_secs(24 * 60 * 60);
+
 crate::record! {
     /// Number of requests a second that a runner takes from all daemons together.
     #[derive(Copy, PartialOrd)]
@@ -28,36 +35,60 @@
     }
 }
 
-/// What one response says of its runner's rate limit.
+/// Returns the length of a pause; none if it is negative or not a finite number.
+pub fn pause(seconds: f64) -> Option<Span> {
+    let is_valid = seconds.is_finite() && seconds >= 0.0;
+    is_valid.then(|| MAX_PAUSE.min(Span((seconds * 1e6) as u64)))
+}
+
+/// Value that a response may state.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum RateNotice {
-    /// The runner names no limit.
+pub enum Stated<T> {
+    /// The response doesn't state it.
     #[default]
-    Unlimited,
-    /// The runner names a limit.
-    Limited(RateLimit),
-    /// The response has a limit that can't be understood.
+    Absent,
+    /// The response states it.
+    Value(T),
+    /// The response has a value that can't be understood, which is ignored.
     Invalid,
 }
 
-/// Minimum interval between two announcements of a runner's notices.
-const ANNOUNCEMENT_INTERVAL: Span = Span::from_millis(1_000);
+impl<T> Stated<T> {
+    /// Creates the statement of a value that was understood, or not.
+    pub fn from_valid(value: Option<T>) -> Self {
+        value.map_or(Self::Invalid, Self::Value)
+    }
+}
 
-/// Latest notice of one runner.
+/// What one response says of its runner.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// Rate limit.
+    pub rate_limit: Stated<RateLimit>,
+    /// Time for which this daemon should send no more requests.
+    pub pause: Stated<Span>,
+    /// True if the runner is about to leave.
+    pub is_leaving: bool,
+}
+
+/// What is known of one runner.
 #[derive(Clone, Copy, Debug, Default)]
-struct Notice {
+struct Entry {
     rate_limit: Option<RateLimit>,
+    /// Time at which the runner last said whether it has a rate limit.
     heard_at: Time,
-    /// Time until which the limit allows no further request.
-    held_until: Option<Time>,
-    /// Time at which the notice was last announced to other daemons.
+    /// Time until which the rate limit allows no further request.
+    held_until: Time,
+    /// End of the pause.
+    paused_until: Time,
+    /// Time at which the rate limit was last announced to other daemons.
     announced_at: Option<Time>,
 }
 
-/// Latest notices of all runners.
+/// What all runners have said.
 #[derive(Debug, Default)]
 pub struct Notices {
-    entries: SecondaryMap<HostKey, Notice>,
+    entries: SecondaryMap<HostKey, Entry>,
 }
 
 /// Change of what is known of a runner's rate limit.
@@ -78,66 +109,81 @@
 
 impl Notices {
     /// Records a runner's rate limit, or that it has none, as of `heard_at`; returns the change if
-    /// there is one. Older notices than the latest are ignored.
-    pub fn record(
+    /// there is one. What is older than the latest is ignored.
+    pub fn record_limit(
         &mut self,
         host: HostKey,
         rate_limit: Option<RateLimit>,
         heard_at: Time,
     ) -> Option<LimitChange> {
-        let notice = self.entries.entry(host)?.or_default();
-        if heard_at < notice.heard_at {
+        let entry = self.entries.entry(host)?.or_default();
+        if heard_at < entry.heard_at {
             return None;
         }
         let change = LimitChange {
-            before: notice.rate_limit,
+            before: entry.rate_limit,
             after: rate_limit,
         };
-        notice.rate_limit = rate_limit;
-        notice.heard_at = heard_at;
+        entry.rate_limit = rate_limit;
+        entry.heard_at = heard_at;
         if change.before == change.after {
             return None;
         }
-        notice.held_until = None;
+        entry.held_until = Time::default();
         Some(change)
     }
 
+    /// Records that a runner wants no requests from this daemon until a time; the end of an earlier
+    /// pause may be later.
+    pub fn record_pause(&mut self, host: HostKey, until: Time) {
+        if let Some(entry) = self.entries.entry(host) {
+            let entry = entry.or_default();
+            entry.paused_until = entry.paused_until.max(until);
+        }
+    }
+
     /// Returns the rate limit of a runner, if it names one.
     pub fn rate_limit(&self, host: HostKey) -> Option<RateLimit> {
         self.entries.get(host)?.rate_limit
     }
 
-    /// Returns the time since a runner's latest notice; a runner that was never heard has a long
-    /// one.
+    /// Returns the time since a runner last said whether it has a rate limit; for one that was never
+    /// heard, the time since the start.
     pub fn age(&self, host: HostKey, now: Time) -> Span {
-        let heard_at = self.entries.get(host).map(|notice| notice.heard_at);
+        let heard_at = self.entries.get(host).map(|entry| entry.heard_at);
         now.since(heard_at.unwrap_or_default())
     }
 
-    /// Holds back requests to a runner until its limit allows the next one.
+    /// Holds back requests to a runner until its rate limit allows the next one.
     pub fn hold_back(&mut self, host: HostKey, until: Time) {
-        if let Some(notice) = self.entries.get_mut(host) {
-            notice.held_until = Some(until);
+        if let Some(entry) = self.entries.get_mut(host) {
+            entry.held_until = until;
         }
     }
 
-    /// Returns the time until a runner may be asked to take a request; zero if it may be now.
+    /// Returns true while a runner wants no requests from this daemon.
+    pub fn is_paused(&self, host: HostKey, now: Time) -> bool {
+        let entry = self.entries.get(host);
+        entry.is_some_and(|entry| now < entry.paused_until)
+    }
+
+    /// Returns the time until a runner may take a request; zero if it may now.
     pub fn wait(&self, host: HostKey, now: Time) -> Span {
-        let held_until = self.entries.get(host).and_then(|notice| notice.held_until);
-        held_until.map_or(Span::ZERO, |until| until.since(now))
+        let entry = self.entries.get(host).copied().unwrap_or_default();
+        entry.held_until.max(entry.paused_until).since(now)
     }
 
-    /// Returns true if a runner's notice may be announced to other daemons now, and counts it as
+    /// Returns true if a runner's rate limit may be announced to other daemons now, and counts it as
     /// announced.
     pub fn try_announce(&mut self, host: HostKey, now: Time) -> bool {
-        let Some(notice) = self.entries.get_mut(host) else {
+        let Some(entry) = self.entries.get_mut(host) else {
             return false;
         };
-        let last = notice.announced_at;
+        let last = entry.announced_at;
         if last.is_some_and(|at| now.since(at) < ANNOUNCEMENT_INTERVAL) {
             return false;
         }
-        notice.announced_at = Some(now);
+        entry.announced_at = Some(now);
         true
     }
 }
--- a/src/gateway/permits/mod.rs
+++ b/src/gateway/permits/mod.rs
@@ -13,13 +13,14 @@
 pub use issuer::{Issuer, Verdict};
 
 use super::{
+    announcements,
     balancer::Endpoint,
     datagrams::{Datagram, RunnerNotice},
-    notices::{LimitChange, RateLimit},
+    notices::RateLimit,
     roster::{HostKey, RunnerInstance},
     state::GatewayState,
 };
-use crate::core::time::{Span, Time};
+use crate::core::time::Span;
 use metrics::counter;
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 use waiting::Waiting;
@@ -51,7 +52,7 @@
     let Some(limit) = state.notices.borrow().rate_limit(endpoint.host) else {
         return Some(Permit(()));
     };
-    let Some(runner) = instance(state, endpoint.host) else {
+    let Some(runner) = announcements::instance(state, endpoint.host) else {
         return Some(Permit(()));
     };
     let authority = current_authority(state, &runner);
@@ -74,15 +75,11 @@
     None
 }
 
-fn current_authority(state: &GatewayState, runner: &RunnerInstance) -> Authority {
+/// Returns the authority for a runner, as this daemon sees it.
+pub(super) fn current_authority(state: &GatewayState, runner: &RunnerInstance) -> Authority {
     authority(&state.settings.name, &state.peers.borrow(), runner)
 }
 
-fn instance(state: &GatewayState, host: HostKey) -> Option<RunnerInstance> {
-    let roster = state.roster.borrow();
-    Some(roster.host(host)?.instance())
-}
-
 /// Issues a permit out of this daemon's part of a limit.
 fn issue(state: &GatewayState, runner: &RunnerInstance, limit: RateLimit, part: f64) -> Verdict {
     let now = state.now();
@@ -99,7 +96,7 @@
     runner: RunnerInstance,
 ) -> Option<Verdict> {
     let (id, answer) = state.permits.waiting.borrow_mut().insert();
-    let notice = describe(state, host, runner);
+    let notice = announcements::describe(state, host, runner);
     let request = Datagram::PermitRequest { id, notice };
     state.outbox.send(authority, request);
     let answered = compio::time::timeout(REQUEST_TIMEOUT, answer).await;
@@ -114,7 +111,7 @@
     notice: &RunnerNotice,
     from: SocketAddr,
 ) {
-    let latest = match accept_notice(state, notice) {
+    let latest = match announcements::accept(state, notice) {
         Some(host) => state.notices.borrow().rate_limit(host),
         None => notice.rate_limit,
     };
@@ -133,65 +130,3 @@
 pub(super) fn accept_response(state: &GatewayState, id: u64, verdict: Verdict) {
     state.permits.waiting.borrow_mut().resolve(id, verdict);
 }
-
-/// Records what another daemon has heard of a runner; returns the runner's key if it is known.
-pub(super) fn accept_notice(state: &GatewayState, notice: &RunnerNotice) -> Option<HostKey> {
-    let (name, born) = &notice.runner;
-    let host = {
-        let roster = state.roster.borrow();
-        let (key, host) = roster.host_by_name(name)?;
-        (host.runner.born == *born).then_some(key)?
-    };
-    let heard_at = Time(state.now().0.saturating_sub(notice.age.0));
-    let change = state.record_rate_limit(host, notice.rate_limit, heard_at);
-    let is_news = change.is_some_and(LimitChange::is_start_or_end);
-    if is_news && current_authority(state, &notice.runner) == Authority::Own {
-        broadcast(state, host, &notice.runner);
-    }
-    Some(host)
-}
-
-/// Records what a response says of its runner's rate limit, and tells other daemons of news.
-pub(super) fn response_received(state: &GatewayState, host: HostKey, limit: Option<RateLimit>) {
-    let change = state.record_rate_limit(host, limit, state.now());
-    if !change.is_some_and(LimitChange::is_start_or_end) {
-        return;
-    }
-    let Some(runner) = instance(state, host) else {
-        return;
-    };
-    match current_authority(state, &runner) {
-        Authority::Own => broadcast(state, host, &runner),
-        Authority::Peer(address) => {
-            let notice = describe(state, host, runner);
-            state.outbox.send(address, Datagram::Notice(notice));
-        }
-        Authority::Divided(_) => {}
-    }
-}
-
-/// Tells all other daemons what a runner has said of its rate limit, unless they were told a moment
-/// ago; those that are not told hear it from the runner.
-fn broadcast(state: &GatewayState, host: HostKey, runner: &RunnerInstance) {
-    let now = state.now();
-    if !state.notices.borrow_mut().try_announce(host, now) {
-        return;
-    }
-    let peers = state.peers.borrow();
-    let others = peers
-        .daemons()
-        .filter(|(name, _)| **name != state.settings.name);
-    for address in others.filter_map(|(_, entry)| entry.peer) {
-        let notice = describe(state, host, runner.clone());
-        state.outbox.send(address, Datagram::Notice(notice));
-    }
-}
-
-fn describe(state: &GatewayState, host: HostKey, runner: RunnerInstance) -> RunnerNotice {
-    let notices = state.notices.borrow();
-    RunnerNotice {
-        runner,
-        rate_limit: notices.rate_limit(host),
-        age: notices.age(host, state.now()),
-    }
-}
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -9,8 +9,10 @@
 
 use super::{
     adapter::Adapter,
+    announcements,
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
     liveness,
+    notices::Notice,
     roster::{Host, HostKey, ProbeFailure, RunnerInstance, SLOW_FACTOR},
     state::GatewayState,
 };
@@ -207,7 +209,7 @@
     state: &GatewayState,
     probes: &RefCell<Probes>,
     key: HostKey,
-    outcome: Result<(RunnerConnection, Bytes), ProbeFailure>,
+    outcome: Result<Answer, ProbeFailure>,
 ) where
     A: Adapter,
 {
@@ -222,16 +224,20 @@
             "host" => probe.name.as_str(), "lost" => is_unreachable);
     }
     probe.is_unreachable = is_unreachable;
-    let mut roster = state.roster.borrow_mut();
-    let (connection, text) = match outcome {
-        Ok(answered) => answered,
-        Err(failure) => return roster.probe_failed(&probe.name, failure),
+    let answer = match outcome {
+        Ok(answer) => answer,
+        Err(failure) => {
+            let mut roster = state.roster.borrow_mut();
+            return roster.probe_failed(&probe.name, failure);
+        }
     };
-    probe.connection = Some(connection);
-    match A::decode_report(&text) {
+    probe.connection = Some(answer.connection);
+    announcements::control_answered(state, key, &answer.notice);
+    match A::decode_report(&answer.text) {
         Ok(report) => {
             // Rounded to halves, as each change of the value causes a write to the store.
             probe.slowdown = (report.slowdown * 2.0).round() / 2.0;
+            let mut roster = state.roster.borrow_mut();
             roster.probe_answered(&probe.name, report.member, state.now());
         }
         Err(error) => slog::warn!(state.log, "member sent an invalid report";
@@ -239,11 +245,18 @@
     }
 }
 
+/// Response to a probe.
+struct Answer {
+    connection: RunnerConnection,
+    text: Bytes,
+    notice: Notice,
+}
+
 /// Probes a host over the kept connection and, if that fails, over new ones.
 async fn probe_host<A>(
     address: SocketAddr,
     kept: Option<RunnerConnection>,
-) -> Result<(RunnerConnection, Bytes), ProbeFailure>
+) -> Result<Answer, ProbeFailure>
 where
     A: Adapter,
 {
@@ -294,7 +307,7 @@
 async fn fetch_report<A>(
     mut connection: RunnerConnection,
     address: SocketAddr,
-) -> Result<(RunnerConnection, Bytes), ProbeFailure>
+) -> Result<Answer, ProbeFailure>
 where
     A: Adapter,
 {
@@ -306,7 +319,12 @@
     if !response.status().is_success() {
         return Err(ProbeFailure::Refused);
     }
-    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
-    let whole = body.collect().await.map_err(|_| ProbeFailure::Refused)?;
-    Ok((connection, whole.to_bytes()))
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_REPORT_BYTES).collect();
+    let whole = body.await.map_err(|_| ProbeFailure::Refused)?;
+    Ok(Answer {
+        connection,
+        text: whole.to_bytes(),
+        notice: A::decode_response(&head).notice,
+    })
 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -113,10 +113,22 @@
     /// True if another daemon reported it to be dead rather than draining.
     is_reported_dead: bool,
     is_unreachable: bool,
+    /// True if the runner has said in a response that it leaves.
+    says_leaving: bool,
     slowdown: f64,
 }
 
 impl Host {
+    /// Returns true if the runner has said in a response that it leaves.
+    pub fn says_leaving(&self) -> bool {
+        self.says_leaving
+    }
+
+    /// Returns true if the runner is about to leave, by its entry or by its own responses.
+    pub fn is_draining(&self) -> bool {
+        self.runner.draining || self.says_leaving
+    }
+
     /// Returns true if the host answers no probes.
     pub fn is_unreachable(&self) -> bool {
         self.is_unreachable
@@ -152,6 +164,8 @@
     keys: BTreeMap<HostName, HostKey>,
     /// Instances that don't answer the probes of some daemon.
     unreachable: BTreeSet<RunnerInstance>,
+    /// Instances that have said that they leave.
+    leaving: BTreeSet<RunnerInstance>,
     /// Slow instances with their slowdown factors.
     slow: BTreeMap<RunnerInstance, f64>,
     groups: Vec<Group>,
@@ -188,6 +202,7 @@
                     probe_failure: None,
                     is_reported_dead: false,
                     is_unreachable: self.unreachable.contains(&instance),
+                    says_leaving: self.leaving.contains(&instance),
                     slowdown: slowdown_of(&self.slow, &instance),
                 };
                 let key = self.hosts.insert(host);
@@ -229,7 +244,7 @@
             return;
         };
         let host = &mut self.hosts[*key];
-        let is_healthy = host.unlisted_since.is_none() && !host.runner.draining;
+        let is_healthy = host.unlisted_since.is_none() && !host.is_draining();
         host.last_healthy = is_healthy.then_some(now);
         host.probe_failure = None;
         host.is_reported_dead = false;
@@ -245,6 +260,19 @@
         }
     }
 
+    /// Marks a host whose runner has said that it leaves, whatever its entry says; returns true if
+    /// that is news.
+    pub fn mark_leaving(&mut self, key: HostKey) -> bool {
+        let Some(host) = self.hosts.get_mut(key) else {
+            return false;
+        };
+        host.says_leaving = true;
+        let (name, born) = host.instance();
+        self.leaving
+            .retain(|(other, start)| *other != name || *start == born);
+        self.leaving.insert((name, born))
+    }
+
     /// Replaces the set of unreachable instances.
     pub fn set_unreachable(&mut self, unreachable: BTreeSet<RunnerInstance>) {
         for host in self.hosts.values_mut() {
@@ -366,7 +394,7 @@
     /// Returns true if requests may be sent to a host.
     pub fn is_usable(&self, host: &Host, now: Time) -> bool {
         let listed = host.unlisted_since.is_none() || now < self.reentry_until;
-        listed && !host.runner.draining && !host.is_unreachable()
+        listed && !host.is_draining() && !host.is_unreachable()
     }
 
     /// Returns the known members of a group.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -208,17 +208,45 @@
         limit: Option<RateLimit>,
         heard_at: Time,
     ) -> Option<LimitChange> {
-        let change = self.notices.borrow_mut().record(host, limit, heard_at)?;
-        let roster = self.roster.borrow();
-        let name = roster.host(host).map(|host| host.name.as_str());
+        let change = self
+            .notices
+            .borrow_mut()
+            .record_limit(host, limit, heard_at)?;
         slog::info!(self.log, "rate limit of runner changed";
-            "host" => name.unwrap_or_default(),
+            "host" => self.host_name(host),
             "per_second" => change.after.map(RateLimit::per_second),
             "before" => change.before.map(RateLimit::per_second),
             "age_ms" => self.now().since(heard_at).as_millis());
         Some(change)
     }
 
+    /// Records that a runner leaves, `told` if another daemon says so; returns true if that is news.
+    pub fn record_leaving(&self, host: HostKey, told: bool) -> bool {
+        if !self.roster.borrow_mut().mark_leaving(host) {
+            return false;
+        }
+        slog::info!(self.log, "runner says that it leaves";
+            "host" => self.host_name(host),
+            "told" => told);
+        self.refresh_groups();
+        true
+    }
+
+    /// Records that a runner wants no requests from this daemon for some time.
+    pub fn record_pause(&self, host: HostKey, span: Span) {
+        slog::info!(self.log, "runner asks for a pause";
+            "host" => self.host_name(host),
+            "pause_ms" => span.as_millis());
+        let until = self.now() + span;
+        self.notices.borrow_mut().record_pause(host, until);
+    }
+
+    fn host_name(&self, host: HostKey) -> String {
+        let roster = self.roster.borrow();
+        let name = roster.host(host).map(|host| host.name.as_str().to_owned());
+        name.unwrap_or_default()
+    }
+
     /// Logs headers of runners' responses that no part of the daemon knows, each name once.
     pub fn report_unknown_headers(&self, names: &[HeaderName]) {
         let mut reported = self.unknown_headers.borrow_mut();
--- a/tests/gateway/balancer.rs
+++ b/tests/gateway/balancer.rs
@@ -260,7 +260,7 @@
     let now = env.fleet.now;
     let limit = RateLimit::new(1.0);
     heads.iter().for_each(|head| {
-        env.notices.record(*head, limit, now);
+        env.notices.record_limit(*head, limit, now);
     });
     env.notices
         .hold_back(heads[0], now + Span::from_millis(400));
@@ -272,7 +272,7 @@
         .iter()
         .for_each(|head| env.notices.hold_back(*head, now + Span::from_millis(300)));
     let wait = Span::from_millis(300);
-    let refused = Err(ChooseError::RateLimited { wait });
+    let refused = Err(ChooseError::HeldBack { wait });
     assert_eq!(env.choose(AdmissionClass::OnTime, &[]), refused);
     assert_eq!(env.choose(AdmissionClass::Resumed, &[]), refused);
 }
@@ -283,7 +283,7 @@
     let mut env = TestEnv::new(2);
     let heads = env.heads();
     let now = env.fleet.now;
-    env.notices.record(heads[0], RateLimit::new(1.0), now);
+    env.notices.record_limit(heads[0], RateLimit::new(1.0), now);
     env.unlimited = true;
     for _ in 0..20 {
         let chosen = env.choose(AdmissionClass::OnTime, &[]);
--- a/tests/platform/decoding.rs
+++ b/tests/platform/decoding.rs
@@ -7,7 +7,7 @@
     },
     gateway::{
         adapter::Adapter as _,
-        notices::{RateLimit, RateNotice},
+        notices::{Notice, RateLimit, Stated},
         order::Order,
         roster::{MemberState, Runner},
         spec::RouteKind,
@@ -93,25 +93,53 @@
     assert_eq!(head.unknown_headers, ["server-news"]);
 }
 
+/// Returns the notice in a response with a header.
+fn notice_of(status: u16, name: &str, value: &str) -> Notice {
+    let response = Response::builder().status(status).header(name, value);
+    let (parts, ()) = response.body(()).expect("a response").into_parts();
+    Platform::decode_response(&parts).notice
+}
+
 #[test]
 fn decodes_rate_limit_of_response() {
-    let notice_of = |value: &str| {
-        let response = Response::builder().header("Server-Limit", value).body(());
-        let (parts, ()) = response.expect("a response").into_parts();
-        Platform::decode_response(&parts).rate_notice
-    };
-    let limited = |per_second| RateNotice::Limited(RateLimit::new(per_second).expect("valid"));
-    assert_eq!(notice_of("3.4"), limited(3.4));
-    assert_eq!(notice_of(" 12 "), limited(12.0));
-    assert_eq!(notice_of("0"), limited(0.0));
-    assert_eq!(notice_of("0.2"), limited(0.2));
-    assert_eq!(notice_of("1000000000000"), limited(1e12));
+    let limit_of = |value| notice_of(200, "Server-Limit", value).rate_limit;
+    let limited = |per_second| Stated::from_valid(RateLimit::new(per_second));
+    assert_eq!(limit_of("3.4"), limited(3.4));
+    assert_eq!(limit_of(" 12 "), limited(12.0));
+    assert_eq!(limit_of("0"), limited(0.0));
+    assert_eq!(limit_of("0.2"), limited(0.2));
+    assert_eq!(limit_of("1000000000000"), limited(1e12));
     for invalid in ["", "-1", "many", "NaN", "inf", "3,4"] {
-        assert_eq!(notice_of(invalid), RateNotice::Invalid, "{invalid:?}");
+        assert_eq!(limit_of(invalid), Stated::Invalid, "{invalid:?}");
     }
-    let (parts, ()) = Response::new(()).into_parts();
-    assert_eq!(
-        Platform::decode_response(&parts).rate_notice,
-        RateNotice::Unlimited
-    );
+    assert_eq!(notice_of(200, "Date", "").rate_limit, Stated::Absent);
+}
+
+#[test]
+fn decodes_pause_that_declining_runner_asks_for() {
+    let pause_of = |value| notice_of(503, "Retry-After", value).pause;
+    assert_eq!(pause_of("2"), Stated::Value(Span::from_secs(2)));
+    assert_eq!(pause_of("0.25"), Stated::Value(Span::from_millis(250)));
+    assert_eq!(pause_of("0"), Stated::Value(Span::ZERO));
+    let day = Span::from_secs(24 * 60 * 60);
+    assert_eq!(pause_of("1e30"), Stated::Value(day));
+    for invalid in [
+        "",
+        "-1",
+        "soon",
+        "NaN",
+        "inf",
+        "Fri, 04 Dec 2026 08:00:00 GMT",
+    ] {
+        assert_eq!(pause_of(invalid), Stated::Invalid, "{invalid:?}");
+    }
+    assert_eq!(notice_of(200, "Retry-After", "2").pause, Stated::Absent);
+}
+
+#[test]
+fn decodes_that_runner_leaves() {
+    assert!(notice_of(200, "Server-Leaving", "1").is_leaving);
+    assert!(notice_of(503, "Server-Leaving", " 1 ").is_leaving);
+    assert!(!notice_of(200, "Server-Leaving", "0").is_leaving);
+    assert!(!notice_of(200, "Server-Leaving", "").is_leaving);
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod decoding;
 mod env;
 mod limits;
+mod notices;
 mod relay;
 mod requests;
 mod runner;
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -19,6 +19,8 @@
     RespondFull,
     /// Reports that it did not run the request.
     Decline,
+    /// Reports that it did not run the request, and wants none for some time.
+    DeclineFor(&'static str),
     /// Runs the request and closes the connection without a response.
     DropResponse,
     /// Responds with the id of another request.
@@ -119,6 +121,16 @@
         *self.notices.lock().expect("not poisoned") = header;
     }
 
+    /// Says in all further responses that it leaves; its entry still says that it is ready.
+    pub fn say_leaving(&self) {
+        *self.notices.lock().expect("not poisoned") = "Server-Leaving: 1\r\n".to_owned();
+    }
+
+    /// Returns true if it is the head of an open group.
+    pub fn is_open(&self) -> bool {
+        self.entry.lock().expect("not poisoned")["group"]["State"] == "open"
+    }
+
     /// Returns the requests that were received, without probes and orders.
     pub fn requests(&self) -> Vec<RecordedRequest> {
         self.requests.lock().expect("not poisoned").clone()
@@ -146,7 +158,8 @@
     fn respond(&self, stream: &mut TcpStream, request: RecordedRequest) -> bool {
         if request.request_line.starts_with("GET /report") {
             let entry = self.entry.lock().expect("not poisoned").to_string();
-            return write_response(stream, 200, "", &entry);
+            let notices = self.notices.lock().expect("not poisoned").clone();
+            return write_response(stream, 200, &notices, &entry);
         }
         if request.request_line.starts_with("POST /order") {
             self.apply_order(&serde_json::from_slice(&request.body).expect("an order"));
@@ -175,6 +188,10 @@
             Behavior::Decline => {
                 write_response(stream, 503, &format!("{own_headers}X-Not-Run: 1\r\n"), "")
             }
+            Behavior::DeclineFor(seconds) => {
+                let head = format!("{own_headers}X-Not-Run: 1\r\nRetry-After: {seconds}\r\n");
+                write_response(stream, 503, &head, "")
+            }
             Behavior::DropResponse => false,
             Behavior::WrongRequestId => {
                 let other = "X-Request-Id: another\r\nX-Response-Stamp: old\r\n";
