Follow a store that comes back from an older copy

A store may lose its last seconds and give its revisions and leases out again; it counts that in the header of each answer, which nobody read.

On a rise each prefix is listed anew, also by subscribers, whose messages name the era; reports that are certain to be newer than the copy are kept; the lease is obtained and the entry written again; the duty is given up, and nobody who noticed the rise claims it for the time that an earlier holder's lease lasts; epochs begin with the era.

Ruled out: trusting the 410 of the store alone, which a watch does not get once the store has written past its old revision.

Open: a daemon that starts just after a rise does not know of it, and may claim a vacant duty while a holder that can't reach the store is still within its lease.

--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -52,6 +52,11 @@
     #[serde(transparent)]
     pub struct LeaseId(pub i64);
 
+    /// Number of times that the platform's store has come back from an older copy. Revisions and
+    /// leases of different eras can't be compared.
+    #[serde(transparent)]
+    pub struct Era(pub u64);
+
     /// Revision of the platform's key space, which increases with each write.
     #[serde(transparent)]
     pub struct Revision(pub i64);
--- a/src/gateway/candidacy.rs
+++ b/src/gateway/candidacy.rs
@@ -7,7 +7,7 @@
 
 use super::peers::Peers;
 use crate::core::{
-    keys::DaemonName,
+    keys::{DaemonName, Epoch, Era, Revision},
     time::{Span, Time},
 };
 
@@ -20,6 +20,12 @@
 /// Number of candidates after which all others claim together.
 const MAX_RANK: usize = 8;
 
+/// Number of epochs reserved for one claim; later claims have larger revisions.
+const EPOCHS_PER_CLAIM: i64 = 1_000;
+
+/// Number of epochs reserved for one era of the store, for a billion revisions.
+const EPOCHS_PER_ERA: i64 = 1_000_000_000_000;
+
 /// A daemon's candidacy for the duty.
 #[derive(Debug)]
 pub struct Candidacy {
@@ -27,6 +33,8 @@
     started: Time,
     /// Time since which the duty has no holder.
     vacant_since: Option<Time>,
+    /// Time until which an earlier holder may go on that the store has forgotten.
+    barred_until: Time,
 }
 
 impl Candidacy {
@@ -36,11 +44,21 @@
             own,
             started: now,
             vacant_since: None,
+            barred_until: now,
         }
     }
 
+    /// Bars the daemon from claiming the duty for the time that an earlier holder's lease lasts.
+    pub fn bar(&mut self, lease: Span, now: Time) {
+        self.vacant_since = None;
+        self.barred_until = now + lease;
+    }
+
     /// Returns true if the daemon should claim the duty, as far as it knows of a holder.
     pub fn should_claim(&mut self, peers: &Peers, now: Time) -> bool {
+        if now < self.barred_until {
+            return false;
+        }
         match &peers.claim {
             // A claim of its own, from before its lease was in doubt or from an earlier run.
             Some((holder, _)) if *holder == self.own => true,
@@ -62,3 +80,9 @@
         rank.unwrap_or(ranked.len()).min(MAX_RANK)
     }
 }
+
+/// Returns the epoch before the first of a claim: larger than those of all earlier claims, also of
+/// earlier eras, in which revisions may have been larger.
+pub fn first_epoch(era: Era, claim: Revision) -> Epoch {
+    Epoch(era.0 as i64 * EPOCHS_PER_ERA + claim.0 * EPOCHS_PER_CLAIM)
+}
--- a/src/gateway/changes/messages.rs
+++ b/src/gateway/changes/messages.rs
@@ -1,6 +1,10 @@
 //! Messages between a subscriber and the peer that it follows.
 
-use crate::core::{input::WatchEvent, keys::Revision, time::Span};
+use crate::core::{
+    input::WatchEvent,
+    keys::{Era, Revision},
+    time::Span,
+};
 
 crate::record! {
     /// Request for the changes of the entries under a prefix; the only message of a subscriber.
@@ -9,6 +13,8 @@
         pub prefix: String,
         /// Revision after which the changes are wanted.
         pub after: Revision,
+        /// Era of the revision.
+        pub era: Option<Era>,
     }
 
     /// Message to a subscriber.
--- a/src/gateway/changes/server.rs
+++ b/src/gateway/changes/server.rs
@@ -5,7 +5,7 @@
     messages::{Changes, Subscribe, Update},
 };
 use crate::{
-    core::keys::Revision,
+    core::keys::{Era, Revision},
     gateway::state::GatewayState,
     shell::{
         frames::{read_frame, write_frame},
@@ -73,7 +73,7 @@
     let mut after = request.after;
     loop {
         let changed = topic.next_change();
-        let (update, end) = next_update(topic, after, state);
+        let (update, end) = next_update(topic, after, request.era, state);
         let frame = postcard::to_stdvec(&update).map_err(io::Error::other)?;
         in_time(write_frame(&mut stream, frame)).await?;
         if update == Update::Compacted {
@@ -95,8 +95,13 @@
 }
 
 /// Returns the message with the changes after a revision, and the revision that they lead to.
-fn next_update(topic: &Topic, after: Revision, state: &GatewayState) -> (Update, Revision) {
-    let Some(events) = topic.since(after) else {
+fn next_update(
+    topic: &Topic,
+    after: Revision,
+    era: Option<Era>,
+    state: &GatewayState,
+) -> (Update, Revision) {
+    let Some(events) = topic.since(after, era) else {
         return (Update::Compacted, after);
     };
     let end = after.max(topic.end());
--- a/src/gateway/changes/topic.rs
+++ b/src/gateway/changes/topic.rs
@@ -3,7 +3,7 @@
 use super::history::History;
 use crate::core::{
     input::WatchEvent,
-    keys::Revision,
+    keys::{Era, Revision},
     time::{Span, Time},
 };
 use futures_channel::oneshot;
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 pub struct Topic {
     history: RefCell<History>,
+    /// Era of the revisions.
+    era: Cell<Option<Era>>,
     /// Time at which the changes were last known to be current.
     fresh_at: Cell<Time>,
     /// True while this daemon watches the store for them.
@@ -30,10 +32,18 @@
 }
 
 impl Topic {
-    /// Forgets all changes and continues at a revision.
-    pub fn reset(&self, at: Revision, now: Time) {
+    /// Forgets all changes and continues at a revision of an era.
+    pub fn reset(&self, at: Revision, era: Option<Era>, now: Time) {
         self.history.borrow_mut().reset(at);
         self.renew(now);
+        if self.era.replace(era) != era {
+            self.wake();
+        }
+    }
+
+    /// Returns the era of the revisions.
+    pub fn era(&self) -> Option<Era> {
+        self.era.get()
     }
 
     /// Adds the changes up to a revision, and wakes the waiting tasks if there are any.
@@ -84,8 +94,11 @@
         self.history.borrow().end()
     }
 
-    /// Returns the changes after a revision; none if some of them are no longer kept.
-    pub fn since(&self, after: Revision) -> Option<Vec<WatchEvent>> {
+    /// Returns the changes after a revision of an era; none if some of them are no longer kept.
+    pub fn since(&self, after: Revision, era: Option<Era>) -> Option<Vec<WatchEvent>> {
+        if era != self.era.get() {
+            return None;
+        }
         self.history.borrow().since(after)
     }
 
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -7,9 +7,9 @@
 
 use super::{
     adapter::Adapter,
-    candidacy::Candidacy,
+    candidacy::{Candidacy, first_epoch},
     handlers::{CLAIM_KEY, RUNNER_HEALTH_KEY},
-    lease::{Lease, RETRY_DELAY},
+    lease::{LEASE_TTL, Lease, RETRY_DELAY},
     orders::{self, OrderAnswers},
     peers::{Claim, RunnerHealth},
     planner::Planner,
@@ -18,7 +18,7 @@
 };
 use crate::core::{
     input::PlatformAnswer,
-    keys::{Epoch, Revision},
+    keys::{Era, Revision},
     output::Expect,
 };
 use metrics::gauge;
@@ -31,9 +31,6 @@
 /// Interval between two steps of a daemon.
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Number of epochs reserved for one claim; later claims have larger revisions.
-const EPOCHS_PER_CLAIM: i64 = 1_000;
-
 /// A daemon's participation in the duty, as candidate or holder.
 pub struct Duty<A>
 where
@@ -42,6 +39,8 @@
     state: Rc<GatewayState>,
     lease: Rc<Lease<A>>,
     candidacy: Candidacy,
+    /// Era of the store in which the duty may be claimed.
+    era: Option<Era>,
     /// Set while this daemon holds the duty.
     active: Option<ActiveDuty<A>>,
 }
@@ -68,6 +67,7 @@
             state,
             lease,
             candidacy,
+            era: None,
             active: None,
         }
     }
@@ -80,7 +80,25 @@
         }
     }
 
+    /// Gives the duty up if the store has come back from an older copy, which may have revived an
+    /// earlier claim or lost this one.
+    fn check_era(&mut self) {
+        let era = self.lease.store_era();
+        let before = std::mem::replace(&mut self.era, era);
+        if before == era || before.is_none() {
+            return;
+        }
+        let now = self.state.now();
+        self.candidacy.bar(LEASE_TTL, now);
+        self.state.peers.borrow_mut().claim = None;
+        if self.active.take().is_some() {
+            gauge!("duty_held").set(0.0);
+            slog::warn!(self.state.log, "duty given up"; "cause" => "the store's era has changed");
+        }
+    }
+
     async fn step(&mut self) {
+        self.check_era();
         self.lease.set_batch_delay(self.active.is_some());
         if !self.lease.is_valid() {
             if self.active.take().is_some() {
@@ -154,7 +172,7 @@
     fn activate(&mut self, revision: Revision) {
         gauge!("duty_held").set(1.0);
         slog::info!(self.state.log, "duty taken"; "revision" => revision.0);
-        let epoch = Epoch(revision.0 * EPOCHS_PER_CLAIM);
+        let epoch = first_epoch(self.era.unwrap_or_default(), revision);
         self.active = Some(ActiveDuty {
             planner: Planner::new(epoch),
             prober: Prober::new(self.state.clone()),
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -97,6 +97,23 @@
         .ok()
     }
 
+    fn decode_all(&self, entries: &[PlatformEntry]) -> Vec<(HostName, Runner)> {
+        let decode = |entry: &PlatformEntry| {
+            let name = host_name::<A>(&entry.key)?;
+            let runner = self.decode(&name, entry)?;
+            Some((name, runner))
+        };
+        entries.iter().filter_map(decode).collect()
+    }
+
+    fn replace(&self, revision: Revision, listed: Vec<(HostName, Runner)>) {
+        self.state.runners_revision.set(revision);
+        let now = self.state.now();
+        self.state.roster.borrow_mut().replace(listed, now);
+        self.state.refresh_groups();
+        self.state.runners_listed.set(true);
+    }
+
     fn apply(&self, event: &WatchEvent) {
         let (key, entry) = match event {
             WatchEvent::Put(entry) => (&entry.key, Some(entry)),
@@ -123,17 +140,13 @@
     A: Adapter,
 {
     fn on_list(&self, revision: Revision, entries: Vec<PlatformEntry>) {
-        self.state.runners_revision.set(revision);
-        let decode = |entry: &PlatformEntry| {
-            let name = host_name::<A>(&entry.key)?;
-            let runner = self.decode(&name, entry)?;
-            Some((name, runner))
-        };
-        let runners = entries.iter().filter_map(decode).collect();
-        let now = self.state.now();
-        self.state.roster.borrow_mut().replace(runners, now);
-        self.state.refresh_groups();
-        self.state.runners_listed.set(true);
+        self.replace(revision, self.decode_all(&entries));
+    }
+
+    fn on_older_list(&self, revision: Revision, entries: Vec<PlatformEntry>) {
+        let listed = self.decode_all(&entries);
+        let listed = self.state.roster.borrow().keep_newer(listed);
+        self.replace(revision, listed);
     }
 
     fn on_change(&self, events: Vec<WatchEvent>) {
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -17,7 +17,7 @@
 use crate::{
     core::{
         input::PlatformAnswer,
-        keys::{LeaseId, Revision},
+        keys::{Era, LeaseId, Revision},
         output::{Expect, PlatformCall},
         time::{Span, Time},
     },
@@ -27,7 +27,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 /// Time to live of the lease.
-const LEASE_TTL: Span = Span::from_millis(3_000);
+pub(super) const LEASE_TTL: Span = Span::from_millis(3_000);
 
 /// Interval between renewals of the lease. They also prove to subscribers that this daemon is in
 /// contact with the store.
@@ -62,6 +62,8 @@
     state: Rc<GatewayState>,
     store: A::Store,
     id: Cell<Option<LeaseId>>,
+    /// Era of the store in which the lease was granted.
+    era: Cell<Option<Era>>,
     /// Time until which the store is certain to hold the lease.
     expires: Cell<Time>,
     /// True if this daemon's entry was written under the current lease.
@@ -78,6 +80,7 @@
             state,
             store,
             id: Cell::new(None),
+            era: Cell::default(),
             expires: Cell::default(),
             is_registered: Cell::new(false),
         }
@@ -106,7 +109,9 @@
 
     /// Returns true if the lease is certain to be held now.
     pub fn is_valid(&self) -> bool {
-        self.id.get().is_some() && self.state.now() + EXPIRY_MARGIN < self.expires.get()
+        let is_current = self.era.get() == self.store.era();
+        let is_held = self.id.get().is_some() && is_current;
+        is_held && self.state.now() + EXPIRY_MARGIN < self.expires.get()
     }
 
     /// Renews the lease until the daemon stops, then revokes it.
@@ -139,8 +144,30 @@
         }
     }
 
+    /// Returns the store's era.
+    pub fn store_era(&self) -> Option<Era> {
+        self.store.era()
+    }
+
+    /// Forgets a lease of an earlier era: it may be gone, or another daemon's.
+    fn check_era(&self) {
+        let era = self.store.era();
+        if self.era.replace(era) == era || self.id.get().is_none() {
+            return;
+        }
+        slog::warn!(self.state.log, "lease of an earlier era forgotten"; "era" => era.map(|era| era.0));
+        self.forget();
+    }
+
+    fn forget(&self) {
+        self.id.set(None);
+        self.is_registered.set(false);
+        self.state.registration.set(Registration::default());
+    }
+
     /// Renews the lease, or obtains one; false if that failed.
     async fn renew(&self) -> bool {
+        self.check_era();
         let sent = self.state.now();
         let call = match self.id.get() {
             Some(lease) => PlatformCall::KeepAlive { lease },
@@ -148,6 +175,7 @@
         };
         match self.store.execute(call).await {
             Ok(PlatformAnswer::Leased { lease, ttl }) if ttl > Span::ZERO => {
+                self.era.set(self.store.era());
                 self.id.set(Some(lease));
                 self.expires.set(sent + ttl);
                 let mut registration = self.state.registration.get();
@@ -158,8 +186,7 @@
             }
             Ok(_) => {
                 slog::warn!(self.state.log, "lease expired");
-                self.id.set(None);
-                self.is_registered.set(false);
+                self.forget();
                 false
             }
             Err(_) => false,
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -61,6 +61,9 @@
         pub draining: bool,
         /// Start of this run, in Unix milliseconds.
         pub born: u64,
+        /// Number of orders that this run has accepted.
+        #[serde(default)]
+        pub orders: u64,
         /// Models whose weights are stored on its host.
         pub staged: Vec<ModelName>,
         /// Membership in a group.
@@ -97,6 +100,15 @@
     }
 }
 
+impl Runner {
+    /// Returns true if this report of the same host is certain to be newer.
+    fn is_newer(&self, other: &Runner) -> bool {
+        let is_draining = self.draining && !other.draining;
+        let position = (self.born, self.orders);
+        position > (other.born, other.orders) || (self.born == other.born && is_draining)
+    }
+}
+
 /// A known host.
 #[derive(Clone, Debug)]
 pub struct Host {
@@ -260,6 +272,17 @@
         }
     }
 
+    /// Replaces listed reports by those that are known, where these are newer: the store may have
+    /// come back from an older copy, and the runners have yet to report again.
+    pub fn keep_newer(&self, listed: Vec<(HostName, Runner)>) -> Vec<(HostName, Runner)> {
+        let newer = |(name, runner): (HostName, Runner)| {
+            let known = self.host_by_name(&name).map(|(_, host)| &host.runner);
+            let kept = known.filter(|known| known.is_newer(&runner)).cloned();
+            (name, kept.unwrap_or(runner))
+        };
+        listed.into_iter().map(newer).collect()
+    }
+
     /// Marks a host whose runner has said that it leaves, whatever its entry says; returns true if
     /// that is news.
     pub fn mark_leaving(&mut self, key: HostKey) -> bool {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -38,6 +38,12 @@
     /// Applies changes, in order.
     fn on_change(&self, events: Vec<WatchEvent>);
 
+    /// Replaces everything known by the first full list of a new era, which may be older than what
+    /// is known.
+    fn on_older_list(&self, revision: Revision, entries: Vec<PlatformEntry>) {
+        self.on_list(revision, entries);
+    }
+
     /// Notes that the store answers again after an outage.
     fn on_recovery(&self) {}
 }
@@ -96,8 +102,16 @@
             Err(error) => return Err(error.to_string()),
         };
         self.record_success();
-        self.topic.reset(revision, self.state.now());
-        self.handler.on_list(revision, entries);
+        let (known, era) = (self.topic.era(), self.store.era());
+        self.topic.reset(revision, era, self.state.now());
+        if known.is_none() || known == era {
+            self.handler.on_list(revision, entries);
+            return Ok(());
+        }
+        slog::warn!(self.state.log, "store came back from an older copy";
+            "prefix" => self.prefix, "era" => era.map(|era| era.0), "revision" => revision.0);
+        self.record_recovery();
+        self.handler.on_older_list(revision, entries);
         Ok(())
     }
 
@@ -105,12 +119,17 @@
     async fn follow(&mut self) {
         let state = self.state;
         loop {
+            if self.store.era() != self.topic.era() {
+                return;
+            }
             let source = self.state.change_source();
+            let store = self.store.clone();
             let end = match &source {
                 Source::Store => self.watch_store().await,
                 Source::Peer { name, address } => {
                     let follow = pin!(self.follow_peer(name, *address));
-                    match select(follow, pin!(wait_for_change(state, &source))).await {
+                    let change = pin!(wait_for_change(state, &store, &source));
+                    match select(follow, change).await {
                         Either::Left((FollowEnd::Compacted, _)) => Some(WatchEnd::Compacted),
                         _ => None,
                     }
@@ -140,7 +159,7 @@
         };
         topic.set_watched(true);
         let watch = pin!(store.watch(prefix, from, deliver));
-        let source_change = pin!(wait_for_change(state, &Source::Store));
+        let source_change = pin!(wait_for_change(state, &store, &Source::Store));
         let end = match select(watch, source_change).await {
             Either::Left((end, _)) => Some(end),
             Either::Right(_) => None,
@@ -157,6 +176,7 @@
         let request = Subscribe {
             prefix: self.prefix.to_owned(),
             after: self.topic.end(),
+            era: self.topic.era(),
         };
         let prefix = self.prefix;
         let mut outages = None;
@@ -218,11 +238,15 @@
     }
 }
 
-/// Waits until another source is the right one for this daemon.
-async fn wait_for_change(state: &GatewayState, current: &Source) {
+/// Waits until another source is the right one for this daemon, or the store's era changes.
+async fn wait_for_change<K>(state: &GatewayState, store: &K, current: &Source)
+where
+    K: KeyValueStore,
+{
+    let era = store.era();
     loop {
         compio::time::sleep(SOURCE_CHECK_INTERVAL).await;
-        if state.change_source() != *current {
+        if state.change_source() != *current || store.era() != era {
             return;
         }
     }
--- a/src/shell/platform.rs
+++ b/src/shell/platform.rs
@@ -15,7 +15,7 @@
 use crate::{
     core::{
         input::{Input, PlatformAnswer, PlatformInput, WatchEvent},
-        keys::{PlatformId, Revision},
+        keys::{Era, PlatformId, Revision},
         output::PlatformCall,
     },
     settings::Settings,
@@ -41,6 +41,11 @@
         call: PlatformCall,
     ) -> impl Future<Output = Result<PlatformAnswer, PlatformError>>;
 
+    /// Returns the store's era, as of its latest answer; none for a store that names none.
+    fn era(&self) -> Option<Era> {
+        None
+    }
+
     /// Sets the time that changes may accumulate before a watch polls for them; ignored by a
     /// store that pushes changes.
     fn set_batch_delay(&self, _delay: Duration) {}
--- a/tests/gateway/candidacy.rs
+++ b/tests/gateway/candidacy.rs
@@ -2,11 +2,11 @@
 
 use hickoryledge::{
     core::{
-        keys::{DaemonName, HallName, Revision},
+        keys::{DaemonName, Era, HallName, Revision},
         time::{Span, Time},
     },
     gateway::{
-        candidacy::Candidacy,
+        candidacy::{Candidacy, first_epoch},
         peers::{DaemonEntry, Peers},
     },
 };
@@ -75,3 +75,31 @@
     assert!(!strong.should_claim(&peers, LATER));
     assert!(holder.should_claim(&peers, LATER));
 }
+
+/// The store may have forgotten the claim of a daemon whose lease is still valid by its own clock, or
+/// have brought an earlier claim back.
+#[test]
+fn barred_daemon_claims_only_after_earlier_leases_have_ended() {
+    let peers = daemons(&[("a", 12)]);
+    let mut revived = daemons(&[("a", 12)]);
+    revived.claim = Some((DaemonName::from("a"), Revision(3)));
+    let lease = Span::from_secs(3);
+    for peers in [peers, revived] {
+        let mut candidacy = Candidacy::new(DaemonName::from("a"), Time(0));
+        assert!(candidacy.should_claim(&peers, LATER));
+        candidacy.bar(lease, LATER);
+        assert!(!candidacy.should_claim(&peers, LATER + Span::from_millis(2_999)));
+        assert!(candidacy.should_claim(&peers, LATER + lease));
+    }
+}
+
+#[test]
+fn epochs_of_a_later_era_are_larger_whatever_its_revisions() {
+    let last = first_epoch(Era(3), Revision(999_999_999));
+    assert!(first_epoch(Era(4), Revision(1)) > last);
+    assert!(first_epoch(Era(0), Revision(2)) > first_epoch(Era(0), Revision(1)));
+    assert!(
+        first_epoch(Era(8_000), Revision(1)).0 < 1 << 53,
+        "exact in JSON"
+    );
+}
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -620,6 +620,7 @@
         slots: 26,
         draining: runner.is_draining,
         born: runner.born,
+        orders: 0,
         staged: runner.staged.clone(),
         member: runner.member.as_ref().map(|member| Membership {
             group: member.group.clone(),
--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -5,7 +5,7 @@
     core::time::{Span, Time},
     gateway::{
         notices::{LimitChange, Notices, RateLimit},
-        roster::HostKey,
+        roster::{HostKey, Roster, Runner},
     },
 };
 use slotmap::SlotMap;
@@ -121,6 +121,36 @@
     assert!(is_usable(&fleet), "a restarted runner has said nothing");
 }
 
+// After a rollback of the store its entries are older than what the daemons know.
+#[test]
+fn newer_reports_are_kept_over_an_older_copy() {
+    let mut fleet = Fleet::new(1, 11);
+    fleet.run_for(Span::from_secs(12));
+    let name = fleet.alive()[0].clone();
+    let (_, host) = fleet.roster.host_by_name(&name).expect("known");
+    let report = Runner {
+        orders: 5,
+        draining: false,
+        ..host.runner.clone()
+    };
+    let kept_over = |known: &Runner, listed: &Runner| {
+        let mut roster = Roster::default();
+        roster.put(name.clone(), known.clone());
+        let kept = roster.keep_newer(vec![(name.clone(), listed.clone())]);
+        kept[0].1 == *known
+    };
+    let with = |change: fn(&mut Runner)| {
+        let mut other = report.clone();
+        change(&mut other);
+        other
+    };
+    assert!(kept_over(&report, &with(|other| other.orders = 4)));
+    assert!(kept_over(&report, &with(|other| other.born -= 1)));
+    assert!(kept_over(&with(|known| known.draining = true), &report));
+    assert!(!kept_over(&report, &with(|other| other.orders = 6)));
+    assert!(!kept_over(&report, &with(|other| other.draining = true)));
+}
+
 #[test]
 fn group_of_leaving_member_is_replaced_like_that_of_a_draining_one() {
     let mut fleet = Fleet::new(1, 11);
--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -345,7 +345,8 @@
             }
             std::thread::sleep(Duration::from_millis(5));
         };
-        if !super::runner::write_response(&mut stream, status, "", &body.to_string()) {
+        let head = store.response_head();
+        if !super::runner::write_response(&mut stream, status, &head, &body.to_string()) {
             return;
         }
     }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod notices;
 mod relay;
 mod requests;
+mod rollback;
 mod runner;
 mod store;
 mod streams;
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -136,8 +136,19 @@
         self.requests.lock().expect("not poisoned").clone()
     }
 
+    /// Starts a new run of the runner, without a group.
+    pub fn restart(&self) {
+        {
+            let mut entry = self.entry.lock().expect("not poisoned");
+            entry["born"] = json!(entry["born"].as_u64().expect("a number") + 1);
+            entry["group"] = Value::Null;
+            entry["Models"] = json!([]);
+        }
+        self.register();
+    }
+
     /// Writes the runner's entry to the store.
-    fn register(&self) {
+    pub fn register(&self) {
         let entry = self.entry.lock().expect("not poisoned").to_string();
         self.store.put(&format!("servers/{}", self.name), &entry);
     }
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -2,7 +2,14 @@
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
-use std::{collections::BTreeMap, sync::Mutex, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 /// Maximum time that a watch without changes waits; shorter than the daemon asks for.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(300);
@@ -14,7 +21,7 @@
     lease: i64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
     items: BTreeMap<String, Item>,
     /// All changes, in order: the key, the revision, and the item unless it was deleted.
@@ -34,8 +41,13 @@
 #[derive(Default)]
 pub struct Store {
     state: Mutex<State>,
+    /// Number of times that an older copy was restored.
+    era: AtomicU64,
 }
 
+/// Copy of a store's state.
+pub struct Copy(State);
+
 impl Store {
     /// Writes a key, as an operator or a runner does.
     pub fn put(&self, key: &str, value: &str) {
@@ -49,6 +61,36 @@
         state.delete(key);
     }
 
+    /// Returns a copy of the state.
+    pub fn copy(&self) -> Copy {
+        Copy(self.state.lock().expect("not poisoned").clone())
+    }
+
+    /// Comes back from an older copy: what was written since is lost, leases too.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.state.lock().expect("not poisoned");
+        let calls = std::mem::take(&mut state.calls);
+        *state = copy.0;
+        state.calls = calls;
+        self.era.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Returns the header of all responses.
+    pub fn response_head(&self) -> String {
+        format!("Store-Era: {}\r\n", self.era.load(Ordering::SeqCst))
+    }
+
+    /// Returns the value of a key; empty if there is none.
+    pub fn value(&self, key: &str) -> String {
+        let state = self.state.lock().expect("not poisoned");
+        let value = state
+            .items
+            .get(key)
+            .map(|item| STANDARD.decode(&item.value));
+        let bytes = value.map(|decoded| decoded.expect("Base64"));
+        String::from_utf8(bytes.unwrap_or_default()).expect("text")
+    }
+
     /// Drops all changes so far; a watch that needs them must list again.
     pub fn forget_history(&self) {
         let mut state = self.state.lock().expect("not poisoned");
@@ -108,7 +150,7 @@
             }
             ("GET", "/kv-watch") => {
                 let after = query["After"].parse().expect("a revision");
-                if after < state.compacted {
+                if after < state.compacted || after > state.revision {
                     return Some((410, json!({})));
                 }
                 state
@@ -123,7 +165,13 @@
                     json!({"Lease": state.last_lease, "TtlMs": body["TtlMs"]}),
                 ))
             }
-            ("POST", _) if path.starts_with("/kv-keep/") => Some((200, json!({"TtlMs": 3_000}))),
+            ("POST", _) if path.starts_with("/kv-keep/") => {
+                let lease: i64 = path["/kv-keep/".len()..].parse().expect("a lease");
+                match lease <= state.last_lease {
+                    true => Some((200, json!({"TtlMs": 3_000}))),
+                    false => Some((404, json!({}))),
+                }
+            }
             ("DELETE", _) => {
                 let lease = path.rsplit('/').next().and_then(|id| id.parse().ok());
                 state.revoke(lease.expect("a lease"));
