List once after a rollback, and keep the runners' health

And an older copy of the runners' health made dead members appear healthy; it is left out until the next holder publishes.

--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -253,6 +253,12 @@
         entries.iter().for_each(|entry| self.put(entry));
     }
 
+    fn on_older_list(&self, revision: Revision, mut entries: Vec<PlatformEntry>) {
+        // Who has died since the copy would appear to be healthy; the next holder publishes anew.
+        entries.retain(|entry| entry.key.strip_prefix(self.prefix) != Some(RUNNER_HEALTH_KEY));
+        self.on_list(revision, entries);
+    }
+
     fn on_change(&self, events: Vec<WatchEvent>) {
         for event in &events {
             match event {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -20,7 +20,7 @@
         input::{PlatformAnswer, PlatformEntry, WatchEvent},
         keys::{DaemonName, Revision},
         output::PlatformCall,
-        time::Time,
+        time::{Span, Time},
     },
     shell::platform::{KeyValueStore, WatchEnd},
 };
@@ -30,6 +30,9 @@
 /// Interval at which a daemon checks whether its source is still the right one.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time after a list in which a peer that lacks the changes since is of no use.
+const NEW_LIST_AGE: Span = Span::from_millis(1_500);
+
 /// Receiver of the entries under a prefix.
 pub trait EntryHandler {
     /// Replaces everything known by a full list of the entries as of a revision.
@@ -62,6 +65,7 @@
         handler,
         is_store_down: false,
         backoff: Backoff::default(),
+        listed_at: Time::default(),
     };
     loop {
         match follower.list().await {
@@ -84,6 +88,8 @@
     /// Reachability of the store; each change is logged once.
     is_store_down: bool,
     backoff: Backoff,
+    /// Time of the last list.
+    listed_at: Time,
 }
 
 impl<K, H> Follower<'_, K, H>
@@ -102,6 +108,7 @@
             Err(error) => return Err(error.to_string()),
         };
         self.record_success();
+        self.listed_at = self.state.now();
         let (known, era) = (self.topic.era(), self.store.era());
         self.topic.reset(revision, era, self.state.now());
         if known.is_none() || known == era {
@@ -191,8 +198,10 @@
         let end = subscription::follow(state, address, request, deliver).await;
         slog::info!(state.log, "peer no longer followed";
             "prefix" => prefix, "peer" => name.as_str(), "cause" => %end);
-        // A peer that has listed the entries anew can be followed from a new list on.
-        if !matches!(end, FollowEnd::Compacted) {
+        // A peer that has listed the entries anew can be followed from a new list on; one that is
+        // behind that list, after a change of the store's era, can't yet.
+        let is_listed = state.now().since(self.listed_at) < NEW_LIST_AGE;
+        if is_listed || !matches!(end, FollowEnd::Compacted) {
             let mut avoided = state.avoided_peers.borrow_mut();
             avoided.insert(name.clone(), state.now());
         }
--- a/tests/gateway/entries.rs
+++ b/tests/gateway/entries.rs
@@ -6,7 +6,10 @@
         keys::{HostName, Revision},
     },
     gateway::{
-        handlers::RunnerHandler, roster::MemberState, settings::Settings, state::GatewayState,
+        handlers::{PeerHandler, RunnerHandler},
+        roster::MemberState,
+        settings::Settings,
+        state::GatewayState,
         watch::EntryHandler as _,
     },
     platform::Platform,
@@ -67,3 +70,29 @@
     handler.on_change(vec![WatchEvent::Put(entry(10, "closing"))]);
     assert_eq!(member_state(&state), Some(MemberState::Closing));
 }
+
+/// Without the runners' health of before, groups with dead members would be used again.
+#[test]
+fn older_copy_does_not_revive_lost_runner() {
+    let state = state();
+    let runners = RunnerHandler::<Platform>::new(state.clone());
+    let peers = PeerHandler::new(state.clone(), "hickoryledge/");
+    let health = |lost: &str| PlatformEntry {
+        key: "hickoryledge/lost".to_owned(),
+        value: format!(r#"{{"lost":[{lost}]}}"#),
+        revision: Revision(9),
+        lease: None,
+    };
+    runners.on_list(Revision(8), vec![entry(8, "open")]);
+    peers.on_list(Revision(9), vec![health(r#"["h1",1]"#)]);
+    let is_lost = || {
+        let roster = state.roster.borrow();
+        let (_, host) = roster.host_by_name(&HostName::from("h1")).expect("known");
+        host.is_unreachable()
+    };
+    assert!(is_lost());
+    peers.on_older_list(Revision(5), vec![health("")]);
+    assert!(is_lost());
+    peers.on_change(vec![WatchEvent::Put(health(""))]);
+    assert!(!is_lost(), "the next holder has published anew");
+}
--- a/tests/platform/rollback.rs
+++ b/tests/platform/rollback.rs
@@ -47,9 +47,17 @@
         env.configure(version * 2);
     }
     daemons().for_each(|daemon| await_status(&env, daemon, 404));
+    let lists = |env: &TestEnv| {
+        let calls = env.store.calls().into_iter();
+        calls.filter(|(path, _)| path == "/kv-range").count()
+    };
+    let before = lists(&env);
     env.store.restore(copy);
     env.configure(33);
     daemons().for_each(|daemon| await_status(&env, daemon, 200));
+    // Each of five daemons lists three prefixes, the holder of the duty one more.
+    let listed = lists(&env) - before;
+    assert!(listed <= 5 * 3 * 3, "{listed} lists");
     env.configure(34);
     daemons().for_each(|daemon| await_status(&env, daemon, 404));
 }
