--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -100,6 +100,8 @@
     last_epoch: Epoch,
     /// Model whose weights are in memory.
     last_model: Option<ModelName>,
+    /// Number of orders that it has accepted.
+    orders: u64,
 }
 
 /// Actual membership of a runner in a group.
@@ -172,6 +174,7 @@
             member: None,
             last_epoch: Epoch(0),
             last_model: None,
+            orders: 0,
         };
         self.hosts.insert(HostName::from(host), runner);
     }
@@ -214,15 +217,19 @@
         }
     }
 
+    /// Returns the entries in the store.
+    pub fn entries(&self) -> Vec<(HostName, Runner)> {
+        let listed = self.hosts.iter();
+        let listed = listed.filter(|(_, runner)| !runner.is_dead && !runner.is_unlisted);
+        listed
+            .map(|(name, runner)| (name.clone(), entry(runner)))
+            .collect()
+    }
+
     /// Hands the duty over to a daemon that has just started: it knows the current list, and learns
     /// from its predecessor which groups no longer hold their members.
     pub fn hand_over_to_new_daemon(&mut self, epoch: Epoch) {
-        let listed = self
-            .hosts
-            .iter()
-            .filter(|(_, runner)| !runner.is_dead && !runner.is_unlisted)
-            .map(|(name, runner)| (name.clone(), entry(runner)))
-            .collect();
+        let listed = self.entries();
         let released = self.planner.released_groups(&self.roster, self.now);
         self.roster = Roster::default();
         self.roster.replace(listed, self.now);
@@ -448,12 +455,14 @@
                         member.due = Some(now + OPEN_DELAY);
                     }
                 });
+                self.count_order(&directive.host);
             }
             Order::Close { group, epoch, .. } => {
                 self.with_member(&directive.host, group, *epoch, |member| {
                     member.state = MemberState::Ready;
                     member.due = None;
                 });
+                self.count_order(&directive.host);
             }
             Order::Leave { group, epoch } => {
                 let runner = self.hosts.get_mut(&directive.host).expect("known");
@@ -463,6 +472,7 @@
                     .is_some_and(|member| member.group == *group && member.epoch == *epoch);
                 if is_member {
                     runner.member = None;
+                    runner.orders += 1;
                 }
             }
             Order::Stage { model } => {
@@ -473,12 +483,17 @@
                     .as_ref()
                     .is_some_and(|(other, _)| other == model);
                 if !runner.staged.contains(model) && !is_loading {
+                    runner.orders += 1;
                     runner.loading = Some((model.clone(), now + load));
                 }
             }
         }
     }
 
+    fn count_order(&mut self, host: &HostName) {
+        self.hosts.get_mut(host).expect("known").orders += 1;
+    }
+
     fn join(
         &mut self,
         host: &HostName,
@@ -509,6 +524,7 @@
         let rank = members.iter().position(|member| member == host);
         let runner = self.hosts.get_mut(host).expect("known");
         runner.last_epoch = epoch;
+        runner.orders += 1;
         runner.member = Some(SimMember {
             group: group.clone(),
             epoch,
@@ -620,7 +636,7 @@
         slots: 26,
         draining: runner.is_draining,
         born: runner.born,
-        orders: 0,
+        orders: runner.orders,
         staged: runner.staged.clone(),
         member: runner.member.as_ref().map(|member| Membership {
             group: member.group.clone(),
