--- a/tests/platform/notices.rs
+++ b/tests/platform/notices.rs
@@ -2,7 +2,7 @@
 
 use super::{
     env::{TestEnv, send_request},
-    runner::Behavior,
+    runner::{Behavior, Runner},
 };
 use std::{thread, time::Duration};
 
@@ -13,17 +13,22 @@
     env.call("GET", "/read/x", &[], "").status
 }
 
+/// Sends requests until a runner has got one, and so has said what it says of itself.
+fn await_request(env: &TestEnv, runner: &Runner) {
+    let before = runner.requests().len();
+    env.eventually("the runner has got a request", |env| {
+        read(env);
+        runner.requests().len() > before
+    });
+}
+
 // The store may be away or behind when a runner leaves.
 #[test]
 fn sends_nothing_to_plain_runner_that_says_it_leaves() {
     let env = TestEnv::start();
     let leaving = &env.plain_runners[0];
     leaving.say_leaving();
-    let before = leaving.requests().len();
-    env.eventually("the runner has said so", |env| {
-        read(env);
-        leaving.requests().len() > before
-    });
+    await_request(&env, leaving);
     let before = leaving.requests().len();
     assert!((0..REQUESTS).all(|_| read(&env) == 200));
     assert_eq!(leaving.requests().len(), before);
@@ -53,11 +58,7 @@
     });
     let leaving = &env.plain_runners[0];
     leaving.say_leaving();
-    let before = leaving.requests().len();
-    env.eventually("the first daemon has heard it", |env| {
-        read(env);
-        leaving.requests().len() > before
-    });
+    await_request(&env, leaving);
     env.eventually("the other daemon has been told", |_| {
         other.metric("hickoryledge_leaving_hosts_told_total") >= 1.0
     });
@@ -72,11 +73,7 @@
     let env = TestEnv::start();
     let paused = &env.plain_runners[0];
     paused.enqueue(Behavior::DeclineFor("120.5"));
-    let before = paused.requests().len();
-    env.eventually("the runner has declined a request", |env| {
-        read(env);
-        paused.requests().len() > before
-    });
+    await_request(&env, paused);
     let before = paused.requests().len();
     // A runner that declined once is avoided for half a second in any case.
     thread::sleep(Duration::from_millis(700));
@@ -89,16 +86,9 @@
     let env = TestEnv::start();
     let paused = &env.plain_runners[0];
     paused.enqueue(Behavior::DeclineFor("0.3"));
-    let before = paused.requests().len();
-    env.eventually("the runner has declined a request", |env| {
-        read(env);
-        paused.requests().len() > before
-    });
+    await_request(&env, paused);
     thread::sleep(Duration::from_millis(300));
-    env.eventually("the runner is used again", |env| {
-        read(env);
-        paused.requests().len() > before + 1
-    });
+    await_request(&env, paused);
 }
 
 // The caller is told when a place is expected, whatever the runner asked for.
