--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -47,9 +47,9 @@
 /// Permits that a request may be denied before it looks for a runner without a rate limit.
 const MAX_DENIALS: u32 = 3;
 
-/// Maximum time that a request which may have run waits for rate limits; callers of a stream give
-/// up after two seconds.
-const MAX_LIMIT_WAIT: Span = Span::from_millis(1_000);
+/// Maximum time that a request which may have run waits for runners that are held back; callers of
+/// a stream give up after two seconds.
+const MAX_HELD_BACK_WAIT: Span = Span::from_millis(1_000);
 
 /// Serves a request.
 pub async fn respond<A>(state: &Rc<GatewayState>, request: Request<Incoming>) -> CallResponse
@@ -284,7 +284,7 @@
                 return Err(refuse_held_back(call, wait));
             }
             // To the caller of a request that may have run, a refusal would be a failure.
-            Err(ChooseError::HeldBack { wait }) if waited + wait <= MAX_LIMIT_WAIT => {
+            Err(ChooseError::HeldBack { wait }) if waited + wait <= MAX_HELD_BACK_WAIT => {
                 compio::time::sleep(wait.into()).await;
                 waited = waited + wait;
                 denials = 0;
@@ -352,7 +352,7 @@
 /// time, by their rate limits or pauses.
 fn refuse_held_back(call: &Call, wait: Span) -> Refusal {
     let retry_delay = admission::held_back_retry_delay(wait, &mut *call.state.rng.borrow_mut());
-    slog::info!(call.state.log, "rate limits and pauses of all runners";
+    slog::info!(call.state.log, "all runners held back";
         "request" => call.id(),
         "service" => call.service.as_str(),
         "wait_ms" => wait.as_millis());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -51,6 +51,7 @@
 pub mod responses;
 pub mod roster;
 pub mod routes;
+pub mod runner;
 mod sent_orders;
 pub mod settings;
 pub mod spec;
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -7,19 +7,18 @@
 //! long as a group may count on it. It is unreachable if it answers no probe,
 //! and dead if it is also known to run no more requests.
 
+pub use super::runner::{MemberState, Membership, Runner};
+
 use super::{
     group::{self, Group},
     spec::Spec,
 };
 use crate::core::{
-    keys::{DomainName, Epoch, GroupName, HallName, HostName, ModelName, ServiceName},
+    keys::{Epoch, HostName},
     time::{Span, Time},
 };
 use slotmap::{SlotMap, new_key_type};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Window after a store outage in which a missing entry may still come back.
 pub const REENTRY_WINDOW: Span = Span::from_millis(2_000);
@@ -44,71 +43,6 @@
     pub struct HostKey;
 }
 
-crate::record! {
-    /// A runner's entry, as it reports itself.
-    pub struct Runner {
-        /// Service that it belongs to.
-        pub service: ServiceName,
-        /// Address for requests and orders.
-        pub address: SocketAddr,
-        /// Hall of its host.
-        pub hall: HallName,
-        /// Fabric domain, if it can be a member of a group.
-        pub domain: Option<DomainName>,
-        /// Number of requests that it runs at once.
-        pub slots: u32,
-        /// True if it is draining and about to leave.
-        pub draining: bool,
-        /// Start of this run, in Unix milliseconds.
-        pub born: u64,
-        /// Number of orders that this run has accepted.
-        #[serde(default)]
-        pub orders: u64,
-        /// Models whose weights are stored on its host.
-        pub staged: Vec<ModelName>,
-        /// Membership in a group.
-        pub member: Option<Membership>,
-    }
-
-    /// A runner's membership in a group.
-    pub struct Membership {
-        /// Name of the group.
-        pub group: GroupName,
-        /// Epoch of the group.
-        pub epoch: Epoch,
-        /// Rank in the group; 0 is the head.
-        pub rank: u16,
-        /// Model of the group, if the runner reports it.
-        pub model: Option<ModelName>,
-        /// State of the member.
-        pub state: MemberState,
-    }
-
-    /// State of a group member.
-    #[derive(Copy, Eq)]
-    pub enum MemberState {
-        /// Loading weights.
-        Joining,
-        /// Weights loaded, not serving.
-        Ready,
-        /// Head that takes requests.
-        Open,
-        /// Head that finishes its requests and takes no more.
-        Closing,
-        /// Out of service: the group was without one of its members for too long.
-        Broken,
-    }
-}
-
-impl Runner {
-    /// Returns true if this report of the same host is certain to be newer.
-    fn is_newer(&self, other: &Runner) -> bool {
-        let is_draining = self.draining && !other.draining;
-        let position = (self.born, self.orders);
-        position > (other.born, other.orders) || (self.born == other.born && is_draining)
-    }
-}
-
 /// A known host.
 #[derive(Clone, Debug)]
 pub struct Host {
