Log the requests that are cut when a daemon exits

A stop logged only that it began and ended: nothing told a daemon that exits with requests in flight from one that a signal ends at once. Each request is now listed from its arrival to its end, and what is left at the exit is logged by its id, runner and age; 'stopping' and 'stopped' name the number of open requests. 'stopping' without 'stopped' means that a signal ended the process. No decision changes.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -5,6 +5,7 @@
     admission::AdmissionClass,
     balancer::Endpoint,
     connection::RunnerConnection,
+    open_requests::OpenGuard,
     roster::HostKey,
     spec::{Route, RouteKind},
     state::GatewayState,
@@ -50,6 +51,8 @@
     pub arrived: Time,
     /// Estimated time that the caller spent on earlier attempts of its own.
     pub time_spent: Span,
+    /// Keeps the request among the open ones.
+    pub open: OpenGuard,
 }
 
 /// Response of a runner whose head has arrived.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -11,12 +11,13 @@
     attempt::{attempt, record_failure, wait_while_serving},
     balancer::{self, ChooseError, Criteria, Endpoint, View},
     call::{AttemptError, AttemptParams, Call, StartedResponse, id_text},
+    open_requests::OpenGuard,
     permits,
     responses::{self, CallResponse, Refusal, strip_hop_by_hop},
     state::GatewayState,
     stream,
 };
-use crate::core::time::{Span, Time};
+use crate::core::time::Span;
 use bytes::Bytes;
 use http::{
     HeaderValue, Request, Response, StatusCode,
@@ -60,7 +61,8 @@
     let (parts, body) = request.into_parts();
     let head = A::decode_call(&parts);
     let id = head.id.clone();
-    let mut response = match accept(state, head, parts, body, arrived).await {
+    let open = state.open.insert(id_text(&id), arrived);
+    let mut response = match accept(state, head, parts, body, open).await {
         Ok(call) => run::<A>(call).await,
         Err(refusal) => {
             log_refusal(state, &id, refusal);
@@ -90,8 +92,9 @@
     head: CallHead,
     parts: request::Parts,
     body: Incoming,
-    arrived: Time,
+    open: OpenGuard,
 ) -> Result<Call, Refusal> {
+    let arrived = state.now();
     let table = state.route_table().ok_or(Refusal::NotConfigured)?;
     let host = parts
         .headers
@@ -154,6 +157,7 @@
         route,
         arrived,
         time_spent,
+        open,
     })
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 pub mod liveness;
 pub mod load;
 pub mod notices;
+pub mod open_requests;
 mod openings;
 pub mod order;
 mod orders;
@@ -63,7 +64,7 @@
 mod weight_loads;
 
 use crate::{
-    core::time::Span,
+    core::{keys::HostName, time::Span},
     shell::{http, metrics, peers::Sockets},
 };
 use adapter::Adapter;
@@ -173,7 +174,9 @@
     ));
 
     wait_for_stop(&state).await;
-    slog::info!(state.log, "stopping"; "taken" => state.accepted.get());
+    slog::info!(state.log, "stopping";
+        "taken" => state.accepted.get(),
+        "open" => state.open.count());
     state.stopping.set(true);
     let grace = Duration::from_millis(state.settings.grace_ms).saturating_sub(FLUSH_WINDOW);
     let remaining = Span::from_millis(grace.as_millis() as u64);
@@ -186,10 +189,24 @@
     }
     let _ = stop.send(());
     compio::time::sleep(FLUSH_WINDOW / 2).await;
-    slog::info!(state.log, "stopped"; "taken" => state.accepted.get());
+    log_cut_requests(&state);
+    slog::info!(state.log, "stopped";
+        "taken" => state.accepted.get(),
+        "open" => state.open.count());
     Ok(())
 }
 
+/// Logs the requests that are cut because the daemon exits.
+fn log_cut_requests(state: &GatewayState) {
+    let now = state.now();
+    for request in state.open.list() {
+        slog::warn!(state.log, "request cut by the stop";
+            "request" => request.id,
+            "host" => request.host.as_ref().map(HostName::as_str),
+            "after_ms" => now.since(request.arrived).as_millis());
+    }
+}
+
 fn spawn<F>(task: F)
 where
     F: Future<Output = ()> + 'static,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
     liveness::ReportedProgress,
     load::Loads,
     notices::{LimitChange, Notices, RateLimit},
+    open_requests::OpenRequests,
     outages::{Outages, ServingChange},
     peers::Peers,
     permits::{Permits, Registration},
@@ -97,6 +98,8 @@
     pub stopping: Cell<bool>,
     /// Time at which responses still in flight are cut, set when the daemon is told to stop.
     pub drain_deadline: Cell<Option<Time>>,
+    /// Requests that have not ended yet.
+    pub open: OpenRequests,
     /// Number of requests accepted so far.
     pub accepted: Cell<u64>,
 }
@@ -133,6 +136,7 @@
             runners_revision: Cell::default(),
             stopping: Cell::new(false),
             drain_deadline: Cell::new(None),
+            open: OpenRequests::default(),
             accepted: Cell::new(0),
             settings,
         }
