Fix: a second signal during a stop no longer ends the daemon

Callers saw: status 200 and a closed connection, midway in their streams, when a daemon that was stopping got SIGHUP (its settings changed) or a second SIGTERM. Cause: the handler of a signal belonged to the future that waits for it. It was uninstalled when the first SIGTERM had come, and for a moment with each SIGHUP; the next signal then met the default action. A SIGTERM just beside a SIGHUP could also be lost with the future that was dropped. Class: what must hold for the life of the process was held by something shorter-lived. Fix: handlers are installed once, before anything else, and stay; each signal sets a flag that stays set until it is read, so that none is lost and none has a default action.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -65,27 +65,24 @@
 
 use crate::{
     core::{keys::HostName, time::Span},
-    shell::{http, metrics, peers::Sockets},
+    shell::{
+        http, metrics,
+        peers::Sockets,
+        signals::{Signal, Signals},
+    },
 };
 use adapter::Adapter;
 use anyhow::Context as _;
 use compio::net::UdpSocket;
 use duty::Duty;
 use futures_channel::oneshot;
-use futures_util::{
-    FutureExt as _,
-    future::{Either, join, select},
-};
+use futures_util::{FutureExt as _, future::join};
 use lease::Lease;
 use settings::Settings;
 use slog::Logger;
 use state::GatewayState;
-use std::{pin::pin, rc::Rc, time::Duration};
+use std::{io, rc::Rc, time::Duration};
 
-/// Signal that requests a graceful stop.
-const SIGTERM: i32 = 15;
-/// Signal that requests a reload of the settings.
-const SIGHUP: i32 = 1;
 /// End of the grace period that is reserved for writing out responses.
 const FLUSH_WINDOW: Duration = Duration::from_millis(700);
 
@@ -98,6 +95,7 @@
 where
     A: Adapter,
 {
+    let mut signals = Signals::install().context("install the signal handlers")?;
     metrics::install();
     let listen = &mut settings.listen;
     let callers = http::bind(listen.caller)
@@ -173,11 +171,14 @@
         stopped.clone(),
     ));
 
-    wait_for_stop(&state).await;
+    wait_for_stop(&mut signals, &state.log)
+        .await
+        .context("wait for signals")?;
     slog::info!(state.log, "stopping";
         "taken" => state.accepted.get(),
         "open" => state.open.count());
     state.stopping.set(true);
+    spawn(log_signals(signals, state.log.clone()));
     let grace = Duration::from_millis(state.settings.grace_ms).saturating_sub(FLUSH_WINDOW);
     let remaining = Span::from_millis(grace.as_millis() as u64);
     state.drain_deadline.set(Some(state.now() + remaining));
@@ -214,14 +215,27 @@
     compio::runtime::spawn(task).detach();
 }
 
-/// Waits for SIGTERM; SIGHUP is only logged.
-async fn wait_for_stop(state: &GatewayState) {
+/// Waits for a signal that asks for a stop; others are only logged.
+async fn wait_for_stop(signals: &mut Signals, log: &Logger) -> io::Result<()> {
+    loop {
+        match signals.next().await? {
+            Signal::Terminate | Signal::Interrupt => return Ok(()),
+            Signal::Hangup => slog::info!(log, "settings apply only after a restart"),
+        }
+    }
+}
+
+/// Logs the signals that come during the stop, which they don't change.
+async fn log_signals(mut signals: Signals, log: Logger) {
     loop {
-        let terminate = pin!(compio::signal::unix::signal(SIGTERM));
-        let hangup = pin!(compio::signal::unix::signal(SIGHUP));
-        match select(terminate, hangup).await {
-            Either::Left(_) => return,
-            Either::Right(_) => slog::info!(state.log, "settings apply only after a restart"),
+        match signals.next().await {
+            Ok(signal) => {
+                slog::info!(log, "signal ignored during the stop"; "signal" => signal.name());
+            }
+            Err(error) => {
+                slog::error!(log, "signals are no longer read"; "cause" => error.to_string());
+                return;
+            }
         }
     }
 }
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -17,6 +17,7 @@
 pub mod platform;
 pub mod relay;
 pub mod runners;
+pub mod signals;
 mod stall;
 
 use crate::{
@@ -38,6 +39,7 @@
 use futures_util::{FutureExt as _, StreamExt as _, select_biased};
 use inbox::Inbox;
 use rustix::time::ClockId;
+use signals::{Signal, Signals};
 use slog::Logger;
 use std::{
     cell::RefCell,
@@ -90,6 +92,7 @@
 /// Fails if an address can't be bound or the recording can't be written. Later
 /// faults of other processes are counted and don't end the daemon.
 pub async fn run(settings: Settings, record: Option<&Path>, log: Logger) -> anyhow::Result<()> {
+    let signals = Signals::install().context("install the signal handlers")?;
     metrics::install();
     let clock = Clock::start();
     let (inbox, mut inputs) = Inbox::new();
@@ -130,7 +133,7 @@
         operators: operators::Operators::start(operator, inbox.clone(), monitor.clone(), &settings),
         calls,
     };
-    stop_on_signal(inbox.clone());
+    compio::runtime::spawn(handle_signals(signals, inbox.clone(), log.clone())).detach();
     inbox.send(Input::Start);
 
     let mut timers = Timers::default();
@@ -247,15 +250,22 @@
     }
 }
 
-fn stop_on_signal(inbox: Inbox) {
-    compio::runtime::spawn(async move {
-        let terminate = compio::signal::unix::signal(SIGTERM);
-        let interrupt = compio::signal::ctrl_c();
-        futures_util::future::select(std::pin::pin!(terminate), std::pin::pin!(interrupt)).await;
-        inbox.send(Input::Stop);
-    })
-    .detach();
+/// Starts the graceful stop on the first signal that asks for it; all others are only logged.
+async fn handle_signals(mut signals: Signals, inbox: Inbox, log: Logger) {
+    let mut is_stopping = false;
+    loop {
+        let signal = match signals.next().await {
+            Ok(signal) => signal,
+            Err(error) => {
+                slog::error!(log, "signals are no longer read"; "cause" => error.to_string());
+                return;
+            }
+        };
+        let asks_stop = signal != Signal::Hangup;
+        slog::info!(log, "signal received"; "signal" => signal.name(), "stopping" => is_stopping);
+        if asks_stop && !is_stopping {
+            is_stopping = true;
+            inbox.send(Input::Stop);
+        }
+    }
 }
-
-/// Number of the signal that starts a graceful stop.
-const SIGTERM: i32 = 15;
