Fix: a stopping daemon takes no request that may outlast it

Callers saw: streams that a stopping daemon had taken some seconds after SIGTERM ended with a closed connection shortly before the end of the grace period. Cause: the daemon took a request if its estimated duration fitted into the rest of the grace period, and exited 0.35 s before its end whatever was in flight. An estimate is no bound: a queue at the head, a slow member, or a second run after a silent head take longer. Class: a promise rests on an estimate, and the end of the process on a timer instead of the work. Options: a larger margin on the estimate (cuts fewer, not none: a member slowed 6 times outlasts any margin that still serves anybody); refuse everything at once (cuts none of these, and refuses short requests without need); take what must have ended by its own deadline. The last is chosen: it holds by construction. A refused caller is told 'not run' and to come back elsewhere after 50 ms. The waiting was in the daemon of 'run' already; both use shell/connections.rs now.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// Returns the time that a stopping daemon must have left to accept a request.
+/// Returns the estimated duration of a request.
 pub fn expected_duration(
     engine: Option<(&Engine, &ModelName)>,
     prompt_tokens: u32,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -121,11 +121,9 @@
     let service = route.pick_service(draw).ok_or(Refusal::NoRoute)?.clone();
     let engine = table.spec().engine(&service);
     let model = engine.zip(head.model.as_ref());
-    if !state.can_finish(admission::expected_duration(
-        model,
-        head.prompt_tokens,
-        head.max_tokens,
-    )) {
+    let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let deadline = arrived + timeout.min(route.timeout);
+    if !state.ends_before_stop(deadline) {
         return Err(Refusal::Unavailable {
             retry_ms: STOPPING_RETRY_DELAY_MS,
         });
@@ -135,9 +133,7 @@
         let mut demand = state.demand.borrow_mut();
         demand.count(engine, model, head.prompt_tokens, head.max_tokens, arrived);
     }
-    let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let time_spent = state.estimate_time_spent(&route.name, timeout);
-    let wait = timeout.min(route.timeout);
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
     headers.remove(EXPECT);
@@ -150,7 +146,7 @@
         headers,
         body,
         account,
-        deadline: arrived + wait,
+        deadline,
         tried: Vec::new(),
         runs: 0,
         attempts: 0,
--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -9,23 +9,16 @@
 use crate::{
     core::time::Span,
     shell::{
+        connections::{ConnectionHandle, accept},
         http::{ConnectionLimits, serve_http1_until},
         metrics,
     },
 };
 use bytes::Bytes;
-use compio::net::{TcpListener, TcpStream};
-use futures_channel::oneshot;
-use futures_util::{
-    FutureExt as _,
-    future::{Either, Shared, select},
-};
+use compio::net::TcpListener;
 use http::{HeaderValue, Request, StatusCode, header::CONTENT_TYPE};
 use hyper::{body::Incoming, service::service_fn};
-use std::{convert::Infallible, pin::pin, rc::Rc, time::Duration};
-
-/// Delay after a failed accept, for example when file descriptors have run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+use std::{convert::Infallible, rc::Rc, time::Duration};
 
 /// Timeout of a connection without a request, until a configuration sets one.
 const DEFAULT_IDLE_TIMEOUT: Span = Span::from_secs(60);
@@ -33,69 +26,49 @@
 /// Timeout of a response of which the caller reads nothing.
 const READ_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Signal to end listeners and idle connections, once it is sent or dropped.
-pub type StopSignal = Shared<oneshot::Receiver<()>>;
-
 /// Serves callers until told to stop.
-pub async fn serve_callers<A>(listener: TcpListener, state: Rc<GatewayState>, stop: StopSignal)
-where
+pub async fn serve_callers<A>(
+    listener: TcpListener,
+    state: Rc<GatewayState>,
+    handle: ConnectionHandle,
+) where
     A: Adapter,
 {
-    accept(listener, stop.clone(), move |stream| {
+    accept(listener, handle, move |stream, stop| {
         let state = state.clone();
         let limits = caller_limits(&state);
-        let stop = stop.clone();
         async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let state = state.clone();
                 async move { Ok::<_, Infallible>(forward::respond::<A>(&state, request).await) }
             });
-            serve_http1_until(stream, service, limits, stop.map(|_| ())).await;
+            serve_http1_until(stream, service, limits, stop).await;
         }
     })
     .await;
 }
 
 /// Serves directory requests, readiness probes and metrics until told to stop.
-pub async fn serve_queries<A>(listener: TcpListener, state: Rc<GatewayState>, stop: StopSignal)
-where
+pub async fn serve_queries<A>(
+    listener: TcpListener,
+    state: Rc<GatewayState>,
+    handle: ConnectionHandle,
+) where
     A: Adapter,
 {
-    accept(listener, stop.clone(), move |stream| {
+    accept(listener, handle, move |stream, stop| {
         let state = state.clone();
-        let stop = stop.clone();
         async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let state = state.clone();
                 async move { Ok::<_, Infallible>(answer_query::<A>(&state, request)) }
             });
-            serve_http1_until(
-                stream,
-                service,
-                ConnectionLimits::default(),
-                stop.map(|_| ()),
-            )
-            .await;
+            serve_http1_until(stream, service, ConnectionLimits::default(), stop).await;
         }
     })
     .await;
 }
 
-async fn accept<S, F>(listener: TcpListener, stop: StopSignal, serve: S)
-where
-    S: Fn(TcpStream) -> F,
-    F: Future<Output = ()> + 'static,
-{
-    loop {
-        let next = pin!(listener.accept());
-        match select(next, stop.clone()).await {
-            Either::Left((Ok((stream, _)), _)) => compio::runtime::spawn(serve(stream)).detach(),
-            Either::Left((Err(_), _)) => compio::time::sleep(ACCEPT_RETRY_DELAY).await,
-            Either::Right(_) => return,
-        }
-    }
-}
-
 fn caller_limits(state: &GatewayState) -> ConnectionLimits {
     let idle = state
         .route_table()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -59,32 +59,21 @@
 mod staging;
 mod startup;
 pub mod state;
+mod stop;
 mod stream;
 pub mod watch;
 mod weight_loads;
 
-use crate::{
-    core::{keys::HostName, time::Span},
-    shell::{
-        http, metrics,
-        peers::Sockets,
-        signals::{Signal, Signals},
-    },
-};
+use crate::shell::{connections::Connections, http, metrics, peers::Sockets, signals::Signals};
 use adapter::Adapter;
 use anyhow::Context as _;
 use compio::net::UdpSocket;
 use duty::Duty;
-use futures_channel::oneshot;
-use futures_util::{FutureExt as _, future::join};
 use lease::Lease;
 use settings::Settings;
 use slog::Logger;
 use state::GatewayState;
-use std::{io, rc::Rc, time::Duration};
-
-/// End of the grace period that is reserved for writing out responses.
-const FLUSH_WINDOW: Duration = Duration::from_millis(700);
+use std::rc::Rc;
 
 /// Runs a gateway until it is told to stop and its grace period has passed.
 ///
@@ -123,8 +112,7 @@
     let store = A::store(settings.store);
     let prefixes = [A::SPEC_KEY, A::RUNNER_PREFIX, A::OWN_PREFIX];
     let state = Rc::new(GatewayState::new(settings, log, &prefixes));
-    let (stop, stopped) = oneshot::channel::<()>();
-    let stopped = stopped.shared();
+    let (connections, handle) = Connections::new();
 
     spawn(watch::watch_prefix(
         state.clone(),
@@ -155,87 +143,29 @@
     let lease = Rc::new(Lease::<A>::new(state.clone(), store));
     let lease_task = compio::runtime::spawn(lease.clone().maintain());
     spawn(Duty::new(state.clone(), lease).run());
-    spawn(listeners::serve_queries::<A>(
-        ready,
-        state.clone(),
-        stopped.clone(),
-    ));
-    spawn(listeners::serve_queries::<A>(
-        directory,
-        state.clone(),
-        stopped.clone(),
-    ));
+    for listener in [ready, directory] {
+        spawn(listeners::serve_queries::<A>(
+            listener,
+            state.clone(),
+            handle.clone(),
+        ));
+    }
     spawn(listeners::serve_callers::<A>(
         callers,
         state.clone(),
-        stopped.clone(),
+        handle,
     ));
 
-    wait_for_stop(&mut signals, &state.log)
+    stop::wait_for_signal(&mut signals, &state.log)
         .await
         .context("wait for signals")?;
-    slog::info!(state.log, "stopping";
-        "taken" => state.accepted.get(),
-        "open" => state.open.count());
-    state.stopping.set(true);
-    spawn(log_signals(signals, state.log.clone()));
-    let grace = Duration::from_millis(state.settings.grace_ms).saturating_sub(FLUSH_WINDOW);
-    let remaining = Span::from_millis(grace.as_millis() as u64);
-    state.drain_deadline.set(Some(state.now() + remaining));
-    let revoked = compio::time::timeout(grace, lease_task);
-    // Requests in flight have the whole grace period; late callers are served while time is left.
-    let (revoked, ()) = join(revoked, compio::time::sleep(grace)).await;
-    if revoked.is_err() {
-        slog::warn!(state.log, "lease not revoked within the grace period");
-    }
-    let _ = stop.send(());
-    compio::time::sleep(FLUSH_WINDOW / 2).await;
-    log_cut_requests(&state);
-    slog::info!(state.log, "stopped";
-        "taken" => state.accepted.get(),
-        "open" => state.open.count());
+    stop::drain(&state, signals, lease_task, connections).await;
     Ok(())
 }
 
-/// Logs the requests that are cut because the daemon exits.
-fn log_cut_requests(state: &GatewayState) {
-    let now = state.now();
-    for request in state.open.list() {
-        slog::warn!(state.log, "request cut by the stop";
-            "request" => request.id,
-            "host" => request.host.as_ref().map(HostName::as_str),
-            "after_ms" => now.since(request.arrived).as_millis());
-    }
-}
-
 fn spawn<F>(task: F)
 where
     F: Future<Output = ()> + 'static,
 {
     compio::runtime::spawn(task).detach();
 }
-
-/// Waits for a signal that asks for a stop; others are only logged.
-async fn wait_for_stop(signals: &mut Signals, log: &Logger) -> io::Result<()> {
-    loop {
-        match signals.next().await? {
-            Signal::Terminate | Signal::Interrupt => return Ok(()),
-            Signal::Hangup => slog::info!(log, "settings apply only after a restart"),
-        }
-    }
-}
-
-/// Logs the signals that come during the stop, which they don't change.
-async fn log_signals(mut signals: Signals, log: Logger) {
-    loop {
-        match signals.next().await {
-            Ok(signal) => {
-                slog::info!(log, "signal ignored during the stop"; "signal" => signal.name());
-            }
-            Err(error) => {
-                slog::error!(log, "signals are no longer read"; "cause" => error.to_string());
-                return;
-            }
-        }
-    }
-}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -96,7 +96,7 @@
     pub runners_revision: Cell<Revision>,
     /// True once the daemon was told to stop.
     pub stopping: Cell<bool>,
-    /// Time at which responses still in flight are cut, set when the daemon is told to stop.
+    /// Time by which new requests must end, set when the daemon is told to stop.
     pub drain_deadline: Cell<Option<Time>>,
     /// Requests that have not ended yet.
     pub open: OpenRequests,
@@ -303,12 +303,9 @@
         act(budget)
     }
 
-    /// Returns true if a request of this duration can be answered before the daemon stops.
-    pub fn can_finish(&self, duration: Span) -> bool {
-        let now = self.now();
-        self.drain_deadline
-            .get()
-            .is_none_or(|end| now + duration <= end)
+    /// Returns true if a request with this deadline must end before the daemon stops.
+    pub fn ends_before_stop(&self, deadline: Time) -> bool {
+        self.drain_deadline.get().is_none_or(|end| deadline <= end)
     }
 
     /// Returns the source from which this daemon follows the store's changes.
--- a/src/shell/callers/mod.rs
+++ b/src/shell/callers/mod.rs
@@ -10,6 +10,5 @@
 mod response;
 mod serve;
 
-pub use connections::Connections;
 pub use parse::format_ticket;
 pub use serve::start;
--- a/src/shell/callers/serve.rs
+++ b/src/shell/callers/serve.rs
@@ -4,9 +4,10 @@
     super::{
         Clock, SharedCore,
         calls::{CallEvent, Calls},
+        connections::Connections,
         metrics,
     },
-    connections::Connections,
+    connections,
     counters::Counters,
     parse::{self, RequestError},
     response::{self, CallerResponse},
@@ -63,7 +64,7 @@
         counters: Counters::default(),
         reading_bodies: Cell::new(0),
     };
-    Connections::start(listener, Rc::new(state))
+    connections::start(listener, Rc::new(state))
 }
 
 /// Handles one request.
--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -151,7 +151,13 @@
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    serve_http1_until(stream, service, ConnectionLimits::default(), pending()).await;
+    serve_http1_until(
+        stream,
+        service,
+        ConnectionLimits::default(),
+        pending::<()>(),
+    )
+    .await;
 }
 
 /// Serves HTTP/1 on one accepted connection; after `stop`, only until the current response ends.
@@ -165,7 +171,7 @@
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-    F: Future<Output = ()>,
+    F: Future,
 {
     if set_socket_options(&stream).is_err() {
         return;
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod callers;
 pub mod calls;
+pub mod connections;
 mod events;
 pub mod frames;
 pub mod host_list;
@@ -52,6 +53,9 @@
 /// The core, shared with drivers that answer read-only queries.
 pub type SharedCore = Rc<RefCell<Core>>;
 
+/// Time for the last responses to be written on a stop.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Monotonic clock of the core; it keeps running while the host is suspended.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -163,7 +167,7 @@
         monitor.record_outputs(now, &core.borrow(), &outputs);
         for output in outputs.drain(..) {
             if perform(output, &drivers, &mut timers, &log) {
-                connections.finish().await;
+                connections.finish(FLUSH_TIMEOUT).await;
                 drivers.peers.finish().await;
                 if let Some(recorder) = &mut recorder {
                     recorder.flush().context("write the recording")?;
