Fix: a stopping daemon revokes its lease at once

The stop now wakes the task. Ruled out: dropping the task, which could lose a lease whose grant is under way.

--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -21,10 +21,13 @@
         output::{Expect, PlatformCall},
         time::{Span, Time},
     },
-    shell::platform::KeyValueStore,
+    shell::{connections::StopSignal, platform::KeyValueStore},
 };
+use compio::runtime::JoinHandle;
+use futures_channel::oneshot;
+use futures_util::{FutureExt as _, future::select};
 use serde::Serialize;
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
 /// Time to live of the lease.
 pub(super) const LEASE_TTL: Span = Span::from_millis(3_000);
@@ -70,6 +73,31 @@
     is_registered: Cell<bool>,
 }
 
+/// Task that keeps a lease until the stop.
+pub struct LeaseTask {
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
+impl LeaseTask {
+    /// Starts to renew a lease.
+    pub fn start<A>(lease: Rc<Lease<A>>) -> Self
+    where
+        A: Adapter,
+    {
+        let (stop, stopped) = oneshot::channel();
+        let task = compio::runtime::spawn(lease.maintain(stopped.shared()));
+        Self { stop, task }
+    }
+
+    /// Revokes the lease, so that the other daemons forget this one at once.
+    pub async fn revoke(self) {
+        // Without a receiver the task has ended already.
+        let _ = self.stop.send(());
+        let _ = self.task.await;
+    }
+}
+
 impl<A> Lease<A>
 where
     A: Adapter,
@@ -114,8 +142,8 @@
         is_held && self.state.now() + EXPIRY_MARGIN < self.expires.get()
     }
 
-    /// Renews the lease until the daemon stops, then revokes it.
-    pub async fn maintain(self: Rc<Self>) {
+    /// Renews the lease until the stop, then revokes it.
+    async fn maintain(self: Rc<Self>, stop: StopSignal) {
         let mut backoff = Backoff::default();
         while !self.state.stopping.get() {
             let delay = match self.renew().await {
@@ -125,7 +153,7 @@
                 }
                 false => backoff.next_delay(),
             };
-            compio::time::sleep(delay).await;
+            select(pin!(compio::time::sleep(delay)), stop.clone()).await;
         }
         self.state.registration.set(Registration::default());
         let Some(lease) = self.id.take() else {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -69,7 +69,7 @@
 use anyhow::Context as _;
 use compio::net::UdpSocket;
 use duty::Duty;
-use lease::Lease;
+use lease::{Lease, LeaseTask};
 use settings::Settings;
 use slog::Logger;
 use state::GatewayState;
@@ -141,7 +141,7 @@
         spawn(progress::report(state.clone()));
     }
     let lease = Rc::new(Lease::<A>::new(state.clone(), store));
-    let lease_task = compio::runtime::spawn(lease.clone().maintain());
+    let lease_task = LeaseTask::start(lease.clone());
     spawn(Duty::new(state.clone(), lease).run());
     for listener in [ready, directory] {
         spawn(listeners::serve_queries::<A>(
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -5,7 +5,7 @@
 //! response takes, but each request has a deadline, so that no request that is
 //! taken now can outlast the daemon. What was taken before has until the exit.
 
-use super::state::GatewayState;
+use super::{lease::LeaseTask, state::GatewayState};
 use crate::{
     core::{keys::HostName, time::Span},
     shell::{
@@ -13,7 +13,6 @@
         signals::{Signal, Signals},
     },
 };
-use compio::runtime::JoinHandle;
 use futures_util::future::join;
 use slog::Logger;
 use std::{io, time::Duration};
@@ -42,7 +41,7 @@
 pub(super) async fn drain(
     state: &GatewayState,
     signals: Signals,
-    lease_task: JoinHandle<()>,
+    lease_task: LeaseTask,
     connections: Connections,
 ) {
     slog::info!(state.log, "stopping";
@@ -55,7 +54,7 @@
     state.drain_deadline.set(Some(
         state.now() + Span::from_millis(serving.as_millis() as u64),
     ));
-    let revoked = compio::time::timeout(serving, lease_task);
+    let revoked = compio::time::timeout(serving, lease_task.revoke());
     let (revoked, ()) = join(revoked, compio::time::sleep(serving)).await;
     if revoked.is_err() {
         slog::warn!(state.log, "lease not revoked within the grace period");
