Let the platform's test fakes pace, slow down, go silent and record their runs

For runs with several daemons: a daemon starts with given addresses, grace period and log file, and its exit can be polled; a runner sends paced events or a late response where the request's query asks for it, can be slower than usual or silent for a time, and records when each such run began and ended. The configuration has a file of its own.

--- /dev/null
+++ b/tests/platform/config.rs
@@ -0,0 +1,47 @@
+//! Configuration of the tests, as an operator writes it.
+
+use super::store::Store;
+use serde_json::json;
+
+/// API key that requests carry.
+pub const API_KEY: &str = "secret-key";
+
+/// Timeout of all routes, in milliseconds.
+pub const TIMEOUT_MS: u64 = 4_000;
+
+/// Writes a version of the configuration; odd versions route `/moved/` to the plain service.
+pub fn write(store: &Store, version: u64) {
+    let route = |prefix: &str, kind: &str, service: &str, attempts: u32| {
+        json!({
+            "Name": prefix, "Host": "a.example", "Prefix": prefix, "Kind": kind,
+            "TimeoutMs": TIMEOUT_MS, "SloMs": 400, "Priority": 1, "Service": service,
+            "Attempts": attempts, "Public": false, "Sticky": kind == "stream",
+            "Resumable": kind == "stream", "GapAimMs": 250,
+        })
+    };
+    let mut routes = vec![
+        route("/read/", "safe", "plain", 2),
+        route("/once/", "unsafe", "plain", 1),
+        route("/chat/", "stream", "engines", 2),
+    ];
+    if version % 2 == 1 {
+        routes.push(route("/moved/", "safe", "plain", 2));
+    }
+    let engine = json!({
+        "Slots": 8, "Stride": 6, "step_ms": 6.45, "per_seq_ms": 0.1, "read_per_s": 56100.0,
+        "chunk": 2048, "usual": {"prompt": 1115, "answer": 152}, "LoadsPerS": 5.5,
+        "loads_at_once": 8, "FormMs": 300.0,
+        "Models": [{"Name": "m", "size": 1, "Share": 1.0, "pace": 1.0, "LoadS": 1.0, "WarmS": 0.1}],
+    });
+    let config = json!({
+        "Version": version, "Routes": routes,
+        "Services": [
+            {"Name": "plain", "HealthPath": "/healthz", "MaxConns": 100},
+            {"Name": "engines", "HealthPath": "/healthz", "MaxConns": 100, "Engine": engine},
+        ],
+        "Tenants": [{"Name": "first", "ApiKeys": [API_KEY]}],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536,
+            "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 20000},
+    });
+    store.put("op/config", &config.to_string());
+}
--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -1,6 +1,7 @@
 //! Environment of the tests: a daemon, a fake store, fake runners, and calls to the daemon.
 
 use super::{
+    config::{self, API_KEY},
     runner::{Runner, Script},
     store::Store,
 };
@@ -8,11 +9,13 @@
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::{
+    fs::File,
     io::{BufRead as _, BufReader, Read as _, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
-    process::{Child, Command, Stdio},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -20,9 +23,6 @@
 /// Timeout of a condition; long, because the machine may be busy.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// API key that requests carry.
-pub const API_KEY: &str = "secret-key";
-
 /// Response as a caller received it.
 #[derive(Clone, Debug)]
 pub struct Response {
@@ -36,6 +36,55 @@
     pub is_complete: bool,
 }
 
+/// Settings of a daemon under test.
+pub struct DaemonSettings {
+    /// Name, the same in every run.
+    pub name: String,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Grace period of a stop.
+    pub grace: Duration,
+    /// Time for which callers may keep a directory response.
+    pub ttl: Duration,
+    /// Addresses for callers, readiness probes, directory requests and peers; port 0 selects a
+    /// free port.
+    pub listen: [SocketAddr; 4],
+    /// File to which log lines are appended, if they are kept.
+    pub log: Option<PathBuf>,
+}
+
+impl DaemonSettings {
+    /// Returns settings with free ports and a log that isn't kept.
+    pub fn new(name: &str, store: SocketAddr) -> Self {
+        Self {
+            name: name.to_owned(),
+            store,
+            grace: Duration::from_secs(3),
+            ttl: Duration::from_secs(2),
+            listen: [SocketAddr::from(([127, 0, 0, 1], 0)); 4],
+            log: None,
+        }
+    }
+
+    fn text(&self) -> String {
+        let [caller, ready, directory, peer] = self.listen;
+        let (name, store) = (&self.name, self.store);
+        let (grace, ttl) = (self.grace.as_millis(), self.ttl.as_millis());
+        format!(
+            "name: {name}\nhall: hall\nlisten:\n  caller: {caller}\n  ready: {ready}\n  \
+             directory: {directory}\n  peer: {peer}\nstore: {store}\nretry:\n  ratio: 0.2\n  \
+             slack: 100\n  window_s: 10\ngrace_ms: {grace}\nentries_ms: {ttl}\ncores: 0.25\n\
+             first: true\n"
+        )
+    }
+}
+
+/// Opens a log file to append to it.
+fn open_log(path: &Path) -> File {
+    let opened = File::options().create(true).append(true).open(path);
+    opened.expect("the log file opens")
+}
+
 /// Daemon as a separate process, which is killed when dropped.
 pub struct Daemon {
     process: Child,
@@ -48,17 +97,16 @@
 }
 
 impl Daemon {
-    /// Starts a daemon that uses the store at an address.
+    /// Starts a daemon that uses the store at an address, on free ports.
     pub fn start(name: &str, store: SocketAddr) -> Self {
+        Self::start_with(&DaemonSettings::new(name, store))
+    }
+
+    /// Starts a daemon with the given settings.
+    pub fn start_with(settings: &DaemonSettings) -> Self {
         let directory = tempfile::tempdir().expect("a temporary directory");
         let path = directory.path().join("settings.yaml");
-        let settings = format!(
-            "name: {name}\nhall: hall\nlisten:\n  caller: 127.0.0.1:0\n  ready: 127.0.0.1:0\n  \
-             directory: 127.0.0.1:0\n  peer: 127.0.0.1:0\nstore: {store}\nretry:\n  ratio: 0.2\n  \
-             slack: 100\n  window_s: 10\ngrace_ms: 3000\nentries_ms: 2000\ncores: 0.25\n\
-             first: true\n"
-        );
-        std::fs::write(&path, settings).expect("written");
+        std::fs::write(&path, settings.text()).expect("written");
         let mut process = Command::new(env!("CARGO_BIN_EXE_hickoryledge"))
             .arg("platform")
             .arg("--settings")
@@ -69,8 +117,15 @@
         let mut lines = BufReader::new(process.stdout.take().expect("piped")).lines();
         let first_line = lines.next().expect("a line").expect("text");
         let line: Value = serde_json::from_str(&first_line).expect("a log line");
+        let mut log = settings.log.as_deref().map(open_log);
         // An unread log would fill the pipe and block the daemon.
-        std::thread::spawn(move || lines.for_each(drop));
+        std::thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                if let Some(file) = &mut log {
+                    writeln!(file, "{line}").expect("the log is written");
+                }
+            }
+        });
         let address_of = |name: &str| -> SocketAddr {
             let text = line[name].as_str().expect("an address");
             text.parse().expect("an address")
@@ -83,6 +138,11 @@
         }
     }
 
+    /// Returns the exit status of the process, once it has ended.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.process.try_wait().expect("a child process")
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.process.id() as i32);
@@ -159,39 +219,7 @@
 
     /// Writes a version of the configuration; odd versions route `/moved/` to the plain service.
     pub fn configure(&self, version: u64) {
-        let route = |prefix: &str, kind: &str, service: &str, attempts: u32| {
-            json!({
-                "Name": prefix, "Host": "a.example", "Prefix": prefix, "Kind": kind,
-                "TimeoutMs": 4000, "SloMs": 400, "Priority": 1, "Service": service,
-                "Attempts": attempts, "Public": false, "Sticky": kind == "stream",
-                "Resumable": kind == "stream", "GapAimMs": 250,
-            })
-        };
-        let mut routes = vec![
-            route("/read/", "safe", "plain", 2),
-            route("/once/", "unsafe", "plain", 1),
-            route("/chat/", "stream", "engines", 2),
-        ];
-        if version % 2 == 1 {
-            routes.push(route("/moved/", "safe", "plain", 2));
-        }
-        let engine = json!({
-            "Slots": 8, "Stride": 6, "step_ms": 6.45, "per_seq_ms": 0.1, "read_per_s": 56100.0,
-            "chunk": 2048, "usual": {"prompt": 1115, "answer": 152}, "LoadsPerS": 5.5,
-            "loads_at_once": 8, "FormMs": 300.0,
-            "Models": [{"Name": "m", "size": 1, "Share": 1.0, "pace": 1.0, "LoadS": 1.0, "WarmS": 0.1}],
-        });
-        let config = json!({
-            "Version": version, "Routes": routes,
-            "Services": [
-                {"Name": "plain", "HealthPath": "/healthz", "MaxConns": 100},
-                {"Name": "engines", "HealthPath": "/healthz", "MaxConns": 100, "Engine": engine},
-            ],
-            "Tenants": [{"Name": "first", "ApiKeys": [API_KEY]}],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536,
-                "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 20000},
-        });
-        self.store.put("op/config", &config.to_string());
+        config::write(&self.store, version);
     }
 
     /// Starts a further daemon on the same store.
@@ -230,14 +258,7 @@
     where
         F: Fn(&Self) -> bool,
     {
-        let deadline = Instant::now() + WAIT_TIMEOUT;
-        while !holds(self) {
-            assert!(
-                Instant::now() < deadline,
-                "timed out waiting until {condition}"
-            );
-            std::thread::sleep(Duration::from_millis(20));
-        }
+        wait_until(condition, || holds(self));
     }
 
     /// Sends SIGTERM to the daemon.
@@ -254,6 +275,21 @@
     }
 }
 
+/// Waits until a condition holds; `condition` describes it in the failure message.
+pub fn wait_until<F>(condition: &str, holds: F)
+where
+    F: Fn() -> bool,
+{
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    while !holds() {
+        assert!(
+            Instant::now() < deadline,
+            "timed out waiting until {condition}"
+        );
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Sends one request on a new connection and returns the response.
 pub fn send_request(
     address: SocketAddr,
@@ -314,7 +350,7 @@
 }
 
 /// Serves the store on a free port and returns its address.
-fn serve_store(store: Arc<Store>) -> SocketAddr {
+pub fn serve_store(store: Arc<Store>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("bound");
     std::thread::spawn(move || {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,13 +1,18 @@
 //! Tests of a daemon on the users' platform. It runs as a separate process, with fakes of the
 //! platform's store and runners.
 
+mod config;
 mod decoding;
+#[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod env;
 mod limits;
 mod notices;
 mod relay;
 mod requests;
 mod rollback;
+#[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod runner;
+#[allow(dead_code, reason = "the stops of several daemons use the rest")]
+mod runs;
 mod store;
 mod streams;
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -1,11 +1,15 @@
 //! Fake runner with scripted responses.
 
-use super::store::Store;
+use super::{
+    runs::{Run, RunEnd, Runs, Silence, Work},
+    store::Store,
+};
 use serde_json::{Value, json};
 use std::{
     collections::VecDeque,
     io::{BufRead as _, BufReader, Read as _, Write as _},
     net::{Shutdown, TcpListener, TcpStream},
+    ops::RangeInclusive,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -29,10 +33,31 @@
     Unframed(&'static str),
     /// Sends the events after the caller's last up to `last`, then ends or interrupts the stream.
     Events { last: u64, is_complete: bool },
+    /// Sends events like `Events`, with a pause before each.
+    PacedEvents {
+        last: u64,
+        pause: Duration,
+        is_complete: bool,
+    },
     /// Responds after a delay.
     RespondLate(Duration, &'static str),
 }
 
+impl Behavior {
+    /// Returns the behavior towards a request for which none is scripted.
+    fn usual(request: &RecordedRequest) -> Self {
+        match Work::of(&request.request_line) {
+            Some(Work::Events { last, pause }) => Self::PacedEvents {
+                last,
+                pause,
+                is_complete: true,
+            },
+            Some(Work::Late(delay)) => Self::RespondLate(delay, "usual"),
+            None => Self::Respond(200, "usual"),
+        }
+    }
+}
+
 /// Request as it was received.
 #[derive(Clone, Debug)]
 pub struct RecordedRequest {
@@ -65,6 +90,9 @@
     /// Headers of all its responses beyond the usual ones.
     notices: Mutex<String>,
     requests: Mutex<Vec<RecordedRequest>>,
+    /// Runs that take time.
+    runs: Runs,
+    silence: Silence,
     entry: Mutex<Value>,
     store: Arc<Store>,
 }
@@ -90,6 +118,8 @@
             script,
             notices: Mutex::default(),
             requests: Mutex::default(),
+            runs: Runs::default(),
+            silence: Silence::default(),
             entry: Mutex::new(entry),
             store,
         });
@@ -126,6 +156,21 @@
         *self.notices.lock().expect("not poisoned") = "Server-Leaving: 1\r\n".to_owned();
     }
 
+    /// Reports from now on that it is slower than usual by this factor, and is.
+    pub fn slow_down(&self, pace: f64) {
+        self.entry.lock().expect("not poisoned")["pace"] = json!(pace);
+    }
+
+    /// Sends nothing on paced streams for some time, while it still takes requests.
+    pub fn go_silent(&self, span: Duration) {
+        self.silence.start(span);
+    }
+
+    /// Returns the runs that take time: paced streams and late responses.
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.list()
+    }
+
     /// Returns true if it is the head of an open group.
     pub fn is_open(&self) -> bool {
         self.entry.lock().expect("not poisoned")["group"]["State"] == "open"
@@ -183,14 +228,15 @@
         let after = request
             .header("last-event-id")
             .and_then(|id| id.parse().ok());
+        let scripted = self.script.lock().expect("not poisoned").pop_front();
+        let behavior = scripted.unwrap_or_else(|| Behavior::usual(&request));
         self.requests.lock().expect("not poisoned").push(request);
-        let behavior = self.script.lock().expect("not poisoned").pop_front();
         let own_headers = format!(
             "X-Request-Id: {id}\r\nX-Response-Stamp: of-{}\r\n{}",
             self.name,
             self.notices.lock().expect("not poisoned")
         );
-        match behavior.unwrap_or(Behavior::Respond(200, "usual")) {
+        match behavior {
             Behavior::Respond(status, body) => write_response(stream, status, &own_headers, body),
             Behavior::RespondFull => {
                 let head = format!("{own_headers}X-Server-Load: 8,8,8\r\n");
@@ -222,13 +268,60 @@
                 }
                 false
             }
+            Behavior::PacedEvents {
+                last,
+                pause,
+                is_complete,
+            } => {
+                let run = self.runs.start(&id);
+                let ids = after.unwrap_or(0) + 1..=last;
+                let end = match self.write_paced(stream, &own_headers, ids, pause) {
+                    false => RunEnd::CallerGone,
+                    true if !is_complete => RunEnd::BrokenOff,
+                    true if write_text(stream, "0\r\n\r\n") => RunEnd::Complete,
+                    true => RunEnd::CallerGone,
+                };
+                self.runs.end(run, end);
+                false
+            }
             Behavior::RespondLate(delay, body) => {
+                let run = self.runs.start(&id);
                 std::thread::sleep(delay);
-                write_response(stream, 200, &own_headers, body)
+                let is_written = write_response(stream, 200, &own_headers, body);
+                let end = match is_written {
+                    true => RunEnd::Complete,
+                    false => RunEnd::CallerGone,
+                };
+                self.runs.end(run, end);
+                is_written
             }
         }
     }
 
+    /// Writes the head of a stream with its first event and then one event after each pause;
+    /// returns false if the connection ended.
+    fn write_paced(
+        &self,
+        stream: &mut TcpStream,
+        own_headers: &str,
+        ids: RangeInclusive<u64>,
+        pause: Duration,
+    ) -> bool {
+        let pace = self.entry.lock().expect("not poisoned")["pace"].as_f64();
+        let pause = pause.mul_f64(pace.unwrap_or(1.0));
+        let mut head = stream_head(own_headers);
+        for id in ids {
+            std::thread::sleep(pause);
+            self.silence.wait();
+            let text = std::mem::take(&mut head) + &event_chunk(id);
+            if !write_text(stream, &text) {
+                return false;
+            }
+        }
+        // A resumed stream may have no event left.
+        write_text(stream, &head)
+    }
+
     /// Applies an order at once and updates the runner's entry.
     fn apply_order(&self, order: &Value) {
         {
@@ -289,17 +382,22 @@
 
 /// Writes the head of a stream and its events.
 fn write_events(stream: &mut TcpStream, own_headers: &str, after: u64, last: u64) {
-    let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
-    write_text(
-        stream,
-        &format!("HTTP/1.1 200 OK\r\n{kind}{own_headers}\r\n"),
-    );
+    write_text(stream, &stream_head(own_headers));
     for id in after + 1..=last {
-        let event = format!("id: {id}\ndata: e{id}\n\n");
-        write_text(stream, &format!("{:x}\r\n{event}\r\n", event.len()));
+        write_text(stream, &event_chunk(id));
     }
 }
 
+fn stream_head(own_headers: &str) -> String {
+    let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+    format!("HTTP/1.1 200 OK\r\n{kind}{own_headers}\r\n")
+}
+
+fn event_chunk(id: u64) -> String {
+    let event = format!("id: {id}\ndata: e{id}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
 /// Writes one response; returns false if the connection ended.
 pub fn write_response(stream: &mut TcpStream, status: u16, head: &str, body: &str) -> bool {
     let length = body.len();
