--- /dev/null
+++ b/tests/stops/main.rs
@@ -0,0 +1,72 @@
+//! Stops of real daemons under load.
+//!
+//! Several daemons run as separate processes, with one fake store and fake
+//! runners. Callers send requests over connections that they keep open, while
+//! an operator signals and restarts the daemons by a seeded schedule. What the
+//! callers and the runners saw decides whether a request was lost.
+//!
+//! `STOPS_SEEDS=50 cargo test --test stops -- --nocapture` runs more seeds;
+//! `options` lists the other variables.
+
+#[path = "../platform/config.rs"]
+mod config;
+#[path = "../platform/env.rs"]
+#[allow(dead_code, reason = "the tests of one daemon use the rest")]
+mod env;
+#[path = "../platform/runner.rs"]
+#[allow(dead_code, reason = "the tests of one daemon use the rest")]
+mod runner;
+#[path = "../platform/runs.rs"]
+mod runs;
+#[path = "../platform/store.rs"]
+#[allow(dead_code, reason = "the tests of one daemon use the rest")]
+mod store;
+
+mod caller;
+mod connection;
+mod directory;
+mod fleet;
+mod judge;
+mod load;
+mod operator;
+mod options;
+mod records;
+mod schedule;
+mod table;
+
+use fleet::Fleet;
+use judge::Findings;
+use options::Options;
+use schedule::Schedule;
+
+#[test]
+fn stop_cuts_no_request() {
+    let options = Options::from_env();
+    let mut all = Vec::new();
+    for seed in options.seeds.clone() {
+        let findings = run(&options, seed);
+        table::print(&findings);
+        all.push(findings);
+    }
+    table::print_summary(&all);
+    let failed = all.iter().filter(|findings| findings.has_faults());
+    let failed: Vec<u64> = failed.map(|findings| findings.seed).collect();
+    assert!(
+        failed.is_empty(),
+        "stops lost requests or processes with seeds {failed:?}"
+    );
+}
+
+/// Runs one seed; the logs are kept if it fails.
+fn run(options: &Options, seed: u64) -> Findings {
+    let schedule = Schedule::new(options, seed);
+    let fleet = Fleet::start(options, seed);
+    let callers = load::start(&fleet, seed);
+    operator::run(&fleet, &schedule);
+    let calls = callers.finish();
+    let findings = judge::judge(&fleet, calls, options);
+    if !findings.has_faults() {
+        fleet.remove_logs();
+    }
+    findings
+}
