--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a daemon on the users' platform. It runs as a separate process, with fakes of the
 //! platform's store and runners.
 
+mod abandon;
 mod config;
 mod decoding;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
