Fix: a live stream is left only for a runner that has responded

Callers saw: a stream was cut although its runner was at work. After 0.9 s of silence (0.1 s, once another daemon reported a member of the group as unreachable) its connection was dropped first and another head looked for then. If none took it (attempts used up, retry budget empty, declined) the caller was cut. In a stop, when heads drain and daemons go, both come together more often. Class: what must hold until the work is done hangs on an estimate. Fix: the relay keeps the doubtful runner until another one has responded, and goes on with it if none does; it looks again after 0.5 s. Before the head of a response the daemon leaves a runner only if another could take the request now. Who is chosen is decided in selection.rs, for both. Ruled out: longer timeouts, which only make the same cut rarer. Left: a request whose head is awaited is still given up with 502 if the other runner then declines it.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,6 +9,7 @@
     notices::Stated,
     permits::Permit,
     roster::Host,
+    selection::has_alternative,
     spec::RouteKind,
 };
 use crate::core::time::Span;
@@ -216,16 +217,17 @@
 }
 
 /// Returns true if a request that has waited this long should be sent to another runner.
+///
+/// The runner may still be at work: a request that nobody else could take goes on waiting for it.
 fn should_fail_over(call: &Call, endpoint: &Endpoint, waited: Span) -> bool {
-    if !call.is_repeatable() {
-        return false;
-    }
+    call.is_repeatable() && is_doubtful(call, endpoint, waited) && has_alternative(call)
+}
+
+/// Returns true if a runner may no longer respond to a request that has waited this long.
+fn is_doubtful(call: &Call, endpoint: &Endpoint, waited: Span) -> bool {
     if !balancer::still_serves(&call.state.roster.borrow(), endpoint) {
         return true;
     }
-    if !call.may_fail_over() {
-        return false;
-    }
     if endpoint.epoch.is_none() {
         return waited > PLAIN_RESPONSE_TIMEOUT;
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,13 +7,14 @@
 
 use super::{
     adapter::{Adapter, CallHead},
-    admission::{self, AdmissionClass},
+    admission,
     attempt::{attempt, record_failure, wait_while_serving},
-    balancer::{self, ChooseError, Criteria, Endpoint, View},
+    balancer::{ChooseError, Endpoint},
     call::{AttemptError, AttemptParams, Call, StartedResponse, id_text},
     open_requests::OpenGuard,
     permits,
     responses::{self, CallResponse, Refusal, strip_hop_by_hop},
+    selection::choose_endpoint,
     state::GatewayState,
     stream,
 };
@@ -316,38 +317,6 @@
     }
 }
 
-fn choose_endpoint(
-    call: &Call,
-    class: AdmissionClass,
-    unlimited: bool,
-) -> Result<Endpoint, ChooseError> {
-    let state = &call.state;
-    let now = state.now();
-    let table = state.route_table().ok_or(ChooseError::NoneServing)?;
-    let engine = table.spec().engine(&call.service);
-    let model = call.head.model.as_ref().zip(engine);
-    let criteria = Criteria {
-        service: &call.service,
-        model,
-        class,
-        duration: admission::expected_duration(
-            model.map(|(model, engine)| (engine, model)),
-            call.head.prompt_tokens,
-            call.head.max_tokens,
-        ),
-        remaining: call.deadline.since(now),
-        hall: &state.settings.hall,
-        tried: &call.tried,
-        unlimited,
-    };
-    let view = View {
-        roster: &state.roster.borrow(),
-        loads: &state.loads.borrow(),
-        notices: &state.notices.borrow(),
-    };
-    balancer::choose(view, criteria, now, &mut *state.rng.borrow_mut())
-}
-
 /// Returns the refusal of a request that has not run, because all its runners want none for some
 /// time, by their rate limits or pauses.
 fn refuse_held_back(call: &Call, wait: Span) -> Refusal {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -53,6 +53,7 @@
 pub mod roster;
 pub mod routes;
 pub mod runner;
+mod selection;
 mod sent_orders;
 pub mod settings;
 pub mod spec;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -7,14 +7,20 @@
 use super::{
     adapter::Adapter,
     attempt::{SERVING_CHECK_INTERVAL, record_failure},
-    balancer,
-    call::{AttemptError, Call, StartedResponse},
+    balancer::{self, Endpoint},
+    call::{AttemptError, Call, InFlightGuard, StartedResponse},
+    connection::RunnerConnection,
     events::EventSplitter,
     forward::send_with_retries,
     responses::{CallResponse, IncompleteStream, strip_hop_by_hop},
+    selection::has_alternative,
     spec::RouteKind,
+    state::GatewayState,
+};
+use crate::{
+    core::time::{Span, Time},
+    shell::http::is_event_stream,
 };
-use crate::{core::time::Span, shell::http::is_event_stream};
 use bytes::Bytes;
 use futures_channel::mpsc;
 use futures_util::SinkExt as _;
@@ -23,6 +29,7 @@
 use http_body_util::{BodyExt as _, Either, StreamBody};
 use hyper::body::Incoming;
 use metrics::counter;
+use std::rc::Rc;
 
 /// Maximum number of events that are queued for a slow caller.
 const MAX_QUEUED_EVENTS: usize = 16;
@@ -31,6 +38,9 @@
 /// seconds.
 const STREAM_STALL_TIMEOUT: Span = Span::from_millis(900);
 
+/// Delay after no other runner took a stream over.
+const RESUME_RETRY_DELAY: Span = Span::from_millis(500);
+
 type EventSender = mpsc::Sender<Result<Frame<Bytes>, IncompleteStream>>;
 
 /// Returns true if a response is a stream that is relayed event by event.
@@ -55,110 +65,182 @@
     head.map(|()| Either::Right(StreamBody::new(events)))
 }
 
-/// Reason for which the relay of one runner's events ended.
-enum StreamEnd {
+/// Response of one runner while it is relayed; its stream counts as open until it is dropped.
+struct Upstream {
+    state: Rc<GatewayState>,
+    endpoint: Endpoint,
+    body: Incoming,
+    events: EventSplitter,
+    /// Time before which no other runner is looked for.
+    retry_at: Time,
+    /// Dropping the connection makes the runner stop working on the request.
+    _connection: RunnerConnection,
+    _in_flight: InFlightGuard,
+}
+
+impl Upstream {
+    fn new(state: &Rc<GatewayState>, started: StartedResponse) -> Self {
+        let now = state.now();
+        let host = started.endpoint.host;
+        state.loads.borrow_mut().stream_started(host, now);
+        Self {
+            state: state.clone(),
+            endpoint: started.endpoint,
+            body: started.response.into_body(),
+            events: EventSplitter::default(),
+            retry_at: now,
+            _connection: started.connection,
+            _in_flight: started.in_flight,
+        }
+    }
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        let host = self.endpoint.host;
+        self.state.loads.borrow_mut().stream_ended(host);
+    }
+}
+
+/// Reason for which the relay of one runner's events paused or ended.
+enum RelayEnd {
     /// The stream is complete.
     Complete,
-    /// The runner broke off, stalled, or no longer serves.
+    /// The runner broke off.
     Broken,
+    /// The runner is silent or no longer serves, but may still be at work.
+    Doubtful,
     /// The caller has disconnected.
     CallerGone,
     /// The deadline has passed.
     TimedOut,
 }
 
-async fn relay_events<A>(mut call: Call, mut started: StartedResponse, mut sender: EventSender)
+/// Outcome of a stream for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Complete,
+    Cut,
+    CallerGone,
+    TimedOut,
+}
+
+impl Outcome {
+    /// Returns the name in logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Outcome::Complete => "complete",
+            Outcome::Cut => "cut",
+            Outcome::CallerGone => "caller left",
+            Outcome::TimedOut => "timed out",
+        }
+    }
+}
+
+async fn relay_events<A>(mut call: Call, started: StartedResponse, mut sender: EventSender)
 where
     A: Adapter,
 {
+    let mut endpoint = started.endpoint.clone();
     let mut last = call.head.resume_after;
+    let outcome = relay_all::<A>(&mut call, started, &mut endpoint, &mut last, &mut sender).await;
+    log_end(&call, &endpoint, outcome, last);
+    if outcome == Outcome::Complete {
+        call.state.loads.borrow_mut().request_served(endpoint.host);
+        return;
+    }
+    // If the channel is closed, the caller has disconnected too.
+    let _ = sender.send(Err(IncompleteStream)).await;
+}
+
+/// Relays one runner's events after the other's; `endpoint` is the runner that sends them.
+async fn relay_all<A>(
+    call: &mut Call,
+    started: StartedResponse,
+    endpoint: &mut Endpoint,
+    last: &mut Option<u64>,
+    sender: &mut EventSender,
+) -> Outcome
+where
+    A: Adapter,
+{
+    let state = call.state.clone();
+    let mut upstream = Upstream::new(&state, started);
     loop {
-        let body = started.response.into_body();
-        let host = started.endpoint.host;
-        call.state
-            .loads
-            .borrow_mut()
-            .stream_started(host, call.state.now());
-        let end = relay_body(&call, &started.endpoint, body, &mut last, &mut sender).await;
-        if matches!(end, StreamEnd::Broken) {
-            record_failure(&call, &started.endpoint, AttemptError::Unknown);
-        }
-        call.state.loads.borrow_mut().stream_ended(host);
-        // Dropping the connection makes the runner stop working on the request.
-        drop(started.connection);
-        drop(started.in_flight);
-        match end {
-            StreamEnd::Complete => {
-                call.state
-                    .loads
-                    .borrow_mut()
-                    .request_served(started.endpoint.host);
-                log_end(&call, &started.endpoint, "complete", last);
-                return;
-            }
-            StreamEnd::CallerGone => {
-                log_end(&call, &started.endpoint, "caller left", last);
-                return;
+        *endpoint = upstream.endpoint.clone();
+        match relay_body(call, &mut upstream, last, sender).await {
+            RelayEnd::Complete => return Outcome::Complete,
+            RelayEnd::CallerGone => return Outcome::CallerGone,
+            RelayEnd::TimedOut => return Outcome::TimedOut,
+            RelayEnd::Broken => {
+                drop(upstream);
+                record_failure(call, endpoint, AttemptError::Unknown);
+                match resume::<A>(call, *last).await {
+                    Some(started) => upstream = Upstream::new(&state, started),
+                    None => return Outcome::Cut,
+                }
             }
-            StreamEnd::TimedOut => {
-                log_end(&call, &started.endpoint, "timed out", last);
-                break;
+            // The runner may go on, so only one that has responded takes its place.
+            RelayEnd::Doubtful => {
+                record_failure(call, endpoint, AttemptError::Unknown);
+                match resume::<A>(call, *last).await {
+                    Some(started) => upstream = Upstream::new(&state, started),
+                    None => upstream.retry_at = state.now() + RESUME_RETRY_DELAY,
+                }
             }
-            StreamEnd::Broken => {}
         }
-        if !call.is_repeatable() {
-            log_end(&call, &started.endpoint, "cut", last);
-            break;
-        }
-        started = match send_with_retries::<A>(&mut call, last).await {
-            Ok(started) if is_stream(&call, &started) => started,
-            _ => {
-                log_end(&call, &started.endpoint, "cut", last);
-                break;
-            }
-        };
     }
-    // If the channel is closed, the caller has disconnected too.
-    let _ = sender.send(Err(IncompleteStream)).await;
+}
+
+/// Resumes a stream at another runner after the event `last`; returns nothing if the route doesn't
+/// allow it or no runner responds.
+async fn resume<A>(call: &mut Call, last: Option<u64>) -> Option<StartedResponse>
+where
+    A: Adapter,
+{
+    if !call.is_repeatable() {
+        return None;
+    }
+    let started = send_with_retries::<A>(call, last).await.ok()?;
+    is_stream(call, &started).then_some(started)
 }
 
 /// Relays the events of one runner's response.
 async fn relay_body(
     call: &Call,
-    endpoint: &balancer::Endpoint,
-    mut body: Incoming,
+    upstream: &mut Upstream,
     last: &mut Option<u64>,
     sender: &mut EventSender,
-) -> StreamEnd {
-    let mut events = EventSplitter::default();
+) -> RelayEnd {
     loop {
-        let frame = match compio::time::timeout(SERVING_CHECK_INTERVAL, body.frame()).await {
+        let frame = compio::time::timeout(SERVING_CHECK_INTERVAL, upstream.body.frame()).await;
+        let frame = match frame {
             Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => return StreamEnd::Broken,
-            Ok(None) if events.is_partial() => return StreamEnd::Broken,
-            Ok(None) => return StreamEnd::Complete,
+            Ok(Some(Err(_))) => return RelayEnd::Broken,
+            Ok(None) if upstream.events.is_partial() => return RelayEnd::Broken,
+            Ok(None) => return RelayEnd::Complete,
             Err(_) => {
-                if let Some(end) = check_silent(call, endpoint, sender) {
+                if let Some(end) = check_silent(call, upstream, sender) {
                     return end;
                 }
                 continue;
             }
         };
         if let Some(bytes) = frame.data_ref() {
-            events.push(bytes);
+            upstream.events.push(bytes);
         }
         call.state
             .loads
             .borrow_mut()
-            .data_received(endpoint.host, call.state.now());
-        if events.is_too_long() {
-            return StreamEnd::Broken;
+            .data_received(upstream.endpoint.host, call.state.now());
+        if upstream.events.is_too_long() {
+            return RelayEnd::Broken;
         }
-        if let Some(end) = send_events(&mut events, last, sender).await {
+        if let Some(end) = send_events(&mut upstream.events, last, sender).await {
             return end;
         }
         if call.state.now() >= call.deadline {
-            return StreamEnd::TimedOut;
+            return RelayEnd::TimedOut;
         }
     }
 }
@@ -168,7 +250,7 @@
     events: &mut EventSplitter,
     last: &mut Option<u64>,
     sender: &mut EventSender,
-) -> Option<StreamEnd> {
+) -> Option<RelayEnd> {
     while let Some(event) = events.next_event() {
         let is_duplicate = event.id.is_some() && event.id <= *last;
         if is_duplicate {
@@ -176,40 +258,37 @@
         }
         *last = event.id.or(*last);
         if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
-            return Some(StreamEnd::CallerGone);
+            return Some(RelayEnd::CallerGone);
         }
     }
     None
 }
 
 /// Returns the reason for which a silent stream should not be waited for, if there is one.
-fn check_silent(
-    call: &Call,
-    endpoint: &balancer::Endpoint,
-    sender: &EventSender,
-) -> Option<StreamEnd> {
+fn check_silent(call: &Call, upstream: &Upstream, sender: &EventSender) -> Option<RelayEnd> {
     if sender.is_closed() {
-        return Some(StreamEnd::CallerGone);
+        return Some(RelayEnd::CallerGone);
     }
-    if call.state.now() >= call.deadline {
-        return Some(StreamEnd::TimedOut);
+    let now = call.state.now();
+    if now >= call.deadline {
+        return Some(RelayEnd::TimedOut);
     }
-    if !call.is_repeatable() {
+    if !call.is_repeatable() || now < upstream.retry_at {
         return None;
     }
+    let endpoint = &upstream.endpoint;
     let is_serving = balancer::still_serves(&call.state.roster.borrow(), endpoint);
-    let now = call.state.now();
     let silence = call.state.loads.borrow().silence(endpoint.host, now);
-    let is_stalled = silence.span > STREAM_STALL_TIMEOUT && call.may_fail_over();
-    (!is_serving || is_stalled).then_some(StreamEnd::Broken)
+    let is_doubtful = !is_serving || silence.span > STREAM_STALL_TIMEOUT;
+    (is_doubtful && has_alternative(call)).then_some(RelayEnd::Doubtful)
 }
 
-fn log_end(call: &Call, endpoint: &balancer::Endpoint, outcome: &'static str, last: Option<u64>) {
-    counter!("streams_ended_total", "outcome" => outcome).increment(1);
+fn log_end(call: &Call, endpoint: &Endpoint, outcome: Outcome, last: Option<u64>) {
+    counter!("streams_ended_total", "outcome" => outcome.name()).increment(1);
     slog::info!(call.state.log, "stream ended";
         "request" => call.id(),
         "host" => endpoint.name.as_str(),
-        "outcome" => outcome,
+        "outcome" => outcome.name(),
         "last_event" => last.unwrap_or_default(),
         "sends" => call.attempts,
         "after_ms" => call.state.now().since(call.arrived).as_millis());
--- a/tests/platform/abandon.rs
+++ b/tests/platform/abandon.rs
@@ -18,28 +18,18 @@
     env.heads.iter().map(|head| head.requests().len()).sum()
 }
 
-fn paced(pause_ms: u64) -> Behavior {
-    Behavior::PacedEvents {
-        last: EVENTS,
-        pause: Duration::from_millis(pause_ms),
-        is_complete: true,
-    }
-}
-
-/// Nobody else takes the stream; its own runner would have gone on within the callers' two seconds.
+/// Nobody else takes the stream; its own runner goes on within the callers' two seconds.
 #[test]
 fn silent_stream_is_not_cut_when_no_other_head_takes_it() {
     let env = TestEnv::start();
-    let silent = Behavior::PacedEvents {
-        last: 1,
+    env.heads[0].enqueue(Behavior::PausedEvents {
+        first: 2,
         pause: Duration::from_millis(1_500),
-        is_complete: true,
-    };
-    env.heads[0].enqueue(silent);
+        last: EVENTS,
+    });
     env.heads[0].enqueue(Behavior::Decline);
     let response = env.stream(&[]);
-    let is_whole = response.is_complete && response.body.contains("id: 1\n");
-    assert!(is_whole, "{response:?}");
+    assert!(is_whole(&response), "{response:?}");
 }
 
 /// Another daemon can't connect to the head: it drains, or the link between the two is down.
@@ -51,7 +41,11 @@
         last: 1,
         is_complete: false,
     });
-    env.heads[0].enqueue(paced(300));
+    env.heads[0].enqueue(Behavior::PacedEvents {
+        last: EVENTS,
+        pause: Duration::from_millis(300),
+        is_complete: true,
+    });
     thread::scope(|scope| {
         let call = scope.spawn(|| env.stream(&[]));
         env.eventually("the stream is resumed", |env| {
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -39,6 +39,13 @@
         pause: Duration,
         is_complete: bool,
     },
+    /// Sends the events up to `first` at once and those up to `last` after a pause, then ends the
+    /// stream.
+    PausedEvents {
+        first: u64,
+        pause: Duration,
+        last: u64,
+    },
     /// Responds after a delay.
     RespondLate(Duration, &'static str),
 }
@@ -284,6 +291,13 @@
                 self.runs.end(run, end);
                 false
             }
+            Behavior::PausedEvents { first, pause, last } => {
+                write_events(stream, &own_headers, after.unwrap_or(0), first);
+                std::thread::sleep(pause);
+                let rest = (first + 1..=last).map(event_chunk);
+                write_text(stream, &(rest.collect::<String>() + "0\r\n\r\n"));
+                false
+            }
             Behavior::RespondLate(delay, body) => {
                 let run = self.runs.start(&id);
                 std::thread::sleep(delay);
