Runners' interim responses without end no longer stop a daemon

What callers saw: one runner that sends interim (1xx) responses without end stopped the whole daemon: no request was served, no timeout fired and the connection stayed open until the runner itself gave up, in the tests after 60 s.

Cause: the HTTP library skips interim responses in a loop for as long as data can be read, and reading on this runtime has no budget that makes a task yield. Timers and all other tasks share its thread.

Ruled out by tests that passed before: garbage, a status line, one header and headers without end (the library bounds a head by its buffer), a head that drips, bodies, chunk extensions and trailers without end of one response, bytes after a whole response, responses of the store, and frames of peers.

Now outgoing connections yield after 16 reads in a row that found data, and a request stops waiting for its response after 16 interim ones. It counts as one that may have run: an idempotent one goes to another runner, any other fails.

--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -1,6 +1,6 @@
 //! HTTP on the event loop: listening, serving connections and connecting to peers.
 
-use super::stall::WriteTimeout;
+use super::{fair::FairReads, stall::WriteTimeout};
 use bytes::Bytes;
 use compio::{
     net::{TcpListener, TcpStream},
@@ -235,7 +235,8 @@
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let (sender, connection) = handshake(HyperStream::new_plain(stream)).await?;
+    let stream = FairReads::new(HyperStream::new_plain(stream));
+    let (sender, connection) = handshake(stream).await?;
     let task = compio::runtime::spawn(async move {
         // Errors of the connection are reported by the sender and the body.
         let _ = connection.await;
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod calls;
 mod events;
+mod fair;
 pub mod frames;
 pub mod host_list;
 pub mod http;
--- /dev/null
+++ b/tests/platform/endless_control.rs
@@ -0,0 +1,225 @@
+//! Bytes without end in place of reports, of responses to orders and of the store, and from peers.
+
+use super::{
+    env::{Daemon, TestEnv},
+    trouble::{Endless, MEMORY_LIMIT, TroubleCount, kilobyte},
+};
+use serde_json::{Value, json};
+use std::{
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+/// Troubles that a test waits for, so that each reader meets some.
+const MIN_TROUBLES: usize = 4;
+
+/// Connections at once from peers in trouble.
+const PEER_CONNECTIONS: usize = 60;
+
+/// Responses without end that a daemon meets where it asks for JSON.
+const RESPONSES: [Endless; 5] = [
+    Endless::new("header", "HTTP/1.1 200 OK\r\nX-Long: ", |_| kilobyte()),
+    Endless::new("interim", "", |_| {
+        "HTTP/1.1 100 Continue\r\n\r\n".to_owned()
+    }),
+    Endless::new("drip", "HTTP/1.1 200 OK\r\nX-Slow: ", |_| "x".to_owned())
+        .dripping(Duration::from_millis(20)),
+    Endless::new("no length", "HTTP/1.1 200 OK\r\n\r\n{\"Items\":[", |_| {
+        "{},".repeat(256)
+    }),
+    Endless::new(
+        "followed",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        |_| kilobyte(),
+    ),
+];
+
+/// Responses that cost a reader most, for the test that waits for a repair after each.
+const COSTLY_RESPONSES: [Endless; 2] = [RESPONSES[1], RESPONSES[3]];
+
+/// Frames of a peer: one that is invalid, one that is too long, and one that is never whole.
+const FRAMES: [Endless; 3] = [
+    Endless::new("invalid frames", "", |_| {
+        format!("\0\0\u{4}\0{}", "\u{7f}".repeat(1 << 10))
+    }),
+    Endless::new("long frame", "\u{7f}\u{7f}\u{7f}\u{7f}", |_| kilobyte()),
+    Endless::new("open frame", "\0\0\u{4}\0", |_| "\u{7f}".to_owned())
+        .dripping(Duration::from_millis(100)),
+];
+
+impl TestEnv {
+    /// Asserts that the daemon serves all kinds of requests within its memory.
+    fn check_serving(&self, case: &str) {
+        let response = self.call("GET", "/read/x", &[], "");
+        assert_eq!((response.status, response.body.as_str()), (200, "usual"));
+        self.eventually(&format!("a stream is served: {case}"), |env| {
+            env.stream(&[]).status == 200
+        });
+        let peak = self.daemon.peak_memory();
+        assert!(peak < MEMORY_LIMIT, "{case}: {} MiB", peak >> 20);
+    }
+
+    /// Returns the address of a daemon for other daemons.
+    fn peer_address(&self, name: &str) -> SocketAddr {
+        let entry = self.store.value(&format!("hickoryledge/daemons/{name}"));
+        let entry: Value = serde_json::from_str(&entry).expect("an entry");
+        let address = entry["peer"].as_str().expect("an address");
+        address.parse().expect("an address")
+    }
+}
+
+/// Peer that sends frames without end to each subscriber.
+struct TroubledPeer {
+    address: SocketAddr,
+    troubles: TroubleCount,
+}
+
+impl TroubledPeer {
+    fn start(trouble: Endless) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let peer = Arc::new(Self {
+            address: listener.local_addr().expect("bound"),
+            troubles: TroubleCount::default(),
+        });
+        let acceptor = peer.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let peer = acceptor.clone();
+                thread::spawn(move || peer.send(stream, trouble));
+            }
+        });
+        peer
+    }
+
+    fn send(&self, mut stream: TcpStream, trouble: Endless) {
+        self.troubles.write(trouble, &mut stream, "", 1);
+    }
+
+    fn has_closed_all(&self) -> bool {
+        self.troubles.started() > 0 && self.troubles.open() == 0
+    }
+}
+
+#[test]
+fn endless_reports_and_order_responses_harm_no_request() {
+    let env = TestEnv::start();
+    for trouble in COSTLY_RESPONSES {
+        let head = &env.heads[0];
+        let before = head.troubles.started();
+        head.trouble_control(Some(trouble));
+        // Its new run has no group yet, so that it is given orders too.
+        head.restart();
+        env.eventually(
+            &format!("the daemon meets trouble: {}", trouble.name),
+            |_| head.troubles.started() >= before + MIN_TROUBLES,
+        );
+        env.check_serving(trouble.name);
+        head.trouble_control(None);
+        env.eventually(&format!("the head serves again: {}", trouble.name), |_| {
+            head.is_open() && head.troubles.open() == 0
+        });
+    }
+}
+
+#[test]
+fn endless_responses_of_store_harm_no_request() {
+    let env = TestEnv::start();
+    for (version, trouble) in (2..).zip(RESPONSES) {
+        let before = env.store.troubles.started();
+        env.store.set_trouble(Some(trouble));
+        env.eventually(
+            &format!("the daemon meets trouble: {}", trouble.name),
+            |env| env.store.troubles.started() >= before + MIN_TROUBLES,
+        );
+        env.check_serving(trouble.name);
+        env.store.set_trouble(None);
+        env.configure(version);
+        env.eventually(
+            &format!("version {version} is used: {}", trouble.name),
+            |env| {
+                let is_moved = env.call("GET", "/moved/x", &[], "").status == 200;
+                is_moved == (version % 2 == 1) && env.store.troubles.open() == 0
+            },
+        );
+    }
+}
+
+#[test]
+fn daemon_starts_beside_store_in_trouble() {
+    let env = TestEnv::start();
+    for (index, trouble) in RESPONSES.iter().enumerate() {
+        let before = env.store.troubles.started();
+        env.store.set_trouble(Some(*trouble));
+        let daemon = env.start_daemon(&format!("e{index}"));
+        env.eventually(
+            &format!("the daemon meets trouble: {}", trouble.name),
+            |env| env.store.troubles.started() >= before + MIN_TROUBLES,
+        );
+        let status = env.call_at(&daemon, "GET", "/read/x", &[], "").status;
+        assert_eq!(status, 503, "{}", trouble.name);
+        env.store.set_trouble(None);
+        env.eventually(&format!("requests are served: {}", trouble.name), |env| {
+            env.call_at(&daemon, "GET", "/read/x", &[], "").status == 200
+        });
+        let peak = daemon.peak_memory();
+        assert!(peak < MEMORY_LIMIT, "{}: {} MiB", trouble.name, peak >> 20);
+    }
+}
+
+#[test]
+fn endless_frames_of_subscribers_harm_no_request() {
+    let env = TestEnv::start();
+    env.eventually("the daemon has an entry", |env| {
+        !env.store.value("hickoryledge/daemons/d1").is_empty()
+    });
+    let address = env.peer_address("d1");
+    for trouble in FRAMES {
+        let closed = thread::scope(|scope| {
+            let peers = (0..PEER_CONNECTIONS).map(|_| {
+                scope.spawn(|| {
+                    let mut stream = TcpStream::connect(address).expect("the daemon listens");
+                    trouble.write(&mut stream, "", 1)
+                })
+            });
+            let peers: Vec<_> = peers.collect();
+            env.check_serving(trouble.name);
+            let closed = peers.into_iter().map(|peer| peer.join().expect("written"));
+            closed.filter(|is_closed| *is_closed).count()
+        });
+        assert_eq!(closed, PEER_CONNECTIONS, "{}", trouble.name);
+        env.check_serving(trouble.name);
+    }
+}
+
+#[test]
+fn endless_frames_of_watchers_harm_no_request() {
+    for (version, trouble) in (2..).zip(FRAMES) {
+        let env = TestEnv::start();
+        let peers = ["a1", "a2", "a3"].map(|name| {
+            let peer = TroubledPeer::start(trouble);
+            let entry = json!({
+                "caller": "127.0.0.1:9", "hall": "hall", "peer": peer.address,
+                "processor_percent": 900,
+            });
+            let key = format!("hickoryledge/daemons/{name}");
+            env.store.put(&key, &entry.to_string());
+            peer
+        });
+        let daemon: Daemon = env.start_daemon("e1");
+        env.eventually(&format!("watchers are left: {}", trouble.name), |_| {
+            peers.iter().any(|peer| peer.has_closed_all())
+        });
+        env.configure(version);
+        env.eventually(
+            &format!("version {version} is used: {}", trouble.name),
+            |env| {
+                let moved = env.call_at(&daemon, "GET", "/moved/x", &[], "");
+                moved.status == if version % 2 == 1 { 200 } else { 404 }
+            },
+        );
+        let peak = daemon.peak_memory();
+        assert!(peak < MEMORY_LIMIT, "{}: {} MiB", trouble.name, peak >> 20);
+    }
+}
--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -89,6 +89,15 @@
         kill(pid, signal).expect("signalled");
     }
 
+    /// Returns the most memory that the process has had resident so far, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.process.id());
+        let status = std::fs::read_to_string(path).expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.expect("a peak").trim().trim_end_matches(" kB");
+        kilobytes.parse::<usize>().expect("a number") << 10
+    }
+
     /// Returns the value of a metric; zero if it was never set.
     pub fn metric(&self, name: &str) -> f64 {
         let response = send_request(self.ready_address, "GET", "/metrics", &[], "");
@@ -346,6 +355,9 @@
             std::thread::sleep(Duration::from_millis(5));
         };
         let head = store.response_head();
+        if let Some(trouble) = store.trouble() {
+            return store.troubles.write(trouble, &mut stream, &head, 1);
+        }
         if !super::runner::write_response(&mut stream, status, &head, &body.to_string()) {
             return;
         }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,8 @@
 //! platform's store and runners.
 
 mod decoding;
+mod endless;
+mod endless_control;
 mod env;
 mod limits;
 mod notices;
@@ -11,3 +13,4 @@
 mod runner;
 mod store;
 mod streams;
+mod trouble;
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -1,6 +1,9 @@
 //! Fake runner with scripted responses.
 
-use super::store::Store;
+use super::{
+    store::Store,
+    trouble::{Endless, TroubleCount},
+};
 use serde_json::{Value, json};
 use std::{
     collections::VecDeque,
@@ -31,6 +34,8 @@
     Events { last: u64, is_complete: bool },
     /// Responds after a delay.
     RespondLate(Duration, &'static str),
+    /// Sends bytes until the daemon closes the connection.
+    Endless(Endless),
 }
 
 /// Request as it was received.
@@ -65,6 +70,10 @@
     /// Headers of all its responses beyond the usual ones.
     notices: Mutex<String>,
     requests: Mutex<Vec<RecordedRequest>>,
+    /// Bytes that it sends in place of reports and responses to orders.
+    control_trouble: Mutex<Option<Endless>>,
+    /// Endless responses that it has sent.
+    pub troubles: TroubleCount,
     entry: Mutex<Value>,
     store: Arc<Store>,
 }
@@ -90,6 +99,8 @@
             script,
             notices: Mutex::default(),
             requests: Mutex::default(),
+            control_trouble: Mutex::default(),
+            troubles: TroubleCount::default(),
             entry: Mutex::new(entry),
             store,
         });
@@ -112,6 +123,11 @@
             .push_back(behavior);
     }
 
+    /// Drops the behaviors that are left in the script.
+    pub fn clear_script(&self) {
+        self.script.lock().expect("not poisoned").clear();
+    }
+
     /// Names a rate limit in all further responses, or none if the text is empty.
     pub fn name_rate_limit(&self, per_second: &str) {
         let header = match per_second {
@@ -126,6 +142,11 @@
         *self.notices.lock().expect("not poisoned") = "Server-Leaving: 1\r\n".to_owned();
     }
 
+    /// Sends bytes without end in place of all further reports and responses to orders, or no more.
+    pub fn trouble_control(&self, trouble: Option<Endless>) {
+        *self.control_trouble.lock().expect("not poisoned") = trouble;
+    }
+
     /// Returns true if it is the head of an open group.
     pub fn is_open(&self) -> bool {
         self.entry.lock().expect("not poisoned")["group"]["State"] == "open"
@@ -167,6 +188,14 @@
 
     /// Responds to one request; returns false if the connection must be closed.
     fn respond(&self, stream: &mut TcpStream, request: RecordedRequest) -> bool {
+        let is_control = ["GET /report", "POST /order"]
+            .iter()
+            .any(|start| request.request_line.starts_with(start));
+        let control_trouble = *self.control_trouble.lock().expect("not poisoned");
+        if let (true, Some(trouble)) = (is_control, control_trouble) {
+            self.troubles.write(trouble, stream, "", 1);
+            return false;
+        }
         if request.request_line.starts_with("GET /report") {
             let entry = self.entry.lock().expect("not poisoned").to_string();
             let notices = self.notices.lock().expect("not poisoned").clone();
@@ -226,6 +255,11 @@
                 std::thread::sleep(delay);
                 write_response(stream, 200, &own_headers, body)
             }
+            Behavior::Endless(trouble) => {
+                let first = after.unwrap_or(0) + 1;
+                self.troubles.write(trouble, stream, &own_headers, first);
+                false
+            }
         }
     }
 
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -1,5 +1,6 @@
 //! Fake of the platform's store, in memory.
 
+use super::trouble::{Endless, TroubleCount};
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
 use std::{
@@ -43,6 +44,10 @@
     state: Mutex<State>,
     /// Number of times that an older copy was restored.
     era: AtomicU64,
+    /// Bytes that it sends in place of responses.
+    trouble: Mutex<Option<Endless>>,
+    /// Endless responses that it has sent.
+    pub troubles: TroubleCount,
 }
 
 /// Copy of a store's state.
@@ -61,6 +66,16 @@
         state.delete(key);
     }
 
+    /// Sends bytes without end in place of all further responses, or no more.
+    pub fn set_trouble(&self, trouble: Option<Endless>) {
+        *self.trouble.lock().expect("not poisoned") = trouble;
+    }
+
+    /// Returns the bytes that are sent in place of responses.
+    pub fn trouble(&self) -> Option<Endless> {
+        *self.trouble.lock().expect("not poisoned")
+    }
+
     /// Returns a copy of the state.
     pub fn copy(&self) -> Copy {
         Copy(self.state.lock().expect("not poisoned").clone())
