--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod connections;
 mod events;
+mod fair;
 pub mod frames;
 pub mod host_list;
 pub mod http;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,8 @@
 mod abandon;
 mod config;
 mod decoding;
+mod endless;
+mod endless_control;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod env;
 mod limits;
@@ -18,3 +20,4 @@
 mod stop;
 mod store;
 mod streams;
+mod trouble;
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -3,6 +3,7 @@
 use super::{
     runs::{Run, RunEnd, Runs, Silence, Work},
     store::Store,
+    trouble::{Endless, TroubleCount},
 };
 use serde_json::{Value, json};
 use std::{
@@ -48,6 +49,8 @@
     },
     /// Responds after a delay.
     RespondLate(Duration, &'static str),
+    /// Sends bytes until the daemon closes the connection.
+    Endless(Endless),
 }
 
 impl Behavior {
@@ -100,6 +103,10 @@
     /// Runs that take time.
     runs: Runs,
     silence: Silence,
+    /// Bytes that it sends in place of reports and responses to orders.
+    control_trouble: Mutex<Option<Endless>>,
+    /// Endless responses that it has sent.
+    pub troubles: TroubleCount,
     entry: Mutex<Value>,
     store: Arc<Store>,
 }
@@ -127,6 +134,8 @@
             requests: Mutex::default(),
             runs: Runs::default(),
             silence: Silence::default(),
+            control_trouble: Mutex::default(),
+            troubles: TroubleCount::default(),
             entry: Mutex::new(entry),
             store,
         });
@@ -149,6 +158,11 @@
             .push_back(behavior);
     }
 
+    /// Drops the behaviors that are left in the script.
+    pub fn clear_script(&self) {
+        self.script.lock().expect("not poisoned").clear();
+    }
+
     /// Names a rate limit in all further responses, or none if the text is empty.
     pub fn name_rate_limit(&self, per_second: &str) {
         let header = match per_second {
@@ -178,6 +192,11 @@
         self.runs.list()
     }
 
+    /// Sends bytes without end in place of all further reports and responses to orders, or no more.
+    pub fn trouble_control(&self, trouble: Option<Endless>) {
+        *self.control_trouble.lock().expect("not poisoned") = trouble;
+    }
+
     /// Returns true if it is the head of an open group.
     pub fn is_open(&self) -> bool {
         self.entry.lock().expect("not poisoned")["group"]["State"] == "open"
@@ -219,6 +238,14 @@
 
     /// Responds to one request; returns false if the connection must be closed.
     fn respond(&self, stream: &mut TcpStream, request: RecordedRequest) -> bool {
+        let is_control = ["GET /report", "POST /order"]
+            .iter()
+            .any(|start| request.request_line.starts_with(start));
+        let control_trouble = *self.control_trouble.lock().expect("not poisoned");
+        if let (true, Some(trouble)) = (is_control, control_trouble) {
+            self.troubles.write(trouble, stream, "", 1);
+            return false;
+        }
         if request.request_line.starts_with("GET /report") {
             let entry = self.entry.lock().expect("not poisoned").to_string();
             let notices = self.notices.lock().expect("not poisoned").clone();
@@ -309,6 +336,11 @@
                 self.runs.end(run, end);
                 is_written
             }
+            Behavior::Endless(trouble) => {
+                let first = after.unwrap_or(0) + 1;
+                self.troubles.write(trouble, stream, &own_headers, first);
+                false
+            }
         }
     }
 
--- a/tests/stops/main.rs
+++ b/tests/stops/main.rs
@@ -21,6 +21,9 @@
 #[path = "../platform/store.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod store;
+#[path = "../platform/trouble.rs"]
+#[allow(dead_code, reason = "the tests of one daemon use the rest")]
+mod trouble;
 
 mod caller;
 mod connection;
