--- a/tests/platform/stop.rs
+++ b/tests/platform/stop.rs
@@ -21,6 +21,7 @@
 const LATE: Behavior = Behavior::PacedEvents {
     last: EVENTS,
     pause: Duration::from_millis(310),
+    is_complete: true,
 };
 
 /// Stream that lasts as long as the grace period.
