Fix: the daemon of 'run' answers requests that it still reads when it exits

Callers saw: a request whose body was on its way when SIGTERM came got no response at all; its connection was closed 5 s later. Cause: the daemon counts a request as open once its body has been read, and its loop ended with the last open one; the request then went into an inbox that nobody read. Same class: the end of the process hangs on something shorter than the work. Fix: the loop goes on until the last connection has closed, 5 s at most; what arrives meanwhile is refused by the core as before ('stopping', not run).

--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -38,7 +38,7 @@
 };
 use anyhow::Context as _;
 use calls::Calls;
-use futures_util::{FutureExt as _, StreamExt as _, select_biased};
+use futures_util::{FutureExt as _, StreamExt as _, future::Fuse, select_biased};
 use inbox::Inbox;
 use rustix::time::ClockId;
 use signals::{Signal, Signals};
@@ -46,6 +46,7 @@
 use std::{
     cell::RefCell,
     path::Path,
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -143,6 +144,9 @@
 
     let mut timers = Timers::default();
     let mut outputs = Vec::new();
+    let mut connections = Some(connections);
+    // Requests that are still being read are answered until the last connection has closed.
+    let mut closing = pin!(Fuse::terminated());
     loop {
         let input = match timers.pop_due(clock.now()) {
             Some(timer) => Input::Timer(timer),
@@ -151,6 +155,7 @@
                     Some(input) => input,
                     None => return Ok(()),
                 },
+                () = closing => break,
                 () = sleep_until(timers.next_due(), clock).fuse() => continue,
             },
         };
@@ -167,19 +172,20 @@
         core.borrow_mut().step(now, input, &mut outputs);
         monitor.record_outputs(now, &core.borrow(), &outputs);
         for output in outputs.drain(..) {
-            if perform(output, &drivers, &mut timers, &log) {
-                connections.finish(FLUSH_TIMEOUT).await;
-                drivers.peers.finish().await;
-                if let Some(recorder) = &mut recorder {
-                    recorder.flush().context("write the recording")?;
-                }
-                return Ok(());
+            let is_done = perform(output, &drivers, &mut timers, &log);
+            if let Some(connections) = connections.take_if(|_| is_done) {
+                closing.set(connections.finish(FLUSH_TIMEOUT).fuse());
             }
         }
     }
+    drivers.peers.finish().await;
+    if let Some(recorder) = &mut recorder {
+        recorder.flush().context("write the recording")?;
+    }
+    Ok(())
 }
 
-/// Carries out one output; returns true if the daemon is to exit.
+/// Carries out one output; returns true once the daemon has nothing left to do but to exit.
 fn perform(output: Output, drivers: &Drivers, timers: &mut Timers, log: &Logger) -> bool {
     match output {
         Output::SetTimer { timer, at } => timers.set(timer, at),
