Fix: a stream whose relay is dropped is not complete

The end of a stream was told to the caller's connection by dropping the sender of its events. A relay that ends in any other way, by a panic or an exit that is still to be written, dropped it too, and the cut stream then looked complete. Same class: completion is inferred from the end of something else. Fix: the end is a part of the stream of its own; without it the connection is cut. Evidence: streams::stream_whose_relay_is_dropped_is_not_complete; the types that it uses are new, so it can't run on the code before, where a dropped sender was the end itself.

--- a/src/gateway/responses.rs
+++ b/src/gateway/responses.rs
@@ -3,16 +3,65 @@
 use crate::shell::http::HOP_BY_HOP;
 use bytes::Bytes;
 use futures_channel::mpsc;
+use futures_util::Stream;
 use http::{
     HeaderMap, HeaderName, HeaderValue, Response, StatusCode,
     header::{CONNECTION, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, RETRY_AFTER},
 };
 use http_body::Frame;
 use http_body_util::{Either, Full, StreamBody};
-use std::fmt;
+use std::{
+    fmt,
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+
+/// Part of a stream that is passed to the caller's connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamPart {
+    /// Whole event.
+    Event(Bytes),
+    /// End of a complete stream.
+    End,
+}
+
+/// Parts of a stream as frames; it is incomplete unless its end was sent.
+pub struct EventFrames {
+    parts: mpsc::Receiver<StreamPart>,
+    is_ended: bool,
+}
+
+impl EventFrames {
+    /// Creates the frames of the parts that are received.
+    pub fn new(parts: mpsc::Receiver<StreamPart>) -> Self {
+        Self {
+            parts,
+            is_ended: false,
+        }
+    }
+}
+
+impl Stream for EventFrames {
+    type Item = Result<Frame<Bytes>, IncompleteStream>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.is_ended {
+            return Poll::Ready(None);
+        }
+        let part = ready!(Pin::new(&mut self.parts).poll_next(cx));
+        if let Some(StreamPart::Event(bytes)) = part {
+            return Poll::Ready(Some(Ok(Frame::data(bytes))));
+        }
+        self.is_ended = true;
+        Poll::Ready(match part {
+            Some(StreamPart::End) => None,
+            _ => Some(Err(IncompleteStream)),
+        })
+    }
+}
 
 /// Body of a stream, sent event by event.
-pub type EventBody = StreamBody<mpsc::Receiver<Result<Frame<Bytes>, IncompleteStream>>>;
+pub type EventBody = StreamBody<EventFrames>;
 
 /// Body of a response, either known in full or streamed.
 pub type Body = Either<Full<Bytes>, EventBody>;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,7 +12,7 @@
     connection::RunnerConnection,
     events::EventSplitter,
     forward::send_with_retries,
-    responses::{CallResponse, IncompleteStream, strip_hop_by_hop},
+    responses::{CallResponse, EventFrames, StreamPart, strip_hop_by_hop},
     selection::has_alternative,
     spec::RouteKind,
     state::GatewayState,
@@ -21,11 +21,9 @@
     core::time::{Span, Time},
     shell::http::is_event_stream,
 };
-use bytes::Bytes;
 use futures_channel::mpsc;
 use futures_util::SinkExt as _;
 use http::Response;
-use http_body::Frame;
 use http_body_util::{BodyExt as _, Either, StreamBody};
 use hyper::body::Incoming;
 use metrics::counter;
@@ -41,7 +39,7 @@
 /// Delay after no other runner took a stream over.
 const RESUME_RETRY_DELAY: Span = Span::from_millis(500);
 
-type EventSender = mpsc::Sender<Result<Frame<Bytes>, IncompleteStream>>;
+type EventSender = mpsc::Sender<StreamPart>;
 
 /// Returns true if a response is a stream that is relayed event by event.
 pub(super) fn is_stream(call: &Call, started: &StartedResponse) -> bool {
@@ -62,7 +60,7 @@
     *head.headers_mut() = started.response.headers().clone();
     strip_hop_by_hop(head.headers_mut());
     compio::runtime::spawn(relay_events::<A>(call, started, sender)).detach();
-    head.map(|()| Either::Right(StreamBody::new(events)))
+    head.map(|()| Either::Right(StreamBody::new(EventFrames::new(events))))
 }
 
 /// Response of one runner while it is relayed; its stream counts as open until it is dropped.
@@ -147,10 +145,9 @@
     log_end(&call, &endpoint, outcome, last);
     if outcome == Outcome::Complete {
         call.state.loads.borrow_mut().request_served(endpoint.host);
-        return;
+        // If the channel is closed, the caller has disconnected after the last event.
+        let _ = sender.send(StreamPart::End).await;
     }
-    // If the channel is closed, the caller has disconnected too.
-    let _ = sender.send(Err(IncompleteStream)).await;
 }
 
 /// Relays one runner's events after the other's; `endpoint` is the runner that sends them.
@@ -257,7 +254,7 @@
             continue;
         }
         *last = event.id.or(*last);
-        if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
+        if sender.send(StreamPart::Event(event.bytes)).await.is_err() {
             return Some(RelayEnd::CallerGone);
         }
     }
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -1,6 +1,12 @@
 //! Splitting of a byte stream into whole events, whatever the chunks it arrives in.
 
-use hickoryledge::gateway::events::EventSplitter;
+use bytes::Bytes;
+use futures_channel::mpsc;
+use futures_util::StreamExt as _;
+use hickoryledge::gateway::{
+    events::EventSplitter,
+    responses::{EventFrames, StreamPart},
+};
 
 fn split(chunks: &[&str]) -> (Vec<(Option<u64>, String)>, bool) {
     let mut splitter = EventSplitter::default();
@@ -43,3 +49,26 @@
     assert_eq!(events.len(), 1);
     assert!(is_partial);
 }
+
+/// Frames of a stream whose relay sent these parts and was dropped.
+async fn frames(parts: Vec<StreamPart>) -> Vec<Option<Bytes>> {
+    let (mut sender, receiver) = mpsc::channel(parts.len());
+    for part in parts {
+        sender.try_send(part).expect("room for the part");
+    }
+    drop(sender);
+    let received = EventFrames::new(receiver).collect::<Vec<_>>().await;
+    let data = received
+        .into_iter()
+        .map(|frame| frame.ok()?.into_data().ok());
+    data.collect()
+}
+
+#[compio::test]
+async fn stream_whose_relay_is_dropped_is_not_complete() {
+    let event = Bytes::from_static(b"id: 1\n\n");
+    let parts = vec![StreamPart::Event(event.clone())];
+    assert_eq!(frames(parts.clone()).await, [Some(event.clone()), None]);
+    let parts = [parts, vec![StreamPart::End]].concat();
+    assert_eq!(frames(parts).await, [Some(event)]);
+}
