Fix: a request doesn't wait for a held-back runner beyond its deadline

A request that may have run waits up to 1 s for runners that want none for some time, and didn't look at its deadline; in a stop it could outlast the daemon. It now ends at once if the wait would pass the deadline. No test: only a time tells the difference.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -285,7 +285,10 @@
                 return Err(refuse_held_back(call, wait));
             }
             // To the caller of a request that may have run, a refusal would be a failure.
-            Err(ChooseError::HeldBack { wait }) if waited + wait <= MAX_HELD_BACK_WAIT => {
+            Err(ChooseError::HeldBack { wait })
+                if waited + wait <= MAX_HELD_BACK_WAIT
+                    && call.state.now() + wait < call.deadline =>
+            {
                 compio::time::sleep(wait.into()).await;
                 waited = waited + wait;
                 denials = 0;
