Responses without end no longer take the memory of the process

What callers saw: the process of a daemon may have 260 MB and is killed beyond, with all that it has in flight. 60 requests at once whose runners send bodies without end, together at 1 Gbit/s, took more; so did 20 streams of large events whose callers read nothing.

Cause: each response was buffered up to 16 MiB, each stream queued 16 events of up to 1 MiB, and nothing bounded their sum. The buffer of one connection grew to 0.4 MB.

Now one budget of 64 MiB bounds what all responses hold, and a response takes no more than it leaves to the others. The first 64 KiB of a response and 4 KiB of an event are free, so that an ordinary response never fails because of others. A body is copied into one piece of memory, as chunks of one byte each would cost many times their size. A stated length beyond 16 MiB fails before the body is read.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -44,6 +44,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns true if the buffered bytes exceed the maximum size of an event.
     pub fn is_too_long(&self) -> bool {
         self.buffer.len() > MAX_EVENT_BYTES
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,6 +15,7 @@
     responses::{self, CallResponse, Refusal, strip_hop_by_hop},
     state::GatewayState,
     stream,
+    whole_body::read_whole,
 };
 use crate::core::time::{Span, Time};
 use bytes::Bytes;
@@ -29,9 +30,6 @@
 use rand::Rng as _;
 use std::rc::Rc;
 
-/// Maximum size of a response that is buffered in full.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
-
 /// Attempts allowed beyond the route's limit, for runners that did not run the request.
 const MAX_EXTRA_ATTEMPTS: u32 = 2;
 
@@ -199,7 +197,8 @@
 {
     loop {
         let (parts, body) = started.response.into_parts();
-        let read = wait_while_serving(&call, &started.endpoint, read_response(body)).await;
+        let reading = read_whole(body, &call.state.held_bytes);
+        let read = wait_while_serving(&call, &started.endpoint, reading).await;
         let error = match read {
             Ok(Some(bytes)) => {
                 call.state
@@ -240,14 +239,6 @@
     Response::from_parts(parts, Either::Left(Full::new(bytes)))
 }
 
-async fn read_response(body: Incoming) -> Option<Bytes> {
-    let collected = Limited::new(body, MAX_RESPONSE_BYTES)
-        .collect()
-        .await
-        .ok()?;
-    Some(collected.to_bytes())
-}
-
 /// Sends a request to one runner after the other until one starts to respond.
 ///
 /// # Errors
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,8 +9,8 @@
 //! Modules that decide (`routes`, `roster`, `group`, `candidacy`, `balancer`,
 //! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
-//! `weight_loads`, `outages`, `budget`, `backoff`, `notices`) read no clock and
-//! do no I/O.
+//! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`) read no
+//! clock and do no I/O.
 //! The names and formats of a platform are hidden behind [`adapter::Adapter`].
 
 pub mod adapter;
@@ -32,6 +32,7 @@
 mod forward;
 pub mod group;
 pub mod handlers;
+pub mod held_bytes;
 mod lease;
 mod lifecycle;
 mod listeners;
@@ -61,6 +62,7 @@
 mod stream;
 pub mod watch;
 mod weight_loads;
+mod whole_body;
 
 use crate::{
     core::time::Span,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,6 +8,7 @@
     },
     datagrams::Outbox,
     demand::Demand,
+    held_bytes::HeldBytes,
     liveness::ReportedProgress,
     load::Loads,
     notices::{LimitChange, Notices, RateLimit},
@@ -59,6 +60,8 @@
     outages: RefCell<Outages>,
     /// Request load of each runner.
     pub loads: RefCell<Loads>,
+    /// Bytes of responses that are held in memory.
+    pub held_bytes: HeldBytes,
     /// What runners say of themselves.
     pub notices: RefCell<Notices>,
     /// Permits for runners that name a rate limit.
@@ -111,6 +114,7 @@
             roster: RefCell::default(),
             outages: RefCell::default(),
             loads: RefCell::default(),
+            held_bytes: HeldBytes::default(),
             notices: RefCell::default(),
             permits: Permits::default(),
             registration: Cell::default(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -27,6 +27,9 @@
 /// Maximum number of events that are queued for a slow caller.
 const MAX_QUEUED_EVENTS: usize = 16;
 
+/// Size up to which an event is queued, or received, whatever others hold.
+const FREE_EVENT_BYTES: usize = 4 << 10;
+
 /// Silence on all streams of a head after which they resume elsewhere; callers give up after two
 /// seconds.
 const STREAM_STALL_TIMEOUT: Span = Span::from_millis(900);
@@ -131,6 +134,7 @@
     sender: &mut EventSender,
 ) -> StreamEnd {
     let mut events = EventSplitter::default();
+    let mut reservation = call.state.held_bytes.reserve(FREE_EVENT_BYTES);
     loop {
         let frame = match compio::time::timeout(SERVING_CHECK_INTERVAL, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
@@ -151,12 +155,13 @@
             .loads
             .borrow_mut()
             .data_received(endpoint.host, call.state.now());
-        if events.is_too_long() {
+        if events.is_too_long() || !reservation.resize(events.buffered()) {
             return StreamEnd::Broken;
         }
-        if let Some(end) = send_events(&mut events, last, sender).await {
+        if let Some(end) = send_events(call, &mut events, last, sender).await {
             return end;
         }
+        reservation.resize(events.buffered());
         if call.state.now() >= call.deadline {
             return StreamEnd::TimedOut;
         }
@@ -165,6 +170,7 @@
 
 /// Sends whole events to the caller, except those that it already has.
 async fn send_events(
+    call: &Call,
     events: &mut EventSplitter,
     last: &mut Option<u64>,
     sender: &mut EventSender,
@@ -174,8 +180,11 @@
         if is_duplicate {
             continue;
         }
+        let Some(bytes) = call.state.held_bytes.hold(event.bytes, FREE_EVENT_BYTES) else {
+            return Some(StreamEnd::Broken);
+        };
         *last = event.id.or(*last);
-        if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
+        if sender.send(Ok(Frame::data(bytes))).await.is_err() {
             return Some(StreamEnd::CallerGone);
         }
     }
--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -12,7 +12,7 @@
 use http_body::Body;
 use hyper::{
     body::Incoming,
-    client::conn::http1::{SendRequest, handshake},
+    client::conn::http1::{Builder, SendRequest},
     service::Service,
 };
 use socket2::{SockRef, TcpKeepalive};
@@ -51,6 +51,9 @@
 /// Connections from callers have no such limit: it would also cut slow readers.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Bytes of a response that are read ahead, and of the longest head that is accepted.
+const MAX_READ_BUFFER: usize = 64 << 10;
+
 /// Idle time after which TCP keepalive probes are sent.
 const KEEPALIVE_DELAY: Duration = Duration::from_secs(5);
 
@@ -236,7 +239,10 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let stream = FairReads::new(HyperStream::new_plain(stream));
-    let (sender, connection) = handshake(stream).await?;
+    let (sender, connection) = Builder::new()
+        .max_buf_size(MAX_READ_BUFFER)
+        .handshake(stream)
+        .await?;
     let task = compio::runtime::spawn(async move {
         // Errors of the connection are reported by the sender and the body.
         let _ = connection.await;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod group_faults;
 mod groups;
 mod handovers;
+mod held_bytes;
 mod limit_fleet;
 mod limits;
 mod liveness;
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -1,11 +1,13 @@
 //! Responses of runners in trouble that come without end.
 
 use super::{
-    env::{Response, TestEnv},
+    env::{API_KEY, Daemon, Response, TestEnv},
     runner::Behavior,
     trouble::{Endless, MEMORY_LIMIT, chunk, kilobyte},
 };
 use std::{
+    io::Write as _,
+    net::TcpStream,
     thread,
     time::{Duration, Instant},
 };
@@ -47,7 +49,7 @@
     Endless::new(
         "chunks",
         "HTTP/1.1 200 OK\r\n{own}Transfer-Encoding: chunked\r\n\r\n",
-        |_| chunk(&kilobyte()),
+        |_| chunk(&kilobyte().repeat(64)),
     ),
     Endless::new("no length", "HTTP/1.1 200 OK\r\n{own}\r\n", |_| kilobyte()),
     Endless::new(
@@ -106,9 +108,12 @@
                             Transfer-Encoding: chunked\r\n\r\n";
 
 /// Streams without end that bring no event which the caller could count on.
-const EMPTY_STREAMS: [Endless; 1] = [Endless::new("open event", STREAM_START, |_| {
-    chunk(&kilobyte())
-})];
+const EMPTY_STREAMS: [Endless; 2] = [
+    Endless::new("open event", STREAM_START, |_| chunk(&kilobyte())),
+    Endless::new("comment lines", STREAM_START, |_| {
+        chunk(&": alive\n".repeat(128))
+    }),
+];
 
 /// Numbered events without end.
 const EVENTS: Endless = Endless::new("events", STREAM_START, |n| {
@@ -123,6 +128,11 @@
     |_| kilobyte(),
 );
 
+/// Large numbered events without end.
+const LARGE_EVENTS: Endless = Endless::new("large events", STREAM_START, |n| {
+    chunk(&format!("id: {n}\ndata: {}\n\n", "x".repeat(900 << 10)))
+});
+
 impl TestEnv {
     fn troubles_started(&self) -> usize {
         let runners = self.plain_runners.iter().chain(&self.heads);
@@ -220,6 +230,18 @@
     lines.map(|id| id.parse().expect("an id")).collect()
 }
 
+/// Sends a request for a stream and reads nothing of the response.
+fn open_unread_stream(daemon: &Daemon) -> TcpStream {
+    let mut stream = TcpStream::connect(daemon.caller_address).expect("the daemon listens");
+    let request = format!(
+        "POST /chat/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 4000\r\n\
+         X-Model: m\r\nX-Token-Count: 100,20\r\nAuthorization: Bearer {API_KEY}\r\n\
+         Content-Length: 2\r\n\r\n{{}}"
+    );
+    stream.write_all(request.as_bytes()).expect("sent");
+    stream
+}
+
 #[test]
 fn idempotent_request_leaves_endless_head() {
     let env = TestEnv::start();
@@ -338,3 +360,31 @@
         env.check_recovered(trouble.name);
     }
 }
+
+// Each response was buffered up to 16 MiB, so that a few dozen exceeded the process's memory.
+#[test]
+fn many_endless_bodies_stay_within_memory() {
+    let env = TestEnv::start();
+    for trouble in BODIES.into_iter().chain([FAILURE]) {
+        let responses = env.call_many_troubled("/once/x", trouble.paced(SHARE_PAUSE));
+        assert!(responses.iter().all(|response| response.status >= 500));
+        env.check_recovered(trouble.name);
+    }
+}
+
+#[test]
+fn many_endless_events_stay_within_memory() {
+    let env = TestEnv::start();
+    for trouble in EMPTY_STREAMS.into_iter().chain([LARGE_EVENTS]) {
+        (0..MANY_REQUESTS).for_each(|_| env.heads[0].enqueue(Behavior::Endless(trouble)));
+        let callers: Vec<TcpStream> = (0..MANY_REQUESTS)
+            .map(|_| open_unread_stream(&env.daemon))
+            .collect();
+        thread::sleep(ROUTE_TIMEOUT);
+        let peak = env.daemon.peak_memory();
+        assert!(peak < MEMORY_LIMIT, "{}: {} MiB", trouble.name, peak >> 20);
+        drop(callers);
+        env.heads[0].clear_script();
+        env.check_recovered(trouble.name);
+    }
+}
