Show kills and waits in the run of stops, and let more callers come late

Every second caller, not every third, keeps a directory response three times as long, so that more requests reach a daemon late in its stop. A seed's table says how long the machine left a thread of the test waiting at most, and logs are also kept where a daemon had to be killed.

--- a/tests/stops/caller.rs
+++ b/tests/stops/caller.rs
@@ -39,8 +39,8 @@
 /// Longest pause before a refused caller retries.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(2_000);
 
-/// Every third caller keeps a directory response three times as long.
-const PATIENT_EVERY: usize = 3;
+/// Every second caller keeps a directory response three times as long.
+const PATIENT_EVERY: usize = 2;
 
 /// One caller.
 pub struct Caller {
--- a/tests/stops/judge.rs
+++ b/tests/stops/judge.rs
@@ -3,7 +3,6 @@
 use super::{
     config,
     fleet::Fleet,
-    options::Options,
     records::{CallEnd, CallRecord, Life},
     runs::{Run, RunEnd},
 };
@@ -100,6 +99,8 @@
     pub lives: Vec<Life>,
     /// All requests.
     pub calls: Vec<Judged>,
+    /// Longest time for which the machine left a thread of this program waiting.
+    pub longest_wait: Duration,
     /// Directory of the daemons' logs.
     pub log_dir: PathBuf,
 }
@@ -110,6 +111,17 @@
         let has_bad_call = self.calls.iter().any(|call| call.verdict.is_fault());
         has_bad_call || self.lives.iter().any(ended_wrongly)
     }
+
+    /// Returns true if a process had to be killed after its grace period.
+    pub fn has_kills(&self) -> bool {
+        self.lives.iter().any(was_killed)
+    }
+}
+
+/// Returns true if a process was killed after its grace period.
+pub fn was_killed(life: &Life) -> bool {
+    let status = life.end.map(|(_, status)| status);
+    status.and_then(|status| status.signal()) == Some(Signal::SIGKILL as i32)
 }
 
 /// Returns true if a process ended without a SIGTERM, or by a signal that it should have handled.
@@ -117,18 +129,18 @@
     let Some((_, status)) = life.end else {
         return false;
     };
-    let is_clean = status.success() || status.signal() == Some(Signal::SIGKILL as i32);
+    let is_clean = status.success() || was_killed(life);
     life.stop().is_none() || !is_clean
 }
 
 /// Judges all requests of a run.
-pub fn judge(fleet: &Fleet, calls: Vec<CallRecord>, options: &Options) -> Findings {
+pub fn judge(fleet: &Fleet, calls: Vec<CallRecord>, longest_wait: Duration) -> Findings {
     let lives = fleet.lives();
     let mut runs = runs_by_id(fleet);
     let judged = calls.into_iter().map(|call| {
         let runs = runs.remove(&call.id).unwrap_or_default();
         let life = life_of(&lives, &call);
-        let verdict = verdict(&call, &lives[life], &runs, options.grace);
+        let verdict = verdict(&call, &lives[life], &runs, fleet.grace);
         Judged {
             call,
             life,
@@ -141,6 +153,7 @@
         started: fleet.started,
         calls: judged.collect(),
         lives,
+        longest_wait,
         log_dir: fleet.log_dir().to_owned(),
     }
 }
--- a/tests/stops/main.rs
+++ b/tests/stops/main.rs
@@ -57,15 +57,15 @@
     );
 }
 
-/// Runs one seed; the logs are kept if it fails.
+/// Runs one seed; the logs are kept if it fails or if a daemon had to be killed.
 fn run(options: &Options, seed: u64) -> Findings {
     let schedule = Schedule::new(options, seed);
     let fleet = Fleet::start(options, seed);
     let callers = load::start(&fleet, seed);
-    operator::run(&fleet, &schedule);
+    let longest_wait = operator::run(&fleet, &schedule);
     let calls = callers.finish();
-    let findings = judge::judge(&fleet, calls, options);
-    if !findings.has_faults() {
+    let findings = judge::judge(&fleet, calls, longest_wait);
+    if !findings.has_faults() && !findings.has_kills() {
         fleet.remove_logs();
     }
     findings
--- a/tests/stops/operator.rs
+++ b/tests/stops/operator.rs
@@ -5,13 +5,18 @@
     schedule::{Act, Schedule},
 };
 use nix::sys::signal::Signal;
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 /// Interval at which the processes are looked after.
 const CHECK_INTERVAL: Duration = Duration::from_millis(3);
 
-/// Carries out a schedule until its end and until no daemon is stopping.
-pub fn run(fleet: &Fleet, schedule: &Schedule) {
+/// Carries out a schedule until its end and until no daemon is stopping; returns the longest time
+/// for which the machine left this thread waiting.
+pub fn run(fleet: &Fleet, schedule: &Schedule) -> Duration {
+    let mut longest_wait = Duration::ZERO;
     let mut acts = schedule.acts.iter().peekable();
     loop {
         let elapsed = fleet.started.elapsed();
@@ -24,9 +29,11 @@
         }
         let is_over = acts.peek().is_none() && elapsed >= schedule.end;
         if is_over && !is_stopping(fleet) {
-            return;
+            return longest_wait;
         }
+        let before = Instant::now();
         thread::sleep(CHECK_INTERVAL);
+        longest_wait = longest_wait.max(before.elapsed().saturating_sub(CHECK_INTERVAL));
     }
 }
 
--- a/tests/stops/table.rs
+++ b/tests/stops/table.rs
@@ -1,7 +1,7 @@
 //! Tables of what a run found.
 
 use super::{
-    judge::{Findings, Judged, Verdict, ended_wrongly},
+    judge::{Findings, Judged, Verdict, ended_wrongly, was_killed},
     records::{CallEnd, Kind, Life},
 };
 use std::{
@@ -27,7 +27,8 @@
 
 /// Prints what a run found.
 pub fn print(findings: &Findings) {
-    println!("== seed {}", findings.seed);
+    let wait = findings.longest_wait.as_secs_f64();
+    println!("== seed {}, longest wait {wait:.3}", findings.seed);
     for kind in Kind::ALL {
         println!("{}", counts(findings, kind));
     }
@@ -44,7 +45,7 @@
     cuts.sort_by_key(|call| call.call.ended);
     cuts.iter()
         .for_each(|call| println!("{}", call_line(findings, call)));
-    if findings.has_faults() {
+    if findings.has_faults() || findings.has_kills() {
         println!("logs are kept in {}", findings.log_dir.display());
     }
 }
@@ -78,7 +79,9 @@
     }
     let lives = all.iter().flat_map(|findings| &findings.lives);
     let wrong = lives.filter(|life| ended_wrongly(life)).count();
-    println!("{wrong} processes ended as they must not");
+    let lives = all.iter().flat_map(|findings| &findings.lives);
+    let killed = lives.filter(|life| was_killed(life)).count();
+    println!("{wrong} processes ended as they must not, {killed} were killed");
 }
 
 /// Returns true for requests that are shown one by one.
