--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -11,12 +11,13 @@
     attempt::{attempt, record_failure, wait_while_serving},
     balancer::{self, ChooseError, Criteria, Endpoint, View},
     call::{AttemptError, AttemptParams, Call, StartedResponse, id_text},
+    open_requests::OpenGuard,
     permits,
     responses::{self, CallResponse, Refusal, strip_hop_by_hop},
     state::GatewayState,
     stream,
 };
-use crate::core::time::{Span, Time};
+use crate::core::time::Span;
 use bytes::Bytes;
 use http::{
     HeaderValue, Request, Response, StatusCode,
@@ -60,7 +61,8 @@
     let (parts, body) = request.into_parts();
     let head = A::decode_call(&parts);
     let id = head.id.clone();
-    let mut response = match accept(state, head, parts, body, arrived).await {
+    let open = state.open.insert(id_text(&id), arrived);
+    let mut response = match accept(state, head, parts, body, open).await {
         Ok(call) => run::<A>(call).await,
         Err(refusal) => {
             log_refusal(state, &id, refusal);
@@ -90,8 +92,9 @@
     head: CallHead,
     parts: request::Parts,
     body: Incoming,
-    arrived: Time,
+    open: OpenGuard,
 ) -> Result<Call, Refusal> {
+    let arrived = state.now();
     let table = state.route_table().ok_or(Refusal::NotConfigured)?;
     let host = parts
         .headers
@@ -118,11 +121,9 @@
     let service = route.pick_service(draw).ok_or(Refusal::NoRoute)?.clone();
     let engine = table.spec().engine(&service);
     let model = engine.zip(head.model.as_ref());
-    if !state.can_finish(admission::expected_duration(
-        model,
-        head.prompt_tokens,
-        head.max_tokens,
-    )) {
+    let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let deadline = arrived + timeout.min(route.timeout);
+    if !state.ends_before_stop(deadline) {
         return Err(Refusal::Unavailable {
             retry_ms: STOPPING_RETRY_DELAY_MS,
         });
@@ -132,9 +133,7 @@
         let mut demand = state.demand.borrow_mut();
         demand.count(engine, model, head.prompt_tokens, head.max_tokens, arrived);
     }
-    let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let time_spent = state.estimate_time_spent(&route.name, timeout);
-    let wait = timeout.min(route.timeout);
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
     headers.remove(EXPECT);
@@ -147,13 +146,14 @@
         headers,
         body,
         account,
-        deadline: arrived + wait,
+        deadline,
         tried: Vec::new(),
         runs: 0,
         attempts: 0,
         route,
         arrived,
         time_spent,
+        open,
     })
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 pub mod liveness;
 pub mod load;
 pub mod notices;
+pub mod open_requests;
 mod openings;
 pub mod order;
 mod orders;
@@ -58,35 +59,21 @@
 mod staging;
 mod startup;
 pub mod state;
+mod stop;
 mod stream;
 pub mod watch;
 mod weight_loads;
 
-use crate::{
-    core::time::Span,
-    shell::{http, metrics, peers::Sockets},
-};
+use crate::shell::{connections::Connections, http, metrics, peers::Sockets, signals::Signals};
 use adapter::Adapter;
 use anyhow::Context as _;
 use compio::net::UdpSocket;
 use duty::Duty;
-use futures_channel::oneshot;
-use futures_util::{
-    FutureExt as _,
-    future::{Either, join, select},
-};
 use lease::Lease;
 use settings::Settings;
 use slog::Logger;
 use state::GatewayState;
-use std::{pin::pin, rc::Rc, time::Duration};
-
-/// Signal that requests a graceful stop.
-const SIGTERM: i32 = 15;
-/// Signal that requests a reload of the settings.
-const SIGHUP: i32 = 1;
-/// End of the grace period that is reserved for writing out responses.
-const FLUSH_WINDOW: Duration = Duration::from_millis(700);
+use std::rc::Rc;
 
 /// Runs a gateway until it is told to stop and its grace period has passed.
 ///
@@ -97,6 +84,7 @@
 where
     A: Adapter,
 {
+    let mut signals = Signals::install().context("install the signal handlers")?;
     metrics::install();
     let listen = &mut settings.listen;
     let callers = http::bind(listen.caller)
@@ -124,8 +112,7 @@
     let store = A::store(settings.store);
     let prefixes = [A::SPEC_KEY, A::RUNNER_PREFIX, A::OWN_PREFIX];
     let state = Rc::new(GatewayState::new(settings, log, &prefixes));
-    let (stop, stopped) = oneshot::channel::<()>();
-    let stopped = stopped.shared();
+    let (connections, handle) = Connections::new();
 
     spawn(watch::watch_prefix(
         state.clone(),
@@ -156,37 +143,23 @@
     let lease = Rc::new(Lease::<A>::new(state.clone(), store));
     let lease_task = compio::runtime::spawn(lease.clone().maintain());
     spawn(Duty::new(state.clone(), lease).run());
-    spawn(listeners::serve_queries::<A>(
-        ready,
-        state.clone(),
-        stopped.clone(),
-    ));
-    spawn(listeners::serve_queries::<A>(
-        directory,
-        state.clone(),
-        stopped.clone(),
-    ));
+    for listener in [ready, directory] {
+        spawn(listeners::serve_queries::<A>(
+            listener,
+            state.clone(),
+            handle.clone(),
+        ));
+    }
     spawn(listeners::serve_callers::<A>(
         callers,
         state.clone(),
-        stopped.clone(),
+        handle,
     ));
 
-    wait_for_stop(&state).await;
-    slog::info!(state.log, "stopping"; "taken" => state.accepted.get());
-    state.stopping.set(true);
-    let grace = Duration::from_millis(state.settings.grace_ms).saturating_sub(FLUSH_WINDOW);
-    let remaining = Span::from_millis(grace.as_millis() as u64);
-    state.drain_deadline.set(Some(state.now() + remaining));
-    let revoked = compio::time::timeout(grace, lease_task);
-    // Requests in flight have the whole grace period; late callers are served while time is left.
-    let (revoked, ()) = join(revoked, compio::time::sleep(grace)).await;
-    if revoked.is_err() {
-        slog::warn!(state.log, "lease not revoked within the grace period");
-    }
-    let _ = stop.send(());
-    compio::time::sleep(FLUSH_WINDOW / 2).await;
-    slog::info!(state.log, "stopped"; "taken" => state.accepted.get());
+    stop::wait_for_signal(&mut signals, &state.log)
+        .await
+        .context("wait for signals")?;
+    stop::drain(&state, signals, lease_task, connections).await;
     Ok(())
 }
 
@@ -196,15 +169,3 @@
 {
     compio::runtime::spawn(task).detach();
 }
-
-/// Waits for SIGTERM; SIGHUP is only logged.
-async fn wait_for_stop(state: &GatewayState) {
-    loop {
-        let terminate = pin!(compio::signal::unix::signal(SIGTERM));
-        let hangup = pin!(compio::signal::unix::signal(SIGHUP));
-        match select(terminate, hangup).await {
-            Either::Left(_) => return,
-            Either::Right(_) => slog::info!(state.log, "settings apply only after a restart"),
-        }
-    }
-}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
     liveness::ReportedProgress,
     load::Loads,
     notices::{LimitChange, Notices, RateLimit},
+    open_requests::OpenRequests,
     outages::{Outages, ServingChange},
     peers::Peers,
     permits::{Permits, Registration},
@@ -95,8 +96,10 @@
     pub runners_revision: Cell<Revision>,
     /// True once the daemon was told to stop.
     pub stopping: Cell<bool>,
-    /// Time at which responses still in flight are cut, set when the daemon is told to stop.
+    /// Time by which new requests must end, set when the daemon is told to stop.
     pub drain_deadline: Cell<Option<Time>>,
+    /// Requests that have not ended yet.
+    pub open: OpenRequests,
     /// Number of requests accepted so far.
     pub accepted: Cell<u64>,
 }
@@ -133,6 +136,7 @@
             runners_revision: Cell::default(),
             stopping: Cell::new(false),
             drain_deadline: Cell::new(None),
+            open: OpenRequests::default(),
             accepted: Cell::new(0),
             settings,
         }
@@ -299,12 +303,9 @@
         act(budget)
     }
 
-    /// Returns true if a request of this duration can be answered before the daemon stops.
-    pub fn can_finish(&self, duration: Span) -> bool {
-        let now = self.now();
-        self.drain_deadline
-            .get()
-            .is_none_or(|end| now + duration <= end)
+    /// Returns true if a request with this deadline must end before the daemon stops.
+    pub fn ends_before_stop(&self, deadline: Time) -> bool {
+        self.drain_deadline.get().is_none_or(|end| deadline <= end)
     }
 
     /// Returns the source from which this daemon follows the store's changes.
