--- a/tests/platform/stop.rs
+++ b/tests/platform/stop.rs
@@ -14,12 +14,14 @@
 const PACED: Behavior = Behavior::PacedEvents {
     last: EVENTS,
     pause: Duration::from_millis(100),
+    is_complete: true,
 };
 
 /// Stream that lasts as long as the grace period.
 const SLOW: Behavior = Behavior::PacedEvents {
     last: EVENTS,
     pause: Duration::from_millis(375),
+    is_complete: true,
 };
 
 fn is_whole(response: &Response) -> bool {
