A stream of comments without end resumes at another runner

What callers saw: of a resumable stream whose runner sent comment lines without end, its caller got nothing but those until the timeout, and then a cut.

Cause: a comment counts as a whole event and is passed on; only the silence of a runner, or a single event of 1 MiB, ended the wait.

Now 64 KiB of comments since the last event end the run, as an event that is too long does; keep-alives, a few bytes each, stay far below.

Before: stream_resumes_after_endless_bytes failed at "comments" (no event in place of three) on the parent's code, with a release build.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -5,6 +5,9 @@
 /// Maximum size of an event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Maximum size of the comments between two events.
+const MAX_COMMENT_BYTES: usize = 64 << 10;
+
 /// Whole event as the runner wrote it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -20,6 +23,8 @@
     buffer: BytesMut,
     /// Length of the part of `buffer` that was already searched.
     searched: usize,
+    /// Size of the comments since the last event.
+    comments: usize,
 }
 
 impl EventSplitter {
@@ -33,6 +38,10 @@
         let end = self.find_end()?;
         let bytes = self.buffer.split_to(end).freeze();
         self.searched = 0;
+        self.comments = match is_comment(&bytes) {
+            true => self.comments + bytes.len(),
+            false => 0,
+        };
         Some(Event {
             id: event_id(&bytes),
             bytes,
@@ -49,9 +58,10 @@
         self.buffer.len()
     }
 
-    /// Returns true if the buffered bytes exceed the maximum size of an event.
+    /// Returns true if the buffered bytes exceed the maximum size of an event, or the comments
+    /// since the last event exceed theirs.
     pub fn is_too_long(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+        self.buffer.len() > MAX_EVENT_BYTES || self.comments > MAX_COMMENT_BYTES
     }
 
     /// Returns the position after the next empty line.
@@ -70,6 +80,12 @@
     }
 }
 
+/// Returns true if a block of lines has no field.
+fn is_comment(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line.first(), None | Some(b':' | b'\r')))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     event.split(|byte| *byte == b'\n').find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -108,11 +108,14 @@
                             Transfer-Encoding: chunked\r\n\r\n";
 
 /// Streams without end that bring no event which the caller could count on.
-const EMPTY_STREAMS: [Endless; 2] = [
+const EMPTY_STREAMS: [Endless; 3] = [
     Endless::new("open event", STREAM_START, |_| chunk(&kilobyte())),
     Endless::new("comment lines", STREAM_START, |_| {
         chunk(&": alive\n".repeat(128))
     }),
+    Endless::new("comments", STREAM_START, |_| {
+        chunk(&": alive\n\n".repeat(128))
+    }),
 ];
 
 /// Numbered events without end.
--- a/tests/platform/endless_control.rs
+++ b/tests/platform/endless_control.rs
@@ -53,7 +53,11 @@
     /// Asserts that the daemon serves all kinds of requests within its memory.
     fn check_serving(&self, case: &str) {
         let response = self.call("GET", "/read/x", &[], "");
-        assert_eq!((response.status, response.body.as_str()), (200, "usual"));
+        assert_eq!(
+            (response.status, response.body.as_str()),
+            (200, "usual"),
+            "{case}: {response:?}"
+        );
         self.eventually(&format!("a stream is served: {case}"), |env| {
             env.stream(&[]).status == 200
         });
