Take likely requests early in a stop

Ruled out: estimates up to the end as before, which is the incident; refusing nothing in the first part, which cuts whatever is slow. A stopping daemon now also takes, in the first three eighths of its grace period, a request for which twice its estimated duration and a second are left: a second run after a silent head still fits. Those that come later had time to learn of the stop, and are taken by their deadline only. The decision is pure, in gateway/drain.rs. The test of the incident sent its stream at once after SIGTERM, in 3 s of grace; a cut at the very end of such a stream is what the platform allows (sent in the first 3/8, at work in the last sixth). It now sends it after that phase, in which the code before the fix takes and cuts it just the same; the bounds of the decision have tests of their own.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -122,7 +122,8 @@
     let model = engine.zip(head.model.as_ref());
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let deadline = arrived + timeout.min(route.timeout);
-    if !state.ends_before_stop(deadline) {
+    let estimate = admission::expected_duration(model, head.prompt_tokens, head.max_tokens);
+    if !state.admits(deadline, estimate) {
         return Err(Refusal::Unavailable {
             retry_ms: STOPPING_RETRY_DELAY_MS,
         });
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,8 +9,8 @@
 //! Modules that decide (`routes`, `roster`, `group`, `candidacy`, `balancer`,
 //! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
-//! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`) read no
-//! clock and do no I/O.
+//! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`,
+//! `drain`) read no clock and do no I/O.
 //! The names and formats of a platform are hidden behind [`adapter::Adapter`].
 
 pub mod adapter;
@@ -26,6 +26,7 @@
 mod connection;
 mod datagrams;
 pub mod demand;
+pub mod drain;
 mod duty;
 pub mod events;
 pub mod formation;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,6 +8,7 @@
     },
     datagrams::Outbox,
     demand::Demand,
+    drain::Drain,
     held_bytes::HeldBytes,
     liveness::ReportedProgress,
     load::Loads,
@@ -99,8 +100,8 @@
     pub runners_revision: Cell<Revision>,
     /// True once the daemon was told to stop.
     pub stopping: Cell<bool>,
-    /// Time by which new requests must end, set when the daemon is told to stop.
-    pub drain_deadline: Cell<Option<Time>>,
+    /// Decides on new requests once the daemon was told to stop.
+    pub drain: Cell<Option<Drain>>,
     /// Requests that have not ended yet.
     pub open: OpenRequests,
     /// Number of requests accepted so far.
@@ -139,7 +140,7 @@
             runners_listed: Cell::new(false),
             runners_revision: Cell::default(),
             stopping: Cell::new(false),
-            drain_deadline: Cell::new(None),
+            drain: Cell::new(None),
             open: OpenRequests::default(),
             accepted: Cell::new(0),
             settings,
@@ -307,9 +308,11 @@
         act(budget)
     }
 
-    /// Returns true if a request with this deadline must end before the daemon stops.
-    pub fn ends_before_stop(&self, deadline: Time) -> bool {
-        self.drain_deadline.get().is_none_or(|end| deadline <= end)
+    /// Returns true unless a request with this deadline and estimated duration may outlast a stop.
+    pub fn admits(&self, deadline: Time, estimate: Span) -> bool {
+        let now = self.now();
+        let drain = self.drain.get();
+        drain.is_none_or(|drain| drain.admits(deadline, estimate, now))
     }
 
     /// Returns the source from which this daemon follows the store's changes.
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -1,11 +1,10 @@
 //! Graceful stop of a daemon.
 //!
-//! From the signal on callers are sent to other daemons. Those that still come are
-//! served if they wait no longer than the daemon lives: nobody knows how long a
-//! response takes, but each request has a deadline, so that no request that is
-//! taken now can outlast the daemon. What was taken before has until the exit.
+//! From the signal on callers are sent to other daemons. Of the requests that still
+//! come the daemon takes those that [`Drain`] admits. What was taken has until the
+//! exit.
 
-use super::{lease::LeaseTask, state::GatewayState};
+use super::{drain::Drain, lease::LeaseTask, state::GatewayState};
 use crate::{
     core::{keys::HostName, time::Span},
     shell::{
@@ -18,10 +17,10 @@
 use std::{io, time::Duration};
 
 /// End of the grace period in which connections are closed and nothing is taken any more.
-const CLOSE_WINDOW: Duration = Duration::from_millis(700);
+const CLOSE_WINDOW: Span = Span::from_millis(700);
 
 /// End of the grace period that is left for the exit itself.
-const EXIT_WINDOW: Duration = Duration::from_millis(100);
+const EXIT_WINDOW: Span = Span::from_millis(100);
 
 /// Waits for a signal that asks for a stop; others are only logged.
 ///
@@ -48,18 +47,18 @@
         "taken" => state.accepted.get(),
         "open" => state.open.count());
     compio::runtime::spawn(log_signals(signals, state.log.clone())).detach();
-    let grace = Duration::from_millis(state.settings.grace_ms);
-    let serving = grace.saturating_sub(CLOSE_WINDOW);
+    let grace = Span::from_millis(state.settings.grace_ms);
+    let serving = Duration::from(grace - CLOSE_WINDOW);
     state.stopping.set(true);
-    state.drain_deadline.set(Some(
-        state.now() + Span::from_millis(serving.as_millis() as u64),
-    ));
+    let drain = Drain::new(grace, CLOSE_WINDOW, state.now());
+    state.drain.set(Some(drain));
     let revoked = compio::time::timeout(serving, lease_task.revoke());
     let (revoked, ()) = join(revoked, compio::time::sleep(serving)).await;
     if revoked.is_err() {
         slog::warn!(state.log, "lease not revoked within the grace period");
     }
-    connections.finish(CLOSE_WINDOW - EXIT_WINDOW).await;
+    let closing = CLOSE_WINDOW - EXIT_WINDOW;
+    connections.finish(closing.into()).await;
     log_cut_requests(state);
     slog::info!(state.log, "stopped";
         "taken" => state.accepted.get(),
--- a/tests/platform/stop.rs
+++ b/tests/platform/stop.rs
@@ -24,6 +24,9 @@
     is_complete: true,
 };
 
+/// Time after the signal in which a stopping daemon takes requests that are likely to end.
+const EARLY_PHASE: Duration = Duration::from_millis(1_125);
+
 /// Stream that lasts as long as the grace period.
 const SLOW: Behavior = Behavior::PacedEvents {
     last: EVENTS,
@@ -73,12 +76,14 @@
     assert!(is_whole(&response), "{response:?}");
 }
 
-/// A daemon that stops can't know how long a stream takes, only how long its caller waits.
+/// A daemon that stops can't know how long a stream takes, only how long its caller waits. Callers
+/// that come this late had time to learn of the stop.
 #[test]
 fn stop_cuts_no_stream_that_outlasts_its_estimate() {
     let env = TestEnv::start();
     env.terminate();
     wait_until_stopping(&env);
+    thread::sleep(EARLY_PHASE);
     let earlier = stream_count(&env);
     env.heads[0].enqueue(SLOW);
     let response = env.stream(&[]);
