The store's interim responses without end no longer starve requests

What callers saw: while the store sent interim responses without end, a request could be refused (503): connecting to a runner took longer than its timeout.

Cause: each call to the store read on for its whole timeout of 1.2 s, several calls at once. A connection that yields is run again, up to 61 times, before the event loop looks at the sockets of the others. In the log both attempts of the refused request end as "Unreached", 1.6 s and 3.0 s after its arrival.

Ruled out: shorter turns.

Now a call to the store ends after 16 interim responses, as a request to a runner does; both use the same limit.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -5,32 +5,21 @@
 //! Dropping the connection tells the runner that nobody waits for the response
 //! any more. Only the prober reuses a connection, for its probes.
 
-use crate::shell::http::{connect_within, handshake_http1};
+use crate::shell::{
+    http::{connect_within, handshake_http1},
+    interim::too_many_interim,
+};
 use bytes::Bytes;
 use compio::runtime::JoinHandle;
-use futures_channel::oneshot;
 use futures_util::future::{Either, select};
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::{body::Incoming, client::conn::http1::SendRequest, ext::on_informational};
-use std::{
-    future::pending,
-    io::ErrorKind,
-    net::SocketAddr,
-    pin::pin,
-    sync::{
-        Mutex, PoisonError,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
+use std::{io::ErrorKind, net::SocketAddr, pin::pin, time::Duration};
 
 /// Connect timeout for a runner that was never reached before.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Interim responses after which a response is no longer waited for.
-const MAX_INTERIM_RESPONSES: usize = 16;
-
 /// Reason for which no response was received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendError {
@@ -94,26 +83,3 @@
         }
     }
 }
-
-/// Returns a future that ends once a request has got too many interim responses.
-fn too_many_interim<B>(request: &mut Request<B>) -> impl Future<Output = ()> + use<B> {
-    let (sender, receiver) = oneshot::channel();
-    let sender = Mutex::new(Some(sender));
-    let count = AtomicUsize::default();
-    on_informational(request, move |_| {
-        if count.fetch_add(1, Ordering::Relaxed) < MAX_INTERIM_RESPONSES {
-            return;
-        }
-        let mut sender = sender.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(sender) = sender.take() {
-            // Nobody waits for the response any more if the receiver is gone.
-            let _ = sender.send(());
-        }
-    });
-    async {
-        // Without a signal the final response ends the wait, or the end of the connection.
-        if receiver.await.is_err() {
-            pending::<()>().await;
-        }
-    }
-}
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -12,6 +12,7 @@
 pub mod host_list;
 pub mod http;
 pub mod inbox;
+pub mod interim;
 pub mod metrics;
 pub mod operators;
 pub mod peers;
