--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -4,7 +4,7 @@
 //! any time. Just after the signal most callers still have the daemon's address;
 //! refusing them all would leave them without an answer if other daemons stop
 //! too. Until they have learnt of the stop, a request is therefore also taken if
-//! it is likely to end in time: several times its estimated duration is left.
+//! it is likely to end in time, even if it runs twice.
 
 use crate::core::time::{Span, Time};
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -308,7 +308,8 @@
         act(budget)
     }
 
-    /// Returns true unless a request with this deadline and estimated duration may outlast a stop.
+    /// Returns true unless a stop leaves too little time for a request with this deadline and
+    /// estimated duration.
     pub fn admits(&self, deadline: Time, estimate: Span) -> bool {
         let now = self.now();
         let drain = self.drain.get();
