Log the entries of runners that go, and the runners that a recovery brings back

Now each entry that goes, and each runner without one that a recovery makes usable, has a line. No behavior changes.

--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -109,11 +109,36 @@
     fn replace(&self, revision: Revision, listed: Vec<(HostName, Runner)>) {
         self.state.runners_revision.set(revision);
         let now = self.state.now();
-        self.state.roster.borrow_mut().replace(listed, now);
+        let unlisted = self.state.roster.borrow_mut().replace(listed, now);
+        unlisted.iter().for_each(|name| self.log_unlisted(name));
         self.state.refresh_groups();
         self.state.runners_listed.set(true);
     }
 
+    fn log_unlisted(&self, name: &HostName) {
+        let roster = self.state.roster.borrow();
+        let Some((_, host)) = roster.host_by_name(name) else {
+            return;
+        };
+        slog::info!(self.state.log, "entry of runner is gone";
+            "host" => name.as_str(),
+            "service" => host.runner.service.as_str(),
+            "draining" => host.is_draining(),
+            "used" => roster.is_usable(host, self.state.now()));
+    }
+
+    /// Logs that a listed runner says in its entry for the first time that it leaves.
+    fn log_draining(&self, name: &HostName, runner: &Runner) {
+        let roster = self.state.roster.borrow();
+        let known = roster.host_by_name(name);
+        let was_draining = known.is_some_and(|(_, host)| host.runner.draining);
+        if runner.draining && !was_draining {
+            slog::info!(self.state.log, "entry of runner says that it leaves";
+                "host" => name.as_str(),
+                "service" => runner.service.as_str());
+        }
+    }
+
     fn apply(&self, event: &WatchEvent) {
         let (key, entry) = match event {
             WatchEvent::Put(entry) => (&entry.key, Some(entry)),
@@ -127,10 +152,18 @@
             return;
         };
         let runner = entry.and_then(|entry| self.decode(&name, entry));
-        let mut roster = self.state.roster.borrow_mut();
         match runner {
-            Some(runner) => roster.put(name, runner),
-            None => roster.mark_unlisted(&name, self.state.now()),
+            Some(runner) => {
+                self.log_draining(&name, &runner);
+                self.state.roster.borrow_mut().put(name, runner);
+            }
+            None => {
+                let now = self.state.now();
+                let is_news = self.state.roster.borrow_mut().mark_unlisted(&name, now);
+                if is_news {
+                    self.log_unlisted(&name);
+                }
+            }
         }
     }
 }
@@ -158,7 +191,14 @@
 
     fn on_recovery(&self) {
         let now = self.state.now();
-        self.state.roster.borrow_mut().store_recovered(now);
+        let mut roster = self.state.roster.borrow_mut();
+        roster.store_recovered(now);
+        for host in roster.reentering(now) {
+            slog::info!(self.state.log, "runner without an entry is used after a recovery";
+                "host" => host.name.as_str(),
+                "service" => host.runner.service.as_str(),
+                "unlisted_ms" => host.unlisted_since.map(|since| now.since(since).as_millis()));
+        }
     }
 }
 
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -157,30 +157,33 @@
         }
     }
 
-    /// Marks a host whose entry is missing as unlisted.
-    pub fn mark_unlisted(&mut self, name: &HostName, now: Time) {
+    /// Marks a host whose entry is missing as unlisted; returns true if that is news.
+    pub fn mark_unlisted(&mut self, name: &HostName, now: Time) -> bool {
         let Some(key) = self.keys.get(name) else {
-            return;
+            return false;
         };
-        self.hosts[*key].unlisted_since.get_or_insert(now);
+        let since = &mut self.hosts[*key].unlisted_since;
+        let is_news = since.is_none();
+        since.get_or_insert(now);
+        is_news
     }
 
-    /// Replaces the list of hosts; known hosts that it lacks are marked as unlisted.
-    pub fn replace(&mut self, listed: Vec<(HostName, Runner)>, now: Time) {
+    /// Replaces the list of hosts; known hosts that it lacks are marked as unlisted, and those for
+    /// which that is news are returned.
+    pub fn replace(&mut self, listed: Vec<(HostName, Runner)>, now: Time) -> Vec<HostName> {
         self.watched_since.get_or_insert(now);
         let present: BTreeSet<HostName> = listed.iter().map(|(name, _)| name.clone()).collect();
         for (name, runner) in listed {
             self.put(name, runner);
         }
-        let missing: Vec<HostName> = self
+        let mut missing: Vec<HostName> = self
             .keys
             .keys()
             .filter(|name| !present.contains(*name))
             .cloned()
             .collect();
-        for name in missing {
-            self.mark_unlisted(&name, now);
-        }
+        missing.retain(|name| self.mark_unlisted(name, now));
+        missing
     }
 
     /// Records a runner's answer to a probe; the membership counts only if the host has no entry,
@@ -348,6 +351,15 @@
         slowdowns.fold(1.0, f64::max)
     }
 
+    /// Returns the hosts without an entry that are used until their entries may have come back.
+    pub fn reentering(&self, now: Time) -> impl Iterator<Item = &Host> {
+        let unlisted = self
+            .hosts
+            .values()
+            .filter(|host| host.unlisted_since.is_some());
+        unlisted.filter(move |host| self.is_usable(host, now))
+    }
+
     /// Returns true if requests may be sent to a host.
     pub fn is_usable(&self, host: &Host, now: Time) -> bool {
         let listed = host.unlisted_since.is_none() || now < self.reentry_until;
