--- /dev/null
+++ b/tests/gateway/departures.rs
@@ -0,0 +1,79 @@
+//! Runners whose entries are gone: lapsed in an outage of the store, or left.
+
+use hickoryledge::{
+    core::{
+        keys::{HallName, HostName, ServiceName},
+        time::{Span, Time},
+    },
+    gateway::roster::{REENTRY_WINDOW, Roster, Runner},
+};
+
+const NAME: &str = "p1";
+
+fn at(millis: u64) -> Time {
+    Time::default() + Span::from_millis(millis)
+}
+
+fn runner() -> Runner {
+    Runner {
+        service: ServiceName::from("plain"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        hall: HallName::from("hall"),
+        domain: None,
+        slots: 6,
+        draining: false,
+        born: 1,
+        orders: 0,
+        staged: Vec::new(),
+        member: None,
+    }
+}
+
+/// Returns a roster of one listed runner.
+fn roster() -> Roster {
+    let mut roster = Roster::default();
+    roster.replace(vec![(HostName::from(NAME), runner())], at(0));
+    roster
+}
+
+fn is_usable(roster: &Roster, now: Time) -> bool {
+    let (_, host) = roster.host_by_name(&HostName::from(NAME)).expect("known");
+    roster.is_usable(host, now)
+}
+
+/// A runner need not say that it leaves: its entry is removed, and it serves on for some seconds.
+#[test]
+fn store_failure_does_not_bring_back_runner_that_left() {
+    let mut roster = roster();
+    roster.mark_unlisted(&HostName::from(NAME), at(1_000));
+    assert!(!is_usable(&roster, at(1_000)));
+    roster.store_recovered(at(11_000));
+    assert!(!is_usable(&roster, at(11_000)));
+    roster.replace(Vec::new(), at(11_000));
+    assert!(!is_usable(&roster, at(11_500)));
+}
+
+#[test]
+fn repeated_store_failures_do_not_prolong_use_of_lapsed_entry() {
+    let mut roster = roster();
+    roster.store_recovered(at(5_000));
+    roster.replace(Vec::new(), at(5_000));
+    assert!(is_usable(&roster, at(6_900)));
+    for failure in 0..6 {
+        let recovered = at(6_500 + 1_500 * failure);
+        roster.store_recovered(recovered);
+        roster.replace(Vec::new(), recovered);
+    }
+    assert!(!is_usable(&roster, at(5_000) + REENTRY_WINDOW));
+}
+
+#[test]
+fn runner_whose_entry_lapsed_is_used_until_it_may_be_back() {
+    let mut roster = roster();
+    roster.store_recovered(at(5_000));
+    roster.mark_unlisted(&HostName::from(NAME), at(5_100));
+    assert!(is_usable(&roster, at(5_100)));
+    assert!(!is_usable(&roster, at(5_000) + REENTRY_WINDOW));
+    roster.put(HostName::from(NAME), runner());
+    assert!(is_usable(&roster, at(9_000)));
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod abandon;
 mod config;
 mod decoding;
+mod departures;
 mod endless;
 mod endless_control;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -7,7 +7,7 @@
     collections::BTreeMap,
     sync::{
         Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -44,6 +44,8 @@
     state: Mutex<State>,
     /// Number of times that an older copy was restored.
     era: AtomicU64,
+    /// True while all calls fail without effect.
+    is_failing: AtomicBool,
     /// Bytes that it sends in place of responses.
     trouble: Mutex<Option<Endless>>,
     /// Endless responses that it has sent.
@@ -66,6 +68,11 @@
         state.delete(key);
     }
 
+    /// Lets all further calls fail without effect, or no more; waiting watches are cut.
+    pub fn set_failing(&self, is_failing: bool) {
+        self.is_failing.store(is_failing, Ordering::SeqCst);
+    }
+
     /// Sends bytes without end in place of all further responses, or no more.
     pub fn set_trouble(&self, trouble: Option<Endless>) {
         *self.trouble.lock().expect("not poisoned") = trouble;
@@ -151,6 +158,9 @@
         query: &str,
         body: &[u8],
     ) -> Option<(u16, Value)> {
+        if self.is_failing.load(Ordering::SeqCst) {
+            return Some((503, json!({})));
+        }
         let mut state = self.state.lock().expect("not poisoned");
         let query: BTreeMap<&str, &str> = query
             .split('&')
