Fix: a recovery of the store brings back no runner that left before

The test asked when the store came back, not when the entry went. A runner that leaves without saying so was used again after each cut watch.

Now each host whose entry goes missing keeps the time until which it may come back: the end of the window that is open then, and of the next one only if the entry went while calls failed. Later failures don't reopen it.

Ruled out: a list that brings the entry back (the logs show the removal, and no list with the entry); the daemon's own late knowledge alone (the runner is avoided before the failure, in the test and in the record).

--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -189,12 +189,17 @@
         self.state.refresh_groups();
     }
 
+    fn on_loss(&self) {
+        let now = self.state.now();
+        self.state.roster.borrow_mut().store_lost(now);
+    }
+
     fn on_recovery(&self) {
         let now = self.state.now();
         let mut roster = self.state.roster.borrow_mut();
         roster.store_recovered(now);
         for host in roster.reentering(now) {
-            slog::info!(self.state.log, "runner without an entry is used after a recovery";
+            slog::info!(self.state.log, "runner whose entry has lapsed is used";
                 "host" => host.name.as_str(),
                 "service" => host.runner.service.as_str(),
                 "unlisted_ms" => host.unlisted_since.map(|since| now.since(since).as_millis()));
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -52,6 +52,8 @@
     pub runner: Runner,
     /// Time since which its entry is missing.
     pub unlisted_since: Option<Time>,
+    /// Time until which its missing entry may still come back; in the past if it left.
+    reentry_until: Time,
     /// Time of its last answer to a probe, unless it was unlisted or draining then.
     last_healthy: Option<Time>,
     /// Failure of its last probe, if it failed.
@@ -115,8 +117,10 @@
     /// Slow instances with their slowdown factors.
     slow: BTreeMap<RunnerInstance, f64>,
     groups: Vec<Group>,
-    /// Time until which a missing entry may still come back.
+    /// Time until which an entry that is found missing may still come back.
     reentry_until: Time,
+    /// Time at which calls to the store began to fail, while they do.
+    lost_at: Option<Time>,
     /// Time since which the store has been watched without interruption.
     watched_since: Option<Time>,
     /// Groups that no longer hold their members, as another daemon reported.
@@ -144,6 +148,7 @@
                     name: name.clone(),
                     runner,
                     unlisted_since: None,
+                    reentry_until: Time::default(),
                     last_healthy: None,
                     probe_failure: None,
                     is_reported_dead: false,
@@ -162,10 +167,13 @@
         let Some(key) = self.keys.get(name) else {
             return false;
         };
-        let since = &mut self.hosts[*key].unlisted_since;
-        let is_news = since.is_none();
-        since.get_or_insert(now);
-        is_news
+        let host = &mut self.hosts[*key];
+        if host.unlisted_since.is_some() {
+            return false;
+        }
+        host.unlisted_since = Some(now);
+        host.reentry_until = self.reentry_until;
+        true
     }
 
     /// Replaces the list of hosts; known hosts that it lacks are marked as unlisted, and those for
@@ -288,10 +296,22 @@
         self.slow = slow;
     }
 
-    /// Records that the store is available again after an outage.
+    /// Records that calls to the store have begun to fail.
+    pub fn store_lost(&mut self, now: Time) {
+        self.lost_at.get_or_insert(now);
+    }
+
+    /// Records that the store is available again after an outage. Entries that went missing before
+    /// it did so for another reason, and don't come back.
     pub fn store_recovered(&mut self, now: Time) {
         self.reentry_until = now + REENTRY_WINDOW;
         self.watched_since = Some(now);
+        let Some(lost_at) = self.lost_at.take() else {
+            return;
+        };
+        let unlisted = self.hosts.values_mut();
+        let lapsed = unlisted.filter(|host| host.unlisted_since >= Some(lost_at));
+        lapsed.for_each(|host| host.reentry_until = self.reentry_until);
     }
 
     /// Drops hosts that have been unlisted for too long.
@@ -362,7 +382,7 @@
 
     /// Returns true if requests may be sent to a host.
     pub fn is_usable(&self, host: &Host, now: Time) -> bool {
-        let listed = host.unlisted_since.is_none() || now < self.reentry_until;
+        let listed = host.unlisted_since.is_none() || now < host.reentry_until;
         listed && !host.is_draining() && !host.is_unreachable()
     }
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -47,6 +47,9 @@
         self.on_list(revision, entries);
     }
 
+    /// Notes that calls to the store have begun to fail.
+    fn on_loss(&self) {}
+
     /// Notes that the store answers again after an outage.
     fn on_recovery(&self) {}
 }
@@ -219,6 +222,7 @@
         if !self.is_store_down {
             slog::warn!(self.state.log, "store unreachable";
                 "prefix" => self.prefix, "cause" => cause);
+            self.handler.on_loss();
         }
         self.is_store_down = true;
     }
--- a/tests/gateway/departures.rs
+++ b/tests/gateway/departures.rs
@@ -77,3 +77,15 @@
     roster.put(HostName::from(NAME), runner());
     assert!(is_usable(&roster, at(9_000)));
 }
+
+/// A new holder of the duty may list the entries before its watch has noticed that the store is
+/// back.
+#[test]
+fn entry_that_lapsed_before_the_recovery_is_noticed_may_come_back() {
+    let mut roster = roster();
+    roster.store_lost(at(5_000));
+    roster.replace(Vec::new(), at(8_000));
+    roster.store_recovered(at(8_500));
+    assert!(is_usable(&roster, at(8_500)));
+    assert!(!is_usable(&roster, at(8_500) + REENTRY_WINDOW));
+}
