Fix: an older copy of the store brings back no runner that left since

A list from an older copy has the runner as ready, and it was used again until its entry went once more. Now it stays unlisted until it writes again, or for the 30 s after which it would be forgotten.

Test first: older_copy_does_not_bring_back_runner_that_left and runner_that_stays_listed_after_older_copy_is_used_again failed on the code before, with the same call made of keep_newer and replace.

--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -3,13 +3,14 @@
 use super::{
     adapter::Adapter,
     peers::{DaemonEntry, RunnerHealth},
-    roster::Runner,
+    roster::{Roster, Runner},
     state::GatewayState,
     watch::EntryHandler,
 };
 use crate::core::{
     input::{PlatformEntry, WatchEvent},
     keys::{DaemonName, HostName, Revision},
+    time::Time,
 };
 use serde::de::DeserializeOwned;
 use std::{marker::PhantomData, rc::Rc};
@@ -106,10 +107,15 @@
         entries.iter().filter_map(decode).collect()
     }
 
-    fn replace(&self, revision: Revision, listed: Vec<(HostName, Runner)>) {
+    /// Passes a list to the roster by `replace`, which returns the hosts that it lacks.
+    fn apply_list<F>(&self, revision: Revision, entries: &[PlatformEntry], replace: F)
+    where
+        F: FnOnce(&mut Roster, Vec<(HostName, Runner)>, Time) -> Vec<HostName>,
+    {
         self.state.runners_revision.set(revision);
+        let listed = self.decode_all(entries);
         let now = self.state.now();
-        let unlisted = self.state.roster.borrow_mut().replace(listed, now);
+        let unlisted = replace(&mut self.state.roster.borrow_mut(), listed, now);
         unlisted.iter().for_each(|name| self.log_unlisted(name));
         self.state.refresh_groups();
         self.state.runners_listed.set(true);
@@ -173,13 +179,11 @@
     A: Adapter,
 {
     fn on_list(&self, revision: Revision, entries: Vec<PlatformEntry>) {
-        self.replace(revision, self.decode_all(&entries));
+        self.apply_list(revision, &entries, Roster::replace);
     }
 
     fn on_older_list(&self, revision: Revision, entries: Vec<PlatformEntry>) {
-        let listed = self.decode_all(&entries);
-        let listed = self.state.roster.borrow().keep_newer(listed);
-        self.replace(revision, listed);
+        self.apply_list(revision, &entries, Roster::replace_by_older);
     }
 
     fn on_change(&self, events: Vec<WatchEvent>) {
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -54,6 +54,8 @@
     pub unlisted_since: Option<Time>,
     /// Time until which its missing entry may still come back; in the past if it left.
     reentry_until: Time,
+    /// Time at which an older copy of the store listed it again although it had left.
+    relisted_at: Option<Time>,
     /// Time of its last answer to a probe, unless it was unlisted or draining then.
     last_healthy: Option<Time>,
     /// Failure of its last probe, if it failed.
@@ -139,6 +141,7 @@
                 let host = &mut self.hosts[key];
                 host.runner = runner;
                 host.unlisted_since = None;
+                host.relisted_at = None;
                 host.is_reported_dead = false;
             }
             None => {
@@ -149,6 +152,7 @@
                     runner,
                     unlisted_since: None,
                     reentry_until: Time::default(),
+                    relisted_at: None,
                     last_healthy: None,
                     probe_failure: None,
                     is_reported_dead: false,
@@ -168,6 +172,7 @@
             return false;
         };
         let host = &mut self.hosts[*key];
+        host.relisted_at = None;
         if host.unlisted_since.is_some() {
             return false;
         }
@@ -194,6 +199,32 @@
         missing
     }
 
+    /// Replaces the list of hosts by one from an older copy of the store. What is known to be newer
+    /// is kept, and a runner that has left since the copy stays unlisted until it writes again or
+    /// would be forgotten.
+    pub fn replace_by_older(
+        &mut self,
+        listed: Vec<(HostName, Runner)>,
+        now: Time,
+    ) -> Vec<HostName> {
+        let listed = self.keep_newer(listed);
+        let departed: BTreeMap<HostName, Time> = listed
+            .iter()
+            .filter_map(|(name, runner)| {
+                let (_, host) = self.host_by_name(name)?;
+                let has_left = now >= host.reentry_until && host.runner.born == runner.born;
+                Some((name.clone(), host.unlisted_since.filter(|_| has_left)?))
+            })
+            .collect();
+        let missing = self.replace(listed, now);
+        for (name, since) in departed {
+            let host = &mut self.hosts[self.keys[&name]];
+            host.unlisted_since = Some(since);
+            host.relisted_at = Some(now);
+        }
+        missing
+    }
+
     /// Records a runner's answer to a probe; the membership counts only if the host has no entry,
     /// since an entry is newer.
     pub fn probe_answered(&mut self, name: &HostName, member: Option<Membership>, now: Time) {
@@ -314,14 +345,22 @@
         lapsed.for_each(|host| host.reentry_until = self.reentry_until);
     }
 
-    /// Drops hosts that have been unlisted for too long.
+    /// Drops hosts that have been unlisted for too long; those that an older copy lists since then
+    /// count as listed.
     pub fn expire(&mut self, now: Time) {
+        for host in self.hosts.values_mut() {
+            let is_relisted = |at| now.since(at) > UNLISTED_TIMEOUT;
+            if host.relisted_at.is_some_and(is_relisted) {
+                host.relisted_at = None;
+                host.unlisted_since = None;
+            }
+        }
         let expired: Vec<HostName> = self
             .hosts
             .values()
             .filter(|host| {
-                host.unlisted_since
-                    .is_some_and(|at| now.since(at) > UNLISTED_TIMEOUT)
+                let last_listed = host.relisted_at.or(host.unlisted_since);
+                last_listed.is_some_and(|at| now.since(at) > UNLISTED_TIMEOUT)
             })
             .map(|host| host.name.clone())
             .collect();
--- a/tests/gateway/departures.rs
+++ b/tests/gateway/departures.rs
@@ -89,3 +89,38 @@
     assert!(is_usable(&roster, at(8_500)));
     assert!(!is_usable(&roster, at(8_500) + REENTRY_WINDOW));
 }
+
+/// The store comes back from a copy in which the runner is still listed; the runner doesn't write
+/// again.
+#[test]
+fn older_copy_does_not_bring_back_runner_that_left() {
+    let mut roster = roster();
+    let name = HostName::from(NAME);
+    roster.mark_unlisted(&name, at(1_000));
+    roster.store_recovered(at(4_000));
+    roster.replace_by_older(vec![(name.clone(), runner())], at(4_000));
+    assert!(!is_usable(&roster, at(4_000)));
+    assert!(!is_usable(&roster, at(9_000)));
+    roster.put(name, runner());
+    assert!(is_usable(&roster, at(9_000)));
+}
+
+#[test]
+fn older_copy_lists_runners_that_never_left() {
+    let mut roster = roster();
+    roster.store_recovered(at(4_000));
+    roster.replace_by_older(vec![(HostName::from(NAME), runner())], at(4_000));
+    assert!(is_usable(&roster, at(4_000)));
+}
+
+/// A runner that was cut off from the store may have written again just before the list.
+#[test]
+fn runner_that_stays_listed_after_older_copy_is_used_again() {
+    let mut roster = roster();
+    let name = HostName::from(NAME);
+    roster.mark_unlisted(&name, at(1_000));
+    roster.replace_by_older(vec![(name, runner())], at(4_000));
+    assert!(!is_usable(&roster, at(33_000)));
+    roster.expire(at(34_001));
+    assert!(is_usable(&roster, at(34_001)));
+}
