--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -4,6 +4,8 @@
 //! identifiers are assigned by one daemon incarnation and valid only within it.
 //! Arena keys (`slotmap`) stay private to the part that owns the arena.
 
+use std::fmt;
+
 crate::name! {
     /// Name of an account.
     AccountName;
@@ -73,6 +75,10 @@
     #[serde(transparent)]
     pub struct Incarnation(pub u64);
 
+    /// Part of a prompt, which several requests may share.
+    #[serde(transparent)]
+    pub struct PromptPart(pub u64);
+
     /// Identifier of an operation, chosen by an operator or drawn at random by a daemon.
     #[serde(transparent)]
     pub struct OperationId(pub u64);
@@ -99,6 +105,12 @@
     }
 }
 
+impl fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 /// Hash of a caller's key, serialized as hexadecimal text.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KeyHash(pub [u8; 32]);
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     core::{
-        keys::{AccountName, HostName, KeyHash, ModelName},
+        keys::{AccountName, HostName, KeyHash, ModelName, PromptPart},
         time::Span,
     },
     shell::platform::KeyValueStore,
@@ -101,6 +101,8 @@
     pub prompt_tokens: u32,
     /// Maximum length of the generated answer.
     pub max_tokens: u32,
+    /// Parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<PromptPart>,
     /// Id of the last event that the caller already has.
     pub resume_after: Option<u64>,
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,7 +11,7 @@
     state::GatewayState,
 };
 use crate::core::{
-    keys::{AccountName, ServiceName},
+    keys::{AccountName, PromptPart, ServiceName},
     time::{Span, Time},
 };
 use bytes::Bytes;
@@ -87,6 +87,13 @@
         id_text(&self.head.id)
     }
 
+    /// Returns the shared parts of the request's prompt, for logs.
+    pub(super) fn parts_text(&self) -> String {
+        let parts = self.head.shared_parts.iter();
+        let texts: Vec<String> = parts.map(PromptPart::to_string).collect();
+        texts.join(",")
+    }
+
     /// Returns true if the request may run on one more runner.
     pub(super) fn may_fail_over(&self) -> bool {
         self.runs < self.route.attempts
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -77,6 +77,8 @@
     buffered: Reservation,
     /// Time before which no other runner is looked for.
     retry_at: Time,
+    /// Time of the first event from this runner.
+    began_at: Option<Time>,
     /// Dropping the connection makes the runner stop working on the request.
     _connection: RunnerConnection,
     _in_flight: InFlightGuard,
@@ -94,6 +96,7 @@
             events: EventSplitter::default(),
             buffered: state.held_bytes.reserve(FREE_EVENT_BYTES),
             retry_at: now,
+            began_at: None,
             _connection: started.connection,
             _in_flight: started.in_flight,
         }
@@ -189,6 +192,7 @@
             RelayEnd::CallerGone => return Outcome::CallerGone,
             RelayEnd::TimedOut => return Outcome::TimedOut,
             RelayEnd::Broken => {
+                log_broken(call, &upstream, *last);
                 drop(upstream);
                 record_failure(call, endpoint, AttemptError::Unknown);
                 match resume::<A>(call, *last).await {
@@ -252,9 +256,13 @@
         if !upstream.may_buffer() {
             return RelayEnd::Broken;
         }
+        let before = *last;
         if let Some(end) = send_events(call, &mut upstream.events, last, sender).await {
             return end;
         }
+        if *last > before {
+            upstream.began_at.get_or_insert(call.state.now());
+        }
         upstream.release_sent();
         if call.state.now() >= call.deadline {
             return RelayEnd::TimedOut;
@@ -304,6 +312,16 @@
     (is_doubtful && has_alternative(call)).then_some(RelayEnd::Doubtful)
 }
 
+/// Logs that a runner broke a stream off, and how long it had been writing.
+fn log_broken(call: &Call, upstream: &Upstream, last: Option<u64>) {
+    let now = call.state.now();
+    slog::info!(call.state.log, "stream broke off";
+        "request" => call.id(),
+        "host" => upstream.endpoint.name.as_str(),
+        "last_event" => last.unwrap_or_default(),
+        "writing_ms" => upstream.began_at.map(|at| now.since(at).as_millis()));
+}
+
 fn log_end(call: &Call, endpoint: &Endpoint, outcome: Outcome, last: Option<u64>) {
     counter!("streams_ended_total", "outcome" => outcome.name()).increment(1);
     slog::info!(call.state.log, "stream ended";
--- a/tests/platform/decoding.rs
+++ b/tests/platform/decoding.rs
@@ -2,7 +2,7 @@
 
 use hickoryledge::{
     core::{
-        keys::{Epoch, GroupName},
+        keys::{Epoch, GroupName, PromptPart},
         time::Span,
     },
     gateway::{
@@ -14,7 +14,7 @@
     },
     platform::Platform,
 };
-use http::Response;
+use http::{Request, Response};
 
 const ENTRY: &str = r#"{"Service":"s","Address":"10.0.0.9:80","Zone":"hall","Version":"v1",
     "Slots":26,"State":"ready","ColdLeftMs":0,"Domain":"d1","Staged":["m"],"born":1700,
@@ -143,3 +143,25 @@
     assert!(!notice_of(200, "Server-Leaving", "0").is_leaving);
     assert!(!notice_of(200, "Server-Leaving", "").is_leaving);
 }
+
+/// Returns the parts of a prompt that a request with this header may share with others.
+fn shared_parts(header: &str) -> Vec<PromptPart> {
+    let request = Request::get("/").header("X-Prompt-Prefix", header);
+    let (head, ()) = request.body(()).expect("a request").into_parts();
+    Platform::decode_call(&head).shared_parts
+}
+
+#[test]
+fn decodes_all_parts_of_prompt_but_the_last() {
+    let parts = shared_parts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+    assert_eq!(parts, [PromptPart(0x5c1e07a2), PromptPart(0x91bd3f06)]);
+    assert_eq!(shared_parts("e4402b7d:250"), []);
+    assert_eq!(shared_parts(""), []);
+    let long = "0123456789abcdef0";
+    let [part] = shared_parts(&format!("{long}:1,2:1"))[..] else {
+        panic!("one shared part");
+    };
+    assert_eq!(shared_parts(&format!("{long}:7,3:1")), [part]);
+    let many: String = (0..999).map(|part| format!("{part:x}:1,")).collect();
+    assert!(shared_parts(&(many + "7:1")).len() <= 32);
+}
