--- /dev/null
+++ b/tests/platform/crash.rs
@@ -0,0 +1,89 @@
+//! Crashes of a fake runner: its process ends and starts again some time later.
+
+use std::{
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// Time until a crashed runner listens again.
+const DOWNTIME: Duration = Duration::from_millis(2_000);
+
+/// Pause between two looks at whether the listener is closed.
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+/// What crashes a runner, and the state of its process.
+#[derive(Debug, Default)]
+pub struct Crashes {
+    /// Part of a prompt that crashes the runner.
+    part: Mutex<Option<String>>,
+    is_down: AtomicBool,
+    is_closed: AtomicBool,
+    count: AtomicUsize,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+impl Crashes {
+    /// Lets each request whose prompt has a part crash the runner.
+    pub fn set_part(&self, part: &str) {
+        *self.part.lock().expect("not poisoned") = Some(part.to_owned());
+    }
+
+    /// Returns true if a prompt, as a list of parts with their lengths, crashes the runner.
+    pub fn is_triggered_by(&self, prompt: &str) -> bool {
+        let crashing = self.part.lock().expect("not poisoned");
+        let mut parts = prompt.split(',').filter_map(|part| part.split(':').next());
+        crashing
+            .as_deref()
+            .is_some_and(|crashing| parts.any(|part| part == crashing))
+    }
+
+    /// Returns the number of crashes so far.
+    pub fn count(&self) -> usize {
+        self.count.load(Ordering::SeqCst)
+    }
+
+    /// Keeps a connection, so that a crash can close it.
+    pub fn track(&self, stream: &TcpStream) {
+        let clone = stream.try_clone().expect("cloned");
+        self.connections.lock().expect("not poisoned").push(clone);
+    }
+
+    /// Returns true from a crash until the runner listens again.
+    pub fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::SeqCst)
+    }
+
+    /// Ends the runner's process: closes its listener first, and then all its connections.
+    pub fn crash(&self, address: SocketAddr) {
+        if self.is_down.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        self.count.fetch_add(1, Ordering::SeqCst);
+        while !self.is_closed.load(Ordering::SeqCst) {
+            // Wakes the thread that accepts connections.
+            let _ = TcpStream::connect(address);
+            thread::sleep(POLL_INTERVAL);
+        }
+        for stream in self.connections.lock().expect("not poisoned").drain(..) {
+            // The peer may have closed it already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Closes the listener of a crashed runner, and returns a new one after the downtime.
+    pub fn reopen(&self, listener: TcpListener) -> TcpListener {
+        let address = listener.local_addr().expect("bound");
+        drop(listener);
+        self.is_closed.store(true, Ordering::SeqCst);
+        thread::sleep(DOWNTIME);
+        let listener = TcpListener::bind(address).expect("the port is free again");
+        self.is_closed.store(false, Ordering::SeqCst);
+        self.is_down.store(false, Ordering::SeqCst);
+        listener
+    }
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,9 @@
 
 mod abandon;
 mod config;
+#[allow(dead_code, reason = "the stops of several daemons use the rest")]
+mod crash;
+mod crashing_part;
 mod decoding;
 mod departures;
 mod endless;
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -1,6 +1,7 @@
 //! Fake runner with scripted responses.
 
 use super::{
+    crash::Crashes,
     runs::{Run, RunEnd, Runs, Silence, Work},
     store::Store,
     trouble::{Endless, TroubleCount},
@@ -15,6 +16,9 @@
     time::Duration,
 };
 
+/// Time from the first event to the crash that its request causes.
+const CRASH_DELAY: Duration = Duration::from_millis(80);
+
 /// Behavior of a runner towards one request.
 #[derive(Clone, Debug)]
 pub enum Behavior {
@@ -103,6 +107,8 @@
     /// Runs that take time.
     runs: Runs,
     silence: Silence,
+    /// What crashes it.
+    pub crashes: Crashes,
     /// Bytes that it sends in place of reports and responses to orders.
     control_trouble: Mutex<Option<Endless>>,
     /// Endless responses that it has sent.
@@ -134,6 +140,7 @@
             requests: Mutex::default(),
             runs: Runs::default(),
             silence: Silence::default(),
+            crashes: Crashes::default(),
             control_trouble: Mutex::default(),
             troubles: TroubleCount::default(),
             entry: Mutex::new(entry),
@@ -141,13 +148,24 @@
         });
         runner.register();
         let acceptor = runner.clone();
-        std::thread::spawn(move || {
+        std::thread::spawn(move || acceptor.accept(listener));
+        runner
+    }
+
+    /// Serves connections, through crashes and restarts.
+    fn accept(self: Arc<Self>, mut listener: TcpListener) {
+        loop {
             for stream in listener.incoming().flatten() {
-                let runner = acceptor.clone();
+                if self.crashes.is_down() {
+                    break;
+                }
+                self.crashes.track(&stream);
+                let runner = self.clone();
                 std::thread::spawn(move || runner.serve(stream));
             }
-        });
-        runner
+            listener = self.crashes.reopen(listener);
+            self.restart();
+        }
     }
 
     /// Appends a behavior to the script.
@@ -262,6 +280,14 @@
         let after = request
             .header("last-event-id")
             .and_then(|id| id.parse().ok());
+        let prompt = request.header("x-prompt-prefix").unwrap_or_default();
+        if self.crashes.is_triggered_by(prompt) {
+            self.requests
+                .lock()
+                .expect("not poisoned")
+                .push(request.clone());
+            return self.crash_midway(stream, &id);
+        }
         let scripted = self.script.lock().expect("not poisoned").pop_front();
         let behavior = scripted.unwrap_or_else(|| Behavior::usual(&request));
         self.requests.lock().expect("not poisoned").push(request);
@@ -344,6 +370,18 @@
         }
     }
 
+    /// Begins to write a stream and crashes a moment later; returns false.
+    fn crash_midway(&self, stream: &mut TcpStream, id: &str) -> bool {
+        let head = format!(
+            "X-Request-Id: {id}\r\nX-Response-Stamp: of-{}\r\n",
+            self.name
+        );
+        write_events(stream, &head, 0, 1);
+        std::thread::sleep(CRASH_DELAY);
+        self.crashes.crash(stream.local_addr().expect("connected"));
+        false
+    }
+
     /// Writes the head of a stream with its first event and then one event after each pause;
     /// returns false if the connection ended.
     fn write_paced(
--- a/tests/stops/main.rs
+++ b/tests/stops/main.rs
@@ -10,6 +10,9 @@
 
 #[path = "../platform/config.rs"]
 mod config;
+#[path = "../platform/crash.rs"]
+#[allow(dead_code, reason = "the tests of one daemon use the rest")]
+mod crash;
 #[path = "../platform/env.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod env;
