Fix: requests with a prompt part that crashes runners are refused

The parts of a prompt weren't read, and a request was sent to whichever head was free, whatever had happened to others like it.

Now daemons report the parts that a crashed runner's requests had to two collectors, which join the reports, ask all daemons which of the parts runners have answered on, and quarantine the one that explains the crashes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
     notices::Stated,
     permits::Permit,
+    quarantine::exchange,
     roster::Host,
     selection::has_alternative,
     spec::RouteKind,
@@ -210,6 +211,9 @@
         if now >= call.deadline {
             return Err(AttemptError::TimedOut);
         }
+        if call.is_quarantined() {
+            return Err(AttemptError::Quarantined);
+        }
         if should_fail_over(call, endpoint, now.since(started)) {
             return Err(AttemptError::Unknown);
         }
@@ -255,6 +259,9 @@
             .borrow_mut()
             .runner_failed(endpoint.host, now);
     }
+    if error == AttemptError::Unknown {
+        exchange::runner_broke_off(call, endpoint);
+    }
     counter!("sends_missed_total", "miss" => error.name()).increment(1);
     slog::info!(call.state.log, "attempt failed without a usable response";
         "request" => call.id(),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -87,6 +87,17 @@
         id_text(&self.head.id)
     }
 
+    /// Returns true if a part of the request's prompt is quarantined.
+    pub(super) fn is_quarantined(&self) -> bool {
+        self.state.quarantine.refuses(&self.head.shared_parts)
+    }
+
+    /// Records that a runner answers the request.
+    pub(super) fn record_answer(&self, host: HostKey) {
+        let mut soundness = self.state.quarantine.soundness.borrow_mut();
+        soundness.answered(host, &self.head.shared_parts, self.state.now());
+    }
+
     /// Returns the shared parts of the request's prompt, for logs.
     pub(super) fn parts_text(&self) -> String {
         let parts = self.head.shared_parts.iter();
@@ -113,7 +124,7 @@
         match error {
             AttemptError::Unreached | AttemptError::Declined => true,
             AttemptError::Unknown | AttemptError::Failed => self.is_repeatable(),
-            AttemptError::TimedOut => false,
+            AttemptError::TimedOut | AttemptError::Quarantined => false,
         }
     }
 }
@@ -159,6 +170,8 @@
     Failed,
     /// The deadline has passed.
     TimedOut,
+    /// A part of the prompt was quarantined meanwhile.
+    Quarantined,
 }
 
 impl AttemptError {
@@ -170,6 +183,7 @@
             AttemptError::Unknown => "unknown",
             AttemptError::Failed => "failed",
             AttemptError::TimedOut => "timed_out",
+            AttemptError::Quarantined => "quarantined",
         }
     }
 }
--- a/src/gateway/datagrams.rs
+++ b/src/gateway/datagrams.rs
@@ -9,10 +9,11 @@
     notices::RateLimit,
     permits::{self, Verdict},
     progress,
+    quarantine::{exchange, reports::CrashReport},
     roster::RunnerInstance,
     state::GatewayState,
 };
-use crate::core::time::Span;
+use crate::core::{keys::PromptPart, time::Span};
 use compio::{BufResult, net::UdpSocket};
 use futures_channel::mpsc;
 use futures_util::StreamExt as _;
@@ -46,6 +47,14 @@
         },
         /// What a runner has said of itself.
         Notice(RunnerNotice),
+        /// Request that a crashed runner had, for the collectors.
+        Crash(CrashReport),
+        /// Parts of prompts that may crash runners; who knows of answers on them says so.
+        Suspected(Vec<PromptPart>),
+        /// Suspected parts that runners have answered on.
+        Sound(Vec<PromptPart>),
+        /// Parts of prompts that crash runners.
+        Quarantined(Vec<PromptPart>),
     }
 
     /// What a runner has said of itself.
@@ -119,6 +128,10 @@
         Ok(Datagram::Notice(notice)) => {
             announcements::accept(state, &notice);
         }
+        Ok(Datagram::Crash(report)) => exchange::record(state, &report),
+        Ok(Datagram::Suspected(parts)) => exchange::answer(state, &parts, from),
+        Ok(Datagram::Sound(parts)) => exchange::accept_sound(state, &parts),
+        Ok(Datagram::Quarantined(parts)) => exchange::accept_quarantined(state, &parts),
         Err(error) => slog::debug!(state.log, "invalid datagram ignored";
             "from" => from.to_string(), "cause" => error.to_string()),
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -113,6 +113,9 @@
     if table.has_accounts() && !route.public && account.is_none() {
         return Err(Refusal::NoAccount);
     }
+    if state.quarantine.refuses(&head.shared_parts) {
+        return Err(Refusal::Quarantined);
+    }
     state.accepted.set(state.accepted.get() + 1);
     let max_bytes = table.spec().limits.body_bytes;
     let body = read_body(body, max_bytes, table.spec().limits.head_time).await?;
@@ -207,6 +210,9 @@
                     .loads
                     .borrow_mut()
                     .request_served(started.endpoint.host);
+                if parts.status.is_success() {
+                    call.record_answer(started.endpoint.host);
+                }
                 log_response(&call, &started.endpoint, parts.status);
                 return build_response(parts, bytes);
             }
@@ -260,6 +266,9 @@
         if call.state.now() >= call.deadline {
             return Err(final_refusal(call, AttemptError::TimedOut));
         }
+        if call.is_quarantined() {
+            return Err(final_refusal(call, AttemptError::Quarantined));
+        }
         let is_exhausted = call.attempts > call.route.attempts + MAX_EXTRA_ATTEMPTS
             || call.runs >= call.route.attempts.max(1);
         if is_exhausted {
@@ -327,6 +336,9 @@
 
 /// Returns the refusal for the caller after the last attempt.
 fn final_refusal(call: &Call, error: AttemptError) -> Refusal {
+    if call.runs == 0 && error == AttemptError::Quarantined {
+        return Refusal::Quarantined;
+    }
     if call.runs == 0 {
         return Refusal::Unavailable {
             retry_ms: UNAVAILABLE_RETRY_DELAY_MS,
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -3,13 +3,14 @@
 use super::{
     adapter::Adapter,
     peers::{DaemonEntry, RunnerHealth},
+    quarantine::{exchange, parts::QuarantineEntry},
     roster::{Roster, Runner},
     state::GatewayState,
     watch::EntryHandler,
 };
 use crate::core::{
     input::{PlatformEntry, WatchEvent},
-    keys::{DaemonName, HostName, Revision},
+    keys::{DaemonName, HostName, PromptPart, Revision},
     time::Time,
 };
 use serde::de::DeserializeOwned;
@@ -223,6 +224,14 @@
 pub const CLAIM_KEY: &str = "duty";
 /// Key of the health of runners, as the duty's holder publishes it.
 pub const RUNNER_HEALTH_KEY: &str = "lost";
+/// Prefix of the entries of quarantined parts of prompts, each named by its part.
+pub const QUARANTINE_PREFIX: &str = "quarantine/";
+
+/// Returns the part of prompts that an entry's key names.
+fn quarantined_part(key: &str) -> Option<PromptPart> {
+    let text = key.strip_prefix(QUARANTINE_PREFIX)?;
+    u64::from_str_radix(text, 16).ok().map(PromptPart)
+}
 
 impl PeerHandler {
     /// Creates a handler that updates a gateway's state.
@@ -241,6 +250,7 @@
                 }
             }
             RUNNER_HEALTH_KEY => self.apply_health(entry),
+            _ if key.starts_with(QUARANTINE_PREFIX) => self.quarantine(key, entry),
             _ => {
                 let name = key.strip_prefix(DAEMON_PREFIX).map(DaemonName::from);
                 if let (Some(name), Some(daemon)) = (name, self.decode::<DaemonEntry>(entry)) {
@@ -262,10 +272,38 @@
         }
     }
 
+    fn quarantine(&self, key: &str, entry: &PlatformEntry) {
+        let decoded = self.decode::<QuarantineEntry>(entry);
+        if let Some((part, stored)) = quarantined_part(key).zip(decoded) {
+            let stored = (stored, entry.revision);
+            let is_news = {
+                let mut parts = self.state.quarantine.parts.borrow_mut();
+                parts.insert_stored(part, stored)
+            };
+            if is_news {
+                exchange::report_change(&self.state, part, true);
+            }
+        }
+    }
+
+    fn end_quarantine(&self, key: &str) {
+        let Some(part) = quarantined_part(key) else {
+            return;
+        };
+        let was_quarantined = self.state.quarantine.parts.borrow_mut().remove(part);
+        if was_quarantined {
+            self.state.quarantine.forget_crashes(part);
+            exchange::report_change(&self.state, part, false);
+        }
+    }
+
     fn remove(&self, key: &str, revision: Revision) {
         let Some(key) = key.strip_prefix(self.prefix) else {
             return;
         };
+        if key.starts_with(QUARANTINE_PREFIX) {
+            return self.end_quarantine(key);
+        }
         let mut peers = self.state.peers.borrow_mut();
         match key {
             CLAIM_KEY => {
@@ -299,12 +337,14 @@
 impl EntryHandler for PeerHandler {
     fn on_list(&self, _: Revision, entries: Vec<PlatformEntry>) {
         self.state.peers.borrow_mut().clear();
+        self.state.quarantine.parts.borrow_mut().forget_stored();
         entries.iter().for_each(|entry| self.put(entry));
     }
 
     fn on_older_list(&self, revision: Revision, mut entries: Vec<PlatformEntry>) {
         // Who has died since the copy would appear to be healthy; the next holder publishes anew.
         entries.retain(|entry| entry.key.strip_prefix(self.prefix) != Some(RUNNER_HEALTH_KEY));
+        self.state.quarantine.parts.borrow_mut().distrust_stored();
         self.on_list(revision, entries);
     }
 
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -281,6 +281,19 @@
         None
     }
 
+    /// Deletes a key that still has this revision; its watchers learn of it.
+    pub async fn delete(&self, key: String, revision: Revision) {
+        let expect = Expect::At(revision);
+        let delete = PlatformCall::Delete {
+            key: key.clone(),
+            expect,
+        };
+        if let Err(error) = self.store.execute(delete).await {
+            slog::warn!(self.state.log, "store delete failed";
+                "key" => key, "cause" => error.to_string());
+        }
+    }
+
     /// Writes a key if it is as expected; returns nothing if the store did not answer.
     pub async fn write<T>(
         &self,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 //! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
 //! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`,
-//! `drain`) read no clock and do no I/O.
+//! `drain`, those of `quarantine` that it names) read no clock and do no I/O.
 //! The names and formats of a platform are hidden behind [`adapter::Adapter`].
 
 pub mod adapter;
@@ -51,6 +51,7 @@
 pub mod pool;
 mod prober;
 mod progress;
+pub mod quarantine;
 pub mod responses;
 pub mod roster;
 pub mod routes;
@@ -146,6 +147,7 @@
     }
     let lease = Rc::new(Lease::<A>::new(state.clone(), store));
     let lease_task = LeaseTask::start(lease.clone());
+    spawn(quarantine::keep(state.clone(), lease.clone()));
     spawn(Duty::new(state.clone(), lease).run());
     for listener in [ready, directory] {
         spawn(listeners::serve_queries::<A>(
--- /dev/null
+++ b/src/gateway/quarantine/keeper.rs
@@ -0,0 +1,79 @@
+//! Keeps the quarantined parts in the store, and the collectors' questions going.
+
+use super::{exchange, parts::QuarantineEntry};
+use crate::{
+    core::{
+        input::PlatformAnswer,
+        keys::PromptPart,
+        output::Expect,
+        time::{Span, Time},
+    },
+    gateway::{adapter::Adapter, handlers::QUARANTINE_PREFIX, lease::Lease, state::GatewayState},
+};
+use std::{
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+/// Interval at which suspected parts are judged again.
+const JUDGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Interval at which the store's entries are compared with the quarantined parts.
+const STORE_INTERVAL: Span = Span::from_secs(1);
+
+/// Sends reports again, judges suspected parts, and keeps the store's entries up to date, for the
+/// lifetime of the process.
+pub async fn keep<A>(state: Rc<GatewayState>, lease: Rc<Lease<A>>)
+where
+    A: Adapter,
+{
+    let mut compared_at = Time::default();
+    loop {
+        compio::time::sleep(JUDGE_INTERVAL).await;
+        exchange::send_reports(&state);
+        let is_asking = state.quarantine.suspects.borrow().is_asking();
+        if is_asking {
+            exchange::judge(&state);
+        }
+        let now = state.now();
+        if now.since(compared_at) >= STORE_INTERVAL && exchange::is_collector(&state) {
+            compared_at = now;
+            update_store(&state, &lease).await;
+        }
+    }
+}
+
+/// Writes the entries that the store may lack, and deletes those of parts whose quarantine is over.
+async fn update_store<A>(state: &GatewayState, lease: &Lease<A>)
+where
+    A: Adapter,
+{
+    let since_s = unix_seconds();
+    let unstored = state.quarantine.parts.borrow().unstored();
+    for part in unstored {
+        let entry = QuarantineEntry { since_s };
+        let written = lease
+            .write(&key::<A>(part), &entry, Expect::Absent, None)
+            .await;
+        if let Some(PlatformAnswer::Written { revision }) = written {
+            let mut parts = state.quarantine.parts.borrow_mut();
+            parts.insert_stored(part, (entry, revision));
+        }
+    }
+    let expired = state.quarantine.parts.borrow().expired(since_s);
+    for (part, revision) in expired {
+        lease.delete(key::<A>(part), revision).await;
+    }
+}
+
+fn key<A>(part: PromptPart) -> String
+where
+    A: Adapter,
+{
+    format!("{}{QUARANTINE_PREFIX}{part}", A::OWN_PREFIX)
+}
+
+fn unix_seconds() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |elapsed| elapsed.as_secs())
+}
--- a/src/gateway/responses.rs
+++ b/src/gateway/responses.rs
@@ -99,6 +99,8 @@
         /// Delay after which the caller should retry, in milliseconds.
         retry_ms: u64,
     },
+    /// A part of the prompt crashes runners; it has not run.
+    Quarantined,
     /// It may have run, and its response is lost.
     Unknown,
     /// The deadline has passed; it may have run.
@@ -109,7 +111,9 @@
     /// Returns the HTTP status for the caller.
     pub fn status(self) -> StatusCode {
         match self {
-            Refusal::NotConfigured | Refusal::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::NotConfigured | Refusal::Unavailable { .. } | Refusal::Quarantined => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::NoAccount => StatusCode::UNAUTHORIZED,
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -146,6 +150,7 @@
     let retry_ms = match refusal {
         Refusal::Unavailable { retry_ms } => retry_ms,
         Refusal::NotConfigured => UNCONFIGURED_RETRY_DELAY_MS,
+        Refusal::Quarantined => QUARANTINED_RETRY_DELAY_MS,
         _ => return response,
     };
     let seconds = format!("{}.{:03}", retry_ms / 1_000, retry_ms % 1_000);
@@ -158,6 +163,9 @@
 /// Retry delay that is sent by a daemon that has not read a configuration yet.
 const UNCONFIGURED_RETRY_DELAY_MS: u64 = 500;
 
+/// Retry delay of a request whose prompt has a quarantined part; retries are refused for hours.
+const QUARANTINED_RETRY_DELAY_MS: u64 = 600_000;
+
 /// Builds a response whose body is known in full.
 pub fn full(status: StatusCode, bytes: Bytes) -> CallResponse {
     let mut response = Response::new(Either::Left(Full::new(bytes)));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,7 @@
     outages::{Outages, ServingChange},
     peers::Peers,
     permits::{Permits, Registration},
+    quarantine::Quarantine,
     roster::{HostKey, Roster},
     routes::RouteTable,
     settings::Settings,
@@ -72,6 +73,8 @@
     pub registration: Cell<Registration>,
     /// Datagrams to other daemons.
     pub outbox: Outbox,
+    /// Parts of prompts that crash runners.
+    pub quarantine: Quarantine,
     /// Progress of groups that other daemons reported.
     pub progress: RefCell<ReportedProgress>,
     /// Recent demand for each model.
@@ -123,6 +126,7 @@
             permits: Permits::default(),
             registration: Cell::default(),
             outbox: Outbox::default(),
+            quarantine: Quarantine::default(),
             progress: RefCell::default(),
             demand: RefCell::default(),
             retry_budgets: RefCell::default(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -40,6 +40,9 @@
 /// seconds.
 const STREAM_STALL_TIMEOUT: Span = Span::from_millis(900);
 
+/// Time of writing after which a runner counts as answering.
+const ANSWERING_AFTER: Span = Span::from_millis(500);
+
 /// Delay after no other runner took a stream over.
 const RESUME_RETRY_DELAY: Span = Span::from_millis(500);
 
@@ -79,6 +82,8 @@
     retry_at: Time,
     /// Time of the first event from this runner.
     began_at: Option<Time>,
+    /// True once it counts as answering.
+    is_answering: bool,
     /// Dropping the connection makes the runner stop working on the request.
     _connection: RunnerConnection,
     _in_flight: InFlightGuard,
@@ -97,6 +102,7 @@
             buffered: state.held_bytes.reserve(FREE_EVENT_BYTES),
             retry_at: now,
             began_at: None,
+            is_answering: false,
             _connection: started.connection,
             _in_flight: started.in_flight,
         }
@@ -134,6 +140,8 @@
     CallerGone,
     /// The deadline has passed.
     TimedOut,
+    /// A part of the prompt was quarantined.
+    Quarantined,
 }
 
 /// Outcome of a stream for its caller.
@@ -143,6 +151,7 @@
     Cut,
     CallerGone,
     TimedOut,
+    Quarantined,
 }
 
 impl Outcome {
@@ -153,6 +162,7 @@
             Outcome::Cut => "cut",
             Outcome::CallerGone => "caller left",
             Outcome::TimedOut => "timed out",
+            Outcome::Quarantined => "quarantined",
         }
     }
 }
@@ -188,9 +198,13 @@
     loop {
         *endpoint = upstream.endpoint.clone();
         match relay_body(call, &mut upstream, last, sender).await {
-            RelayEnd::Complete => return Outcome::Complete,
+            RelayEnd::Complete => {
+                call.record_answer(endpoint.host);
+                return Outcome::Complete;
+            }
             RelayEnd::CallerGone => return Outcome::CallerGone,
             RelayEnd::TimedOut => return Outcome::TimedOut,
+            RelayEnd::Quarantined => return Outcome::Quarantined,
             RelayEnd::Broken => {
                 log_broken(call, &upstream, *last);
                 drop(upstream);
@@ -233,6 +247,9 @@
     sender: &mut EventSender,
 ) -> RelayEnd {
     loop {
+        if call.is_quarantined() {
+            return RelayEnd::Quarantined;
+        }
         let frame = compio::time::timeout(SERVING_CHECK_INTERVAL, upstream.body.frame()).await;
         let frame = match frame {
             Ok(Some(Ok(frame))) => frame,
@@ -261,7 +278,7 @@
             return end;
         }
         if *last > before {
-            upstream.began_at.get_or_insert(call.state.now());
+            record_progress(call, upstream);
         }
         upstream.release_sent();
         if call.state.now() >= call.deadline {
@@ -270,6 +287,16 @@
     }
 }
 
+/// Records that a runner has sent an event, and whether it has lived on since its first.
+fn record_progress(call: &Call, upstream: &mut Upstream) {
+    let now = call.state.now();
+    let began_at = *upstream.began_at.get_or_insert(now);
+    if !upstream.is_answering && now.since(began_at) >= ANSWERING_AFTER {
+        upstream.is_answering = true;
+        call.record_answer(upstream.endpoint.host);
+    }
+}
+
 /// Sends whole events to the caller, except those that it already has.
 async fn send_events(
     call: &Call,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod notices;
 mod outages;
 mod pools;
+mod quarantine;
 mod retry_shares;
 mod routes;
 mod streams;
--- /dev/null
+++ b/tests/gateway/quarantine.rs
@@ -0,0 +1,324 @@
+//! Finding the part of prompts that crashes runners, from the evidence of all daemons.
+
+use hickoryledge::{
+    core::{
+        keys::{HostName, PromptPart, Revision},
+        time::{Span, Time},
+    },
+    gateway::{
+        quarantine::{
+            parts::{QuarantineEntry, QuarantinedParts},
+            reports::{CrashReport, Reports},
+            soundness::Soundness,
+            suspects::{ANSWER_TIME, Suspects},
+        },
+        roster::{HostKey, RunnerInstance},
+    },
+};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use slotmap::SlotMap;
+use std::collections::BTreeMap;
+
+const BAD: PromptPart = PromptPart(0xbad);
+const USUAL: PromptPart = PromptPart(0x5a5e);
+
+fn at(millis: u64) -> Time {
+    Time::default() + Span::from_millis(millis)
+}
+
+fn runner(number: u64) -> RunnerInstance {
+    (HostName::from(format!("h{number}")), 1)
+}
+
+fn unknown(_: PromptPart) -> bool {
+    false
+}
+
+/// Asks about all suspects, and returns the verdict once the answers may have come.
+fn verdict_after_answers<F>(suspects: &mut Suspects, is_sound: F, now: Time) -> Vec<PromptPart>
+where
+    F: Fn(PromptPart) -> bool + Copy,
+{
+    suspects.ask(is_sound, now);
+    assert_eq!(suspects.verdict(is_sound, now), []);
+    suspects.verdict(is_sound, now + ANSWER_TIME)
+}
+
+#[test]
+fn part_of_four_crashes_is_quarantined_once_nobody_objects() {
+    let mut suspects = Suspects::default();
+    let beside = |number| PromptPart(100 + number);
+    for number in 0..4 {
+        let now = at(300 * number);
+        suspects.record(runner(number), &[USUAL, BAD], now);
+        suspects.record(runner(number), &[USUAL, beside(number)], now);
+    }
+    let is_sound = |part| part == USUAL;
+    let verdict = verdict_after_answers(&mut suspects, is_sound, at(1_000));
+    assert_eq!(verdict, [BAD]);
+}
+
+#[test]
+fn three_crashes_quarantine_nothing() {
+    let mut suspects = Suspects::default();
+    for number in 0..3 {
+        suspects.record(runner(number), &[BAD], at(300 * number));
+    }
+    let verdict = verdict_after_answers(&mut suspects, unknown, at(700));
+    assert_eq!(verdict, []);
+}
+
+/// A domain that loses power takes all its heads at once, with whatever they had in common.
+#[test]
+fn crashes_at_the_same_moment_count_as_one() {
+    let mut suspects = Suspects::default();
+    for number in 0..20 {
+        suspects.record(runner(number), &[BAD], at(100 + number));
+    }
+    suspects.ask(unknown, at(150));
+    assert_eq!(suspects.verdict(unknown, at(5_000)), []);
+}
+
+/// A request that was resumed at each head that crashed has as much evidence against its parts.
+#[test]
+fn parts_that_explain_equally_many_crashes_wait_for_more() {
+    let mut suspects = Suspects::default();
+    let beside = PromptPart(7);
+    for number in 0..4 {
+        suspects.record(runner(number), &[BAD, beside], at(300 * number));
+    }
+    let verdict = verdict_after_answers(&mut suspects, unknown, at(1_000));
+    assert_eq!(verdict, []);
+    suspects.record(runner(4), &[BAD], at(1_300));
+    assert_eq!(suspects.verdict(unknown, at(1_300)), [BAD]);
+}
+
+#[test]
+fn crashes_that_a_quarantined_part_explains_accuse_no_other() {
+    let mut suspects = Suspects::default();
+    let beside = PromptPart(7);
+    for number in 0..4 {
+        suspects.record(runner(number), &[BAD], at(300 * number));
+        suspects.record(runner(number), &[beside], at(300 * number));
+    }
+    suspects.record(runner(4), &[BAD], at(1_300));
+    let verdict = verdict_after_answers(&mut suspects, unknown, at(1_400));
+    assert_eq!(verdict, [BAD]);
+    suspects.explain(BAD);
+    assert!(!suspects.is_asking());
+    assert_eq!(suspects.verdict(unknown, at(9_000)), []);
+}
+
+#[test]
+fn old_crashes_are_forgotten() {
+    let mut suspects = Suspects::default();
+    for number in 0..4 {
+        suspects.record(runner(number), &[BAD], at(40_000 * number));
+    }
+    let verdict = verdict_after_answers(&mut suspects, unknown, at(121_000));
+    assert_eq!(verdict, []);
+}
+
+#[test]
+fn answer_proves_parts_sound_only_if_runner_lives_on() {
+    let mut hosts: SlotMap<HostKey, ()> = SlotMap::with_key();
+    let (first, second) = (hosts.insert(()), hosts.insert(()));
+    let mut soundness = Soundness::default();
+    soundness.answered(first, &[BAD], at(0));
+    soundness.answered(second, &[USUAL], at(0));
+    assert!(!soundness.is_sound(USUAL, at(100)));
+    soundness.runner_broke_off(first, at(100));
+    assert!(!soundness.is_sound(BAD, at(600)));
+    assert!(soundness.is_sound(USUAL, at(600)));
+    soundness.runner_broke_off(second, at(700));
+    assert!(soundness.is_sound(USUAL, at(800)), "it had lived on before");
+    assert!(!soundness.is_sound(USUAL, at(200_000)));
+}
+
+#[test]
+fn many_parts_take_bounded_memory() {
+    let mut hosts: SlotMap<HostKey, ()> = SlotMap::with_key();
+    let host = hosts.insert(());
+    let mut soundness = Soundness::default();
+    for number in 0..20_000 {
+        soundness.answered(host, &[PromptPart(number)], at(number));
+    }
+    let now = at(21_000);
+    let known = (0..20_000).filter(|number| soundness.is_sound(PromptPart(*number), now));
+    let known = known.count();
+    assert!(known <= 9_000, "{known}");
+    assert!(soundness.is_sound(PromptPart(19_999), now));
+}
+
+#[test]
+fn reports_are_sent_twice_and_again_to_new_collectors() {
+    let mut reports = Reports::default();
+    let report = CrashReport {
+        runner: runner(1),
+        parts: vec![BAD],
+    };
+    reports.push(report.clone(), at(0));
+    let (one, other) = (["d1".into(), "d2".into()], ["d2".into(), "d3".into()]);
+    let sent = vec![report];
+    assert_eq!(reports.take_due(&one, at(0)), sent);
+    assert_eq!(reports.take_due(&one, at(100)), sent);
+    assert_eq!(reports.take_due(&one, at(200)), []);
+    assert_eq!(reports.take_due(&other, at(300)), sent);
+    assert_eq!(reports.take_due(&one, at(31_000)), []);
+}
+
+#[test]
+fn quarantine_outlives_older_copy_of_store() {
+    let mut parts = QuarantinedParts::default();
+    let entry = (QuarantineEntry { since_s: 1_000 }, Revision(5));
+    assert!(parts.insert(BAD));
+    assert_eq!(parts.unstored(), [BAD]);
+    assert!(!parts.insert_stored(BAD, entry));
+    assert_eq!(parts.unstored(), []);
+    parts.distrust_stored();
+    assert!(parts.contains_any(&[USUAL, BAD]));
+    assert_eq!(parts.unstored(), [BAD]);
+}
+
+#[test]
+fn quarantine_ends_with_its_entry_and_after_a_day() {
+    let mut parts = QuarantinedParts::default();
+    let entry = (QuarantineEntry { since_s: 1_000 }, Revision(5));
+    parts.insert_stored(BAD, entry);
+    assert_eq!(parts.expired(86_000), []);
+    assert_eq!(parts.expired(1_000 + 86_400), [(BAD, Revision(5))]);
+    parts.forget_stored();
+    assert!(!parts.contains(BAD));
+    parts.insert(BAD);
+    parts.forget_stored();
+    assert!(parts.contains(BAD), "the store hasn't had it yet");
+}
+
+/// Heads with the requests that they have, seen by a collector that hears of every crash.
+struct Traffic {
+    rng: SmallRng,
+    /// Parts of the requests at each head.
+    heads: BTreeMap<u64, Vec<Vec<PromptPart>>>,
+    suspects: Suspects,
+    soundness: Soundness,
+    host: HostKey,
+}
+
+impl Traffic {
+    fn new(seed: u64) -> Self {
+        let mut hosts: SlotMap<HostKey, ()> = SlotMap::with_key();
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            heads: (0..12).map(|head| (head, Vec::new())).collect(),
+            suspects: Suspects::default(),
+            soundness: Soundness::default(),
+            host: hosts.insert(()),
+        }
+    }
+
+    /// Returns the parts of a sound request: a usual one, and one of many documents.
+    fn sound_parts(&mut self) -> Vec<PromptPart> {
+        let document = self.rng.random_range(0..400);
+        vec![USUAL, PromptPart(1_000 + document)]
+    }
+
+    fn send(&mut self, parts: Vec<PromptPart>) {
+        let heads: Vec<u64> = self.heads.keys().copied().collect();
+        let head = heads[self.rng.random_range(0..heads.len())];
+        self.heads.entry(head).or_default().push(parts);
+    }
+
+    /// Ends a head, which another one replaces; its requests go to other heads.
+    fn crash(&mut self, head: u64, now: Time) {
+        let next = self.heads.keys().max().expect("heads") + 1;
+        self.heads.insert(next, Vec::new());
+        for parts in self.heads.remove(&head).unwrap_or_default() {
+            self.suspects.record(runner(head), &parts, now);
+            if !parts.contains(&BAD) {
+                self.send(parts);
+            }
+        }
+    }
+
+    /// Ends the head that a request with the bad part reached, if it did.
+    fn crash_bad_head(&mut self, now: Time) {
+        let mut heads = self.heads.iter();
+        let is_bad = |parts: &Vec<PromptPart>| parts.contains(&BAD);
+        let found = heads.find(|(_, requests)| requests.iter().any(is_bad));
+        if let Some(head) = found.map(|(head, _)| *head) {
+            self.crash(head, now);
+        }
+    }
+
+    /// Lets heads answer some of their requests.
+    fn answer(&mut self, now: Time) {
+        for requests in self.heads.values_mut() {
+            if requests.len() > 4 {
+                let parts = requests.remove(0);
+                self.soundness.answered(self.host, &parts, now);
+            }
+        }
+    }
+
+    fn judge(&mut self, now: Time) -> Vec<PromptPart> {
+        let soundness = &self.soundness;
+        let is_sound = |part| soundness.is_sound(part, now);
+        self.suspects.ask(is_sound, now);
+        self.suspects.verdict(is_sound, now)
+    }
+}
+
+#[test]
+fn bad_part_is_found_within_five_crashes_beside_sound_traffic() {
+    for seed in 0..16 {
+        let mut traffic = Traffic::new(seed);
+        let mut crashes = 0;
+        let mut verdict = Vec::new();
+        for step in 0..400 {
+            let now = at(100 * step);
+            for _ in 0..12 {
+                let parts = traffic.sound_parts();
+                traffic.send(parts);
+            }
+            traffic.answer(now);
+            if step > 100 && step % 4 == 0 {
+                traffic.send(vec![USUAL, BAD]);
+                traffic.crash_bad_head(now);
+                crashes += 1;
+            }
+            verdict = traffic.judge(now);
+            if !verdict.is_empty() {
+                break;
+            }
+        }
+        assert_eq!(verdict, [BAD], "seed {seed}");
+        assert!(crashes <= 5, "seed {seed}: {crashes} crashes");
+    }
+}
+
+/// Heads are lost every second, and at times a whole domain of them.
+#[test]
+fn no_part_is_quarantined_for_crashes_that_have_other_causes() {
+    for seed in 0..16 {
+        let mut traffic = Traffic::new(seed);
+        for step in 0..400 {
+            let now = at(100 * step);
+            for _ in 0..12 {
+                let parts = traffic.sound_parts();
+                traffic.send(parts);
+            }
+            traffic.answer(now);
+            let lost = match step {
+                0..10 => 0,
+                _ if step % 100 == 0 => 4,
+                _ if step % 10 == 0 => 1,
+                _ => 0,
+            };
+            for _ in 0..lost {
+                let head = *traffic.heads.keys().next().expect("heads");
+                traffic.crash(head, now);
+            }
+            assert_eq!(traffic.judge(now), [], "seed {seed} at step {step}");
+        }
+    }
+}
