Fix: a head that left in an outage of the store isn't taken for dead at the recovery

Cause: a runner that refuses connections counts as crashed if it was healthy under an uninterrupted watch.

Now nothing counts as crashed for refusing connections while calls to the store fail. Test first: runner_that_left_in_outage_is_not_dead_before_the_recovery_is_noticed failed before.

--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -303,11 +303,12 @@
     /// uninterrupted watch: while the store is unavailable, leaving runners can't announce it.
     pub fn is_dead(&self, host: &Host) -> bool {
         let fresh_from = self.watched_since.map(|since| since + STALE_ENTRY_WINDOW);
-        let has_crashed = || host.last_healthy.is_some() && host.last_healthy >= fresh_from;
+        let is_watched = self.lost_at.is_none();
+        let was_healthy = host.last_healthy.is_some() && host.last_healthy >= fresh_from;
         match host.probe_failure {
             _ if host.is_reported_dead => true,
             Some(ProbeFailure::Silent) => true,
-            Some(ProbeFailure::Refused) => has_crashed(),
+            Some(ProbeFailure::Refused) => is_watched && was_healthy,
             None => false,
         }
     }
--- a/tests/gateway/departures.rs
+++ b/tests/gateway/departures.rs
@@ -5,7 +5,7 @@
         keys::{HallName, HostName, ServiceName},
         time::{Span, Time},
     },
-    gateway::roster::{REENTRY_WINDOW, Roster, Runner},
+    gateway::roster::{ProbeFailure, REENTRY_WINDOW, Roster, Runner},
 };
 
 const NAME: &str = "p1";
@@ -124,3 +124,33 @@
     roster.expire(at(34_001));
     assert!(is_usable(&roster, at(34_001)));
 }
+
+/// A head that drained while the store was away no longer listens, and still runs requests. Whoever
+/// takes the duty lists the entries before its watch has noticed that the store is back.
+#[test]
+fn runner_that_left_in_outage_is_not_dead_before_the_recovery_is_noticed() {
+    let mut roster = roster();
+    let name = HostName::from(NAME);
+    roster.probe_answered(&name, None, at(20_000));
+    roster.store_lost(at(21_000));
+    roster.probe_answered(&name, None, at(22_000));
+    roster.replace(Vec::new(), at(29_000));
+    roster.probe_failed(&name, ProbeFailure::Refused);
+    let is_dead = |roster: &Roster| {
+        let (_, host) = roster.host_by_name(&name).expect("known");
+        roster.is_dead(host)
+    };
+    assert!(!is_dead(&roster));
+    roster.store_recovered(at(30_000));
+    assert!(!is_dead(&roster));
+}
+
+#[test]
+fn runner_that_crashed_under_an_uninterrupted_watch_is_dead() {
+    let mut roster = roster();
+    let name = HostName::from(NAME);
+    roster.probe_answered(&name, None, at(20_000));
+    roster.probe_failed(&name, ProbeFailure::Refused);
+    let (_, host) = roster.host_by_name(&name).expect("known");
+    assert!(roster.is_dead(host));
+}
