Fix: a sound request doesn't use up its runs on runners that others crash

A run at a runner that has crashed now doesn't count, once, if runners have answered on all shared parts of the request, so that it can't be the cause.

An attempt whose connection the runner ended is 'cut' in the log and in sends_missed_total, and 'unknown' if the runner was silent or its response unusable: only the first is checked for a crash, before the request goes on.

Test first: sound_stream_outlives_crashes_of_two_heads failed (the stream was cut at the second crash); it passes, as do the others of crashing_part.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,7 +8,6 @@
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
     notices::Stated,
     permits::Permit,
-    quarantine::exchange,
     roster::Host,
     selection::has_alternative,
     spec::RouteKind,
@@ -59,7 +58,7 @@
             let sent = connection.send(request).await;
             sent.map_err(|error| match error {
                 SendError::Refused | SendError::NotSent => AttemptError::Unreached,
-                SendError::Cut => AttemptError::Unknown,
+                SendError::Cut => AttemptError::Cut,
             })
         };
         wait_while_serving(call, endpoint, sending)
@@ -259,9 +258,6 @@
             .borrow_mut()
             .runner_failed(endpoint.host, now);
     }
-    if error == AttemptError::Unknown {
-        exchange::runner_broke_off(call, endpoint);
-    }
     counter!("sends_missed_total", "miss" => error.name()).increment(1);
     slog::info!(call.state.log, "attempt failed without a usable response";
         "request" => call.id(),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -19,6 +19,9 @@
 use hyper::body::Incoming;
 use std::rc::Rc;
 
+/// Maximum number of runs of a request that don't count, as its own part might crash runners.
+const MAX_EXCUSED_RUNS: u32 = 1;
+
 /// Accepted request of a caller.
 pub struct Call {
     /// State of the gateway.
@@ -45,6 +48,8 @@
     pub tried: Vec<HostKey>,
     /// Number of runners on which the request may have run.
     pub runs: u32,
+    /// Number of runs that don't count against the route's limit.
+    pub excused: u32,
     /// Number of times that the request was sent.
     pub attempts: u32,
     /// Time of arrival.
@@ -105,6 +110,18 @@
         texts.join(",")
     }
 
+    /// Leaves the last run out of the route's limit, because its runner crashed and the request
+    /// can't be the cause: runners have answered on all its shared parts.
+    pub(super) fn excuse_run(&mut self) {
+        let soundness = self.state.quarantine.soundness.borrow();
+        let now = self.state.now();
+        let mut parts = self.head.shared_parts.iter();
+        if self.excused < MAX_EXCUSED_RUNS && parts.all(|part| soundness.is_sound(*part, now)) {
+            self.excused += 1;
+            self.runs -= 1;
+        }
+    }
+
     /// Returns true if the request may run on one more runner.
     pub(super) fn may_fail_over(&self) -> bool {
         self.runs < self.route.attempts
@@ -123,7 +140,9 @@
     pub(super) fn may_retry(&self, error: AttemptError) -> bool {
         match error {
             AttemptError::Unreached | AttemptError::Declined => true,
-            AttemptError::Unknown | AttemptError::Failed => self.is_repeatable(),
+            AttemptError::Cut | AttemptError::Unknown | AttemptError::Failed => {
+                self.is_repeatable()
+            }
             AttemptError::TimedOut | AttemptError::Quarantined => false,
         }
     }
@@ -164,6 +183,8 @@
     Unreached,
     /// The runner says that it did not run the request.
     Declined,
+    /// The runner ended the connection; the request may have run.
+    Cut,
     /// The request may have run.
     Unknown,
     /// The runner responded with a server error, and another one may be asked.
@@ -180,6 +201,7 @@
         match self {
             AttemptError::Unreached => "unreached",
             AttemptError::Declined => "declined",
+            AttemptError::Cut => "cut",
             AttemptError::Unknown => "unknown",
             AttemptError::Failed => "failed",
             AttemptError::TimedOut => "timed_out",
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,6 +13,7 @@
     call::{AttemptError, AttemptParams, Call, StartedResponse, id_text},
     open_requests::OpenGuard,
     permits,
+    quarantine::crash_check,
     responses::{self, CallResponse, Refusal, strip_hop_by_hop},
     selection::choose_endpoint,
     state::GatewayState,
@@ -152,6 +153,7 @@
         deadline,
         tried: Vec::new(),
         runs: 0,
+        excused: 0,
         attempts: 0,
         route,
         arrived,
@@ -216,11 +218,14 @@
                 log_response(&call, &started.endpoint, parts.status);
                 return build_response(parts, bytes);
             }
-            Ok(None) => AttemptError::Unknown,
+            Ok(None) => AttemptError::Cut,
             Err(error) => error,
         };
         drop(started.connection);
         record_failure(&call, &started.endpoint, error);
+        if error == AttemptError::Cut {
+            crash_check::connection_ended(&mut call, &started.endpoint).await;
+        }
         if !call.may_retry(error) {
             let refusal = final_refusal(&call, error);
             return refuse(&call, refusal);
@@ -314,6 +319,9 @@
             Err(error) => error,
         };
         record_failure(call, &endpoint, error);
+        if error == AttemptError::Cut {
+            crash_check::connection_ended(call, &endpoint).await;
+        }
         last = error;
         if !call.may_retry(error) {
             return Err(final_refusal(call, error));
--- a/src/gateway/quarantine/exchange.rs
+++ b/src/gateway/quarantine/exchange.rs
@@ -3,14 +3,7 @@
 use super::reports::CrashReport;
 use crate::{
     core::keys::{DaemonName, PromptPart},
-    gateway::{
-        announcements,
-        balancer::Endpoint,
-        call::Call,
-        connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
-        datagrams::Datagram,
-        state::GatewayState,
-    },
+    gateway::{datagrams::Datagram, state::GatewayState},
 };
 use metrics::{counter, gauge};
 use std::{net::SocketAddr, rc::Rc};
@@ -21,41 +14,12 @@
 /// Maximum number of parts in a datagram, so that it fits into one packet.
 const MAX_PARTS: usize = 100;
 
-/// Records that a runner broke off or lost a request, and reports its parts if the runner has
-/// crashed.
-pub(in crate::gateway) fn runner_broke_off(call: &Call, endpoint: &Endpoint) {
-    let parts = call.head.shared_parts.clone();
-    if parts.is_empty() {
-        return;
-    }
-    let state = call.state.clone();
+/// Reports a request that a crashed runner had.
+pub(super) fn report(state: &Rc<GatewayState>, report: CrashReport) {
+    counter!("crashed_requests_total").increment(1);
     let now = state.now();
-    let quarantine = &state.quarantine;
-    quarantine
-        .soundness
-        .borrow_mut()
-        .runner_broke_off(endpoint.host, now);
-    let Some(runner) = announcements::instance(&state, endpoint.host) else {
-        return;
-    };
-    let report = CrashReport { runner, parts };
-    let address = endpoint.address;
-    compio::runtime::spawn(async move {
-        if has_crashed(address).await {
-            counter!("crashed_requests_total").increment(1);
-            let now = state.now();
-            state.quarantine.reports.borrow_mut().push(report, now);
-            send_reports(&state);
-        }
-    })
-    .detach();
-}
-
-/// Returns true if nobody listens at a runner's address; a runner that is cut off doesn't refuse
-/// connections, and one that lost a single connection takes new ones.
-async fn has_crashed(address: SocketAddr) -> bool {
-    let opened = RunnerConnection::open(address, CONNECT_TIMEOUT).await;
-    matches!(opened, Err(SendError::Refused))
+    state.quarantine.reports.borrow_mut().push(report, now);
+    send_reports(state);
 }
 
 /// Sends the reports that are due to the collectors.
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -11,6 +11,7 @@
 //!
 //! `parts`, `reports`, `soundness` and `suspects` decide and do no I/O.
 
+pub(super) mod crash_check;
 pub(super) mod exchange;
 mod keeper;
 pub mod parts;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -13,6 +13,7 @@
     events::EventSplitter,
     forward::send_with_retries,
     held_bytes::Reservation,
+    quarantine::crash_check,
     responses::{CallResponse, EventFrames, StreamPart, strip_hop_by_hop},
     selection::has_alternative,
     spec::RouteKind,
@@ -208,7 +209,8 @@
             RelayEnd::Broken => {
                 log_broken(call, &upstream, *last);
                 drop(upstream);
-                record_failure(call, endpoint, AttemptError::Unknown);
+                record_failure(call, endpoint, AttemptError::Cut);
+                crash_check::connection_ended(call, endpoint).await;
                 match resume::<A>(call, *last).await {
                     Some(started) => upstream = Upstream::new(&state, started),
                     None => return Outcome::Cut,
--- a/tests/platform/crashing_part.rs
+++ b/tests/platform/crashing_part.rs
@@ -1,7 +1,7 @@
 //! A part of prompts that crashes each runner that begins to write an answer on it.
 
 use super::{
-    env::{Daemon, TestEnv},
+    env::{Daemon, Response, TestEnv, wait_until},
     runner::{Runner, Script},
 };
 use std::{cell::Cell, sync::Arc, thread, time::Duration};
@@ -65,14 +65,30 @@
     /// Requests a stream whose prompt has a part between a usual one and one of its own.
     fn stream(&self, daemon: &Daemon, part: &str) -> u16 {
         let number = self.sent.replace(self.sent.get() + 1);
+        let path = format!("/chat/{number}");
+        self.stream_from(daemon, &path, part).status
+    }
+
+    fn stream_from(&self, daemon: &Daemon, path: &str, part: &str) -> Response {
+        let number = self.sent.get();
         let headers = [
             "X-Model: m",
             "X-Token-Count: 100,20",
             &format!("X-Prompt-Prefix: 5a5e:40,{part}:60,{number:x}00:10"),
         ];
-        let path = format!("/chat/{number}");
-        let response = self.env.call_at(daemon, "POST", &path, &headers, "{}");
-        response.status
+        self.env.call_at(daemon, "POST", path, &headers, "{}")
+    }
+
+    /// Returns the head that is at work on a paced stream, once there is one.
+    fn await_busy_head(heads: &[Arc<Runner>]) -> Arc<Runner> {
+        let is_busy = |head: &&Arc<Runner>| {
+            !head.crashes.is_down() && head.runs().iter().any(|run| run.end.is_none())
+        };
+        wait_until("a head is at work", || {
+            heads.iter().any(|head| is_busy(&head))
+        });
+        let busy = heads.iter().find(is_busy);
+        busy.expect("a head is at work").clone()
     }
 
     fn crashes(&self) -> usize {
@@ -151,3 +167,22 @@
     assert!((0..REQUESTS).all(|_| fleet.stream(&third, BAD) == 503));
     assert_eq!(fleet.bad_requests(), before);
 }
+
+// It had used up its two runs on heads that others crashed.
+#[test]
+fn sound_stream_outlives_crashes_of_two_heads() {
+    let fleet = Fleet::start();
+    let heads = fleet.heads.clone();
+    let crashes = thread::spawn(move || {
+        for _ in 0..2 {
+            let busy = Fleet::await_busy_head(&heads);
+            thread::sleep(PAUSE);
+            busy.crash();
+        }
+    });
+    let path = "/chat/x?events=40&pause_ms=50";
+    let response = fleet.stream_from(&fleet.env.daemon, path, "900d");
+    crashes.join().expect("both heads have crashed");
+    assert_eq!(response.status, 200);
+    assert!(response.is_complete);
+}
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -236,6 +236,13 @@
         self.register();
     }
 
+    /// Ends the runner's process.
+    pub fn crash(&self) {
+        let entry = self.entry.lock().expect("not poisoned").clone();
+        let address = entry["Address"].as_str().expect("an address");
+        self.crashes.crash(address.parse().expect("an address"));
+    }
+
     /// Writes the runner's entry to the store.
     pub fn register(&self) {
         let entry = self.entry.lock().expect("not poisoned").to_string();
