Remember crashes for five minutes and answers for ten

Requests with a part that crashes runners may come once a minute: with a memory of one minute such a part was never found. Answers are remembered for longer than crashes, so that no crash counts that came before the latest answer on its part.

--- a/src/gateway/quarantine/soundness.rs
+++ b/src/gateway/quarantine/soundness.rs
@@ -15,14 +15,14 @@
 /// Time for which a runner must live on after an answer.
 const SURVIVAL_TIME: Span = Span::from_millis(500);
 
-/// Time for which an answer proves its parts sound.
-const PROOF_TTL: Span = Span::from_secs(120);
+/// Time for which an answer proves its parts sound; longer than crashes are remembered.
+const PROOF_TTL: Span = Span::from_secs(10 * 60);
 
 /// Time within which further answers on a part are not recorded.
-const REFRESH_INTERVAL: Span = Span::from_secs(2);
+const REFRESH_INTERVAL: Span = Span::from_secs(10);
 
-/// Maximum number of parts that are remembered.
-const MAX_PARTS: usize = 8_192;
+/// Maximum number of answers that are remembered.
+const MAX_PROOFS: usize = 32_768;
 
 /// Answer whose runner may still crash.
 #[derive(Debug)]
@@ -97,7 +97,7 @@
     fn prove(&mut self, part: PromptPart, at: Time) {
         self.proofs.insert(part, at);
         self.order.push_back((at, part));
-        while self.order.len() > MAX_PARTS {
+        while self.order.len() > MAX_PROOFS {
             self.drop_oldest();
         }
     }
--- a/src/gateway/quarantine/suspects.rs
+++ b/src/gateway/quarantine/suspects.rs
@@ -16,7 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time for which a crash is remembered.
-const CRASH_MEMORY: Span = Span::from_secs(60);
+const CRASH_MEMORY: Span = Span::from_secs(5 * 60);
 
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
