Split the roster: listing follows the store's entries

Moved unchanged: what lists, changes and outages of the store do to it. A part whose quarantine a daemon learns from the store now also explains that daemon's recorded crashes, as one that it learns from a collector does.

--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -281,6 +281,7 @@
                 parts.insert_stored(part, stored)
             };
             if is_news {
+                self.state.quarantine.explain_crashes(part);
                 exchange::report_change(&self.state, part, true);
             }
         }
--- a/src/gateway/quarantine/exchange.rs
+++ b/src/gateway/quarantine/exchange.rs
@@ -77,18 +77,17 @@
 /// Asks the other daemons about suspected parts, and quarantines those that explain the crashes.
 pub(super) fn judge(state: &GatewayState) {
     let now = state.now();
-    let quarantine = &state.quarantine;
-    let soundness = quarantine.soundness.borrow();
+    let soundness = state.quarantine.soundness.borrow();
     let is_sound = |part| soundness.is_sound(part, now);
-    let verdict = quarantine.suspects.borrow().verdict(is_sound, now);
+    let verdict = state.quarantine.suspects.borrow().verdict(is_sound, now);
     for part in &verdict {
         slog::warn!(state.log, "part of prompts crashes runners"; "part" => part.to_string());
-        admit(state, *part);
+        quarantine(state, *part);
     }
     if !verdict.is_empty() {
         broadcast(state, verdict, Datagram::Quarantined);
     }
-    let asked = quarantine.suspects.borrow_mut().ask(is_sound, now);
+    let asked = state.quarantine.suspects.borrow_mut().ask(is_sound, now);
     if !asked.is_empty() {
         broadcast(state, asked, Datagram::Suspected);
     }
@@ -114,11 +113,11 @@
 
 /// Quarantines parts as another daemon says.
 pub(in crate::gateway) fn accept_quarantined(state: &GatewayState, parts: &[PromptPart]) {
-    parts.iter().for_each(|part| admit(state, *part));
+    parts.iter().for_each(|part| quarantine(state, *part));
 }
 
 /// Quarantines a part.
-fn admit(state: &GatewayState, part: PromptPart) {
+fn quarantine(state: &GatewayState, part: PromptPart) {
     let is_news = state.quarantine.parts.borrow_mut().insert(part);
     state.quarantine.suspects.borrow_mut().explain(part);
     if is_news {
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -45,6 +45,11 @@
         self.parts.borrow().contains_any(parts)
     }
 
+    /// Takes the crashes that a quarantined part explains out of the evidence against others.
+    pub(super) fn explain_crashes(&self, part: PromptPart) {
+        self.suspects.borrow_mut().explain(part);
+    }
+
     /// Forgets the crashes that a part may have caused, once it has left quarantine.
     pub(super) fn forget_crashes(&self, part: PromptPart) {
         self.suspects.borrow_mut().clear(part);
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster/mod.rs
@@ -3,11 +3,16 @@
 //! A runner's own entry is the only record of its membership: no second copy
 //! of a group is kept that could disagree with it.
 //!
+//! `listing` applies the lists and changes of the store's entries.
+//!
 //! A host is unlisted if its entry is missing from the store; it stays known as
 //! long as a group may count on it. It is unreachable if it answers no probe,
 //! and dead if it is also known to run no more requests.
 
+mod listing;
+
 pub use super::runner::{MemberState, Membership, Runner};
+pub use listing::REENTRY_WINDOW;
 
 use super::{
     group::{self, Group},
@@ -20,18 +25,12 @@
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Window after a store outage in which a missing entry may still come back.
-pub const REENTRY_WINDOW: Span = Span::from_millis(2_000);
-
 /// Time that a draining head may take to finish its requests once it no longer listens.
 pub const DRAIN_TIMEOUT: Span = Span::from_millis(11_000);
 
 /// Window after a store outage in which an entry may still describe the state before it.
 const STALE_ENTRY_WINDOW: Span = Span::from_millis(4_000);
 
-/// Time after which a host without an entry is dropped.
-const UNLISTED_TIMEOUT: Span = Span::from_secs(30);
-
 /// Slowdown factor from which a runner or a group counts as slow.
 pub const SLOW_FACTOR: f64 = 2.0;
 
@@ -132,99 +131,6 @@
 }
 
 impl Roster {
-    /// Adds a listed host, or updates its report.
-    pub fn put(&mut self, name: HostName, runner: Runner) {
-        let known = self.keys.get(&name).copied();
-        let same = known.filter(|key| self.hosts[*key].runner.born == runner.born);
-        match same {
-            Some(key) => {
-                let host = &mut self.hosts[key];
-                host.runner = runner;
-                host.unlisted_since = None;
-                host.relisted_at = None;
-                host.is_reported_dead = false;
-            }
-            None => {
-                self.remove_host(&name);
-                let instance = (name.clone(), runner.born);
-                let host = Host {
-                    name: name.clone(),
-                    runner,
-                    unlisted_since: None,
-                    reentry_until: Time::default(),
-                    relisted_at: None,
-                    last_healthy: None,
-                    probe_failure: None,
-                    is_reported_dead: false,
-                    is_unreachable: self.unreachable.contains(&instance),
-                    says_leaving: self.leaving.contains(&instance),
-                    slowdown: slowdown_of(&self.slow, &instance),
-                };
-                let key = self.hosts.insert(host);
-                self.keys.insert(name, key);
-            }
-        }
-    }
-
-    /// Marks a host whose entry is missing as unlisted; returns true if that is news.
-    pub fn mark_unlisted(&mut self, name: &HostName, now: Time) -> bool {
-        let Some(key) = self.keys.get(name) else {
-            return false;
-        };
-        let host = &mut self.hosts[*key];
-        host.relisted_at = None;
-        if host.unlisted_since.is_some() {
-            return false;
-        }
-        host.unlisted_since = Some(now);
-        host.reentry_until = self.reentry_until;
-        true
-    }
-
-    /// Replaces the list of hosts; known hosts that it lacks are marked as unlisted, and those for
-    /// which that is news are returned.
-    pub fn replace(&mut self, listed: Vec<(HostName, Runner)>, now: Time) -> Vec<HostName> {
-        self.watched_since.get_or_insert(now);
-        let present: BTreeSet<HostName> = listed.iter().map(|(name, _)| name.clone()).collect();
-        for (name, runner) in listed {
-            self.put(name, runner);
-        }
-        let mut missing: Vec<HostName> = self
-            .keys
-            .keys()
-            .filter(|name| !present.contains(*name))
-            .cloned()
-            .collect();
-        missing.retain(|name| self.mark_unlisted(name, now));
-        missing
-    }
-
-    /// Replaces the list of hosts by one from an older copy of the store. What is known to be newer
-    /// is kept, and a runner that has left since the copy stays unlisted until it writes again or
-    /// would be forgotten.
-    pub fn replace_by_older(
-        &mut self,
-        listed: Vec<(HostName, Runner)>,
-        now: Time,
-    ) -> Vec<HostName> {
-        let listed = self.keep_newer(listed);
-        let departed: BTreeMap<HostName, Time> = listed
-            .iter()
-            .filter_map(|(name, runner)| {
-                let (_, host) = self.host_by_name(name)?;
-                let has_left = now >= host.reentry_until && host.runner.born == runner.born;
-                Some((name.clone(), host.unlisted_since.filter(|_| has_left)?))
-            })
-            .collect();
-        let missing = self.replace(listed, now);
-        for (name, since) in departed {
-            let host = &mut self.hosts[self.keys[&name]];
-            host.unlisted_since = Some(since);
-            host.relisted_at = Some(now);
-        }
-        missing
-    }
-
     /// Records a runner's answer to a probe; the membership counts only if the host has no entry,
     /// since an entry is newer.
     pub fn probe_answered(&mut self, name: &HostName, member: Option<Membership>, now: Time) {
@@ -248,17 +154,6 @@
         }
     }
 
-    /// Replaces listed reports by those that are known, where these are newer: the store may have
-    /// come back from an older copy, and the runners have yet to report again.
-    pub fn keep_newer(&self, listed: Vec<(HostName, Runner)>) -> Vec<(HostName, Runner)> {
-        let newer = |(name, runner): (HostName, Runner)| {
-            let known = self.host_by_name(&name).map(|(_, host)| &host.runner);
-            let kept = known.filter(|known| known.is_newer(&runner)).cloned();
-            (name, kept.unwrap_or(runner))
-        };
-        listed.into_iter().map(newer).collect()
-    }
-
     /// Marks a host whose runner has said that it leaves, whatever its entry says; returns true if
     /// that is news.
     pub fn mark_leaving(&mut self, key: HostKey) -> bool {
@@ -328,48 +223,6 @@
         self.slow = slow;
     }
 
-    /// Records that calls to the store have begun to fail.
-    pub fn store_lost(&mut self, now: Time) {
-        self.lost_at.get_or_insert(now);
-    }
-
-    /// Records that the store is available again after an outage. Entries that went missing before
-    /// it did so for another reason, and don't come back.
-    pub fn store_recovered(&mut self, now: Time) {
-        self.reentry_until = now + REENTRY_WINDOW;
-        self.watched_since = Some(now);
-        let Some(lost_at) = self.lost_at.take() else {
-            return;
-        };
-        let unlisted = self.hosts.values_mut();
-        let lapsed = unlisted.filter(|host| host.unlisted_since >= Some(lost_at));
-        lapsed.for_each(|host| host.reentry_until = self.reentry_until);
-    }
-
-    /// Drops hosts that have been unlisted for too long; those that an older copy lists since then
-    /// count as listed.
-    pub fn expire(&mut self, now: Time) {
-        for host in self.hosts.values_mut() {
-            let is_relisted = |at| now.since(at) > UNLISTED_TIMEOUT;
-            if host.relisted_at.is_some_and(is_relisted) {
-                host.relisted_at = None;
-                host.unlisted_since = None;
-            }
-        }
-        let expired: Vec<HostName> = self
-            .hosts
-            .values()
-            .filter(|host| {
-                let last_listed = host.relisted_at.or(host.unlisted_since);
-                last_listed.is_some_and(|at| now.since(at) > UNLISTED_TIMEOUT)
-            })
-            .map(|host| host.name.clone())
-            .collect();
-        for name in expired {
-            self.remove_host(&name);
-        }
-    }
-
     /// Rebuilds the groups from the members' reports.
     pub fn rebuild_groups(&mut self, spec: &Spec) {
         self.groups = group::assemble(&self.hosts, spec);
@@ -411,15 +264,6 @@
         slowdowns.fold(1.0, f64::max)
     }
 
-    /// Returns the hosts without an entry that are used until their entries may have come back.
-    pub fn reentering(&self, now: Time) -> impl Iterator<Item = &Host> {
-        let unlisted = self
-            .hosts
-            .values()
-            .filter(|host| host.unlisted_since.is_some());
-        unlisted.filter(move |host| self.is_usable(host, now))
-    }
-
     /// Returns true if requests may be sent to a host.
     pub fn is_usable(&self, host: &Host, now: Time) -> bool {
         let listed = host.unlisted_since.is_none() || now < host.reentry_until;
@@ -456,12 +300,6 @@
         let head = group.head().and_then(|key| self.host(key));
         head.is_some_and(|head| self.is_usable(head, now)) && !self.has_unreachable_member(group)
     }
-
-    fn remove_host(&mut self, name: &HostName) {
-        if let Some(key) = self.keys.remove(name) {
-            self.hosts.remove(key);
-        }
-    }
 }
 
 fn slowdown_of(slow: &BTreeMap<RunnerInstance, f64>, instance: &RunnerInstance) -> f64 {
