Rank the daemons only if there are crash reports to send

The keeper looked for the collectors ten times a second on every daemon, which sorts all daemons' entries: at 340 daemons some 0.1% of a core, by estimate, for nothing. No behavior changes; the tests of crashing_part and quarantine pass.

--- a/src/gateway/quarantine/exchange.rs
+++ b/src/gateway/quarantine/exchange.rs
@@ -6,7 +6,7 @@
     gateway::{datagrams::Datagram, state::GatewayState},
 };
 use metrics::{counter, gauge};
-use std::{net::SocketAddr, rc::Rc};
+use std::net::SocketAddr;
 
 /// Number of daemons that join the reports; more than one, as a daemon may stop at any time.
 const COLLECTORS: usize = 2;
@@ -15,7 +15,7 @@
 const MAX_PARTS: usize = 100;
 
 /// Reports a request that a crashed runner had.
-pub(super) fn report(state: &Rc<GatewayState>, report: CrashReport) {
+pub(super) fn report(state: &GatewayState, report: CrashReport) {
     counter!("crashed_requests_total").increment(1);
     let now = state.now();
     state.quarantine.reports.borrow_mut().push(report, now);
@@ -23,7 +23,10 @@
 }
 
 /// Sends the reports that are due to the collectors.
-pub(super) fn send_reports(state: &Rc<GatewayState>) {
+pub(super) fn send_reports(state: &GatewayState) {
+    if state.quarantine.reports.borrow().is_empty() {
+        return;
+    }
     let collectors = collectors(state);
     let names: Vec<DaemonName> = collectors.iter().map(|(name, _)| name.clone()).collect();
     let due = state
--- a/src/gateway/quarantine/reports.rs
+++ b/src/gateway/quarantine/reports.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Returns true if there are no reports.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Returns the reports to be sent to these collectors now, and counts them as sent.
     pub fn take_due(&mut self, collectors: &[DaemonName], now: Time) -> Vec<CrashReport> {
         self.entries
