Fix: a request that may have run on a crashed runner isn't refused as not run

Found by reading the diff: the run that a crashed runner doesn't cost was taken out of the count of runs, which also says whether a request may have run. A request that may run once was then refused with 503 where it may have run. Now such runs are counted apart, and only the route's limit leaves them out.

Test first: request_that_may_have_run_on_crashed_runner_is_not_refused_as_not_run got 503, now 502.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -151,7 +151,7 @@
     }
     let may_fail_over = call.route.kind == RouteKind::Idempotent
         && parts.status.is_server_error()
-        && call.runs < call.route.attempts;
+        && call.may_fail_over();
     may_fail_over.then_some(AttemptError::Failed)
 }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -118,13 +118,17 @@
         let mut parts = self.head.shared_parts.iter();
         if self.excused < MAX_EXCUSED_RUNS && parts.all(|part| soundness.is_sound(*part, now)) {
             self.excused += 1;
-            self.runs -= 1;
         }
     }
 
     /// Returns true if the request may run on one more runner.
     pub(super) fn may_fail_over(&self) -> bool {
-        self.runs < self.route.attempts
+        self.counted_runs() < self.route.attempts
+    }
+
+    /// Returns the number of runs that count against the route's limit.
+    pub(super) fn counted_runs(&self) -> u32 {
+        self.runs - self.excused
     }
 
     /// Returns true if the request may run more than once.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -275,7 +275,7 @@
             return Err(final_refusal(call, AttemptError::Quarantined));
         }
         let is_exhausted = call.attempts > call.route.attempts + MAX_EXTRA_ATTEMPTS
-            || call.runs >= call.route.attempts.max(1);
+            || call.counted_runs() >= call.route.attempts.max(1);
         if is_exhausted {
             return Err(final_refusal(call, last));
         }
--- a/tests/platform/crashing_part.rs
+++ b/tests/platform/crashing_part.rs
@@ -186,3 +186,17 @@
     assert_eq!(response.status, 200);
     assert!(response.is_complete);
 }
+
+// The run at a crashed runner was left out of the count that also says whether a request has run.
+#[test]
+fn request_that_may_have_run_on_crashed_runner_is_not_refused_as_not_run() {
+    let env = TestEnv::start();
+    let runners = env.plain_runners.clone();
+    let crash = thread::spawn(move || {
+        let busy = Fleet::await_busy_head(&runners);
+        busy.crash();
+    });
+    let response = env.call("POST", "/once/x?delay_ms=3000", &[], "");
+    crash.join().expect("the runner has crashed");
+    assert_eq!(response.status, 502);
+}
