--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -36,6 +36,9 @@
     WrongRequestId,
     /// Responds in full, without a content length.
     Unframed(&'static str),
+    /// Sends events with neither a length nor chunks, and ends the connection: after the event
+    /// `last`, or inside the next one.
+    UnframedEvents { last: u64, is_whole: bool },
     /// Sends the events after the caller's last up to `last`, then ends or interrupts the stream.
     Events { last: u64, is_complete: bool },
     /// Sends events like `Events`, with a pause before each.
@@ -328,6 +331,17 @@
                 );
                 false
             }
+            Behavior::UnframedEvents { last, is_whole } => {
+                let ids = after.unwrap_or(0) + 1..=last;
+                let mut text = ids.map(event_text).collect::<String>();
+                if !is_whole {
+                    text.push_str("id: ");
+                }
+                let kind = "Content-Type: text/event-stream\r\n";
+                let head = format!("HTTP/1.1 200 OK\r\n{kind}{own_headers}\r\n");
+                write_text(stream, &(head + &text));
+                false
+            }
             Behavior::Events { last, is_complete } => {
                 write_events(stream, &own_headers, after.unwrap_or(0), last);
                 if is_complete {
@@ -484,8 +498,12 @@
     format!("HTTP/1.1 200 OK\r\n{kind}{own_headers}\r\n")
 }
 
+fn event_text(id: u64) -> String {
+    format!("id: {id}\ndata: e{id}\n\n")
+}
+
 fn event_chunk(id: u64) -> String {
-    let event = format!("id: {id}\ndata: e{id}\n\n");
+    let event = event_text(id);
     format!("{:x}\r\n{event}\r\n", event.len())
 }
 
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -47,6 +47,30 @@
     assert!(response.is_complete);
 }
 
+#[test]
+fn relays_stream_that_ends_with_its_connection() {
+    let whole = Behavior::UnframedEvents {
+        last: 4,
+        is_whole: true,
+    };
+    let response = start_env(&[whole]).stream(&[]);
+    assert_eq!(event_ids(&response.body), [1, 2, 3, 4]);
+    assert!(response.is_complete);
+}
+
+#[test]
+fn resumes_stream_whose_connection_ends_inside_an_event() {
+    let cut = Behavior::UnframedEvents {
+        last: 2,
+        is_whole: false,
+    };
+    let response = start_env(&[cut.clone(), complete(5)]).stream(&[]);
+    assert_eq!(event_ids(&response.body), [1, 2, 3, 4, 5]);
+    assert!(response.is_complete);
+    let response = start_env(&[cut.clone(), cut]).stream(&[]);
+    assert!(!response.is_complete);
+}
+
 #[test]
 fn unresumable_stream_ends_incomplete() {
     let response = start_env(&[interrupted(3), interrupted(3)]).stream(&[]);
