--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -85,6 +85,39 @@
     opened.expect("the log file opens")
 }
 
+/// Directory of the logs of a test's daemons, which is left behind if the test fails.
+struct Logs(PathBuf);
+
+impl Logs {
+    /// Creates an empty directory for the test that this thread runs.
+    fn new() -> Self {
+        let thread = std::thread::current();
+        let test = thread.name().unwrap_or("test").replace("::", "-");
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR"))
+            .join("platform")
+            .join(test);
+        // There is none unless the test failed before.
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).expect("the directory of the logs is created");
+        Self(path)
+    }
+
+    /// Returns the log file of a daemon.
+    fn file(&self, daemon: &str) -> PathBuf {
+        self.0.join(format!("{daemon}.log"))
+    }
+}
+
+impl Drop for Logs {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            return eprintln!("the logs of the daemons are in {}", self.0.display());
+        }
+        // Left behind, the logs only take space.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// Daemon as a separate process, which is killed when dropped.
 pub struct Daemon {
     process: Child,
@@ -97,11 +130,6 @@
 }
 
 impl Daemon {
-    /// Starts a daemon that uses the store at an address, on free ports.
-    pub fn start(name: &str, store: SocketAddr) -> Self {
-        Self::start_with(&DaemonSettings::new(name, store))
-    }
-
     /// Starts a daemon with the given settings.
     pub fn start_with(settings: &DaemonSettings) -> Self {
         let directory = tempfile::tempdir().expect("a temporary directory");
@@ -186,6 +214,8 @@
     /// The daemon.
     pub daemon: Daemon,
     store_address: SocketAddr,
+    /// Dropped last, when no daemon writes any more.
+    logs: Logs,
 }
 
 impl TestEnv {
@@ -217,12 +247,14 @@
                 shared_script.clone(),
             )
         });
+        let logs = Logs::new();
         Self {
             store,
             plain_runners,
             heads,
-            daemon: Daemon::start("d1", address),
+            daemon: Self::start_logged("d1", address, &logs),
             store_address: address,
+            logs,
         }
     }
 
@@ -233,7 +265,7 @@
 
     /// Starts a further daemon on the same store.
     pub fn start_daemon(&self, name: &str) -> Daemon {
-        Daemon::start(name, self.store_address)
+        Self::start_logged(name, self.store_address, &self.logs)
     }
 
     /// Sends a request with the API key to the daemon.
@@ -262,6 +294,13 @@
         self.call("POST", "/chat/x", &headers, "{}")
     }
 
+    /// Starts a daemon on free ports, with a log in a directory.
+    fn start_logged(name: &str, store: SocketAddr, logs: &Logs) -> Daemon {
+        let mut settings = DaemonSettings::new(name, store);
+        settings.log = Some(logs.file(name));
+        Daemon::start_with(&settings)
+    }
+
     /// Waits until a condition holds; `condition` describes it in the failure message.
     pub fn eventually<F>(&self, condition: &str, holds: F)
     where
