--- a/tests/platform/relay.rs
+++ b/tests/platform/relay.rs
@@ -2,6 +2,10 @@
 
 use super::env::{Daemon, TestEnv};
 use nix::sys::signal::Signal;
+use std::{thread, time::Duration};
+
+/// Time without lists after which none of a compaction is still to come.
+const QUIET_TIME: Duration = Duration::from_millis(1_500);
 
 /// Daemons besides the first: enough for a hall with subscribers.
 const OTHER_DAEMONS: usize = 7;
@@ -121,6 +125,12 @@
         let calls = env.store.calls();
         calls.iter().filter(|(path, _)| path == "/kv-range").count()
     };
+    // Daemons list the last prefixes a moment after they have subscribed again.
+    env.eventually("nobody lists any more", |env| {
+        let before = lists(env);
+        thread::sleep(QUIET_TIME);
+        lists(env) == before
+    });
     let before = lists(&env);
     env.configure(3);
     env.eventually("all daemons use version 3", |env| {
