--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -34,6 +34,15 @@
     false
 }
 
+/// Returns the evidence of crashes under requests with the bad part, one in each interval.
+fn crashes_by_bad_part(count: u64, interval_ms: u64) -> Suspects {
+    let mut suspects = Suspects::default();
+    for number in 0..count {
+        suspects.record(runner(number), &[BAD], at(interval_ms * number));
+    }
+    suspects
+}
+
 /// Asks about all suspects, and returns the verdict once the answers may have come.
 fn verdict_after_answers<F>(suspects: &mut Suspects, is_sound: F, now: Time) -> Vec<PromptPart>
 where
@@ -60,10 +69,7 @@
 
 #[test]
 fn three_crashes_quarantine_nothing() {
-    let mut suspects = Suspects::default();
-    for number in 0..3 {
-        suspects.record(runner(number), &[BAD], at(300 * number));
-    }
+    let mut suspects = crashes_by_bad_part(3, 300);
     let verdict = verdict_after_answers(&mut suspects, unknown, at(700));
     assert_eq!(verdict, []);
 }
@@ -111,20 +117,14 @@
 
 #[test]
 fn part_that_comes_once_a_minute_is_quarantined() {
-    let mut suspects = Suspects::default();
-    for number in 0..4 {
-        suspects.record(runner(number), &[BAD], at(60_000 * number));
-    }
+    let mut suspects = crashes_by_bad_part(4, 60_000);
     let verdict = verdict_after_answers(&mut suspects, unknown, at(181_000));
     assert_eq!(verdict, [BAD]);
 }
 
 #[test]
 fn old_crashes_are_forgotten() {
-    let mut suspects = Suspects::default();
-    for number in 0..4 {
-        suspects.record(runner(number), &[BAD], at(150_000 * number));
-    }
+    let mut suspects = crashes_by_bad_part(4, 150_000);
     let verdict = verdict_after_answers(&mut suspects, unknown, at(451_000));
     assert_eq!(verdict, []);
 }
