Log which request an attempt was, and how a runner was checked for a crash

Failed attempts, forwarded responses and ended streams now carry the request's fingerprint, the same at all daemons for the same method, host, path, account and body; each check of a runner that ended a connection says what it found. No decision changes.

--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -79,6 +79,10 @@
     #[serde(transparent)]
     pub struct PromptPart(pub u64);
 
+    /// Hash of what makes two requests the same.
+    #[serde(transparent)]
+    pub struct Fingerprint(pub u64);
+
     /// Identifier of an operation, chosen by an operator or drawn at random by a daemon.
     #[serde(transparent)]
     pub struct OperationId(pub u64);
@@ -105,6 +109,12 @@
     }
 }
 
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 impl fmt::Display for PromptPart {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:x}", self.0)
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -265,6 +265,7 @@
         "epoch" => endpoint.epoch.map_or(0, |epoch| epoch.0),
         "miss" => format!("{error:?}"),
         "sends" => call.attempts,
+        "fingerprint" => call.fingerprint.to_string(),
         "parts" => call.parts_text(),
         "after_ms" => now.since(call.arrived).as_millis());
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,7 +11,7 @@
     state::GatewayState,
 };
 use crate::core::{
-    keys::{AccountName, PromptPart, ServiceName},
+    keys::{AccountName, Fingerprint, PromptPart, ServiceName},
     time::{Span, Time},
 };
 use bytes::Bytes;
@@ -42,6 +42,8 @@
     pub body: Bytes,
     /// Account of the caller.
     pub account: Option<AccountName>,
+    /// Hash of what makes it the same as another request.
+    pub fingerprint: Fingerprint,
     /// Time by which the response must be complete.
     pub deadline: Time,
     /// Runners that an attempt was made on.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,7 +13,7 @@
     call::{AttemptError, AttemptParams, Call, StartedResponse, id_text},
     open_requests::OpenGuard,
     permits,
-    quarantine::crash_check,
+    quarantine::{crash_check, fingerprint::Identity},
     responses::{self, CallResponse, Refusal, strip_hop_by_hop},
     selection::choose_endpoint,
     state::GatewayState,
@@ -120,6 +120,14 @@
     state.accepted.set(state.accepted.get() + 1);
     let max_bytes = table.spec().limits.body_bytes;
     let body = read_body(body, max_bytes, table.spec().limits.head_time).await?;
+    let identity = Identity {
+        method: &parts.method,
+        host,
+        uri: &parts.uri,
+        account: account.as_ref(),
+        body: &body,
+    };
+    let fingerprint = identity.fingerprint();
     let draw = state.rng.borrow_mut().random();
     let service = route.pick_service(draw).ok_or(Refusal::NoRoute)?.clone();
     let engine = table.spec().engine(&service);
@@ -150,6 +158,7 @@
         headers,
         body,
         account,
+        fingerprint,
         deadline,
         tried: Vec::new(),
         runs: 0,
@@ -241,6 +250,7 @@
 fn log_response(call: &Call, endpoint: &Endpoint, status: StatusCode) {
     slog::info!(call.state.log, "response forwarded";
         "request" => call.id(),
+        "fingerprint" => call.fingerprint.to_string(),
         "host" => endpoint.name.as_str(),
         "status" => status.as_u16(),
         "sends" => call.attempts,
--- a/src/gateway/quarantine/crash_check.rs
+++ b/src/gateway/quarantine/crash_check.rs
@@ -27,7 +27,14 @@
         .borrow_mut()
         .runner_broke_off(endpoint.host, now);
     let opened = RunnerConnection::open(endpoint.address, CHECK_TIMEOUT).await;
-    if !matches!(opened, Err(SendError::Refused)) {
+    let is_crash = matches!(opened, Err(SendError::Refused));
+    slog::info!(state.log, "runner that ended a connection checked";
+        "request" => call.id(),
+        "fingerprint" => call.fingerprint.to_string(),
+        "host" => endpoint.name.as_str(),
+        "opened" => format!("{:?}", opened.as_ref().map(|_| ())),
+        "crash" => is_crash);
+    if !is_crash {
         return;
     }
     call.excuse_run();
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -9,10 +9,12 @@
 //!
 //! The store keeps the quarantined parts for daemons that start later.
 //!
-//! `parts`, `reports`, `soundness` and `suspects` decide and do no I/O.
+//! `fingerprint`, `parts`, `reports`, `soundness` and `suspects` decide and do
+//! no I/O.
 
 pub(super) mod crash_check;
 pub(super) mod exchange;
+pub mod fingerprint;
 mod keeper;
 pub mod parts;
 pub mod reports;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -355,6 +355,7 @@
     counter!("streams_ended_total", "outcome" => outcome.name()).increment(1);
     slog::info!(call.state.log, "stream ended";
         "request" => call.id(),
+        "fingerprint" => call.fingerprint.to_string(),
         "host" => endpoint.name.as_str(),
         "outcome" => outcome.name(),
         "last_event" => last.unwrap_or_default(),
