Test that a repeated request that crashes runners is refused, known red

Three tests with real daemons and runners that crash: on the code as it is, the request reaches runners for as long as it is repeated (ended at 7 sends, where 3 crashes and 3 retries are allowed), whether crashed runners are away for two seconds or back at once.

--- a/tests/platform/config.rs
+++ b/tests/platform/config.rs
@@ -6,6 +6,9 @@
 /// API key that requests carry.
 pub const API_KEY: &str = "secret-key";
 
+/// API key of another account.
+pub const OTHER_API_KEY: &str = "other-key";
+
 /// Timeout of all routes, in milliseconds.
 pub const TIMEOUT_MS: u64 = 4_000;
 
@@ -39,7 +42,10 @@
             {"Name": "plain", "HealthPath": "/healthz", "MaxConns": 100},
             {"Name": "engines", "HealthPath": "/healthz", "MaxConns": 100, "Engine": engine},
         ],
-        "Tenants": [{"Name": "first", "ApiKeys": [API_KEY]}],
+        "Tenants": [
+            {"Name": "first", "ApiKeys": [API_KEY]},
+            {"Name": "second", "ApiKeys": [OTHER_API_KEY]},
+        ],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536,
             "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 20000},
     });
--- a/tests/platform/crash.rs
+++ b/tests/platform/crash.rs
@@ -1,5 +1,6 @@
 //! Crashes of a fake runner: its process ends and starts again some time later.
 
+use super::runner::RecordedRequest;
 use std::{
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -21,6 +22,10 @@
 pub struct Crashes {
     /// Part of a prompt that crashes the runner.
     part: Mutex<Option<String>>,
+    /// Path and body of a request that crashes the runner.
+    request: Mutex<Option<(String, String)>>,
+    /// True if a crashed runner is back at once, so that its address always listens.
+    is_instant: AtomicBool,
     is_down: AtomicBool,
     is_closed: AtomicBool,
     count: AtomicUsize,
@@ -33,8 +38,33 @@
         *self.part.lock().expect("not poisoned") = Some(part.to_owned());
     }
 
+    /// Lets each request with a path and a body crash the runner.
+    pub fn set_request(&self, path: &str, body: &str) {
+        let request = (path.to_owned(), body.to_owned());
+        *self.request.lock().expect("not poisoned") = Some(request);
+    }
+
+    /// Lets the runner be back at once after each crash.
+    pub fn restart_at_once(&self) {
+        self.is_instant.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns true if the runner is back at once after each crash.
+    pub fn is_instant(&self) -> bool {
+        self.is_instant.load(Ordering::SeqCst)
+    }
+
+    /// Returns true if a request crashes the runner before it responds.
+    pub fn is_triggered_by(&self, request: &RecordedRequest) -> bool {
+        let crashing = self.request.lock().expect("not poisoned");
+        crashing.as_ref().is_some_and(|(path, body)| {
+            let actual = request.request_line.split(' ').nth(1);
+            actual == Some(path) && request.body == body.as_bytes()
+        })
+    }
+
     /// Returns true if a prompt, as a list of parts with their lengths, crashes the runner.
-    pub fn is_triggered_by(&self, prompt: &str) -> bool {
+    pub fn is_triggered_by_prompt(&self, prompt: &str) -> bool {
         let crashing = self.part.lock().expect("not poisoned");
         let mut parts = prompt.split(',').filter_map(|part| part.split(':').next());
         crashing
@@ -64,11 +94,20 @@
             return;
         }
         self.count.fetch_add(1, Ordering::SeqCst);
+        if self.is_instant() {
+            self.close_connections();
+            self.is_down.store(false, Ordering::SeqCst);
+            return;
+        }
         while !self.is_closed.load(Ordering::SeqCst) {
             // Wakes the thread that accepts connections.
             let _ = TcpStream::connect(address);
             thread::sleep(POLL_INTERVAL);
         }
+        self.close_connections();
+    }
+
+    fn close_connections(&self) {
         for stream in self.connections.lock().expect("not poisoned").drain(..) {
             // The peer may have closed it already.
             let _ = stream.shutdown(Shutdown::Both);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,6 +6,7 @@
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod crash;
 mod crashing_part;
+mod crashing_request;
 mod decoding;
 mod departures;
 mod endless;
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -16,7 +16,7 @@
     time::Duration,
 };
 
-/// Time from the first event to the crash that its request causes.
+/// Time from the first event, or from the arrival of a plain request, to the crash that it causes.
 const CRASH_DELAY: Duration = Duration::from_millis(80);
 
 /// Behavior of a runner towards one request.
@@ -244,6 +244,9 @@
         let entry = self.entry.lock().expect("not poisoned").clone();
         let address = entry["Address"].as_str().expect("an address");
         self.crashes.crash(address.parse().expect("an address"));
+        if self.crashes.is_instant() {
+            self.restart();
+        }
     }
 
     /// Writes the runner's entry to the store.
@@ -291,7 +294,13 @@
             .header("last-event-id")
             .and_then(|id| id.parse().ok());
         let prompt = request.header("x-prompt-prefix").unwrap_or_default();
-        if self.crashes.is_triggered_by(prompt) {
+        if self.crashes.is_triggered_by(&request) {
+            self.requests.lock().expect("not poisoned").push(request);
+            std::thread::sleep(CRASH_DELAY);
+            self.crash();
+            return false;
+        }
+        if self.crashes.is_triggered_by_prompt(prompt) {
             self.requests
                 .lock()
                 .expect("not poisoned")
