Fix: a request that comes again and crashes each runner is refused

Cause: crashes were blamed on parts of prompts alone. A request without any was never reported, so nothing learned from it; and as 'runners have answered on all its parts' is true of no parts, it even got one run more. Evidence: the daemons see each crash (crash check refused at once); no report was made, since the list of parts was empty. Change: what is quarantined is a mark, either a part or the request itself, by a hash of method, host, path, account and body. A request is quarantined after three crashes at two moments at least, by two of its arrivals, if no other explains as many and no daemon knows of an answer on it; from the third crash on it is sent to one runner an arrival. A part needs two requests that differ, so that what only the repeated request has isn't blamed in its place. Tests of parts now give each request its own fingerprint.

--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -83,6 +83,10 @@
     #[serde(transparent)]
     pub struct Fingerprint(pub u64);
 
+    /// Number of one arrival of a request, drawn at random.
+    #[serde(transparent)]
+    pub struct Arrival(pub u64);
+
     /// Identifier of an operation, chosen by an operator or drawn at random by a daemon.
     #[serde(transparent)]
     pub struct OperationId(pub u64);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -6,12 +6,13 @@
     balancer::Endpoint,
     connection::RunnerConnection,
     open_requests::OpenGuard,
+    quarantine::mark::Mark,
     roster::HostKey,
     spec::{Route, RouteKind},
     state::GatewayState,
 };
 use crate::core::{
-    keys::{AccountName, Fingerprint, PromptPart, ServiceName},
+    keys::{AccountName, Arrival, Fingerprint, PromptPart, ServiceName},
     time::{Span, Time},
 };
 use bytes::Bytes;
@@ -44,6 +45,8 @@
     pub account: Option<AccountName>,
     /// Hash of what makes it the same as another request.
     pub fingerprint: Fingerprint,
+    /// Number of its arrival here.
+    pub arrival: Arrival,
     /// Time by which the response must be complete.
     pub deadline: Time,
     /// Runners that an attempt was made on.
@@ -52,6 +55,8 @@
     pub runs: u32,
     /// Number of runs that don't count against the route's limit.
     pub excused: u32,
+    /// True if a runner has crashed under it.
+    pub has_crashed: bool,
     /// Number of times that the request was sent.
     pub attempts: u32,
     /// Time of arrival.
@@ -94,15 +99,17 @@
         id_text(&self.head.id)
     }
 
-    /// Returns true if a part of the request's prompt is quarantined.
+    /// Returns true if the request or a part of its prompt is quarantined.
     pub(super) fn is_quarantined(&self) -> bool {
-        self.state.quarantine.refuses(&self.head.shared_parts)
+        let parts = &self.head.shared_parts;
+        self.state.quarantine.refuses(self.fingerprint, parts)
     }
 
     /// Records that a runner answers the request.
     pub(super) fn record_answer(&self, host: HostKey) {
         let mut soundness = self.state.quarantine.soundness.borrow_mut();
-        soundness.answered(host, &self.head.shared_parts, self.state.now());
+        let marks = Mark::of(self.fingerprint, &self.head.shared_parts);
+        soundness.answered(host, marks, self.state.now());
     }
 
     /// Returns the shared parts of the request's prompt, for logs.
@@ -113,14 +120,29 @@
     }
 
     /// Leaves the last run out of the route's limit, because its runner crashed and the request
-    /// can't be the cause: runners have answered on all its shared parts.
+    /// can't be the cause: runners have answered on it, or on all its shared parts.
     pub(super) fn excuse_run(&mut self) {
+        if self.excused < MAX_EXCUSED_RUNS && self.is_known_sound() {
+            self.excused += 1;
+        }
+    }
+
+    /// Returns true if the request must not be sent on after its runner crashed, because requests
+    /// like it were at several crashes.
+    pub(super) fn is_distrusted(&self) -> bool {
+        let quarantine = &self.state.quarantine;
+        let is_distrusted = quarantine.is_distrusted(self.fingerprint, self.state.now());
+        self.has_crashed && is_distrusted && !self.is_known_sound()
+    }
+
+    fn is_known_sound(&self) -> bool {
         let soundness = self.state.quarantine.soundness.borrow();
         let now = self.state.now();
         let mut parts = self.head.shared_parts.iter();
-        if self.excused < MAX_EXCUSED_RUNS && parts.all(|part| soundness.is_sound(*part, now)) {
-            self.excused += 1;
-        }
+        let has_parts = !self.head.shared_parts.is_empty();
+        let is_sound = |part: &PromptPart| soundness.is_sound(Mark::Part(*part), now);
+        soundness.is_sound(Mark::Request(self.fingerprint), now)
+            || (has_parts && parts.all(is_sound))
     }
 
     /// Returns true if the request may run on one more runner.
@@ -197,7 +219,7 @@
     Failed,
     /// The deadline has passed.
     TimedOut,
-    /// A part of the prompt was quarantined meanwhile.
+    /// The request or a part of its prompt was quarantined meanwhile.
     Quarantined,
 }
 
--- a/src/gateway/datagrams.rs
+++ b/src/gateway/datagrams.rs
@@ -9,11 +9,11 @@
     notices::RateLimit,
     permits::{self, Verdict},
     progress,
-    quarantine::{exchange, reports::CrashReport},
+    quarantine::{exchange, mark::Mark, reports::CrashReport},
     roster::RunnerInstance,
     state::GatewayState,
 };
-use crate::core::{keys::PromptPart, time::Span};
+use crate::core::time::Span;
 use compio::{BufResult, net::UdpSocket};
 use futures_channel::mpsc;
 use futures_util::StreamExt as _;
@@ -49,12 +49,14 @@
         Notice(RunnerNotice),
         /// Request that a crashed runner had, for the collectors.
         Crash(CrashReport),
-        /// Parts of prompts that may crash runners; who knows of answers on them says so.
-        Suspected(Vec<PromptPart>),
-        /// Suspected parts that runners have answered on.
-        Sound(Vec<PromptPart>),
-        /// Parts of prompts that crash runners.
-        Quarantined(Vec<PromptPart>),
+        /// Marks that may crash runners; who knows of answers on them says so.
+        Suspected(Vec<Mark>),
+        /// Requests that were at several crashes and should cause no other.
+        Distrusted(Vec<Mark>),
+        /// Suspects that runners have answered on.
+        Sound(Vec<Mark>),
+        /// Marks that crash runners.
+        Quarantined(Vec<Mark>),
     }
 
     /// What a runner has said of itself.
@@ -129,9 +131,10 @@
             announcements::accept(state, &notice);
         }
         Ok(Datagram::Crash(report)) => exchange::record(state, &report),
-        Ok(Datagram::Suspected(parts)) => exchange::answer(state, &parts, from),
-        Ok(Datagram::Sound(parts)) => exchange::accept_sound(state, &parts),
-        Ok(Datagram::Quarantined(parts)) => exchange::accept_quarantined(state, &parts),
+        Ok(Datagram::Suspected(marks)) => exchange::answer(state, &marks, from),
+        Ok(Datagram::Distrusted(marks)) => exchange::accept_distrusted(state, &marks),
+        Ok(Datagram::Sound(marks)) => exchange::accept_sound(state, &marks),
+        Ok(Datagram::Quarantined(marks)) => exchange::accept_quarantined(state, &marks),
         Err(error) => slog::debug!(state.log, "invalid datagram ignored";
             "from" => from.to_string(), "cause" => error.to_string()),
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -20,7 +20,7 @@
     stream,
     whole_body::read_whole,
 };
-use crate::core::time::Span;
+use crate::core::{keys::Arrival, time::Span};
 use bytes::Bytes;
 use http::{
     HeaderValue, Request, Response, StatusCode,
@@ -114,9 +114,6 @@
     if table.has_accounts() && !route.public && account.is_none() {
         return Err(Refusal::NoAccount);
     }
-    if state.quarantine.refuses(&head.shared_parts) {
-        return Err(Refusal::Quarantined);
-    }
     state.accepted.set(state.accepted.get() + 1);
     let max_bytes = table.spec().limits.body_bytes;
     let body = read_body(body, max_bytes, table.spec().limits.head_time).await?;
@@ -128,7 +125,11 @@
         body: &body,
     };
     let fingerprint = identity.fingerprint();
+    if state.quarantine.refuses(fingerprint, &head.shared_parts) {
+        return Err(Refusal::Quarantined);
+    }
     let draw = state.rng.borrow_mut().random();
+    let arrival = Arrival(state.rng.borrow_mut().random());
     let service = route.pick_service(draw).ok_or(Refusal::NoRoute)?.clone();
     let engine = table.spec().engine(&service);
     let model = engine.zip(head.model.as_ref());
@@ -159,10 +160,12 @@
         body,
         account,
         fingerprint,
+        arrival,
         deadline,
         tried: Vec::new(),
         runs: 0,
         excused: 0,
+        has_crashed: false,
         attempts: 0,
         route,
         arrived,
@@ -285,7 +288,8 @@
             return Err(final_refusal(call, AttemptError::Quarantined));
         }
         let is_exhausted = call.attempts > call.route.attempts + MAX_EXTRA_ATTEMPTS
-            || call.counted_runs() >= call.route.attempts.max(1);
+            || call.counted_runs() >= call.route.attempts.max(1)
+            || call.is_distrusted();
         if is_exhausted {
             return Err(final_refusal(call, last));
         }
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -3,14 +3,14 @@
 use super::{
     adapter::Adapter,
     peers::{DaemonEntry, RunnerHealth},
-    quarantine::{exchange, parts::QuarantineEntry},
+    quarantine::{entries::QuarantineEntry, exchange, mark::Mark},
     roster::{Roster, Runner},
     state::GatewayState,
     watch::EntryHandler,
 };
 use crate::core::{
     input::{PlatformEntry, WatchEvent},
-    keys::{DaemonName, HostName, PromptPart, Revision},
+    keys::{DaemonName, HostName, Revision},
     time::Time,
 };
 use serde::de::DeserializeOwned;
@@ -224,13 +224,12 @@
 pub const CLAIM_KEY: &str = "duty";
 /// Key of the health of runners, as the duty's holder publishes it.
 pub const RUNNER_HEALTH_KEY: &str = "lost";
-/// Prefix of the entries of quarantined parts of prompts, each named by its part.
+/// Prefix of the entries of quarantined marks, each named by its mark.
 pub const QUARANTINE_PREFIX: &str = "quarantine/";
 
-/// Returns the part of prompts that an entry's key names.
-fn quarantined_part(key: &str) -> Option<PromptPart> {
-    let text = key.strip_prefix(QUARANTINE_PREFIX)?;
-    u64::from_str_radix(text, 16).ok().map(PromptPart)
+/// Returns the quarantined mark that an entry's key names.
+fn quarantined_mark(key: &str) -> Option<Mark> {
+    Mark::parse(key.strip_prefix(QUARANTINE_PREFIX)?)
 }
 
 impl PeerHandler {
@@ -274,27 +273,27 @@
 
     fn quarantine(&self, key: &str, entry: &PlatformEntry) {
         let decoded = self.decode::<QuarantineEntry>(entry);
-        if let Some((part, stored)) = quarantined_part(key).zip(decoded) {
+        if let Some((mark, stored)) = quarantined_mark(key).zip(decoded) {
             let stored = (stored, entry.revision);
             let is_news = {
-                let mut parts = self.state.quarantine.parts.borrow_mut();
-                parts.insert_stored(part, stored)
+                let mut entries = self.state.quarantine.entries.borrow_mut();
+                entries.insert_stored(mark, stored)
             };
             if is_news {
-                self.state.quarantine.explain_crashes(part);
-                exchange::report_change(&self.state, part, true);
+                self.state.quarantine.explain_crashes(mark);
+                exchange::report_change(&self.state, mark, true);
             }
         }
     }
 
     fn end_quarantine(&self, key: &str) {
-        let Some(part) = quarantined_part(key) else {
+        let Some(mark) = quarantined_mark(key) else {
             return;
         };
-        let was_quarantined = self.state.quarantine.parts.borrow_mut().remove(part);
+        let was_quarantined = self.state.quarantine.entries.borrow_mut().remove(mark);
         if was_quarantined {
-            self.state.quarantine.forget_crashes(part);
-            exchange::report_change(&self.state, part, false);
+            self.state.quarantine.forget_crashes(mark);
+            exchange::report_change(&self.state, mark, false);
         }
     }
 
@@ -338,14 +337,14 @@
 impl EntryHandler for PeerHandler {
     fn on_list(&self, _: Revision, entries: Vec<PlatformEntry>) {
         self.state.peers.borrow_mut().clear();
-        self.state.quarantine.parts.borrow_mut().forget_stored();
+        self.state.quarantine.entries.borrow_mut().forget_stored();
         entries.iter().for_each(|entry| self.put(entry));
     }
 
     fn on_older_list(&self, revision: Revision, mut entries: Vec<PlatformEntry>) {
         // Who has died since the copy would appear to be healthy; the next holder publishes anew.
         entries.retain(|entry| entry.key.strip_prefix(self.prefix) != Some(RUNNER_HEALTH_KEY));
-        self.state.quarantine.parts.borrow_mut().distrust_stored();
+        self.state.quarantine.entries.borrow_mut().distrust_stored();
         self.on_list(revision, entries);
     }
 
--- a/src/gateway/quarantine/crash_check.rs
+++ b/src/gateway/quarantine/crash_check.rs
@@ -3,7 +3,10 @@
 //! A crashed runner refuses connections. One that lost a single connection takes
 //! new ones, and one that is cut off doesn't answer.
 
-use super::{exchange, reports::CrashReport};
+use super::{
+    exchange,
+    reports::{CrashReport, Evidence},
+};
 use crate::gateway::{
     announcements,
     balancer::Endpoint,
@@ -37,9 +40,15 @@
     if !is_crash {
         return;
     }
+    call.has_crashed = true;
     call.excuse_run();
-    let parts = call.head.shared_parts.clone();
-    if let Some(runner) = runner.filter(|_| !parts.is_empty()) {
-        exchange::report(&state, CrashReport { runner, parts });
-    }
+    let Some(runner) = runner else {
+        return;
+    };
+    let evidence = Evidence {
+        request: call.fingerprint,
+        arrival: call.arrival,
+        parts: call.head.shared_parts.clone(),
+    };
+    exchange::report(&state, CrashReport { runner, evidence });
 }
--- a/src/gateway/quarantine/exchange.rs
+++ b/src/gateway/quarantine/exchange.rs
@@ -1,8 +1,8 @@
-//! Exchange of evidence against parts of prompts with other daemons, as datagrams.
+//! Exchange of evidence against requests and parts of prompts with other daemons, as datagrams.
 
-use super::reports::CrashReport;
+use super::{mark::Mark, reports::CrashReport};
 use crate::{
-    core::keys::{DaemonName, PromptPart},
+    core::keys::DaemonName,
     gateway::{datagrams::Datagram, state::GatewayState},
 };
 use metrics::{counter, gauge};
@@ -11,8 +11,8 @@
 /// Number of daemons that join the reports; more than one, as a daemon may stop at any time.
 const COLLECTORS: usize = 2;
 
-/// Maximum number of parts in a datagram, so that it fits into one packet.
-const MAX_PARTS: usize = 100;
+/// Maximum number of marks in a datagram, so that it fits into one packet.
+const MAX_MARKS: usize = 100;
 
 /// Reports a request that a crashed runner had.
 pub(super) fn report(state: &GatewayState, report: CrashReport) {
@@ -65,93 +65,107 @@
         .any(|(name, _)| *name == state.settings.name)
 }
 
-/// Records a report of a crash, and quarantines the parts that it leaves no doubt about.
+/// Records a report of a crash, and quarantines what it leaves no doubt about.
 pub(in crate::gateway) fn record(state: &GatewayState, report: &CrashReport) {
     {
         let mut suspects = state.quarantine.suspects.borrow_mut();
-        suspects.record(report.runner.clone(), &report.parts, state.now());
-        let parts = state.quarantine.parts.borrow();
-        let known = report.parts.iter().filter(|part| parts.contains(**part));
-        known.for_each(|part| suspects.explain(*part));
+        let runner = report.runner.clone();
+        let evidence = &report.evidence;
+        suspects.record(runner, evidence, state.now());
+        let entries = state.quarantine.entries.borrow();
+        let marks = Mark::of(evidence.request, &evidence.parts);
+        let known = marks.filter(|mark| entries.contains(*mark));
+        known.for_each(|mark| suspects.explain(mark));
     }
     judge(state);
 }
 
-/// Asks the other daemons about suspected parts, and quarantines those that explain the crashes.
+/// Asks the other daemons about the suspects, tells them whom to distrust, and quarantines those
+/// that explain the crashes.
 pub(super) fn judge(state: &GatewayState) {
     let now = state.now();
     let soundness = state.quarantine.soundness.borrow();
-    let is_sound = |part| soundness.is_sound(part, now);
+    let is_sound = |mark| soundness.is_sound(mark, now);
     let verdict = state.quarantine.suspects.borrow().verdict(is_sound, now);
-    for part in &verdict {
-        slog::warn!(state.log, "part of prompts crashes runners"; "part" => part.to_string());
-        quarantine(state, *part);
+    for mark in &verdict {
+        let message = match mark {
+            Mark::Request(_) => "request crashes runners",
+            Mark::Part(_) => "part of prompts crashes runners",
+        };
+        slog::warn!(state.log, "{}", message; "mark" => mark.to_string());
+        quarantine(state, *mark);
     }
     if !verdict.is_empty() {
         broadcast(state, verdict, Datagram::Quarantined);
     }
+    let distrusted = state.quarantine.suspects.borrow_mut().distrust(is_sound);
+    if !distrusted.is_empty() {
+        state.quarantine.distrust(&distrusted, now);
+        broadcast(state, distrusted, Datagram::Distrusted);
+    }
     let asked = state.quarantine.suspects.borrow_mut().ask(is_sound, now);
     if !asked.is_empty() {
         broadcast(state, asked, Datagram::Suspected);
     }
 }
 
-/// Answers which of the suspected parts are known to be sound.
-pub(in crate::gateway) fn answer(state: &GatewayState, parts: &[PromptPart], from: SocketAddr) {
+/// Answers which of the suspects are known to be sound.
+pub(in crate::gateway) fn answer(state: &GatewayState, marks: &[Mark], from: SocketAddr) {
     let now = state.now();
     let soundness = state.quarantine.soundness.borrow();
-    let sound = parts.iter().filter(|part| soundness.is_sound(**part, now));
-    let sound: Vec<PromptPart> = sound.copied().collect();
+    let sound = marks.iter().filter(|mark| soundness.is_sound(**mark, now));
+    let sound: Vec<Mark> = sound.copied().collect();
     if !sound.is_empty() {
         state.outbox.send(from, Datagram::Sound(sound));
     }
 }
 
-/// Records which suspected parts another daemon knows to be sound.
-pub(in crate::gateway) fn accept_sound(state: &GatewayState, parts: &[PromptPart]) {
+/// Distrusts requests as another daemon says.
+pub(in crate::gateway) fn accept_distrusted(state: &GatewayState, marks: &[Mark]) {
+    state.quarantine.distrust(marks, state.now());
+}
+
+/// Records which suspects another daemon knows to be sound.
+pub(in crate::gateway) fn accept_sound(state: &GatewayState, marks: &[Mark]) {
     let now = state.now();
     let mut soundness = state.quarantine.soundness.borrow_mut();
-    parts.iter().for_each(|part| soundness.confirm(*part, now));
+    marks.iter().for_each(|mark| soundness.confirm(*mark, now));
 }
 
-/// Quarantines parts as another daemon says.
-pub(in crate::gateway) fn accept_quarantined(state: &GatewayState, parts: &[PromptPart]) {
-    parts.iter().for_each(|part| quarantine(state, *part));
+/// Quarantines marks as another daemon says.
+pub(in crate::gateway) fn accept_quarantined(state: &GatewayState, marks: &[Mark]) {
+    marks.iter().for_each(|mark| quarantine(state, *mark));
 }
 
-/// Quarantines a part.
-fn quarantine(state: &GatewayState, part: PromptPart) {
-    let is_news = state.quarantine.parts.borrow_mut().insert(part);
-    state.quarantine.suspects.borrow_mut().explain(part);
+/// Quarantines a mark.
+fn quarantine(state: &GatewayState, mark: Mark) {
+    let is_news = state.quarantine.entries.borrow_mut().insert(mark);
+    state.quarantine.suspects.borrow_mut().explain(mark);
     if is_news {
-        report_change(state, part, true);
+        report_change(state, mark, true);
     }
 }
 
-/// Logs that a part has entered or left quarantine.
-pub(in crate::gateway) fn report_change(
-    state: &GatewayState,
-    part: PromptPart,
-    is_quarantined: bool,
-) {
-    let count = state.quarantine.parts.borrow().count();
-    gauge!("quarantined_parts").set(count as f64);
-    slog::info!(state.log, "quarantine of part of prompts changed";
-        "part" => part.to_string(),
+/// Logs that a mark has entered or left quarantine.
+pub(in crate::gateway) fn report_change(state: &GatewayState, mark: Mark, is_quarantined: bool) {
+    let count = state.quarantine.entries.borrow().count();
+    gauge!("quarantined_marks").set(count as f64);
+    slog::info!(state.log, "quarantine changed";
+        "mark" => mark.to_string(),
         "quarantined" => is_quarantined);
 }
 
-/// Sends parts to all other daemons.
-fn broadcast<F>(state: &GatewayState, mut parts: Vec<PromptPart>, datagram: F)
+/// Sends marks to all other daemons.
+fn broadcast<F>(state: &GatewayState, mut marks: Vec<Mark>, datagram: F)
 where
-    F: Fn(Vec<PromptPart>) -> Datagram,
+    F: Fn(Vec<Mark>) -> Datagram,
 {
-    parts.truncate(MAX_PARTS);
+    marks.truncate(MAX_MARKS);
     let peers = state.peers.borrow();
     let others = peers
         .daemons()
         .filter(|(name, _)| **name != state.settings.name);
     for address in others.filter_map(|(_, entry)| entry.peer) {
-        state.outbox.send(address, datagram(parts.clone()));
+        state.outbox.send(address, datagram(marks.clone()));
     }
 }
--- a/src/gateway/quarantine/keeper.rs
+++ b/src/gateway/quarantine/keeper.rs
@@ -1,10 +1,9 @@
-//! Keeps the quarantined parts in the store, and the collectors' questions going.
+//! Keeps what is quarantined in the store, and the collectors' questions going.
 
-use super::{exchange, parts::QuarantineEntry};
+use super::{entries::QuarantineEntry, exchange, mark::Mark};
 use crate::{
     core::{
         input::PlatformAnswer,
-        keys::PromptPart,
         output::Expect,
         time::{Span, Time},
     },
@@ -15,13 +14,13 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-/// Interval at which suspected parts are judged again.
+/// Interval at which suspects are judged again.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Interval at which the store's entries are compared with the quarantined parts.
+/// Interval at which the store's entries are compared with what is quarantined.
 const STORE_INTERVAL: Span = Span::from_secs(1);
 
-/// Sends reports again, judges suspected parts, and keeps the store's entries up to date, for the
+/// Sends reports again, judges the suspects, and keeps the store's entries up to date, for the
 /// lifetime of the process.
 pub async fn keep<A>(state: Rc<GatewayState>, lease: Rc<Lease<A>>)
 where
@@ -31,7 +30,7 @@
     loop {
         compio::time::sleep(JUDGE_INTERVAL).await;
         exchange::send_reports(&state);
-        let is_asking = state.quarantine.suspects.borrow().is_asking();
+        let is_asking = state.quarantine.suspects.borrow().is_asking(state.now());
         if is_asking {
             exchange::judge(&state);
         }
@@ -43,34 +42,34 @@
     }
 }
 
-/// Writes the entries that the store may lack, and deletes those of parts whose quarantine is over.
+/// Writes the entries that the store may lack, and deletes those whose quarantine is over.
 async fn update_store<A>(state: &GatewayState, lease: &Lease<A>)
 where
     A: Adapter,
 {
     let since_s = unix_seconds();
-    let unstored = state.quarantine.parts.borrow().unstored();
-    for part in unstored {
+    let unstored = state.quarantine.entries.borrow().unstored();
+    for mark in unstored {
         let entry = QuarantineEntry { since_s };
         let written = lease
-            .write(&key::<A>(part), &entry, Expect::Absent, None)
+            .write(&key::<A>(mark), &entry, Expect::Absent, None)
             .await;
         if let Some(PlatformAnswer::Written { revision }) = written {
-            let mut parts = state.quarantine.parts.borrow_mut();
-            parts.insert_stored(part, (entry, revision));
+            let mut entries = state.quarantine.entries.borrow_mut();
+            entries.insert_stored(mark, (entry, revision));
         }
     }
-    let expired = state.quarantine.parts.borrow().expired(since_s);
-    for (part, revision) in expired {
-        lease.delete(key::<A>(part), revision).await;
+    let expired = state.quarantine.entries.borrow().expired(since_s);
+    for (mark, revision) in expired {
+        lease.delete(key::<A>(mark), revision).await;
     }
 }
 
-fn key<A>(part: PromptPart) -> String
+fn key<A>(mark: Mark) -> String
 where
     A: Adapter,
 {
-    format!("{}{QUARANTINE_PREFIX}{part}", A::OWN_PREFIX)
+    format!("{}{QUARANTINE_PREFIX}{mark}", A::OWN_PREFIX)
 }
 
 fn unix_seconds() -> u64 {
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -1,59 +1,82 @@
-//! Quarantine of prompt parts that crash runners.
+//! Quarantine of requests and parts of prompts that crash runners.
 //!
-//! A part of a prompt may crash every runner that begins to write an answer on
-//! it. Requests with such a part come to all daemons, and look like others in
-//! everything else. So each daemon reports which parts were in the prompts that
-//! a crashed runner had; two daemons, the collectors, join the reports, ask all
-//! others which of these parts runners have answered on, and quarantine the one
-//! that is left. Requests with a quarantined part are refused.
+//! A request may crash every runner that begins to run it, and come again at any
+//! daemon. So may each request whose prompt has a certain part, though no two of
+//! them are alike in everything else. So each daemon reports which requests a
+//! crashed runner had, with their parts; two daemons, the collectors, join the
+//! reports, ask all others which of these marks runners have answered on, and
+//! quarantine the one that is left. Requests with a quarantined mark are refused.
 //!
-//! The store keeps the quarantined parts for daemons that start later.
+//! The store keeps what is quarantined for daemons that start later.
 //!
-//! `fingerprint`, `parts`, `reports`, `soundness` and `suspects` decide and do
-//! no I/O.
+//! `distrust`, `entries`, `fingerprint`, `mark`, `reports`, `soundness` and
+//! `suspects` decide and do no I/O.
 
 pub(super) mod crash_check;
+mod distrust;
+pub mod entries;
 pub(super) mod exchange;
 pub mod fingerprint;
 mod keeper;
-pub mod parts;
+pub mod mark;
 pub mod reports;
 pub mod soundness;
 pub mod suspects;
 
 pub(super) use keeper::keep;
 
-use crate::core::keys::PromptPart;
-use parts::QuarantinedParts;
+use crate::core::{
+    keys::{Fingerprint, PromptPart},
+    time::Time,
+};
+use distrust::Distrusted;
+use entries::QuarantinedMarks;
+use mark::Mark;
 use reports::Reports;
 use soundness::Soundness;
 use std::cell::RefCell;
 use suspects::Suspects;
 
-/// What a daemon knows of parts of prompts.
+/// What a daemon knows of requests that crash runners.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    /// Quarantined parts.
-    pub parts: RefCell<QuarantinedParts>,
-    /// Parts that are known to be sound.
+    /// Quarantined marks.
+    pub entries: RefCell<QuarantinedMarks>,
+    /// Marks that are known to be sound.
     pub soundness: RefCell<Soundness>,
     suspects: RefCell<Suspects>,
     reports: RefCell<Reports>,
+    distrusted: RefCell<Distrusted>,
 }
 
 impl Quarantine {
-    /// Returns true if requests whose prompts have these parts are refused.
-    pub fn refuses(&self, parts: &[PromptPart]) -> bool {
-        self.parts.borrow().contains_any(parts)
+    /// Returns true if a request is refused, whose prompt has these parts.
+    pub fn refuses(&self, request: Fingerprint, parts: &[PromptPart]) -> bool {
+        self.entries.borrow().contains_any(request, parts)
     }
 
-    /// Takes the crashes that a quarantined part explains out of the evidence against others.
-    pub(super) fn explain_crashes(&self, part: PromptPart) {
-        self.suspects.borrow_mut().explain(part);
+    /// Records that requests were at several crashes, and that nobody has said yet that they are
+    /// sound.
+    fn distrust(&self, marks: &[Mark], now: Time) {
+        let soundness = self.soundness.borrow();
+        let mut distrusted = self.distrusted.borrow_mut();
+        let doubtful = marks.iter().filter(|mark| !soundness.is_sound(**mark, now));
+        doubtful.for_each(|mark| distrusted.insert(*mark, now));
     }
 
-    /// Forgets the crashes that a part may have caused, once it has left quarantine.
-    pub(super) fn forget_crashes(&self, part: PromptPart) {
-        self.suspects.borrow_mut().clear(part);
+    /// Returns true if a request was at several crashes, so that it should crash no other runner.
+    pub(super) fn is_distrusted(&self, request: Fingerprint, now: Time) -> bool {
+        let distrusted = self.distrusted.borrow();
+        distrusted.contains(Mark::Request(request), now)
+    }
+
+    /// Takes the crashes that a quarantined mark explains out of the evidence against others.
+    pub(super) fn explain_crashes(&self, mark: Mark) {
+        self.suspects.borrow_mut().explain(mark);
+    }
+
+    /// Forgets the crashes that a mark may have caused, once it has left quarantine.
+    pub(super) fn forget_crashes(&self, mark: Mark) {
+        self.suspects.borrow_mut().clear(mark);
     }
 }
--- a/src/gateway/quarantine/reports.rs
+++ b/src/gateway/quarantine/reports.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     core::{
-        keys::{DaemonName, PromptPart},
+        keys::{Arrival, DaemonName, Fingerprint, PromptPart},
         time::{Span, Time},
     },
     gateway::roster::RunnerInstance,
@@ -22,12 +22,22 @@
 const SENDS: u32 = 2;
 
 crate::record! {
+    /// Request, as far as it tells what crashes runners.
+    pub struct Evidence {
+        /// The request, which may come again.
+        pub request: Fingerprint,
+        /// This arrival of it.
+        pub arrival: Arrival,
+        /// Parts of the request's prompt that other requests may share.
+        pub parts: Vec<PromptPart>,
+    }
+
     /// Request that a crashed runner had.
     pub struct CrashReport {
         /// The runner.
         pub runner: RunnerInstance,
-        /// Parts of the request's prompt that other requests may share.
-        pub parts: Vec<PromptPart>,
+        /// The request.
+        pub evidence: Evidence,
     }
 }
 
--- a/src/gateway/quarantine/soundness.rs
+++ b/src/gateway/quarantine/soundness.rs
@@ -1,13 +1,11 @@
-//! Parts of prompts on which runners have answered.
+//! Requests, and parts of prompts, on which runners have answered.
 //!
 //! An answer may be complete just before its runner crashes, so it counts only
 //! once the runner has lived on for a moment.
 
+use super::mark::Mark;
 use crate::{
-    core::{
-        keys::PromptPart,
-        time::{Span, Time},
-    },
+    core::time::{Span, Time},
     gateway::roster::HostKey,
 };
 use std::collections::{BTreeMap, VecDeque};
@@ -15,10 +13,10 @@
 /// Time for which a runner must live on after an answer.
 const SURVIVAL_TIME: Span = Span::from_millis(500);
 
-/// Time for which an answer proves its parts sound; longer than crashes are remembered.
+/// Time for which an answer proves its marks sound; longer than crashes are remembered.
 const PROOF_TTL: Span = Span::from_secs(10 * 60);
 
-/// Time within which further answers on a part are not recorded.
+/// Time within which further answers on a mark are not recorded.
 const REFRESH_INTERVAL: Span = Span::from_secs(10);
 
 /// Maximum number of answers that are remembered.
@@ -29,33 +27,36 @@
 struct Answer {
     at: Time,
     host: HostKey,
-    parts: Vec<PromptPart>,
+    marks: Vec<Mark>,
 }
 
-/// Parts that are known to be sound.
+/// Marks that are known to be sound.
 #[derive(Debug, Default)]
 pub struct Soundness {
-    /// Time of the latest answer on each part.
-    proofs: BTreeMap<PromptPart, Time>,
-    /// Parts in the order of their answers, with the time of the answer.
-    order: VecDeque<(Time, PromptPart)>,
+    /// Time of the latest answer on each mark.
+    proofs: BTreeMap<Mark, Time>,
+    /// Marks in the order of their answers, with the time of the answer.
+    order: VecDeque<(Time, Mark)>,
     recent: VecDeque<Answer>,
 }
 
 impl Soundness {
-    /// Records that a runner answers on parts.
-    pub fn answered(&mut self, host: HostKey, parts: &[PromptPart], now: Time) {
+    /// Records that a runner answers on a request's marks.
+    pub fn answered<I>(&mut self, host: HostKey, marks: I, now: Time)
+    where
+        I: Iterator<Item = Mark>,
+    {
         self.settle(now);
-        let is_due = |part: &&PromptPart| {
-            let last = self.proofs.get(*part);
+        let is_due = |mark: &Mark| {
+            let last = self.proofs.get(mark);
             last.is_none_or(|at| now.since(*at) >= REFRESH_INTERVAL)
         };
-        let parts: Vec<PromptPart> = parts.iter().filter(is_due).copied().collect();
-        if !parts.is_empty() {
+        let marks: Vec<Mark> = marks.filter(is_due).collect();
+        if !marks.is_empty() {
             self.recent.push_back(Answer {
                 at: now,
                 host,
-                parts,
+                marks,
             });
         }
     }
@@ -66,18 +67,18 @@
         self.recent.retain(|answer| answer.host != host);
     }
 
-    /// Records that another daemon knows a part to be sound.
-    pub fn confirm(&mut self, part: PromptPart, now: Time) {
-        self.prove(part, now);
+    /// Records that another daemon knows a mark to be sound.
+    pub fn confirm(&mut self, mark: Mark, now: Time) {
+        self.prove(mark, now);
     }
 
-    /// Returns true if a runner has answered on a part, and lived on.
-    pub fn is_sound(&self, part: PromptPart, now: Time) -> bool {
+    /// Returns true if a runner has answered on a mark, and lived on.
+    pub fn is_sound(&self, mark: Mark, now: Time) -> bool {
         let settled = self
             .recent
             .iter()
-            .any(|answer| now.since(answer.at) >= SURVIVAL_TIME && answer.parts.contains(&part));
-        let proof = self.proofs.get(&part);
+            .any(|answer| now.since(answer.at) >= SURVIVAL_TIME && answer.marks.contains(&mark));
+        let proof = self.proofs.get(&mark);
         settled || proof.is_some_and(|at| now.since(*at) < PROOF_TTL)
     }
 
@@ -87,27 +88,27 @@
             && now.since(answer.at) >= SURVIVAL_TIME
         {
             let at = answer.at;
-            let parts = self.recent.pop_front().map(|answer| answer.parts);
-            for part in parts.into_iter().flatten() {
-                self.prove(part, at);
+            let marks = self.recent.pop_front().map(|answer| answer.marks);
+            for mark in marks.into_iter().flatten() {
+                self.prove(mark, at);
             }
         }
     }
 
-    fn prove(&mut self, part: PromptPart, at: Time) {
-        self.proofs.insert(part, at);
-        self.order.push_back((at, part));
+    fn prove(&mut self, mark: Mark, at: Time) {
+        self.proofs.insert(mark, at);
+        self.order.push_back((at, mark));
         while self.order.len() > MAX_PROOFS {
             self.drop_oldest();
         }
     }
 
     fn drop_oldest(&mut self) {
-        let Some((at, part)) = self.order.pop_front() else {
+        let Some((at, mark)) = self.order.pop_front() else {
             return;
         };
-        if self.proofs.get(&part) == Some(&at) {
-            self.proofs.remove(&part);
+        if self.proofs.get(&mark) == Some(&at) {
+            self.proofs.remove(&mark);
         }
     }
 }
--- a/src/gateway/responses.rs
+++ b/src/gateway/responses.rs
@@ -99,7 +99,7 @@
         /// Delay after which the caller should retry, in milliseconds.
         retry_ms: u64,
     },
-    /// A part of the prompt crashes runners; it has not run.
+    /// It or a part of its prompt crashes runners; it has not run.
     Quarantined,
     /// It may have run, and its response is lost.
     Unknown,
@@ -163,7 +163,7 @@
 /// Retry delay that is sent by a daemon that has not read a configuration yet.
 const UNCONFIGURED_RETRY_DELAY_MS: u64 = 500;
 
-/// Retry delay of a request whose prompt has a quarantined part; retries are refused for hours.
+/// Retry delay of a quarantined request; retries are refused for hours.
 const QUARANTINED_RETRY_DELAY_MS: u64 = 600_000;
 
 /// Builds a response whose body is known in full.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -73,7 +73,7 @@
     pub registration: Cell<Registration>,
     /// Datagrams to other daemons.
     pub outbox: Outbox,
-    /// Parts of prompts that crash runners.
+    /// Requests and parts of prompts that crash runners.
     pub quarantine: Quarantine,
     /// Progress of groups that other daemons reported.
     pub progress: RefCell<ReportedProgress>,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -141,7 +141,7 @@
     CallerGone,
     /// The deadline has passed.
     TimedOut,
-    /// A part of the prompt was quarantined.
+    /// The request or a part of its prompt was quarantined.
     Quarantined,
 }
 
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -1,14 +1,16 @@
-//! Finding the part of prompts that crashes runners, from the evidence of all daemons.
+//! Finding the request, or the part of prompts, that crashes runners, from the evidence of all
+//! daemons.
 
 use hickoryledge::{
     core::{
-        keys::{HostName, PromptPart, Revision},
+        keys::{Arrival, Fingerprint, HostName, PromptPart, Revision},
         time::{Span, Time},
     },
     gateway::{
         quarantine::{
-            parts::{QuarantineEntry, QuarantinedParts},
-            reports::{CrashReport, Reports},
+            entries::{QuarantineEntry, QuarantinedMarks},
+            mark::Mark,
+            reports::{CrashReport, Evidence, Reports},
             soundness::Soundness,
             suspects::{ANSWER_TIME, Suspects},
         },
@@ -17,36 +19,66 @@
 };
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use slotmap::SlotMap;
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+const BAD_PART: PromptPart = PromptPart(0xbad);
+const BAD: Mark = Mark::Part(BAD_PART);
+const USUAL_PART: PromptPart = PromptPart(0x5a5e);
+const USUAL: Mark = Mark::Part(USUAL_PART);
 
-const BAD: PromptPart = PromptPart(0xbad);
-const USUAL: PromptPart = PromptPart(0x5a5e);
+/// Request that comes again and again, and its mark.
+pub const REPEATED: Fingerprint = Fingerprint(0xbad);
+pub const REPEATED_MARK: Mark = Mark::Request(REPEATED);
 
-fn at(millis: u64) -> Time {
+pub fn at(millis: u64) -> Time {
     Time::default() + Span::from_millis(millis)
 }
 
-fn runner(number: u64) -> RunnerInstance {
+pub fn runner(number: u64) -> RunnerInstance {
     (HostName::from(format!("h{number}")), 1)
 }
 
-fn unknown(_: PromptPart) -> bool {
+pub fn unknown(_: Mark) -> bool {
     false
 }
 
+/// Records a crash under a request that is like no other.
+fn record(suspects: &mut Suspects, runner: RunnerInstance, parts: &[PromptPart], now: Time) {
+    static REQUESTS: AtomicU64 = AtomicU64::new(1_000_000);
+    let number = REQUESTS.fetch_add(1, Ordering::Relaxed);
+    let evidence = evidence(Fingerprint(number), number, parts);
+    suspects.record(runner, &evidence, now);
+}
+
+pub fn evidence(request: Fingerprint, arrival: u64, parts: &[PromptPart]) -> Evidence {
+    Evidence {
+        request,
+        arrival: Arrival(arrival),
+        parts: parts.to_vec(),
+    }
+}
+
 /// Returns the evidence of crashes under requests with the bad part, one in each interval.
 fn crashes_by_bad_part(count: u64, interval_ms: u64) -> Suspects {
     let mut suspects = Suspects::default();
     for number in 0..count {
-        suspects.record(runner(number), &[BAD], at(interval_ms * number));
+        record(
+            &mut suspects,
+            runner(number),
+            &[BAD_PART],
+            at(interval_ms * number),
+        );
     }
     suspects
 }
 
 /// Asks about all suspects, and returns the verdict once the answers may have come.
-fn verdict_after_answers<F>(suspects: &mut Suspects, is_sound: F, now: Time) -> Vec<PromptPart>
+fn verdict_after_answers<F>(suspects: &mut Suspects, is_sound: F, now: Time) -> Vec<Mark>
 where
-    F: Fn(PromptPart) -> bool + Copy,
+    F: Fn(Mark) -> bool + Copy,
 {
     suspects.ask(is_sound, now);
     assert_eq!(suspects.verdict(is_sound, now), []);
@@ -59,10 +91,15 @@
     let beside = |number| PromptPart(100 + number);
     for number in 0..4 {
         let now = at(300 * number);
-        suspects.record(runner(number), &[USUAL, BAD], now);
-        suspects.record(runner(number), &[USUAL, beside(number)], now);
+        record(&mut suspects, runner(number), &[USUAL_PART, BAD_PART], now);
+        record(
+            &mut suspects,
+            runner(number),
+            &[USUAL_PART, beside(number)],
+            now,
+        );
     }
-    let is_sound = |part| part == USUAL;
+    let is_sound = |mark| mark == USUAL;
     let verdict = verdict_after_answers(&mut suspects, is_sound, at(1_000));
     assert_eq!(verdict, [BAD]);
 }
@@ -79,7 +116,7 @@
 fn crashes_at_the_same_moment_count_as_one() {
     let mut suspects = Suspects::default();
     for number in 0..20 {
-        suspects.record(runner(number), &[BAD], at(100 + number));
+        record(&mut suspects, runner(number), &[BAD_PART], at(100 + number));
     }
     suspects.ask(unknown, at(150));
     assert_eq!(suspects.verdict(unknown, at(5_000)), []);
@@ -91,11 +128,16 @@
     let mut suspects = Suspects::default();
     let beside = PromptPart(7);
     for number in 0..4 {
-        suspects.record(runner(number), &[BAD, beside], at(300 * number));
+        record(
+            &mut suspects,
+            runner(number),
+            &[BAD_PART, beside],
+            at(300 * number),
+        );
     }
     let verdict = verdict_after_answers(&mut suspects, unknown, at(1_000));
     assert_eq!(verdict, []);
-    suspects.record(runner(4), &[BAD], at(1_300));
+    record(&mut suspects, runner(4), &[BAD_PART], at(1_300));
     assert_eq!(suspects.verdict(unknown, at(1_300)), [BAD]);
 }
 
@@ -104,14 +146,14 @@
     let mut suspects = Suspects::default();
     let beside = PromptPart(7);
     for number in 0..4 {
-        suspects.record(runner(number), &[BAD], at(300 * number));
-        suspects.record(runner(number), &[beside], at(300 * number));
+        record(&mut suspects, runner(number), &[BAD_PART], at(300 * number));
+        record(&mut suspects, runner(number), &[beside], at(300 * number));
     }
-    suspects.record(runner(4), &[BAD], at(1_300));
+    record(&mut suspects, runner(4), &[BAD_PART], at(1_300));
     let verdict = verdict_after_answers(&mut suspects, unknown, at(1_400));
     assert_eq!(verdict, [BAD]);
     suspects.explain(BAD);
-    assert!(!suspects.is_asking());
+    assert!(!suspects.is_asking(at(1_400)));
     assert_eq!(suspects.verdict(unknown, at(9_000)), []);
 }
 
@@ -134,8 +176,8 @@
     let mut hosts: SlotMap<HostKey, ()> = SlotMap::with_key();
     let (first, second) = (hosts.insert(()), hosts.insert(()));
     let mut soundness = Soundness::default();
-    soundness.answered(first, &[BAD], at(0));
-    soundness.answered(second, &[USUAL], at(0));
+    soundness.answered(first, [BAD].into_iter(), at(0));
+    soundness.answered(second, [USUAL].into_iter(), at(0));
     assert!(!soundness.is_sound(USUAL, at(100)));
     soundness.runner_broke_off(first, at(100));
     assert!(!soundness.is_sound(BAD, at(600)));
@@ -151,13 +193,18 @@
     let host = hosts.insert(());
     let mut soundness = Soundness::default();
     for number in 0..80_000 {
-        soundness.answered(host, &[PromptPart(number)], at(number));
+        soundness.answered(
+            host,
+            [Mark::Part(PromptPart(number))].into_iter(),
+            at(number),
+        );
     }
     let now = at(81_000);
-    let known = (0..80_000).filter(|number| soundness.is_sound(PromptPart(*number), now));
+    let known =
+        (0..80_000).filter(|number| soundness.is_sound(Mark::Part(PromptPart(*number)), now));
     let known = known.count();
     assert!(known <= 34_000, "{known}");
-    assert!(soundness.is_sound(PromptPart(79_999), now));
+    assert!(soundness.is_sound(Mark::Part(PromptPart(79_999)), now));
 }
 
 #[test]
@@ -165,7 +212,7 @@
     let mut reports = Reports::default();
     let report = CrashReport {
         runner: runner(1),
-        parts: vec![BAD],
+        evidence: evidence(REPEATED, 1, &[BAD_PART]),
     };
     reports.push(report.clone(), at(0));
     let (one, other) = (["d1".into(), "d2".into()], ["d2".into(), "d3".into()]);
@@ -179,47 +226,78 @@
 
 #[test]
 fn quarantine_outlives_older_copy_of_store() {
-    let mut parts = QuarantinedParts::default();
+    let mut entries = QuarantinedMarks::default();
     let entry = (QuarantineEntry { since_s: 1_000 }, Revision(5));
-    assert!(parts.insert(BAD));
-    assert_eq!(parts.unstored(), [BAD]);
-    assert!(!parts.insert_stored(BAD, entry));
-    assert_eq!(parts.unstored(), []);
-    parts.distrust_stored();
-    assert!(parts.contains_any(&[USUAL, BAD]));
-    assert_eq!(parts.unstored(), [BAD]);
+    assert!(entries.insert(BAD));
+    assert_eq!(entries.unstored(), [BAD]);
+    assert!(!entries.insert_stored(BAD, entry));
+    assert_eq!(entries.unstored(), []);
+    entries.distrust_stored();
+    assert!(entries.contains_any(REPEATED, &[USUAL_PART, BAD_PART]));
+    assert!(!entries.contains_any(REPEATED, &[USUAL_PART]));
+    assert_eq!(entries.unstored(), [BAD]);
 }
 
 #[test]
 fn quarantine_ends_with_its_entry_and_after_a_day() {
-    let mut parts = QuarantinedParts::default();
+    let mut entries = QuarantinedMarks::default();
     let entry = (QuarantineEntry { since_s: 1_000 }, Revision(5));
-    parts.insert_stored(BAD, entry);
-    assert_eq!(parts.expired(86_000), []);
-    assert_eq!(parts.expired(1_000 + 86_400), [(BAD, Revision(5))]);
-    parts.forget_stored();
-    assert!(!parts.contains(BAD));
-    parts.insert(BAD);
-    parts.forget_stored();
-    assert!(parts.contains(BAD), "the store hasn't had it yet");
+    entries.insert_stored(BAD, entry);
+    assert_eq!(entries.expired(86_000), []);
+    assert_eq!(entries.expired(1_000 + 86_400), [(BAD, Revision(5))]);
+    entries.forget_stored();
+    assert!(!entries.contains(BAD));
+    entries.insert(BAD);
+    entries.forget_stored();
+    assert!(entries.contains(BAD), "the store hasn't had it yet");
+}
+
+/// Request at a runner.
+pub struct Sent {
+    evidence: Evidence,
+    /// Number of runners that this arrival was sent to before.
+    sends: u32,
+    /// True if it is the second arrival, after which its caller gives up.
+    is_retry: bool,
+}
+
+impl Sent {
+    fn new(evidence: Evidence, is_retry: bool) -> Self {
+        Self {
+            evidence,
+            sends: 0,
+            is_retry,
+        }
+    }
+
+    /// Returns true if it crashes the runner that it reaches.
+    fn is_bad(&self) -> bool {
+        self.evidence.request == REPEATED || self.evidence.parts.contains(&BAD_PART)
+    }
 }
 
 /// Heads with the requests that they have, seen by a collector that hears of every crash.
-struct Traffic {
+pub struct Traffic {
     rng: SmallRng,
-    /// Parts of the requests at each head.
-    heads: BTreeMap<u64, Vec<Vec<PromptPart>>>,
+    /// Requests at each head.
+    pub heads: BTreeMap<u64, Vec<Sent>>,
+    /// Number of arrivals so far.
+    arrivals: u64,
+    /// Number of runners that an arrival is sent to at most; none if there is no limit.
+    pub max_sends: Option<u32>,
     suspects: Suspects,
     soundness: Soundness,
     host: HostKey,
 }
 
 impl Traffic {
-    fn new(seed: u64) -> Self {
+    pub fn new(seed: u64, heads: u64) -> Self {
         let mut hosts: SlotMap<HostKey, ()> = SlotMap::with_key();
         Self {
             rng: SmallRng::seed_from_u64(seed),
-            heads: (0..12).map(|head| (head, Vec::new())).collect(),
+            heads: (0..heads).map(|head| (head, Vec::new())).collect(),
+            arrivals: 0,
+            max_sends: None,
             suspects: Suspects::default(),
             soundness: Soundness::default(),
             host: hosts.insert(()),
@@ -227,52 +305,78 @@
     }
 
     /// Returns the parts of a sound request: a usual one, and one of many documents.
-    fn sound_parts(&mut self) -> Vec<PromptPart> {
+    pub fn sound_parts(&mut self) -> Vec<PromptPart> {
         let document = self.rng.random_range(0..400);
-        vec![USUAL, PromptPart(1_000 + document)]
+        vec![USUAL_PART, PromptPart(1_000 + document)]
+    }
+
+    /// Sends a request that is like no other.
+    pub fn send(&mut self, parts: Vec<PromptPart>) {
+        let request = Fingerprint(self.arrivals + 1);
+        self.send_request(request, &parts);
     }
 
-    fn send(&mut self, parts: Vec<PromptPart>) {
+    /// Sends a request, which may have been sent before.
+    pub fn send_request(&mut self, request: Fingerprint, parts: &[PromptPart]) {
+        self.arrivals += 1;
+        let evidence = evidence(request, self.arrivals, parts);
+        self.send_to_head(Sent::new(evidence, false));
+    }
+
+    fn send_to_head(&mut self, request: Sent) {
         let heads: Vec<u64> = self.heads.keys().copied().collect();
         let head = heads[self.rng.random_range(0..heads.len())];
-        self.heads.entry(head).or_default().push(parts);
+        self.heads.entry(head).or_default().push(request);
+    }
+
+    /// Sends a request whose head crashed to another one, or lets its caller retry once.
+    fn send_on(&mut self, mut request: Sent) {
+        request.sends += 1;
+        if self.max_sends.is_none_or(|max| request.sends < max) {
+            return self.send_to_head(request);
+        }
+        if !request.is_retry {
+            self.arrivals += 1;
+            request.evidence.arrival = Arrival(self.arrivals);
+            self.send_to_head(Sent::new(request.evidence, true));
+        }
     }
 
     /// Ends a head, which another one replaces; its requests go to other heads.
-    fn crash(&mut self, head: u64, now: Time) {
+    pub fn crash(&mut self, head: u64, now: Time) {
         let next = self.heads.keys().max().expect("heads") + 1;
         self.heads.insert(next, Vec::new());
-        for parts in self.heads.remove(&head).unwrap_or_default() {
-            self.suspects.record(runner(head), &parts, now);
-            if !parts.contains(&BAD) {
-                self.send(parts);
+        for request in self.heads.remove(&head).unwrap_or_default() {
+            self.suspects.record(runner(head), &request.evidence, now);
+            if !request.is_bad() {
+                self.send_on(request);
             }
         }
     }
 
-    /// Ends the head that a request with the bad part reached, if it did.
-    fn crash_bad_head(&mut self, now: Time) {
+    /// Ends the head that a bad request reached, if it did.
+    pub fn crash_bad_head(&mut self, now: Time) {
         let mut heads = self.heads.iter();
-        let is_bad = |parts: &Vec<PromptPart>| parts.contains(&BAD);
-        let found = heads.find(|(_, requests)| requests.iter().any(is_bad));
+        let found = heads.find(|(_, requests)| requests.iter().any(Sent::is_bad));
         if let Some(head) = found.map(|(head, _)| *head) {
             self.crash(head, now);
         }
     }
 
     /// Lets heads answer some of their requests.
-    fn answer(&mut self, now: Time) {
+    pub fn answer(&mut self, now: Time) {
         for requests in self.heads.values_mut() {
             if requests.len() > 4 {
-                let parts = requests.remove(0);
-                self.soundness.answered(self.host, &parts, now);
+                let evidence = requests.remove(0).evidence;
+                let marks = Mark::of(evidence.request, &evidence.parts);
+                self.soundness.answered(self.host, marks, now);
             }
         }
     }
 
-    fn judge(&mut self, now: Time) -> Vec<PromptPart> {
+    pub fn judge(&mut self, now: Time) -> Vec<Mark> {
         let soundness = &self.soundness;
-        let is_sound = |part| soundness.is_sound(part, now);
+        let is_sound = |mark| soundness.is_sound(mark, now);
         self.suspects.ask(is_sound, now);
         self.suspects.verdict(is_sound, now)
     }
@@ -281,7 +385,7 @@
 #[test]
 fn bad_part_is_found_within_five_crashes_beside_sound_traffic() {
     for seed in 0..16 {
-        let mut traffic = Traffic::new(seed);
+        let mut traffic = Traffic::new(seed, 12);
         let mut crashes = 0;
         let mut verdict = Vec::new();
         for step in 0..400 {
@@ -292,7 +396,7 @@
             }
             traffic.answer(now);
             if step > 100 && step % 4 == 0 {
-                traffic.send(vec![USUAL, BAD]);
+                traffic.send(vec![USUAL_PART, BAD_PART]);
                 traffic.crash_bad_head(now);
                 crashes += 1;
             }
@@ -310,7 +414,7 @@
 #[test]
 fn no_part_is_quarantined_for_crashes_that_have_other_causes() {
     for seed in 0..16 {
-        let mut traffic = Traffic::new(seed);
+        let mut traffic = Traffic::new(seed, 12);
         for step in 0..400 {
             let now = at(100 * step);
             for _ in 0..12 {
