Fix: a crashed runner that is back at once is noticed

A runner that ended a request's connection counted as crashed only if it then refused a new one. Change: such a request is kept for ten seconds; if the roster shows a later run under the runner's name or at its address (a larger start time), it is reported as at that crash. Runners that were about to leave are left out. The run that the request was at is taken from when it was sent, as the roster may have the next one by then. Ruled out: asking the runner itself, which costs a probe for each cut connection; its entry comes within a heartbeat anyway.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -9,7 +9,7 @@
     admission::{self, AdmissionClass},
     load::Loads,
     notices::Notices,
-    roster::{HostKey, Roster, SLOW_FACTOR},
+    roster::{HostKey, Roster, RunnerInstance, SLOW_FACTOR},
     spec::Engine,
 };
 use crate::core::{
@@ -61,12 +61,21 @@
     pub host: HostKey,
     /// Name of the host.
     pub name: HostName,
+    /// Start of the runner, in Unix milliseconds.
+    pub born: u64,
     /// Address for requests.
     pub address: SocketAddr,
     /// Epoch of its group, for a model's request.
     pub epoch: Option<Epoch>,
 }
 
+impl Endpoint {
+    /// Returns the identity of the run that the host's runner is in.
+    pub fn instance(&self) -> RunnerInstance {
+        (self.name.clone(), self.born)
+    }
+}
+
 /// Runner that could take a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Candidate {
@@ -146,6 +155,7 @@
     Ok(Endpoint {
         host: chosen.host,
         name: host.name.clone(),
+        born: host.runner.born,
         address: host.runner.address,
         epoch: chosen.epoch,
     })
--- a/src/gateway/quarantine/crash_check.rs
+++ b/src/gateway/quarantine/crash_check.rs
@@ -1,17 +1,18 @@
 //! Finds out whether a runner has crashed whose connection ended.
 //!
-//! A crashed runner refuses connections. One that lost a single connection takes
-//! new ones, and one that is cut off doesn't answer.
+//! A crashed runner refuses connections, or is back at once as a new run. One that
+//! lost a single connection takes new ones, and one that is cut off doesn't answer.
 
 use super::{
     exchange,
     reports::{CrashReport, Evidence},
 };
 use crate::gateway::{
-    announcements,
     balancer::Endpoint,
     call::Call,
     connection::{RunnerConnection, SendError},
+    roster::Host,
+    state::GatewayState,
 };
 use std::time::Duration;
 
@@ -23,7 +24,6 @@
 pub(in crate::gateway) async fn connection_ended(call: &mut Call, endpoint: &Endpoint) {
     let state = call.state.clone();
     let now = state.now();
-    let runner = announcements::instance(&state, endpoint.host);
     state
         .quarantine
         .soundness
@@ -37,18 +37,24 @@
         "host" => endpoint.name.as_str(),
         "opened" => format!("{:?}", opened.as_ref().map(|_| ())),
         "crash" => is_crash);
-    if !is_crash {
-        return;
-    }
-    call.has_crashed = true;
-    call.excuse_run();
-    let Some(runner) = runner else {
-        return;
-    };
+    let runner = endpoint.instance();
     let evidence = Evidence {
         request: call.fingerprint,
         arrival: call.arrival,
         parts: call.head.shared_parts.clone(),
     };
-    exchange::report(&state, CrashReport { runner, evidence });
+    if is_crash {
+        call.has_crashed = true;
+        call.excuse_run();
+        exchange::report(&state, CrashReport { runner, evidence });
+    } else if opened.is_ok() && !is_leaving(&state, endpoint) {
+        let mut restarts = state.quarantine.restarts.borrow_mut();
+        restarts.push(runner, endpoint.address, evidence, now);
+    }
+}
+
+/// Returns true if a runner was about to leave, and so ended its connections.
+fn is_leaving(state: &GatewayState, endpoint: &Endpoint) -> bool {
+    let roster = state.roster.borrow();
+    roster.host(endpoint.host).is_some_and(Host::is_draining)
 }
--- a/src/gateway/quarantine/exchange.rs
+++ b/src/gateway/quarantine/exchange.rs
@@ -3,7 +3,7 @@
 use super::{mark::Mark, reports::CrashReport};
 use crate::{
     core::keys::DaemonName,
-    gateway::{datagrams::Datagram, state::GatewayState},
+    gateway::{datagrams::Datagram, roster::RunnerInstance, state::GatewayState},
 };
 use metrics::{counter, gauge};
 use std::net::SocketAddr;
@@ -22,6 +22,23 @@
     send_reports(state);
 }
 
+/// Reports the requests whose runners were back at once after a crash.
+pub(super) fn report_restarts(state: &GatewayState) {
+    let crashed = {
+        let roster = state.roster.borrow();
+        let mut restarts = state.quarantine.restarts.borrow_mut();
+        let has_restarted =
+            |runner: &RunnerInstance, address| roster.has_restarted(runner, address);
+        restarts.take_crashed(has_restarted, state.now())
+    };
+    for crash in crashed {
+        slog::info!(state.log, "runner that crashed is back";
+            "host" => crash.runner.0.as_str(),
+            "fingerprint" => crash.evidence.request.to_string());
+        report(state, crash);
+    }
+}
+
 /// Sends the reports that are due to the collectors.
 pub(super) fn send_reports(state: &GatewayState) {
     if state.quarantine.reports.borrow().is_empty() {
--- a/src/gateway/quarantine/keeper.rs
+++ b/src/gateway/quarantine/keeper.rs
@@ -29,6 +29,7 @@
     let mut compared_at = Time::default();
     loop {
         compio::time::sleep(JUDGE_INTERVAL).await;
+        exchange::report_restarts(&state);
         exchange::send_reports(&state);
         let is_asking = state.quarantine.suspects.borrow().is_asking(state.now());
         if is_asking {
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -9,8 +9,8 @@
 //!
 //! The store keeps what is quarantined for daemons that start later.
 //!
-//! `distrust`, `entries`, `fingerprint`, `mark`, `reports`, `soundness` and
-//! `suspects` decide and do no I/O.
+//! `distrust`, `entries`, `fingerprint`, `mark`, `reports`, `restarts`,
+//! `soundness` and `suspects` decide and do no I/O.
 
 pub(super) mod crash_check;
 mod distrust;
@@ -20,6 +20,7 @@
 mod keeper;
 pub mod mark;
 pub mod reports;
+pub mod restarts;
 pub mod soundness;
 pub mod suspects;
 
@@ -33,6 +34,7 @@
 use entries::QuarantinedMarks;
 use mark::Mark;
 use reports::Reports;
+use restarts::Restarts;
 use soundness::Soundness;
 use std::cell::RefCell;
 use suspects::Suspects;
@@ -46,6 +48,7 @@
     pub soundness: RefCell<Soundness>,
     suspects: RefCell<Suspects>,
     reports: RefCell<Reports>,
+    restarts: RefCell<Restarts>,
     distrusted: RefCell<Distrusted>,
 }
 
--- a/src/gateway/roster/mod.rs
+++ b/src/gateway/roster/mod.rs
@@ -23,7 +23,10 @@
     time::{Span, Time},
 };
 use slotmap::{SlotMap, new_key_type};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 /// Time that a draining head may take to finish its requests once it no longer listens.
 pub const DRAIN_TIMEOUT: Span = Span::from_millis(11_000);
@@ -270,6 +273,16 @@
         listed && !host.is_draining() && !host.is_unreachable()
     }
 
+    /// Returns true if a later run than this one is known at its address or under its name.
+    pub fn has_restarted(&self, runner: &RunnerInstance, address: SocketAddr) -> bool {
+        let (name, born) = runner;
+        let mut hosts = self.hosts.values();
+        hosts.any(|host| {
+            let is_same_host = host.name == *name || host.runner.address == address;
+            is_same_host && host.runner.born > *born
+        })
+    }
+
     /// Returns the known members of a group.
     pub fn members<'a>(&'a self, group: &'a Group) -> impl Iterator<Item = &'a Host> {
         group.members.values().filter_map(|key| self.host(*key))
--- a/tests/gateway/repeats.rs
+++ b/tests/gateway/repeats.rs
@@ -3,10 +3,14 @@
 use super::quarantine::{REPEATED, REPEATED_MARK, Traffic, at, evidence, runner, unknown};
 use hickoryledge::{
     core::keys::{AccountName, Fingerprint, PromptPart},
-    gateway::quarantine::{
-        fingerprint::Identity,
-        mark::Mark,
-        suspects::{ANSWER_TIME, Suspects},
+    gateway::{
+        quarantine::{
+            fingerprint::Identity,
+            mark::Mark,
+            restarts::Restarts,
+            suspects::{ANSWER_TIME, Suspects},
+        },
+        roster::RunnerInstance,
     },
 };
 use http::{Method, Uri};
@@ -238,3 +242,24 @@
         assert_ne!(other.fingerprint(), identity.fingerprint(), "{other:?}");
     }
 }
+
+#[test]
+fn runner_that_is_back_at_once_has_crashed_if_its_run_is_later() {
+    let mut restarts = Restarts::default();
+    let address = "127.0.0.1:80".parse().expect("an address");
+    for number in 1..3 {
+        let evidence = evidence(REPEATED, number, &[]);
+        restarts.push(runner(number), address, evidence, at(0));
+    }
+    assert_eq!(restarts.take_crashed(|_, _| false, at(100)), []);
+    let has_restarted = |crashed: &RunnerInstance, _| *crashed == runner(2);
+    let reports = restarts.take_crashed(has_restarted, at(200));
+    let runners: Vec<RunnerInstance> = reports.into_iter().map(|report| report.runner).collect();
+    assert_eq!(runners, [runner(2)]);
+    assert_eq!(restarts.take_crashed(has_restarted, at(300)), []);
+    assert_eq!(
+        restarts.take_crashed(|_, _| true, at(11_000)),
+        [],
+        "too late"
+    );
+}
