Test that a daemon that is cut off from all runners serves its callers, known red

A daemon reaches the runners through links that are cut for it alone; a second one reaches them directly.

--- /dev/null
+++ b/tests/platform/cut_off.rs
@@ -0,0 +1,170 @@
+//! A daemon that is cut off from all runners, while callers, the store and a peer reach it.
+
+use super::{
+    env::{Daemon, DaemonSettings, Response, TestEnv},
+    link::{Cut, Link, serve_store_view},
+};
+use std::{thread, time::Duration};
+
+/// Requests of each kind whose outcome is counted.
+const REQUESTS: usize = 12;
+
+/// Time for a daemon to notice that it is cut off.
+const NOTICE_TIME: Duration = Duration::from_secs(3);
+
+/// Daemon that reaches the runners through links, beside one that reaches them directly.
+struct Halls {
+    env: TestEnv,
+    links: Vec<Link>,
+    cut_off: Daemon,
+}
+
+impl Halls {
+    fn start() -> Self {
+        let env = TestEnv::start();
+        let runners = env.plain_runners.iter().chain(&env.heads);
+        let links: Vec<Link> = runners
+            .map(|runner| Link::start(runner.address()))
+            .collect();
+        let view = serve_store_view(env.store.clone(), &links);
+        let settings = DaemonSettings::new("d2", view);
+        let cut_off = env.start_daemon_with(settings);
+        let halls = Self {
+            env,
+            links,
+            cut_off,
+        };
+        halls.await_links();
+        halls
+    }
+
+    /// Waits until the daemon uses all its links.
+    fn await_links(&self) {
+        let before: Vec<usize> = self.links.iter().map(Link::connections).collect();
+        self.env.eventually("all links are used", |_| {
+            self.read(0);
+            self.stream("/chat/x");
+            let now = self.links.iter().map(Link::connections);
+            now.zip(&before).all(|(now, before)| now > *before)
+        });
+    }
+
+    fn cut(&self, cut: Cut) {
+        self.links.iter().for_each(|link| link.cut(cut));
+    }
+
+    fn read(&self, number: usize) -> Response {
+        let path = format!("/read/{number}");
+        self.env.call_at(&self.cut_off, "GET", &path, &[], "")
+    }
+
+    fn once(&self, number: usize) -> Response {
+        let path = format!("/once/{number}");
+        self.env.call_at(&self.cut_off, "POST", &path, &[], "")
+    }
+
+    fn stream(&self, path: &str) -> Response {
+        let headers = ["X-Model: m", "X-Token-Count: 100,20"];
+        self.env
+            .call_at(&self.cut_off, "POST", path, &headers, "{}")
+    }
+
+    /// Sends requests of all kinds and returns the number of those that are served whole.
+    fn count_served(&self) -> usize {
+        let served = |response: &Response| response.status == 200 && response.is_complete;
+        let all = (0..REQUESTS).flat_map(|number| {
+            let path = format!("/chat/{number}?events=3&pause_ms=20");
+            [self.read(number), self.once(number), self.stream(&path)]
+        });
+        all.filter(served).count()
+    }
+
+    /// Returns how often each request that may run once has reached runners.
+    fn once_runs(&self, number: usize) -> usize {
+        let runners = self.env.plain_runners.iter();
+        let requests = runners.flat_map(|runner| runner.requests());
+        let line = format!("POST /once/{number} HTTP/1.1");
+        requests
+            .filter(|request| request.request_line == line)
+            .count()
+    }
+
+    fn check_served(&self) {
+        thread::sleep(NOTICE_TIME);
+        let (served, all) = (self.count_served(), 3 * REQUESTS);
+        assert!(3 * served >= 2 * all, "{served} of {all} served");
+        for number in 0..REQUESTS {
+            let runs = self.once_runs(number);
+            assert!(runs <= 1, "request {number} ran {runs} times");
+        }
+    }
+}
+
+// It tried one runner after the other, and refused its callers.
+#[test]
+fn daemon_that_is_refused_by_all_runners_serves_its_callers() {
+    let halls = Halls::start();
+    halls.cut(Cut::Refused);
+    halls.check_served();
+}
+
+#[test]
+fn daemon_whose_connections_to_all_runners_hang_serves_its_callers() {
+    let halls = Halls::start();
+    halls.cut(Cut::Hanging);
+    halls.check_served();
+}
+
+#[test]
+fn stream_that_began_before_the_cut_goes_on() {
+    let halls = Halls::start();
+    thread::scope(|scope| {
+        let stream = scope.spawn(|| halls.stream("/chat/x?events=40&pause_ms=50"));
+        thread::sleep(Duration::from_millis(500));
+        halls.cut(Cut::Refused);
+        let response = stream.join().expect("a response");
+        assert_eq!(response.status, 200);
+        assert!(response.is_complete);
+        let ids: Vec<String> = (1..=40).map(|id| format!("id: {id}\n")).collect();
+        assert!(ids.iter().all(|id| response.body.matches(id).count() == 1));
+    });
+}
+
+#[test]
+fn daemon_uses_runners_again_after_the_cut() {
+    let halls = Halls::start();
+    halls.cut(Cut::Refused);
+    thread::sleep(NOTICE_TIME);
+    halls.count_served();
+    halls.links.iter().for_each(Link::restore);
+    halls.await_links();
+}
+
+// A request that nobody can serve must not go round between daemons that ask each other.
+#[test]
+fn request_is_refused_as_not_run_if_all_daemons_are_cut_off() {
+    let halls = Halls::start();
+    let view = serve_store_view(halls.env.store.clone(), &halls.links);
+    let third = halls.env.start_daemon_with(DaemonSettings::new("d3", view));
+    halls.env.eventually("the third daemon serves", |env| {
+        env.call_at(&third, "GET", "/read/x", &[], "").status == 200
+    });
+    halls.env.terminate();
+    halls.cut(Cut::Refused);
+    thread::sleep(NOTICE_TIME);
+    let before = halls
+        .env
+        .plain_runners
+        .iter()
+        .map(|runner| runner.requests().len());
+    let before: usize = before.sum();
+    for number in 0..REQUESTS {
+        assert_eq!(halls.once(number).status, 503);
+    }
+    let after = halls
+        .env
+        .plain_runners
+        .iter()
+        .map(|runner| runner.requests().len());
+    assert_eq!(after.sum::<usize>(), before);
+}
--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -268,6 +268,12 @@
         Self::start_logged(name, self.store_address, &self.logs)
     }
 
+    /// Starts a further daemon with settings of its own.
+    pub fn start_daemon_with(&self, mut settings: DaemonSettings) -> Daemon {
+        settings.log = Some(self.logs.file(&settings.name));
+        Daemon::start_with(&settings)
+    }
+
     /// Sends a request with the API key to the daemon.
     pub fn call(&self, method: &str, path: &str, headers: &[&str], body: &str) -> Response {
         self.call_at(&self.daemon, method, path, headers, body)
@@ -399,19 +405,30 @@
 
 /// Serves the store on a free port and returns its address.
 pub fn serve_store(store: Arc<Store>) -> SocketAddr {
+    serve_store_as(store, |body| body)
+}
+
+/// Serves the store on a free port, with changed bodies of responses, and returns its address.
+pub fn serve_store_as<F>(store: Arc<Store>, change: F) -> SocketAddr
+where
+    F: Fn(String) -> String + Clone + Send + 'static,
+{
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("bound");
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let store = store.clone();
-            std::thread::spawn(move || serve_calls(&store, stream));
+            let (store, change) = (store.clone(), change.clone());
+            std::thread::spawn(move || serve_calls(&store, stream, change));
         }
     });
     address
 }
 
 /// Serves the calls on one connection.
-fn serve_calls(store: &Store, stream: TcpStream) {
+fn serve_calls<F>(store: &Store, stream: TcpStream, change: F)
+where
+    F: Fn(String) -> String,
+{
     let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
     let mut stream = stream;
     while let Some(request) = super::runner::read_request(&mut reader) {
@@ -431,7 +448,7 @@
         if let Some(trouble) = store.trouble() {
             return store.troubles.write(trouble, &mut stream, &head, 1);
         }
-        if !super::runner::write_response(&mut stream, status, &head, &body.to_string()) {
+        if !super::runner::write_response(&mut stream, status, &head, &change(body.to_string())) {
             return;
         }
     }
--- /dev/null
+++ b/tests/platform/link.rs
@@ -0,0 +1,194 @@
+//! Links from one daemon to the runners, which can be cut while other daemons reach them.
+
+use super::{env, store::Store};
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use serde_json::Value;
+use socket2::{Domain, Socket, Type};
+use std::{
+    collections::BTreeMap,
+    io::{Read as _, Write as _},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// How a cut link treats connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Open ones are reset, and new ones are refused.
+    Refused,
+    /// Open ones are silent, and new ones hang.
+    Hanging,
+}
+
+/// Connections that fill the queue of a listener that accepts none, so that further ones hang.
+const QUEUE_FILLERS: usize = 4;
+
+/// Time that a filler waits for its connection.
+const FILL_TIMEOUT: Duration = Duration::from_millis(50);
+
+#[derive(Default)]
+struct State {
+    is_cut: AtomicBool,
+    /// True while open connections carry nothing.
+    is_silent: AtomicBool,
+    /// Number of connections that were carried.
+    connections: AtomicUsize,
+    open: Mutex<Vec<TcpStream>>,
+    /// Queue of a cut link, with its fillers.
+    queue: Mutex<Option<(Socket, Vec<TcpStream>)>>,
+}
+
+/// Link to one runner.
+pub struct Link {
+    address: SocketAddr,
+    state: Arc<State>,
+    target: SocketAddr,
+}
+
+impl Link {
+    /// Starts a link to an address.
+    pub fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let link = Self {
+            address: listener.local_addr().expect("bound"),
+            state: Arc::default(),
+            target,
+        };
+        link.accept(listener);
+        link
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        let (state, target) = (self.state.clone(), self.target);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if state.is_cut.load(Ordering::SeqCst) {
+                    return;
+                }
+                state.connections.fetch_add(1, Ordering::SeqCst);
+                if let Ok(far) = TcpStream::connect(target) {
+                    carry(&state, stream, far);
+                }
+            }
+        });
+    }
+
+    /// Returns the number of connections that were carried so far.
+    pub fn connections(&self) -> usize {
+        self.state.connections.load(Ordering::SeqCst)
+    }
+
+    /// Cuts the link.
+    pub fn cut(&self, cut: Cut) {
+        self.state.is_cut.store(true, Ordering::SeqCst);
+        self.state
+            .is_silent
+            .store(cut == Cut::Hanging, Ordering::SeqCst);
+        // Wakes the thread that accepts connections, which closes the listener.
+        let _ = TcpStream::connect(self.address);
+        if cut == Cut::Refused {
+            for stream in self.state.open.lock().expect("not poisoned").drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+            return;
+        }
+        let queue = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        queue.set_reuse_address(true).expect("set");
+        env::wait_until("the listener is closed", || {
+            queue.bind(&self.address.into()).is_ok()
+        });
+        queue.listen(0).expect("listens");
+        let fill = |_| TcpStream::connect_timeout(&self.address, FILL_TIMEOUT).ok();
+        let fillers = (0..QUEUE_FILLERS).filter_map(fill).collect();
+        *self.state.queue.lock().expect("not poisoned") = Some((queue, fillers));
+    }
+
+    /// Carries new connections again.
+    pub fn restore(&self) {
+        *self.state.queue.lock().expect("not poisoned") = None;
+        self.state.is_cut.store(false, Ordering::SeqCst);
+        self.state.is_silent.store(false, Ordering::SeqCst);
+        let listener = loop {
+            match TcpListener::bind(self.address) {
+                Ok(listener) => break listener,
+                // The thread that accepted connections has yet to close its listener.
+                Err(_) => thread::sleep(FILL_TIMEOUT),
+            }
+        };
+        self.accept(listener);
+    }
+}
+
+/// Carries bytes in both directions until one of the ends closes.
+fn carry(state: &Arc<State>, near: TcpStream, far: TcpStream) {
+    for stream in [&near, &far] {
+        let clone = stream.try_clone().expect("cloned");
+        state.open.lock().expect("not poisoned").push(clone);
+    }
+    for (from, to) in [(&near, &far), (&far, &near)] {
+        let from = from.try_clone().expect("cloned");
+        let to = to.try_clone().expect("cloned");
+        let state = state.clone();
+        thread::spawn(move || copy(&state, from, to));
+    }
+}
+
+fn copy(state: &State, mut from: TcpStream, mut to: TcpStream) {
+    let mut buffer = [0; 4_096];
+    while let Ok(length @ 1..) = from.read(&mut buffer) {
+        while state.is_silent.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(20));
+        }
+        if to.write_all(&buffer[..length]).is_err() {
+            break;
+        }
+    }
+    // The peer may have closed the connection already.
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+/// Serves a view of the store in which runners are reached through links; returns its address.
+pub fn serve_store_view(store: Arc<Store>, links: &[Link]) -> SocketAddr {
+    let addresses: BTreeMap<String, String> = links
+        .iter()
+        .map(|link| (link.target.to_string(), link.address.to_string()))
+        .collect();
+    env::serve_store_as(store, move |body| rewrite(body, &addresses))
+}
+
+/// Replaces the runners' addresses in the body of a response.
+fn rewrite(body: String, addresses: &BTreeMap<String, String>) -> String {
+    let Ok(mut json) = serde_json::from_str::<Value>(&body) else {
+        return body;
+    };
+    for list in ["Items", "events"] {
+        let items = json[list].as_array_mut().into_iter().flatten();
+        for item in items {
+            rewrite_item(item, addresses);
+        }
+    }
+    json.to_string()
+}
+
+fn rewrite_item(item: &mut Value, addresses: &BTreeMap<String, String>) {
+    let is_runner = item["Key"]
+        .as_str()
+        .is_some_and(|key| key.starts_with("servers/"));
+    let Some(value) = item["Value"].as_str().filter(|_| is_runner) else {
+        return;
+    };
+    let bytes = STANDARD.decode(value).expect("an encoded value");
+    let mut entry: Value = serde_json::from_slice(&bytes).expect("an entry");
+    let link = entry["Address"]
+        .as_str()
+        .and_then(|address| addresses.get(address));
+    if let Some(link) = link.cloned() {
+        entry["Address"] = link.into();
+        item["Value"] = STANDARD.encode(entry.to_string()).into();
+    }
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod crashing_part;
 mod crashing_request;
+mod cut_off;
 mod decoding;
 mod departures;
 mod endless;
@@ -14,6 +15,7 @@
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod env;
 mod limits;
+mod link;
 mod notices;
 mod relay;
 mod requests;
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -10,7 +10,7 @@
 use std::{
     collections::VecDeque,
     io::{BufRead as _, BufReader, Read as _, Write as _},
-    net::{Shutdown, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     ops::RangeInclusive,
     sync::{Arc, Mutex},
     time::Duration,
@@ -241,14 +241,19 @@
 
     /// Ends the runner's process.
     pub fn crash(&self) {
-        let entry = self.entry.lock().expect("not poisoned").clone();
-        let address = entry["Address"].as_str().expect("an address");
-        self.crashes.crash(address.parse().expect("an address"));
+        self.crashes.crash(self.address());
         if self.crashes.is_instant() {
             self.restart();
         }
     }
 
+    /// Returns the address for requests and orders.
+    pub fn address(&self) -> SocketAddr {
+        let entry = self.entry.lock().expect("not poisoned");
+        let address = entry["Address"].as_str().expect("an address");
+        address.parse().expect("an address")
+    }
+
     /// Writes the runner's entry to the store.
     pub fn register(&self) {
         let entry = self.entry.lock().expect("not poisoned").to_string();
