Log when a daemon reaches no runner any more

New connections to runners are now watched: three runners in a row that can't be connected to (or all, where there are fewer), with no success between, log 'no runner is reached' and set the gauge cut_off; the first success ends it. A runner that is gone or silent fails alone, and open connections count for nothing, as they may live on. Nothing is decided by it yet.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -162,7 +162,11 @@
     let limit = loads.borrow().connect_timeout(endpoint.host);
     let timeout = limit.map_or(CONNECT_TIMEOUT, Duration::from);
     let opened = RunnerConnection::open(endpoint.address, timeout).await;
-    let connection = opened.map_err(|_| AttemptError::Unreached)?;
+    let Ok(connection) = opened else {
+        call.state.runner_unreached(endpoint.host);
+        return Err(AttemptError::Unreached);
+    };
+    call.state.runner_connected();
     let elapsed = call.state.now().since(started);
     loads.borrow_mut().connected(endpoint.host, elapsed);
     Ok(connection)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 //! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
 //! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`,
-//! `drain`, those of `quarantine` that it names) read no clock and do no I/O.
+//! `drain`, `reach`, those of `quarantine` that it names) read no clock and do no I/O.
 //! The names and formats of a platform are hidden behind [`adapter::Adapter`].
 
 pub mod adapter;
@@ -52,6 +52,7 @@
 mod prober;
 mod progress;
 pub mod quarantine;
+pub mod reach;
 pub mod responses;
 pub mod roster;
 pub mod routes;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,6 +18,7 @@
     peers::Peers,
     permits::{Permits, Registration},
     quarantine::Quarantine,
+    reach::{Reach, ReachChange},
     roster::{HostKey, Roster},
     routes::RouteTable,
     settings::Settings,
@@ -63,6 +64,8 @@
     outages: RefCell<Outages>,
     /// Request load of each runner.
     pub loads: RefCell<Loads>,
+    /// Whether this daemon reaches any runner.
+    pub reach: RefCell<Reach>,
     /// Bytes of responses that are held in memory.
     pub held_bytes: HeldBytes,
     /// What runners say of themselves.
@@ -121,6 +124,7 @@
             roster: RefCell::default(),
             outages: RefCell::default(),
             loads: RefCell::default(),
+            reach: RefCell::default(),
             held_bytes: HeldBytes::default(),
             notices: RefCell::default(),
             permits: Permits::default(),
@@ -254,6 +258,40 @@
         self.notices.borrow_mut().record_pause(host, until);
     }
 
+    /// Records that a runner took a new connection.
+    pub fn runner_connected(&self) {
+        let change = self.reach.borrow_mut().connected(self.now());
+        self.log_reach(change);
+    }
+
+    /// Records that a new connection to a runner failed.
+    pub fn runner_unreached(&self, host: HostKey) {
+        let now = self.now();
+        let known = {
+            let roster = self.roster.borrow();
+            let usable = roster
+                .hosts()
+                .filter(|(_, host)| roster.is_usable(host, now));
+            usable.count()
+        };
+        let change = self.reach.borrow_mut().failed(host, known, now);
+        self.log_reach(change);
+    }
+
+    fn log_reach(&self, change: Option<ReachChange>) {
+        match change {
+            Some(ReachChange::Lost) => {
+                slog::warn!(self.log, "no runner is reached");
+                gauge!("cut_off").set(1.0);
+            }
+            Some(ReachChange::Regained { after }) => {
+                slog::info!(self.log, "runners are reached again"; "after_ms" => after.as_millis());
+                gauge!("cut_off").set(0.0);
+            }
+            None => {}
+        }
+    }
+
     fn host_name(&self, host: HostKey) -> String {
         let roster = self.roster.borrow();
         let name = roster.host(host).map(|host| host.name.as_str().to_owned());
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod outages;
 mod pools;
 mod quarantine;
+mod reach;
 mod repeats;
 mod retry_shares;
 mod routes;
--- /dev/null
+++ b/tests/gateway/reach.rs
@@ -0,0 +1,76 @@
+//! Whether a daemon is cut off, or runners are gone or silent.
+
+use hickoryledge::{
+    core::time::{Span, Time},
+    gateway::{
+        reach::{Reach, ReachChange},
+        roster::HostKey,
+    },
+};
+use slotmap::SlotMap;
+
+const KNOWN: usize = 60;
+
+fn at(millis: u64) -> Time {
+    Time::default() + Span::from_millis(millis)
+}
+
+fn hosts() -> Vec<HostKey> {
+    let mut hosts: SlotMap<HostKey, ()> = SlotMap::with_key();
+    (0..6).map(|_| hosts.insert(())).collect()
+}
+
+#[test]
+fn daemon_is_cut_off_once_three_runners_in_a_row_fail() {
+    let (hosts, mut reach) = (hosts(), Reach::default());
+    assert_eq!(reach.failed(hosts[0], KNOWN, at(0)), None);
+    assert_eq!(reach.failed(hosts[1], KNOWN, at(150)), None);
+    assert!(!reach.is_cut_off());
+    let change = reach.failed(hosts[2], KNOWN, at(300));
+    assert_eq!(change, Some(ReachChange::Lost));
+    assert_eq!(reach.failed(hosts[3], KNOWN, at(450)), None, "told once");
+    let after = Span::from_millis(11_700);
+    let change = reach.connected(at(12_000));
+    assert_eq!(change, Some(ReachChange::Regained { after }));
+    assert!(!reach.is_cut_off());
+}
+
+/// A runner that is gone or silent fails each connection while others take theirs.
+#[test]
+fn daemon_is_not_cut_off_while_one_runner_fails() {
+    let (hosts, mut reach) = (hosts(), Reach::default());
+    for number in 0..20 {
+        assert_eq!(reach.failed(hosts[0], KNOWN, at(50 * number)), None);
+    }
+    assert!(!reach.is_cut_off());
+}
+
+/// A replica of several hosts is lost, and other replicas go on.
+#[test]
+fn daemon_is_not_cut_off_while_any_runner_takes_connections() {
+    let (hosts, mut reach) = (hosts(), Reach::default());
+    for number in 0..60 {
+        let now = at(20 * number);
+        reach.failed(hosts[number as usize % 5], KNOWN, now);
+        if number % 2 == 1 {
+            assert_eq!(reach.connected(now), None);
+        }
+    }
+}
+
+#[test]
+fn old_failures_are_forgotten() {
+    let (hosts, mut reach) = (hosts(), Reach::default());
+    for (number, host) in hosts.iter().enumerate() {
+        reach.failed(*host, KNOWN, at(6_000 * number as u64));
+    }
+    assert!(!reach.is_cut_off());
+}
+
+#[test]
+fn all_of_few_runners_are_enough() {
+    let (hosts, mut reach) = (hosts(), Reach::default());
+    assert_eq!(reach.failed(hosts[0], 2, at(0)), None);
+    let change = reach.failed(hosts[1], 2, at(100));
+    assert_eq!(change, Some(ReachChange::Lost));
+}
