Fix: a daemon that reaches no runner passes requests to its peers

Cause: a daemon served its callers from its own connections alone; it neither noticed that the fault was its own nor asked anybody else. Evidence: all refusals had sends 0 and runs 0, each head Unreached after 150 ms. Change: once no runner is reached, a request goes at once to a peer, on a listener of its own for daemons (settings listen.relay), and before that any request whose last runner could not be connected to. What a peer may have run goes to no other (502); what none took is refused as not run. Streams are relayed event by event, and one that breaks off resumes by way of a peer. A daemon that is cut off reports no crash of runners that refuse it. Ruled out: leaving the directory, since callers keep its answers for up to six seconds and their open connections longer; a flag in the store, as declining is quicker and needs no write.

--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -73,6 +73,9 @@
     /// Sets the headers of a forwarded request.
     fn set_headers(headers: &mut HeaderMap, values: &ForwardHeaders<'_>);
 
+    /// Sets the headers of a request that is passed to another daemon.
+    fn set_relay_headers(headers: &mut HeaderMap, remaining: Span, resume_after: Option<u64>);
+
     /// Decodes the head of a runner's response.
     fn decode_response(head: &response::Parts) -> ResponseHead;
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -156,12 +156,13 @@
 }
 
 /// Connects to a runner; after the first connection the timeout follows the last connect time.
-async fn open(call: &Call, endpoint: &Endpoint) -> Result<RunnerConnection, AttemptError> {
+async fn open(call: &mut Call, endpoint: &Endpoint) -> Result<RunnerConnection, AttemptError> {
     let loads = &call.state.loads;
     let started = call.state.now();
     let limit = loads.borrow().connect_timeout(endpoint.host);
     let timeout = limit.map_or(CONNECT_TIMEOUT, Duration::from);
     let opened = RunnerConnection::open(endpoint.address, timeout).await;
+    call.is_unreached = opened.is_err();
     let Ok(connection) = opened else {
         call.state.runner_unreached(endpoint.host);
         return Err(AttemptError::Unreached);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -6,6 +6,7 @@
     balancer::Endpoint,
     connection::RunnerConnection,
     open_requests::OpenGuard,
+    peer_relay::RelayedGuard,
     quarantine::mark::Mark,
     roster::HostKey,
     spec::{Route, RouteKind},
@@ -23,6 +24,15 @@
 /// Maximum number of runs of a request that don't count, as its own part might crash runners.
 const MAX_EXCUSED_RUNS: u32 = 1;
 
+/// Who sends a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another daemon, which reaches no runner; the request is passed on no further.
+    Peer,
+}
+
 /// Accepted request of a caller.
 pub struct Call {
     /// State of the gateway.
@@ -45,6 +55,10 @@
     pub account: Option<AccountName>,
     /// Hash of what makes it the same as another request.
     pub fingerprint: Fingerprint,
+    /// True once it was passed to other daemons.
+    pub is_relayed: bool,
+    /// Counts it among the requests of other daemons, if one sent it; it is passed on no further.
+    pub relayed: Option<RelayedGuard>,
     /// Number of its arrival here.
     pub arrival: Arrival,
     /// Time by which the response must be complete.
@@ -59,6 +73,8 @@
     pub has_crashed: bool,
     /// Number of times that the request was sent.
     pub attempts: u32,
+    /// True if the last runner that was tried could not be connected to.
+    pub is_unreached: bool,
     /// Time of arrival.
     pub arrived: Time,
     /// Estimated time that the caller spent on earlier attempts of its own.
@@ -155,6 +171,29 @@
         self.runs - self.excused
     }
 
+    /// Returns the number of runners that the request may still be sent to.
+    pub(super) fn runs_left(&self) -> u32 {
+        let attempts = self.route.attempts.max(1);
+        attempts.saturating_sub(self.counted_runs())
+    }
+
+    /// Returns true if the request may be passed to another daemon, once.
+    pub(super) fn may_relay(&self) -> bool {
+        let may_run = self.runs == 0 || (self.is_repeatable() && self.runs_left() > 0);
+        self.relayed.is_none() && !self.is_relayed && may_run
+    }
+
+    /// Returns true if the request should be passed to another daemon at once, as this one reaches
+    /// no runner.
+    pub(super) fn should_relay(&self) -> bool {
+        self.may_relay() && self.state.is_cut_off()
+    }
+
+    /// Returns true if the request should be passed to another daemon before it is given up.
+    pub(super) fn should_relay_at_last(&self) -> bool {
+        self.may_relay() && (self.is_unreached || self.state.is_cut_off())
+    }
+
     /// Returns true if the request may run more than once.
     pub(super) fn is_repeatable(&self) -> bool {
         match self.route.kind {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,8 +10,9 @@
     admission,
     attempt::{attempt, record_failure, wait_while_serving},
     balancer::{ChooseError, Endpoint},
-    call::{AttemptError, AttemptParams, Call, StartedResponse, id_text},
+    call::{AttemptError, AttemptParams, Call, Origin, StartedResponse, id_text},
     open_requests::OpenGuard,
+    peer_relay::{self, Admitted, RelayError},
     permits,
     quarantine::{crash_check, fingerprint::Identity},
     responses::{self, CallResponse, Refusal, strip_hop_by_hop},
@@ -53,16 +54,27 @@
 const MAX_HELD_BACK_WAIT: Span = Span::from_millis(1_000);
 
 /// Serves a request.
-pub async fn respond<A>(state: &Rc<GatewayState>, request: Request<Incoming>) -> CallResponse
+pub async fn respond<A>(
+    state: &Rc<GatewayState>,
+    request: Request<Incoming>,
+    origin: Origin,
+) -> CallResponse
 where
     A: Adapter,
 {
     let arrived = state.now();
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    let admitted = match origin {
+        Origin::Caller => None,
+        Origin::Peer => match peer_relay::admit(state, &mut parts) {
+            Some(admitted) => Some(admitted),
+            None => return peer_relay::declined(),
+        },
+    };
     let head = A::decode_call(&parts);
     let id = head.id.clone();
     let open = state.open.insert(id_text(&id), arrived);
-    let mut response = match accept(state, head, parts, body, open).await {
+    let mut response = match accept(state, head, parts, body, open, admitted).await {
         Ok(call) => run::<A>(call).await,
         Err(refusal) => {
             log_refusal(state, &id, refusal);
@@ -93,6 +105,7 @@
     parts: request::Parts,
     body: Incoming,
     open: OpenGuard,
+    admitted: Option<Admitted>,
 ) -> Result<Call, Refusal> {
     let arrived = state.now();
     let table = state.route_table().ok_or(Refusal::NotConfigured)?;
@@ -102,10 +115,13 @@
         .and_then(|host| host.to_str().ok())
         .unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default();
-    let route = table
+    let mut route = table
         .find(host, parts.uri.path())
         .ok_or(Refusal::NoRoute)?
         .clone();
+    if let Some(admitted) = &admitted {
+        route.attempts = route.attempts.min(admitted.runs_left);
+    }
     let account = head
         .key_hash
         .as_ref()
@@ -141,8 +157,11 @@
             retry_ms: STOPPING_RETRY_DELAY_MS,
         });
     }
-    state.count_request(&service);
-    if let Some((engine, model)) = model {
+    // The daemon that a caller sent the request to has counted it.
+    if admitted.is_none() {
+        state.count_request(&service);
+    }
+    if let Some((engine, model)) = model.filter(|_| admitted.is_none()) {
         let mut demand = state.demand.borrow_mut();
         demand.count(engine, model, head.prompt_tokens, head.max_tokens, arrived);
     }
@@ -161,12 +180,15 @@
         account,
         fingerprint,
         arrival,
+        is_relayed: false,
+        relayed: admitted.map(|admitted| admitted.guard),
         deadline,
         tried: Vec::new(),
         runs: 0,
         excused: 0,
         has_crashed: false,
         attempts: 0,
+        is_unreached: false,
         route,
         arrived,
         time_spent,
@@ -194,11 +216,29 @@
     match send_with_retries::<A>(&mut call, resume_after).await {
         Ok(started) if stream::is_stream(&call, &started) => stream::relay::<A>(call, started),
         Ok(started) => finish::<A>(call, started).await,
-        Err(refusal) => refuse(&call, refusal),
+        Err(refusal) => relay_or_refuse::<A>(call, refusal).await,
+    }
+}
+
+/// Passes a request to another daemon if this one could not reach a runner, and refuses it
+/// otherwise.
+async fn relay_or_refuse<A>(mut call: Call, refusal: Refusal) -> CallResponse
+where
+    A: Adapter,
+{
+    if !call.should_relay_at_last() {
+        return refuse(&call, refusal);
+    }
+    let resume_after = call.head.resume_after;
+    match peer_relay::send::<A>(&mut call, resume_after).await {
+        Ok(relayed) => peer_relay::respond(call, relayed).await,
+        Err(RelayError::NotTaken) => refuse(&call, refusal),
+        Err(RelayError::Lost) => refuse(&call, Refusal::Unknown),
+        Err(RelayError::TimedOut) => refuse(&call, Refusal::TimedOut),
     }
 }
 
-fn refuse(call: &Call, refusal: Refusal) -> CallResponse {
+pub(super) fn refuse(call: &Call, refusal: Refusal) -> CallResponse {
     slog::info!(call.state.log, "request failed";
         "request" => call.id(),
         "route" => &call.route.name,
@@ -245,7 +285,7 @@
         let resume_after = call.head.resume_after;
         started = match send_with_retries::<A>(&mut call, resume_after).await {
             Ok(started) => started,
-            Err(refusal) => return refuse(&call, refusal),
+            Err(refusal) => return relay_or_refuse::<A>(call, refusal).await,
         };
     }
 }
@@ -287,6 +327,9 @@
         if call.is_quarantined() {
             return Err(final_refusal(call, AttemptError::Quarantined));
         }
+        if call.should_relay() {
+            return Err(final_refusal(call, last));
+        }
         let is_exhausted = call.attempts > call.route.attempts + MAX_EXTRA_ATTEMPTS
             || call.counted_runs() >= call.route.attempts.max(1)
             || call.is_distrusted();
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -231,6 +231,7 @@
             caller: settings.listen.caller,
             hall: settings.hall.clone(),
             peer: settings.listen.peer,
+            relay: settings.listen.relay,
             processor_percent: (settings.cores * 100.0) as u32,
         };
         let key = format!("{}{DAEMON_PREFIX}{}", A::OWN_PREFIX, settings.name);
--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -2,6 +2,7 @@
 
 use super::{
     adapter::Adapter,
+    call::Origin,
     forward,
     responses::{self, CallResponse},
     state::GatewayState,
@@ -33,6 +34,28 @@
     handle: ConnectionHandle,
 ) where
     A: Adapter,
+{
+    serve_calls::<A>(listener, state, handle, Origin::Caller).await;
+}
+
+/// Serves requests that other daemons pass on until told to stop.
+pub async fn serve_relayed<A>(
+    listener: TcpListener,
+    state: Rc<GatewayState>,
+    handle: ConnectionHandle,
+) where
+    A: Adapter,
+{
+    serve_calls::<A>(listener, state, handle, Origin::Peer).await;
+}
+
+async fn serve_calls<A>(
+    listener: TcpListener,
+    state: Rc<GatewayState>,
+    handle: ConnectionHandle,
+    origin: Origin,
+) where
+    A: Adapter,
 {
     accept(listener, handle, move |stream, stop| {
         let state = state.clone();
@@ -40,7 +63,10 @@
         async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let state = state.clone();
-                async move { Ok::<_, Infallible>(forward::respond::<A>(&state, request).await) }
+                async move {
+                    let response = forward::respond::<A>(&state, request, origin).await;
+                    Ok::<_, Infallible>(response)
+                }
             });
             serve_http1_until(stream, service, limits, stop).await;
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 //! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
 //! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`,
-//! `drain`, `reach`, those of `quarantine` that it names) read no clock and do no I/O.
+//! `drain`, `reach`, `peer_relay::choice`, those of `quarantine` that it names) read no clock and do no I/O.
 //! The names and formats of a platform are hidden behind [`adapter::Adapter`].
 
 pub mod adapter;
@@ -45,6 +45,7 @@
 pub mod order;
 mod orders;
 pub mod outages;
+pub mod peer_relay;
 pub mod peers;
 pub mod permits;
 pub mod planner;
@@ -107,6 +108,15 @@
         None => None,
     };
     listen.peer = peers.as_ref().map(Sockets::address).transpose()?;
+    let relayed = match listen.relay {
+        Some(address) => Some(
+            http::bind(address)
+                .await
+                .context("listen for relayed requests")?,
+        ),
+        None => None,
+    };
+    listen.relay = relayed.as_ref().map(http::address).transpose()?;
     listen.caller = http::address(&callers)?;
     listen.ready = http::address(&ready)?;
     listen.directory = http::address(&directory)?;
@@ -157,6 +167,14 @@
             handle.clone(),
         ));
     }
+    if let Some(listener) = relayed {
+        spawn(listeners::serve_relayed::<A>(
+            listener,
+            state.clone(),
+            handle.clone(),
+        ));
+    }
+    spawn(peer_relay::look_for_runners(state.clone()));
     spawn(listeners::serve_callers::<A>(
         callers,
         state.clone(),
--- /dev/null
+++ b/src/gateway/peer_relay/mod.rs
@@ -0,0 +1,58 @@
+//! Serves callers by way of another daemon while this one reaches no runner.
+//!
+//! A request goes to a peer that reaches the runners, on a listener of its own
+//! for daemons. The peer serves it like a caller's, with the time and the runs
+//! that are left, but never passes it on, so that no request goes round. It
+//! declines what it can't take; then the next peer is asked. What a peer may have
+//! run goes to no other.
+
+pub mod choice;
+mod probe;
+mod send;
+mod server;
+mod stream;
+
+pub(super) use probe::look_for_runners;
+pub(super) use send::{RelayError, Relayed, send};
+pub(super) use server::{Admitted, RelayedGuard, RelayedRequests, admit, declined};
+pub(super) use stream::resume;
+
+use super::{
+    call::Call,
+    forward::refuse,
+    responses::{CallResponse, Refusal, strip_hop_by_hop},
+    whole_body::read_whole,
+};
+use http::{HeaderName, Response};
+use http_body_util::{Either, Full};
+
+/// Number of runners that the peer may still send a request to.
+const RUNS_LEFT: HeaderName = HeaderName::from_static("x-relay-runs");
+
+/// Present in the response of a peer that has not taken a request.
+const DECLINED: HeaderName = HeaderName::from_static("x-relay-declined");
+
+/// Passes a peer's response on to the caller.
+pub(super) async fn respond(call: Call, relayed: Relayed) -> CallResponse {
+    if relayed.is_stream(&call) {
+        return stream::relay(call, relayed);
+    }
+    let Relayed {
+        response,
+        connection,
+        guard,
+    } = relayed;
+    let (mut parts, body) = response.into_parts();
+    let remaining = call.deadline.since(call.state.now());
+    let reading = read_whole(body, &call.state.held_bytes);
+    let read = compio::time::timeout(remaining.into(), reading).await;
+    drop((connection, guard));
+    match read {
+        Ok(Some(bytes)) => {
+            strip_hop_by_hop(&mut parts.headers);
+            Response::from_parts(parts, Either::Left(Full::new(bytes)))
+        }
+        Ok(None) => refuse(&call, Refusal::Unknown),
+        Err(_) => refuse(&call, Refusal::TimedOut),
+    }
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,6 +17,9 @@
         /// Address for other daemons, if it has any.
         #[serde(default)]
         pub peer: Option<SocketAddr>,
+        /// Address for requests that other daemons pass on, if it takes any.
+        #[serde(default)]
+        pub relay: Option<SocketAddr>,
         /// Processor time that it may use, in percent of a core.
         #[serde(default)]
         pub processor_percent: u32,
--- a/src/gateway/quarantine/crash_check.rs
+++ b/src/gateway/quarantine/crash_check.rs
@@ -30,7 +30,12 @@
         .borrow_mut()
         .runner_broke_off(endpoint.host, now);
     let opened = RunnerConnection::open(endpoint.address, CHECK_TIMEOUT).await;
-    let is_crash = matches!(opened, Err(SendError::Refused));
+    match opened {
+        Ok(_) => state.runner_connected(),
+        Err(_) => state.runner_unreached(endpoint.host),
+    }
+    // A daemon that is cut off itself may be refused by runners that are well.
+    let is_crash = matches!(opened, Err(SendError::Refused)) && !state.is_cut_off();
     slog::info!(state.log, "runner that ended a connection checked";
         "request" => call.id(),
         "fingerprint" => call.fingerprint.to_string(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -45,6 +45,9 @@
         /// Address for other daemons, which subscribe to the store's changes.
         #[serde(default)]
         pub peer: Option<SocketAddr>,
+        /// Address for requests that other daemons pass on while they reach no runner.
+        #[serde(default)]
+        pub relay: Option<SocketAddr>,
     }
 
     /// Limits on retries over all daemons.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
     notices::{LimitChange, Notices, RateLimit},
     open_requests::OpenRequests,
     outages::{Outages, ServingChange},
+    peer_relay::{RelayedRequests, choice::RelayPeers},
     peers::Peers,
     permits::{Permits, Registration},
     quarantine::Quarantine,
@@ -66,6 +67,10 @@
     pub loads: RefCell<Loads>,
     /// Whether this daemon reaches any runner.
     pub reach: RefCell<Reach>,
+    /// Peers to which requests are passed while no runner is reached.
+    pub relay_peers: RefCell<RelayPeers>,
+    /// Requests of other daemons that are being served.
+    pub relayed: RelayedRequests,
     /// Bytes of responses that are held in memory.
     pub held_bytes: HeldBytes,
     /// What runners say of themselves.
@@ -125,6 +130,8 @@
             outages: RefCell::default(),
             loads: RefCell::default(),
             reach: RefCell::default(),
+            relay_peers: RefCell::default(),
+            relayed: RelayedRequests::default(),
             held_bytes: HeldBytes::default(),
             notices: RefCell::default(),
             permits: Permits::default(),
@@ -278,6 +285,11 @@
         self.log_reach(change);
     }
 
+    /// Returns true if no runner is reached.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach.borrow().is_cut_off()
+    }
+
     fn log_reach(&self, change: Option<ReachChange>) {
         match change {
             Some(ReachChange::Lost) => {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -13,6 +13,7 @@
     events::EventSplitter,
     forward::send_with_retries,
     held_bytes::Reservation,
+    peer_relay,
     quarantine::crash_check,
     responses::{CallResponse, EventFrames, StreamPart, strip_hop_by_hop},
     selection::has_alternative,
@@ -32,10 +33,10 @@
 use std::rc::Rc;
 
 /// Maximum number of events that are queued for a slow caller.
-const MAX_QUEUED_EVENTS: usize = 16;
+pub(super) const MAX_QUEUED_EVENTS: usize = 16;
 
 /// Size up to which an event is queued, or received, whatever others hold.
-const FREE_EVENT_BYTES: usize = 4 << 10;
+pub(super) const FREE_EVENT_BYTES: usize = 4 << 10;
 
 /// Silence on all streams of a head after which they resume elsewhere; callers give up after two
 /// seconds.
@@ -47,7 +48,7 @@
 /// Delay after no other runner took a stream over.
 const RESUME_RETRY_DELAY: Span = Span::from_millis(500);
 
-type EventSender = mpsc::Sender<StreamPart>;
+pub(super) type EventSender = mpsc::Sender<StreamPart>;
 
 /// Returns true if a response is a stream that is relayed event by event.
 pub(super) fn is_stream(call: &Call, started: &StartedResponse) -> bool {
@@ -130,7 +131,7 @@
 }
 
 /// Reason for which the relay of one runner's events paused or ended.
-enum RelayEnd {
+pub(super) enum RelayEnd {
     /// The stream is complete.
     Complete,
     /// The runner broke off.
@@ -147,7 +148,7 @@
 
 /// Outcome of a stream for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Outcome {
+pub(super) enum Outcome {
     Complete,
     Cut,
     CallerGone,
@@ -157,7 +158,7 @@
 
 impl Outcome {
     /// Returns the name in logs and metrics.
-    fn name(self) -> &'static str {
+    pub(super) fn name(self) -> &'static str {
         match self {
             Outcome::Complete => "complete",
             Outcome::Cut => "cut",
@@ -213,7 +214,10 @@
                 crash_check::connection_ended(call, endpoint).await;
                 match resume::<A>(call, *last).await {
                     Some(started) => upstream = Upstream::new(&state, started),
-                    None => return Outcome::Cut,
+                    None => {
+                        let resumed = peer_relay::resume::<A>(call, last, sender).await;
+                        return resumed.unwrap_or(Outcome::Cut);
+                    }
                 }
             }
             // The runner may go on, so only one that has responded takes its place.
@@ -221,7 +225,13 @@
                 record_failure(call, endpoint, AttemptError::Unknown);
                 match resume::<A>(call, *last).await {
                     Some(started) => upstream = Upstream::new(&state, started),
-                    None => upstream.retry_at = state.now() + RESUME_RETRY_DELAY,
+                    None => {
+                        let resumed = peer_relay::resume::<A>(call, last, sender).await;
+                        if let Some(outcome) = resumed {
+                            return outcome;
+                        }
+                        upstream.retry_at = state.now() + RESUME_RETRY_DELAY;
+                    }
                 }
             }
         }
@@ -300,7 +310,7 @@
 }
 
 /// Sends whole events to the caller, except those that it already has.
-async fn send_events(
+pub(super) async fn send_events(
     call: &Call,
     events: &mut EventSplitter,
     last: &mut Option<u64>,
--- a/tests/gateway/candidacy.rs
+++ b/tests/gateway/candidacy.rs
@@ -19,6 +19,7 @@
             caller: "10.0.0.1:80".parse().expect("an address"),
             hall: HallName::from("hall"),
             peer: None,
+            relay: None,
             processor_percent: *processor_percent,
         };
         peers.put(DaemonName::from(*name), entry);
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -35,6 +35,7 @@
             caller: "10.0.0.1:80".parse().expect("an address"),
             hall: HallName::from("hall"),
             peer: Some(format!("10.0.0.1:{}", 7_000 + index).parse().expect("ok")),
+            relay: None,
             processor_percent: if index < large { 50 } else { 12 },
         };
         peers.put(name(index), entry);
@@ -130,6 +131,7 @@
     for index in 0..2 {
         let entry = DaemonEntry {
             peer: None,
+            relay: None,
             ..peers.daemons().next().expect("a daemon").1.clone()
         };
         peers.put(
--- a/tests/gateway/limit_fleet.rs
+++ b/tests/gateway/limit_fleet.rs
@@ -311,6 +311,7 @@
         caller: peer,
         hall: HallName::from("hall"),
         peer: Some(peer),
+        relay: None,
         processor_percent: 25,
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod pools;
 mod quarantine;
 mod reach;
+mod relay_peers;
 mod repeats;
 mod retry_shares;
 mod routes;
--- a/tests/gateway/retry_shares.rs
+++ b/tests/gateway/retry_shares.rs
@@ -27,6 +27,7 @@
             caller: SocketAddr::from(([10, 0, 0, 1], number)),
             hall: HallName::from("hall"),
             peer: None,
+            relay: None,
             processor_percent: 25,
         };
         state.peers.borrow_mut().put(name(number), entry);
--- a/tests/platform/cut_off.rs
+++ b/tests/platform/cut_off.rs
@@ -3,7 +3,9 @@
 use super::{
     env::{Daemon, DaemonSettings, Response, TestEnv},
     link::{Cut, Link, serve_store_view},
+    runner::RecordedRequest,
 };
+use nix::sys::signal::Signal;
 use std::{thread, time::Duration};
 
 /// Requests of each kind whose outcome is counted.
@@ -79,14 +81,19 @@
         all.filter(served).count()
     }
 
-    /// Returns how often each request that may run once has reached runners.
-    fn once_runs(&self, number: usize) -> usize {
+    /// Returns the requests with a request line that have reached plain runners.
+    fn plain_requests(&self, line: &str) -> Vec<RecordedRequest> {
         let runners = self.env.plain_runners.iter();
         let requests = runners.flat_map(|runner| runner.requests());
-        let line = format!("POST /once/{number} HTTP/1.1");
         requests
             .filter(|request| request.request_line == line)
-            .count()
+            .collect()
+    }
+
+    /// Returns how often each request that may run once has reached runners.
+    fn once_runs(&self, number: usize) -> usize {
+        let line = format!("POST /once/{number} HTTP/1.1");
+        self.plain_requests(&line).len()
     }
 
     fn check_served(&self) {
@@ -168,3 +175,41 @@
         .map(|runner| runner.requests().len());
     assert_eq!(after.sum::<usize>(), before);
 }
+
+#[test]
+fn request_of_a_cut_off_daemon_reaches_runners_like_any_other() {
+    let halls = Halls::start();
+    halls.cut(Cut::Refused);
+    assert_eq!(halls.once(7).status, 200);
+    let requests = halls.plain_requests("POST /once/7 HTTP/1.1");
+    let [request] = requests.as_slice() else {
+        panic!("{} requests", requests.len());
+    };
+    let header = |name| request.header(name).unwrap_or_default().to_owned();
+    let timeout_ms: u64 = header("x-deadline-ms").parse().expect("a number");
+    assert!(timeout_ms <= 4_000, "{timeout_ms} ms");
+    assert_eq!(header("x-tenant"), "first");
+    assert_eq!(header("x-request-id"), "r1");
+    assert_eq!(header("authorization"), "");
+    assert_eq!(header("x-relay-runs"), "");
+}
+
+// Whoever took it may have sent it to a runner before it was killed.
+#[test]
+fn request_that_a_killed_peer_had_taken_runs_at_most_once() {
+    let halls = Halls::start();
+    halls.cut(Cut::Refused);
+    let line = "POST /once/x?delay_ms=3000 HTTP/1.1";
+    thread::scope(|scope| {
+        let response = scope.spawn(|| {
+            let path = "/once/x?delay_ms=3000";
+            halls.env.call_at(&halls.cut_off, "POST", path, &[], "")
+        });
+        halls.env.eventually("the request runs", |_| {
+            !halls.plain_requests(line).is_empty()
+        });
+        halls.env.daemon.signal(Signal::SIGKILL);
+        assert_eq!(response.join().expect("a response").status, 502);
+    });
+    assert_eq!(halls.plain_requests(line).len(), 1);
+}
--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -49,6 +49,8 @@
     /// Addresses for callers, readiness probes, directory requests and peers; port 0 selects a
     /// free port.
     pub listen: [SocketAddr; 4],
+    /// Address for requests that other daemons pass on; port 0 selects a free port.
+    pub relay: SocketAddr,
     /// File to which log lines are appended, if they are kept.
     pub log: Option<PathBuf>,
 }
@@ -62,17 +64,18 @@
             grace: Duration::from_secs(3),
             ttl: Duration::from_secs(2),
             listen: [SocketAddr::from(([127, 0, 0, 1], 0)); 4],
+            relay: SocketAddr::from(([127, 0, 0, 1], 0)),
             log: None,
         }
     }
 
     fn text(&self) -> String {
         let [caller, ready, directory, peer] = self.listen;
-        let (name, store) = (&self.name, self.store);
+        let (name, store, relay) = (&self.name, self.store, self.relay);
         let (grace, ttl) = (self.grace.as_millis(), self.ttl.as_millis());
         format!(
             "name: {name}\nhall: hall\nlisten:\n  caller: {caller}\n  ready: {ready}\n  \
-             directory: {directory}\n  peer: {peer}\nstore: {store}\nretry:\n  ratio: 0.2\n  \
+             directory: {directory}\n  peer: {peer}\n  relay: {relay}\nstore: {store}\nretry:\n  ratio: 0.2\n  \
              slack: 100\n  window_s: 10\ngrace_ms: {grace}\nentries_ms: {ttl}\ncores: 0.25\n\
              first: true\n"
         )
