Fix: a holder of the duty that reaches no runner hands it over

Change: after 1.5 s without any runner it stops, deletes its claim, and claims none until a runner is reached; another daemon claims it as after a stop. New connections of the holder's probes count as well, so that a daemon without requests notices. Ruled out: ending the lease, which would take the daemon out of the directory. Test: cut_off::holder_of_duty_that_reaches_no_runner_hands_it_over timed out before (nobody else held the duty after 30 s). The fake store takes deletions in transactions now; it ignored them.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -97,8 +97,38 @@
         }
     }
 
+    /// Gives the duty up if this daemon reaches no runner; returns true while it should not have
+    /// it.
+    async fn check_reach(&mut self) -> bool {
+        let now = self.state.now();
+        if !self.state.reach.borrow().should_hand_over(now) {
+            return false;
+        }
+        if self.active.take().is_some() {
+            gauge!("duty_held").set(0.0);
+            slog::warn!(self.state.log, "duty given up"; "cause" => "no runner is reached");
+        }
+        if let Some(revision) = self.own_claim() {
+            let key = format!("{}{CLAIM_KEY}", A::OWN_PREFIX);
+            if self.lease.delete(key, revision).await {
+                self.state.peers.borrow_mut().claim = None;
+            }
+        }
+        true
+    }
+
+    /// Returns the revision of this daemon's claim, if it is the current one.
+    fn own_claim(&self) -> Option<Revision> {
+        let peers = self.state.peers.borrow();
+        let (holder, revision) = peers.claim.as_ref()?;
+        (*holder == self.state.settings.name).then_some(*revision)
+    }
+
     async fn step(&mut self) {
         self.check_era();
+        if self.check_reach().await {
+            return;
+        }
         self.lease.set_batch_delay(self.active.is_some());
         if !self.lease.is_valid() {
             if self.active.take().is_some() {
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -282,17 +282,20 @@
         None
     }
 
-    /// Deletes a key that still has this revision; its watchers learn of it.
-    pub async fn delete(&self, key: String, revision: Revision) {
+    /// Deletes a key if it still has this revision; false if the store did not answer.
+    pub async fn delete(&self, key: String, revision: Revision) -> bool {
         let expect = Expect::At(revision);
         let delete = PlatformCall::Delete {
             key: key.clone(),
             expect,
         };
-        if let Err(error) = self.store.execute(delete).await {
-            slog::warn!(self.state.log, "store delete failed";
-                "key" => key, "cause" => error.to_string());
-        }
+        let answer = self.store.execute(delete).await;
+        answer
+            .inspect_err(|error| {
+                slog::warn!(self.state.log, "store delete failed";
+                    "key" => key, "cause" => error.to_string());
+            })
+            .is_ok()
     }
 
     /// Writes a key if it is as expected; returns nothing if the store did not answer.
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -218,6 +218,11 @@
         return;
     };
     probe.is_in_flight = false;
+    match outcome {
+        Ok(_) if probe.is_new => state.runner_connected(),
+        Ok(_) => {}
+        Err(_) => state.runner_unreached(key),
+    }
     let is_unreachable = outcome.is_err();
     if is_unreachable != probe.is_unreachable {
         slog::info!(state.log, "reachability of member changed";
--- a/src/gateway/quarantine/keeper.rs
+++ b/src/gateway/quarantine/keeper.rs
@@ -62,7 +62,8 @@
     }
     let expired = state.quarantine.entries.borrow().expired(since_s);
     for (mark, revision) in expired {
-        lease.delete(key::<A>(mark), revision).await;
+        // If the store did not answer, the entry is still among the expired ones.
+        let _ = lease.delete(key::<A>(mark), revision).await;
     }
 }
 
--- a/src/gateway/quarantine/suspects.rs
+++ b/src/gateway/quarantine/suspects.rs
@@ -53,6 +53,9 @@
 /// Time for the answers of daemons that were asked about a suspect.
 pub const ANSWER_TIME: Span = Span::from_millis(200);
 
+/// Time for which the suspects are judged again after daemons were asked about one.
+const ASKING_TIME: Span = Span::from_secs(1);
+
 /// Request that a crashed runner had.
 #[derive(Debug, Default)]
 struct Suspect {
@@ -61,9 +64,6 @@
     parts: BTreeSet<PromptPart>,
 }
 
-/// Time for which the suspects are judged again after daemons were asked about one.
-const ASKING_TIME: Span = Span::from_secs(1);
-
 /// Crash of one runner.
 #[derive(Debug)]
 struct Crash {
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -15,6 +15,9 @@
 /// Time after which a failure says nothing about now.
 const FAILURE_TTL: Span = Span::from_secs(5);
 
+/// Time without any runner after which a daemon hands its duty over.
+const HAND_OVER_DELAY: Span = Span::from_millis(1_500);
+
 /// Outcomes of the latest new connections.
 #[derive(Debug, Default)]
 pub struct Reach {
@@ -66,4 +69,11 @@
     pub fn is_cut_off(&self) -> bool {
         self.cut_off_since.is_some()
     }
+
+    /// Returns true if no runner has been reached for so long that a duty which needs them should
+    /// go to another daemon.
+    pub fn should_hand_over(&self, now: Time) -> bool {
+        let since = self.cut_off_since;
+        since.is_some_and(|since| now.since(since) >= HAND_OVER_DELAY)
+    }
 }
--- a/tests/gateway/reach.rs
+++ b/tests/gateway/reach.rs
@@ -74,3 +74,15 @@
     let change = reach.failed(hosts[1], 2, at(100));
     assert_eq!(change, Some(ReachChange::Lost));
 }
+
+#[test]
+fn duty_goes_to_another_daemon_only_after_a_long_cut() {
+    let (hosts, mut reach) = (hosts(), Reach::default());
+    for host in &hosts {
+        reach.failed(*host, KNOWN, at(1_000));
+    }
+    assert!(!reach.should_hand_over(at(2_000)), "a moment's loss");
+    assert!(reach.should_hand_over(at(2_500)));
+    reach.connected(at(2_600));
+    assert!(!reach.should_hand_over(at(9_000)));
+}
--- a/tests/platform/cut_off.rs
+++ b/tests/platform/cut_off.rs
@@ -213,3 +213,24 @@
     });
     assert_eq!(halls.plain_requests(line).len(), 1);
 }
+
+// Nothing was repaired until the holder reached runners again.
+#[test]
+fn holder_of_duty_that_reaches_no_runner_hands_it_over() {
+    let halls = Halls::start();
+    let third = halls.env.start_daemon("d3");
+    let holds_duty = |daemon: &Daemon| daemon.metric("hickoryledge_duty_held") == 1.0;
+    halls.env.terminate();
+    halls
+        .env
+        .eventually("the second daemon holds the duty", |_| {
+            holds_duty(&halls.cut_off)
+        });
+    halls.cut(Cut::Refused);
+    halls
+        .env
+        .eventually("the third daemon holds the duty", |_| {
+            halls.read(0);
+            holds_duty(&third) && !holds_duty(&halls.cut_off)
+        });
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -291,6 +291,9 @@
             self.calls.push(("/kv-txn".to_owned(), key.to_owned()));
             self.put(key, value, put["Lease"].as_i64().unwrap_or_default());
         }
+        for key in body["Deletes"].as_array().into_iter().flatten() {
+            self.delete(key.as_str().expect("a key"));
+        }
         (200, json!({"Revision": self.revision}))
     }
 }
