Fix: a daemon that counts as cut off tries its own runners if no peer takes a request

Now such a request goes through the daemon's own runners once. The route and the account of a request are found in a function of their own.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -16,15 +16,20 @@
     permits,
     quarantine::{crash_check, fingerprint::Identity},
     responses::{self, CallResponse, Refusal, strip_hop_by_hop},
+    routes::RouteTable,
     selection::choose_endpoint,
+    spec::Route,
     state::GatewayState,
     stream,
     whole_body::read_whole,
 };
-use crate::core::{keys::Arrival, time::Span};
+use crate::core::{
+    keys::{AccountName, Arrival},
+    time::Span,
+};
 use bytes::Bytes;
 use http::{
-    HeaderValue, Request, Response, StatusCode,
+    HeaderMap, HeaderValue, Request, Response, StatusCode,
     header::{CONNECTION, EXPECT, HOST},
     request, response,
 };
@@ -109,33 +114,16 @@
 ) -> Result<Call, Refusal> {
     let arrived = state.now();
     let table = state.route_table().ok_or(Refusal::NotConfigured)?;
-    let host = parts
-        .headers
-        .get(HOST)
-        .and_then(|host| host.to_str().ok())
-        .unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default();
-    let mut route = table
-        .find(host, parts.uri.path())
-        .ok_or(Refusal::NoRoute)?
-        .clone();
+    let (mut route, account) = authorize(&table, &head, &parts)?;
     if let Some(admitted) = &admitted {
         route.attempts = route.attempts.min(admitted.runs_left);
     }
-    let account = head
-        .key_hash
-        .as_ref()
-        .and_then(|key| table.account(key))
-        .cloned();
-    if table.has_accounts() && !route.public && account.is_none() {
-        return Err(Refusal::NoAccount);
-    }
     state.accepted.set(state.accepted.get() + 1);
     let max_bytes = table.spec().limits.body_bytes;
     let body = read_body(body, max_bytes, table.spec().limits.head_time).await?;
     let identity = Identity {
         method: &parts.method,
-        host,
+        host: host_name(&parts.headers),
         uri: &parts.uri,
         account: account.as_ref(),
         body: &body,
@@ -196,6 +184,29 @@
     })
 }
 
+/// Finds a request's route and account.
+fn authorize(
+    table: &RouteTable,
+    head: &CallHead,
+    parts: &request::Parts,
+) -> Result<(Route, Option<AccountName>), Refusal> {
+    let host = host_name(&parts.headers);
+    let route = table.find(host, parts.uri.path()).ok_or(Refusal::NoRoute)?;
+    let key = head.key_hash.as_ref();
+    let account = key.and_then(|key| table.account(key)).cloned();
+    if table.has_accounts() && !route.public && account.is_none() {
+        return Err(Refusal::NoAccount);
+    }
+    Ok((route.clone(), account))
+}
+
+/// Returns the host that a caller names, without a port.
+fn host_name(headers: &HeaderMap) -> &str {
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.unwrap_or_default();
+    host.split(':').next().unwrap_or_default()
+}
+
 async fn read_body(body: Incoming, max_bytes: usize, timeout: Span) -> Result<Bytes, Refusal> {
     let read = compio::time::timeout(timeout.into(), Limited::new(body, max_bytes).collect())
         .await
@@ -212,6 +223,12 @@
 where
     A: Adapter,
 {
+    if call.should_relay() {
+        call = match relay::<A>(call).await {
+            Ok(response) => return response,
+            Err(call) => *call,
+        };
+    }
     let resume_after = call.head.resume_after;
     match send_with_retries::<A>(&mut call, resume_after).await {
         Ok(started) if stream::is_stream(&call, &started) => stream::relay::<A>(call, started),
@@ -222,19 +239,30 @@
 
 /// Passes a request to another daemon if this one could not reach a runner, and refuses it
 /// otherwise.
-async fn relay_or_refuse<A>(mut call: Call, refusal: Refusal) -> CallResponse
+async fn relay_or_refuse<A>(call: Call, refusal: Refusal) -> CallResponse
 where
     A: Adapter,
 {
     if !call.should_relay_at_last() {
         return refuse(&call, refusal);
     }
+    match relay::<A>(call).await {
+        Ok(response) => response,
+        Err(call) => refuse(&call, refusal),
+    }
+}
+
+/// Passes a request to another daemon; returns it if none takes it.
+async fn relay<A>(mut call: Call) -> Result<CallResponse, Box<Call>>
+where
+    A: Adapter,
+{
     let resume_after = call.head.resume_after;
     match peer_relay::send::<A>(&mut call, resume_after).await {
-        Ok(relayed) => peer_relay::respond(call, relayed).await,
-        Err(RelayError::NotTaken) => refuse(&call, refusal),
-        Err(RelayError::Lost) => refuse(&call, Refusal::Unknown),
-        Err(RelayError::TimedOut) => refuse(&call, Refusal::TimedOut),
+        Ok(relayed) => Ok(peer_relay::respond(call, relayed).await),
+        Err(RelayError::NotTaken) => Err(Box::new(call)),
+        Err(RelayError::Lost) => Ok(refuse(&call, Refusal::Unknown)),
+        Err(RelayError::TimedOut) => Ok(refuse(&call, Refusal::TimedOut)),
     }
 }
 
--- a/tests/platform/cut_off.rs
+++ b/tests/platform/cut_off.rs
@@ -234,3 +234,16 @@
             holds_duty(&third) && !holds_duty(&halls.cut_off)
         });
 }
+
+// A suspicion may be wrong, and a peer be gone: the daemon's own runners are tried all the same.
+#[test]
+fn daemon_without_peers_serves_as_soon_as_runners_are_reached() {
+    let halls = Halls::start();
+    halls.env.daemon.signal(Signal::SIGKILL);
+    halls.cut(Cut::Refused);
+    for number in 0..4 {
+        assert_eq!(halls.once(number).status, 503);
+    }
+    halls.links.iter().for_each(Link::restore);
+    assert_eq!(halls.once(9).status, 200);
+}
