Test links count as cut only once they refuse connections

A connection that the link took just before it closed its listener was reset after the request had been sent: the answer 502 was right, and no test of refused connections should see it.

--- a/tests/platform/link.rs
+++ b/tests/platform/link.rs
@@ -89,8 +89,10 @@
         self.state
             .is_silent
             .store(cut == Cut::Hanging, Ordering::SeqCst);
-        // Wakes the thread that accepts connections, which closes the listener.
-        let _ = TcpStream::connect(self.address);
+        // A connection wakes the thread that accepts them, which closes the listener.
+        env::wait_until("the listener is closed", || {
+            TcpStream::connect(self.address).is_err()
+        });
         if cut == Cut::Refused {
             for stream in self.state.open.lock().expect("not poisoned").drain(..) {
                 let _ = stream.shutdown(Shutdown::Both);
@@ -99,9 +101,7 @@
         }
         let queue = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         queue.set_reuse_address(true).expect("set");
-        env::wait_until("the listener is closed", || {
-            queue.bind(&self.address.into()).is_ok()
-        });
+        queue.bind(&self.address.into()).expect("the port is free");
         queue.listen(0).expect("listens");
         let fill = |_| TcpStream::connect_timeout(&self.address, FILL_TIMEOUT).ok();
         let fillers = (0..QUEUE_FILLERS).filter_map(fill).collect();
