--- a/tests/platform/cut_off.rs
+++ b/tests/platform/cut_off.rs
@@ -243,6 +243,7 @@
     halls.cut(Cut::Refused);
     for number in 0..4 {
         assert_eq!(halls.once(number).status, 503);
+        assert_eq!(halls.stream("/chat/x").status, 503);
     }
     halls.links.iter().for_each(Link::restore);
     assert_eq!(halls.once(9).status, 200);
