--- a/tests/platform/cut_off.rs
+++ b/tests/platform/cut_off.rs
@@ -122,6 +122,31 @@
     halls.check_served();
 }
 
+#[test]
+fn daemon_serves_its_callers_while_only_open_connections_live_on() {
+    let halls = Halls::start();
+    let requests = halls.env.heads.iter().map(|head| head.requests().len());
+    let before: usize = requests.sum();
+    thread::scope(|scope| {
+        let stream = scope.spawn(|| halls.stream("/chat/x?events=60&pause_ms=50"));
+        halls.env.eventually("the stream is at a head", |env| {
+            let requests = env.heads.iter().map(|head| head.requests().len());
+            requests.sum::<usize>() > before
+        });
+        halls.cut(Cut::NewRefused);
+        halls.check_served();
+        check_events(&stream.join().expect("a response"), 60);
+    });
+}
+
+/// Checks that a stream is complete and has each event once.
+fn check_events(response: &Response, last: usize) {
+    assert_eq!(response.status, 200);
+    assert!(response.is_complete);
+    let mut ids = (1..=last).map(|id| format!("id: {id}\n"));
+    assert!(ids.all(|id| response.body.matches(&id).count() == 1));
+}
+
 #[test]
 fn stream_that_began_before_the_cut_goes_on() {
     let halls = Halls::start();
@@ -129,11 +154,7 @@
         let stream = scope.spawn(|| halls.stream("/chat/x?events=40&pause_ms=50"));
         thread::sleep(Duration::from_millis(500));
         halls.cut(Cut::Refused);
-        let response = stream.join().expect("a response");
-        assert_eq!(response.status, 200);
-        assert!(response.is_complete);
-        let ids: Vec<String> = (1..=40).map(|id| format!("id: {id}\n")).collect();
-        assert!(ids.iter().all(|id| response.body.matches(id).count() == 1));
+        check_events(&stream.join().expect("a response"), 40);
     });
 }
 
--- a/tests/platform/link.rs
+++ b/tests/platform/link.rs
@@ -21,6 +21,8 @@
 pub enum Cut {
     /// Open ones are reset, and new ones are refused.
     Refused,
+    /// Open ones live on, and new ones are refused.
+    NewRefused,
     /// Open ones are silent, and new ones hang.
     Hanging,
 }
@@ -93,12 +95,22 @@
         env::wait_until("the listener is closed", || {
             TcpStream::connect(self.address).is_err()
         });
-        if cut == Cut::Refused {
-            for stream in self.state.open.lock().expect("not poisoned").drain(..) {
-                let _ = stream.shutdown(Shutdown::Both);
-            }
-            return;
+        match cut {
+            Cut::Refused => self.reset_connections(),
+            Cut::NewRefused => {}
+            Cut::Hanging => self.fill_queue(),
+        }
+    }
+
+    fn reset_connections(&self) {
+        for stream in self.state.open.lock().expect("not poisoned").drain(..) {
+            // The peer may have closed it already.
+            let _ = stream.shutdown(Shutdown::Both);
         }
+    }
+
+    /// Listens again without accepting, and fills the queue of new connections.
+    fn fill_queue(&self) {
         let queue = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         queue.set_reuse_address(true).expect("set");
         queue.bind(&self.address.into()).expect("the port is free");
