--- a/tests/platform/abandon.rs
+++ b/tests/platform/abandon.rs
@@ -1,7 +1,8 @@
 //! Streams that the daemon gives up although their runner is still at work.
 
 use super::{
-    env::{Response, TestEnv, send_request},
+    client::{Response, send_request},
+    env::TestEnv,
     runner::Behavior,
 };
 use std::{thread, time::Duration};
--- a/tests/platform/crash.rs
+++ b/tests/platform/crash.rs
@@ -1,6 +1,6 @@
 //! Crashes of a fake runner: its process ends and starts again some time later.
 
-use super::runner::RecordedRequest;
+use super::http::RecordedRequest;
 use std::{
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
--- a/tests/platform/crashing_part.rs
+++ b/tests/platform/crashing_part.rs
@@ -1,7 +1,8 @@
 //! A part of prompts that crashes each runner that begins to write an answer on it.
 
 use super::{
-    env::{Daemon, Response, TestEnv, wait_until},
+    client::Response,
+    env::{Daemon, TestEnv, wait_until},
     runner::{Runner, Script},
 };
 use std::{cell::Cell, sync::Arc, thread, time::Duration};
--- a/tests/platform/crashing_request.rs
+++ b/tests/platform/crashing_request.rs
@@ -1,8 +1,9 @@
 //! A request of a plain service that crashes each runner that begins to run it, and comes again.
 
 use super::{
+    client::{Response, send_request},
     config::{API_KEY, OTHER_API_KEY},
-    env::{Daemon, Response, TestEnv, send_request},
+    env::{Daemon, TestEnv},
     runner::{Runner, Script},
 };
 use std::{sync::Arc, thread, time::Duration};
--- a/tests/platform/cut_off.rs
+++ b/tests/platform/cut_off.rs
@@ -1,9 +1,10 @@
 //! A daemon that is cut off from all runners, while callers, the store and a peer reach it.
 
 use super::{
-    env::{Daemon, DaemonSettings, Response, TestEnv},
+    client::Response,
+    env::{Daemon, DaemonSettings, TestEnv},
+    http::RecordedRequest,
     link::{Cut, Link, serve_store_view},
-    runner::RecordedRequest,
 };
 use nix::sys::signal::Signal;
 use std::{thread, time::Duration};
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -1,8 +1,9 @@
 //! Responses of runners in trouble that come without end.
 
 use super::{
+    client::Response,
     config::API_KEY,
-    env::{Daemon, Response, TestEnv},
+    env::{Daemon, TestEnv},
     runner::Behavior,
     trouble::{Endless, MEMORY_LIMIT, chunk, kilobyte},
 };
--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -1,7 +1,9 @@
 //! Environment of the tests: a daemon, a fake store, fake runners, and calls to the daemon.
 
 use super::{
+    client::{Response, send_request},
     config::{self, API_KEY},
+    http,
     runner::{Runner, Script},
     store::Store,
 };
@@ -12,7 +14,7 @@
 use serde_json::Value;
 use std::{
     fs::File,
-    io::{BufRead as _, BufReader, Read as _, Write as _},
+    io::{BufRead as _, BufReader, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
@@ -23,19 +25,6 @@
 /// Timeout of a condition; long, because the machine may be busy.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Response as a caller received it.
-#[derive(Clone, Debug)]
-pub struct Response {
-    /// Status; 0 if there was none.
-    pub status: u16,
-    /// Head, in lower case.
-    pub head: String,
-    /// Body, without its chunked encoding.
-    pub body: String,
-    /// False if a chunked body ended before its last chunk.
-    pub is_complete: bool,
-}
-
 /// Settings of a daemon under test.
 pub struct DaemonSettings {
     /// Name, the same in every run.
@@ -347,65 +336,6 @@
     }
 }
 
-/// Sends one request on a new connection and returns the response.
-pub fn send_request(
-    address: SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &[&str],
-    body: &str,
-) -> Response {
-    let mut text = format!("{method} {path} HTTP/1.1\r\nHost: a.example\r\n");
-    let defaults = [
-        "X-Request-Id: r1",
-        "X-Deadline-Ms: 4000",
-        "Connection: close",
-    ];
-    for header in headers.iter().chain(&defaults) {
-        text.push_str(&format!("{header}\r\n"));
-    }
-    text.push_str(&format!("Content-Length: {}\r\n\r\n{body}", body.len()));
-    let mut stream = TcpStream::connect(address).expect("the daemon listens");
-    stream.write_all(text.as_bytes()).expect("sent");
-    let mut bytes = Vec::new();
-    // A connection reset ends the response like a close.
-    let _ = stream.read_to_end(&mut bytes);
-    parse_response(&String::from_utf8_lossy(&bytes))
-}
-
-fn parse_response(text: &str) -> Response {
-    let (head, rest) = text.split_once("\r\n\r\n").unwrap_or((text, ""));
-    let status = head.split(' ').nth(1).and_then(|code| code.parse().ok());
-    let head = head.to_lowercase();
-    let (body, is_complete) = match head.contains("transfer-encoding: chunked") {
-        true => decode_chunked(rest),
-        false => (rest.to_owned(), true),
-    };
-    Response {
-        status: status.unwrap_or(0),
-        head,
-        body,
-        is_complete,
-    }
-}
-
-/// Decodes a chunked body; returns false with it if the last chunk is missing.
-fn decode_chunked(mut text: &str) -> (String, bool) {
-    let mut body = String::new();
-    while let Some((size, rest)) = text.split_once("\r\n") {
-        let size = usize::from_str_radix(size, 16).expect("a chunk size");
-        if size == 0 {
-            return (body, true);
-        }
-        if rest.len() < size + 2 {
-            break;
-        }
-        body.push_str(&rest[..size]);
-        text = &rest[size + 2..];
-    }
-    (body, false)
-}
-
 /// Serves the store on a free port and returns its address.
 pub fn serve_store(store: Arc<Store>) -> SocketAddr {
     serve_store_as(store, |body| body)
@@ -434,7 +364,7 @@
 {
     let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
     let mut stream = stream;
-    while let Some(request) = super::runner::read_request(&mut reader) {
+    while let Some(request) = http::read_request(&mut reader) {
         let mut words = request.request_line.split(' ');
         let method = words.next().unwrap_or_default();
         let uri = words.next().unwrap_or_default();
@@ -451,7 +381,7 @@
         if let Some(trouble) = store.trouble() {
             return store.troubles.write(trouble, &mut stream, &head, 1);
         }
-        if !super::runner::write_response(&mut stream, status, &head, &change(body.to_string())) {
+        if !http::write_response(&mut stream, status, &head, &change(body.to_string())) {
             return;
         }
     }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! platform's store and runners.
 
 mod abandon;
+mod client;
 mod config;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod crash;
@@ -14,6 +15,7 @@
 mod endless_control;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod env;
+mod http;
 mod limits;
 mod link;
 mod notices;
--- a/tests/platform/notices.rs
+++ b/tests/platform/notices.rs
@@ -1,7 +1,8 @@
 //! What runners say of themselves in their responses, beside rate limits.
 
 use super::{
-    env::{TestEnv, send_request},
+    client::send_request,
+    env::TestEnv,
     runner::{Behavior, Runner},
 };
 use std::{thread, time::Duration};
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -1,9 +1,6 @@
 //! Requests to plain services, and requests that the daemon responds to itself.
 
-use super::{
-    env::{TestEnv, send_request},
-    runner::Behavior,
-};
+use super::{client::send_request, env::TestEnv, runner::Behavior};
 use std::{thread, time::Duration};
 
 /// Returns the number of requests to a path that the plain runners received.
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -2,6 +2,10 @@
 
 use super::{
     crash::Crashes,
+    http::{
+        RecordedRequest, event_chunk, event_text, read_request, stream_head, write_events,
+        write_response, write_text,
+    },
     runs::{Run, RunEnd, Runs, Silence, Work},
     store::Store,
     trouble::{Endless, TroubleCount},
@@ -9,7 +13,7 @@
 use serde_json::{Value, json};
 use std::{
     collections::VecDeque,
-    io::{BufRead as _, BufReader, Read as _, Write as _},
+    io::BufReader,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     ops::RangeInclusive,
     sync::{Arc, Mutex},
@@ -75,27 +79,6 @@
     }
 }
 
-/// Request as it was received.
-#[derive(Clone, Debug)]
-pub struct RecordedRequest {
-    /// Request line.
-    pub request_line: String,
-    /// Headers, with names in lower case.
-    pub headers: Vec<String>,
-    /// Body.
-    pub body: Vec<u8>,
-}
-
-impl RecordedRequest {
-    /// Returns the value of a header; `name` is in lower case.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let prefix = format!("{name}: ");
-        self.headers
-            .iter()
-            .find_map(|line| line.strip_prefix(&prefix))
-    }
-}
-
 /// Behaviors towards the next requests, in order; runners may share a script.
 pub type Script = Arc<Mutex<VecDeque<Behavior>>>;
 
@@ -465,71 +448,3 @@
         self.register();
     }
 }
-
-/// Reads one request; returns none if the connection ended.
-pub fn read_request(reader: &mut BufReader<TcpStream>) -> Option<RecordedRequest> {
-    let mut lines = Vec::new();
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        let line = line.trim_end().to_owned();
-        if line.is_empty() {
-            break;
-        }
-        lines.push(line);
-    }
-    let request_line = lines.remove(0);
-    let headers: Vec<String> = lines
-        .iter()
-        .filter_map(|line| line.split_once(": "))
-        .map(|(name, value)| format!("{}: {value}", name.to_lowercase()))
-        .collect();
-    let mut request = RecordedRequest {
-        request_line,
-        headers,
-        body: Vec::new(),
-    };
-    let content_length = request
-        .header("content-length")
-        .and_then(|text| text.parse().ok());
-    request.body = vec![0; content_length.unwrap_or(0)];
-    reader.read_exact(&mut request.body).ok()?;
-    Some(request)
-}
-
-/// Writes the head of a stream and its events.
-fn write_events(stream: &mut TcpStream, own_headers: &str, after: u64, last: u64) {
-    write_text(stream, &stream_head(own_headers));
-    for id in after + 1..=last {
-        write_text(stream, &event_chunk(id));
-    }
-}
-
-fn stream_head(own_headers: &str) -> String {
-    let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
-    format!("HTTP/1.1 200 OK\r\n{kind}{own_headers}\r\n")
-}
-
-fn event_text(id: u64) -> String {
-    format!("id: {id}\ndata: e{id}\n\n")
-}
-
-fn event_chunk(id: u64) -> String {
-    let event = event_text(id);
-    format!("{:x}\r\n{event}\r\n", event.len())
-}
-
-/// Writes one response; returns false if the connection ended.
-pub fn write_response(stream: &mut TcpStream, status: u16, head: &str, body: &str) -> bool {
-    let length = body.len();
-    write_text(
-        stream,
-        &format!("HTTP/1.1 {status} Status\r\nContent-Length: {length}\r\n{head}\r\n{body}"),
-    )
-}
-
-fn write_text(stream: &mut TcpStream, text: &str) -> bool {
-    stream.write_all(text.as_bytes()).is_ok()
-}
--- a/tests/platform/stop.rs
+++ b/tests/platform/stop.rs
@@ -1,7 +1,8 @@
 //! Graceful stop of a daemon, with signals that come in series.
 
 use super::{
-    env::{Response, TestEnv, send_request},
+    client::{Response, send_request},
+    env::TestEnv,
     runner::Behavior,
 };
 use nix::sys::signal::Signal;
--- a/tests/stops/fleet.rs
+++ b/tests/stops/fleet.rs
@@ -1,8 +1,9 @@
 //! Daemons with their store and their runners.
 
 use super::{
+    client::send_request,
     config,
-    env::{Daemon, DaemonSettings, send_request, serve_store, wait_until},
+    env::{Daemon, DaemonSettings, serve_store, wait_until},
     options::Options,
     records::Life,
     runner::{Runner, Script},
--- a/tests/stops/main.rs
+++ b/tests/stops/main.rs
@@ -8,6 +8,9 @@
 //! `STOPS_SEEDS=50 cargo test --test stops -- --nocapture` runs more seeds;
 //! `options` lists the other variables.
 
+#[path = "../platform/client.rs"]
+#[allow(dead_code, reason = "the tests of one daemon use the rest")]
+mod client;
 #[path = "../platform/config.rs"]
 mod config;
 #[path = "../platform/crash.rs"]
@@ -16,6 +19,8 @@
 #[path = "../platform/env.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod env;
+#[path = "../platform/http.rs"]
+mod http;
 #[path = "../platform/runner.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod runner;
