--- a/tests/gateway/repeats.rs
+++ b/tests/gateway/repeats.rs
@@ -263,3 +263,12 @@
         "too late"
     );
 }
+
+#[test]
+fn marks_are_read_as_they_are_written() {
+    for mark in [REPEATED_MARK, Mark::Part(PromptPart(0x5a5e))] {
+        assert_eq!(Mark::parse(&mark.to_string()), Some(mark));
+    }
+    assert_eq!(Mark::parse("request-"), None);
+    assert_eq!(Mark::parse("other-5a5e"), None);
+}
--- a/tests/platform/crashing_request.rs
+++ b/tests/platform/crashing_request.rs
@@ -165,3 +165,42 @@
         assert_eq!(response.status, 200, "another account");
     }
 }
+
+#[test]
+fn daemon_that_starts_later_refuses_request_that_has_crashed_runners() {
+    let fleet = Fleet::start();
+    fleet.await_refusals();
+    let before = fleet.bad_sends();
+    let third = fleet.env.start_daemon("d3");
+    fleet.env.eventually("the third daemon serves", |_| {
+        fleet.send(&third, API_KEY, "/read/x", "").status == 200
+    });
+    assert!((0..REPEATS).all(|_| fleet.is_refused(&third)));
+    assert_eq!(fleet.bad_sends(), before);
+}
+
+// They are cut with each runner that the bad request crashes, and sent on like it.
+#[test]
+fn requests_beside_one_that_crashes_runners_are_served_later() {
+    let fleet = Fleet::start();
+    let paths: Vec<String> = (0..6)
+        .map(|number| format!("/read/{number}?delay_ms=1000"))
+        .collect();
+    for _ in 0..2 {
+        thread::scope(|scope| {
+            for path in &paths {
+                scope.spawn(|| fleet.send(&fleet.env.daemon, API_KEY, path, ""));
+            }
+            thread::sleep(PAUSE);
+            fleet.is_refused(&fleet.env.daemon);
+        });
+        fleet.await_service();
+    }
+    fleet.await_refusals();
+    fleet.await_service();
+    for path in &paths {
+        for daemon in fleet.daemons() {
+            assert_eq!(fleet.send(daemon, API_KEY, path, "").status, 200, "{path}");
+        }
+    }
+}
