Known red: the tests of a cut-off daemon hung once; a link gives up after 30 s

Seen once in the last run of cut_off, ended by hand after eight minutes, not traced. Restoring a link tried to listen without end; it is bounded now. Neither the whole script nor these tests ran on this commit.

--- a/tests/gateway/repeats.rs
+++ b/tests/gateway/repeats.rs
@@ -15,19 +15,20 @@
 };
 use http::{Method, Uri};
 
-/// Returns the evidence of crashes under the repeated request, one in each interval.
-fn crashes_by_request(count: u64, interval_ms: u64) -> Suspects {
+/// Returns the evidence of crashes under the repeated request, which has some parts; one in each
+/// interval.
+fn crashes_by_request(count: u64, interval_ms: u64, parts: &[PromptPart]) -> Suspects {
     let mut suspects = Suspects::default();
     for number in 0..count {
         let now = at(interval_ms * number);
-        suspects.record(runner(number), &evidence(REPEATED, number, &[]), now);
+        suspects.record(runner(number), &evidence(REPEATED, number, parts), now);
     }
     suspects
 }
 
 #[test]
 fn request_of_three_crashes_is_quarantined_once_nobody_objects() {
-    let mut suspects = crashes_by_request(3, 100);
+    let mut suspects = crashes_by_request(3, 100, &[]);
     let now = at(300);
     assert_eq!(suspects.ask(unknown, now), [REPEATED_MARK]);
     assert_eq!(suspects.verdict(unknown, now), []);
@@ -41,7 +42,7 @@
 
 #[test]
 fn two_crashes_quarantine_no_request() {
-    let mut suspects = crashes_by_request(2, 4_000);
+    let mut suspects = crashes_by_request(2, 4_000, &[]);
     suspects.ask(unknown, at(4_000));
     assert_eq!(suspects.verdict(unknown, at(9_000)), []);
 }
@@ -66,7 +67,7 @@
 /// A domain that loses power takes all runners at once, with a request that many callers repeat.
 #[test]
 fn crashes_at_one_moment_quarantine_no_request() {
-    let mut suspects = crashes_by_request(6, 5);
+    let mut suspects = crashes_by_request(6, 5, &[]);
     suspects.ask(unknown, at(100));
     assert_eq!(suspects.verdict(unknown, at(9_000)), []);
 }
@@ -74,7 +75,7 @@
 /// All runners of a small service crash within a moment, and are back some seconds later.
 #[test]
 fn crashes_of_whole_services_at_two_moments_are_enough() {
-    let mut suspects = crashes_by_request(3, 5);
+    let mut suspects = crashes_by_request(3, 5, &[]);
     suspects.record(runner(3), &evidence(REPEATED, 3, &[]), at(4_000));
     suspects.ask(unknown, at(4_000));
     let verdict = suspects.verdict(unknown, at(4_000) + ANSWER_TIME);
@@ -84,7 +85,7 @@
 /// A sound request that was sent on with the bad one was at each of its crashes.
 #[test]
 fn request_beside_bad_one_is_spared_as_soon_as_one_crash_is_without_it() {
-    let mut suspects = crashes_by_request(3, 100);
+    let mut suspects = crashes_by_request(3, 100, &[]);
     for number in 0..3 {
         suspects.record(
             runner(number),
@@ -104,14 +105,7 @@
 #[test]
 fn part_of_one_repeated_request_is_not_quarantined() {
     let part = PromptPart(7);
-    let mut suspects = Suspects::default();
-    for number in 0..8 {
-        suspects.record(
-            runner(number),
-            &evidence(REPEATED, number, &[part]),
-            at(300 * number),
-        );
-    }
+    let mut suspects = crashes_by_request(8, 300, &[part]);
     suspects.ask(unknown, at(2_400));
     assert_eq!(suspects.verdict(unknown, at(9_000)), [REPEATED_MARK]);
     suspects.explain(REPEATED_MARK);
@@ -122,14 +116,7 @@
 #[test]
 fn part_is_found_after_one_of_its_requests_was_quarantined() {
     let part = PromptPart(7);
-    let mut suspects = Suspects::default();
-    for number in 0..3 {
-        suspects.record(
-            runner(number),
-            &evidence(REPEATED, number, &[part]),
-            at(300 * number),
-        );
-    }
+    let mut suspects = crashes_by_request(3, 300, &[part]);
     suspects.explain(REPEATED_MARK);
     suspects.record(runner(3), &evidence(Fingerprint(8), 3, &[part]), at(4_000));
     suspects.ask(unknown, at(4_000));
--- a/tests/platform/cut_off.rs
+++ b/tests/platform/cut_off.rs
@@ -16,13 +16,13 @@
 const NOTICE_TIME: Duration = Duration::from_secs(3);
 
 /// Daemon that reaches the runners through links, beside one that reaches them directly.
-struct Halls {
+struct Fleet {
     env: TestEnv,
     links: Vec<Link>,
     cut_off: Daemon,
 }
 
-impl Halls {
+impl Fleet {
     fn start() -> Self {
         let env = TestEnv::start();
         let runners = env.plain_runners.iter().chain(&env.heads);
@@ -32,13 +32,13 @@
         let view = serve_store_view(env.store.clone(), &links);
         let settings = DaemonSettings::new("d2", view);
         let cut_off = env.start_daemon_with(settings);
-        let halls = Self {
+        let fleet = Self {
             env,
             links,
             cut_off,
         };
-        halls.await_links();
-        halls
+        fleet.await_links();
+        fleet
     }
 
     /// Waits until the daemon uses all its links.
@@ -111,31 +111,31 @@
 // It tried one runner after the other, and refused its callers.
 #[test]
 fn daemon_that_is_refused_by_all_runners_serves_its_callers() {
-    let halls = Halls::start();
-    halls.cut(Cut::Refused);
-    halls.check_served();
+    let fleet = Fleet::start();
+    fleet.cut(Cut::Refused);
+    fleet.check_served();
 }
 
 #[test]
 fn daemon_whose_connections_to_all_runners_hang_serves_its_callers() {
-    let halls = Halls::start();
-    halls.cut(Cut::Hanging);
-    halls.check_served();
+    let fleet = Fleet::start();
+    fleet.cut(Cut::Hanging);
+    fleet.check_served();
 }
 
 #[test]
 fn daemon_serves_its_callers_while_only_open_connections_live_on() {
-    let halls = Halls::start();
-    let requests = halls.env.heads.iter().map(|head| head.requests().len());
+    let fleet = Fleet::start();
+    let requests = fleet.env.heads.iter().map(|head| head.requests().len());
     let before: usize = requests.sum();
     thread::scope(|scope| {
-        let stream = scope.spawn(|| halls.stream("/chat/x?events=60&pause_ms=50"));
-        halls.env.eventually("the stream is at a head", |env| {
+        let stream = scope.spawn(|| fleet.stream("/chat/x?events=60&pause_ms=50"));
+        fleet.env.eventually("the stream is at a head", |env| {
             let requests = env.heads.iter().map(|head| head.requests().len());
             requests.sum::<usize>() > before
         });
-        halls.cut(Cut::NewRefused);
-        halls.check_served();
+        fleet.cut(Cut::NewRefused);
+        fleet.check_served();
         check_events(&stream.join().expect("a response"), 60);
     });
 }
@@ -150,47 +150,47 @@
 
 #[test]
 fn stream_that_began_before_the_cut_goes_on() {
-    let halls = Halls::start();
+    let fleet = Fleet::start();
     thread::scope(|scope| {
-        let stream = scope.spawn(|| halls.stream("/chat/x?events=40&pause_ms=50"));
+        let stream = scope.spawn(|| fleet.stream("/chat/x?events=40&pause_ms=50"));
         thread::sleep(Duration::from_millis(500));
-        halls.cut(Cut::Refused);
+        fleet.cut(Cut::Refused);
         check_events(&stream.join().expect("a response"), 40);
     });
 }
 
 #[test]
 fn daemon_uses_runners_again_after_the_cut() {
-    let halls = Halls::start();
-    halls.cut(Cut::Refused);
+    let fleet = Fleet::start();
+    fleet.cut(Cut::Refused);
     thread::sleep(NOTICE_TIME);
-    halls.count_served();
-    halls.links.iter().for_each(Link::restore);
-    halls.await_links();
+    fleet.count_served();
+    fleet.links.iter().for_each(Link::restore);
+    fleet.await_links();
 }
 
 // A request that nobody can serve must not go round between daemons that ask each other.
 #[test]
 fn request_is_refused_as_not_run_if_all_daemons_are_cut_off() {
-    let halls = Halls::start();
-    let view = serve_store_view(halls.env.store.clone(), &halls.links);
-    let third = halls.env.start_daemon_with(DaemonSettings::new("d3", view));
-    halls.env.eventually("the third daemon serves", |env| {
+    let fleet = Fleet::start();
+    let view = serve_store_view(fleet.env.store.clone(), &fleet.links);
+    let third = fleet.env.start_daemon_with(DaemonSettings::new("d3", view));
+    fleet.env.eventually("the third daemon serves", |env| {
         env.call_at(&third, "GET", "/read/x", &[], "").status == 200
     });
-    halls.env.terminate();
-    halls.cut(Cut::Refused);
+    fleet.env.terminate();
+    fleet.cut(Cut::Refused);
     thread::sleep(NOTICE_TIME);
-    let before = halls
+    let before = fleet
         .env
         .plain_runners
         .iter()
         .map(|runner| runner.requests().len());
     let before: usize = before.sum();
     for number in 0..REQUESTS {
-        assert_eq!(halls.once(number).status, 503);
+        assert_eq!(fleet.once(number).status, 503);
     }
-    let after = halls
+    let after = fleet
         .env
         .plain_runners
         .iter()
@@ -200,10 +200,10 @@
 
 #[test]
 fn request_of_a_cut_off_daemon_reaches_runners_like_any_other() {
-    let halls = Halls::start();
-    halls.cut(Cut::Refused);
-    assert_eq!(halls.once(7).status, 200);
-    let requests = halls.plain_requests("POST /once/7 HTTP/1.1");
+    let fleet = Fleet::start();
+    fleet.cut(Cut::Refused);
+    assert_eq!(fleet.once(7).status, 200);
+    let requests = fleet.plain_requests("POST /once/7 HTTP/1.1");
     let [request] = requests.as_slice() else {
         panic!("{} requests", requests.len());
     };
@@ -219,54 +219,54 @@
 // Whoever took it may have sent it to a runner before it was killed.
 #[test]
 fn request_that_a_killed_peer_had_taken_runs_at_most_once() {
-    let halls = Halls::start();
-    halls.cut(Cut::Refused);
+    let fleet = Fleet::start();
+    fleet.cut(Cut::Refused);
     let line = "POST /once/x?delay_ms=3000 HTTP/1.1";
     thread::scope(|scope| {
         let response = scope.spawn(|| {
             let path = "/once/x?delay_ms=3000";
-            halls.env.call_at(&halls.cut_off, "POST", path, &[], "")
+            fleet.env.call_at(&fleet.cut_off, "POST", path, &[], "")
         });
-        halls.env.eventually("the request runs", |_| {
-            !halls.plain_requests(line).is_empty()
+        fleet.env.eventually("the request runs", |_| {
+            !fleet.plain_requests(line).is_empty()
         });
-        halls.env.daemon.signal(Signal::SIGKILL);
+        fleet.env.daemon.signal(Signal::SIGKILL);
         assert_eq!(response.join().expect("a response").status, 502);
     });
-    assert_eq!(halls.plain_requests(line).len(), 1);
+    assert_eq!(fleet.plain_requests(line).len(), 1);
 }
 
 // Nothing was repaired until the holder reached runners again.
 #[test]
 fn holder_of_duty_that_reaches_no_runner_hands_it_over() {
-    let halls = Halls::start();
-    let third = halls.env.start_daemon("d3");
+    let fleet = Fleet::start();
+    let third = fleet.env.start_daemon("d3");
     let holds_duty = |daemon: &Daemon| daemon.metric("hickoryledge_duty_held") == 1.0;
-    halls.env.terminate();
-    halls
+    fleet.env.terminate();
+    fleet
         .env
         .eventually("the second daemon holds the duty", |_| {
-            holds_duty(&halls.cut_off)
+            holds_duty(&fleet.cut_off)
         });
-    halls.cut(Cut::Refused);
-    halls
+    fleet.cut(Cut::Refused);
+    fleet
         .env
         .eventually("the third daemon holds the duty", |_| {
-            halls.read(0);
-            holds_duty(&third) && !holds_duty(&halls.cut_off)
+            fleet.read(0);
+            holds_duty(&third) && !holds_duty(&fleet.cut_off)
         });
 }
 
 // A suspicion may be wrong, and a peer be gone: the daemon's own runners are tried all the same.
 #[test]
 fn daemon_without_peers_serves_as_soon_as_runners_are_reached() {
-    let halls = Halls::start();
-    halls.env.daemon.signal(Signal::SIGKILL);
-    halls.cut(Cut::Refused);
+    let fleet = Fleet::start();
+    fleet.env.daemon.signal(Signal::SIGKILL);
+    fleet.cut(Cut::Refused);
     for number in 0..4 {
-        assert_eq!(halls.once(number).status, 503);
-        assert_eq!(halls.stream("/chat/x").status, 503);
+        assert_eq!(fleet.once(number).status, 503);
+        assert_eq!(fleet.stream("/chat/x").status, 503);
     }
-    halls.links.iter().for_each(Link::restore);
-    assert_eq!(halls.once(9).status, 200);
+    fleet.links.iter().for_each(Link::restore);
+    assert_eq!(fleet.once(9).status, 200);
 }
--- a/tests/platform/link.rs
+++ b/tests/platform/link.rs
@@ -30,6 +30,9 @@
 /// Connections that fill the queue of a listener that accepts none, so that further ones hang.
 const QUEUE_FILLERS: usize = 4;
 
+/// Attempts to listen again on a link's port.
+const MAX_BINDS: u32 = 600;
+
 /// Time that a filler waits for its connection.
 const FILL_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -125,13 +128,16 @@
         *self.state.queue.lock().expect("not poisoned") = None;
         self.state.is_cut.store(false, Ordering::SeqCst);
         self.state.is_silent.store(false, Ordering::SeqCst);
-        let listener = loop {
-            match TcpListener::bind(self.address) {
-                Ok(listener) => break listener,
-                // The thread that accepted connections has yet to close its listener.
-                Err(_) => thread::sleep(FILL_TIMEOUT),
+        // The thread that accepted connections may have yet to close its listener.
+        let mut listener = TcpListener::bind(self.address);
+        for _ in 0..MAX_BINDS {
+            if listener.is_ok() {
+                break;
             }
-        };
+            thread::sleep(FILL_TIMEOUT);
+            listener = TcpListener::bind(self.address);
+        }
+        let listener = listener.expect("the port is free again");
         self.accept(listener);
     }
 }
