Tests that fail: a sound request whose report of a crash comes first is quarantined

Each request at a crash is reported on its own; the collectors judge at each report. Two tests without processes show that a request, and a part, that shared two or three crashes with the bad one is quarantined if its report of the next crash comes first.

--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -122,6 +122,23 @@
     assert_eq!(suspects.verdict(unknown, at(5_000)), []);
 }
 
+/// Each request at a crash is reported apart, and the reports of sound ones may come first.
+#[test]
+fn part_beside_bad_one_is_spared_if_its_report_of_the_last_crash_comes_first() {
+    let beside = PromptPart(7);
+    let mut suspects = crashes_by_bad_part(3, 2_000);
+    for number in 0..3 {
+        let now = at(2_000 * number);
+        record(&mut suspects, runner(number), &[beside], now);
+    }
+    suspects.ask(unknown, at(4_000));
+    record(&mut suspects, runner(3), &[beside], at(6_000));
+    assert_eq!(suspects.verdict(unknown, at(6_000)), []);
+    record(&mut suspects, runner(3), &[BAD_PART], at(6_100));
+    assert_eq!(suspects.verdict(unknown, at(6_100)), []);
+    assert_eq!(suspects.verdict(unknown, at(7_000)), []);
+}
+
 /// A request that was resumed at each head that crashed has as much evidence against its parts.
 #[test]
 fn parts_that_explain_equally_many_crashes_wait_for_more() {
--- a/tests/gateway/repeats.rs
+++ b/tests/gateway/repeats.rs
@@ -101,6 +101,23 @@
     assert_eq!(suspects.verdict(unknown, at(9_000)), []);
 }
 
+/// Each request at a crash is reported apart, and the reports of sound ones may come first.
+#[test]
+fn request_beside_bad_one_is_spared_if_its_report_of_the_last_crash_comes_first() {
+    let mut suspects = crashes_by_request(2, 2_000, &[]);
+    let sound = Fingerprint(7);
+    for number in 0..2 {
+        let evidence = evidence(sound, number, &[]);
+        suspects.record(runner(number), &evidence, at(2_000 * number));
+    }
+    suspects.ask(unknown, at(2_000));
+    suspects.record(runner(2), &evidence(sound, 2, &[]), at(4_000));
+    assert_eq!(suspects.verdict(unknown, at(4_000)), []);
+    suspects.record(runner(2), &evidence(REPEATED, 2, &[]), at(4_100));
+    assert_eq!(suspects.verdict(unknown, at(4_100)), []);
+    assert_eq!(suspects.verdict(unknown, at(5_000)), []);
+}
+
 /// Only the repeated request has the part, and it is to blame itself.
 #[test]
 fn part_of_one_repeated_request_is_not_quarantined() {
