Tests: a link keeps its port while it is cut

A cut link closed its listener and with it gave its port back to the machine: any connection of another test, kept open by its daemon, could get it, and the link then tried to listen again without end (since for 30 s). The test added here shows it: another socket bound the port before, none can now. Which test hung is not known, so that this is the likely cause, not a seen one.

The link holds a socket on its port for as long as it lives, which refuses connections while it is cut; no attempt to listen has to be repeated.

--- a/tests/platform/link.rs
+++ b/tests/platform/link.rs
@@ -30,9 +30,6 @@
 /// Connections that fill the queue of a listener that accepts none, so that further ones hang.
 const QUEUE_FILLERS: usize = 4;
 
-/// Attempts to listen again on a link's port.
-const MAX_BINDS: u32 = 600;
-
 /// Time that a filler waits for its connection.
 const FILL_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -51,6 +48,8 @@
 /// Link to one runner.
 pub struct Link {
     address: SocketAddr,
+    /// Keeps the port, so that no connection of another test gets it while the link is cut.
+    _port: Socket,
     state: Arc<State>,
     target: SocketAddr,
 }
@@ -58,17 +57,21 @@
 impl Link {
     /// Starts a link to an address.
     pub fn start(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        let port = bind(any);
+        let address = port.local_addr().expect("bound").as_socket();
         let link = Self {
-            address: listener.local_addr().expect("bound"),
+            address: address.expect("an address"),
+            _port: port,
             state: Arc::default(),
             target,
         };
-        link.accept(listener);
+        link.accept();
         link
     }
 
-    fn accept(&self, listener: TcpListener) {
+    fn accept(&self) {
+        let listener = TcpListener::bind(self.address).expect("the port is this link's");
         let (state, target) = (self.state.clone(), self.target);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -114,9 +117,7 @@
 
     /// Listens again without accepting, and fills the queue of new connections.
     fn fill_queue(&self) {
-        let queue = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        queue.set_reuse_address(true).expect("set");
-        queue.bind(&self.address.into()).expect("the port is free");
+        let queue = bind(self.address);
         queue.listen(0).expect("listens");
         let fill = |_| TcpStream::connect_timeout(&self.address, FILL_TIMEOUT).ok();
         let fillers = (0..QUEUE_FILLERS).filter_map(fill).collect();
@@ -128,20 +129,18 @@
         *self.state.queue.lock().expect("not poisoned") = None;
         self.state.is_cut.store(false, Ordering::SeqCst);
         self.state.is_silent.store(false, Ordering::SeqCst);
-        // The thread that accepted connections may have yet to close its listener.
-        let mut listener = TcpListener::bind(self.address);
-        for _ in 0..MAX_BINDS {
-            if listener.is_ok() {
-                break;
-            }
-            thread::sleep(FILL_TIMEOUT);
-            listener = TcpListener::bind(self.address);
-        }
-        let listener = listener.expect("the port is free again");
-        self.accept(listener);
+        self.accept();
     }
 }
 
+/// Returns a socket that is bound to an address, as others may be too.
+fn bind(address: SocketAddr) -> Socket {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_reuse_address(true).expect("set");
+    socket.bind(&address.into()).expect("the port is free");
+    socket
+}
+
 /// Carries bytes in both directions until one of the ends closes.
 fn carry(state: &Arc<State>, near: TcpStream, far: TcpStream) {
     for stream in [&near, &far] {
@@ -210,3 +209,17 @@
         item["Value"] = STANDARD.encode(entry.to_string()).into();
     }
 }
+
+// A connection of another test got the port, and the link could not listen again.
+#[test]
+fn link_keeps_its_port_while_it_is_cut() {
+    let runner = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let link = Link::start(runner.local_addr().expect("bound"));
+    for cut in [Cut::Refused, Cut::Hanging] {
+        link.cut(cut);
+        let other = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        assert!(other.bind(&link.address.into()).is_err());
+        link.restore();
+        TcpStream::connect(link.address).expect("a connection");
+    }
+}
