A crash counts once all its reports may have come

Cause: each request at a crash is reported apart, and the collectors gave their verdict at each report. So might a part be.

A daemon's log of one of them: at 36.046348 s the sound request's crash is reported, at 36.046485 it is quarantined, at 36.046903 the bad one's crash is reported.

Ruled out: a tie (it needs five crashes, this test has at most four in common); a refusal for another reason (the log names the quarantine).

Now a crash younger than 0.3 s doesn't count in verdicts; what daemons are asked and whom they distrust is decided at once as before.

--- a/src/gateway/quarantine/keeper.rs
+++ b/src/gateway/quarantine/keeper.rs
@@ -31,8 +31,8 @@
         compio::time::sleep(JUDGE_INTERVAL).await;
         exchange::report_restarts(&state);
         exchange::send_reports(&state);
-        let is_asking = state.quarantine.suspects.borrow().is_asking(state.now());
-        if is_asking {
+        let is_open = state.quarantine.suspects.borrow().are_open(state.now());
+        if is_open {
             exchange::judge(&state);
         }
         let now = state.now();
--- a/src/gateway/quarantine/suspects.rs
+++ b/src/gateway/quarantine/suspects.rs
@@ -6,6 +6,9 @@
 //! elsewhere. A power failure takes many runners at once, so that crashes at the
 //! same moment are weaker evidence.
 //!
+//! Each request at a crash is reported apart. A crash counts once all its
+//! reports may have come: a sound request may be reported before the bad one.
+//!
 //! A request is blamed only once it has come again: one that is sent on from
 //! crash to crash may have had bad luck. A part is blamed only if several
 //! requests with it were at crashes: one that comes again is to blame itself.
@@ -53,8 +56,11 @@
 /// Time for the answers of daemons that were asked about a suspect.
 pub const ANSWER_TIME: Span = Span::from_millis(200);
 
-/// Time for which the suspects are judged again after daemons were asked about one.
-const ASKING_TIME: Span = Span::from_secs(1);
+/// Time for the reports of a crash, each of which is sent twice.
+pub const REPORT_TIME: Span = Span::from_millis(300);
+
+/// Time for which the suspects are judged again after a crash, or after daemons were asked.
+const JUDGE_TIME: Span = Span::from_secs(1);
 
 /// Request that a crashed runner had.
 #[derive(Debug, Default)]
@@ -161,7 +167,7 @@
                 Mark::Request(_) => {}
             }
         }
-        let accused: BTreeSet<Mark> = self.involvements().into_keys().collect();
+        let accused: BTreeSet<Mark> = self.involvements(|_| true).into_keys().collect();
         self.asked.retain(|mark, _| accused.contains(mark));
     }
 
@@ -181,11 +187,11 @@
         self.asked.remove(&mark);
     }
 
-    /// Returns true while daemons may say that a suspect is sound; later only a further crash tells
-    /// more.
-    pub fn is_asking(&self, now: Time) -> bool {
-        let mut asked = self.asked.values();
-        asked.any(|at| now.since(*at) < ASKING_TIME)
+    /// Returns true while reports or answers may come; later only a further crash tells more.
+    pub fn are_open(&self, now: Time) -> bool {
+        let is_recent = |at: Time| now.since(at) < JUDGE_TIME;
+        let is_asked = self.asked.values().any(|at| is_recent(*at));
+        is_asked || !self.involvements(|crash| is_recent(crash.at)).is_empty()
     }
 
     /// Returns the suspects that all daemons are to be asked about, again while answers may come,
@@ -194,7 +200,7 @@
     where
         F: Fn(Mark) -> bool,
     {
-        let all = self.involvements().into_iter();
+        let all = self.involvements(|_| true).into_iter();
         let suspected = all.filter(|(_, involvement)| involvement.times.len() >= MIN_ASKED);
         let asked: Vec<Mark> = suspected
             .map(|(mark, _)| mark)
@@ -212,7 +218,7 @@
     where
         F: Fn(Mark) -> bool,
     {
-        let all = self.involvements().into_iter();
+        let all = self.involvements(|_| true).into_iter();
         let doubtful = all.filter(|(mark, involvement)| {
             let is_request = matches!(mark, Mark::Request(_));
             is_request && involvement.times.len() >= MIN_REQUEST_CRASHES && !is_sound(*mark)
@@ -230,7 +236,8 @@
     {
         let mut parts = BTreeMap::new();
         let mut requests = BTreeMap::new();
-        for (mark, involvement) in self.involvements() {
+        let is_reported = |crash: &Crash| now.since(crash.at) >= REPORT_TIME;
+        for (mark, involvement) in self.involvements(is_reported) {
             let counts = match mark {
                 Mark::Part(_) => &mut parts,
                 Mark::Request(_) => &mut requests,
@@ -266,10 +273,13 @@
         asked.is_some_and(|at| now.since(*at) >= ANSWER_TIME)
     }
 
-    /// Returns the crashes that each suspect may have caused.
-    fn involvements(&self) -> BTreeMap<Mark, Involvement> {
+    /// Returns the crashes that each suspect may have caused, of those that count.
+    fn involvements<F>(&self, counts: F) -> BTreeMap<Mark, Involvement>
+    where
+        F: Fn(&Crash) -> bool,
+    {
         let mut all: BTreeMap<Mark, Involvement> = BTreeMap::new();
-        for crash in self.crashes.values() {
+        for crash in self.crashes.values().filter(|crash| counts(crash)) {
             let mut parts: BTreeMap<PromptPart, BTreeSet<Fingerprint>> = BTreeMap::new();
             for (part, request) in crash.accused_parts() {
                 parts.entry(part).or_default().insert(request);
