--- a/tests/request/harness.rs
+++ b/tests/request/harness.rs
@@ -99,6 +99,7 @@
             lease: None,
         };
         let key = self.view.apply(WatchEvent::Put(entry));
+        self.view.advance(Revision(self.revision));
         let keys = [key.expect("record is accepted")];
         self.with(|parts, ctx| {
             let (view, hosts, members) = (parts.view, &*parts.hosts, &*parts.members);
@@ -107,6 +108,11 @@
         });
     }
 
+    /// Makes the daemon as it is before it has read the view.
+    pub fn forget_view(&mut self) {
+        self.view = View::default();
+    }
+
     /// Registers an incarnation of another daemon.
     pub fn put_daemon(&mut self, number: u16, incarnation: u64) {
         let name = format!("d{number}");
--- a/tests/request/single_start.rs
+++ b/tests/request/single_start.rs
@@ -217,6 +217,26 @@
     ));
 }
 
+/// A daemon that has just started knows no accounts yet; the ticket's request may have run before.
+#[test]
+fn daemon_without_accounts_refuses_neither_credential_nor_ticket() {
+    let mut rig = rig(&[]);
+    let ticket = issue_ticket(&mut rig);
+    let past = Ticket {
+        incarnation: Incarnation(0),
+        ..ticket
+    };
+    rig.forget_view();
+    rig.call(ticketed(&past));
+    rig.call(service_call("desk"));
+    let reasons: Vec<_> = rig.ended().into_iter().map(|(_, ending)| ending).collect();
+    let stale = Ending::Refused {
+        reason: Refusal::Stale,
+        retry_after: None,
+    };
+    assert_eq!(reasons, [Ending::Unknown(Doubt::ArbiterGone), stale]);
+}
+
 /// A later incarnation of the daemon can't know whether the ticket was used.
 #[test]
 fn relays_ticket_only_to_issuing_incarnation() {
