A daemon of run that has just started refuses no credential as unknown

Cause: a restarted daemon answers as soon as it has peers, which may be before it has read the accounts; it refused each credential with 401, and a ticket of its last run as not run, though that had run. Traced by reading what the failed run of faults ticket_of_a_killed_daemon_runs_at_most_once printed (unauthorized for unknown); not seen again in a run of processes. Ruled out: a wrong answer to tickets of past incarnations (a test of its own; the check came later only).

Until the view is read, a request with a ticket ends as unknown, any other is refused as stale (503, not run), as is a question for entries.

Before: single_start::daemon_without_accounts_refuses_neither_credential_nor_ticket fails. After: it passes; faults 16, member 29, request 43 pass.

--- a/src/core/config/view.rs
+++ b/src/core/config/view.rs
@@ -108,6 +108,11 @@
         self.revision
     }
 
+    /// Returns false until the view has been read as a whole.
+    pub fn is_loaded(&self) -> bool {
+        self.revision > Revision::default()
+    }
+
     /// Returns all entries as the platform's store holds them, sorted by key.
     pub fn entries(&self) -> impl Iterator<Item = &PlatformEntry> {
         self.entries.values()
--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -411,7 +411,11 @@
         _model: Option<ModelName>,
     ) {
         let Some(account) = view.account_by_key(&credential) else {
-            refuse(ctx, call, Refusal::Unauthorized);
+            let reason = match view.is_loaded() {
+                true => Refusal::Unauthorized,
+                false => Refusal::Stale,
+            };
+            refuse(ctx, call, reason);
             return;
         };
         let count = usize::from(ctx.options.entry_count.max(1));
--- a/src/core/request/admission.rs
+++ b/src/core/request/admission.rs
@@ -78,7 +78,7 @@
         let account = cluster
             .view
             .account_by_key(&request.credential)
-            .ok_or(Refusal::Unauthorized)?;
+            .ok_or_else(|| reject_credential(cluster, request))?;
         if !is_target_allowed(cluster, account, &request.target) {
             return Err(Refusal::NotFound.into());
         }
@@ -300,6 +300,18 @@
     request.idempotent && service
 }
 
+/// Returns why a request with an unknown credential isn't opened. A daemon that has just started
+/// knows no accounts, nor whether a ticket was used.
+fn reject_credential(cluster: &Cluster, request: &CallRequest) -> Rejection {
+    if cluster.view.is_loaded() {
+        return Refusal::Unauthorized.into();
+    }
+    match request.ticket {
+        Some(_) => Rejection::Unknown(Doubt::ArbiterGone),
+        None => Refusal::Stale.into(),
+    }
+}
+
 /// Returns true if the target is configured and the account may use it.
 fn is_target_allowed(cluster: &Cluster, account: &Account, target: &Target) -> bool {
     let allowed = |model: &ModelName| account.models.is_empty() || account.models.contains(model);
