--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 pub mod quarantine;
 pub mod reach;
 pub mod responses;
+mod retries;
 pub mod roster;
 pub mod routes;
 pub mod runner;
