Tests that fail: crashed runners in a row pass for a cut from all runners

Seen in 1 of 8 runs of crashing_part beside busy processes: 'requests with part ...: 6 crashes', bound 5. The daemon's log: the fourth and the sixth crash were found (connection ended, new one refused) and not reported, as the daemon took itself to be cut off: probes of three crashed heads had failed since its last new connection, while it reached all others.

--- a/tests/gateway/reach.rs
+++ b/tests/gateway/reach.rs
@@ -35,6 +35,16 @@
     assert!(!reach.is_cut_off());
 }
 
+/// A domain loses several runners at once, and nobody connects to another meanwhile.
+#[test]
+fn crashed_runners_in_a_row_are_no_cut_until_others_fail_too() {
+    let (hosts, mut reach) = (hosts(), Reach::default());
+    for host in &hosts[..5] {
+        reach.failed(*host, KNOWN, at(100));
+    }
+    assert!(!reach.is_cut_off());
+}
+
 /// A runner that is gone or silent fails each connection while others take theirs.
 #[test]
 fn daemon_is_not_cut_off_while_one_runner_fails() {
--- a/tests/platform/cut_off.rs
+++ b/tests/platform/cut_off.rs
@@ -169,6 +169,22 @@
     fleet.await_links();
 }
 
+// Three runners in a row that had crashed passed for a cut from all, and requests went to a peer.
+#[test]
+fn daemon_that_reaches_one_runner_of_four_is_not_cut_off() {
+    let fleet = Fleet::start();
+    let lost = &fleet.env.plain_runners[0];
+    let address = fleet.env.plain_runners[1].address();
+    let others = fleet.links.iter().filter(|link| !link.leads_to(address));
+    others.for_each(|link| link.cut(Cut::Refused));
+    let before = lost.requests().len();
+    for number in 0..REQUESTS {
+        fleet.stream("/chat/x");
+        assert_eq!(fleet.read(number).status, 200);
+    }
+    assert_eq!(lost.requests().len(), before, "only the peer reaches it");
+}
+
 // A request that nobody can serve must not go round between daemons that ask each other.
 #[test]
 fn request_is_refused_as_not_run_if_all_daemons_are_cut_off() {
--- a/tests/platform/link.rs
+++ b/tests/platform/link.rs
@@ -86,6 +86,11 @@
         });
     }
 
+    /// Returns true if this is the link to the runner at an address.
+    pub fn leads_to(&self, address: SocketAddr) -> bool {
+        self.target == address
+    }
+
     /// Returns the number of connections that were carried so far.
     pub fn connections(&self) -> usize {
         self.state.connections.load(Ordering::SeqCst)
