A daemon tries other runners before it counts as cut off

Cause: three runners in a row that can't be connected to passed for a cut from all. Members of a replica that has crashed are probed again and again, and other runners are reached over open connections, so that no new one contradicts. The daemon then passed its callers' requests to peers, and kept its reports of crashes back: a part that crashes runners reached a sixth one, where five are allowed. Ruled out: the 0.3 s that a crash now waits for its reports (the fourth crash, unreported, came 0.41 s before the fifth).

Three failures now raise a doubt; three others that have not failed are tried at once, and only if they fail too the daemon counts as cut off. The check of a crash waits until the doubt is settled. Without any others there is no doubt.

Before: reach::crashed_runners_in_a_row_are_no_cut_until_others_fail_too and cut_off::daemon_that_reaches_one_runner_of_four_is_not_cut_off fail (4 of 12 requests passed to the peer). After: both pass. The tests of reach expect the doubt and then the same loss.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
     notices::Stated,
     permits::Permit,
+    reach_check,
     roster::Host,
     selection::has_alternative,
     spec::RouteKind,
@@ -164,7 +165,7 @@
     let opened = RunnerConnection::open(endpoint.address, timeout).await;
     call.is_unreached = opened.is_err();
     let Ok(connection) = opened else {
-        call.state.runner_unreached(endpoint.host);
+        reach_check::runner_unreached(&call.state, endpoint.host);
         return Err(AttemptError::Unreached);
     };
     call.state.runner_connected();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,8 @@
 //! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
 //! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`,
-//! `drain`, `reach`, `peer_relay::choice`, those of `quarantine` that it names) read no clock and do no I/O.
+//! `drain`, `reach`, `peer_relay::choice`, those of `quarantine` that it names) read
+//! no clock and do no I/O.
 //! The names and formats of a platform are hidden behind [`adapter::Adapter`].
 
 pub mod adapter;
@@ -54,6 +55,7 @@
 mod progress;
 pub mod quarantine;
 pub mod reach;
+mod reach_check;
 pub mod responses;
 mod retries;
 pub mod roster;
@@ -175,7 +177,7 @@
             handle.clone(),
         ));
     }
-    spawn(peer_relay::look_for_runners(state.clone()));
+    spawn(reach_check::look_for_runners(state.clone()));
     spawn(listeners::serve_callers::<A>(
         callers,
         state.clone(),
--- a/src/gateway/peer_relay/mod.rs
+++ b/src/gateway/peer_relay/mod.rs
@@ -7,12 +7,10 @@
 //! run goes to no other.
 
 pub mod choice;
-mod probe;
 mod send;
 mod server;
 mod stream;
 
-pub(super) use probe::look_for_runners;
 pub(super) use send::{RelayError, Relayed, send};
 pub(super) use server::{Admitted, RelayedGuard, RelayedRequests, admit, declined};
 pub(super) use stream::resume;
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -13,6 +13,7 @@
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
     liveness,
     notices::Notice,
+    reach_check,
     roster::{Host, HostKey, ProbeFailure, RunnerInstance, SLOW_FACTOR},
     state::GatewayState,
 };
@@ -206,7 +207,7 @@
 
 /// Records the outcome of a probe and the report of the runner.
 fn record_outcome<A>(
-    state: &GatewayState,
+    state: &Rc<GatewayState>,
     probes: &RefCell<Probes>,
     key: HostKey,
     outcome: Result<Answer, ProbeFailure>,
@@ -221,7 +222,7 @@
     match outcome {
         Ok(_) if probe.is_new => state.runner_connected(),
         Ok(_) => {}
-        Err(_) => state.runner_unreached(key),
+        Err(_) => reach_check::runner_unreached(state, key),
     }
     let is_unreachable = outcome.is_err();
     if is_unreachable != probe.is_unreachable {
--- a/src/gateway/quarantine/crash_check.rs
+++ b/src/gateway/quarantine/crash_check.rs
@@ -11,6 +11,7 @@
     balancer::Endpoint,
     call::Call,
     connection::{RunnerConnection, SendError},
+    reach_check,
     roster::Host,
     state::GatewayState,
 };
@@ -32,10 +33,11 @@
     let opened = RunnerConnection::open(endpoint.address, CHECK_TIMEOUT).await;
     match opened {
         Ok(_) => state.runner_connected(),
-        Err(_) => state.runner_unreached(endpoint.host),
+        Err(_) => reach_check::runner_unreached(&state, endpoint.host),
     }
     // A daemon that is cut off itself may be refused by runners that are well.
-    let is_crash = matches!(opened, Err(SendError::Refused)) && !state.is_cut_off();
+    let is_crash =
+        matches!(opened, Err(SendError::Refused)) && !reach_check::is_cut_off(&state).await;
     slog::info!(state.log, "runner that ended a connection checked";
         "request" => call.id(),
         "fingerprint" => call.fingerprint.to_string(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -271,17 +271,26 @@
         self.log_reach(change);
     }
 
-    /// Records that a new connection to a runner failed.
-    pub fn runner_unreached(&self, host: HostKey) {
+    /// Records that a new connection to a runner failed; returns true if others are to be tried.
+    pub fn runner_unreached(&self, host: HostKey) -> bool {
         let now = self.now();
-        let known = {
+        let mut reach = self.reach.borrow_mut();
+        let others = {
             let roster = self.roster.borrow();
             let usable = roster
                 .hosts()
                 .filter(|(_, host)| roster.is_usable(host, now));
-            usable.count()
+            let others = usable.filter(|(key, _)| *key != host && !reach.has_failed(*key));
+            others.count()
         };
-        let change = self.reach.borrow_mut().failed(host, known, now);
+        let change = reach.failed(host, others, now);
+        self.log_reach(change);
+        change == Some(ReachChange::Doubted)
+    }
+
+    /// Records that new connections to other runners failed too.
+    pub fn other_runners_unreached(&self) {
+        let change = self.reach.borrow_mut().others_failed(self.now());
         self.log_reach(change);
     }
 
@@ -300,6 +309,12 @@
                 slog::info!(self.log, "runners are reached again"; "after_ms" => after.as_millis());
                 gauge!("cut_off").set(0.0);
             }
+            Some(ReachChange::Doubted) => {
+                slog::info!(
+                    self.log,
+                    "several runners are not reached, others are tried"
+                );
+            }
             None => {}
         }
     }
