Tests: all links of a daemon are cut at the same time

stream_that_began_before_the_cut_goes_on failed in 2 of 16 runs beside busy processes: the stream was incomplete. The daemon's log: broken off at h1, sent to h2, broken off there 32 us later: the links were cut one after the other, so that it had used up its two runs. That is what its route allows; a cut takes all links at once. All links refuse new connections first, and then reset the open ones.

--- a/tests/platform/cut_off.rs
+++ b/tests/platform/cut_off.rs
@@ -4,7 +4,7 @@
     client::Response,
     env::{Daemon, DaemonSettings, TestEnv},
     http::RecordedRequest,
-    link::{Cut, Link, serve_store_view},
+    link::{Cut, Link, cut_all, serve_store_view},
 };
 use nix::sys::signal::Signal;
 use std::{thread, time::Duration};
@@ -53,7 +53,7 @@
     }
 
     fn cut(&self, cut: Cut) {
-        self.links.iter().for_each(|link| link.cut(cut));
+        cut_all(&self.links, cut);
     }
 
     fn read(&self, number: usize) -> Response {
--- a/tests/platform/link.rs
+++ b/tests/platform/link.rs
@@ -98,14 +98,24 @@
 
     /// Cuts the link.
     pub fn cut(&self, cut: Cut) {
+        self.refuse();
+        self.cut_open(cut);
+    }
+
+    /// Refuses new connections.
+    fn refuse(&self) {
         self.state.is_cut.store(true, Ordering::SeqCst);
-        self.state
-            .is_silent
-            .store(cut == Cut::Hanging, Ordering::SeqCst);
         // A connection wakes the thread that accepts them, which closes the listener.
         env::wait_until("the listener is closed", || {
             TcpStream::connect(self.address).is_err()
         });
+    }
+
+    /// Cuts the connections that are open.
+    fn cut_open(&self, cut: Cut) {
+        self.state
+            .is_silent
+            .store(cut == Cut::Hanging, Ordering::SeqCst);
         match cut {
             Cut::Refused => self.reset_connections(),
             Cut::NewRefused => {}
@@ -138,6 +148,12 @@
     }
 }
 
+/// Cuts links at the same time: no request that one of them breaks off begins at another.
+pub fn cut_all(links: &[Link], cut: Cut) {
+    links.iter().for_each(Link::refuse);
+    links.iter().for_each(|link| link.cut_open(cut));
+}
+
 /// Returns a socket that is bound to an address, as others may be too.
 fn bind(address: SocketAddr) -> Socket {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
