Gateway in floors: admission doesn't know the balancer

The balancer asks whether a head has room; before, admission filtered the balancer's candidates, and the two imported each other. Decisions are unchanged.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -6,7 +6,7 @@
 //! request that has already missed its objective only gets slots that would
 //! otherwise stay free.
 
-use super::{balancer::Candidate, load::Loads, roster::HostKey, spec::Engine};
+use super::{load::Loads, roster::HostKey, spec::Engine};
 use crate::core::{
     keys::ModelName,
     time::{Span, Time},
@@ -68,19 +68,15 @@
     START_OVERHEAD + engine.request_duration(replication, prompt_tokens, answer_tokens)
 }
 
-/// Returns the candidates that may take a request of this class.
-pub(super) fn admit(
-    candidates: Vec<Candidate>,
+/// Returns true if a head may take a request of this class.
+pub(super) fn has_room(
+    head: HostKey,
     loads: &Loads,
     slots: u32,
     class: AdmissionClass,
     now: Time,
-) -> Vec<Candidate> {
-    let max = max_in_flight(slots, class);
-    candidates
-        .into_iter()
-        .filter(|candidate| loads.in_flight(candidate.host, now) < max)
-        .collect()
+) -> bool {
+    loads.in_flight(head, now) < max_in_flight(slots, class)
 }
 
 /// Returns the delay after which a refused caller should retry.
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -78,8 +78,8 @@
 
 /// Runner that could take a request.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Candidate {
-    pub(super) host: HostKey,
+struct Candidate {
+    host: HostKey,
     epoch: Option<Epoch>,
     /// Slowdown factor of its group; 1 for a runner without one.
     slowdown: f64,
@@ -199,8 +199,11 @@
     R: Rng,
 {
     let heads: Vec<HostKey> = candidates.iter().map(|candidate| candidate.host).collect();
-    let mut admitted = admission::admit(candidates, loads, engine.slots, criteria.class, now);
-    admitted.retain(|candidate| criteria.can_finish_at(candidate));
+    let mut admitted = candidates;
+    admitted.retain(|candidate| {
+        admission::has_room(candidate.host, loads, engine.slots, criteria.class, now)
+            && criteria.can_finish_at(candidate)
+    });
     let fast: Vec<Candidate> = admitted
         .iter()
         .filter(|candidate| candidate.slowdown < SLOW_FACTOR)
