--- a/src/gateway/quarantine/crash_check.rs
+++ b/src/gateway/quarantine/crash_check.rs
@@ -37,7 +37,7 @@
     }
     // A daemon that is cut off itself may be refused by runners that are well.
     let is_crash =
-        matches!(opened, Err(SendError::Refused)) && !reach_check::is_cut_off(&state).await;
+        matches!(opened, Err(SendError::Refused)) && !reach_check::is_surely_cut_off(&state).await;
     slog::info!(state.log, "runner that ended a connection checked";
         "request" => call.id(),
         "fingerprint" => call.fingerprint.to_string(),
--- a/src/gateway/reach_check.rs
+++ b/src/gateway/reach_check.rs
@@ -57,7 +57,7 @@
 }
 
 /// Returns true if no runner is reached, once that is known.
-pub async fn is_cut_off(state: &GatewayState) -> bool {
+pub async fn is_surely_cut_off(state: &GatewayState) -> bool {
     while state.reach.borrow().is_in_doubt() {
         compio::time::sleep(DOUBT_INTERVAL).await;
     }
