--- a/tests/platform/crash.rs
+++ b/tests/platform/crash.rs
@@ -2,6 +2,7 @@
 
 use super::http::RecordedRequest;
 use std::{
+    collections::BTreeMap,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Mutex,
@@ -29,7 +30,9 @@
     is_down: AtomicBool,
     is_closed: AtomicBool,
     count: AtomicUsize,
-    connections: Mutex<Vec<TcpStream>>,
+    /// Open connections by their numbers.
+    connections: Mutex<BTreeMap<usize, TcpStream>>,
+    tracked: AtomicUsize,
 }
 
 impl Crashes {
@@ -77,10 +80,19 @@
         self.count.load(Ordering::SeqCst)
     }
 
-    /// Keeps a connection, so that a crash can close it.
-    pub fn track(&self, stream: &TcpStream) {
+    /// Keeps a connection, so that a crash can close it; returns its number.
+    pub fn track(&self, stream: &TcpStream) -> usize {
+        let number = self.tracked.fetch_add(1, Ordering::SeqCst);
         let clone = stream.try_clone().expect("cloned");
-        self.connections.lock().expect("not poisoned").push(clone);
+        let mut connections = self.connections.lock().expect("not poisoned");
+        connections.insert(number, clone);
+        number
+    }
+
+    /// Forgets a connection that has ended.
+    pub fn forget(&self, number: usize) {
+        let mut connections = self.connections.lock().expect("not poisoned");
+        connections.remove(&number);
     }
 
     /// Returns true from a crash until the runner listens again.
@@ -108,7 +120,8 @@
     }
 
     fn close_connections(&self) {
-        for stream in self.connections.lock().expect("not poisoned").drain(..) {
+        let mut connections = self.connections.lock().expect("not poisoned");
+        while let Some((_, stream)) = connections.pop_first() {
             // The peer may have closed it already.
             let _ = stream.shutdown(Shutdown::Both);
         }
--- a/tests/platform/link.rs
+++ b/tests/platform/link.rs
@@ -40,7 +40,8 @@
     is_silent: AtomicBool,
     /// Number of connections that were carried.
     connections: AtomicUsize,
-    open: Mutex<Vec<TcpStream>>,
+    /// Open connections by their numbers, with their far ends.
+    open: Mutex<BTreeMap<usize, [TcpStream; 2]>>,
     /// Queue of a cut link, with its fillers.
     queue: Mutex<Option<(Socket, Vec<TcpStream>)>>,
 }
@@ -78,9 +79,9 @@
                 if state.is_cut.load(Ordering::SeqCst) {
                     return;
                 }
-                state.connections.fetch_add(1, Ordering::SeqCst);
+                let number = state.connections.fetch_add(1, Ordering::SeqCst);
                 if let Ok(far) = TcpStream::connect(target) {
-                    carry(&state, stream, far);
+                    carry(&state, number, [stream, far]);
                 }
             }
         });
@@ -124,7 +125,8 @@
     }
 
     fn reset_connections(&self) {
-        for stream in self.state.open.lock().expect("not poisoned").drain(..) {
+        let open = std::mem::take(&mut *self.state.open.lock().expect("not poisoned"));
+        for stream in open.values().flatten() {
             // The peer may have closed it already.
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -163,20 +165,23 @@
 }
 
 /// Carries bytes in both directions until one of the ends closes.
-fn carry(state: &Arc<State>, near: TcpStream, far: TcpStream) {
-    for stream in [&near, &far] {
-        let clone = stream.try_clone().expect("cloned");
-        state.open.lock().expect("not poisoned").push(clone);
-    }
-    for (from, to) in [(&near, &far), (&far, &near)] {
-        let from = from.try_clone().expect("cloned");
-        let to = to.try_clone().expect("cloned");
-        let state = state.clone();
-        thread::spawn(move || copy(&state, from, to));
-    }
+fn carry(state: &Arc<State>, number: usize, ends: [TcpStream; 2]) {
+    let copies = ends.each_ref().map(|end| end.try_clone().expect("cloned"));
+    let mut open = state.open.lock().expect("not poisoned");
+    open.insert(number, copies);
+    let state = state.clone();
+    thread::spawn(move || {
+        let [near, far] = &ends;
+        thread::scope(|scope| {
+            scope.spawn(|| copy(&state, near, far));
+            copy(&state, far, near);
+        });
+        let mut open = state.open.lock().expect("not poisoned");
+        open.remove(&number);
+    });
 }
 
-fn copy(state: &State, mut from: TcpStream, mut to: TcpStream) {
+fn copy(state: &State, mut from: &TcpStream, mut to: &TcpStream) {
     let mut buffer = [0; 4_096];
     while let Ok(length @ 1..) = from.read(&mut buffer) {
         while state.is_silent.load(Ordering::SeqCst) {
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -145,9 +145,12 @@
                 if self.crashes.is_down() {
                     break;
                 }
-                self.crashes.track(&stream);
+                let number = self.crashes.track(&stream);
                 let runner = self.clone();
-                std::thread::spawn(move || runner.serve(stream));
+                std::thread::spawn(move || {
+                    runner.serve(stream);
+                    runner.crashes.forget(number);
+                });
             }
             listener = self.crashes.reopen(listener);
             self.restart();
