--- a/tests/stops/options.rs
+++ b/tests/stops/options.rs
@@ -12,6 +12,10 @@
     pub grace: Duration,
     /// Number of rounds, each of which stops a daemon, from `STOPS_ROUNDS` (3).
     pub rounds: u32,
+    /// Number of runners of the plain service.
+    pub plain_runners: usize,
+    /// True if each daemon reaches the runners by links of its own, which can be cut.
+    pub has_links: bool,
 }
 
 impl Options {
@@ -24,6 +28,8 @@
             daemons: variable("STOPS_DAEMONS", 3),
             grace: Duration::from_millis(variable("STOPS_GRACE_MS", 3_000)),
             rounds: variable("STOPS_ROUNDS", 3),
+            plain_runners: 2,
+            has_links: false,
         }
     }
 }
