--- a/tests/stops/fleet.rs
+++ b/tests/stops/fleet.rs
@@ -168,6 +168,12 @@
         &self.log_dir
     }
 
+    /// Returns true if a daemon says that it reaches no runner.
+    pub fn has_cut_off_daemon(&self) -> bool {
+        let mut slots = (0..self.size()).map(|index| self.slot(index));
+        slots.any(|slot| slot.daemon.metric("hickoryledge_cut_off") != 0.0)
+    }
+
     /// Returns true if every daemon serves streams and requests to the plain service.
     pub fn serves(&self) -> bool {
         let key = format!("Authorization: Bearer {}", config::API_KEY);
--- a/tests/stops/soak.rs
+++ b/tests/stops/soak.rs
@@ -109,7 +109,9 @@
         is_over.store(true, Ordering::Relaxed);
         (windows, sender.join().expect("the sender doesn't panic"))
     });
-    wait_until("all daemons serve after the last fault", || fleet.serves());
+    wait_until("all daemons serve by their own runners again", || {
+        fleet.serves() && !fleet.has_cut_off_daemon()
+    });
     let findings = judge::judge(&fleet, callers.finish(), Duration::ZERO);
     let mut failures: Vec<String> = findings
         .calls
