--- a/tests/platform/crashing_request.rs
+++ b/tests/platform/crashing_request.rs
@@ -12,7 +12,7 @@
 const BAD_PATH: &str = "/read/bad";
 
 /// Body of the request that crashes runners.
-const BAD_BODY: &str = "order 66";
+const BAD_BODY: &str = "bad body";
 
 /// Number of times that such a request may be sent to runners: three crashes and three retries.
 const MAX_SENDS: usize = 6;
@@ -142,7 +142,7 @@
     fleet.await_refusals();
     fleet.await_service();
     let alike = [
-        (API_KEY, "/read/bad", "order 67"),
+        (API_KEY, "/read/bad", "other body"),
         (API_KEY, "/read/bae", BAD_BODY),
         (API_KEY, "/moved/bad", BAD_BODY),
     ];
--- a/tests/request/single_start.rs
+++ b/tests/request/single_start.rs
@@ -23,6 +23,14 @@
     issued.expect("ticket is issued")
 }
 
+/// Returns the ticket as a past incarnation of the daemon issued it.
+fn of_past_incarnation(ticket: &Ticket) -> Ticket {
+    Ticket {
+        incarnation: Incarnation(0),
+        ..ticket.clone()
+    }
+}
+
 fn ticketed(ticket: &Ticket) -> CallRequest {
     CallRequest {
         ticket: Some(ticket.clone()),
@@ -91,10 +99,7 @@
 fn rejects_ticket_of_past_incarnation_and_forged_ticket() {
     let mut rig = rig(&[]);
     let issued = issue_ticket(&mut rig);
-    let past = Ticket {
-        incarnation: Incarnation(0),
-        ..issued.clone()
-    };
+    let past = of_past_incarnation(&issued);
     let forged = Ticket {
         number: issued.number + 1,
         ..issued
@@ -222,10 +227,7 @@
 fn daemon_without_accounts_refuses_neither_credential_nor_ticket() {
     let mut rig = rig(&[]);
     let ticket = issue_ticket(&mut rig);
-    let past = Ticket {
-        incarnation: Incarnation(0),
-        ..ticket
-    };
+    let past = of_past_incarnation(&ticket);
     rig.forget_view();
     rig.call(ticketed(&past));
     rig.call(service_call("desk"));
--- a/tests/stops/faults.rs
+++ b/tests/stops/faults.rs
@@ -16,8 +16,8 @@
 /// Duration of a cut of one daemon from all runners.
 const CUT_TIME: Duration = Duration::from_millis(6_000);
 
-/// Duration of a daemon's standstill.
-const FREEZE_TIME: Duration = Duration::from_millis(1_200);
+/// Duration of a pause of a daemon's process.
+const PAUSE_TIME: Duration = Duration::from_millis(1_200);
 
 /// Duration of an outage of the store.
 const OUTAGE_TIME: Duration = Duration::from_millis(2_000);
@@ -31,10 +31,10 @@
     Cut { daemon: usize, cut: Cut },
     /// Ends the cut of a daemon.
     Restore { daemon: usize },
-    /// Stops a daemon's process without ending it.
-    Freeze { daemon: usize },
+    /// Pauses a daemon's process.
+    Pause { daemon: usize },
     /// Lets a daemon's process go on.
-    Thaw { daemon: usize },
+    Continue { daemon: usize },
     /// Kills a daemon.
     Kill { daemon: usize },
     /// Crashes a head.
@@ -79,8 +79,9 @@
         let at = base + self.millis(4_000);
         match self.rng.random_range(0..4) {
             0 => {
-                self.faults.push((at, Fault::Freeze { daemon }));
-                self.faults.push((at + FREEZE_TIME, Fault::Thaw { daemon }));
+                self.faults.push((at, Fault::Pause { daemon }));
+                self.faults
+                    .push((at + PAUSE_TIME, Fault::Continue { daemon }));
             }
             1 => self.faults.push((at, Fault::Kill { daemon })),
             2 => {
--- a/tests/stops/soak.rs
+++ b/tests/stops/soak.rs
@@ -1,7 +1,7 @@
 //! Faults of all kinds under load, and what must hold all the same.
 //!
 //! First a request that crashes runners comes again and again at all daemons;
-//! then daemons are cut off from the runners, while others stand still, are
+//! then daemons are cut off from the runners, while others are paused, are
 //! killed, lose a head or the store. Each request is answered whole, refused
 //! truthfully, or disturbed by a fault that it met; none runs twice that may
 //! not; the crashing request soon reaches no runner; callers of a daemon that
@@ -31,7 +31,7 @@
 const BAD_PATH: &str = "/read/bad";
 
 /// Body of the request that crashes runners.
-const BAD_BODY: &str = "order 66";
+const BAD_BODY: &str = "bad body";
 
 /// Pause between two requests that crash runners.
 const BAD_PAUSE: Duration = Duration::from_millis(300);
@@ -228,11 +228,11 @@
             let cut = own.find(|window| window.scope == Scope::One(daemon));
             cut.map(|cut| window(cut.scope, cut.start, now - cut.start, true))
         }
-        Fault::Freeze { daemon } => {
+        Fault::Pause { daemon } => {
             fleet.slot(daemon).signal(Signal::SIGSTOP);
             open(Scope::All, false)
         }
-        Fault::Thaw { daemon } => {
+        Fault::Continue { daemon } => {
             fleet.slot(daemon).signal(Signal::SIGCONT);
             open(Scope::All, false)
         }
