--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -66,7 +66,8 @@
         store,
         prefix,
         handler,
-        is_store_down: false,
+        lost_at: None,
+        attempts: 0,
         backoff: Backoff::default(),
         listed_at: Time::default(),
     };
@@ -88,8 +89,10 @@
     prefix: &'static str,
     topic: Rc<Topic>,
     handler: H,
-    /// Reachability of the store; each change is logged once.
-    is_store_down: bool,
+    /// Time at which the store became unreachable, while it is; each change is logged once.
+    lost_at: Option<Time>,
+    /// Failed attempts since then.
+    attempts: u32,
     backoff: Backoff,
     /// Time of the last list.
     listed_at: Time,
@@ -219,12 +222,13 @@
     }
 
     fn record_failure(&mut self, cause: &str) {
-        if !self.is_store_down {
+        self.attempts += 1;
+        if self.lost_at.is_none() {
             slog::warn!(self.state.log, "store unreachable";
                 "prefix" => self.prefix, "cause" => cause);
+            self.lost_at = Some(self.state.now());
             self.handler.on_loss();
         }
-        self.is_store_down = true;
     }
 
     fn record_success(&mut self) {
@@ -239,8 +243,12 @@
     /// Records that changes arrive again, from whichever source.
     fn record_contact(&mut self) {
         self.backoff.reset();
-        if std::mem::take(&mut self.is_store_down) {
-            slog::info!(self.state.log, "store reachable again"; "prefix" => self.prefix);
+        let attempts = std::mem::take(&mut self.attempts);
+        if let Some(lost_at) = self.lost_at.take() {
+            slog::info!(self.state.log, "store reachable again";
+                "prefix" => self.prefix,
+                "after_ms" => self.state.now().since(lost_at).as_millis(),
+                "attempts" => attempts);
             self.record_recovery();
         }
     }
