Tests that fail: a daemon that is cut off from the store, and back from it

On the current code: - a daemon that the store refuses, or whose connections to it hang, answers 404 for a new route and uses a runner that has left, although its peer sees both (timed out after 30 s); - back from its cut, it sent 38 of 60 requests to a runner that left meanwhile; - a prefix waits out two seconds although the store has answered another call; - open connections that fall silent: five renewals of the lease on new connections before the new configuration is known. Ruled out: new connections refused while open ones live on (that test passes).

--- a/tests/gateway/entries.rs
+++ b/tests/gateway/entries.rs
@@ -29,12 +29,14 @@
 
 /// Returns the state of a daemon that has read nothing yet.
 pub fn state() -> Rc<GatewayState> {
+    state_with(&[])
+}
+
+/// Returns the state of a daemon that has read nothing yet and follows the entries under prefixes.
+pub fn state_with(prefixes: &[&'static str]) -> Rc<GatewayState> {
     let settings = Settings::parse(SETTINGS).expect("valid settings");
-    Rc::new(GatewayState::new(
-        settings,
-        Logger::root(Discard, o!()),
-        &[],
-    ))
+    let log = Logger::root(Discard, o!());
+    Rc::new(GatewayState::new(settings, log, prefixes))
 }
 
 /// Returns the entry of a group's head in a state.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -27,3 +27,4 @@
 mod retry_shares;
 mod routes;
 mod streams;
+mod watches;
--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -255,6 +255,11 @@
         config::write(&self.store, version);
     }
 
+    /// Returns the address of the store.
+    pub fn store_address(&self) -> SocketAddr {
+        self.store_address
+    }
+
     /// Starts a further daemon on the same store.
     pub fn start_daemon(&self, name: &str) -> Daemon {
         Self::start_logged(name, self.store_address, &self.logs)
--- a/tests/platform/link.rs
+++ b/tests/platform/link.rs
@@ -25,6 +25,8 @@
     NewRefused,
     /// Open ones are silent, and new ones hang.
     Hanging,
+    /// Open ones fall silent for good, and new ones work.
+    OpenSilent,
 }
 
 /// Connections that fill the queue of a listener that accepts none, so that further ones hang.
@@ -38,6 +40,8 @@
     is_cut: AtomicBool,
     /// True while open connections carry nothing.
     is_silent: AtomicBool,
+    /// Number of the first connection that has not fallen silent for good.
+    first_sound: AtomicUsize,
     /// Number of connections that were carried.
     connections: AtomicUsize,
     /// Open connections by their numbers, with their far ends.
@@ -87,6 +91,11 @@
         });
     }
 
+    /// Returns the address at which the link listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns true if this is the link to the runner at an address.
     pub fn leads_to(&self, address: SocketAddr) -> bool {
         self.target == address
@@ -99,7 +108,9 @@
 
     /// Cuts the link.
     pub fn cut(&self, cut: Cut) {
-        self.refuse();
+        if cut != Cut::OpenSilent {
+            self.refuse();
+        }
         self.cut_open(cut);
     }
 
@@ -121,6 +132,10 @@
             Cut::Refused => self.reset_connections(),
             Cut::NewRefused => {}
             Cut::Hanging => self.fill_queue(),
+            Cut::OpenSilent => {
+                let first_sound = self.connections();
+                self.state.first_sound.store(first_sound, Ordering::SeqCst);
+            }
         }
     }
 
@@ -173,17 +188,20 @@
     thread::spawn(move || {
         let [near, far] = &ends;
         thread::scope(|scope| {
-            scope.spawn(|| copy(&state, near, far));
-            copy(&state, far, near);
+            scope.spawn(|| copy(&state, number, near, far));
+            copy(&state, number, far, near);
         });
         let mut open = state.open.lock().expect("not poisoned");
         open.remove(&number);
     });
 }
 
-fn copy(state: &State, mut from: &TcpStream, mut to: &TcpStream) {
+fn copy(state: &State, number: usize, mut from: &TcpStream, mut to: &TcpStream) {
     let mut buffer = [0; 4_096];
     while let Ok(length @ 1..) = from.read(&mut buffer) {
+        if number < state.first_sound.load(Ordering::SeqCst) {
+            continue;
+        }
         while state.is_silent.load(Ordering::SeqCst) {
             thread::sleep(Duration::from_millis(20));
         }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -28,5 +28,6 @@
 mod runs;
 mod stop;
 mod store;
+mod store_cut;
 mod streams;
 mod trouble;
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -34,6 +34,8 @@
     last_lease: i64,
     /// Lists and writes so far: the path, and the prefix or the key.
     calls: Vec<(String, String)>,
+    /// Renewals of leases and watch calls, in order: the path, and the prefix or the lease.
+    contacts: Vec<(String, String)>,
     /// Requested wait of each watch call, in milliseconds, by its prefix.
     waits: BTreeMap<String, Vec<u64>>,
 }
@@ -113,6 +115,12 @@
         String::from_utf8(bytes.unwrap_or_default()).expect("text")
     }
 
+    /// Returns the lease that a key is attached to, as it stands in calls.
+    pub fn lease_of(&self, key: &str) -> String {
+        let state = self.state.lock().expect("not poisoned");
+        state.items[key].lease.to_string()
+    }
+
     /// Drops all changes so far; a watch that needs them must list again.
     pub fn forget_history(&self) {
         let mut state = self.state.lock().expect("not poisoned");
@@ -137,6 +145,13 @@
         state.calls.clone()
     }
 
+    /// Returns the renewals of leases and the watch calls so far, in order: the path, and the prefix
+    /// or the lease.
+    pub fn contacts(&self) -> Vec<(String, String)> {
+        let state = self.state.lock().expect("not poisoned");
+        state.contacts.clone()
+    }
+
     /// Returns the requested waits of the watch calls of a prefix, in milliseconds.
     pub fn waits(&self, prefix: &str) -> Vec<u64> {
         let state = self.state.lock().expect("not poisoned");
@@ -148,6 +163,8 @@
         let mut state = self.state.lock().expect("not poisoned");
         let waits = state.waits.entry(prefix.to_owned()).or_default();
         waits.push(wait_ms);
+        let call = ("/kv-watch".to_owned(), prefix.to_owned());
+        state.contacts.push(call);
     }
 
     /// Returns the response to a call; none while a watch has no changes, unless it is due. What it
@@ -193,7 +210,9 @@
                 ))
             }
             ("POST", _) if path.starts_with("/kv-keep/") => {
-                let lease: i64 = path["/kv-keep/".len()..].parse().expect("a lease");
+                let id = &path["/kv-keep/".len()..];
+                let lease: i64 = id.parse().expect("a lease");
+                state.contacts.push(("/kv-keep".to_owned(), id.to_owned()));
                 match lease <= state.last_lease {
                     true => Some((200, json!({"TtlMs": 3_000}))),
                     false => Some((404, json!({}))),
