A daemon that is back in contact with the store asks for all news at once

Cause: each prefix found the store by itself, up to 2 s after an attempt that could hang for 1.2 s; three seconds after the cut's end a daemon should have caught up, and two of these are given to entries that may come back.

--- a/src/gateway/backoff.rs
+++ b/src/gateway/backoff.rs
@@ -12,16 +12,38 @@
 /// Maximum number of times that the delay doubles; a lease outlives two of its failed renewals.
 const MAX_DOUBLINGS: u32 = 3;
 
+/// Maximum number of times that the delay of a probe doubles.
+const MAX_PROBE_DOUBLINGS: u32 = 1;
+
 /// Consecutive failures of one kind of call.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Backoff {
     failures: u32,
+    max_doublings: u32,
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self {
+            failures: 0,
+            max_doublings: MAX_DOUBLINGS,
+        }
+    }
 }
 
 impl Backoff {
+    /// Creates the backoff of the one kind of call that finds out when the store is back, for which
+    /// the other kinds wait.
+    pub fn of_probe() -> Self {
+        Self {
+            max_doublings: MAX_PROBE_DOUBLINGS,
+            ..Self::default()
+        }
+    }
+
     /// Records a failure and returns the delay before the next call.
     pub fn next_delay(&mut self) -> Duration {
-        let doublings = MAX_DOUBLINGS.min(self.failures);
+        let doublings = self.max_doublings.min(self.failures);
         self.failures += 1;
         MIN_DELAY * (1 << doublings)
     }
--- a/src/gateway/changes/server.rs
+++ b/src/gateway/changes/server.rs
@@ -72,7 +72,7 @@
     };
     let mut after = request.after;
     loop {
-        let changed = topic.next_change();
+        let changed = topic.changed.next();
         let (update, end) = next_update(topic, after, request.era, state);
         let frame = postcard::to_stdvec(&update).map_err(io::Error::other)?;
         in_time(write_frame(&mut stream, frame)).await?;
--- a/src/gateway/changes/topic.rs
+++ b/src/gateway/changes/topic.rs
@@ -1,12 +1,14 @@
 //! Changes under one prefix, as kept for subscribers.
 
 use super::history::History;
-use crate::core::{
-    input::WatchEvent,
-    keys::{Era, Revision},
-    time::{Span, Time},
+use crate::{
+    core::{
+        input::WatchEvent,
+        keys::{Era, Revision},
+        time::{Span, Time},
+    },
+    shell::wakeup::Wakeup,
 };
-use futures_channel::oneshot;
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -16,7 +18,7 @@
 /// Topics by prefix.
 pub type Topics = BTreeMap<&'static str, Rc<Topic>>;
 
-/// Recent changes under one prefix, and the tasks that wait for the next.
+/// Recent changes under one prefix.
 #[derive(Debug, Default)]
 pub struct Topic {
     history: RefCell<History>,
@@ -28,7 +30,8 @@
     is_watched: Cell<bool>,
     /// Number of store outages that have ended.
     outages: Cell<u32>,
-    waiting: RefCell<Vec<oneshot::Sender<()>>>,
+    /// Tasks that wait for the next change.
+    pub changed: Wakeup,
 }
 
 impl Topic {
@@ -37,7 +40,7 @@
         self.history.borrow_mut().reset(at);
         self.renew(now);
         if self.era.replace(era) != era {
-            self.wake();
+            self.changed.wake();
         }
     }
 
@@ -51,7 +54,7 @@
         self.history.borrow_mut().extend(end, events);
         self.renew(fresh_at);
         if !events.is_empty() {
-            self.wake();
+            self.changed.wake();
         }
     }
 
@@ -76,7 +79,7 @@
     /// Counts a store outage that has ended.
     pub fn count_outage(&self) {
         self.outages.set(self.outages.get() + 1);
-        self.wake();
+        self.changed.wake();
     }
 
     /// Returns the number of store outages that have ended.
@@ -101,20 +104,4 @@
         }
         self.history.borrow().since(after)
     }
-
-    /// Returns a future that ends at the next change.
-    pub fn next_change(&self) -> oneshot::Receiver<()> {
-        let (sender, receiver) = oneshot::channel();
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.retain(|sender| !sender.is_canceled());
-        waiting.push(sender);
-        receiver
-    }
-
-    fn wake(&self) {
-        for waiting in self.waiting.take() {
-            // A task that no longer waits has nothing to be told.
-            let _ = waiting.send(());
-        }
-    }
 }
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -32,8 +32,8 @@
 /// Time to live of the lease.
 pub(super) const LEASE_TTL: Span = Span::from_millis(3_000);
 
-/// Interval between renewals of the lease. They also prove to subscribers that this daemon is in
-/// contact with the store.
+/// Interval between renewals of the lease. They also prove that this daemon is in contact with the
+/// store, and find out when it is so again.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Interval between renewals of a subscriber's lease, on which no other daemon counts.
@@ -144,7 +144,7 @@
 
     /// Renews the lease until the stop, then revokes it.
     async fn maintain(self: Rc<Self>, stop: StopSignal) {
-        let mut backoff = Backoff::default();
+        let mut backoff = Backoff::of_probe();
         while !self.state.stopping.get() {
             let delay = match self.renew().await {
                 true => {
@@ -213,6 +213,7 @@
                 self.register().await
             }
             Ok(_) => {
+                self.state.store_answered();
                 slog::warn!(self.state.log, "lease expired");
                 self.forget();
                 false
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! the duty to order hosts into groups. Members report their group themselves;
 //! every daemon derives the same groups from their entries.
 //!
-//! Modules that decide (`routes`, `roster`, `group`, `candidacy`, `balancer`,
+//! Modules that decide (`routes`, `contact`, `roster`, `group`, `candidacy`, `balancer`,
 //! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
 //! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`,
@@ -25,6 +25,7 @@
 pub mod candidacy;
 pub mod changes;
 mod connection;
+pub mod contact;
 mod datagrams;
 pub mod demand;
 pub mod drain;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,6 +6,7 @@
         Topics,
         source::{self, AvoidedPeers, Source},
     },
+    contact::StoreContact,
     datagrams::Outbox,
     demand::Demand,
     drain::Drain,
@@ -30,7 +31,7 @@
         keys::{Revision, ServiceName},
         time::{Span, Time},
     },
-    shell::Clock,
+    shell::{Clock, wakeup::Wakeup},
 };
 use http::HeaderName;
 use metrics::{gauge, histogram};
@@ -95,6 +96,10 @@
     max_timeouts: RefCell<BTreeMap<String, Span>>,
     /// Other daemons.
     pub peers: RefCell<Peers>,
+    /// Whether the store answers this daemon.
+    pub contact: RefCell<StoreContact>,
+    /// Tasks that wait until the store answers again.
+    pub contact_regained: Wakeup,
     /// Changes of the store, as kept for subscribers.
     pub topics: Topics,
     /// Peers that failed as a source of changes.
@@ -144,6 +149,8 @@
             daemon_count: RefCell::default(),
             max_timeouts: RefCell::default(),
             peers: RefCell::default(),
+            contact: RefCell::default(),
+            contact_regained: Wakeup::default(),
             topics: prefixes
                 .iter()
                 .map(|prefix| (*prefix, Rc::default()))
@@ -404,6 +411,9 @@
         for topic in self.topics.values() {
             topic.store_answered(now);
         }
+        if self.contact.borrow_mut().answered(now) {
+            self.contact_regained.wake();
+        }
     }
 
     /// Returns true if callers may be sent to this daemon.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -70,6 +70,7 @@
         attempts: 0,
         backoff: Backoff::default(),
         listed_at: Time::default(),
+        contact_since: Time::default(),
     };
     loop {
         match follower.list().await {
@@ -96,6 +97,8 @@
     backoff: Backoff,
     /// Time of the last list.
     listed_at: Time,
+    /// Time at which the contact began in which this prefix last failed.
+    contact_since: Time,
 }
 
 impl<K, H> Follower<'_, K, H>
@@ -236,8 +239,17 @@
         self.record_contact();
     }
 
+    /// Waits until a failed call may be made again: when the store has answered another one, at
+    /// the latest after a delay.
     async fn wait_after_failure(&mut self) {
-        compio::time::sleep(self.backoff.next_delay()).await;
+        let contact_since = self.state.contact.borrow().since();
+        if std::mem::replace(&mut self.contact_since, contact_since) != contact_since {
+            // The store came back while the call was under way.
+            self.backoff.reset();
+        }
+        let regained = self.state.contact_regained.next();
+        let delay = pin!(compio::time::sleep(self.backoff.next_delay()));
+        select(regained, delay).await;
     }
 
     /// Records that changes arrive again, from whichever source.
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -22,6 +22,7 @@
 pub mod runners;
 pub mod signals;
 mod stall;
+pub mod wakeup;
 
 use crate::{
     core::{
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 43] = [
+const DECISIONS: [&str; 44] = [
     "admission",
     "backoff",
     "balancer",
@@ -21,6 +21,7 @@
     "candidacy",
     "changes/history",
     "changes/source",
+    "contact",
     "demand",
     "drain",
     "formation",
--- a/tests/gateway/backoff.rs
+++ b/tests/gateway/backoff.rs
@@ -34,3 +34,13 @@
     backoff.reset();
     assert_eq!(backoff.next_delay(), first);
 }
+
+/// A daemon counts as caught up three seconds after the store is back, and entries that lapsed have
+/// two seconds of these to come back.
+#[test]
+fn probe_finds_store_within_half_a_second() {
+    let mut probe = Backoff::of_probe();
+    for _ in 0..20 {
+        assert!(probe.next_delay() <= Duration::from_millis(500));
+    }
+}
