Silent connections to the store are noticed within two seconds

Cause: a long poll on a silent connection waited for its own timeout, 5.0 s, although the renewal of the lease had gone unanswered after 1.9 s; the daemon counts as caught up after 3 s.

--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -63,6 +63,13 @@
 /// Unanswered TCP keepalive probes after which a connection fails.
 const MAX_KEEPALIVE_PROBES: u32 = 3;
 
+/// Idle time after which probes are sent on a connection whose silence matters, and their interval.
+const SILENCE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time without a sign of the peer after which a connection whose silence matters fails; two
+/// probes go unanswered in it.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_800);
+
 /// Timeout of a connection attempt.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -122,6 +129,21 @@
     SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
+/// Lets a connection fail within two seconds if the peer falls silent, also while it is idle.
+///
+/// # Errors
+///
+/// Fails if the connection is closed.
+pub fn detect_silence(stream: &TcpStream) -> io::Result<()> {
+    let keepalive = TcpKeepalive::new()
+        .with_time(SILENCE_PROBE_INTERVAL)
+        .with_interval(SILENCE_PROBE_INTERVAL)
+        .with_retries(MAX_KEEPALIVE_PROBES);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))
+}
+
 /// Limits of one served connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -26,5 +26,6 @@
 mod repeats;
 mod retry_shares;
 mod routes;
+mod silence;
 mod streams;
 mod watches;
