A daemon that is cut off from the store follows a peer that is not

Cause: a daemon's only source, besides the watchers of a hall of four or more, was its own link to the store, whatever its peers saw. Changes carry revisions, so nothing is missed and nothing is read twice. A peer proves its contact with each message, as watchers do already. If no peer is in contact, the store is away for all, and the daemon goes on as before.

--- a/src/core/time.rs
+++ b/src/core/time.rs
@@ -62,6 +62,15 @@
     }
 }
 
+impl Sub<Span> for Time {
+    type Output = Time;
+
+    /// Stops at the start of the clock.
+    fn sub(self, span: Span) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+}
+
 impl Add for Span {
     type Output = Span;
 
--- a/src/gateway/changes/source.rs
+++ b/src/gateway/changes/source.rs
@@ -80,6 +80,16 @@
     sources.next().unwrap_or(Source::Store)
 }
 
+/// Returns the daemon at an address as a source, if it is known.
+pub fn peer_at(peers: &Peers, address: SocketAddr) -> Option<Source> {
+    let mut daemons = peers.daemons();
+    let (name, _) = daemons.find(|(_, entry)| entry.peer == Some(address))?;
+    Some(Source::Peer {
+        name: name.clone(),
+        address,
+    })
+}
+
 /// Returns the daemons of a hall that watch the store; none if all of them do.
 fn watchers<'a>(hall: &HallName, peers: &'a Peers) -> Vec<(&'a DaemonName, &'a DaemonEntry)> {
     let mut ranked = peers.ranked();
--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -1,41 +1,117 @@
-//! Whether the store answers this daemon.
+//! Whether the store answers this daemon, and its peers.
 //!
 //! An answer to any call proves contact. Contact is lost once the answers have
-//! stayed out for longer than the renewals of a lease are apart.
+//! stayed out for longer than the renewals of a lease are apart. A daemon that
+//! has lost it, while a peer has not, is cut off by itself, and can follow the
+//! peer's changes; if no peer has contact, the store is away.
 
 use crate::core::time::{Span, Time};
+use std::{collections::BTreeMap, net::SocketAddr};
 
 /// Maximum time between two answers of a store that is in contact; a lease is renewed more often.
 const MAX_GAP: Span = Span::from_millis(1_500);
 
-/// Contact of this daemon with the store.
+crate::record! {
+    /// Contact of a daemon with the store, as it reports it to its peers.
+    #[derive(Copy)]
+    pub struct ContactReport {
+        /// Time since the store's last answer.
+        pub age: Span,
+        /// Time since the contact began.
+        pub length: Span,
+    }
+}
+
+/// Time in which the store answered a daemon without a gap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Contact {
+    since: Time,
+    last: Time,
+}
+
+impl Contact {
+    fn is_lost(self, now: Time) -> bool {
+        now.since(self.last) > MAX_GAP
+    }
+}
+
+/// What this daemon knows of its own contact with the store, and of its peers'.
 #[derive(Debug, Default)]
 pub struct StoreContact {
-    /// Time of the last answer, if there was one.
-    answered_at: Option<Time>,
-    /// Time of the first answer of the present contact, or of the last one.
-    since: Time,
+    /// Last contact of this daemon, if there was one.
+    own: Option<Contact>,
+    /// Last contacts of peers by their addresses, as of their reports.
+    peers: BTreeMap<SocketAddr, Contact>,
+    /// Peer whose changes are followed while the own contact is lost.
+    followed: Option<SocketAddr>,
 }
 
 impl StoreContact {
     /// Records an answer; returns true if the contact had been lost.
     pub fn answered(&mut self, now: Time) -> bool {
-        let was_lost = self.is_lost(now);
-        self.answered_at = Some(now);
-        if was_lost {
-            self.since = now;
-        }
-        was_lost
+        let kept = self.own.filter(|own| !own.is_lost(now));
+        let since = kept.map_or(now, |own| own.since);
+        self.own = Some(Contact { since, last: now });
+        kept.is_none()
+    }
+
+    /// Returns true while the store doesn't answer this daemon.
+    pub fn is_lost(&self, now: Time) -> bool {
+        self.own.is_none_or(|own| own.is_lost(now))
     }
 
     /// Returns the time at which the present contact began, or the last one if it is lost.
     pub fn since(&self) -> Time {
-        self.since
+        self.own.map_or_else(Time::default, |own| own.since)
     }
 
-    /// Returns true while the store doesn't answer.
-    pub fn is_lost(&self, now: Time) -> bool {
-        let answered = self.answered_at;
-        answered.is_none_or(|at| now.since(at) > MAX_GAP)
+    /// Returns the report for a peer; none if the store has never answered.
+    pub fn report(&self, now: Time) -> Option<ContactReport> {
+        let own = self.own?;
+        Some(ContactReport {
+            age: now.since(own.last),
+            length: now.since(own.since),
+        })
+    }
+
+    /// Records a peer's report; returns true if there is a peer to follow now, and was none before.
+    pub fn record(&mut self, peer: SocketAddr, report: ContactReport, now: Time) -> bool {
+        let had_peer = self.peer_in_contact(now).is_some();
+        let contact = Contact {
+            since: now - report.length,
+            last: now - report.age,
+        };
+        self.peers.retain(|_, contact| !contact.is_lost(now));
+        self.peers.insert(peer, contact);
+        !had_peer && self.peer_in_contact(now).is_some()
+    }
+
+    /// Forgets a peer that can't be followed.
+    pub fn forget(&mut self, peer: SocketAddr) {
+        self.peers.remove(&peer);
+    }
+
+    /// Returns the peer that was followed last while the own contact was lost.
+    pub fn followed(&self) -> Option<SocketAddr> {
+        self.followed
+    }
+
+    /// Chooses the peer to follow, which is none unless the own contact is lost; the one that is
+    /// followed already as long as the store answers it.
+    pub fn choose_peer(&mut self, now: Time) -> Option<SocketAddr> {
+        self.followed = self.peer_in_contact(now);
+        self.followed
+    }
+
+    fn peer_in_contact(&self, now: Time) -> Option<SocketAddr> {
+        if !self.is_lost(now) {
+            return None;
+        }
+        let in_contact = self.peers.iter().filter(|(_, peer)| !peer.is_lost(now));
+        let latest = in_contact.max_by_key(|(address, peer)| {
+            let is_followed = Some(**address) == self.followed;
+            (is_followed, peer.last)
+        });
+        latest.map(|(address, _)| *address)
     }
 }
--- a/src/gateway/datagrams.rs
+++ b/src/gateway/datagrams.rs
@@ -5,6 +5,7 @@
 
 use super::{
     announcements,
+    contact::ContactReport,
     liveness::GroupProgress,
     notices::RateLimit,
     permits::{self, Verdict},
@@ -57,6 +58,10 @@
         Sound(Vec<Mark>),
         /// Marks that crash runners.
         Quarantined(Vec<Mark>),
+        /// Question whether the store answers the receiver.
+        ContactRequest,
+        /// Contact of the sender with the store.
+        Contact(ContactReport),
     }
 
     /// What a runner has said of itself.
@@ -135,7 +140,17 @@
         Ok(Datagram::Distrusted(marks)) => exchange::accept_distrusted(state, &marks),
         Ok(Datagram::Sound(marks)) => exchange::accept_sound(state, &marks),
         Ok(Datagram::Quarantined(marks)) => exchange::accept_quarantined(state, &marks),
+        Ok(Datagram::ContactRequest) => report_contact(state, from),
+        Ok(Datagram::Contact(report)) => state.peer_reported_contact(from, report),
         Err(error) => slog::debug!(state.log, "invalid datagram ignored";
             "from" => from.to_string(), "cause" => error.to_string()),
     }
 }
+
+/// Tells a peer of this daemon's contact with the store, unless there never was any.
+fn report_contact(state: &GatewayState, to: SocketAddr) {
+    let report = state.contact.borrow().report(state.now());
+    if let Some(report) = report {
+        state.outbox.send(to, Datagram::Contact(report));
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub mod group;
 pub mod handlers;
 pub mod held_bytes;
+mod inquiry;
 mod lease;
 mod lifecycle;
 mod listeners;
@@ -159,6 +160,7 @@
         spawn(datagrams::send(datagrams.clone(), state.clone()));
         spawn(datagrams::receive(datagrams, state.clone()));
         spawn(progress::report(state.clone()));
+        spawn(inquiry::ask_while_lost(state.clone()));
     }
     let lease = Rc::new(Lease::<A>::new(state.clone(), store));
     let lease_task = LeaseTask::start(lease.clone());
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,7 +6,7 @@
         Topics,
         source::{self, AvoidedPeers, Source},
     },
-    contact::StoreContact,
+    contact::{ContactReport, StoreContact},
     datagrams::Outbox,
     demand::Demand,
     drain::Drain,
@@ -40,6 +40,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashSet},
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -96,10 +97,10 @@
     max_timeouts: RefCell<BTreeMap<String, Span>>,
     /// Other daemons.
     pub peers: RefCell<Peers>,
-    /// Whether the store answers this daemon.
+    /// Whether the store answers this daemon, and its peers.
     pub contact: RefCell<StoreContact>,
-    /// Tasks that wait until the store answers again.
-    pub contact_regained: Wakeup,
+    /// Tasks that wait until the store answers again, or a peer has contact with it.
+    pub contact_changed: Wakeup,
     /// Changes of the store, as kept for subscribers.
     pub topics: Topics,
     /// Peers that failed as a source of changes.
@@ -150,7 +151,7 @@
             max_timeouts: RefCell::default(),
             peers: RefCell::default(),
             contact: RefCell::default(),
-            contact_regained: Wakeup::default(),
+            contact_changed: Wakeup::default(),
             topics: prefixes
                 .iter()
                 .map(|prefix| (*prefix, Rc::default()))
@@ -395,6 +396,10 @@
     /// Returns the source from which this daemon follows the store's changes.
     pub fn change_source(&self) -> Source {
         let peers = self.peers.borrow();
+        let fallback = self.contact.borrow_mut().choose_peer(self.now());
+        if let Some(peer) = fallback.and_then(|address| source::peer_at(&peers, address)) {
+            return peer;
+        }
         let own = &self.settings.name;
         let is_holder = peers.claim.as_ref().is_some_and(|(name, _)| name == own);
         // The holder of the duty must see changes at once.
@@ -412,7 +417,20 @@
             topic.store_answered(now);
         }
         if self.contact.borrow_mut().answered(now) {
-            self.contact_regained.wake();
+            self.contact_changed.wake();
+        }
+    }
+
+    /// Records a peer's contact with the store; that of an unknown daemon is ignored.
+    pub fn peer_reported_contact(&self, peer: SocketAddr, report: ContactReport) {
+        if source::peer_at(&self.peers.borrow(), peer).is_none() {
+            return;
+        }
+        let mut contact = self.contact.borrow_mut();
+        if contact.record(peer, report, self.now()) {
+            slog::info!(self.log, "store answers a peer and not this daemon";
+                "peer" => peer.to_string());
+            self.contact_changed.wake();
         }
     }
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -213,6 +213,7 @@
         if is_listed || !matches!(end, FollowEnd::Compacted) {
             let mut avoided = state.avoided_peers.borrow_mut();
             avoided.insert(name.clone(), state.now());
+            state.contact.borrow_mut().forget(address);
         }
         end
     }
@@ -239,17 +240,17 @@
         self.record_contact();
     }
 
-    /// Waits until a failed call may be made again: when the store has answered another one, at
-    /// the latest after a delay.
+    /// Waits until a failed call may be made again: when the store has answered another one, or a
+    /// peer can be followed, at the latest after a delay.
     async fn wait_after_failure(&mut self) {
         let contact_since = self.state.contact.borrow().since();
         if std::mem::replace(&mut self.contact_since, contact_since) != contact_since {
             // The store came back while the call was under way.
             self.backoff.reset();
         }
-        let regained = self.state.contact_regained.next();
+        let changed = self.state.contact_changed.next();
         let delay = pin!(compio::time::sleep(self.backoff.next_delay()));
-        select(regained, delay).await;
+        select(changed, delay).await;
     }
 
     /// Records that changes arrive again, from whichever source.
--- /dev/null
+++ b/tests/gateway/contact.rs
@@ -0,0 +1,70 @@
+//! Contact of a daemon and of its peers with the store.
+
+use hickoryledge::{
+    core::time::{Span, Time},
+    gateway::contact::{ContactReport, StoreContact},
+};
+use std::net::SocketAddr;
+
+fn at(millis: u64) -> Time {
+    Time::default() + Span::from_millis(millis)
+}
+
+fn peer(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+/// Returns the report of a peer that the store answered just now, and for some time before.
+fn in_contact(length_ms: u64) -> ContactReport {
+    ContactReport {
+        age: Span::ZERO,
+        length: Span::from_millis(length_ms),
+    }
+}
+
+/// Answers the renewals of a lease from one time to another.
+fn renew(contact: &mut StoreContact, from_ms: u64, until_ms: u64) {
+    for millis in (from_ms..=until_ms).step_by(1_000) {
+        contact.answered(at(millis));
+    }
+}
+
+#[test]
+fn peer_is_followed_only_while_the_store_does_not_answer() {
+    let mut contact = StoreContact::default();
+    renew(&mut contact, 0, 10_000);
+    contact.record(peer(1), in_contact(9_000), at(10_500));
+    assert_eq!(contact.choose_peer(at(10_500)), None);
+    contact.record(peer(1), in_contact(9_000), at(12_000));
+    assert_eq!(contact.choose_peer(at(12_000)), Some(peer(1)));
+    assert!(contact.answered(at(12_500)));
+    assert_eq!(contact.choose_peer(at(12_500)), None);
+}
+
+/// In an outage no daemon has contact, and each finds the store by itself.
+#[test]
+fn peer_without_contact_is_not_followed() {
+    let mut contact = StoreContact::default();
+    let stale = ContactReport {
+        age: Span::from_millis(1_600),
+        length: Span::from_secs(60),
+    };
+    assert!(!contact.record(peer(1), stale, at(5_000)));
+    assert_eq!(contact.choose_peer(at(5_000)), None);
+    assert!(contact.record(peer(2), in_contact(0), at(5_000)));
+    assert_eq!(contact.choose_peer(at(5_000)), Some(peer(2)));
+    assert_eq!(contact.choose_peer(at(7_000)), None, "an old report");
+}
+
+/// Each change of the peer costs a connection for each prefix.
+#[test]
+fn followed_peer_is_kept() {
+    let mut contact = StoreContact::default();
+    contact.record(peer(2), in_contact(1_000), at(100));
+    assert_eq!(contact.choose_peer(at(100)), Some(peer(2)));
+    contact.record(peer(1), in_contact(9_000), at(200));
+    contact.record(peer(3), in_contact(9_000), at(300));
+    assert_eq!(contact.choose_peer(at(300)), Some(peer(2)));
+    contact.forget(peer(2));
+    assert_eq!(contact.choose_peer(at(300)), Some(peer(3)));
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod budgets;
 mod candidacy;
 mod changes;
+mod contact;
 mod departures;
 mod drain;
 mod entries;
