A daemon's own cut from the store is not taken for an outage

Cause: whenever a daemon's calls had failed, each entry that it then missed counted as one that may come back, for 2 s from its own recovery, although the others had been in contact with the store all the while and had seen the entry removed. Now the daemons' reports of their contact tell the two apart. If the store answered some daemon from before this one missed changes until now, what is missing is gone. Otherwise the window ends 2 s after the first daemon found the store again. Without a report it is as before. A contact ends at a gap of 1.5 s and with the era of the store, so that entries that lapsed in an outage, or are missing in an older copy, keep their window. Ruled out: the history of changes doesn't tell a lapse from a departure either, both are a deletion; what it adds to a list, `draining` before the deletion, was heeded already.

--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -5,7 +5,10 @@
 //! has lost it, while a peer has not, is cut off by itself, and can follow the
 //! peer's changes; if no peer has contact, the store is away.
 
-use crate::core::time::{Span, Time};
+use crate::core::{
+    keys::Era,
+    time::{Span, Time},
+};
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// Maximum time between two answers of a store that is in contact; a lease is renewed more often.
@@ -19,14 +22,17 @@
         pub age: Span,
         /// Time since the contact began.
         pub length: Span,
+        /// Era of the store in which it began.
+        pub era: Option<Era>,
     }
 }
 
-/// Time in which the store answered a daemon without a gap.
+/// Time in which the store answered a daemon without a gap, and came back from no older copy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Contact {
     since: Time,
     last: Time,
+    era: Option<Era>,
 }
 
 impl Contact {
@@ -44,14 +50,17 @@
     peers: BTreeMap<SocketAddr, Contact>,
     /// Peer whose changes are followed while the own contact is lost.
     followed: Option<SocketAddr>,
+    /// Time up to which all changes were seen before this daemon last missed some.
+    seen_until: Time,
 }
 
 impl StoreContact {
-    /// Records an answer; returns true if the contact had been lost.
-    pub fn answered(&mut self, now: Time) -> bool {
-        let kept = self.own.filter(|own| !own.is_lost(now));
+    /// Records an answer in an era of the store; returns true if a contact begins with it.
+    pub fn answered(&mut self, era: Option<Era>, now: Time) -> bool {
+        let kept = self.own.filter(|own| !own.is_lost(now) && own.era == era);
         let since = kept.map_or(now, |own| own.since);
-        self.own = Some(Contact { since, last: now });
+        let last = now;
+        self.own = Some(Contact { since, last, era });
         kept.is_none()
     }
 
@@ -71,6 +80,7 @@
         Some(ContactReport {
             age: now.since(own.last),
             length: now.since(own.since),
+            era: own.era,
         })
     }
 
@@ -80,6 +90,7 @@
         let contact = Contact {
             since: now - report.length,
             last: now - report.age,
+            era: report.era,
         };
         self.peers.retain(|_, contact| !contact.is_lost(now));
         self.peers.insert(peer, contact);
@@ -103,6 +114,22 @@
         self.followed
     }
 
+    /// Records that changes are seen again, and up to which time they had been seen before.
+    pub fn changes_regained(&mut self, seen_until: Time) {
+        self.seen_until = seen_until;
+    }
+
+    /// Returns the time at which an outage of the store ended in which this daemon missed changes;
+    /// none if it missed them by itself, while some daemon was in contact all the time.
+    pub fn outage_end(&self, now: Time) -> Option<Time> {
+        let era = self.own.and_then(|own| own.era);
+        let contacts = self.own.iter().chain(self.peers.values());
+        let in_contact = contacts.filter(|contact| !contact.is_lost(now) && contact.era == era);
+        let first = in_contact.map(|contact| contact.since).min();
+        let end = first.unwrap_or(now);
+        (end > self.seen_until).then_some(end)
+    }
+
     fn peer_in_contact(&self, now: Time) -> Option<SocketAddr> {
         if !self.is_lost(now) {
             return None;
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -199,10 +199,13 @@
         self.state.roster.borrow_mut().store_lost(now);
     }
 
-    fn on_recovery(&self) {
+    fn on_recovery(&self, seen_until: Time) {
         let now = self.state.now();
+        let mut contact = self.state.contact.borrow_mut();
+        contact.changes_regained(seen_until);
         let mut roster = self.state.roster.borrow_mut();
         roster.store_recovered(now);
+        roster.limit_reentry(contact.outage_end(now), now);
         for host in roster.reentering(now) {
             slog::info!(self.state.log, "runner whose entry has lapsed is used";
                 "host" => host.name.as_str(),
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -209,11 +209,11 @@
                 let mut registration = self.state.registration.get();
                 registration.renew(sent, sent + (ttl - EXPIRY_MARGIN));
                 self.state.registration.set(registration);
-                self.state.store_answered();
+                self.state.store_answered(self.store.era());
                 self.register().await
             }
             Ok(_) => {
-                self.state.store_answered();
+                self.state.store_answered(self.store.era());
                 slog::warn!(self.state.log, "lease expired");
                 self.forget();
                 false
--- a/src/gateway/roster/listing.rs
+++ b/src/gateway/roster/listing.rs
@@ -139,6 +139,17 @@
         lapsed.for_each(|host| host.reentry_until = self.reentry_until);
     }
 
+    /// Ends the window in which entries may come back at the latest two seconds after the end of an
+    /// outage, or at once if there was none.
+    pub fn limit_reentry(&mut self, outage_end: Option<Time>, now: Time) {
+        let end = outage_end.map_or(now, |end| end + REENTRY_WINDOW);
+        let limited = end.min(self.reentry_until);
+        let opened = std::mem::replace(&mut self.reentry_until, limited);
+        let waiting = self.hosts.values_mut();
+        let waiting = waiting.filter(|host| host.reentry_until == opened);
+        waiting.for_each(|host| host.reentry_until = limited);
+    }
+
     /// Drops hosts that have been unlisted for too long; those that an older copy lists since then
     /// count as listed.
     pub fn expire(&mut self, now: Time) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,7 +28,7 @@
 };
 use crate::{
     core::{
-        keys::{Revision, ServiceName},
+        keys::{Era, Revision, ServiceName},
         time::{Span, Time},
     },
     shell::{Clock, wakeup::Wakeup},
@@ -410,13 +410,13 @@
         source::choose(own, &self.settings.hall, &peers, &avoided, self.now())
     }
 
-    /// Records that the store has answered a call.
-    pub fn store_answered(&self) {
+    /// Records that the store has answered a call, in an era of its own.
+    pub fn store_answered(&self, era: Option<Era>) {
         let now = self.now();
         for topic in self.topics.values() {
             topic.store_answered(now);
         }
-        if self.contact.borrow_mut().answered(now) {
+        if self.contact.borrow_mut().answered(era, now) {
             self.contact_changed.wake();
         }
     }
@@ -426,8 +426,12 @@
         if source::peer_at(&self.peers.borrow(), peer).is_none() {
             return;
         }
+        let now = self.now();
         let mut contact = self.contact.borrow_mut();
-        if contact.record(peer, report, self.now()) {
+        let has_peer = contact.record(peer, report, now);
+        let mut roster = self.roster.borrow_mut();
+        roster.limit_reentry(contact.outage_end(now), now);
+        if has_peer {
             slog::info!(self.log, "store answers a peer and not this daemon";
                 "peer" => peer.to_string());
             self.contact_changed.wake();
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -50,8 +50,8 @@
     /// Notes that calls to the store have begun to fail.
     fn on_loss(&self) {}
 
-    /// Notes that the store answers again after an outage.
-    fn on_recovery(&self) {}
+    /// Notes that changes arrive again, after those from `seen_until` on were missed.
+    fn on_recovery(&self, _seen_until: Time) {}
 }
 
 /// Passes all entries under a prefix to a handler, for the lifetime of the process.
@@ -66,7 +66,7 @@
         store,
         prefix,
         handler,
-        lost_at: None,
+        loss: None,
         attempts: 0,
         backoff: Backoff::default(),
         listed_at: Time::default(),
@@ -83,6 +83,14 @@
     }
 }
 
+/// Loss of the store's changes.
+struct Loss {
+    /// Time at which it was noticed.
+    noticed_at: Time,
+    /// Time up to which all changes had been seen.
+    seen_until: Time,
+}
+
 /// Follower of the entries under one prefix.
 struct Follower<'a, K, H> {
     state: &'a GatewayState,
@@ -90,8 +98,8 @@
     prefix: &'static str,
     topic: Rc<Topic>,
     handler: H,
-    /// Time at which the store became unreachable, while it is; each change is logged once.
-    lost_at: Option<Time>,
+    /// Set while the store is unreachable; each change is logged once.
+    loss: Option<Loss>,
     /// Failed attempts since then.
     attempts: u32,
     backoff: Backoff,
@@ -119,6 +127,7 @@
         self.record_success();
         self.listed_at = self.state.now();
         let (known, era) = (self.topic.era(), self.store.era());
+        let seen_until = self.topic.fresh_at();
         self.topic.reset(revision, era, self.state.now());
         if known.is_none() || known == era {
             self.handler.on_list(revision, entries);
@@ -126,7 +135,7 @@
         }
         slog::warn!(self.state.log, "store came back from an older copy";
             "prefix" => self.prefix, "era" => era.map(|era| era.0), "revision" => revision.0);
-        self.record_recovery();
+        self.record_recovery(seen_until);
         self.handler.on_older_list(revision, entries);
         Ok(())
     }
@@ -198,9 +207,10 @@
         let mut outages = None;
         let deliver = |changes: Changes, current_at: Time| {
             self.record_contact();
+            let seen_until = self.topic.fresh_at();
             let before = outages.replace(changes.outages);
             if before.is_some_and(|before| before < changes.outages) {
-                self.record_recovery();
+                self.record_recovery(seen_until);
             }
             self.apply(changes.end, changes.events, current_at);
         };
@@ -227,16 +237,19 @@
 
     fn record_failure(&mut self, cause: &str) {
         self.attempts += 1;
-        if self.lost_at.is_none() {
+        if self.loss.is_none() {
             slog::warn!(self.state.log, "store unreachable";
                 "prefix" => self.prefix, "cause" => cause);
-            self.lost_at = Some(self.state.now());
+            self.loss = Some(Loss {
+                noticed_at: self.state.now(),
+                seen_until: self.topic.fresh_at(),
+            });
             self.handler.on_loss();
         }
     }
 
     fn record_success(&mut self) {
-        self.state.store_answered();
+        self.state.store_answered(self.store.era());
         self.record_contact();
     }
 
@@ -257,18 +270,18 @@
     fn record_contact(&mut self) {
         self.backoff.reset();
         let attempts = std::mem::take(&mut self.attempts);
-        if let Some(lost_at) = self.lost_at.take() {
+        if let Some(loss) = self.loss.take() {
             slog::info!(self.state.log, "store reachable again";
                 "prefix" => self.prefix,
-                "after_ms" => self.state.now().since(lost_at).as_millis(),
+                "after_ms" => self.state.now().since(loss.noticed_at).as_millis(),
                 "attempts" => attempts);
-            self.record_recovery();
+            self.record_recovery(loss.seen_until);
         }
     }
 
-    fn record_recovery(&mut self) {
+    fn record_recovery(&mut self, seen_until: Time) {
         self.topic.count_outage();
-        self.handler.on_recovery();
+        self.handler.on_recovery(seen_until);
     }
 }
 
--- a/tests/gateway/contact.rs
+++ b/tests/gateway/contact.rs
@@ -1,7 +1,10 @@
 //! Contact of a daemon and of its peers with the store.
 
 use hickoryledge::{
-    core::time::{Span, Time},
+    core::{
+        keys::Era,
+        time::{Span, Time},
+    },
     gateway::contact::{ContactReport, StoreContact},
 };
 use std::net::SocketAddr;
@@ -19,13 +22,14 @@
     ContactReport {
         age: Span::ZERO,
         length: Span::from_millis(length_ms),
+        era: None,
     }
 }
 
 /// Answers the renewals of a lease from one time to another.
 fn renew(contact: &mut StoreContact, from_ms: u64, until_ms: u64) {
     for millis in (from_ms..=until_ms).step_by(1_000) {
-        contact.answered(at(millis));
+        contact.answered(None, at(millis));
     }
 }
 
@@ -37,7 +41,7 @@
     assert_eq!(contact.choose_peer(at(10_500)), None);
     contact.record(peer(1), in_contact(9_000), at(12_000));
     assert_eq!(contact.choose_peer(at(12_000)), Some(peer(1)));
-    assert!(contact.answered(at(12_500)));
+    assert!(contact.answered(None, at(12_500)));
     assert_eq!(contact.choose_peer(at(12_500)), None);
 }
 
@@ -48,6 +52,7 @@
     let stale = ContactReport {
         age: Span::from_millis(1_600),
         length: Span::from_secs(60),
+        era: None,
     };
     assert!(!contact.record(peer(1), stale, at(5_000)));
     assert_eq!(contact.choose_peer(at(5_000)), None);
@@ -68,3 +73,51 @@
     contact.forget(peer(2));
     assert_eq!(contact.choose_peer(at(300)), Some(peer(3)));
 }
+
+/// Peers were in contact while this daemon was cut off: what it missed is no outage.
+#[test]
+fn own_cut_is_told_from_an_outage_by_peers() {
+    let mut contact = StoreContact::default();
+    renew(&mut contact, 0, 10_000);
+    contact.answered(None, at(20_000));
+    contact.changes_regained(at(10_000));
+    assert_eq!(contact.outage_end(at(20_000)), Some(at(20_000)));
+    contact.record(peer(1), in_contact(9_990), at(20_005));
+    assert_eq!(contact.outage_end(at(20_005)), Some(at(10_015)));
+    contact.record(peer(2), in_contact(10_010), at(20_005));
+    assert_eq!(contact.outage_end(at(20_005)), None);
+}
+
+/// After an outage the daemon that finds the store first knows best when it was back.
+#[test]
+fn outage_ends_when_the_first_daemon_finds_the_store() {
+    let mut contact = StoreContact::default();
+    renew(&mut contact, 0, 10_000);
+    contact.answered(None, at(20_000));
+    contact.changes_regained(at(10_000));
+    contact.record(peer(1), in_contact(700), at(20_010));
+    contact.record(peer(2), in_contact(200), at(20_010));
+    assert_eq!(contact.outage_end(at(20_010)), Some(at(19_310)));
+}
+
+/// A watch that is cut while the lease is renewed is no outage either.
+#[test]
+fn broken_watch_of_a_store_in_contact_is_no_outage() {
+    let mut contact = StoreContact::default();
+    renew(&mut contact, 0, 10_000);
+    contact.changes_regained(at(9_500));
+    assert_eq!(contact.outage_end(at(10_300)), None);
+}
+
+/// The store may have come back from an older copy without a gap: entries are missing at all.
+#[test]
+fn older_copy_ends_a_contact() {
+    let mut contact = StoreContact::default();
+    contact.answered(Some(Era(1)), at(9_000));
+    contact.answered(Some(Era(2)), at(10_000));
+    contact.changes_regained(at(9_500));
+    let mut report = in_contact(60_000);
+    report.era = Some(Era(1));
+    contact.record(peer(1), report, at(10_010));
+    assert_eq!(contact.outage_end(at(10_010)), Some(at(10_000)));
+}
--- a/tests/gateway/entries.rs
+++ b/tests/gateway/entries.rs
@@ -4,8 +4,10 @@
     core::{
         input::{PlatformEntry, WatchEvent},
         keys::{HostName, Revision},
+        time::Span,
     },
     gateway::{
+        contact::ContactReport,
         handlers::{PeerHandler, RunnerHandler},
         roster::MemberState,
         settings::Settings,
@@ -15,7 +17,7 @@
     platform::Platform,
 };
 use slog::{Discard, Logger, o};
-use std::rc::Rc;
+use std::{rc::Rc, thread, time::Duration};
 
 const SETTINGS: &str = "
 name: d1
@@ -39,6 +41,16 @@
     Rc::new(GatewayState::new(settings, log, prefixes))
 }
 
+/// Returns the entry of a daemon with an address for others.
+fn daemon_entry(address: &str) -> PlatformEntry {
+    PlatformEntry {
+        key: "hickoryledge/daemons/d2".to_owned(),
+        value: format!(r#"{{"caller":"10.0.0.2:80","hall":"hall","peer":"{address}"}}"#),
+        revision: Revision(1),
+        lease: None,
+    }
+}
+
 /// Returns the entry of a group's head in a state.
 fn entry(revision: i64, member_state: &str) -> PlatformEntry {
     let value = format!(
@@ -98,3 +110,60 @@
     peers.on_change(vec![WatchEvent::Put(health(""))]);
     assert!(!is_lost(), "the next holder has published anew");
 }
+
+/// State of a daemon that has just found the store again, and has seen that an entry is gone.
+struct BackFromCut(Rc<GatewayState>);
+
+impl BackFromCut {
+    const PEER: &str = "10.0.0.2:7000";
+
+    fn new() -> Self {
+        let state = state();
+        let runners = RunnerHandler::<Platform>::new(state.clone());
+        let peers = PeerHandler::new(state.clone(), "hickoryledge/");
+        peers.on_list(Revision(1), vec![daemon_entry(Self::PEER)]);
+        runners.on_list(Revision(8), vec![entry(8, "open")]);
+        let seen_until = state.now();
+        runners.on_loss();
+        thread::sleep(Duration::from_millis(5));
+        state.store_answered(None);
+        runners.on_recovery(seen_until);
+        runners.on_change(vec![WatchEvent::Deleted {
+            revision: Revision(9),
+            key: "servers/h1".to_owned(),
+        }]);
+        Self(state)
+    }
+
+    fn hear_of_contact(&self, length: Span) {
+        let peer = Self::PEER.parse().expect("an address");
+        let report = ContactReport {
+            age: Span::ZERO,
+            length,
+            era: None,
+        };
+        self.0.peer_reported_contact(peer, report);
+    }
+
+    fn is_used(&self) -> bool {
+        let roster = self.0.roster.borrow();
+        let (_, host) = roster.host_by_name(&HostName::from("h1")).expect("known");
+        roster.is_usable(host, self.0.now())
+    }
+}
+
+// It was used for two seconds more, although the peer had seen it leave.
+#[test]
+fn runner_that_left_while_a_peer_was_in_contact_is_not_used_after_a_cut() {
+    let daemon = BackFromCut::new();
+    daemon.hear_of_contact(Span::from_secs(60));
+    assert!(!daemon.is_used());
+}
+
+#[test]
+fn runner_whose_entry_lapsed_in_an_outage_for_all_is_used_after_it() {
+    let daemon = BackFromCut::new();
+    assert!(daemon.is_used());
+    daemon.hear_of_contact(Span::ZERO);
+    assert!(daemon.is_used());
+}
--- a/tests/gateway/watches.rs
+++ b/tests/gateway/watches.rs
@@ -72,7 +72,7 @@
         let watch = watch_prefix(state.clone(), store.clone(), PREFIX, Ignored);
         compio::runtime::spawn(watch).detach();
         store.await_lists(FAILED_LISTS).await;
-        state.store_answered();
+        state.store_answered(None);
         let listed = pin!(store.await_lists(FAILED_LISTS + 1));
         let wait = pin!(compio::time::sleep(Duration::from_secs(1)));
         let first = select(listed, wait).await;
