Tests: odd entries, repeated refusals, errors after a broken stream

Each attempt has a connection of its own, and a response must bear the request's id, so a refusal that is written again refuses nothing, whether before the request or before its response. A stream is continued only by a successful event stream: the text of an error is dropped, and the stream ends incomplete.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -19,7 +19,9 @@
 mod limits;
 mod link;
 mod notices;
+mod odd_entries;
 mod relay;
+mod repeated_refusal;
 mod requests;
 mod rollback;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -16,13 +16,19 @@
     io::BufReader,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     ops::RangeInclusive,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
 /// Time from the first event, or from the arrival of a plain request, to the crash that it causes.
 const CRASH_DELAY: Duration = Duration::from_millis(80);
 
+/// Headers of the refusal of an earlier request.
+const EARLIER_REFUSAL: &str = "X-Request-Id: earlier\r\nX-Not-Run: 1\r\nRetry-After: 1\r\n";
+
 /// Behavior of a runner towards one request.
 #[derive(Clone, Debug)]
 pub enum Behavior {
@@ -34,6 +40,9 @@
     Decline,
     /// Reports that it did not run the request, and wants none for some time.
     DeclineFor(&'static str),
+    /// Runs the request and responds, after it has written once more that it did not run an
+    /// earlier one.
+    RepeatRefusal,
     /// Runs the request and closes the connection without a response.
     DropResponse,
     /// Responds with the id of another request.
@@ -99,6 +108,8 @@
     control_trouble: Mutex<Option<Endless>>,
     /// Endless responses that it has sent.
     pub troubles: TroubleCount,
+    /// True if it begins each connection with the refusal of an earlier request.
+    greets: AtomicBool,
     entry: Mutex<Value>,
     store: Arc<Store>,
 }
@@ -129,6 +140,7 @@
             crashes: Crashes::default(),
             control_trouble: Mutex::default(),
             troubles: TroubleCount::default(),
+            greets: AtomicBool::default(),
             entry: Mutex::new(entry),
             store,
         });
@@ -189,6 +201,11 @@
         self.entry.lock().expect("not poisoned")["pace"] = json!(pace);
     }
 
+    /// Begins all further connections with the refusal of an earlier request.
+    pub fn greet_with_refusal(&self) {
+        self.greets.store(true, Ordering::SeqCst);
+    }
+
     /// Sends nothing on paced streams for some time, while it still takes requests.
     pub fn go_silent(&self, span: Duration) {
         self.silence.start(span);
@@ -249,6 +266,9 @@
     fn serve(&self, stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
         let mut stream = stream;
+        if self.greets.load(Ordering::SeqCst) {
+            write_response(&mut stream, 503, EARLIER_REFUSAL, "");
+        }
         while let Some(request) = read_request(&mut reader) {
             if !self.respond(&mut stream, request) {
                 // The peer may have closed the connection already.
@@ -319,6 +339,10 @@
                 let head = format!("{own_headers}X-Not-Run: 1\r\nRetry-After: {seconds}\r\n");
                 write_response(stream, 503, &head, "")
             }
+            Behavior::RepeatRefusal => {
+                write_response(stream, 503, EARLIER_REFUSAL, "")
+                    && write_response(stream, 200, &own_headers, "usual")
+            }
             Behavior::DropResponse => false,
             Behavior::WrongRequestId => {
                 let other = "X-Request-Id: another\r\nX-Response-Stamp: old\r\n";
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -115,3 +115,30 @@
         (200, vec![1, 2])
     );
 }
+
+// Elsewhere callers found the error's text in their stream, or the stream ended as if it were whole.
+#[test]
+fn error_of_the_next_head_is_no_part_of_a_broken_stream() {
+    let errors = [
+        Behavior::Respond(500, "boom"),
+        Behavior::Respond(404, "boom"),
+        Behavior::Respond(200, "boom"),
+        Behavior::Unframed("boom"),
+        Behavior::WrongRequestId,
+        Behavior::Decline,
+        Behavior::DropResponse,
+    ];
+    let env = start_env(&[]);
+    for error in errors {
+        let behaviors = [interrupted(3), error.clone(), error.clone(), error.clone()];
+        for behavior in behaviors {
+            env.heads[0].enqueue(behavior);
+        }
+        let response = env.stream(&[]);
+        env.heads[0].clear_script();
+        assert_eq!(response.status, 200, "{error:?}");
+        let whole = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n";
+        assert_eq!(response.body, whole, "{error:?}");
+        assert!(!response.is_complete, "{error:?}");
+    }
+}
