A follower of a peer is not lost when the store forgets its history

Cause: its peer listed the entries anew and forgot the changes before the list; the daemon needed a list of its own, which only the store could give. Now a daemon that lists again adds the changes that lead to the list: entries written since, and a deletion for each key that is gone. Subscribers of a hall need no list after a compaction either. The first list, and one of another era, starts anew as before. Weighed: sending lists between daemons (a watcher of a large hall would send some 100 of 0.6 MB at once), keeping whole entries (memory for what the state holds anyway). Tests: daemon_that_is_cut_off_follows_its_peer_through_a_compaction failed before (timed out after 30 s); lists in virtual time, one over random lists.

--- a/src/gateway/changes/history.rs
+++ b/src/gateway/changes/history.rs
@@ -1,7 +1,10 @@
 //! Recent changes of the entries under a prefix.
 
-use crate::core::{input::WatchEvent, keys::Revision};
-use std::collections::VecDeque;
+use crate::core::{
+    input::{PlatformEntry, WatchEvent},
+    keys::Revision,
+};
+use std::collections::{BTreeSet, VecDeque};
 
 /// Maximum number of changes that are kept.
 const MAX_EVENTS: usize = 4_096;
@@ -10,6 +13,8 @@
 #[derive(Debug, Default)]
 pub struct History {
     events: VecDeque<WatchEvent>,
+    /// Keys that have an entry.
+    keys: BTreeSet<String>,
     /// Revision after which all changes are kept.
     start: Revision,
     /// Revision up to which all changes are known.
@@ -17,24 +22,54 @@
 }
 
 impl History {
-    /// Forgets all changes and continues at a revision.
-    pub fn reset(&mut self, at: Revision) {
+    /// Forgets all changes and continues with a list of the entries at a revision.
+    pub fn reset(&mut self, at: Revision, entries: &[PlatformEntry]) {
         self.events.clear();
+        self.keys = entries.iter().map(|entry| entry.key.clone()).collect();
         self.start = at;
         self.end = at;
     }
 
+    /// Adds the changes that lead to a list of the entries at a revision, because the store no
+    /// longer has them. Whoever follows gets the last one of each key.
+    pub fn extend_to_list(&mut self, at: Revision, entries: &[PlatformEntry]) {
+        let listed: BTreeSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+        let gone = self.keys.iter().filter(|key| !listed.contains(&***key));
+        let gone = gone.map(|key| WatchEvent::Deleted {
+            revision: at,
+            key: key.clone(),
+        });
+        // The pages of a list are read one after the other: what is newer than the first one is
+        // also among the changes that follow.
+        let written = entries.iter().filter(|entry| entry.revision <= at);
+        let written = written.cloned().map(WatchEvent::Put);
+        let mut events: Vec<WatchEvent> = gone.chain(written).collect();
+        events.sort_by_key(WatchEvent::revision);
+        self.extend(at, &events);
+    }
+
     /// Adds the changes up to a revision; known ones are ignored.
     pub fn extend(&mut self, end: Revision, events: &[WatchEvent]) {
         let known = self.end;
         let new = events.iter().filter(|event| event.revision() > known);
-        self.events.extend(new.cloned());
+        for event in new {
+            match event {
+                WatchEvent::Put(entry) => self.keys.insert(entry.key.clone()),
+                WatchEvent::Deleted { key, .. } => self.keys.remove(key),
+            };
+            self.events.push_back(event.clone());
+        }
         self.end = self.end.max(end);
         while self.events.len() > MAX_EVENTS {
             self.drop_oldest();
         }
     }
 
+    /// Returns true once there was a list.
+    pub fn is_started(&self) -> bool {
+        self.end > Revision::default()
+    }
+
     /// Returns the revision up to which all changes are known.
     pub fn end(&self) -> Revision {
         self.end
--- a/src/gateway/changes/topic.rs
+++ b/src/gateway/changes/topic.rs
@@ -3,7 +3,7 @@
 use super::history::History;
 use crate::{
     core::{
-        input::WatchEvent,
+        input::{PlatformEntry, WatchEvent},
         keys::{Era, Revision},
         time::{Span, Time},
     },
@@ -35,13 +35,18 @@
 }
 
 impl Topic {
-    /// Forgets all changes and continues at a revision of an era.
-    pub fn reset(&self, at: Revision, era: Option<Era>, now: Time) {
-        self.history.borrow_mut().reset(at);
-        self.renew(now);
-        if self.era.replace(era) != era {
-            self.changed.wake();
+    /// Continues with a list of the entries at a revision of an era. Changes of another era, or a
+    /// later revision, are forgotten.
+    pub fn list(&self, at: Revision, era: Option<Era>, entries: &[PlatformEntry], now: Time) {
+        let is_same_era = self.era.replace(era) == era;
+        let mut history = self.history.borrow_mut();
+        match is_same_era && history.is_started() && at >= history.end() {
+            true => history.extend_to_list(at, entries),
+            false => history.reset(at, entries),
         }
+        drop(history);
+        self.renew(now);
+        self.changed.wake();
     }
 
     /// Returns the era of the revisions.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -128,7 +128,7 @@
         self.listed_at = self.state.now();
         let (known, era) = (self.topic.era(), self.store.era());
         let seen_until = self.topic.fresh_at();
-        self.topic.reset(revision, era, self.state.now());
+        self.topic.list(revision, era, &entries, self.state.now());
         if known.is_none() || known == era {
             self.handler.on_list(revision, entries);
             return Ok(());
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -27,6 +27,16 @@
     })
 }
 
+/// Returns an entry that was last written at a revision.
+fn entry(key: &str, revision: i64) -> PlatformEntry {
+    PlatformEntry {
+        key: key.to_owned(),
+        value: "{}".to_owned(),
+        revision: Revision(revision),
+        lease: None,
+    }
+}
+
 /// Returns daemons of one hall; the first `large` of them have more processor time.
 fn hall_of(daemons: usize, large: usize) -> Peers {
     let mut peers = Peers::default();
@@ -151,7 +161,7 @@
 #[test]
 fn returns_changes_after_a_revision() {
     let mut history = History::default();
-    history.reset(Revision(10));
+    history.reset(Revision(10), &[]);
     history.extend(Revision(14), &[put(12), put(13)]);
     assert_eq!(history.since(Revision(12)), Some(vec![put(13)]));
     assert_eq!(history.since(Revision(20)), Some(vec![]));
@@ -162,11 +172,36 @@
 #[test]
 fn refuses_changes_from_before_the_list() {
     let mut history = History::default();
-    history.reset(Revision(10));
+    history.reset(Revision(10), &[]);
     history.extend(Revision(12), &[put(12)]);
     assert_eq!(history.since(Revision(9)), None);
 }
 
+/// The store forgets its history; a daemon that is cut off from it follows a peer, and can't list.
+#[test]
+fn list_after_a_compaction_keeps_followers() {
+    let mut history = History::default();
+    history.reset(Revision(10), &[entry("a", 3), entry("b", 4), entry("c", 5)]);
+    let listed = [
+        entry("a", 3),
+        entry("b", 17),
+        entry("d", 15),
+        entry("e", 21),
+    ];
+    history.extend_to_list(Revision(20), &listed);
+    let deleted = WatchEvent::Deleted {
+        revision: Revision(20),
+        key: "c".to_owned(),
+    };
+    let expected = vec![
+        WatchEvent::Put(entry("d", 15)),
+        WatchEvent::Put(entry("b", 17)),
+        deleted,
+    ];
+    assert_eq!(history.since(Revision(10)), Some(expected));
+    assert_eq!(history.end(), Revision(20));
+}
+
 #[test]
 fn forgets_oldest_changes() {
     let mut history = History::default();
@@ -177,7 +212,46 @@
     assert_eq!(kept.len(), 1_000);
 }
 
+/// Applies changes to revisions by key.
+fn apply(state: &mut BTreeMap<String, i64>, events: &[WatchEvent]) {
+    for event in events {
+        match event {
+            WatchEvent::Put(entry) => state.insert(entry.key.clone(), entry.revision.0),
+            WatchEvent::Deleted { key, .. } => state.remove(key),
+        };
+    }
+}
+
 proptest! {
+    /// Whatever was missed, a follower has what the lists have.
+    #[test]
+    fn follower_of_lists_has_what_they_have(
+        lists in prop::collection::vec(prop::collection::btree_map(0..6_u8, 1..9_i64, 0..6), 2..12),
+    ) {
+        let mut history = History::default();
+        let mut state = BTreeMap::new();
+        for (index, list) in lists.iter().enumerate() {
+            let end = 10 * (index as i64 + 1);
+            let entries: Vec<PlatformEntry> = list
+                .iter()
+                .map(|(key, offset)| entry(&key.to_string(), end - 10 + offset))
+                .collect();
+            if index == 0 {
+                history.reset(Revision(end), &entries);
+                let puts: Vec<WatchEvent> = entries.into_iter().map(WatchEvent::Put).collect();
+                apply(&mut state, &puts);
+                continue;
+            }
+            history.extend_to_list(Revision(end), &entries);
+            apply(&mut state, &history.since(Revision(end - 10)).expect("kept"));
+            let listed: BTreeMap<String, i64> = entries
+                .iter()
+                .map(|entry| (entry.key.clone(), entry.revision.0))
+                .collect();
+            prop_assert_eq!(&state, &listed);
+        }
+    }
+
     /// Whatever the batches, and however often they overlap, a subscriber gets each change once.
     #[test]
     fn subscriber_gets_each_change_once(
--- a/tests/platform/store_cut.rs
+++ b/tests/platform/store_cut.rs
@@ -138,3 +138,18 @@
         "{renewals} renewals before the configuration is known"
     );
 }
+
+// The peer listed the entries again, and the daemon, which could not, learned nothing more.
+#[test]
+fn daemon_that_is_cut_off_follows_its_peer_through_a_compaction() {
+    let fleet = Fleet::start();
+    fleet.link.cut(Cut::Refused);
+    fleet.env.configure(2);
+    fleet.await_moved(&fleet.cut_off, 404);
+    fleet.env.store.forget_history();
+    fleet.env.store.delete("servers/p1");
+    fleet.env.configure(3);
+    fleet.await_moved(&fleet.env.daemon, 200);
+    fleet.await_moved(&fleet.cut_off, 200);
+    fleet.await_departure(&fleet.cut_off);
+}
