What was missed is counted from a watch's own last changes

Now it is the time of the watch's own last message, and for an older copy of the store none. Test: answer_to_another_call_says_nothing_of_the_changes_of_a_watch.

--- a/src/gateway/changes/topic.rs
+++ b/src/gateway/changes/topic.rs
@@ -92,11 +92,6 @@
         self.outages.get()
     }
 
-    /// Returns the time at which the changes were last known to be current.
-    pub fn fresh_at(&self) -> Time {
-        self.fresh_at.get()
-    }
-
     /// Returns the time since the changes were last known to be current.
     pub fn age(&self, now: Time) -> Span {
         now.since(self.fresh_at.get())
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -66,8 +66,9 @@
         store,
         prefix,
         handler,
-        loss: None,
+        lost_at: None,
         attempts: 0,
+        seen_until: Time::default(),
         backoff: Backoff::default(),
         listed_at: Time::default(),
         contact_since: Time::default(),
@@ -83,14 +84,6 @@
     }
 }
 
-/// Loss of the store's changes.
-struct Loss {
-    /// Time at which it was noticed.
-    noticed_at: Time,
-    /// Time up to which all changes had been seen.
-    seen_until: Time,
-}
-
 /// Follower of the entries under one prefix.
 struct Follower<'a, K, H> {
     state: &'a GatewayState,
@@ -98,10 +91,12 @@
     prefix: &'static str,
     topic: Rc<Topic>,
     handler: H,
-    /// Set while the store is unreachable; each change is logged once.
-    loss: Option<Loss>,
+    /// Time at which the store became unreachable, while it is; each change is logged once.
+    lost_at: Option<Time>,
     /// Failed attempts since then.
     attempts: u32,
+    /// Time up to which all changes were seen.
+    seen_until: Time,
     backoff: Backoff,
     /// Time of the last list.
     listed_at: Time,
@@ -127,15 +122,16 @@
         self.record_success();
         self.listed_at = self.state.now();
         let (known, era) = (self.topic.era(), self.store.era());
-        let seen_until = self.topic.fresh_at();
-        self.topic.list(revision, era, &entries, self.state.now());
+        self.topic.list(revision, era, &entries, self.listed_at);
+        self.seen_until = self.listed_at;
         if known.is_none() || known == era {
             self.handler.on_list(revision, entries);
             return Ok(());
         }
         slog::warn!(self.state.log, "store came back from an older copy";
             "prefix" => self.prefix, "era" => era.map(|era| era.0), "revision" => revision.0);
-        self.record_recovery(seen_until);
+        // What was seen before says nothing of the copy.
+        self.record_recovery(Time::default());
         self.handler.on_older_list(revision, entries);
         Ok(())
     }
@@ -207,10 +203,9 @@
         let mut outages = None;
         let deliver = |changes: Changes, current_at: Time| {
             self.record_contact();
-            let seen_until = self.topic.fresh_at();
             let before = outages.replace(changes.outages);
             if before.is_some_and(|before| before < changes.outages) {
-                self.record_recovery(seen_until);
+                self.record_recovery(self.seen_until);
             }
             self.apply(changes.end, changes.events, current_at);
         };
@@ -230,6 +225,7 @@
 
     fn apply(&mut self, end: Revision, events: Vec<WatchEvent>, fresh_at: Time) {
         self.topic.extend(end, &events, fresh_at);
+        self.seen_until = fresh_at;
         if !events.is_empty() {
             self.handler.on_change(events);
         }
@@ -237,13 +233,10 @@
 
     fn record_failure(&mut self, cause: &str) {
         self.attempts += 1;
-        if self.loss.is_none() {
+        if self.lost_at.is_none() {
             slog::warn!(self.state.log, "store unreachable";
                 "prefix" => self.prefix, "cause" => cause);
-            self.loss = Some(Loss {
-                noticed_at: self.state.now(),
-                seen_until: self.topic.fresh_at(),
-            });
+            self.lost_at = Some(self.state.now());
             self.handler.on_loss();
         }
     }
@@ -270,12 +263,12 @@
     fn record_contact(&mut self) {
         self.backoff.reset();
         let attempts = std::mem::take(&mut self.attempts);
-        if let Some(loss) = self.loss.take() {
+        if let Some(lost_at) = self.lost_at.take() {
             slog::info!(self.state.log, "store reachable again";
                 "prefix" => self.prefix,
-                "after_ms" => self.state.now().since(loss.noticed_at).as_millis(),
+                "after_ms" => self.state.now().since(lost_at).as_millis(),
                 "attempts" => attempts);
-            self.record_recovery(loss.seen_until);
+            self.record_recovery(self.seen_until);
         }
     }
 
--- a/tests/gateway/watches.rs
+++ b/tests/gateway/watches.rs
@@ -7,9 +7,13 @@
         input::{PlatformAnswer, PlatformEntry, WatchEvent},
         keys::Revision,
         output::PlatformCall,
+        time::Time,
     },
     gateway::watch::{EntryHandler, watch_prefix},
-    shell::platform::{KeyValueStore, PlatformError, WatchEnd},
+    shell::{
+        platform::{KeyValueStore, PlatformError, WatchEnd},
+        wakeup::Wakeup,
+    },
 };
 use std::{cell::Cell, future::pending, pin::pin, rc::Rc, time::Duration};
 
@@ -79,3 +83,72 @@
         assert!(matches!(first, Either::Left(_)), "no list after the answer");
     });
 }
+
+/// Store that answers, and whose first watch breaks when told to.
+#[derive(Clone, Default)]
+struct BreakingStore {
+    breaks: Rc<Wakeup>,
+    watches: Rc<Cell<u32>>,
+}
+
+impl KeyValueStore for BreakingStore {
+    async fn execute(&self, _: PlatformCall) -> Result<PlatformAnswer, PlatformError> {
+        Ok(PlatformAnswer::Entries {
+            revision: Revision(1),
+            entries: Vec::new(),
+        })
+    }
+
+    async fn watch<D>(&self, _: String, from: Revision, mut deliver: D) -> WatchEnd
+    where
+        D: FnMut(Revision, Vec<WatchEvent>),
+    {
+        self.watches.set(self.watches.get() + 1);
+        if self.watches.get() > 1 {
+            deliver(from, Vec::new());
+            return pending().await;
+        }
+        // Ends with the test at the latest.
+        let _ = self.breaks.next().await;
+        WatchEnd::Broken
+    }
+}
+
+/// Handler that keeps the time up to which changes were seen before the last recovery.
+struct Recovery(Rc<Cell<Option<Time>>>);
+
+impl EntryHandler for Recovery {
+    fn on_list(&self, _: Revision, _: Vec<PlatformEntry>) {}
+
+    fn on_change(&self, _: Vec<WatchEvent>) {}
+
+    fn on_recovery(&self, seen_until: Time) {
+        self.0.set(Some(seen_until));
+    }
+}
+
+/// After an outage the lease may be renewed before the watch is found to be broken. Entries that
+/// lapsed in it must not be taken for gone.
+#[test]
+fn answer_to_another_call_says_nothing_of_the_changes_of_a_watch() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let state = entries::state_with(&[PREFIX]);
+        let store = BreakingStore::default();
+        let recovered = Rc::new(Cell::new(None));
+        let handler = Recovery(recovered.clone());
+        let watch = watch_prefix(state.clone(), store.clone(), PREFIX, handler);
+        compio::runtime::spawn(watch).detach();
+        while store.watches.get() == 0 {
+            compio::time::sleep(CHECK_INTERVAL).await;
+        }
+        compio::time::sleep(CHECK_INTERVAL).await;
+        let regained_at = state.now();
+        state.store_answered(None);
+        store.breaks.wake();
+        while recovered.get().is_none() {
+            compio::time::sleep(CHECK_INTERVAL).await;
+        }
+        assert!(recovered.get() < Some(regained_at));
+    });
+}
