--- a/src/core/input.rs
+++ b/src/core/input/mod.rs
@@ -4,12 +4,16 @@
 //! back, so that any run can be recorded and replayed. Request bodies stay in
 //! the shell; the decision logic gets only their properties.
 
+mod platform;
+
+pub use platform::{PlatformAnswer, PlatformEntry, PlatformInput, WatchEvent};
+
 use super::{
     config::record::{Account, GroupSpec, Model, Service, Upgrade},
     keys::{
         AccountName, AdapterName, AttemptId, CallId, CommandId, DaemonName, DomainName, Epoch,
-        Fence, GroupName, HallName, HostName, Incarnation, KeyHash, LeaseId, ModelName,
-        OperationId, OrderId, PlatformId, Revision, ServiceName, UpgradeName, VersionName,
+        Fence, GroupName, HallName, HostName, Incarnation, KeyHash, ModelName, OperationId,
+        OrderId, Revision, ServiceName, UpgradeName, VersionName,
     },
     message::Message,
     time::Span,
@@ -275,95 +279,6 @@
         pub fence: Fence,
     }
 
-    /// Event from the platform's key-value store.
-    pub enum PlatformInput {
-        /// A call was answered.
-        Answered {
-            /// Identifier of the call.
-            id: PlatformId,
-            /// Answer to the call.
-            answer: PlatformAnswer,
-        },
-        /// A call has failed; a write may have taken effect nevertheless.
-        Failed {
-            /// Identifier of the call.
-            id: PlatformId,
-        },
-        /// Changes under a watch, in order.
-        Watched {
-            /// Identifier of the watch.
-            id: PlatformId,
-            /// Revision up to which the watch is now complete.
-            revision: Revision,
-            /// Changes; empty if only progress is reported.
-            events: Vec<WatchEvent>,
-        },
-        /// A watch has ended.
-        WatchEnded {
-            /// Identifier of the watch.
-            id: PlatformId,
-            /// True if the requested revisions were compacted, so that a new list is needed.
-            compacted: bool,
-        },
-    }
-
-    /// Answer to a call of the platform's store.
-    pub enum PlatformAnswer {
-        /// Result of a read.
-        Entries {
-            /// Revision at which the entries were read.
-            revision: Revision,
-            /// Entries found.
-            entries: Vec<PlatformEntry>,
-        },
-        /// A write took effect.
-        Written {
-            /// Revision of the write.
-            revision: Revision,
-        },
-        /// A write did not take effect, because the key was not as expected.
-        Conflict {
-            /// Revision at which the key was read.
-            revision: Revision,
-            /// Current entry of the key, if any.
-            current: Option<PlatformEntry>,
-        },
-        /// A lease was granted or renewed.
-        Leased {
-            /// Identifier of the lease.
-            lease: LeaseId,
-            /// Time to live of the lease; zero if it doesn't exist.
-            ttl: Span,
-        },
-        /// A lease was revoked.
-        Revoked,
-    }
-
-    /// Key and its value at the platform's store.
-    pub struct PlatformEntry {
-        /// Text of the key.
-        pub key: String,
-        /// Value, as JSON text.
-        pub value: String,
-        /// Revision of the last write.
-        pub revision: Revision,
-        /// Lease that the key is attached to, if any.
-        pub lease: Option<LeaseId>,
-    }
-
-    /// Change of one key under a watch.
-    pub enum WatchEvent {
-        /// The key was written.
-        Put(PlatformEntry),
-        /// The key was deleted.
-        Deleted {
-            /// Text of the key.
-            key: String,
-            /// Revision of the delete.
-            revision: Revision,
-        },
-    }
-
     /// Event from the host list, which may lag behind the hosts' actual state.
     pub enum HostsInput {
         /// The list was read completely.
@@ -526,13 +441,3 @@
 
 /// Maximum length of a payload that a recording may give, in bytes.
 const MAX_PAYLOAD_BYTES: u64 = 16 << 20;
-
-impl WatchEvent {
-    /// Returns the revision of the change.
-    pub fn revision(&self) -> Revision {
-        match self {
-            WatchEvent::Put(entry) => entry.revision,
-            WatchEvent::Deleted { revision, .. } => *revision,
-        }
-    }
-}
