--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -29,6 +29,8 @@
 pub struct DaemonSettings {
     /// Name, the same in every run.
     pub name: String,
+    /// Hall that the daemon runs in.
+    pub hall: &'static str,
     /// Address of the store.
     pub store: SocketAddr,
     /// Grace period of a stop.
@@ -49,6 +51,7 @@
     pub fn new(name: &str, store: SocketAddr) -> Self {
         Self {
             name: name.to_owned(),
+            hall: "hall",
             store,
             grace: Duration::from_secs(3),
             ttl: Duration::from_secs(2),
@@ -60,10 +63,11 @@
 
     fn text(&self) -> String {
         let [caller, ready, directory, peer] = self.listen;
-        let (name, store, relay) = (&self.name, self.store, self.relay);
+        let (name, hall) = (&self.name, self.hall);
+        let (store, relay) = (self.store, self.relay);
         let (grace, ttl) = (self.grace.as_millis(), self.ttl.as_millis());
         format!(
-            "name: {name}\nhall: hall\nlisten:\n  caller: {caller}\n  ready: {ready}\n  \
+            "name: {name}\nhall: {hall}\nlisten:\n  caller: {caller}\n  ready: {ready}\n  \
              directory: {directory}\n  peer: {peer}\n  relay: {relay}\nstore: {store}\nretry:\n  ratio: 0.2\n  \
              slack: 100\n  window_s: 10\ngrace_ms: {grace}\nentries_ms: {ttl}\ncores: 0.25\n\
              first: true\n"
--- a/tests/platform/store_cut.rs
+++ b/tests/platform/store_cut.rs
@@ -153,3 +153,49 @@
     fleet.await_moved(&fleet.cut_off, 200);
     fleet.await_departure(&fleet.cut_off);
 }
+
+// In a large hall most daemons follow others of their hall, which knew as little.
+#[test]
+fn hall_that_is_cut_off_follows_a_daemon_of_another_hall() {
+    let fleet = Fleet::start();
+    let settings = |name: &str| DaemonSettings {
+        hall: "far",
+        ..DaemonSettings::new(name, fleet.link.address())
+    };
+    let hall = ["f1", "f2", "f3", "f4", "f5"];
+    let hall = hall.map(|name| fleet.env.start_daemon_with(settings(name)));
+    for daemon in &hall {
+        fleet.await_moved(daemon, 200);
+    }
+    fleet.link.cut(Cut::Hanging);
+    fleet.env.store.delete("servers/p1");
+    fleet.env.configure(2);
+    for daemon in &hall {
+        fleet.await_moved(daemon, 404);
+        fleet.await_departure(daemon);
+    }
+    fleet.link.restore();
+    fleet.env.configure(3);
+    for daemon in &hall {
+        fleet.await_moved(daemon, 200);
+    }
+}
+
+/// A daemon that starts while it is cut off knows no peer, and says that it can't serve.
+#[test]
+fn daemon_that_starts_while_it_is_cut_off_refuses_until_it_has_a_list() {
+    let fleet = Fleet::start();
+    fleet.link.cut(Cut::Hanging);
+    let settings = DaemonSettings::new("d3", fleet.link.address());
+    let late = fleet.env.start_daemon_with(settings);
+    fleet.env.store.delete("servers/p1");
+    fleet.await_departure(&fleet.env.daemon);
+    assert_eq!(fleet.read(&late), 503);
+    fleet.link.restore();
+    fleet.await_moved(&late, 200);
+    let before = fleet.requests_at_leaver();
+    fleet
+        .env
+        .eventually("the daemon serves", |_| fleet.read(&late) == 200);
+    assert_eq!(fleet.requests_at_leaver(), before);
+}
