A daemon that is cut off doesn't stay with a peer that lacks the changes

Cause: the daemon, cut off from the store, followed a peer that had just started, which has no changes from before its own list, and came back to it with each report although another peer had all of them. Now a peer that can't be followed isn't chosen again for two seconds, and a daemon without contact tries the next one rather than a list that the store doesn't answer.

The soak has cuts from the store now: in each round one daemon is cut off from the store and a plain runner leaves that still serves; no request may reach it from 3 s on, at no daemon and without excuse.

--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -14,6 +14,9 @@
 /// Maximum time between two answers of a store that is in contact; a lease is renewed more often.
 const MAX_GAP: Span = Span::from_millis(1_500);
 
+/// Time for which a peer that could not be followed is not chosen again.
+const FAILED_TIMEOUT: Span = Span::from_millis(2_000);
+
 crate::record! {
     /// Contact of a daemon with the store, as it reports it to its peers.
     #[derive(Copy)]
@@ -48,6 +51,8 @@
     own: Option<Contact>,
     /// Last contacts of peers by their addresses, as of their reports.
     peers: BTreeMap<SocketAddr, Contact>,
+    /// Peers that could not be followed, with the time at which that was found.
+    failed: BTreeMap<SocketAddr, Time>,
     /// Peer whose changes are followed while the own contact is lost.
     followed: Option<SocketAddr>,
     /// Time up to which all changes were seen before this daemon last missed some.
@@ -97,9 +102,15 @@
         !had_peer && self.peer_in_contact(now).is_some()
     }
 
-    /// Forgets a peer that can't be followed.
-    pub fn forget(&mut self, peer: SocketAddr) {
-        self.peers.remove(&peer);
+    /// Records that a peer can't be followed, because it isn't reached or lacks the changes.
+    pub fn peer_failed(&mut self, peer: SocketAddr, now: Time) {
+        self.failed.retain(|_, at| now.since(*at) < FAILED_TIMEOUT);
+        self.failed.insert(peer, now);
+    }
+
+    fn has_failed(&self, peer: SocketAddr, now: Time) -> bool {
+        let failed = self.failed.get(&peer);
+        failed.is_some_and(|at| now.since(*at) < FAILED_TIMEOUT)
     }
 
     /// Returns the peer that was followed last while the own contact was lost.
@@ -134,7 +145,10 @@
         if !self.is_lost(now) {
             return None;
         }
-        let in_contact = self.peers.iter().filter(|(_, peer)| !peer.is_lost(now));
+        let in_contact = self
+            .peers
+            .iter()
+            .filter(|(address, peer)| !peer.is_lost(now) && !self.has_failed(**address, now));
         let latest = in_contact.max_by_key(|(address, peer)| {
             let is_followed = Some(**address) == self.followed;
             (is_followed, peer.last)
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -150,8 +150,13 @@
                 Source::Peer { name, address } => {
                     let follow = pin!(self.follow_peer(name, *address));
                     let change = pin!(wait_for_change(state, &store, &source));
-                    match select(follow, change).await {
-                        Either::Left((FollowEnd::Compacted, _)) => Some(WatchEnd::Compacted),
+                    let end = select(follow, change).await;
+                    // While the store doesn't answer, another peer may still have the changes.
+                    let may_list = !state.contact.borrow().is_lost(state.now());
+                    match end {
+                        Either::Left((FollowEnd::Compacted, _)) if may_list => {
+                            Some(WatchEnd::Compacted)
+                        }
                         _ => None,
                     }
                 }
@@ -214,11 +219,14 @@
             "prefix" => prefix, "peer" => name.as_str(), "cause" => %end);
         // A peer that has listed the entries anew can be followed from a new list on; one that is
         // behind that list, after a change of the store's era, can't yet.
-        let is_listed = state.now().since(self.listed_at) < NEW_LIST_AGE;
-        if is_listed || !matches!(end, FollowEnd::Compacted) {
+        let now = state.now();
+        let is_listed = now.since(self.listed_at) < NEW_LIST_AGE;
+        let mut contact = state.contact.borrow_mut();
+        let may_list = !is_listed && !contact.is_lost(now);
+        if !may_list || !matches!(end, FollowEnd::Compacted) {
             let mut avoided = state.avoided_peers.borrow_mut();
-            avoided.insert(name.clone(), state.now());
-            state.contact.borrow_mut().forget(address);
+            avoided.insert(name.clone(), now);
+            contact.peer_failed(address, now);
         }
         end
     }
--- a/tests/gateway/contact.rs
+++ b/tests/gateway/contact.rs
@@ -70,7 +70,7 @@
     contact.record(peer(1), in_contact(9_000), at(200));
     contact.record(peer(3), in_contact(9_000), at(300));
     assert_eq!(contact.choose_peer(at(300)), Some(peer(2)));
-    contact.forget(peer(2));
+    contact.peer_failed(peer(2), at(300));
     assert_eq!(contact.choose_peer(at(300)), Some(peer(3)));
 }
 
@@ -121,3 +121,20 @@
     contact.record(peer(1), report, at(10_010));
     assert_eq!(contact.outage_end(at(10_010)), Some(at(10_000)));
 }
+
+// A daemon followed the peer that had just started again and again, although another one had all
+// changes.
+#[test]
+fn peer_that_lacks_the_changes_is_not_chosen_again_at_once() {
+    let mut contact = StoreContact::default();
+    contact.record(peer(1), in_contact(9_000), at(100));
+    contact.record(peer(2), in_contact(100), at(200));
+    assert_eq!(contact.choose_peer(at(200)), Some(peer(2)));
+    contact.peer_failed(peer(2), at(210));
+    contact.record(peer(2), in_contact(400), at(500));
+    contact.record(peer(1), in_contact(9_300), at(500));
+    assert_eq!(contact.choose_peer(at(500)), Some(peer(1)));
+    contact.record(peer(1), in_contact(11_000), at(2_300));
+    contact.record(peer(2), in_contact(2_200), at(2_300));
+    assert_eq!(contact.choose_peer(at(2_300)), Some(peer(1)));
+}
--- a/tests/stops/faults.rs
+++ b/tests/stops/faults.rs
@@ -16,6 +16,15 @@
 /// Duration of a cut of one daemon from all runners.
 const CUT_TIME: Duration = Duration::from_millis(6_000);
 
+/// Duration of a cut of one daemon from the store.
+const STORE_CUT_TIME: Duration = Duration::from_millis(4_000);
+
+/// Time from the start of a cut from the store to the departure of a runner.
+const DEPARTURE_DELAY: Duration = Duration::from_millis(300);
+
+/// Time for which a runner that has left still serves; then it comes back.
+const ABSENCE: Duration = Duration::from_millis(5_500);
+
 /// Duration of a pause of a daemon's process.
 const PAUSE_TIME: Duration = Duration::from_millis(1_200);
 
@@ -41,10 +50,24 @@
     Crash { head: usize },
     /// Starts or ends an outage of the store.
     Outage { is_on: bool },
+    /// Cuts a daemon off from the store.
+    StoreCut { daemon: usize, cut: Cut },
+    /// Ends the cut of a daemon from the store.
+    StoreRestore { daemon: usize },
+    /// Removes the entry of a plain runner, which still serves.
+    Leave { runner: usize },
+    /// Writes the entry of a plain runner again.
+    Return { runner: usize },
 }
 
 /// Returns the faults of a seed with their times since the start of the load, in order.
-pub fn of_seed(seed: u64, daemons: usize, heads: usize, rounds: u32) -> Vec<(Duration, Fault)> {
+pub fn of_seed(
+    seed: u64,
+    daemons: usize,
+    heads: usize,
+    plain_runners: usize,
+    rounds: u32,
+) -> Vec<(Duration, Fault)> {
     let mut plan = Plan {
         rng: SmallRng::seed_from_u64(seed),
         faults: Vec::new(),
@@ -56,6 +79,8 @@
         let other = (cut_off + 1) % daemons;
         plan.add_cut(base, cut_off);
         plan.add_disturbance(base, other, heads);
+        let far = (cut_off + 2) % daemons;
+        plan.add_departure(base, far, plain_runners);
     }
     plan.faults.sort_by_key(|(at, _)| *at);
     plan.faults
@@ -96,6 +121,20 @@
         }
     }
 
+    /// Adds the departure of a runner that one daemon can't see in the store.
+    fn add_departure(&mut self, base: Duration, daemon: usize, plain_runners: usize) {
+        let at = base + self.millis(300);
+        let left_at = at + DEPARTURE_DELAY;
+        let cut = CUTS[self.rng.random_range(0..CUTS.len())];
+        let runner = self.rng.random_range(0..plain_runners);
+        self.faults.extend([
+            (at, Fault::StoreCut { daemon, cut }),
+            (at + STORE_CUT_TIME, Fault::StoreRestore { daemon }),
+            (left_at, Fault::Leave { runner }),
+            (left_at + ABSENCE, Fault::Return { runner }),
+        ]);
+    }
+
     fn millis(&mut self, max: u64) -> Duration {
         Duration::from_millis(self.rng.random_range(0..max))
     }
--- a/tests/stops/fleet.rs
+++ b/tests/stops/fleet.rs
@@ -50,6 +50,8 @@
     pub store: Arc<Store>,
     /// Each daemon's links to all runners.
     pub links: Vec<Vec<Link>>,
+    /// Each daemon's link to the store; none if they reach it directly.
+    pub store_links: Vec<Link>,
     settings: Vec<DaemonSettings>,
     slots: Vec<Mutex<Slot>>,
     ended: Mutex<Vec<Life>>,
@@ -80,6 +82,14 @@
                 false => Vec::new(),
             })
             .collect();
+        let store_addresses: Vec<SocketAddr> = links
+            .iter()
+            .map(|links| store_address(&store, links))
+            .collect();
+        let store_links: Vec<Link> = match options.has_links {
+            true => store_addresses.iter().copied().map(Link::start).collect(),
+            false => Vec::new(),
+        };
         let log_dir = log_dir(seed);
         let settings: Vec<DaemonSettings> = (0..options.daemons)
             .map(|index| DaemonSettings {
@@ -87,7 +97,12 @@
                 ttl: options.grace.mul_f64(TTL_PART),
                 listen: listen_addresses(index),
                 log: Some(log_dir.join(format!("d{index}.log"))),
-                ..DaemonSettings::new(&format!("d{index}"), store_address(&store, &links[index]))
+                ..DaemonSettings::new(
+                    &format!("d{index}"),
+                    store_links
+                        .get(index)
+                        .map_or(store_addresses[index], Link::address),
+                )
             })
             .collect();
         let slots = settings.iter().enumerate();
@@ -100,6 +115,7 @@
             started: Instant::now(),
             store,
             links,
+            store_links,
             slots: slots.collect(),
             settings,
             ended: Mutex::default(),
--- a/tests/stops/soak.rs
+++ b/tests/stops/soak.rs
@@ -1,8 +1,8 @@
 //! Faults of all kinds under load, and what must hold all the same.
 //!
 //! First a request that crashes runners comes again and again at all daemons;
-//! then daemons are cut off from the runners, while others are paused, are
-//! killed, lose a head or the store. Each request is answered whole, refused
+//! then daemons are cut off from the runners or from the store, while others are
+//! paused, are killed, lose a head or the store, and runners leave. Each request is answered whole, refused
 //! truthfully, or disturbed by a fault that it met; none runs twice that may
 //! not; the crashing request soon reaches no runner; callers of a daemon that
 //! is cut off are served; and all daemons serve after the last fault.
@@ -103,12 +103,16 @@
     }
     let callers = load::start(&fleet, seed);
     let is_over = AtomicBool::new(false);
-    let (windows, sends) = thread::scope(|scope| {
+    let (done, sends) = thread::scope(|scope| {
         let sender = scope.spawn(|| send_bad_requests(&fleet, &is_over));
-        let windows = carry_out(&fleet, options, seed);
+        let done = carry_out(&fleet, options, seed);
         is_over.store(true, Ordering::Relaxed);
-        (windows, sender.join().expect("the sender doesn't panic"))
+        (done, sender.join().expect("the sender doesn't panic"))
     });
+    let Done {
+        windows,
+        departures,
+    } = done;
     wait_until("all daemons serve by their own runners again", || {
         fleet.serves() && !fleet.has_cut_off_daemon()
     });
@@ -123,6 +127,7 @@
             "the crashing request reached runners {sends} times too late"
         ));
     }
+    failures.extend(departures.into_iter().filter_map(Departure::failure));
     failures.extend(unserved_in_cuts(&findings.calls, &windows));
     println!(
         "seed {seed}: {} requests, {} whole, {} crashing, {sends} of them late",
@@ -187,20 +192,104 @@
     bad.count()
 }
 
-/// Carries out the faults of a seed; returns the times in which they may disturb requests.
-fn carry_out(fleet: &Fleet, options: &Options, seed: u64) -> Vec<Window> {
-    let faults = faults::of_seed(seed, fleet.size(), HEAD_COUNT, options.rounds);
+/// What the faults of a seed did.
+struct Done {
+    /// Times in which they may disturb requests.
+    windows: Vec<Window>,
+    /// Departures of runners.
+    departures: Vec<Departure>,
+}
+
+/// Departure of a plain runner that still serves.
+struct Departure {
+    runner: usize,
+    left_at: Instant,
+    /// Requests that it had got when all daemons should have known.
+    known: Option<usize>,
+    /// Requests that it had got when it came back.
+    total: Option<usize>,
+}
+
+impl Departure {
+    /// Counts the requests so far, once all daemons should know of the departure.
+    fn check(&mut self, fleet: &Fleet) {
+        if self.known.is_none() && self.left_at.elapsed() >= STABLE_TIME {
+            self.known = Some(self.count(fleet));
+        }
+    }
+
+    /// Counts the requests that it got until now, when it comes back.
+    fn end(&mut self, fleet: &Fleet) {
+        // A runner that has crashed meanwhile has written its entry again.
+        if fleet.store.value(&self.key(fleet)).is_empty() {
+            self.total = Some(self.count(fleet));
+        }
+    }
+
+    fn key(&self, fleet: &Fleet) -> String {
+        format!("servers/{}", fleet.plain_runners[self.runner].name)
+    }
+
+    fn count(&self, fleet: &Fleet) -> usize {
+        fleet.plain_runners[self.runner].requests().len()
+    }
+
+    fn failure(self) -> Option<String> {
+        let late = self.total? - self.known?;
+        let runner = self.runner + 1;
+        (late > 0).then(|| format!("{late} requests reached p{runner} after it had left"))
+    }
+}
+
+/// Carries out the faults of a seed.
+fn carry_out(fleet: &Fleet, options: &Options, seed: u64) -> Done {
+    let plain_runners = fleet.plain_runners.len();
+    let faults = faults::of_seed(
+        seed,
+        fleet.size(),
+        HEAD_COUNT,
+        plain_runners,
+        options.rounds,
+    );
     let mut windows = vec![window(Scope::All, fleet.started, CRASH_TIME, false)];
+    let mut departures: Vec<Departure> = Vec::new();
     let mut faults = faults.into_iter().peekable();
     while faults.peek().is_some() {
         while let Some((_, fault)) = faults.next_if(|(at, _)| *at <= fleet.started.elapsed()) {
-            windows.extend(perform(fleet, fault, &windows));
+            match fault {
+                Fault::Leave { runner } => departures.push(leave(fleet, runner)),
+                Fault::Return { runner } => {
+                    let mut own = departures.iter_mut().rev();
+                    let left = own.find(|departure| departure.runner == runner);
+                    left.expect("it has left").end(fleet);
+                    fleet.plain_runners[runner].register();
+                }
+                other => windows.extend(perform(fleet, other, &windows)),
+            }
         }
+        let departed = departures.iter_mut();
+        let away = departed.filter(|departure| departure.total.is_none());
+        away.for_each(|departure| departure.check(fleet));
         (0..fleet.size()).for_each(|index| fleet.restart_if_ended(index));
         thread::sleep(CHECK_INTERVAL);
     }
     (0..fleet.size()).for_each(|index| fleet.restart_if_ended(index));
-    windows
+    Done {
+        windows,
+        departures,
+    }
+}
+
+/// Removes the entry of a plain runner, as the platform does when a runner leaves.
+fn leave(fleet: &Fleet, runner: usize) -> Departure {
+    let departure = Departure {
+        runner,
+        left_at: Instant::now(),
+        known: None,
+        total: None,
+    };
+    fleet.store.delete(&departure.key(fleet));
+    departure
 }
 
 fn window(scope: Scope, start: Instant, span: Duration, is_cut: bool) -> Window {
@@ -248,6 +337,16 @@
             fleet.store.set_failing(is_on);
             None
         }
+        // The daemon serves on by what its peers see: no excuse.
+        Fault::StoreCut { daemon, cut } => {
+            fleet.store_links[daemon].cut(cut);
+            None
+        }
+        Fault::StoreRestore { daemon } => {
+            fleet.store_links[daemon].restore();
+            None
+        }
+        Fault::Leave { .. } | Fault::Return { .. } => None,
     }
 }
 
