--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,8 @@
 //! platform's store and runners.
 
 mod abandon;
+#[allow(dead_code, reason = "the stops of several daemons use the rest")]
+mod behavior;
 mod client;
 mod config;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -1,18 +1,19 @@
 //! Fake runner with scripted responses.
 
+pub use super::behavior::{Behavior, Script};
+
 use super::{
     crash::Crashes,
     http::{
         RecordedRequest, event_chunk, event_text, read_request, stream_head, write_events,
         write_response, write_text,
     },
-    runs::{Run, RunEnd, Runs, Silence, Work},
+    runs::{Run, RunEnd, Runs, Silence},
     store::Store,
     trouble::{Endless, TroubleCount},
 };
 use serde_json::{Value, json};
 use std::{
-    collections::VecDeque,
     io::BufReader,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     ops::RangeInclusive,
@@ -29,68 +30,6 @@
 /// Headers of the refusal of an earlier request.
 const EARLIER_REFUSAL: &str = "X-Request-Id: earlier\r\nX-Not-Run: 1\r\nRetry-After: 1\r\n";
 
-/// Behavior of a runner towards one request.
-#[derive(Clone, Debug)]
-pub enum Behavior {
-    /// Responds with this status and body.
-    Respond(u16, &'static str),
-    /// Responds, and reports that all its slots are taken and more requests wait.
-    RespondFull,
-    /// Reports that it did not run the request.
-    Decline,
-    /// Reports that it did not run the request, and wants none for some time.
-    DeclineFor(&'static str),
-    /// Runs the request and responds, after it has written once more that it did not run an
-    /// earlier one.
-    RepeatRefusal,
-    /// Runs the request and closes the connection without a response.
-    DropResponse,
-    /// Responds with the id of another request.
-    WrongRequestId,
-    /// Responds in full, without a content length.
-    Unframed(&'static str),
-    /// Sends events with neither a length nor chunks, and ends the connection: after the event
-    /// `last`, or inside the next one.
-    UnframedEvents { last: u64, is_whole: bool },
-    /// Sends the events after the caller's last up to `last`, then ends or interrupts the stream.
-    Events { last: u64, is_complete: bool },
-    /// Sends events like `Events`, with a pause before each.
-    PacedEvents {
-        last: u64,
-        pause: Duration,
-        is_complete: bool,
-    },
-    /// Sends the events up to `first` at once and those up to `last` after a pause, then ends the
-    /// stream.
-    PausedEvents {
-        first: u64,
-        pause: Duration,
-        last: u64,
-    },
-    /// Responds after a delay.
-    RespondLate(Duration, &'static str),
-    /// Sends bytes until the daemon closes the connection.
-    Endless(Endless),
-}
-
-impl Behavior {
-    /// Returns the behavior towards a request for which none is scripted.
-    fn usual(request: &RecordedRequest) -> Self {
-        match Work::of(&request.request_line) {
-            Some(Work::Events { last, pause }) => Self::PacedEvents {
-                last,
-                pause,
-                is_complete: true,
-            },
-            Some(Work::Late(delay)) => Self::RespondLate(delay, "usual"),
-            None => Self::Respond(200, "usual"),
-        }
-    }
-}
-
-/// Behaviors towards the next requests, in order; runners may share a script.
-pub type Script = Arc<Mutex<VecDeque<Behavior>>>;
-
 /// Fake runner.
 pub struct Runner {
     /// Name of its host.
--- a/tests/stops/main.rs
+++ b/tests/stops/main.rs
@@ -8,6 +8,9 @@
 //! `STOPS_SEEDS=50 cargo test --test stops -- --nocapture` runs more seeds of both;
 //! `options` lists the other variables.
 
+#[path = "../platform/behavior.rs"]
+#[allow(dead_code, reason = "the tests of one daemon use the rest")]
+mod behavior;
 #[path = "../platform/client.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod client;
