A daemon that is cut off follows only peers that watch the store themselves

The store turned both watchers of the hall away. Daemons that followed the watcher stayed with it. Now a report says whether its daemon watches the store itself, and no other is followed; those that should are asked first. Test: peer_that_follows_another_is_not_followed (without the check it is).

--- a/src/gateway/changes/source.rs
+++ b/src/gateway/changes/source.rs
@@ -11,7 +11,10 @@
     },
     gateway::peers::{DaemonEntry, Peers},
 };
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Number of daemons of a hall that watch the store.
@@ -101,6 +104,22 @@
     ranked
 }
 
+/// Returns the addresses of the daemons that watch the store for others, or in a small hall for
+/// themselves.
+pub fn watcher_addresses(peers: &Peers) -> Vec<SocketAddr> {
+    let halls: BTreeSet<&HallName> = peers.daemons().map(|(_, entry)| &entry.hall).collect();
+    let mut addresses = Vec::new();
+    for hall in halls {
+        let watching = watchers(hall, peers);
+        let own_hall = peers.daemons().filter(|(_, entry)| entry.hall == *hall);
+        match watching.is_empty() {
+            true => addresses.extend(own_hall.filter_map(|(_, entry)| entry.peer)),
+            false => addresses.extend(watching.iter().filter_map(|(_, entry)| entry.peer)),
+        }
+    }
+    addresses
+}
+
 /// Returns the number of daemons that watch the store.
 pub fn watcher_count(peers: &Peers) -> usize {
     let mut halls: BTreeMap<&HallName, usize> = BTreeMap::new();
--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -3,13 +3,18 @@
 //! An answer to any call proves contact. Contact is lost once the answers have
 //! stayed out for longer than the renewals of a lease are apart. A daemon that
 //! has lost it, while a peer has not, is cut off by itself, and can follow the
-//! peer's changes; if no peer has contact, the store is away.
+//! peer's changes; if no peer has contact, the store is away. It follows only a
+//! peer that watches the store itself: any other might be following it in turn,
+//! and each would take the other's changes for current.
 
 use crate::core::{
     keys::Era,
     time::{Span, Time},
 };
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 /// Maximum time between two answers of a store that is in contact; a lease is renewed more often.
 const MAX_GAP: Span = Span::from_millis(1_500);
@@ -27,6 +32,8 @@
         pub length: Span,
         /// Era of the store in which it began.
         pub era: Option<Era>,
+        /// True if the daemon watches the store itself, rather than following another daemon.
+        pub is_watching: bool,
     }
 }
 
@@ -51,6 +58,8 @@
     own: Option<Contact>,
     /// Last contacts of peers by their addresses, as of their reports.
     peers: BTreeMap<SocketAddr, Contact>,
+    /// Peers that watch the store themselves, as of their reports.
+    watching: BTreeSet<SocketAddr>,
     /// Peers that could not be followed, with the time at which that was found.
     failed: BTreeMap<SocketAddr, Time>,
     /// Peer whose changes are followed while the own contact is lost.
@@ -80,12 +89,13 @@
     }
 
     /// Returns the report for a peer; none if the store has never answered.
-    pub fn report(&self, now: Time) -> Option<ContactReport> {
+    pub fn report(&self, is_watching: bool, now: Time) -> Option<ContactReport> {
         let own = self.own?;
         Some(ContactReport {
             age: now.since(own.last),
             length: now.since(own.since),
             era: own.era,
+            is_watching,
         })
     }
 
@@ -99,6 +109,10 @@
         };
         self.peers.retain(|_, contact| !contact.is_lost(now));
         self.peers.insert(peer, contact);
+        match report.is_watching {
+            true => self.watching.insert(peer),
+            false => self.watching.remove(&peer),
+        };
         !had_peer && self.peer_in_contact(now).is_some()
     }
 
@@ -108,6 +122,10 @@
         self.failed.insert(peer, now);
     }
 
+    fn can_follow(&self, peer: SocketAddr, contact: Contact, now: Time) -> bool {
+        !contact.is_lost(now) && self.watching.contains(&peer) && !self.has_failed(peer, now)
+    }
+
     fn has_failed(&self, peer: SocketAddr, now: Time) -> bool {
         let failed = self.failed.get(&peer);
         failed.is_some_and(|at| now.since(*at) < FAILED_TIMEOUT)
@@ -148,7 +166,7 @@
         let in_contact = self
             .peers
             .iter()
-            .filter(|(address, peer)| !peer.is_lost(now) && !self.has_failed(**address, now));
+            .filter(|(address, peer)| self.can_follow(**address, **peer, now));
         let latest = in_contact.max_by_key(|(address, peer)| {
             let is_followed = Some(**address) == self.followed;
             (is_followed, peer.last)
--- a/src/gateway/datagrams.rs
+++ b/src/gateway/datagrams.rs
@@ -5,6 +5,7 @@
 
 use super::{
     announcements,
+    changes::source::Source,
     contact::ContactReport,
     liveness::GroupProgress,
     notices::RateLimit,
@@ -149,7 +150,8 @@
 
 /// Tells a peer of this daemon's contact with the store, unless there never was any.
 fn report_contact(state: &GatewayState, to: SocketAddr) {
-    let report = state.contact.borrow().report(state.now());
+    let is_watching = state.change_source() == Source::Store;
+    let report = state.contact.borrow().report(is_watching, state.now());
     if let Some(report) = report {
         state.outbox.send(to, Datagram::Contact(report));
     }
--- a/src/gateway/inquiry.rs
+++ b/src/gateway/inquiry.rs
@@ -1,16 +1,17 @@
 //! Asks other daemons whether the store answers them, while it doesn't answer this one.
 
-use super::{datagrams::Datagram, state::GatewayState};
+use super::{changes::source, datagrams::Datagram, state::GatewayState};
 use futures_util::future::select;
 use metrics::gauge;
 use rand::seq::IteratorRandom as _;
-use std::{pin::pin, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 /// Interval at which peers are asked while the store doesn't answer.
 const INTERVAL: Duration = Duration::from_millis(300);
 
-/// Peers that are asked at a time, besides the one that is followed.
-const PEERS: usize = 3;
+/// Peers that are asked at a time, besides the one that is followed: some that should watch the
+/// store, and one of all, as the former may all be cut off.
+const WATCHERS: usize = 3;
 
 /// Asks peers while the store doesn't answer, for the lifetime of the process.
 pub(super) async fn ask_while_lost(state: Rc<GatewayState>) {
@@ -31,15 +32,18 @@
 /// Asks some peers.
 fn ask(state: &GatewayState) {
     let followed = state.contact.borrow().followed();
-    let others = {
-        let peers = state.peers.borrow();
-        let others = peers
-            .daemons()
-            .filter(|(name, _)| **name != state.settings.name)
-            .filter_map(|(_, entry)| entry.peer);
-        others.choose_multiple(&mut *state.rng.borrow_mut(), PEERS)
-    };
-    for address in followed.into_iter().chain(others) {
+    let peers = state.peers.borrow();
+    let mut rng = state.rng.borrow_mut();
+    let own = state.settings.listen.peer;
+    let watchers = source::watcher_addresses(&peers).into_iter();
+    let watchers = watchers.filter(|address| Some(*address) != own);
+    let watchers = watchers.choose_multiple(&mut *rng, WATCHERS);
+    let all = peers.daemons().filter_map(|(_, entry)| entry.peer);
+    let any = all
+        .filter(|address| Some(*address) != own)
+        .choose(&mut *rng);
+    let asked: BTreeSet<SocketAddr> = followed.into_iter().chain(watchers).chain(any).collect();
+    for address in asked {
         state.outbox.send(address, Datagram::ContactRequest);
     }
 }
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -99,6 +99,24 @@
     assert_eq!(sources, [name(1).as_str(), name(0).as_str(), "store"]);
 }
 
+/// A daemon that is cut off asks these for their contact first.
+#[test]
+fn watchers_are_found_in_large_and_small_halls() {
+    let mut peers = hall_of(10, 2);
+    let (_, entry) = peers.daemons().next().expect("a daemon");
+    let small = DaemonEntry {
+        hall: HallName::from("small"),
+        peer: Some("10.0.0.2:7000".parse().expect("an address")),
+        ..entry.clone()
+    };
+    peers.put(DaemonName::from("s1"), small);
+    let found: Vec<String> = source::watcher_addresses(&peers)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(found, ["10.0.0.1:7001", "10.0.0.1:7000", "10.0.0.2:7000"]);
+}
+
 #[test]
 fn subscribers_are_spread_over_the_watchers() {
     let followers = count_followers(102, &hall_of(102, 2));
--- a/tests/gateway/contact.rs
+++ b/tests/gateway/contact.rs
@@ -23,6 +23,7 @@
         age: Span::ZERO,
         length: Span::from_millis(length_ms),
         era: None,
+        is_watching: true,
     }
 }
 
@@ -53,6 +54,7 @@
         age: Span::from_millis(1_600),
         length: Span::from_secs(60),
         era: None,
+        is_watching: true,
     };
     assert!(!contact.record(peer(1), stale, at(5_000)));
     assert_eq!(contact.choose_peer(at(5_000)), None);
@@ -138,3 +140,21 @@
     contact.record(peer(2), in_contact(2_200), at(2_300));
     assert_eq!(contact.choose_peer(at(2_300)), Some(peer(1)));
 }
+
+// A watcher of a hall that was cut off followed its own subscriber. Each took the other's changes
+// for current, and a configuration came into force 1.6 s later (hunt-8334-31).
+#[test]
+fn peer_that_follows_another_is_not_followed() {
+    let mut contact = StoreContact::default();
+    let subscriber = ContactReport {
+        is_watching: false,
+        ..in_contact(9_000)
+    };
+    assert!(!contact.record(peer(1), subscriber, at(100)));
+    assert_eq!(contact.choose_peer(at(100)), None);
+    contact.record(peer(2), in_contact(9_000), at(200));
+    assert_eq!(contact.choose_peer(at(200)), Some(peer(2)));
+    // It has become a subscriber, perhaps of this daemon.
+    contact.record(peer(2), subscriber, at(300));
+    assert_eq!(contact.choose_peer(at(300)), None);
+}
--- a/tests/gateway/entries.rs
+++ b/tests/gateway/entries.rs
@@ -141,6 +141,7 @@
             age: Span::ZERO,
             length,
             era: None,
+            is_watching: true,
         };
         self.0.peer_reported_contact(peer, report);
     }
