--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -40,8 +40,11 @@
 /// Time in which the store answered a daemon without a gap, and came back from no older copy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Contact {
+    /// Time of the first answer.
     since: Time,
+    /// Time of the last answer.
     last: Time,
+    /// Era of the store, the same in all answers.
     era: Option<Era>,
 }
 
@@ -101,7 +104,7 @@
 
     /// Records a peer's report; returns true if there is a peer to follow now, and was none before.
     pub fn record(&mut self, peer: SocketAddr, report: ContactReport, now: Time) -> bool {
-        let had_peer = self.peer_in_contact(now).is_some();
+        let had_peer = self.peer_to_follow(now).is_some();
         let contact = Contact {
             since: now - report.length,
             last: now - report.age,
@@ -113,7 +116,7 @@
             true => self.watching.insert(peer),
             false => self.watching.remove(&peer),
         };
-        !had_peer && self.peer_in_contact(now).is_some()
+        !had_peer && self.peer_to_follow(now).is_some()
     }
 
     /// Records that a peer can't be followed, because it isn't reached or lacks the changes.
@@ -122,6 +125,7 @@
         self.failed.insert(peer, now);
     }
 
+    /// Returns true if a peer's changes are current, as far as is known, and it can be reached.
     fn can_follow(&self, peer: SocketAddr, contact: Contact, now: Time) -> bool {
         !contact.is_lost(now) && self.watching.contains(&peer) && !self.has_failed(peer, now)
     }
@@ -139,7 +143,7 @@
     /// Chooses the peer to follow, which is none unless the own contact is lost; the one that is
     /// followed already as long as the store answers it.
     pub fn choose_peer(&mut self, now: Time) -> Option<SocketAddr> {
-        self.followed = self.peer_in_contact(now);
+        self.followed = self.peer_to_follow(now);
         self.followed
     }
 
@@ -159,7 +163,8 @@
         (end > self.seen_until).then_some(end)
     }
 
-    fn peer_in_contact(&self, now: Time) -> Option<SocketAddr> {
+    /// Returns the peer to follow: the one that is followed already, else the one heard of last.
+    fn peer_to_follow(&self, now: Time) -> Option<SocketAddr> {
         if !self.is_lost(now) {
             return None;
         }
--- a/src/gateway/inquiry.rs
+++ b/src/gateway/inquiry.rs
@@ -9,8 +9,7 @@
 /// Interval at which peers are asked while the store doesn't answer.
 const INTERVAL: Duration = Duration::from_millis(300);
 
-/// Peers that are asked at a time, besides the one that is followed: some that should watch the
-/// store, and one of all, as the former may all be cut off.
+/// Peers that should watch the store of which so many are asked at a time.
 const WATCHERS: usize = 3;
 
 /// Asks peers while the store doesn't answer, for the lifetime of the process.
@@ -29,7 +28,8 @@
     }
 }
 
-/// Asks some peers.
+/// Asks the peer that is followed, some that should watch the store, and one of all: the others may
+/// all be cut off, and their subscribers then watch the store themselves.
 fn ask(state: &GatewayState) {
     let followed = state.contact.borrow().followed();
     let peers = state.peers.borrow();
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -218,7 +218,8 @@
         slog::info!(state.log, "peer no longer followed";
             "prefix" => prefix, "peer" => name.as_str(), "cause" => %end);
         // A peer that has listed the entries anew can be followed from a new list on; one that is
-        // behind that list, after a change of the store's era, can't yet.
+        // behind that list, after a change of the store's era, can't yet. Without contact there is no
+        // list to be had, and the next peer is tried.
         let now = state.now();
         let is_listed = now.since(self.listed_at) < NEW_LIST_AGE;
         let mut contact = state.contact.borrow_mut();
--- a/tests/gateway/contact.rs
+++ b/tests/gateway/contact.rs
@@ -142,7 +142,7 @@
 }
 
 // A watcher of a hall that was cut off followed its own subscriber. Each took the other's changes
-// for current, and a configuration came into force 1.6 s later (hunt-8334-31).
+// for current, and a configuration came into force too late.
 #[test]
 fn peer_that_follows_another_is_not_followed() {
     let mut contact = StoreContact::default();
