--- a/tests/stops/soak.rs
+++ b/tests/stops/soak.rs
@@ -2,10 +2,11 @@
 //!
 //! First a request that crashes runners comes again and again at all daemons;
 //! then daemons are cut off from the runners or from the store, while others are
-//! paused, are killed, lose a head or the store, and runners leave. Each request is answered whole, refused
-//! truthfully, or disturbed by a fault that it met; none runs twice that may
-//! not; the crashing request soon reaches no runner; callers of a daemon that
-//! is cut off are served; and all daemons serve after the last fault.
+//! paused, are killed, lose a head or the store, and runners leave. Each request
+//! is answered whole, refused truthfully, or disturbed by a fault that it met;
+//! none runs twice that may not; the crashing request soon reaches no runner, nor
+//! does any request a runner that has left; callers of a daemon that is cut off
+//! are served; and all daemons serve after the last fault.
 
 use super::{
     config,
