--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,7 +6,7 @@
 [ -x "$root/target/review/case2" ] || exit 2
 temporary=$(mktemp -d)
 trap 'rm -rf "$temporary"' EXIT
-timeout -k 1 110 "$root/target/review/case2" "$root" "$folder" "$temporary"
+timeout -k 1 116 "$root/target/review/case2" "$root" "$folder" "$temporary"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
