--- a/review/standins/daemon.rs
+++ b/review/standins/daemon.rs
@@ -119,6 +119,12 @@
         kilobytes.unwrap_or_default() / 1024
     }
 
+    /// Sends the process a signal, by its name.
+    pub fn signal(&self, name: &str) {
+        let command = format!("kill -{name} {}", self.id());
+        let _ = Command::new("bash").arg("-c").arg(command).status();
+    }
+
     /// Kills the process.
     pub fn kill(&self) {
         with_child(self.index, |child| {
