--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -37,6 +37,7 @@
     item: Option<Item>,
 }
 
+#[derive(Clone)]
 struct Lease {
     ttl: Duration,
     ends: Instant,
@@ -53,6 +54,19 @@
     last_lease: i64,
     /// Last ping of each runner.
     pings: BTreeMap<String, Instant>,
+    /// How often the store has come back from a copy.
+    era: u64,
+    /// True while the store is away.
+    is_away: bool,
+}
+
+/// Copy of what the store holds.
+pub struct Copy {
+    items: BTreeMap<String, Item>,
+    revision: i64,
+    last_lease: i64,
+    /// Length of each lease, and what was left of it.
+    leases: BTreeMap<i64, (Duration, Duration)>,
 }
 
 /// The store.
@@ -97,6 +111,9 @@
         let key = format!("servers/{id}");
         let mut state = self.lock();
         state.pings.insert(key.clone(), Instant::now());
+        if state.is_away {
+            return;
+        }
         let value = base64(entry.as_bytes());
         let is_same = state.items.get(&key).is_some_and(|item| item.value == value);
         if !is_same {
@@ -115,9 +132,49 @@
         state.items.get(key).map_or(String::new(), |item| unbase64(&item.value))
     }
 
+    /// Makes a copy.
+    pub fn copy(&self) -> Copy {
+        let state = self.lock();
+        let now = Instant::now();
+        let left = |lease: &Lease| (lease.ttl, lease.ends.saturating_duration_since(now));
+        Copy {
+            items: state.items.clone(),
+            revision: state.revision,
+            last_lease: state.last_lease,
+            leases: state.leases.iter().map(|(id, lease)| (*id, left(lease))).collect(),
+        }
+    }
+
+    /// Takes the store away: its calls are answered 503.
+    pub fn go_away(&self) {
+        self.lock().is_away = true;
+        self.state.1.notify_all();
+    }
+
+    /// Brings the store back from a copy, in a new era. What was written since is gone until it is
+    /// written again.
+    pub fn come_back(&self, copy: &Copy) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        state.items = copy.items.clone();
+        state.revision = copy.revision;
+        state.last_lease = copy.last_lease;
+        state.events.clear();
+        state.forgotten = copy.revision;
+        let leases = copy.leases.iter();
+        state.leases = leases.map(|(id, (ttl, left))| (*id, Lease { ttl: *ttl, ends: now + *left })).collect();
+        state.era += 1;
+        state.is_away = false;
+        drop(state);
+        self.state.1.notify_all();
+    }
+
     fn expire(&self) {
         let now = Instant::now();
         let mut state = self.lock();
+        if state.is_away {
+            return;
+        }
         let ended: Vec<i64> =
             state.leases.iter().filter(|(_, lease)| lease.ends <= now).map(|(id, _)| *id).collect();
         for id in &ended {
@@ -145,6 +202,10 @@
     }
 
     fn answer(&self, request: Message, stream: &mut TcpStream) -> bool {
+        let era = self.lock().era.to_string();
+        if self.lock().is_away {
+            return write_json(stream, 503, &[], "").is_ok();
+        }
         let (status, body) = match (request.method(), request.path()) {
             ("GET", "/kv-key") => self.read(&request),
             ("GET", "/kv-range") => self.range(&request),
@@ -155,7 +216,13 @@
             ("DELETE", path) if path.starts_with("/kv-lease-end/") => self.end(path),
             _ => (400, Json::Null),
         };
-        write_json(stream, status, &[], &body.to_string()).is_ok()
+        let state = self.lock();
+        if state.is_away || state.era.to_string() != era {
+            // The answer of a call that waited is lost.
+            return false;
+        }
+        drop(state);
+        write_json(stream, status, &[("Store-Era", &era)], &body.to_string()).is_ok()
     }
 
     fn read(&self, request: &Message) -> (u16, Json) {
