An address belongs to one runner: a report there drops the one known before

Cause: a host stays known for 30 s after its entry has gone, and is probed at its address. The runner that had started there since answered, and its membership was taken for that of the earlier one. Two hosts then claimed one rank of a group; `group::assemble` kept the one with the later arena slot. If that was the earlier one, the live runner stood in no group, looked free, and was ordered into another one while it was open, again and again.

Ruled out: comparing the answer alone. What tells is the store: an address belongs to one runner at a time, so whoever is listed there proves that the earlier one has ended.

Change: the roster keeps one host per address. A report at an address drops the host known there, unless that one has started later; lists are applied in the order of their writes. That also frees the members of a head whose runner has been replaced, without waiting for its entry to lapse. `has_restarted` no longer needs starts: another name at the address is a later run.

In the simulated fleet each host now has an address of its own, probes are answered by whoever is there, and forgotten hosts leave the roster as in the daemon.

--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -99,7 +99,9 @@
         .ok()
     }
 
-    fn decode_all(&self, entries: &[PlatformEntry]) -> Vec<(HostName, Runner)> {
+    /// Decodes a list, in the order in which its entries were written.
+    fn decode_all(&self, mut entries: Vec<PlatformEntry>) -> Vec<(HostName, Runner)> {
+        entries.sort_by_key(|entry| entry.revision);
         let decode = |entry: &PlatformEntry| {
             let name = host_name::<A>(&entry.key)?;
             let runner = self.decode(&name, entry)?;
@@ -109,7 +111,7 @@
     }
 
     /// Passes a list to the roster by `replace`, which returns the hosts that it lacks.
-    fn apply_list<F>(&self, revision: Revision, entries: &[PlatformEntry], replace: F)
+    fn apply_list<F>(&self, revision: Revision, entries: Vec<PlatformEntry>, replace: F)
     where
         F: FnOnce(&mut Roster, Vec<(HostName, Runner)>, Time) -> Vec<HostName>,
     {
@@ -180,11 +182,11 @@
     A: Adapter,
 {
     fn on_list(&self, revision: Revision, entries: Vec<PlatformEntry>) {
-        self.apply_list(revision, &entries, Roster::replace);
+        self.apply_list(revision, entries, Roster::replace);
     }
 
     fn on_older_list(&self, revision: Revision, entries: Vec<PlatformEntry>) {
-        self.apply_list(revision, &entries, Roster::replace_by_older);
+        self.apply_list(revision, entries, Roster::replace_by_older);
     }
 
     fn on_change(&self, events: Vec<WatchEvent>) {
--- a/src/gateway/roster/listing.rs
+++ b/src/gateway/roster/listing.rs
@@ -3,12 +3,15 @@
 //! An entry may be missing because its runner left, or because its lease has
 //! lapsed in an outage of the store. Only the latter comes back.
 
-use super::{Host, Roster, Runner, slowdown_of};
+use super::{Host, HostKey, Roster, Runner, slowdown_of};
 use crate::core::{
     keys::HostName,
     time::{Span, Time},
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 /// Window after a store outage in which a missing entry may still come back.
 pub const REENTRY_WINDOW: Span = Span::from_millis(2_000);
@@ -17,40 +20,70 @@
 const UNLISTED_TIMEOUT: Span = Span::from_secs(30);
 
 impl Roster {
-    /// Adds a listed host, or updates its report.
+    /// Adds a listed host, or updates its report. The host known at its address before, if it is
+    /// another one, is dropped; a report of an earlier run than that one is ignored.
     pub fn put(&mut self, name: HostName, runner: Runner) {
+        if let Some(former) = self.other_at(runner.address, &name) {
+            if runner.born < former.runner.born {
+                return;
+            }
+            let former = former.name.clone();
+            self.remove_host(&former);
+        }
         let known = self.keys.get(&name).copied();
         let same = known.filter(|key| self.hosts[*key].runner.born == runner.born);
         match same {
-            Some(key) => {
-                let host = &mut self.hosts[key];
-                host.runner = runner;
-                host.unlisted_since = None;
-                host.relisted_at = None;
-                host.is_reported_dead = false;
-            }
+            Some(key) => self.update(key, runner),
             None => {
                 self.remove_host(&name);
-                let instance = (name.clone(), runner.born);
-                let host = Host {
-                    name: name.clone(),
-                    runner,
-                    unlisted_since: None,
-                    reentry_until: Time::default(),
-                    relisted_at: None,
-                    last_healthy: None,
-                    probe_failure: None,
-                    is_reported_dead: false,
-                    is_unreachable: self.unreachable.contains(&instance),
-                    says_leaving: self.leaving.contains(&instance),
-                    slowdown: slowdown_of(&self.slow, &instance),
-                };
-                let key = self.hosts.insert(host);
-                self.keys.insert(name, key);
+                self.insert(name, runner);
             }
         }
     }
 
+    /// Returns the known host at an address if it is another than the one with this name.
+    fn other_at(&self, address: SocketAddr, name: &HostName) -> Option<&Host> {
+        let host = &self.hosts[*self.addresses.get(&address)?];
+        (host.name != *name).then_some(host)
+    }
+
+    /// Replaces the report of a listed host.
+    fn update(&mut self, key: HostKey, runner: Runner) {
+        let host = &mut self.hosts[key];
+        let former = host.runner.address;
+        host.runner = runner;
+        host.unlisted_since = None;
+        host.relisted_at = None;
+        host.is_reported_dead = false;
+        let address = host.runner.address;
+        if address != former {
+            self.addresses.remove(&former);
+            self.addresses.insert(address, key);
+        }
+    }
+
+    /// Adds a runner instance that was not known.
+    fn insert(&mut self, name: HostName, runner: Runner) {
+        let instance = (name.clone(), runner.born);
+        let address = runner.address;
+        let host = Host {
+            name: name.clone(),
+            runner,
+            unlisted_since: None,
+            reentry_until: Time::default(),
+            relisted_at: None,
+            last_healthy: None,
+            probe_failure: None,
+            is_reported_dead: false,
+            is_unreachable: self.unreachable.contains(&instance),
+            says_leaving: self.leaving.contains(&instance),
+            slowdown: slowdown_of(&self.slow, &instance),
+        };
+        let key = self.hosts.insert(host);
+        self.keys.insert(name, key);
+        self.addresses.insert(address, key);
+    }
+
     /// Marks a host whose entry is missing as unlisted; returns true if that is news.
     pub fn mark_unlisted(&mut self, name: &HostName, now: Time) -> bool {
         let Some(key) = self.keys.get(name) else {
@@ -66,10 +99,11 @@
         true
     }
 
-    /// Replaces the list of hosts; known hosts that it lacks are marked as unlisted, and those for
-    /// which that is news are returned.
-    pub fn replace(&mut self, listed: Vec<(HostName, Runner)>, now: Time) -> Vec<HostName> {
+    /// Replaces the list of hosts, which is in the order in which they were written; known hosts that
+    /// it lacks are marked as unlisted, and those for which that is news are returned.
+    pub fn replace(&mut self, mut listed: Vec<(HostName, Runner)>, now: Time) -> Vec<HostName> {
         self.watched_since.get_or_insert(now);
+        drop_former(&mut listed);
         let present: BTreeSet<HostName> = listed.iter().map(|(name, _)| name.clone()).collect();
         for (name, runner) in listed {
             self.put(name, runner);
@@ -103,7 +137,10 @@
             .collect();
         let missing = self.replace(listed, now);
         for (name, since) in departed {
-            let host = &mut self.hosts[self.keys[&name]];
+            let Some(key) = self.keys.get(&name) else {
+                continue;
+            };
+            let host = &mut self.hosts[*key];
             host.unlisted_since = Some(since);
             host.relisted_at = Some(now);
         }
@@ -184,8 +221,22 @@
     }
 
     fn remove_host(&mut self, name: &HostName) {
-        if let Some(key) = self.keys.remove(name) {
-            self.hosts.remove(key);
+        let key = self.keys.remove(name);
+        if let Some(host) = key.and_then(|key| self.hosts.remove(key)) {
+            self.addresses.remove(&host.runner.address);
+        }
+    }
+}
+
+/// Drops the reports of runners that were followed by others at their addresses: by later runs, or
+/// by reports that were written later if their starts don't tell.
+fn drop_former(listed: &mut Vec<(HostName, Runner)>) {
+    let mut latest: BTreeMap<SocketAddr, (u64, HostName)> = BTreeMap::new();
+    for (name, runner) in listed.iter() {
+        let known = latest.get(&runner.address);
+        if known.is_none_or(|(born, _)| *born <= runner.born) {
+            latest.insert(runner.address, (runner.born, name.clone()));
         }
     }
+    listed.retain(|(name, runner)| latest[&runner.address].1 == *name);
 }
--- a/src/gateway/roster/mod.rs
+++ b/src/gateway/roster/mod.rs
@@ -5,6 +5,9 @@
 //!
 //! `listing` applies the lists and changes of the store's entries.
 //!
+//! An address belongs to one runner at a time. Whoever reports to be at an
+//! address thereby proves that the runner known there before has ended.
+//!
 //! A host is unlisted if its entry is missing from the store; it stays known as
 //! long as a group may count on it. It is unreachable if it answers no probe,
 //! and dead if it is also known to run no more requests.
@@ -114,6 +117,8 @@
     hosts: SlotMap<HostKey, Host>,
     /// Key of the current runner instance on each host.
     keys: BTreeMap<HostName, HostKey>,
+    /// Key of the runner instance at each address, which belongs to one at a time.
+    addresses: BTreeMap<SocketAddr, HostKey>,
     /// Instances that don't answer the probes of some daemon.
     unreachable: BTreeSet<RunnerInstance>,
     /// Instances that have said that they leave.
@@ -276,11 +281,11 @@
     /// Returns true if a later run than this one is known at its address or under its name.
     pub fn has_restarted(&self, runner: &RunnerInstance, address: SocketAddr) -> bool {
         let (name, born) = runner;
-        let mut hosts = self.hosts.values();
-        hosts.any(|host| {
-            let is_same_host = host.name == *name || host.runner.address == address;
-            is_same_host && host.runner.born > *born
-        })
+        let at_address = self.addresses.get(&address).map(|key| &self.hosts[*key]);
+        let is_replaced =
+            at_address.is_some_and(|host| host.name != *name && host.runner.born >= *born);
+        let named = self.host_by_name(name);
+        is_replaced || named.is_some_and(|(_, host)| host.runner.born > *born)
     }
 
     /// Returns the known members of a group.
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -16,7 +16,10 @@
         spec::{Engine, Replication, Service, Spec},
     },
 };
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+};
 
 /// Interval between two steps of the planner.
 pub const STEP_INTERVAL: Span = Span::from_millis(100);
@@ -87,6 +90,7 @@
 /// Actual state of a runner, which the daemon knows only from entries and probes.
 #[derive(Clone, Debug)]
 struct SimRunner {
+    address: SocketAddr,
     domain: DomainName,
     born: u64,
     is_dead: bool,
@@ -125,6 +129,10 @@
     pub demand: Demand,
     pub spec: Spec,
     hosts: BTreeMap<HostName, SimRunner>,
+    /// Number of addresses that were given to hosts.
+    addresses: u32,
+    /// True if the entries don't tell the starts of the runners.
+    pub hides_starts: bool,
     /// Delayed orders with the time of their execution.
     pending_orders: Vec<(Time, Directive)>,
     /// Entries that reach the daemon at the next step.
@@ -147,6 +155,8 @@
             demand: Demand::default(),
             spec: spec(),
             hosts: BTreeMap::new(),
+            addresses: 0,
+            hides_starts: false,
             pending_orders: Vec::new(),
             pending_entries: BTreeMap::new(),
             unreachable: BTreeMap::new(),
@@ -161,9 +171,24 @@
         fleet
     }
 
-    /// Adds an empty host.
+    /// Adds an empty host at an address of its own.
     pub fn add(&mut self, domain: &str, host: &str) {
+        self.addresses += 1;
+        let address = Ipv4Addr::from_bits(0x0a00_0000 + self.addresses);
+        self.add_at((address, 80).into(), domain, host);
+    }
+
+    /// Starts a host's runner again after a crash: at its address, under another name.
+    pub fn restart(&mut self, host: &HostName, name: &str) {
+        let former = self.hosts[host].clone();
+        self.add_at(former.address, former.domain.as_str(), name);
+        let runner = self.hosts.get_mut(&HostName::from(name)).expect("added");
+        runner.staged = former.staged;
+    }
+
+    fn add_at(&mut self, address: SocketAddr, domain: &str, host: &str) {
         let runner = SimRunner {
+            address,
             domain: DomainName::from(domain),
             born: self.now.0 + 1,
             is_dead: false,
@@ -210,8 +235,8 @@
             return;
         };
         runner.is_dead = true;
-        self.unreachable
-            .insert((host.clone(), runner.born), failure);
+        let born = if self.hides_starts { 0 } else { runner.born };
+        self.unreachable.insert((host.clone(), born), failure);
         if unlisted {
             self.roster.mark_unlisted(host, self.now);
         }
@@ -222,7 +247,7 @@
         let listed = self.hosts.iter();
         let listed = listed.filter(|(_, runner)| !runner.is_dead && !runner.is_unlisted);
         listed
-            .map(|(name, runner)| (name.clone(), entry(runner)))
+            .map(|(name, runner)| (name.clone(), self.entry(runner)))
             .collect()
     }
 
@@ -245,9 +270,11 @@
     pub fn hand_over_to_peer(&mut self, epoch: Epoch) {
         let dead = self.roster.dead_instances();
         let known = self.hosts.iter();
-        let listed = known.map(|(name, runner)| (name.clone(), entry(runner)));
+        let listed: Vec<_> = known
+            .map(|(name, runner)| (name.clone(), self.entry(runner)))
+            .collect();
         self.roster = Roster::default();
-        self.roster.replace(listed.collect(), self.now);
+        self.roster.replace(listed, self.now);
         self.roster.mark_dead(&dead);
         self.pending_entries.clear();
         self.planner = Planner::new(epoch);
@@ -266,7 +293,7 @@
 
     /// Slows a host down by a factor.
     pub fn slow_down(&mut self, host: &HostName, slowdown: f64) {
-        let instance = (host.clone(), self.hosts[host].born);
+        let instance = (host.clone(), self.born(&self.hosts[host]));
         self.roster.set_slow(BTreeMap::from([(instance, slowdown)]));
     }
 
@@ -280,7 +307,7 @@
 
     /// Makes a host refuse connections although it keeps running its requests.
     pub fn stop_listening(&mut self, host: &HostName) {
-        let instance = (host.clone(), self.hosts[host].born);
+        let instance = (host.clone(), self.born(&self.hosts[host]));
         self.unreachable.insert(instance, ProbeFailure::Refused);
     }
 
@@ -605,13 +632,10 @@
         for (name, runner) in std::mem::take(&mut self.pending_entries) {
             self.roster.put(name, runner);
         }
-
+        self.roster.expire(self.now);
+        self.answer_probes();
         for (name, runner) in self.hosts.iter().filter(|(_, runner)| !runner.is_dead) {
-            let entry = entry(runner);
-            if !self.unreachable.contains_key(&(name.clone(), runner.born)) {
-                self.roster
-                    .probe_answered(name, entry.member.clone(), self.now);
-            }
+            let entry = self.entry(runner);
             if runner.is_unlisted {
                 continue;
             }
@@ -624,13 +648,49 @@
             }
         }
     }
+
+    /// Answers the probes of all known hosts: each by the runner that is at its address now.
+    fn answer_probes(&mut self) {
+        let known = self.roster.hosts();
+        let known: Vec<(HostName, RunnerInstance, SocketAddr)> = known
+            .map(|(_, host)| (host.name.clone(), host.instance(), host.runner.address))
+            .collect();
+        for (name, instance, address) in known {
+            let mut alive = self.hosts.iter().filter(|(_, runner)| !runner.is_dead);
+            let Some((answering, runner)) = alive.find(|(_, runner)| runner.address == address)
+            else {
+                continue;
+            };
+            let own = (answering.clone(), self.born(runner));
+            if self.unreachable.contains_key(&own) {
+                continue;
+            }
+            let member = self.entry(runner).member;
+            self.roster.probe_answered(&name, member, self.now);
+            self.unreachable.remove(&instance);
+        }
+    }
+
+    /// Returns the start of a runner as its entry tells it.
+    fn born(&self, runner: &SimRunner) -> u64 {
+        if self.hides_starts { 0 } else { runner.born }
+    }
+
+    /// Returns the entry that a runner writes to the store.
+    fn entry(&self, runner: &SimRunner) -> Runner {
+        let born = self.born(runner);
+        Runner {
+            born,
+            ..entry(runner)
+        }
+    }
 }
 
 /// Returns the entry that a runner writes to the store.
 fn entry(runner: &SimRunner) -> Runner {
     Runner {
         service: service(),
-        address: "10.0.0.1:80".parse().expect("an address"),
+        address: runner.address,
         hall: HallName::from("hall"),
         domain: Some(runner.domain.clone()),
         slots: 26,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod groups;
 mod handovers;
 mod held_bytes;
+mod identities;
 mod limit_fleet;
 mod limits;
 mod liveness;
