Orders name the runner that they are for

A runner that had taken the place of the expected one, and whose entry had not arrived yet, joined, opened or left in its stead, and its 2xx counted as the other's word (`Openings::head_left`).

Orders now name the host that they are for; another one answers 421 and does nothing (PROTOCOL, Runners), which doesn't count as accepted.

Test order_is_not_carried_out_by_another_runner: before, the successor carried out 1 order; now it refuses all.

--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -64,6 +64,10 @@
     /// Returns the path of a probe.
     fn probe_path() -> &'static str;
 
+    /// Names the host that a probe or an order is meant for; another one that is at its address
+    /// refuses it as misdirected.
+    fn set_expected_host(headers: &mut HeaderMap, host: &HostName);
+
     /// Returns the path and the body of an order.
     fn encode_order(order: &Order) -> (&'static str, Bytes);
 
@@ -130,6 +134,8 @@
 pub struct ResponseHead {
     /// Identifier of the request that it belongs to.
     pub id: Option<HeaderValue>,
+    /// Host that sent it, if it says so.
+    pub sender: Option<HostName>,
     /// True if the runner says that it did not run the request.
     pub not_run: bool,
     /// True if the response carries the runner's proof that it is its own.
@@ -145,6 +151,8 @@
 /// Decoded response of a runner to a probe.
 #[derive(Clone, Debug, Default)]
 pub struct ProbeReport {
+    /// Start of the run that reports, in Unix milliseconds, if it says so.
+    pub born: Option<u64>,
     /// Membership in a group.
     pub member: Option<Membership>,
     /// Slowdown factor: how many times slower than usual the runner works.
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -68,11 +68,12 @@
     A: Adapter,
 {
     let (path, body) = A::encode_order(&directive.order);
-    let request = Request::post(path)
+    let mut request = Request::post(path)
         .header("host", address.to_string())
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(body))
         .expect("the head of an order is valid");
+    A::set_expected_host(request.headers_mut(), &directive.host);
     let mut connection = RunnerConnection::open(address, CONNECT_TIMEOUT).await?;
     let response = connection.send(request).await?;
     Ok(response.status())
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -18,6 +18,7 @@
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod env;
 mod http;
+mod identities;
 mod limits;
 mod link;
 mod notices;
@@ -34,4 +35,5 @@
 mod store;
 mod store_cut;
 mod streams;
+mod successor;
 mod trouble;
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -10,6 +10,7 @@
     },
     runs::{Run, RunEnd, Runs, Silence},
     store::Store,
+    successor::Successor,
     trouble::{Endless, TroubleCount},
 };
 use serde_json::{Value, json};
@@ -47,6 +48,8 @@
     control_trouble: Mutex<Option<Endless>>,
     /// Endless responses that it has sent.
     pub troubles: TroubleCount,
+    /// Another runner that may be at its address.
+    pub successor: Successor,
     /// True if it begins each connection with the refusal of an earlier request.
     greets: AtomicBool,
     entry: Mutex<Value>,
@@ -79,6 +82,7 @@
             crashes: Crashes::default(),
             control_trouble: Mutex::default(),
             troubles: TroubleCount::default(),
+            successor: Successor::default(),
             greets: AtomicBool::default(),
             entry: Mutex::new(entry),
             store,
@@ -219,6 +223,10 @@
 
     /// Responds to one request; returns false if the connection must be closed.
     fn respond(&self, stream: &mut TcpStream, request: RecordedRequest) -> bool {
+        if self.successor.is_there() {
+            let entry = self.entry.lock().expect("not poisoned").clone();
+            return self.successor.respond(stream, &request, &entry);
+        }
         let is_control = ["GET /report", "POST /order"]
             .iter()
             .any(|start| request.request_line.starts_with(start));
