What answers a probe is compared with the runner that the probe is for

Probes now name their host, and a response counts as that of another run if it is refused as misdirected, names another sender, or tells another start. Then the known run has ended, since an address belongs to one runner at a time: the member is unreachable and dead. That is no sign that this daemon is cut off, so it doesn't count towards the fraction above which nothing is concluded. Outcomes are recorded under the key of the run that was probed. The load in a refusal as misdirected, and anything in a response of another sender, no longer counts as the expected runner's.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -77,14 +77,10 @@
     };
     let (parts, body) = response.into_parts();
     let head = A::decode_response(&parts);
-    if let Some(load) = head.load {
-        let now = call.state.now();
-        call.state
-            .loads
-            .borrow_mut()
-            .load_reported(endpoint.host, load, now);
+    if is_own(call, endpoint, parts.status, &head) {
+        record_load(call, endpoint, &head);
+        record_notice(call, endpoint, &head);
     }
-    record_notice(call, endpoint, parts.status, &head);
     call.state.report_unknown_headers(&head.unknown_headers);
     if let Some(error) = check_response(call, &parts, &head) {
         if error == AttemptError::Declined {
@@ -117,12 +113,26 @@
     counter!("sends_total", "limited" => is_limited).increment(1);
 }
 
-/// Records what the runner says of itself, if the response is its own.
-fn record_notice(call: &Call, endpoint: &Endpoint, status: StatusCode, head: &ResponseHead) {
-    let is_own = head.id == call.head.id && status != StatusCode::MISDIRECTED_REQUEST;
-    if !is_own {
-        return;
+/// Returns true if a response is the runner's own, and not that of another one at its address.
+fn is_own(call: &Call, endpoint: &Endpoint, status: StatusCode, head: &ResponseHead) -> bool {
+    let has_other_sender = head
+        .sender
+        .as_ref()
+        .is_some_and(|sender| *sender != endpoint.name);
+    head.id == call.head.id && status != StatusCode::MISDIRECTED_REQUEST && !has_other_sender
+}
+
+/// Records the load that the runner reports.
+fn record_load(call: &Call, endpoint: &Endpoint, head: &ResponseHead) {
+    if let Some(load) = head.load {
+        let now = call.state.now();
+        let mut loads = call.state.loads.borrow_mut();
+        loads.load_reported(endpoint.host, load, now);
     }
+}
+
+/// Records what the runner says of itself.
+fn record_notice(call: &Call, endpoint: &Endpoint, head: &ResponseHead) {
     let is_invalid =
         head.notice.rate_limit == Stated::Invalid || head.notice.pause == Stated::Invalid;
     if is_invalid {
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -4,11 +4,11 @@
 //! entries in the store lag behind. The holder of the duty therefore probes
 //! each member that nothing else proves to be alive, over a connection that is
 //! kept open. A member counts as unreachable only after new connections have
-//! failed too. If a large fraction of members fails at once, this daemon itself
+//! failed too, or if another run is at its address. If a large fraction of members fails at once, this daemon itself
 //! is assumed to be cut off, and none is reported.
 
 use super::{
-    adapter::Adapter,
+    adapter::{Adapter, DecodeError, ProbeReport, ResponseHead},
     announcements,
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
     liveness,
@@ -17,10 +17,9 @@
     roster::{Host, HostKey, ProbeFailure, RunnerInstance, SLOW_FACTOR},
     state::GatewayState,
 };
-use crate::core::{keys::HostName, time::Time};
-use bytes::Bytes;
+use crate::core::time::Time;
 use futures_util::future::join;
-use http::Request;
+use http::{Request, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use std::{
     cell::RefCell,
@@ -55,17 +54,23 @@
             .count()
     }
 
-    fn forget_failures(&mut self) {
-        for probe in self.entries.values_mut() {
-            probe.is_unreachable = false;
-        }
+    /// Returns the number of members that don't answer, nor anybody else at their addresses.
+    fn count_unanswered(&self) -> usize {
+        let probes = self.entries.values();
+        probes.filter(|probe| probe.is_unanswered()).count()
+    }
+
+    fn forget_unanswered(&mut self) {
+        let probes = self.entries.values_mut();
+        probes
+            .filter(|probe| probe.is_unanswered())
+            .for_each(|probe| probe.is_unreachable = false);
     }
 }
 
 /// Probe state of one member.
 struct Probe {
-    name: HostName,
-    born: u64,
+    runner: RunnerInstance,
     /// Connection that is kept open between probes.
     connection: Option<RunnerConnection>,
     /// Time at which the last probe was sent.
@@ -74,10 +79,18 @@
     /// True if the probe in flight opens a new connection.
     is_new: bool,
     is_unreachable: bool,
+    /// True if another run is at its address.
+    is_replaced: bool,
     /// Slowdown factor, rounded to halves.
     slowdown: f64,
 }
 
+impl Probe {
+    fn is_unanswered(&self) -> bool {
+        self.is_unreachable && !self.is_replaced
+    }
+}
+
 /// Probes the members of groups.
 pub struct Prober<A> {
     state: Rc<GatewayState>,
@@ -126,21 +139,16 @@
         }
     }
 
-    /// Returns the unreachable runner instances; none if this daemon itself is cut off. Then all
-    /// must fail again to count, since those that answer first would leave the others behind.
+    /// Returns the unreachable runner instances; only those whose addresses answer if this daemon
+    /// itself is cut off. Then all must fail again to count, since those that answer first would
+    /// leave the others behind.
     pub fn unreachable(&self) -> BTreeSet<RunnerInstance> {
         let mut probes = self.probes.borrow_mut();
-        let unreachable: BTreeSet<RunnerInstance> = probes
-            .entries
-            .values()
-            .filter(|probe| probe.is_unreachable)
-            .map(|probe| (probe.name.clone(), probe.born))
-            .collect();
-        if liveness::is_cut_off(unreachable.len(), probes.entries.len()) {
-            probes.forget_failures();
-            return BTreeSet::new();
+        if liveness::is_cut_off(probes.count_unanswered(), probes.entries.len()) {
+            probes.forget_unanswered();
         }
-        unreachable
+        let unreachable = probes.entries.values().filter(|probe| probe.is_unreachable);
+        unreachable.map(|probe| probe.runner.clone()).collect()
     }
 
     /// Returns the slow runner instances and their slowdown factors.
@@ -150,7 +158,7 @@
             .entries
             .values()
             .filter(|probe| probe.slowdown >= SLOW_FACTOR);
-        slow.map(|probe| ((probe.name.clone(), probe.born), probe.slowdown))
+        slow.map(|probe| (probe.runner.clone(), probe.slowdown))
             .collect()
     }
 
@@ -165,13 +173,13 @@
         probes.entries.retain(|key, _| members.contains_key(key));
         for (key, host) in members {
             probes.entries.entry(key).or_insert_with(|| Probe {
-                name: host.name.clone(),
-                born: host.runner.born,
+                runner: host.instance(),
                 connection: None,
                 last_sent: None,
                 is_in_flight: false,
                 is_new: false,
                 is_unreachable: host.is_unreachable(),
+                is_replaced: false,
                 slowdown: host.slowdown(),
             });
         }
@@ -196,71 +204,99 @@
         probe.is_in_flight = true;
         let kept = probe.connection.take();
         probe.is_new = kept.is_none();
+        let target = Target {
+            runner: probe.runner.clone(),
+            address,
+        };
         let (state, probes) = (self.state.clone(), self.probes.clone());
         compio::runtime::spawn(async move {
-            let outcome = probe_host::<A>(address, kept).await;
-            record_outcome::<A>(&state, &probes, key, outcome);
+            let outcome = probe_host::<A>(&target, kept).await;
+            record_outcome(&state, &probes, key, outcome);
         })
         .detach();
     }
 }
 
 /// Records the outcome of a probe and the report of the runner.
-fn record_outcome<A>(
+fn record_outcome(
     state: &Rc<GatewayState>,
     probes: &RefCell<Probes>,
     key: HostKey,
     outcome: Result<Answer, ProbeFailure>,
-) where
-    A: Adapter,
-{
+) {
     let mut probes = probes.borrow_mut();
     let Some(probe) = probes.entries.get_mut(&key) else {
         return;
     };
     probe.is_in_flight = false;
     match outcome {
-        Ok(_) if probe.is_new => state.runner_connected(),
-        Ok(_) => {}
+        Ok(_) | Err(ProbeFailure::Replaced) if probe.is_new => state.runner_connected(),
+        Ok(_) | Err(ProbeFailure::Replaced) => {}
         Err(_) => reach_check::runner_unreached(state, key),
     }
     let is_unreachable = outcome.is_err();
     if is_unreachable != probe.is_unreachable {
         slog::info!(state.log, "reachability of member changed";
-            "host" => probe.name.as_str(), "lost" => is_unreachable);
+            "host" => probe.runner.0.as_str(),
+            "lost" => is_unreachable,
+            "failure" => outcome.as_ref().err().map(|failure| format!("{failure:?}")));
     }
     probe.is_unreachable = is_unreachable;
+    probe.is_replaced = matches!(outcome, Err(ProbeFailure::Replaced));
     let answer = match outcome {
         Ok(answer) => answer,
         Err(failure) => {
             let mut roster = state.roster.borrow_mut();
-            return roster.probe_failed(&probe.name, failure);
+            return roster.probe_failed(key, failure);
         }
     };
     probe.connection = Some(answer.connection);
     announcements::control_answered(state, key, &answer.notice);
-    match A::decode_report(&answer.text) {
+    match answer.report {
         Ok(report) => {
             // Rounded to halves, as each change of the value causes a write to the store.
             probe.slowdown = (report.slowdown * 2.0).round() / 2.0;
             let mut roster = state.roster.borrow_mut();
-            roster.probe_answered(&probe.name, report.member, state.now());
+            roster.probe_answered(key, report.member, state.now());
         }
         Err(error) => slog::warn!(state.log, "member sent an invalid report";
-            "host" => probe.name.as_str(), "cause" => error.to_string()),
+            "host" => probe.runner.0.as_str(), "cause" => error.to_string()),
+    }
+}
+
+/// Runner instance that a probe is meant for, and where it was last known to be.
+struct Target {
+    runner: RunnerInstance,
+    address: SocketAddr,
+}
+
+impl Target {
+    /// Returns true if another host says that the probe isn't meant for it.
+    fn is_refused(&self, status: StatusCode, head: &ResponseHead) -> bool {
+        let is_own = head.sender.as_ref() == Some(&self.runner.0);
+        status == StatusCode::MISDIRECTED_REQUEST && !is_own
+    }
+
+    /// Returns true if a response is certain to come from another run.
+    fn is_replaced(&self, head: &ResponseHead, report: Option<&ProbeReport>) -> bool {
+        let (name, born) = &self.runner;
+        let has_other_name = head.sender.as_ref().is_some_and(|sender| sender != name);
+        let reported = report.and_then(|report| report.born);
+        let has_other_start = *born != 0 && reported.is_some_and(|other| other != *born);
+        has_other_name || has_other_start
     }
 }
 
 /// Response to a probe.
 struct Answer {
     connection: RunnerConnection,
-    text: Bytes,
+    report: Result<ProbeReport, DecodeError>,
     notice: Notice,
 }
 
 /// Probes a host over the kept connection and, if that fails, over new ones.
 async fn probe_host<A>(
-    address: SocketAddr,
+    target: &Target,
     kept: Option<RunnerConnection>,
 ) -> Result<Answer, ProbeFailure>
 where
@@ -269,15 +305,15 @@
     if let Some(connection) = kept
         && let Ok(answered) = with_timeout(
             REUSED_CONNECTION_TIMEOUT,
-            fetch_report::<A>(connection, address),
+            fetch_report::<A>(connection, target),
         )
         .await
     {
         return Ok(answered);
     }
     let probe_anew = || async {
-        let opened = RunnerConnection::open(address, CONNECT_TIMEOUT).await;
-        fetch_report::<A>(opened.map_err(probe_failure)?, address).await
+        let opened = RunnerConnection::open(target.address, CONNECT_TIMEOUT).await;
+        fetch_report::<A>(opened.map_err(probe_failure)?, target).await
     };
     // Two at once, so that a single lost packet isn't taken for a failure of the member.
     let (first, second) = join(
@@ -287,6 +323,9 @@
     .await;
     match (first, second) {
         (Ok(answered), _) | (_, Ok(answered)) => Ok(answered),
+        (Err(ProbeFailure::Replaced), _) | (_, Err(ProbeFailure::Replaced)) => {
+            Err(ProbeFailure::Replaced)
+        }
         (Err(ProbeFailure::Refused), _) | (_, Err(ProbeFailure::Refused)) => {
             Err(ProbeFailure::Refused)
         }
@@ -312,25 +351,34 @@
 
 async fn fetch_report<A>(
     mut connection: RunnerConnection,
-    address: SocketAddr,
+    target: &Target,
 ) -> Result<Answer, ProbeFailure>
 where
     A: Adapter,
 {
-    let request = Request::get(A::probe_path())
-        .header("host", address.to_string())
+    let mut request = Request::get(A::probe_path())
+        .header("host", target.address.to_string())
         .body(Full::default())
         .expect("the probe request is valid");
+    A::set_expected_host(request.headers_mut(), &target.runner.0);
     let response = connection.send(request).await.map_err(probe_failure)?;
-    if !response.status().is_success() {
+    let (parts, body) = response.into_parts();
+    let head = A::decode_response(&parts);
+    if target.is_refused(parts.status, &head) || target.is_replaced(&head, None) {
+        return Err(ProbeFailure::Replaced);
+    }
+    if !parts.status.is_success() {
         return Err(ProbeFailure::Refused);
     }
-    let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_REPORT_BYTES).collect();
     let whole = body.await.map_err(|_| ProbeFailure::Refused)?;
+    let report = A::decode_report(&whole.to_bytes());
+    if target.is_replaced(&head, report.as_ref().ok()) {
+        return Err(ProbeFailure::Replaced);
+    }
     Ok(Answer {
         connection,
-        text: whole.to_bytes(),
-        notice: A::decode_response(&head).notice,
+        report,
+        notice: head.notice,
     })
 }
--- a/src/gateway/roster/mod.rs
+++ b/src/gateway/roster/mod.rs
@@ -108,6 +108,8 @@
         Silent,
         /// The host responds, but the runner no longer listens.
         Refused,
+        /// Another run is at its address, so this one has ended.
+        Replaced,
     }
 }
 
@@ -141,11 +143,10 @@
 impl Roster {
     /// Records a runner's answer to a probe; the membership counts only if the host has no entry,
     /// since an entry is newer.
-    pub fn probe_answered(&mut self, name: &HostName, member: Option<Membership>, now: Time) {
-        let Some(key) = self.keys.get(name) else {
+    pub fn probe_answered(&mut self, key: HostKey, member: Option<Membership>, now: Time) {
+        let Some(host) = self.hosts.get_mut(key) else {
             return;
         };
-        let host = &mut self.hosts[*key];
         let is_healthy = host.unlisted_since.is_none() && !host.is_draining();
         host.last_healthy = is_healthy.then_some(now);
         host.probe_failure = None;
@@ -156,9 +157,9 @@
     }
 
     /// Records that a probe of a host failed.
-    pub fn probe_failed(&mut self, name: &HostName, failure: ProbeFailure) {
-        if let Some(key) = self.keys.get(name) {
-            self.hosts[*key].probe_failure = Some(failure);
+    pub fn probe_failed(&mut self, key: HostKey, failure: ProbeFailure) {
+        if let Some(host) = self.hosts.get_mut(key) {
+            host.probe_failure = Some(failure);
         }
     }
 
@@ -210,7 +211,7 @@
         let was_healthy = host.last_healthy.is_some() && host.last_healthy >= fresh_from;
         match host.probe_failure {
             _ if host.is_reported_dead => true,
-            Some(ProbeFailure::Silent) => true,
+            Some(ProbeFailure::Silent | ProbeFailure::Replaced) => true,
             Some(ProbeFailure::Refused) => is_watched && was_healthy,
             None => false,
         }
--- a/tests/gateway/departures.rs
+++ b/tests/gateway/departures.rs
@@ -5,7 +5,7 @@
         keys::{HallName, HostName, ServiceName},
         time::{Span, Time},
     },
-    gateway::roster::{ProbeFailure, REENTRY_WINDOW, Roster, Runner},
+    gateway::roster::{HostKey, ProbeFailure, REENTRY_WINDOW, Roster, Runner},
 };
 
 const NAME: &str = "p1";
@@ -36,6 +36,12 @@
     roster
 }
 
+/// Returns the key of the runner.
+fn key(roster: &Roster) -> HostKey {
+    let (key, _) = roster.host_by_name(&HostName::from(NAME)).expect("known");
+    key
+}
+
 fn is_usable(roster: &Roster, now: Time) -> bool {
     let (_, host) = roster.host_by_name(&HostName::from(NAME)).expect("known");
     roster.is_usable(host, now)
@@ -131,11 +137,11 @@
 fn runner_that_left_in_outage_is_not_dead_before_the_recovery_is_noticed() {
     let mut roster = roster();
     let name = HostName::from(NAME);
-    roster.probe_answered(&name, None, at(20_000));
+    roster.probe_answered(key(&roster), None, at(20_000));
     roster.store_lost(at(21_000));
-    roster.probe_answered(&name, None, at(22_000));
+    roster.probe_answered(key(&roster), None, at(22_000));
     roster.replace(Vec::new(), at(29_000));
-    roster.probe_failed(&name, ProbeFailure::Refused);
+    roster.probe_failed(key(&roster), ProbeFailure::Refused);
     let is_dead = |roster: &Roster| {
         let (_, host) = roster.host_by_name(&name).expect("known");
         roster.is_dead(host)
@@ -149,8 +155,8 @@
 fn runner_that_crashed_under_an_uninterrupted_watch_is_dead() {
     let mut roster = roster();
     let name = HostName::from(NAME);
-    roster.probe_answered(&name, None, at(20_000));
-    roster.probe_failed(&name, ProbeFailure::Refused);
+    roster.probe_answered(key(&roster), None, at(20_000));
+    roster.probe_failed(key(&roster), ProbeFailure::Refused);
     let (_, host) = roster.host_by_name(&name).expect("known");
     assert!(roster.is_dead(host));
 }
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -12,7 +12,7 @@
         demand::Demand,
         order::{Directive, Order, OrderAnswer},
         planner::Planner,
-        roster::{MemberState, Membership, ProbeFailure, Roster, Runner, RunnerInstance},
+        roster::{HostKey, MemberState, Membership, ProbeFailure, Roster, Runner, RunnerInstance},
         spec::{Engine, Replication, Service, Spec},
     },
 };
@@ -334,8 +334,10 @@
             self.report_entries();
             self.roster
                 .set_unreachable(self.unreachable.keys().cloned().collect());
-            for ((name, _), failure) in &self.unreachable {
-                self.roster.probe_failed(name, *failure);
+            for (instance, failure) in &self.unreachable {
+                if let Some(key) = self.key_of(instance) {
+                    self.roster.probe_failed(key, *failure);
+                }
             }
             self.roster.rebuild_groups(&self.spec);
             for directive in self
@@ -652,10 +654,10 @@
     /// Answers the probes of all known hosts: each by the runner that is at its address now.
     fn answer_probes(&mut self) {
         let known = self.roster.hosts();
-        let known: Vec<(HostName, RunnerInstance, SocketAddr)> = known
-            .map(|(_, host)| (host.name.clone(), host.instance(), host.runner.address))
+        let known: Vec<(HostKey, RunnerInstance, SocketAddr)> = known
+            .map(|(key, host)| (key, host.instance(), host.runner.address))
             .collect();
-        for (name, instance, address) in known {
+        for (key, instance, address) in known {
             let mut alive = self.hosts.iter().filter(|(_, runner)| !runner.is_dead);
             let Some((answering, runner)) = alive.find(|(_, runner)| runner.address == address)
             else {
@@ -666,11 +668,17 @@
                 continue;
             }
             let member = self.entry(runner).member;
-            self.roster.probe_answered(&name, member, self.now);
+            self.roster.probe_answered(key, member, self.now);
             self.unreachable.remove(&instance);
         }
     }
 
+    /// Returns the key of a runner instance, if that is the current one of its host.
+    fn key_of(&self, instance: &RunnerInstance) -> Option<HostKey> {
+        let (key, host) = self.roster.host_by_name(&instance.0)?;
+        (host.instance() == *instance).then_some(key)
+    }
+
     /// Returns the start of a runner as its entry tells it.
     fn born(&self, runner: &SimRunner) -> u64 {
         if self.hides_starts { 0 } else { runner.born }
