An entry without a start is no new run of a runner that tells its start

Runners that never tell a start are told apart by their names, as before.

Test entry_without_start_is_no_new_run failed before (another key, start 0).

--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -89,14 +89,28 @@
         }
     }
 
-    /// Decodes a runner's entry; an invalid one counts as absent.
+    /// Decodes a runner's entry; an invalid one counts as absent, and so does one that another
+    /// writer left for a host whose runner tells its start.
     fn decode(&self, name: &HostName, entry: &PlatformEntry) -> Option<Runner> {
         let read = A::decode_runner(&entry.value);
-        read.inspect_err(|error| {
+        let read = read.inspect_err(|error| {
             slog::debug!(self.state.log, "invalid runner entry ignored";
                 "host" => name.as_str(), "cause" => error.to_string());
-        })
-        .ok()
+        });
+        let runner = read.ok()?;
+        let is_foreign = runner.born == 0 && self.tells_start(name);
+        if is_foreign {
+            slog::debug!(self.state.log, "runner entry without a start ignored";
+                "host" => name.as_str());
+        }
+        (!is_foreign).then_some(runner)
+    }
+
+    /// Returns true if a host is known and its runner has told its start.
+    fn tells_start(&self, name: &HostName) -> bool {
+        let roster = self.state.roster.borrow();
+        let known = roster.host_by_name(name);
+        known.is_some_and(|(_, host)| host.runner.born != 0)
     }
 
     /// Decodes a list, in the order in which its entries were written.
--- a/tests/gateway/identities.rs
+++ b/tests/gateway/identities.rs
@@ -143,6 +143,25 @@
     }
 }
 
+/// Guards against a group without a head: an entry that another writer left, without a start, was
+/// taken for a new run of its host, and what was known of the runner was dropped.
+#[test]
+fn entry_without_start_is_no_new_run() {
+    let state = entries::state();
+    let handler = RunnerHandler::<Platform>::new(state.clone());
+    handler.on_list(Revision(5), vec![entry("a", 5, Some(7))]);
+    let host = || {
+        let roster = state.roster.borrow();
+        let (key, host) = roster.host_by_name(&HostName::from("a")).expect("known");
+        (key, host.runner.born, host.unlisted_since.is_some())
+    };
+    let (key, _, _) = host();
+    handler.on_change(vec![WatchEvent::Put(entry("a", 6, None))]);
+    assert_eq!(host(), (key, 7, true), "it names no runner to use");
+    handler.on_change(vec![WatchEvent::Put(entry("a", 7, Some(7)))]);
+    assert_eq!(host(), (key, 7, false));
+}
+
 /// Runners that don't tell their starts are told apart by their names: another one at the address
 /// is a later run, which shows that the earlier one has ended.
 #[test]
