Members leave a group whose head can't be asked before they join another one

Cause: `may_act_as_head` let the members go as soon as a head's entry was gone and one probe was silent; both only say that this daemon and the store don't reach it. The same guess was made in two more places: a head that was forgotten 30 s after its entry had gone, and is back later than its members, passed for one that had left; and a head whose last word was that it is ready, with an order to open on its way, when it fell silent.

What a daemon can know: its own silence says nothing of the head. Nor does that of its peers, if the head is cut off from all of them. What does not depend on the head is the word of the members, who are reached: one that has left is in no group, and a head without it can't run requests. So a member of a group that may be open is now held until the head has said that the group is closed, or the member that it has left; when nobody waits for the head any more (by the same rules as before), the members are ordered to leave. A leave takes effect at once, so that repair waits for one more order and not for `StallMs`.

An accepted order to leave now counts as the head's only if the head took it.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -231,11 +231,11 @@
         }
         state.refresh_groups();
         self.planner.has_traffic |= !state.settings.first || state.accepted.get() > 0;
-        for answer in self.answers.take() {
-            self.planner.order_answered(answer);
-        }
         let directives = {
             let roster = state.roster.borrow();
+            for answer in self.answers.take() {
+                self.planner.order_answered(&roster, answer);
+            }
             let demand = state.demand.borrow();
             self.planner
                 .step(&roster, table.spec(), &demand, state.now())
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -2,6 +2,12 @@
 //!
 //! They decide when an active group has to be closed, how long a group holds
 //! its members, and which hosts are eligible for a new group.
+//!
+//! That a head is neither listed nor reached doesn't prove that it has ended: it
+//! may be cut off, and open. Only a head's own word shows that its group is
+//! closed, and only a member's own word that it has left. A member of a group
+//! whose head can't be asked is therefore ordered to leave before it joins
+//! another one.
 
 use super::{
     group::Group,
@@ -35,19 +41,24 @@
     is_open && slow > 0 && pool.spare_count(roster, &group.model) >= slow
 }
 
-/// Returns true if the members of a group must not be ordered into another one.
+/// Returns true if the head of a group hasn't said that the group isn't open.
+pub(super) fn is_not_known_closed(group: &Group) -> bool {
+    group.is_active() || group.head().is_none()
+}
+
+/// Returns true if the members of a group that may be open must stay in it.
 ///
 /// An unreachable head holds them until its entry is removed, because it may only
 /// be out of reach of this daemon. A draining head may run requests for longer
 /// although it no longer listens; so may a head that this daemon never saw.
 pub(super) fn holds_members(roster: &Roster, group: &Group, now: Time) -> bool {
-    match group.is_active() {
-        true => may_act_as_head(roster, group, now),
-        false => roster.may_have_unseen_head(group, now),
+    match group.head() {
+        Some(_) => may_act_as_head(roster, group, now),
+        None => roster.may_have_unseen_head(group, now),
     }
 }
 
-/// Returns true if the head of a group may still run requests or carry out orders.
+/// Returns true if the head of a group may still run requests or carry out orders that matter.
 pub(super) fn may_act_as_head(roster: &Roster, group: &Group, now: Time) -> bool {
     let Some(head) = group.head().and_then(|key| roster.host(key)) else {
         return false;
--- a/src/gateway/planner/ending.rs
+++ b/src/gateway/planner/ending.rs
@@ -1,4 +1,5 @@
-//! Closes groups that have lost members, and orders heads to leave groups that may still open.
+//! Closes groups that have lost members, and orders hosts to leave groups that may be open although
+//! their heads can't be asked, or that may still open.
 
 use super::Planner;
 use crate::{
@@ -8,9 +9,12 @@
     },
     gateway::{
         group::Group,
-        lifecycle::{can_replace_slow, may_act_as_head, must_close},
+        lifecycle::{
+            can_replace_slow, holds_members, is_eligible, is_not_known_closed, may_act_as_head,
+            must_close,
+        },
         order::{Directive, Order},
-        roster::Roster,
+        roster::{Host, Roster},
     },
 };
 use std::collections::BTreeSet;
@@ -83,6 +87,58 @@
         }
     }
 
+    /// Orders members to leave groups that may be open although their heads are gone or out of
+    /// reach. The head of such a group, if it lives, can't run requests without them.
+    pub(super) fn leave_groups(
+        &mut self,
+        roster: &Roster,
+        service: &ServiceName,
+        now: Time,
+        out: &mut Vec<Directive>,
+    ) {
+        for group in roster.groups() {
+            if group.service != *service || !self.must_leave(roster, group, now) {
+                continue;
+            }
+            let leave = Order::Leave {
+                group: group.name.clone(),
+                epoch: group.epoch,
+            };
+            let leaving = self.members_to_leave(roster, group);
+            let names: Vec<_> = leaving.map(|host| host.name.clone()).collect();
+            for name in names {
+                self.send(&name, leave.clone(), now, out);
+            }
+        }
+    }
+
+    /// Returns the members of a group that can be ordered to leave it, without those that are
+    /// ordered to join another one already.
+    pub(super) fn members_to_leave<'a>(
+        &self,
+        roster: &'a Roster,
+        group: &'a Group,
+    ) -> impl Iterator<Item = &'a Host> {
+        let formations = self.formations.iter();
+        let forming: BTreeSet<_> = formations
+            .flat_map(|formation| formation.members.iter().cloned())
+            .collect();
+        let members = roster.members(group).filter(|host| is_eligible(host));
+        members.filter(move |host| !forming.contains(&host.name))
+    }
+
+    /// Returns true if a group may be open: its head hasn't said that it is not, or may have been
+    /// opened since.
+    pub(super) fn may_be_open(&self, roster: &Roster, group: &Group) -> bool {
+        is_not_known_closed(group) || self.openings.may_be_open(roster, group)
+    }
+
+    /// Returns true if the members of a group are to leave it: nobody waits for its work any more,
+    /// but its head may be open.
+    pub(super) fn must_leave(&self, roster: &Roster, group: &Group, now: Time) -> bool {
+        self.may_be_open(roster, group) && !holds_members(roster, group, now)
+    }
+
     /// Returns true if a group holds its members although its head last reported to be ready.
     pub(super) fn holds_ready(&self, roster: &Roster, group: &Group, now: Time) -> bool {
         self.openings.may_be_open(roster, group) && may_act_as_head(roster, group, now)
--- a/src/gateway/planner/mod.rs
+++ b/src/gateway/planner/mod.rs
@@ -6,8 +6,8 @@
 //! Its epochs are larger than those of every earlier holder of the duty, so
 //! that runners refuse an earlier holder's late orders.
 //!
-//! A group is closed before any of its members is ordered into another one,
-//! and opened only once each member reports that it is ready at its epoch.
+//! A group is closed before any of its members is ordered into another one; if
+//! its head can't be asked, the members leave it first. A group is opened only once each member reports that it is ready at its epoch.
 
 mod ending;
 mod pools;
@@ -16,7 +16,7 @@
     demand::{Demand, Needs},
     formation::Formation,
     group::Group,
-    lifecycle::{holds_members, is_eligible},
+    lifecycle::is_eligible,
     openings::Openings,
     order::{Directive, Order, OrderAnswer},
     roster::{HostKey, MemberState, Roster},
@@ -97,6 +97,7 @@
             self.advance_formations(roster, &service.name, engine, now, &mut out);
             self.close_groups(roster, &service.name, now, &mut out);
             self.release_ready_groups(roster, &service.name, now, &mut out);
+            self.leave_groups(roster, &service.name, now, &mut out);
             if !self
                 .startup
                 .update(roster.hosts().count(), self.has_traffic, now)
@@ -113,9 +114,8 @@
     /// Returns the groups that no longer hold their members, although their heads last reported to
     /// be open or closing, or are unknown.
     pub fn released_groups(&self, roster: &Roster, now: Time) -> Vec<Epoch> {
-        let may_serve = |group: &&Group| group.is_active() || group.head().is_none();
-        let groups = roster.groups().iter().filter(may_serve);
-        let released = groups.filter(|group| !holds_members(roster, group, now));
+        let groups = roster.groups().iter();
+        let released = groups.filter(|group| self.must_leave(roster, group, now));
         released.map(|group| group.epoch).collect()
     }
 
@@ -313,14 +313,18 @@
     }
 
     /// Records that a runner responded to an order, whose effect it has yet to report.
-    pub fn order_answered(&mut self, answer: OrderAnswer) {
+    pub fn order_answered(&mut self, roster: &Roster, answer: OrderAnswer) {
         let OrderAnswer {
             directive,
             is_accepted,
         } = answer;
         match &directive.order {
             Order::Open { group, .. } => self.openings.answered(group),
-            Order::Leave { epoch, .. } if is_accepted => self.openings.head_left(*epoch),
+            Order::Leave { epoch, .. } if is_accepted => {
+                if is_head(roster, *epoch, &directive.host) {
+                    self.openings.head_left(*epoch);
+                }
+            }
             _ => {}
         }
         if is_accepted {
@@ -328,3 +332,11 @@
         }
     }
 }
+
+/// Returns true if a host is the head of the group of an epoch.
+fn is_head(roster: &Roster, epoch: Epoch, host: &HostName) -> bool {
+    let mut groups = roster.groups().iter();
+    let group = groups.find(|group| group.epoch == epoch);
+    let head = group.and_then(Group::head).and_then(|key| roster.host(key));
+    head.is_some_and(|head| head.name == *host)
+}
--- a/src/gateway/planner/pools.rs
+++ b/src/gateway/planner/pools.rs
@@ -25,17 +25,17 @@
         service: &ServiceName,
         now: Time,
     ) -> BTreeMap<DomainName, Pool> {
-        let held = self.held_hosts(roster, service, now);
+        let held = self.held_hosts(roster, service);
         let mut pools: BTreeMap<DomainName, Pool> = BTreeMap::new();
         for (model, domain) in self.placed_groups(roster, service) {
             let pool = pools.entry(domain).or_default();
             *pool.groups.entry(model).or_default() += 1;
         }
         for group in roster.groups() {
-            let head = group.head().and_then(|key| roster.host(key));
+            let domain = roster.members(group).next();
             if group.service == *service
                 && self.is_ending(roster, group, now)
-                && let Some(domain) = head.and_then(|host| host.runner.domain.clone())
+                && let Some(domain) = domain.and_then(|host| host.runner.domain.clone())
             {
                 let pool = pools.entry(domain).or_default();
                 pool.ending.insert(group.model.clone());
@@ -60,15 +60,19 @@
         pools
     }
 
-    /// Returns true if a group no longer serves but still holds its members.
+    /// Returns true if a group no longer serves but still has its members, and will let them go.
     fn is_ending(&self, roster: &Roster, group: &Group, now: Time) -> bool {
+        if self.must_leave(roster, group, now) {
+            return self.members_to_leave(roster, group).next().is_some();
+        }
         let has_stopped =
             roster.has_unreachable_member(group) || self.closing.contains_key(&group.name);
-        has_stopped && holds_members(roster, group, now)
+        has_stopped && group.is_active() && holds_members(roster, group, now)
     }
 
-    /// Returns the hosts held by formations and by groups whose head is or may become open.
-    fn held_hosts(&self, roster: &Roster, service: &ServiceName, now: Time) -> BTreeSet<HostKey> {
+    /// Returns the hosts held by formations and by groups that are or may become open. A member is
+    /// held until the head has said that the group is closed, or the member that it has left.
+    fn held_hosts(&self, roster: &Roster, service: &ServiceName) -> BTreeSet<HostKey> {
         let forming = self
             .formations
             .iter()
@@ -78,9 +82,7 @@
             .groups()
             .iter()
             .filter(|group| group.service == *service)
-            .filter(|group| {
-                holds_members(roster, group, now) || self.holds_ready(roster, group, now)
-            })
+            .filter(|group| self.may_be_open(roster, group))
             .flat_map(|group| group.members.values().copied());
         forming.chain(active).collect()
     }
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -225,6 +225,21 @@
         self.fail(host, unlisted, ProbeFailure::Silent);
     }
 
+    /// Cuts a host off from the store and from the daemon: its runner goes on, and nothing of it
+    /// arrives.
+    pub fn cut_off(&mut self, host: &HostName) {
+        let instance = (host.clone(), self.born(&self.hosts[host]));
+        self.unreachable.insert(instance, ProbeFailure::Silent);
+        self.unlist(host);
+    }
+
+    /// Ends the cut of a host; its entry is back at once.
+    pub fn reconnect(&mut self, host: &HostName) {
+        let instance = (host.clone(), self.born(&self.hosts[host]));
+        self.unreachable.remove(&instance);
+        self.hosts.get_mut(host).expect("known").is_unlisted = false;
+    }
+
     /// Crashes a host's runner: its probes fail at once, and its entry is removed.
     pub fn crash(&mut self, host: &HostName) {
         self.fail(host, true, ProbeFailure::Refused);
@@ -347,10 +362,11 @@
                 match delivery(&directive) {
                     Delivery::Immediate => {
                         self.execute(&directive);
-                        self.planner.order_answered(OrderAnswer {
+                        let answer = OrderAnswer {
                             directive,
                             is_accepted: true,
-                        });
+                        };
+                        self.planner.order_answered(&self.roster, answer);
                     }
                     Delivery::Delayed(delay) => {
                         self.pending_orders.push((self.now + delay, directive))
@@ -461,13 +477,18 @@
         }
     }
 
+    /// Returns true if orders reach a host.
+    fn is_reached(&self, host: &HostName) -> bool {
+        let runner = self.hosts.get(host).filter(|runner| !runner.is_dead);
+        runner.is_some_and(|runner| {
+            let instance = (host.clone(), self.born(runner));
+            !self.unreachable.contains_key(&instance)
+        })
+    }
+
     fn execute(&mut self, directive: &Directive) {
         let now = self.now;
-        let is_dead = self
-            .hosts
-            .get(&directive.host)
-            .is_none_or(|runner| runner.is_dead);
-        if is_dead {
+        if !self.is_reached(&directive.host) {
             return;
         }
         match &directive.order {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod candidacy;
 mod changes;
 mod contact;
+mod cut_off_heads;
 mod departures;
 mod drain;
 mod entries;
