A runner that responds without its report is not dead

A runner resets connections beyond `MaxConns`, and one in trouble sends bytes that are no answer; either lives. If its entry was gone too, its group was given up at once.

Such an outcome is now of its own kind and proves that something lives there; the host counts as leaving, whose group may finish its work. A crashed runner refuses the connections that follow, and is known to be dead as before.

Test runner_that_responds_without_report_is_not_dead.

--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -326,6 +326,9 @@
         (Err(ProbeFailure::Replaced), _) | (_, Err(ProbeFailure::Replaced)) => {
             Err(ProbeFailure::Replaced)
         }
+        (Err(ProbeFailure::Faulty), _) | (_, Err(ProbeFailure::Faulty)) => {
+            Err(ProbeFailure::Faulty)
+        }
         (Err(ProbeFailure::Refused), _) | (_, Err(ProbeFailure::Refused)) => {
             Err(ProbeFailure::Refused)
         }
@@ -344,8 +347,9 @@
 fn probe_failure(error: SendError) -> ProbeFailure {
     match error {
         SendError::NotSent => ProbeFailure::Silent,
-        // A connection that was cut had been established, so the host itself is up.
-        SendError::Refused | SendError::Cut => ProbeFailure::Refused,
+        SendError::Refused => ProbeFailure::Refused,
+        // A connection that was cut had been established, so something listens.
+        SendError::Cut => ProbeFailure::Faulty,
     }
 }
 
@@ -368,10 +372,10 @@
         return Err(ProbeFailure::Replaced);
     }
     if !parts.status.is_success() {
-        return Err(ProbeFailure::Refused);
+        return Err(ProbeFailure::Faulty);
     }
     let body = Limited::new(body, MAX_REPORT_BYTES).collect();
-    let whole = body.await.map_err(|_| ProbeFailure::Refused)?;
+    let whole = body.await.map_err(|_| ProbeFailure::Faulty)?;
     let report = A::decode_report(&whole.to_bytes());
     if target.is_replaced(&head, report.as_ref().ok()) {
         return Err(ProbeFailure::Replaced);
--- a/src/gateway/roster/mod.rs
+++ b/src/gateway/roster/mod.rs
@@ -108,6 +108,8 @@
         Silent,
         /// The host responds, but the runner no longer listens.
         Refused,
+        /// Something responds, but not with a report: the runner may be full, or in trouble.
+        Faulty,
         /// Another run is at its address, so this one has ended.
         Replaced,
     }
@@ -160,6 +162,7 @@
     pub fn probe_failed(&mut self, key: HostKey, failure: ProbeFailure) {
         if let Some(host) = self.hosts.get_mut(key) {
             host.probe_failure = Some(failure);
+            host.is_reported_dead &= failure != ProbeFailure::Faulty;
         }
     }
 
@@ -213,7 +216,7 @@
             _ if host.is_reported_dead => true,
             Some(ProbeFailure::Silent | ProbeFailure::Replaced) => true,
             Some(ProbeFailure::Refused) => is_watched && was_healthy,
-            None => false,
+            Some(ProbeFailure::Faulty) | None => false,
         }
     }
 
--- a/tests/gateway/departures.rs
+++ b/tests/gateway/departures.rs
@@ -160,3 +160,14 @@
     let (_, host) = roster.host_by_name(&name).expect("known");
     assert!(roster.is_dead(host));
 }
+
+/// Guards against the end of a group that works: a runner that resets a connection, being full, or
+/// responds without its report, was taken for one that had crashed.
+#[test]
+fn runner_that_responds_without_report_is_not_dead() {
+    let mut roster = roster();
+    roster.probe_answered(key(&roster), None, at(20_000));
+    roster.probe_failed(key(&roster), ProbeFailure::Faulty);
+    let (_, host) = roster.host_by_name(&HostName::from(NAME)).expect("known");
+    assert!(!roster.is_dead(host));
+}
