Members stay in a group whose head sends data to other daemons

A head that the holder of the duty doesn't reach, and whose entry is gone, may still finish its streams with them; its members were taken as soon as it was silent to the holder. Now they stay until no daemon has had data from the head for 1 s. A dead head has sent none for longer than that when its entry goes, so its repair waits for nothing.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -10,6 +10,7 @@
     candidacy::{Candidacy, first_epoch},
     handlers::{CLAIM_KEY, RUNNER_HEALTH_KEY},
     lease::{LEASE_TTL, Lease, RETRY_DELAY},
+    liveness::latest_data,
     orders::{self, OrderAnswers},
     peers::{Claim, RunnerHealth},
     planner::Planner,
@@ -228,6 +229,10 @@
             let mut roster = state.roster.borrow_mut();
             roster.set_unreachable(unreachable.clone());
             roster.set_slow(slow.clone());
+            let reported = state.progress.borrow();
+            for (epoch, at) in latest_data(&roster, &state.loads.borrow(), &reported) {
+                roster.record_progress(epoch, at);
+            }
         }
         state.refresh_groups();
         self.planner.has_traffic |= !state.settings.first || state.accepted.get() > 0;
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -66,5 +66,6 @@
     let Some(unlisted) = head.unlisted_since.filter(|_| head.is_unreachable()) else {
         return true;
     };
-    !roster.is_dead(head) && now.since(unlisted) < DRAIN_TIMEOUT
+    let may_drain = !roster.is_dead(head) && now.since(unlisted) < DRAIN_TIMEOUT;
+    may_drain || head.sends_data(now)
 }
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -84,6 +84,20 @@
     progress.filter(|progress| progress.age < window).collect()
 }
 
+/// Returns the groups whose heads have sent data to some daemon, and when they last did.
+pub fn latest_data(
+    roster: &Roster,
+    loads: &Loads,
+    reported: &ReportedProgress,
+) -> Vec<(Epoch, Time)> {
+    let groups = roster.groups().iter();
+    let latest = groups.filter_map(|group| {
+        let at = own_progress(group, loads).max(reported.get(group.epoch))?;
+        Some((group.epoch, at))
+    });
+    latest.collect()
+}
+
 /// Returns the latest proof of each member of the groups that serve.
 pub fn proofs(roster: &Roster, loads: &Loads, reported: &ReportedProgress) -> Proofs {
     let mut proofs = Proofs::new();
--- a/src/gateway/roster/listing.rs
+++ b/src/gateway/roster/listing.rs
@@ -73,6 +73,7 @@
             reentry_until: Time::default(),
             relisted_at: None,
             last_healthy: None,
+            last_data: None,
             probe_failure: None,
             is_reported_dead: false,
             is_unreachable: self.unreachable.contains(&instance),
--- a/src/gateway/roster/mod.rs
+++ b/src/gateway/roster/mod.rs
@@ -37,6 +37,9 @@
 /// Window after a store outage in which an entry may still describe the state before it.
 const STALE_ENTRY_WINDOW: Span = Span::from_millis(4_000);
 
+/// Time without data on its streams after which a head that isn't reached may be idle.
+const DATA_WINDOW: Span = Span::from_millis(1_000);
+
 /// Slowdown factor from which a runner or a group counts as slow.
 pub const SLOW_FACTOR: f64 = 2.0;
 
@@ -63,6 +66,8 @@
     relisted_at: Option<Time>,
     /// Time of its last answer to a probe, unless it was unlisted or draining then.
     last_healthy: Option<Time>,
+    /// Time at which it last sent data on a stream to some daemon, as the head of a group.
+    last_data: Option<Time>,
     /// Failure of its last probe, if it failed.
     probe_failure: Option<ProbeFailure>,
     /// True if another daemon reported it to be dead rather than draining.
@@ -89,6 +94,12 @@
         self.is_unreachable
     }
 
+    /// Returns true if it has sent data on a stream to some daemon a moment ago.
+    pub fn sends_data(&self, now: Time) -> bool {
+        let last = self.last_data;
+        last.is_some_and(|at| now.since(at) < DATA_WINDOW)
+    }
+
     /// Returns the slowdown factor: how many times slower than usual the runner works.
     pub fn slowdown(&self) -> f64 {
         self.slowdown
@@ -166,6 +177,15 @@
         }
     }
 
+    /// Records that the head of a group sent data on a stream to some daemon.
+    pub fn record_progress(&mut self, epoch: Epoch, at: Time) {
+        let group = self.groups.iter().find(|group| group.epoch == epoch);
+        let head = group.and_then(Group::head);
+        if let Some(host) = head.and_then(|key| self.hosts.get_mut(key)) {
+            host.last_data = host.last_data.max(Some(at));
+        }
+    }
+
     /// Marks a host whose runner has said that it leaves, whatever its entry says; returns true if
     /// that is news.
     pub fn mark_leaving(&mut self, key: HostKey) -> bool {
--- a/tests/gateway/cut_off_heads.rs
+++ b/tests/gateway/cut_off_heads.rs
@@ -37,6 +37,25 @@
     }
 }
 
+/// Guards against streams that are cut: a head that the holder of the duty doesn't reach may still
+/// send data to other daemons, and its members must not leave it meanwhile.
+#[test]
+fn members_of_head_that_sends_data_to_peers_stay() {
+    let mut fleet = settled_fleet(1, 11);
+    let head = fleet.members(LARGE)[0].clone();
+    let epoch = fleet.epoch_of(&head);
+    fleet.cut_off(&head);
+    for _ in 0..30 {
+        fleet.roster.record_progress(epoch, fleet.now);
+        fleet.run_for(Span::from_millis(200));
+        assert_eq!(fleet.epoch_of(&head), epoch);
+        assert_eq!(fleet.count_members(epoch), 6);
+    }
+    fleet.run_for(Span::from_secs(4));
+    assert_eq!(fleet.serving_count(LARGE), 1, "no more data has come");
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
+
 /// Guards against TWO: a head that was forgotten after a long cut, and is back later than its
 /// members, was taken for one that had left.
 #[test]
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -415,6 +415,19 @@
             .collect()
     }
 
+    /// Returns the epoch of a host's group.
+    pub fn epoch_of(&self, host: &HostName) -> Epoch {
+        let member = self.hosts[host].member.as_ref();
+        member.expect("a member").epoch
+    }
+
+    /// Returns the number of hosts that are members of the group of an epoch.
+    pub fn count_members(&self, epoch: Epoch) -> usize {
+        let members = self.hosts.values();
+        let members = members.filter_map(|runner| runner.member.as_ref());
+        members.filter(|member| member.epoch == epoch).count()
+    }
+
     /// Executes due orders and completes the state changes that are due.
     fn advance_runners(&mut self) {
         let due: Vec<Directive> = {
