A member whose group makes progress is not lost, whatever its probes say

Cause: each member is probed every 2 s even if data of its head has just proved that all members work. The holder believed the silent probe and closed the group at once, with its requests (`must_close` cuts if a member is unreachable).

Change: a failed probe counts only if no data has come from the group's head since it was sent, to any daemon. A member that is really dead stops its group's data at that moment, so its loss is noticed as soon as before.

Test member_whose_group_makes_progress_is_not_lost (the decision is new).

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -222,8 +222,8 @@
         let Some(table) = state.route_table() else {
             return;
         };
-        self.prober.step();
-        let unreachable = self.prober.unreachable();
+        let proofs = self.prober.step();
+        let unreachable = self.prober.unreachable(&proofs);
         let slow = self.prober.slow();
         {
             let mut roster = state.roster.borrow_mut();
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -123,6 +123,12 @@
     now.since(last_proof) >= PROBE_INTERVAL || now.since(last_probe) >= MAX_PROBE_INTERVAL
 }
 
+/// Returns true if a member is alive although a probe of it failed that was sent at a time: its
+/// group has made progress since, so only this daemon doesn't reach it.
+pub fn is_proven_since(failed_probe: Option<Time>, proof: Option<Time>) -> bool {
+    proof.is_some() && proof > failed_probe
+}
+
 /// Returns the members to probe of those that are due, given with whether a connection to them is
 /// open; `in_flight` probes over new connections are under way.
 pub fn select_probes<I>(due: I, in_flight: usize) -> Vec<HostKey>
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -4,14 +4,16 @@
 //! entries in the store lag behind. The holder of the duty therefore probes
 //! each member that nothing else proves to be alive, over a connection that is
 //! kept open. A member counts as unreachable only after new connections have
-//! failed too, or if another run is at its address. If a large fraction of members fails at once, this daemon itself
-//! is assumed to be cut off, and none is reported.
+//! failed too, and only if its group makes no progress meanwhile: otherwise it
+//! is this daemon that doesn't reach it. A member whose address another run has
+//! taken is unreachable at once. If a large fraction of members fails at once,
+//! this daemon itself is assumed to be cut off, and none is reported.
 
 use super::{
     adapter::{Adapter, DecodeError, ProbeReport, ResponseHead},
     announcements,
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
-    liveness,
+    liveness::{self, Proofs, is_proven_since},
     notices::Notice,
     reach_check,
     roster::{Host, HostKey, ProbeFailure, RunnerInstance, SLOW_FACTOR},
@@ -54,10 +56,16 @@
             .count()
     }
 
-    /// Returns the number of members that don't answer, nor anybody else at their addresses.
-    fn count_unanswered(&self) -> usize {
-        let probes = self.entries.values();
-        probes.filter(|probe| probe.is_unanswered()).count()
+    /// Returns the probes of members that are lost: they failed, and nothing proves since that their
+    /// members are alive.
+    fn lost(&self, proofs: &Proofs) -> impl Iterator<Item = &Probe> {
+        let probes = self.entries.iter();
+        let lost = probes.filter(|(key, probe)| {
+            let proof = proofs.get(*key).copied();
+            let is_alive = !probe.is_replaced && is_proven_since(probe.failed_sent, proof);
+            probe.is_unreachable && !is_alive
+        });
+        lost.map(|(_, probe)| probe)
     }
 
     fn forget_unanswered(&mut self) {
@@ -75,6 +83,8 @@
     connection: Option<RunnerConnection>,
     /// Time at which the last probe was sent.
     last_sent: Option<Time>,
+    /// Time at which the last probe that failed was sent.
+    failed_sent: Option<Time>,
     is_in_flight: bool,
     /// True if the probe in flight opens a new connection.
     is_new: bool,
@@ -111,8 +121,8 @@
         }
     }
 
-    /// Sends the probes that are due.
-    pub fn step(&self) {
+    /// Sends the probes that are due; returns which members are proven to be alive.
+    pub fn step(&self) -> Proofs {
         let now = self.state.now();
         self.sync_members();
         let proofs = {
@@ -137,18 +147,20 @@
         for key in selected {
             self.probe(key, now);
         }
+        proofs
     }
 
-    /// Returns the unreachable runner instances; only those whose addresses answer if this daemon
-    /// itself is cut off. Then all must fail again to count, since those that answer first would
-    /// leave the others behind.
-    pub fn unreachable(&self) -> BTreeSet<RunnerInstance> {
+    /// Returns the lost runner instances; only those whose addresses answer if this daemon itself is
+    /// cut off. Then all must fail again to count, since those that answer first would leave the
+    /// others behind.
+    pub fn unreachable(&self, proofs: &Proofs) -> BTreeSet<RunnerInstance> {
         let mut probes = self.probes.borrow_mut();
-        if liveness::is_cut_off(probes.count_unanswered(), probes.entries.len()) {
+        let unanswered = probes.lost(proofs).filter(|probe| probe.is_unanswered());
+        if liveness::is_cut_off(unanswered.count(), probes.entries.len()) {
             probes.forget_unanswered();
         }
-        let unreachable = probes.entries.values().filter(|probe| probe.is_unreachable);
-        unreachable.map(|probe| probe.runner.clone()).collect()
+        let lost = probes.lost(proofs);
+        lost.map(|probe| probe.runner.clone()).collect()
     }
 
     /// Returns the slow runner instances and their slowdown factors.
@@ -176,6 +188,7 @@
                 runner: host.instance(),
                 connection: None,
                 last_sent: None,
+                failed_sent: None,
                 is_in_flight: false,
                 is_new: false,
                 is_unreachable: host.is_unreachable(),
@@ -246,6 +259,7 @@
     let answer = match outcome {
         Ok(answer) => answer,
         Err(failure) => {
+            probe.failed_sent = probe.last_sent;
             let mut roster = state.roster.borrow_mut();
             return roster.probe_failed(key, failure);
         }
--- a/tests/gateway/liveness.rs
+++ b/tests/gateway/liveness.rs
@@ -8,8 +8,8 @@
     },
     gateway::{
         liveness::{
-            GroupProgress, ReportedProgress, is_cut_off, is_probe_due, proofs, recent_progress,
-            select_probes,
+            GroupProgress, ReportedProgress, is_cut_off, is_probe_due, is_proven_since, proofs,
+            recent_progress, select_probes,
         },
         load::Loads,
         roster::HostKey,
@@ -118,6 +118,19 @@
 
 /// A new holder of the duty has no connections yet. If it opened hundreds at once, most would time
 /// out for want of its own processor time, and the groups of their members would be closed.
+/// Guards against the end of a group that works: a member that only the holder of the duty doesn't
+/// reach was taken for lost, while data of its head proved that all members work.
+#[test]
+fn member_whose_group_makes_progress_is_not_lost() {
+    let at = |millis| Some(Time::default() + Span::from_millis(millis));
+    assert!(is_proven_since(at(1_000), at(1_400)));
+    assert!(
+        !is_proven_since(at(1_000), at(900)),
+        "data of before the probe"
+    );
+    assert!(!is_proven_since(at(1_000), None));
+}
+
 #[test]
 fn new_holder_opens_few_connections_at_a_time() {
     let mut hosts = SlotMap::<HostKey, ()>::with_key();
