Tests: responses cut in their heads and bodies, as callers see them

Tests now show it as callers see it, for each offset of a head, with a length, chunks, neither, and a stream of events; for GET, HEAD, POST, PUT, PATCH, DELETE and OPTIONS; on routes that may be repeated and that may not. Bodies with a known end are cut at each offset too.

--- a/tests/platform/behavior.rs
+++ b/tests/platform/behavior.rs
@@ -1,6 +1,10 @@
 //! Scripted behavior of a fake runner.
 
-use super::{http::RecordedRequest, runs::Work, trouble::Endless};
+use super::{
+    http::{RecordedRequest, event_chunk},
+    runs::Work,
+    trouble::Endless,
+};
 use std::{
     collections::VecDeque,
     sync::{Arc, Mutex},
@@ -49,8 +53,43 @@
     RespondLate(Duration, &'static str),
     /// Sends bytes until the daemon closes the connection.
     Endless(Endless),
+    /// Sends the first bytes of a whole response and ends the connection.
+    CutOff { framing: Framing, length: usize },
+}
+
+/// How the end of a response's body is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length.
+    Length,
+    /// By its last chunk.
+    Chunked,
+    /// By the end of the connection.
+    Connection,
+    /// By its last chunk, as a stream of events.
+    Events,
+}
+
+impl Framing {
+    /// Returns a whole response, and the length of its head.
+    pub fn response(self, own_headers: &str, has_body: bool) -> (String, usize) {
+        let (headers, body) = match self {
+            Self::Length => ("Content-Length: 5\r\n", "usual".to_owned()),
+            Self::Chunked => (CHUNKED, "5\r\nusual\r\n0\r\n\r\n".to_owned()),
+            Self::Connection => ("", "usual".to_owned()),
+            Self::Events => (EVENTS, event_chunk(1) + &event_chunk(2) + "0\r\n\r\n"),
+        };
+        let head = format!("HTTP/1.1 200 OK\r\n{own_headers}{headers}\r\n");
+        let length = head.len();
+        let body = if has_body { body } else { String::new() };
+        (head + &body, length)
+    }
 }
 
+const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
+
+const EVENTS: &str = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+
 impl Behavior {
     /// Returns the behavior towards a request for which none is scripted.
     pub fn usual(request: &RecordedRequest) -> Self {
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -265,6 +265,7 @@
                 .push(request.clone());
             return self.crash_midway(stream, &id);
         }
+        let has_body = !request.request_line.starts_with("HEAD ");
         let scripted = self.script.lock().expect("not poisoned").pop_front();
         let behavior = scripted.unwrap_or_else(|| Behavior::usual(&request));
         self.requests.lock().expect("not poisoned").push(request);
@@ -274,6 +275,11 @@
             self.notices.lock().expect("not poisoned")
         );
         match behavior {
+            Behavior::CutOff { framing, length } => {
+                let (whole, _) = framing.response(&own_headers, has_body);
+                write_text(stream, &whole[..length.min(whole.len())]);
+                false
+            }
             Behavior::Respond(status, body) => write_response(stream, status, &own_headers, body),
             Behavior::RespondFull => {
                 let head = format!("{own_headers}X-Server-Load: 8,8,8\r\n");
