Requests that a stop would cut are answered before the exit

Another operator's report: requests that came late in a planned stop's grace were passed on and cut at its end with no answer, among them ones that may not be repeated (LOST).

Seen here, with a test that sends all kinds of requests (with a length and in chunks, on new and on kept connections, seven methods and routes) throughout a stop: late ones are refused, or end by their own deadlines. But requests taken just before or after SIGTERM whose runners work on until the exit were cut without a status.

Streams that have begun can only end.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -223,7 +223,7 @@
             Either::Right(_) => {}
         }
         let now = call.state.now();
-        if now >= call.deadline {
+        if now >= call.deadline || call.state.has_given_up() {
             return Err(AttemptError::TimedOut);
         }
         if call.is_quarantined() {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -393,6 +393,14 @@
         drain.is_none_or(|drain| drain.admits(deadline, estimate, now))
     }
 
+    /// Returns true if a stop leaves no more time to wait for runners.
+    pub fn has_given_up(&self) -> bool {
+        let now = self.now();
+        self.drain
+            .get()
+            .is_some_and(|drain| drain.has_given_up(now))
+    }
+
     /// Returns the source from which this daemon follows the store's changes.
     pub fn change_source(&self) -> Source {
         let peers = self.peers.borrow();
