A probe is a module of its own; reaching runners is recorded where it is checked

What one probe sends and proves is now in `probe`, the records of `reach` are beside the check that makes them, and the order to leave a group is built in one place. The soak's list of shared files knows the successor.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -53,6 +53,7 @@
 pub mod permits;
 pub mod planner;
 pub mod pool;
+mod probe;
 mod prober;
 mod progress;
 pub mod quarantine;
--- a/src/gateway/planner/ending.rs
+++ b/src/gateway/planner/ending.rs
@@ -78,11 +78,7 @@
                 continue;
             };
             if is_over {
-                let leave = Order::Leave {
-                    group: group.name.clone(),
-                    epoch: group.epoch,
-                };
-                self.send(&head.name, leave, now, out);
+                self.send(&head.name, leave_order(group), now, out);
             }
         }
     }
@@ -100,14 +96,10 @@
             if group.service != *service || !self.must_leave(roster, group, now) {
                 continue;
             }
-            let leave = Order::Leave {
-                group: group.name.clone(),
-                epoch: group.epoch,
-            };
             let leaving = self.members_to_leave(roster, group);
             let names: Vec<_> = leaving.map(|host| host.name.clone()).collect();
             for name in names {
-                self.send(&name, leave.clone(), now, out);
+                self.send(&name, leave_order(group), now, out);
             }
         }
     }
@@ -177,3 +169,11 @@
             .collect()
     }
 }
+
+/// Returns the order to leave a group.
+fn leave_order(group: &Group) -> Order {
+    Order::Leave {
+        group: group.name.clone(),
+        epoch: group.epoch,
+    }
+}
--- a/src/gateway/planner/mod.rs
+++ b/src/gateway/planner/mod.rs
@@ -320,10 +320,10 @@
         } = answer;
         match &directive.order {
             Order::Open { group, .. } => self.openings.answered(group),
-            Order::Leave { epoch, .. } if is_accepted => {
-                if is_head(roster, *epoch, &directive.host) {
-                    self.openings.head_left(*epoch);
-                }
+            Order::Leave { epoch, .. }
+                if is_accepted && is_head(roster, *epoch, &directive.host) =>
+            {
+                self.openings.head_left(*epoch);
             }
             _ => {}
         }
--- a/src/gateway/reach_check.rs
+++ b/src/gateway/reach_check.rs
@@ -1,11 +1,13 @@
-//! Finds out whether any runner is reached, by new connections.
+//! Finds out whether any runner is reached, by new connections, and records it.
 
 use super::{
     connection::{CONNECT_TIMEOUT, RunnerConnection},
+    reach::ReachChange,
     roster::HostKey,
     state::GatewayState,
 };
 use futures_util::future::select_ok;
+use metrics::gauge;
 use rand::seq::IteratorRandom as _;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -77,3 +79,59 @@
     let addresses = usable.map(|(_, host)| host.runner.address);
     addresses.choose_multiple(&mut *state.rng.borrow_mut(), count)
 }
+
+impl GatewayState {
+    /// Records that a runner took a new connection.
+    pub fn runner_connected(&self) {
+        let change = self.reach.borrow_mut().connected(self.now());
+        self.log_reach(change);
+    }
+
+    /// Records that a new connection to a runner failed; returns true if others are to be tried.
+    pub fn runner_unreached(&self, host: HostKey) -> bool {
+        let now = self.now();
+        let mut reach = self.reach.borrow_mut();
+        let others = {
+            let roster = self.roster.borrow();
+            let usable = roster
+                .hosts()
+                .filter(|(_, host)| roster.is_usable(host, now));
+            let others = usable.filter(|(key, _)| *key != host && !reach.has_failed(*key));
+            others.count()
+        };
+        let change = reach.failed(host, others, now);
+        self.log_reach(change);
+        change == Some(ReachChange::Doubted)
+    }
+
+    /// Records that new connections to other runners failed too.
+    pub fn other_runners_unreached(&self) {
+        let change = self.reach.borrow_mut().others_failed(self.now());
+        self.log_reach(change);
+    }
+
+    /// Returns true if no runner is reached.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach.borrow().is_cut_off()
+    }
+
+    fn log_reach(&self, change: Option<ReachChange>) {
+        match change {
+            Some(ReachChange::Lost) => {
+                slog::warn!(self.log, "no runner is reached");
+                gauge!("cut_off").set(1.0);
+            }
+            Some(ReachChange::Regained { after }) => {
+                slog::info!(self.log, "runners are reached again"; "after_ms" => after.as_millis());
+                gauge!("cut_off").set(0.0);
+            }
+            Some(ReachChange::Doubted) => {
+                slog::info!(
+                    self.log,
+                    "several runners are not reached, others are tried"
+                );
+            }
+            None => {}
+        }
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,7 +20,7 @@
     peers::Peers,
     permits::{Permits, Registration},
     quarantine::Quarantine,
-    reach::{Reach, ReachChange},
+    reach::Reach,
     roster::{HostKey, Roster},
     routes::RouteTable,
     settings::Settings,
@@ -273,60 +273,6 @@
         self.notices.borrow_mut().record_pause(host, until);
     }
 
-    /// Records that a runner took a new connection.
-    pub fn runner_connected(&self) {
-        let change = self.reach.borrow_mut().connected(self.now());
-        self.log_reach(change);
-    }
-
-    /// Records that a new connection to a runner failed; returns true if others are to be tried.
-    pub fn runner_unreached(&self, host: HostKey) -> bool {
-        let now = self.now();
-        let mut reach = self.reach.borrow_mut();
-        let others = {
-            let roster = self.roster.borrow();
-            let usable = roster
-                .hosts()
-                .filter(|(_, host)| roster.is_usable(host, now));
-            let others = usable.filter(|(key, _)| *key != host && !reach.has_failed(*key));
-            others.count()
-        };
-        let change = reach.failed(host, others, now);
-        self.log_reach(change);
-        change == Some(ReachChange::Doubted)
-    }
-
-    /// Records that new connections to other runners failed too.
-    pub fn other_runners_unreached(&self) {
-        let change = self.reach.borrow_mut().others_failed(self.now());
-        self.log_reach(change);
-    }
-
-    /// Returns true if no runner is reached.
-    pub fn is_cut_off(&self) -> bool {
-        self.reach.borrow().is_cut_off()
-    }
-
-    fn log_reach(&self, change: Option<ReachChange>) {
-        match change {
-            Some(ReachChange::Lost) => {
-                slog::warn!(self.log, "no runner is reached");
-                gauge!("cut_off").set(1.0);
-            }
-            Some(ReachChange::Regained { after }) => {
-                slog::info!(self.log, "runners are reached again"; "after_ms" => after.as_millis());
-                gauge!("cut_off").set(0.0);
-            }
-            Some(ReachChange::Doubted) => {
-                slog::info!(
-                    self.log,
-                    "several runners are not reached, others are tried"
-                );
-            }
-            None => {}
-        }
-    }
-
     fn host_name(&self, host: HostKey) -> String {
         let roster = self.roster.borrow();
         let name = roster.host(host).map(|host| host.name.as_str().to_owned());
--- a/tests/stops/main.rs
+++ b/tests/stops/main.rs
@@ -35,6 +35,9 @@
 #[path = "../platform/store.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod store;
+#[path = "../platform/successor.rs"]
+#[allow(dead_code, reason = "the tests of one daemon use the rest")]
+mod successor;
 #[path = "../platform/trouble.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod trouble;
