A daemon that starts after a rollback claims nothing before runners have written again

Cause: `check_era` bars only a daemon that has seen an earlier era; a process that has just started has seen none, and takes what it reads first for the present.

Change: the health of runners, which outlives its writer in the store, names the era in which it was published. Whoever finds an earlier one there is barred once for a lease, as those are who saw the era change.

Ruled out: barring each start (after a kill of all daemons repair would wait 3 s more), and comparing revisions, which are given out again.

--- a/src/gateway/candidacy.rs
+++ b/src/gateway/candidacy.rs
@@ -35,6 +35,8 @@
     vacant_since: Option<Time>,
     /// Time until which an earlier holder may go on that the store has forgotten.
     barred_until: Time,
+    /// Era for which the daemon has been barred.
+    barred_era: Option<Era>,
 }
 
 impl Candidacy {
@@ -45,6 +47,7 @@
             started: now,
             vacant_since: None,
             barred_until: now,
+            barred_era: None,
         }
     }
 
@@ -54,6 +57,22 @@
         self.barred_until = now + lease;
     }
 
+    /// Bars the daemon once if the store has come back from an older copy since a holder last
+    /// published in it: what the store lists, a claim of this daemon too, may be out of date.
+    pub fn bar_after_rollback(
+        &mut self,
+        published: Option<Era>,
+        current: Option<Era>,
+        lease: Span,
+        now: Time,
+    ) {
+        let is_older = published.is_some() && current.is_some() && published != current;
+        if is_older && self.barred_era != current {
+            self.barred_era = current;
+            self.bar(lease, now);
+        }
+    }
+
     /// Returns true if the daemon should claim the duty, as far as it knows of a holder.
     pub fn should_claim(&mut self, peers: &Peers, now: Time) -> bool {
         if now < self.barred_until {
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -86,10 +86,13 @@
     fn check_era(&mut self) {
         let era = self.lease.store_era();
         let before = std::mem::replace(&mut self.era, era);
+        let published = self.state.peers.borrow().published_era;
+        let now = self.state.now();
+        self.candidacy
+            .bar_after_rollback(published, era, LEASE_TTL, now);
         if before == era || before.is_none() {
             return;
         }
-        let now = self.state.now();
         self.candidacy.bar(LEASE_TTL, now);
         self.state.peers.borrow_mut().claim = None;
         if self.active.take().is_some() {
@@ -254,6 +257,7 @@
             lost: unreachable.into_iter().collect(),
             slow: slow.into_iter().collect(),
             ended: self.planner.released_groups(&roster, state.now()),
+            era: self.publisher.lease.store_era(),
         };
         HealthPublisher::publish(&self.publisher, health);
     }
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -280,6 +280,7 @@
 
     fn apply_health(&self, entry: &PlatformEntry) {
         if let Some(health) = self.decode::<RunnerHealth>(entry) {
+            self.state.peers.borrow_mut().published_era = health.era;
             let mut roster = self.state.roster.borrow_mut();
             roster.mark_dead(&health.dead);
             roster.set_released(&health.ended);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,7 +1,7 @@
 //! Other daemons, as known from the gateway's own entries in the store.
 
 use super::roster::RunnerInstance;
-use crate::core::keys::{DaemonName, Epoch, HallName, Revision};
+use crate::core::keys::{DaemonName, Epoch, Era, HallName, Revision};
 use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
 /// Maximum number of addresses in a response to a directory request.
@@ -45,6 +45,9 @@
         /// Slow runners with their slowdown factors.
         #[serde(default)]
         pub slow: Vec<(RunnerInstance, f64)>,
+        /// Era of the store in which it is published, if the store has eras.
+        #[serde(default)]
+        pub era: Option<Era>,
     }
 }
 
@@ -54,6 +57,8 @@
     daemons: BTreeMap<DaemonName, DaemonEntry>,
     /// Holder of the duty, and the revision of its claim.
     pub claim: Option<(DaemonName, Revision)>,
+    /// Era of the store in which a holder last published the health of runners.
+    pub published_era: Option<Era>,
 }
 
 impl Peers {
--- a/tests/gateway/candidacy.rs
+++ b/tests/gateway/candidacy.rs
@@ -94,6 +94,38 @@
     }
 }
 
+/// Guards against TWO: a daemon that started as the store came back from a copy found its own claim
+/// in it, took the duty at once and ordered by the copy.
+#[test]
+fn starting_daemon_waits_after_rollback_until_runners_have_written_again() {
+    let mut revived = daemons(&[("a", 12)]);
+    revived.claim = Some((DaemonName::from("a"), Revision(3)));
+    let lease = Span::from_secs(3);
+    let claims_at = |peers: &Peers, published, current, after| {
+        let mut candidacy = Candidacy::new(DaemonName::from("a"), LATER);
+        let mut now = LATER + Span::from_secs(1);
+        candidacy.bar_after_rollback(published, current, lease, now);
+        now = now + after;
+        candidacy.bar_after_rollback(published, current, lease, now);
+        candidacy.should_claim(peers, now)
+    };
+    let early = Span::from_millis(2_900);
+    for peers in [&revived, &daemons(&[("a", 12)])] {
+        assert!(!claims_at(peers, Some(Era(1)), Some(Era(2)), early));
+    }
+    assert!(
+        claims_at(&revived, Some(Era(1)), Some(Era(2)), lease),
+        "barred once"
+    );
+    for (published, current) in [
+        (Some(Era(1)), Some(Era(1))),
+        (None, Some(Era(2))),
+        (None, None),
+    ] {
+        assert!(claims_at(&revived, published, current, Span::ZERO));
+    }
+}
+
 #[test]
 fn epochs_of_a_later_era_are_larger_whatever_its_revisions() {
     let last = first_epoch(Era(3), Revision(999_999_999));
