Changes for other daemons are kept up to a size

Change: what is kept is bounded by its size too, 6 MB, so that it also fits into one message to a subscriber, whose limit is 8 MB. Who is further behind lists anew.

Test long_changes_are_kept_up_to_a_size failed before.

--- a/src/gateway/changes/history.rs
+++ b/src/gateway/changes/history.rs
@@ -9,10 +9,15 @@
 /// Maximum number of changes that are kept.
 const MAX_EVENTS: usize = 4_096;
 
+/// Maximum size of the changes that are kept, in bytes: all of them fit into one message.
+const MAX_BYTES: usize = 6 << 20;
+
 /// Changes in the order of their revisions, without a gap.
 #[derive(Debug, Default)]
 pub struct History {
     events: VecDeque<WatchEvent>,
+    /// Size of all changes, in bytes.
+    bytes: usize,
     /// Keys that have an entry.
     keys: BTreeSet<String>,
     /// Revision after which all changes are kept.
@@ -25,6 +30,7 @@
     /// Forgets all changes and continues with a list of the entries at a revision.
     pub fn reset(&mut self, at: Revision, entries: &[PlatformEntry]) {
         self.events.clear();
+        self.bytes = 0;
         self.keys = entries.iter().map(|entry| entry.key.clone()).collect();
         self.start = at;
         self.end = at;
@@ -57,10 +63,11 @@
                 WatchEvent::Put(entry) => self.keys.insert(entry.key.clone()),
                 WatchEvent::Deleted { key, .. } => self.keys.remove(key),
             };
+            self.bytes += size(event);
             self.events.push_back(event.clone());
         }
         self.end = self.end.max(end);
-        while self.events.len() > MAX_EVENTS {
+        while self.events.len() > MAX_EVENTS || self.bytes > MAX_BYTES {
             self.drop_oldest();
         }
     }
@@ -92,8 +99,16 @@
             return;
         };
         self.start = oldest;
-        while self.events.front().map(WatchEvent::revision) == Some(oldest) {
-            self.events.pop_front();
+        while let Some(event) = self.events.pop_front_if(|event| event.revision() == oldest) {
+            self.bytes -= size(&event);
         }
     }
 }
+
+/// Returns the size of a change, in bytes.
+fn size(event: &WatchEvent) -> usize {
+    match event {
+        WatchEvent::Put(entry) => entry.key.len() + entry.value.len(),
+        WatchEvent::Deleted { key, .. } => key.len(),
+    }
+}
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -294,3 +294,30 @@
         prop_assert_eq!(received, (1..=end).map(put).collect::<Vec<_>>());
     }
 }
+
+/// Guards against a process that is killed for its memory: each of many long versions of the
+/// configuration was kept. What is kept must also fit into one message to a subscriber.
+#[test]
+fn long_changes_are_kept_up_to_a_size() {
+    const VALUE_BYTES: usize = 700 << 10;
+    const MESSAGE_BYTES: usize = 8 << 20;
+    let mut history = History::default();
+    history.reset(Revision(1), &[]);
+    let put = |revision| {
+        WatchEvent::Put(PlatformEntry {
+            key: "op/config".to_owned(),
+            value: "x".repeat(VALUE_BYTES),
+            revision: Revision(revision),
+            lease: None,
+        })
+    };
+    for revision in 2..=60 {
+        history.extend(Revision(revision), &[put(revision)]);
+        let kept = (1..revision).filter_map(|after| history.since(Revision(after)));
+        let longest = kept.map(|events| events.len() * VALUE_BYTES).max();
+        assert!(longest.unwrap_or_default() < MESSAGE_BYTES, "{longest:?}");
+    }
+    assert_eq!(history.since(Revision(1)), None, "the oldest changes");
+    let latest = history.since(Revision(57)).expect("the latest are kept");
+    assert_eq!(latest, [put(58), put(59), put(60)]);
+}
