Bodies of requests are bounded together

Cause: each body was bounded and not all of them together, and the parts that had been read were kept beside their copy, about 12 MB for each request.

Change: requests have a budget like that of responses, of 64 MB and counted apart; a body is read into one buffer that grows within it. What doesn't fit is read to its end and refused with 503, and has not run. Up to 64 KB a body is always taken.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -18,7 +18,7 @@
     spec::Route,
     state::GatewayState,
     stream,
-    whole_body::read_whole,
+    whole_body::{BodyError, read_request, read_whole},
 };
 use crate::core::{
     keys::{AccountName, Arrival},
@@ -30,7 +30,7 @@
     header::{CONNECTION, EXPECT, HOST},
     request, response,
 };
-use http_body_util::{BodyExt as _, Either, Full, LengthLimitError, Limited};
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use metrics::{counter, histogram};
 use rand::Rng as _;
@@ -42,6 +42,9 @@
 /// Retry delay of a request that a stopping daemon refuses; other daemons can take it at once.
 const STOPPING_RETRY_DELAY_MS: u64 = 50;
 
+/// Retry delay of a request whose body needs more memory than is left.
+const NO_MEMORY_RETRY_DELAY_MS: u64 = 500;
+
 /// Serves a request.
 pub async fn respond<A>(
     state: &Rc<GatewayState>,
@@ -104,7 +107,7 @@
     }
     state.accepted.set(state.accepted.get() + 1);
     let max_bytes = table.spec().limits.body_bytes;
-    let body = read_body(body, max_bytes, table.spec().limits.head_time).await?;
+    let body = read_body(state, body, max_bytes, table.spec().limits.head_time).await?;
     let identity = Identity {
         method: &parts.method,
         host: host_name(&parts.headers),
@@ -191,15 +194,23 @@
     host.split(':').next().unwrap_or_default()
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, timeout: Span) -> Result<Bytes, Refusal> {
-    let read = compio::time::timeout(timeout.into(), Limited::new(body, max_bytes).collect())
+async fn read_body(
+    state: &GatewayState,
+    body: Incoming,
+    max_bytes: usize,
+    timeout: Span,
+) -> Result<Bytes, Refusal> {
+    let reading = read_request(body, max_bytes, &state.request_bytes);
+    let read = compio::time::timeout(timeout.into(), reading)
         .await
         .map_err(|_| Refusal::BadBody)?;
-    match read {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLong),
-        Err(_) => Err(Refusal::BadBody),
-    }
+    read.map_err(|error| match error {
+        BodyError::Cut => Refusal::BadBody,
+        BodyError::TooLong => Refusal::TooLong,
+        BodyError::NoMemory => Refusal::Unavailable {
+            retry_ms: NO_MEMORY_RETRY_DELAY_MS,
+        },
+    })
 }
 
 /// Sends an accepted request to runners and builds the response to the caller.
--- a/src/gateway/held_bytes.rs
+++ b/src/gateway/held_bytes.rs
@@ -1,4 +1,4 @@
-//! Bytes of responses that a daemon holds in memory, bounded over all requests.
+//! Bytes of responses, or of requests, that a daemon holds in memory, bounded over all of them.
 //!
 //! A response may take as many of the bytes that are left as it leaves to the
 //! others. One that never ends therefore can't take the memory of the process,
@@ -13,7 +13,7 @@
 /// Maximum number of bytes that all reservations hold together, in addition to their free bytes.
 pub const MAX_HELD_BYTES: usize = 64 << 20;
 
-/// Budget of the bytes that responses hold.
+/// Budget of the bytes that responses, or requests, hold.
 #[derive(Clone, Debug, Default)]
 pub struct HeldBytes(Arc<AtomicUsize>);
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -75,6 +75,8 @@
     pub relayed: RelayedRequests,
     /// Bytes of responses that are held in memory.
     pub held_bytes: HeldBytes,
+    /// Bytes of requests that are held in memory.
+    pub request_bytes: HeldBytes,
     /// What runners say of themselves.
     pub notices: RefCell<Notices>,
     /// Permits for runners that name a rate limit.
@@ -139,6 +141,7 @@
             relay_peers: RefCell::default(),
             relayed: RelayedRequests::default(),
             held_bytes: HeldBytes::default(),
+            request_bytes: HeldBytes::default(),
             notices: RefCell::default(),
             permits: Permits::default(),
             registration: Cell::default(),
--- a/src/gateway/whole_body.rs
+++ b/src/gateway/whole_body.rs
@@ -1,4 +1,4 @@
-//! Reads the whole body of a runner's response into memory.
+//! Reads the whole body of a request or of a runner's response into memory.
 
 use super::held_bytes::{HeldBytes, Reservation};
 use bytes::Bytes;
@@ -12,34 +12,89 @@
 /// Size up to which a response is buffered whatever others hold.
 const FREE_RESPONSE_BYTES: usize = 64 << 10;
 
-/// Reads a body; returns none if it is cut off, too long, or more than may be held now.
-pub(super) async fn read_whole(mut body: Incoming, held_bytes: &HeldBytes) -> Option<Bytes> {
-    if body.size_hint().lower() > MAX_RESPONSE_BYTES as u64 {
-        return None;
+/// Size up to which a request is buffered whatever others hold.
+const FREE_REQUEST_BYTES: usize = 64 << 10;
+
+/// Reason for which a body can't be read in full.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BodyError {
+    /// It was cut off.
+    Cut,
+    /// It is longer than allowed.
+    TooLong,
+    /// It needs more memory than may be held now.
+    NoMemory,
+}
+
+/// Reads a response's body; returns none if it is cut off, too long, or more than may be held now.
+pub(super) async fn read_whole(body: Incoming, held_bytes: &HeldBytes) -> Option<Bytes> {
+    let mut reservation = held_bytes.reserve(FREE_RESPONSE_BYTES);
+    let mut body = body;
+    let read = read(&mut body, MAX_RESPONSE_BYTES, &mut reservation).await;
+    read.ok().map(|bytes| reservation.bind(bytes))
+}
+
+/// Reads a request's body of at most `max_bytes`. One that needs too much memory is read to its end
+/// all the same, so that its caller gets the response.
+///
+/// # Errors
+///
+/// Fails if the body is cut off, too long, or more than may be held now.
+pub(super) async fn read_request(
+    mut body: Incoming,
+    max_bytes: usize,
+    held_bytes: &HeldBytes,
+) -> Result<Bytes, BodyError> {
+    let mut reservation = held_bytes.reserve(FREE_REQUEST_BYTES);
+    let read = read(&mut body, max_bytes, &mut reservation).await;
+    if read == Err(BodyError::NoMemory) {
+        drop(reservation);
+        discard(body).await;
+        return read;
+    }
+    read.map(|bytes| reservation.bind(bytes))
+}
+
+async fn read(
+    body: &mut Incoming,
+    max_bytes: usize,
+    reservation: &mut Reservation,
+) -> Result<Bytes, BodyError> {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(BodyError::TooLong);
     }
     let mut whole = Vec::new();
-    let mut reservation = held_bytes.reserve(FREE_RESPONSE_BYTES);
     while let Some(frame) = body.frame().await {
-        let frame = frame.ok()?;
+        let frame = frame.map_err(|_| BodyError::Cut)?;
         if let Some(bytes) = frame.data_ref() {
-            append(&mut whole, bytes, &mut reservation)?;
+            append(&mut whole, bytes, max_bytes, reservation)?;
         }
     }
-    Some(reservation.bind(Bytes::from(whole)))
+    Ok(Bytes::from(whole))
 }
 
-fn append(whole: &mut Vec<u8>, bytes: &[u8], reservation: &mut Reservation) -> Option<()> {
+fn append(
+    whole: &mut Vec<u8>,
+    bytes: &[u8],
+    max_bytes: usize,
+    reservation: &mut Reservation,
+) -> Result<(), BodyError> {
     let length = whole.len() + bytes.len();
-    if length > MAX_RESPONSE_BYTES {
-        return None;
+    if length > max_bytes {
+        return Err(BodyError::TooLong);
     }
     if length > whole.capacity() {
-        let capacity = length.max(2 * whole.capacity()).min(MAX_RESPONSE_BYTES);
+        let capacity = length.max(2 * whole.capacity()).min(max_bytes);
         if !reservation.resize(capacity) {
-            return None;
+            return Err(BodyError::NoMemory);
         }
         whole.reserve_exact(capacity - whole.len());
     }
     whole.extend_from_slice(bytes);
-    Some(())
+    Ok(())
+}
+
+/// Reads the rest of a body and keeps nothing of it.
+async fn discard(mut body: Incoming) {
+    while let Some(Ok(_)) = body.frame().await {}
 }
