--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -58,7 +58,7 @@
     }
 }
 
-/// Returns true if the head of a group may still run requests or carry out orders that matter.
+/// Returns true if the head of a group may still run requests or carry out orders.
 pub(super) fn may_act_as_head(roster: &Roster, group: &Group, now: Time) -> bool {
     let Some(head) = group.head().and_then(|key| roster.host(key)) else {
         return false;
--- a/src/gateway/planner/mod.rs
+++ b/src/gateway/planner/mod.rs
@@ -7,7 +7,8 @@
 //! that runners refuse an earlier holder's late orders.
 //!
 //! A group is closed before any of its members is ordered into another one; if
-//! its head can't be asked, the members leave it first. A group is opened only once each member reports that it is ready at its epoch.
+//! its head can't be asked, the members leave it first. A group is opened only
+//! once each member reports that it is ready at its epoch.
 
 mod ending;
 mod pools;
--- a/src/gateway/planner/pools.rs
+++ b/src/gateway/planner/pools.rs
@@ -32,10 +32,10 @@
             *pool.groups.entry(model).or_default() += 1;
         }
         for group in roster.groups() {
-            let domain = roster.members(group).next();
+            let member = roster.members(group).next();
             if group.service == *service
                 && self.is_ending(roster, group, now)
-                && let Some(domain) = domain.and_then(|host| host.runner.domain.clone())
+                && let Some(domain) = member.and_then(|host| host.runner.domain.clone())
             {
                 let pool = pools.entry(domain).or_default();
                 pool.ending.insert(group.model.clone());
