--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -177,7 +177,7 @@
         .filter(|name| name.ends_with(".rs"))
         .filter(|name| read(name).contains("connection.send("))
         .collect();
-    let expected = ["attempt.rs", "orders.rs", "prober.rs"].map(str::to_owned);
+    let expected = ["attempt.rs", "orders.rs", "probe.rs"].map(str::to_owned);
     assert_eq!(sending, BTreeSet::from(expected), "a new place that sends");
     let attempt = read("attempt.rs");
     assert!(attempt.contains("permit: Permit"));
