Daemons exchange request counts and choose heads by their totals

With 60 daemons a daemon hears from a head every 2 to 3 s, so its estimate of the head's load is little more than its own requests, and all daemons that get the same picture choose the same head.

Each daemon reports its requests to two aggregators, which send the totals to all daemons (load_exchange). A digest names the report of its receiver that it contains, which gives the receiver's own share and the digest's age without a common clock. Heads are drawn by water-filling over the requests that are expected since the totals. It takes effect while there are more daemons than a head has slots; setting load_exchange: off turns it off.

tests/floors.rs lists the new modules; the I/O task joins the circle of state and datagrams, as permits does.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -3,7 +3,8 @@
 //! A request for a model goes to the head of a group that serves it; any other
 //! goes to a runner of the service. Two candidates are drawn at random and the
 //! less loaded one is taken, so that daemons with the same view of the load
-//! don't all choose the same runner.
+//! don't all choose the same runner. While all daemons get the same totals of the load, each draws a
+//! head by its part of the requests that it should get from all of them (`water_filling`).
 
 use super::{
     admission::{self, AdmissionClass},
@@ -11,6 +12,7 @@
     notices::Notices,
     roster::{HostKey, Roster, RunnerInstance, SLOW_FACTOR},
     spec::Engine,
+    water_filling::{self, Basin},
 };
 use crate::core::{
     keys::{Epoch, HallName, HostName, ModelName, ServiceName},
@@ -143,14 +145,11 @@
     {
         candidates = admit(candidates, loads, engine, &criteria, now, rng)?;
     }
-    let drawn: Vec<Candidate> = candidates.choose_multiple(rng, 2).copied().collect();
-    let chosen = drawn
-        .into_iter()
-        .min_by(|a, b| {
-            let cost = |candidate| cost(roster, loads, criteria.hall, candidate, now);
-            cost(a).total_cmp(&cost(b))
-        })
-        .ok_or(ChooseError::NoneServing)?;
+    let chosen = match expected_starts(&candidates, loads, now) {
+        Some(requests) => draw_by_level(&candidates, view, criteria.hall, requests, now, rng),
+        None => draw_less_loaded(&candidates, view, criteria.hall, now, rng),
+    };
+    let chosen = chosen.ok_or(ChooseError::NoneServing)?;
     let host = roster.host(chosen.host).ok_or(ChooseError::NoneServing)?;
     Ok(Endpoint {
         host: chosen.host,
@@ -269,6 +268,55 @@
         .collect()
 }
 
+/// Returns the requests that other daemons are expected to have started at the candidates since the
+/// time to which their sums apply; none without current sums.
+fn expected_starts(candidates: &[Candidate], loads: &Loads, now: Time) -> Option<f64> {
+    let starts = candidates
+        .iter()
+        .filter_map(|candidate| loads.expected_starts(candidate.host, now));
+    starts.reduce(|sum, starts| sum + starts)
+}
+
+/// Draws two candidates and returns the one with less cost.
+fn draw_less_loaded<R>(
+    candidates: &[Candidate],
+    view: View<'_>,
+    hall: &HallName,
+    now: Time,
+    rng: &mut R,
+) -> Option<Candidate>
+where
+    R: Rng,
+{
+    let drawn = candidates.choose_multiple(rng, 2).copied();
+    drawn.min_by(|a, b| {
+        let cost = |candidate| cost(view.roster, view.loads, hall, candidate, now);
+        cost(a).total_cmp(&cost(b))
+    })
+}
+
+/// Draws a candidate by its part of the requests that raise all costs to a common level: those
+/// expected from other daemons, and this one.
+fn draw_by_level<R>(
+    candidates: &[Candidate],
+    view: View<'_>,
+    hall: &HallName,
+    requests: f64,
+    now: Time,
+    rng: &mut R,
+) -> Option<Candidate>
+where
+    R: Rng,
+{
+    let basins = candidates.iter().map(|candidate| Basin {
+        floor: cost(view.roster, view.loads, hall, candidate, now),
+        slope: candidate.slowdown,
+    });
+    let basins: Vec<Basin> = basins.collect();
+    let drawn = water_filling::draw(&basins, requests + 1.0, rng)?;
+    candidates.get(drawn).copied()
+}
+
 /// Returns the expected wait at a candidate, in requests, with a surcharge for another hall.
 fn cost(roster: &Roster, loads: &Loads, hall: &HallName, candidate: &Candidate, now: Time) -> f64 {
     let host = roster.host(candidate.host);
--- a/src/gateway/datagrams.rs
+++ b/src/gateway/datagrams.rs
@@ -8,6 +8,10 @@
     changes::source::Source,
     contact::ContactReport,
     liveness::GroupProgress,
+    load_exchange::{
+        self,
+        message::{LoadDigest, LoadReport, ReportId},
+    },
     notices::RateLimit,
     permits::{self, Verdict},
     progress,
@@ -25,6 +29,9 @@
 /// Size of the largest datagram that is read.
 const MAX_BYTES: usize = 2_048;
 
+/// Size of the largest encoded identifier of a report, with the byte that says that there is one.
+const MAX_REPORT_ID_BYTES: usize = 11;
+
 /// Delay after a socket error.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -63,6 +70,11 @@
         ContactRequest,
         /// Contact of the sender with the store.
         Contact(ContactReport),
+        /// Requests of the sender at each head, for the aggregators.
+        LoadReport(LoadReport),
+        /// Requests of all daemons at each head, with the report of the receiver that they contain.
+        /// What differs between receivers comes last, so that the rest is encoded once.
+        LoadDigest(LoadDigest, Option<ReportId>),
     }
 
     /// What a runner has said of itself.
@@ -78,15 +90,53 @@
     }
 }
 
+/// Digest of load, encoded up to what differs between receivers.
+#[derive(Debug)]
+pub(super) struct EncodedDigest(Vec<u8>);
+
+impl EncodedDigest {
+    /// Encodes a digest; none if it doesn't fit into a datagram.
+    pub(super) fn new(digest: &LoadDigest) -> Option<Self> {
+        let datagram = Datagram::LoadDigest(digest.clone(), None);
+        let mut bytes = postcard::to_stdvec(&datagram).expect("a datagram serializes");
+        // An absent value takes one byte.
+        bytes.pop();
+        (bytes.len() + MAX_REPORT_ID_BYTES <= MAX_BYTES).then_some(Self(bytes))
+    }
+
+    /// Returns the datagram for one receiver.
+    pub(super) fn with(&self, contained: Option<ReportId>) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(self.0.len() + MAX_REPORT_ID_BYTES);
+        bytes.extend_from_slice(&self.0);
+        postcard::to_extend(&contained, bytes).expect("an identifier serializes")
+    }
+}
+
+/// Datagram to be sent.
+#[derive(Debug)]
+enum Outgoing {
+    Decoded(Datagram),
+    Encoded(Vec<u8>),
+}
+
 /// Datagrams to be sent; they are dropped if the daemon has no address for other daemons.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    sender: OnceCell<mpsc::UnboundedSender<(SocketAddr, Datagram)>>,
+    sender: OnceCell<mpsc::UnboundedSender<(SocketAddr, Outgoing)>>,
 }
 
 impl Outbox {
     /// Sends a datagram in the background.
     pub fn send(&self, to: SocketAddr, datagram: Datagram) {
+        self.push(to, Outgoing::Decoded(datagram));
+    }
+
+    /// Sends a datagram that is encoded already in the background.
+    pub(super) fn send_encoded(&self, to: SocketAddr, bytes: Vec<u8>) {
+        self.push(to, Outgoing::Encoded(bytes));
+    }
+
+    fn push(&self, to: SocketAddr, datagram: Outgoing) {
         if let Some(sender) = self.sender.get() {
             // Fails only if the sending task has ended with the process.
             let _ = sender.unbounded_send((to, datagram));
@@ -100,7 +150,12 @@
     let is_first = state.outbox.sender.set(sender).is_ok();
     assert!(is_first, "one task sends the datagrams");
     while let Some((to, datagram)) = outgoing.next().await {
-        let bytes = postcard::to_stdvec(&datagram).expect("a datagram serializes");
+        let bytes = match datagram {
+            Outgoing::Decoded(datagram) => {
+                postcard::to_stdvec(&datagram).expect("a datagram serializes")
+            }
+            Outgoing::Encoded(bytes) => bytes,
+        };
         let BufResult(sent, _) = socket.send_to(bytes, to).await;
         if let Err(error) = sent {
             counter!("datagrams_unsent_total").increment(1);
@@ -143,6 +198,10 @@
         Ok(Datagram::Quarantined(marks)) => exchange::accept_quarantined(state, &marks),
         Ok(Datagram::ContactRequest) => report_contact(state, from),
         Ok(Datagram::Contact(report)) => state.peer_reported_contact(from, report),
+        Ok(Datagram::LoadReport(report)) => load_exchange::record(state, from, report),
+        Ok(Datagram::LoadDigest(digest, own)) => {
+            load_exchange::accept_digest(state, &digest, own);
+        }
         Err(error) => slog::debug!(state.log, "invalid datagram ignored";
             "from" => from.to_string(), "cause" => error.to_string()),
     }
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -1,6 +1,6 @@
 //! Request load of each runner, from its own reports and the requests sent to it since.
 
-use super::roster::HostKey;
+use super::{load_exchange::message::HeadCount, roster::HostKey};
 use crate::core::time::{Span, Time};
 use slotmap::SecondaryMap;
 
@@ -33,15 +33,32 @@
     pub slots: u32,
 }
 
+/// Requests of other daemons at a runner, as aggregators sum them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Others {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests started in a second.
+    pub starts_per_s: f64,
+    /// Time to which these counts apply.
+    pub at: Time,
+    /// Time from which they are out of date.
+    pub until: Time,
+}
+
 /// Load and recent failures of one runner.
 #[derive(Clone, Copy, Debug, Default)]
 struct Entry {
     /// Requests in flight from this daemon.
     own_requests: u32,
+    /// Requests that this daemon has started.
+    started: u32,
     /// Requests of other daemons, as of the last report.
     other_requests: u32,
     /// Time of the last report.
     reported_at: Option<Time>,
+    /// Requests of other daemons, as aggregators sum them.
+    others: Option<Others>,
     /// End of the backoff.
     avoided_until: Option<Time>,
     /// Consecutive failures.
@@ -76,6 +93,7 @@
     pub fn request_started(&mut self, host: HostKey) {
         if let Some(entry) = self.entry(host) {
             entry.own_requests += 1;
+            entry.started = entry.started.wrapping_add(1);
         }
     }
 
@@ -95,6 +113,15 @@
         }
     }
 
+    /// Records the requests of other daemons at a runner, unless later counts are known.
+    pub fn others_reported(&mut self, host: HostKey, others: Others) {
+        if let Some(entry) = self.entry(host)
+            && entry.others.is_none_or(|known| known.at <= others.at)
+        {
+            entry.others = Some(others);
+        }
+    }
+
     /// Records that a runner served a request, which ends its backoff.
     pub fn request_served(&mut self, host: HostKey) {
         if let Some(entry) = self.entry(host) {
@@ -181,11 +208,31 @@
         let Some(entry) = self.entries.get(host) else {
             return 0;
         };
-        let is_fresh = entry
-            .reported_at
-            .is_some_and(|at| now.since(at) < REPORT_TTL);
-        let other_requests = if is_fresh { entry.other_requests } else { 0 };
-        entry.own_requests + other_requests
+        let reported = entry.reported_at.filter(|at| now.since(*at) < REPORT_TTL);
+        let summed = entry.others.filter(|others| now < others.until);
+        let other_requests = match summed {
+            Some(others) if reported.is_none_or(|at| at <= others.at) => others.in_flight,
+            _ if reported.is_some() => entry.other_requests,
+            _ => 0,
+        };
+        entry.own_requests.saturating_add(other_requests)
+    }
+
+    /// Returns the requests that other daemons are expected to have started at a runner since the
+    /// time to which their sums apply; none without current sums.
+    pub fn expected_starts(&self, host: HostKey, now: Time) -> Option<f64> {
+        let others = self.entries.get(host)?.others?;
+        let is_current = now < others.until;
+        is_current.then(|| others.starts_per_s * now.since(others.at).as_secs_f64())
+    }
+
+    /// Returns this daemon's requests at a runner: those in flight, and all that were started.
+    pub fn own_requests(&self, host: HostKey) -> HeadCount {
+        let entry = self.entries.get(host).copied().unwrap_or_default();
+        HeadCount {
+            in_flight: entry.own_requests,
+            started: entry.started,
+        }
     }
 
     fn entry(&mut self, host: HostKey) -> Option<&mut Entry> {
--- /dev/null
+++ b/src/gateway/load_exchange/choice.rs
@@ -0,0 +1,42 @@
+//! Who sums the daemons' reports, and how often they report.
+//!
+//! All daemons compute the same aggregators from the entries in the store. For a
+//! moment after a change their views differ, and some reports are missing from
+//! the sums.
+
+use crate::{
+    core::{keys::DaemonName, time::Span},
+    gateway::peers::Peers,
+};
+use std::net::SocketAddr;
+
+/// Number of daemons that sum the reports; more than one, as a daemon may stop at any time.
+const AGGREGATORS: usize = 2;
+
+/// Interval of reports and digests with few daemons.
+const MIN_INTERVAL: Span = Span::from_millis(200);
+
+/// Digests that an aggregator sends in a second at most, one to each daemon in an interval.
+const MAX_DIGESTS_PER_S: u64 = 320;
+
+/// Returns the daemons that sum the reports: those with most processor time that don't hold the
+/// duty, which has work enough.
+pub fn aggregators(peers: &Peers) -> Vec<(DaemonName, SocketAddr)> {
+    let holder = peers.claim.as_ref().map(|(name, _)| name);
+    let ranked = peers.ranked().into_iter();
+    let others = ranked.filter(|(name, _)| Some(*name) != holder);
+    let reachable = others.filter_map(|(name, entry)| Some((name.clone(), entry.peer?)));
+    reachable.take(AGGREGATORS).collect()
+}
+
+/// Returns the interval of reports and digests.
+pub fn interval(daemons: usize) -> Span {
+    let micros = daemons as u64 * 1_000_000 / MAX_DIGESTS_PER_S;
+    MIN_INTERVAL.max(Span(micros))
+}
+
+/// Returns true if the exchange is needed for heads with this number of slots: with fewer daemons,
+/// each hears from a head often enough by the responses to its own requests.
+pub fn is_needed(daemons: usize, slots: u32) -> bool {
+    daemons > slots as usize
+}
--- /dev/null
+++ b/src/gateway/load_exchange/message.rs
@@ -0,0 +1,75 @@
+//! Messages of the load exchange, in a compact form.
+
+use crate::core::keys::Epoch;
+use std::collections::BTreeMap;
+
+/// Time over which a digest counts started requests.
+pub const RATE_WINDOW_S: f64 = 10.0;
+
+crate::record! {
+    /// Requests at one head.
+    #[derive(Copy, Default, Eq)]
+    pub struct HeadCount {
+        /// Requests in flight.
+        pub in_flight: u32,
+        /// Requests that were started.
+        pub started: u32,
+    }
+
+    /// Requests at several heads, which are identified by the epochs of their groups. An epoch is
+    /// encoded as the difference from the one before it, which mostly takes one or two bytes.
+    #[derive(Default, Eq)]
+    pub struct HeadCounts(Vec<(u64, HeadCount)>);
+
+    /// One daemon's own requests.
+    #[derive(Eq)]
+    pub struct LoadReport {
+        /// Identifies the report among those of its sender.
+        pub id: ReportId,
+        /// Time since the former report, in milliseconds.
+        pub span_ms: u32,
+        /// Requests in flight, and those started since the former report.
+        pub heads: HeadCounts,
+    }
+
+    /// Identifies a report among those of its sender.
+    #[derive(Copy, Default, Eq)]
+    pub struct ReportId {
+        /// Random number of the sender's run.
+        pub run: u32,
+        /// Position among the reports of the run; a later report has a larger one.
+        pub sequence: u32,
+    }
+
+    /// Requests of all daemons that report.
+    #[derive(Default, Eq)]
+    pub struct LoadDigest {
+        /// Number of daemons whose reports are contained.
+        pub reporters: u32,
+        /// Mean age of their reports, in milliseconds.
+        pub age_ms: u32,
+        /// Requests in flight, and those started in `RATE_WINDOW_S` at the current rate.
+        pub heads: HeadCounts,
+    }
+}
+
+impl HeadCounts {
+    /// Creates the compact form of counts.
+    pub fn new(counts: &BTreeMap<Epoch, HeadCount>) -> Self {
+        let mut previous = 0;
+        let packed = counts.iter().map(|(epoch, count)| {
+            let number = epoch.0 as u64;
+            let difference = number.wrapping_sub(std::mem::replace(&mut previous, number));
+            (difference, *count)
+        });
+        Self(packed.collect())
+    }
+
+    /// Returns the count of each head.
+    pub fn iter(&self) -> impl Iterator<Item = (Epoch, HeadCount)> {
+        self.0.iter().scan(0_u64, |number, (difference, count)| {
+            *number = number.wrapping_add(*difference);
+            Some((Epoch(*number as i64), *count))
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/load_exchange/mod.rs
@@ -0,0 +1,191 @@
+//! Exchange of request counts between daemons.
+//!
+//! With more daemons than a head has slots, each daemon sends a head so few
+//! requests that the responses tell it too little. Every daemon therefore
+//! reports its own requests at each head to two aggregators, which send the
+//! totals to all daemons. A datagram that is lost is followed by the next.
+
+pub mod choice;
+pub mod estimate;
+pub mod message;
+pub mod tally;
+
+use super::{
+    datagrams::{self, Datagram},
+    group::Group,
+    load::Others,
+    roster::HostKey,
+    settings::LoadExchangeMode,
+    state::GatewayState,
+};
+use crate::core::keys::{Epoch, ServiceName};
+use estimate::{OtherRequests, SentReports, Unusable};
+use message::{HeadCount, LoadDigest, LoadReport, ReportId};
+use metrics::{counter, gauge, histogram};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+};
+use tally::Tally;
+
+/// A daemon's part in the exchange.
+#[derive(Debug)]
+pub struct LoadExchange {
+    tally: RefCell<Tally>,
+    sent: RefCell<SentReports>,
+    is_aggregator: Cell<bool>,
+}
+
+impl Default for LoadExchange {
+    fn default() -> Self {
+        Self {
+            tally: RefCell::default(),
+            sent: RefCell::new(SentReports::new(rand::random())),
+            is_aggregator: Cell::new(false),
+        }
+    }
+}
+
+/// Reports this daemon's requests, and sends the totals while it is an aggregator, for the lifetime
+/// of the process.
+pub async fn run(state: Rc<GatewayState>) {
+    loop {
+        let interval = choice::interval(state.peers.borrow().count());
+        compio::time::sleep(interval.into()).await;
+        let heads = covered_heads(&state);
+        if heads.is_empty() {
+            set_aggregator(&state, false);
+            continue;
+        }
+        exchange(&state, &heads);
+    }
+}
+
+/// Returns the heads whose load is exchanged, with the epochs of their groups.
+fn covered_heads(state: &GatewayState) -> Vec<(Epoch, HostKey)> {
+    let Some(table) = state.route_table() else {
+        return Vec::new();
+    };
+    if state.settings.load_exchange == LoadExchangeMode::Off {
+        return Vec::new();
+    }
+    let daemons = state.peers.borrow().count();
+    let is_covered = |service: &ServiceName| {
+        let engine = table.spec().engine(service);
+        engine.is_some_and(|engine| choice::is_needed(daemons, engine.slots))
+    };
+    let roster = state.roster.borrow();
+    let groups = roster.groups().iter();
+    let covered = groups.filter(|group| is_covered(&group.service));
+    let head = |group: &Group| Some((group.epoch, group.head()?));
+    covered.filter_map(head).collect()
+}
+
+/// Reports to the aggregators, and sends the totals if this daemon is one.
+fn exchange(state: &GatewayState, heads: &[(Epoch, HostKey)]) {
+    let now = state.now();
+    let counts: BTreeMap<Epoch, HeadCount> = {
+        let loads = state.loads.borrow();
+        let counts = heads.iter();
+        counts
+            .map(|(epoch, host)| (*epoch, loads.own_requests(*host)))
+            .collect()
+    };
+    let report = state.load_exchange.sent.borrow_mut().report(&counts, now);
+    let aggregators = choice::aggregators(&state.peers.borrow());
+    let mut is_aggregator = false;
+    for (name, address) in aggregators {
+        if name == state.settings.name {
+            is_aggregator = true;
+            record(state, address, report.clone());
+        } else {
+            let datagram = Datagram::LoadReport(report.clone());
+            state.outbox.send(address, datagram);
+        }
+    }
+    set_aggregator(state, is_aggregator);
+    if is_aggregator {
+        send_digest(state);
+    }
+}
+
+fn set_aggregator(state: &GatewayState, is_aggregator: bool) {
+    if state.load_exchange.is_aggregator.replace(is_aggregator) != is_aggregator {
+        gauge!("load_aggregator").set(f64::from(u8::from(is_aggregator)));
+        slog::info!(state.log, "aggregator of load changed"; "own" => is_aggregator);
+    }
+}
+
+/// Sends the totals to all daemons.
+fn send_digest(state: &GatewayState) {
+    let now = state.now();
+    let peers = state.peers.borrow();
+    let addresses: BTreeMap<SocketAddr, bool> = peers
+        .daemons()
+        .filter_map(|(name, entry)| Some((entry.peer?, *name == state.settings.name)))
+        .collect();
+    let interval = choice::interval(peers.count());
+    drop(peers);
+    let mut tally = state.load_exchange.tally.borrow_mut();
+    let digest = tally.digest(|from| addresses.contains_key(&from), interval, now);
+    let Some(encoded) = datagrams::EncodedDigest::new(&digest) else {
+        counter!("load_digests_unsent_total").increment(1);
+        return;
+    };
+    for (address, is_own) in addresses {
+        let contained = tally.contained(address);
+        match is_own {
+            true => accept_digest(state, &digest, contained),
+            false => state.outbox.send_encoded(address, encoded.with(contained)),
+        }
+    }
+}
+
+/// Records a daemon's report.
+pub(super) fn record(state: &GatewayState, from: SocketAddr, report: LoadReport) {
+    let now = state.now();
+    let mut tally = state.load_exchange.tally.borrow_mut();
+    let verdict = match tally.record(from, report, now) {
+        true => "recorded",
+        false => "outdated",
+    };
+    counter!("load_reports_total", "verdict" => verdict).increment(1);
+}
+
+/// Takes the totals of an aggregator over, if they can be used; `own` identifies the report of this
+/// daemon that they contain.
+pub(super) fn accept_digest(state: &GatewayState, digest: &LoadDigest, own: Option<ReportId>) {
+    let now = state.now();
+    let daemons = state.peers.borrow().count();
+    let interval = choice::interval(daemons);
+    let sent = state.load_exchange.sent.borrow();
+    let read = sent.interpret(digest, own, daemons, interval, now);
+    let verdict = match &read {
+        Ok(_) => "used",
+        Err(Unusable::Unmatched) => "unmatched",
+        Err(Unusable::Outdated) => "outdated",
+        Err(Unusable::Partial) => "partial",
+    };
+    counter!("load_digests_total", "verdict" => verdict).increment(1);
+    let Ok(others) = read else {
+        return;
+    };
+    histogram!("load_digest_age_seconds").record(now.since(others.at).as_secs_f64());
+    let mut loads = state.loads.borrow_mut();
+    for (epoch, host) in covered_heads(state) {
+        let at_head = others.heads.get(&epoch).copied().unwrap_or_default();
+        let OtherRequests {
+            in_flight,
+            starts_per_s,
+        } = at_head;
+        let counts = Others {
+            in_flight,
+            starts_per_s,
+            at: others.at,
+            until: others.until,
+        };
+        loads.others_reported(host, counts);
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod listeners;
 pub mod liveness;
 pub mod load;
+pub mod load_exchange;
 pub mod notices;
 pub mod open_requests;
 mod openings;
@@ -74,6 +75,7 @@
 mod stop;
 mod stream;
 pub mod watch;
+pub mod water_filling;
 mod weight_loads;
 mod whole_body;
 
@@ -161,6 +163,7 @@
         spawn(datagrams::send(datagrams.clone(), state.clone()));
         spawn(datagrams::receive(datagrams, state.clone()));
         spawn(progress::report(state.clone()));
+        spawn(load_exchange::run(state.clone()));
         spawn(inquiry::ask_while_lost(state.clone()));
     }
     let lease = Rc::new(Lease::<A>::new(state.clone(), store));
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -31,6 +31,19 @@
         /// True if the whole deployment starts for the first time.
         #[serde(default)]
         pub first: bool,
+        /// Whether daemons tell each other how many requests they have at each head.
+        #[serde(default)]
+        pub load_exchange: LoadExchangeMode,
+    }
+
+    /// Whether daemons tell each other how many requests they have at each head.
+    #[derive(Copy, Default, Eq)]
+    pub enum LoadExchangeMode {
+        /// While there are more daemons than a head has slots.
+        #[default]
+        Auto,
+        /// Never.
+        Off,
     }
 
     /// Addresses that a gateway listens on.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,6 +13,7 @@
     held_bytes::HeldBytes,
     liveness::ReportedProgress,
     load::Loads,
+    load_exchange::LoadExchange,
     notices::{LimitChange, Notices, RateLimit},
     open_requests::OpenRequests,
     outages::{Outages, ServingChange},
@@ -67,6 +68,8 @@
     outages: RefCell<Outages>,
     /// Request load of each runner.
     pub loads: RefCell<Loads>,
+    /// Exchange of request counts with other daemons.
+    pub load_exchange: LoadExchange,
     /// Whether this daemon reaches any runner.
     pub reach: RefCell<Reach>,
     /// Peers to which requests are passed while no runner is reached.
@@ -137,6 +140,7 @@
             roster: RefCell::default(),
             outages: RefCell::default(),
             loads: RefCell::default(),
+            load_exchange: LoadExchange::default(),
             reach: RefCell::default(),
             relay_peers: RefCell::default(),
             relayed: RelayedRequests::default(),
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 44] = [
+const DECISIONS: [&str; 49] = [
     "admission",
     "backoff",
     "balancer",
@@ -30,6 +30,10 @@
     "lifecycle",
     "liveness",
     "load",
+    "load_exchange/choice",
+    "load_exchange/estimate",
+    "load_exchange/message",
+    "load_exchange/tally",
     "notices",
     "openings",
     "outages",
@@ -57,6 +61,7 @@
     "sent_orders",
     "staging",
     "startup",
+    "water_filling",
     "weight_loads",
 ];
 
@@ -90,6 +95,7 @@
         "forward",
         "handlers",
         "lease",
+        "load_exchange",
         "peer_relay",
         "peer_relay/send",
         "peer_relay/server",
--- /dev/null
+++ b/tests/gateway/load_exchange.rs
@@ -0,0 +1,279 @@
+//! Exchange of request counts between daemons: who sums them, and what the sums tell.
+
+use hickoryledge::{
+    core::{
+        keys::{DaemonName, Epoch, HallName, Revision},
+        time::{Span, Time},
+    },
+    gateway::{
+        load::{LoadReport as RunnerReport, Loads, Others},
+        load_exchange::{
+            choice::{aggregators, interval, is_needed},
+            estimate::{SentReports, Unusable},
+            message::{HeadCount, HeadCounts, LoadDigest},
+            tally::Tally,
+        },
+        peers::{DaemonEntry, Peers},
+        roster::HostKey,
+        water_filling::{Basin, draw, level},
+    },
+};
+use rand::{SeedableRng as _, rngs::SmallRng};
+use slotmap::SlotMap;
+use std::{collections::BTreeMap, net::SocketAddr};
+
+const INTERVAL: Span = Span::from_millis(200);
+
+fn millis(millis: u64) -> Time {
+    Time(0) + Span::from_millis(millis)
+}
+
+fn address(index: u16) -> SocketAddr {
+    ([10, 0, 0, 1], 1_000 + index).into()
+}
+
+fn entry(index: u16, processor_percent: u32) -> DaemonEntry {
+    DaemonEntry {
+        caller: address(index),
+        hall: HallName::from("hall"),
+        peer: Some(address(index)),
+        relay: None,
+        processor_percent,
+    }
+}
+
+/// Returns the counts of one head.
+fn at_head(epoch: i64, in_flight: u32, started: u32) -> BTreeMap<Epoch, HeadCount> {
+    BTreeMap::from([(Epoch(epoch), HeadCount { in_flight, started })])
+}
+
+#[test]
+fn aggregators_have_most_processor_time_and_not_the_duty() {
+    let mut peers = Peers::default();
+    for (index, percent) in [12, 50, 12, 50, 50].into_iter().enumerate() {
+        let name = DaemonName::from(format!("d{index}"));
+        peers.put(name, entry(index as u16, percent));
+    }
+    peers.claim = Some((DaemonName::from("d1"), Revision(1)));
+    let chosen = aggregators(&peers);
+    let names: Vec<&str> = chosen.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(names, ["d3", "d4"]);
+}
+
+/// An aggregator's work must not grow with the number of daemons beyond a bound.
+#[test]
+fn interval_keeps_number_of_digests_constant() {
+    assert_eq!(interval(61), Span::from_millis(200));
+    for daemons in [64, 195, 340] {
+        let digests = daemons as f64 / interval(daemons).as_secs_f64();
+        assert!(digests < 321.0, "{digests} a second with {daemons} daemons");
+    }
+}
+
+#[test]
+fn exchange_is_needed_with_more_daemons_than_slots() {
+    assert!(is_needed(49, 48));
+    assert!(!is_needed(48, 48));
+}
+
+#[test]
+fn compact_counts_keep_every_epoch() {
+    let epochs = [i64::MIN, -5, 0, 7, 1 << 40, i64::MAX];
+    let counts: BTreeMap<Epoch, HeadCount> = epochs
+        .iter()
+        .map(|epoch| (Epoch(*epoch), at_head(0, 3, 4)[&Epoch(0)]))
+        .collect();
+    let packed = HeadCounts::new(&counts);
+    assert_eq!(packed.iter().collect::<BTreeMap<_, _>>(), counts);
+}
+
+/// At the size that the system is built towards, a digest of all heads must fit into one datagram.
+#[test]
+fn digest_of_many_heads_is_small() {
+    let count = HeadCount {
+        in_flight: 52,
+        started: 250,
+    };
+    let counts = (0..112).map(|group| (Epoch((7 << 40) + (group << 6)), count));
+    let digest = LoadDigest {
+        reporters: 340,
+        age_ms: 531,
+        heads: HeadCounts::new(&counts.collect()),
+    };
+    let bytes = postcard::to_stdvec(&digest).expect("serializes");
+    assert!(bytes.len() < 700, "{} bytes", bytes.len());
+}
+
+#[test]
+fn digest_without_own_share_tells_the_others_load() {
+    let mut own = SentReports::new(1);
+    let mut other = SentReports::new(2);
+    let mut tally = Tally::default();
+    for (at, own_total, other_total) in [(0, 0, 0), (200, 4, 10)] {
+        tally.record(
+            address(1),
+            own.report(&at_head(9, 5, own_total), millis(at)),
+            millis(at),
+        );
+        let report = other.report(&at_head(9, 20, other_total), millis(at));
+        tally.record(address(2), report, millis(at));
+    }
+    let digest = tally.digest(|_| true, INTERVAL, millis(300));
+    assert_eq!((digest.reporters, digest.age_ms), (2, 100));
+    let contained = tally.contained(address(1));
+    let others = own
+        .interpret(&digest, contained, 2, INTERVAL, millis(310))
+        .expect("usable");
+    let at_head = others.heads[&Epoch(9)];
+    assert_eq!(at_head.in_flight, 20);
+    assert!((at_head.starts_per_s - 50.0).abs() < 0.2, "{at_head:?}");
+    assert_eq!((others.at, others.until), (millis(210), millis(800)));
+}
+
+/// A paused aggregator reads old reports from its socket when it goes on, and would send their sum
+/// as a new one.
+#[test]
+fn digest_with_old_own_report_is_not_used() {
+    let mut own = SentReports::new(1);
+    let mut tally = Tally::default();
+    tally.record(
+        address(1),
+        own.report(&at_head(9, 5, 0), millis(0)),
+        millis(900),
+    );
+    let digest = tally.digest(|_| true, INTERVAL, millis(900));
+    let contained = tally.contained(address(1));
+    let read = own.interpret(&digest, contained, 1, INTERVAL, millis(901));
+    assert_eq!(read, Err(Unusable::Outdated));
+}
+
+/// The requests of a daemon's former run have ended with it. A digest that still counts them isn't
+/// taken for one with this run's own share.
+#[test]
+fn digest_with_report_of_former_run_is_not_used() {
+    let mut former = SentReports::new(1);
+    let mut tally = Tally::default();
+    let report = former.report(&at_head(9, 5, 0), millis(0));
+    assert!(tally.record(address(1), report, millis(0)));
+    let digest = tally.digest(|_| true, INTERVAL, millis(10));
+    let mut own = SentReports::new(2);
+    let report = own.report(&at_head(9, 0, 0), millis(20));
+    let contained = tally.contained(address(1));
+    let read = own.interpret(&digest, contained, 1, INTERVAL, millis(20));
+    assert_eq!(read, Err(Unusable::Unmatched));
+    assert!(tally.record(address(1), report, millis(20)));
+    let digest = tally.digest(|_| true, INTERVAL, millis(30));
+    assert_eq!(digest.heads.iter().count(), 0);
+}
+
+#[test]
+fn aggregator_that_misses_most_daemons_is_not_used() {
+    let mut own = SentReports::new(1);
+    let mut tally = Tally::default();
+    tally.record(
+        address(1),
+        own.report(&at_head(9, 5, 0), millis(0)),
+        millis(0),
+    );
+    let digest = tally.digest(|_| true, INTERVAL, millis(10));
+    let contained = tally.contained(address(1));
+    let read = own.interpret(&digest, contained, 3, INTERVAL, millis(20));
+    assert_eq!(read, Err(Unusable::Partial));
+}
+
+#[test]
+fn reordered_report_is_ignored() {
+    let mut sender = SentReports::new(1);
+    let mut tally = Tally::default();
+    let first = sender.report(&at_head(9, 5, 0), millis(0));
+    let second = sender.report(&at_head(9, 7, 0), millis(200));
+    assert!(tally.record(address(1), second, millis(201)));
+    assert!(!tally.record(address(1), first, millis(202)));
+    let digest = tally.digest(|_| true, INTERVAL, millis(210));
+    let in_flight = digest.heads.iter().map(|(_, count)| count.in_flight);
+    assert_eq!(in_flight.collect::<Vec<_>>(), [7]);
+}
+
+#[test]
+fn silent_and_unknown_daemons_are_left_out() {
+    let mut tally = Tally::default();
+    for daemon in 1..=3_u64 {
+        let report = SentReports::new(1).report(&at_head(9, 1, 0), millis(0));
+        tally.record(address(daemon as u16), report, millis(daemon * 200));
+    }
+    let is_known = |from| from != address(3);
+    let digest = tally.digest(is_known, INTERVAL, millis(850));
+    assert_eq!(digest.reporters, 1, "only the second is recent and known");
+}
+
+fn host() -> HostKey {
+    SlotMap::<HostKey, ()>::with_key().insert(())
+}
+
+#[test]
+fn fresher_of_digest_and_response_counts() {
+    let head = host();
+    let mut loads = Loads::default();
+    loads.request_started(head);
+    let others = Others {
+        in_flight: 30,
+        starts_per_s: 20.0,
+        at: millis(1_000),
+        until: millis(1_600),
+    };
+    let response = RunnerReport {
+        running: 11,
+        waiting: 0,
+        slots: 48,
+    };
+    loads.load_reported(head, response, millis(900));
+    loads.others_reported(head, others);
+    assert_eq!(loads.in_flight(head, millis(1_100)), 31);
+    assert_eq!(loads.expected_starts(head, millis(1_100)), Some(2.0));
+    loads.load_reported(head, response, millis(1_200));
+    assert_eq!(loads.in_flight(head, millis(1_300)), 11);
+    let older = Others {
+        in_flight: 3,
+        at: millis(800),
+        ..others
+    };
+    loads.others_reported(head, older);
+    loads.load_reported(head, response, millis(500));
+    assert_eq!(
+        loads.in_flight(head, millis(1_300)),
+        31,
+        "the digest of an aggregator that lags is not used"
+    );
+    assert_eq!(loads.expected_starts(head, millis(1_600)), None);
+}
+
+/// A head that has just opened has no requests. All daemons see that at once, and would send it
+/// all their requests until the next totals.
+#[test]
+fn empty_head_gets_no_more_than_it_takes_to_reach_the_level() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let floors = [1.0, 40.0, 40.0, 40.0];
+    let basins = floors.map(|floor| Basin { floor, slope: 1.0 });
+    let share = |requests: f64, rng: &mut SmallRng| {
+        let drawn = (0..10_000).filter(|_| draw(&basins, requests, rng) == Some(0));
+        drawn.count() as f64 / 1e4
+    };
+    assert_eq!(share(20.0, &mut rng), 1.0);
+    let at_level = share(78.0, &mut rng);
+    // 39 fill the empty head up to the others, the other 39 raise all four.
+    assert!((at_level - 48.75 / 78.0).abs() < 0.02, "{at_level}");
+}
+
+#[test]
+fn slow_head_takes_fewer_requests() {
+    let basin = |slope| Basin {
+        floor: slope,
+        slope,
+    };
+    let basins = [basin(1.0), basin(3.0)];
+    let reached = level(&basins, 38.0);
+    assert!((reached - 30.0).abs() < 0.01, "{reached}");
+    let mut rng = SmallRng::seed_from_u64(1);
+    assert_eq!(draw(&[], 1.0, &mut rng), None);
+    assert_eq!(draw(&basins, 1.0, &mut rng), Some(0));
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod limit_fleet;
 mod limits;
 mod liveness;
+mod load_exchange;
 mod notices;
 mod outages;
 mod pools;
