Admission and choice of a head follow the room that all daemons share

Requests are now planned over a horizon of a second (two intervals if that is longer), and a request is admitted with the probability that there is room for it: room at all heads and the ends within the horizon, over the arrivals of all daemons, including those that are refused. Digests carry starts, ends and refusals of each head for that.

ChooseError::AllFull names a runner at which the refusal is counted.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -10,6 +10,7 @@
     admission::{self, AdmissionClass},
     load::Loads,
     notices::Notices,
+    outlook::Outlook,
     roster::{HostKey, Roster, RunnerInstance, SLOW_FACTOR},
     spec::Engine,
     water_filling::{self, Basin},
@@ -106,6 +107,8 @@
     AllFull {
         /// Delay after which the caller should retry.
         retry_delay: Span,
+        /// One of these runners.
+        host: HostKey,
     },
     /// All runners that serve the request want none now, by their rate limits or pauses.
     HeldBack {
@@ -145,8 +148,12 @@
     {
         candidates = admit(candidates, loads, engine, &criteria, now, rng)?;
     }
-    let chosen = match expected_starts(&candidates, loads, now) {
-        Some(requests) => draw_by_level(&candidates, view, criteria.hall, requests, now, rng),
+    let heads = candidates.iter().map(|candidate| candidate.host);
+    let chosen = match Outlook::new(loads, heads, now) {
+        Some(outlook) => {
+            let requests = outlook.arrivals;
+            draw_by_level(&candidates, view, criteria.hall, requests, now, rng)
+        }
         None => draw_less_loaded(&candidates, view, criteria.hall, now, rng),
     };
     let chosen = chosen.ok_or(ChooseError::NoneServing)?;
@@ -199,10 +206,16 @@
 {
     let heads: Vec<HostKey> = candidates.iter().map(|candidate| candidate.host).collect();
     let mut admitted = candidates;
-    admitted.retain(|candidate| {
-        admission::has_room(candidate.host, loads, engine.slots, criteria.class, now)
-            && criteria.can_finish_at(candidate)
-    });
+    admitted.retain(|candidate| criteria.can_finish_at(candidate));
+    let outlook = Outlook::new(loads, heads.iter().copied(), now);
+    match outlook.filter(|_| criteria.class != AdmissionClass::Resumed) {
+        Some(outlook) => {
+            admit_by_outlook(&mut admitted, outlook, loads, engine, criteria, now, rng)
+        }
+        None => admitted.retain(|candidate| {
+            admission::has_room(candidate.host, loads, engine.slots, criteria.class, now)
+        }),
+    }
     let fast: Vec<Candidate> = admitted
         .iter()
         .filter(|candidate| candidate.slowdown < SLOW_FACTOR)
@@ -213,11 +226,33 @@
     }
     if admitted.is_empty() {
         let retry_delay = admission::retry_delay(&heads, loads, engine, now, rng);
-        return Err(ChooseError::AllFull { retry_delay });
+        let host = heads[rng.random_range(0..heads.len())];
+        return Err(ChooseError::AllFull { retry_delay, host });
     }
     Ok(admitted)
 }
 
+/// Leaves the candidates that have room by the totals of all daemons; none if the request is one of
+/// those for which there isn't enough.
+fn admit_by_outlook<R>(
+    admitted: &mut Vec<Candidate>,
+    outlook: Outlook,
+    loads: &Loads,
+    engine: &Engine,
+    criteria: &Criteria<'_>,
+    now: Time,
+    rng: &mut R,
+) where
+    R: Rng,
+{
+    let limit = admission::max_expected(engine.slots, criteria.class);
+    let room = |candidate: &Candidate| outlook.room(limit, loads.in_flight(candidate.host, now));
+    admitted.retain(|candidate| room(candidate) > 0.0);
+    if !outlook.admits(admitted.iter().map(room).sum(), rng) {
+        admitted.clear();
+    }
+}
+
 /// Returns true if a response from a chosen runner may still be expected.
 pub fn still_serves(roster: &Roster, endpoint: &Endpoint) -> bool {
     let Some(host) = roster.host(endpoint.host) else {
@@ -268,15 +303,6 @@
         .collect()
 }
 
-/// Returns the requests that other daemons are expected to have started at the candidates since the
-/// time to which their sums apply; none without current sums.
-fn expected_starts(candidates: &[Candidate], loads: &Loads, now: Time) -> Option<f64> {
-    let starts = candidates
-        .iter()
-        .filter_map(|candidate| loads.expected_starts(candidate.host, now));
-    starts.reduce(|sum, starts| sum + starts)
-}
-
 /// Draws two candidates and returns the one with less cost.
 fn draw_less_loaded<R>(
     candidates: &[Candidate],
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -1,6 +1,9 @@
 //! Request load of each runner, from its own reports and the requests sent to it since.
 
-use super::{load_exchange::message::HeadCount, roster::HostKey};
+use super::{
+    load_exchange::{estimate::HeadLoad, message::HeadCount},
+    roster::HostKey,
+};
 use crate::core::time::{Span, Time};
 use slotmap::SecondaryMap;
 
@@ -22,6 +25,10 @@
 /// Minimum timeout for connecting to a runner that was reached before.
 const MIN_CONNECT_TIMEOUT: Span = Span::from_millis(150);
 
+/// Time constant in seconds with which rates of change are smoothed: at 20 requests a second, the
+/// count of a 200 ms interval is off by half.
+const RATE_TIME_CONSTANT_S: f64 = 0.5;
+
 /// Load of a runner as it reports it with a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadReport {
@@ -33,17 +40,17 @@
     pub slots: u32,
 }
 
-/// Requests of other daemons at a runner, as aggregators sum them.
+/// Requests at a runner, as aggregators sum them.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Others {
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// Requests started in a second.
-    pub starts_per_s: f64,
+pub struct Total {
+    /// Requests and their changes.
+    pub load: HeadLoad,
     /// Time to which these counts apply.
     pub at: Time,
     /// Time from which they are out of date.
     pub until: Time,
+    /// Time ahead for which requests are planned by them.
+    pub horizon: Span,
 }
 
 /// Load and recent failures of one runner.
@@ -51,14 +58,14 @@
 struct Entry {
     /// Requests in flight from this daemon.
     own_requests: u32,
-    /// Requests that this daemon has started.
-    started: u32,
+    /// Changes of this daemon's requests since they were last taken.
+    changes: HeadCount,
     /// Requests of other daemons, as of the last report.
     other_requests: u32,
     /// Time of the last report.
     reported_at: Option<Time>,
-    /// Requests of other daemons, as aggregators sum them.
-    others: Option<Others>,
+    /// Requests of all daemons, as aggregators sum them.
+    total: Option<Total>,
     /// End of the backoff.
     avoided_until: Option<Time>,
     /// Consecutive failures.
@@ -93,7 +100,7 @@
     pub fn request_started(&mut self, host: HostKey) {
         if let Some(entry) = self.entry(host) {
             entry.own_requests += 1;
-            entry.started = entry.started.wrapping_add(1);
+            entry.changes.started = entry.changes.started.saturating_add(1);
         }
     }
 
@@ -101,6 +108,7 @@
     pub fn request_ended(&mut self, host: HostKey) {
         if let Some(entry) = self.entries.get_mut(host) {
             entry.own_requests = entry.own_requests.saturating_sub(1);
+            entry.changes.ended = entry.changes.ended.saturating_add(1);
         }
     }
 
@@ -113,12 +121,39 @@
         }
     }
 
-    /// Records the requests of other daemons at a runner, unless later counts are known.
-    pub fn others_reported(&mut self, host: HostKey, others: Others) {
-        if let Some(entry) = self.entry(host)
-            && entry.others.is_none_or(|known| known.at <= others.at)
-        {
-            entry.others = Some(others);
+    /// Records the sums of all daemons' requests at a runner, unless later ones are known.
+    pub fn total_reported(&mut self, host: HostKey, mut total: Total) {
+        let Some(entry) = self.entry(host) else {
+            return;
+        };
+        if let Some(known) = entry.total {
+            if known.at > total.at {
+                return;
+            }
+            let elapsed = total.at.since(known.at).as_secs_f64();
+            let weight = 1.0 - (-elapsed / RATE_TIME_CONSTANT_S).exp();
+            total.load = known.load.smoothed(total.load, weight);
+        }
+        entry.total = Some(total);
+    }
+
+    /// Counts a request that was refused because all heads of its model were full; it is counted at
+    /// one of them.
+    pub fn request_refused(&mut self, host: HostKey) {
+        if let Some(entry) = self.entry(host) {
+            entry.changes.refused = entry.changes.refused.saturating_add(1);
+        }
+    }
+
+    /// Takes the count of this daemon's requests at a runner: those in flight, and the changes since
+    /// the last call.
+    pub fn take_own_requests(&mut self, host: HostKey) -> HeadCount {
+        let Some(entry) = self.entries.get_mut(host) else {
+            return HeadCount::default();
+        };
+        HeadCount {
+            in_flight: entry.own_requests,
+            ..std::mem::take(&mut entry.changes)
         }
     }
 
@@ -203,36 +238,31 @@
         in_backoff || self.is_stalled(host, now)
     }
 
+    /// Returns the requests in flight at a runner from this daemon.
+    pub fn own_requests(&self, host: HostKey) -> u32 {
+        let entry = self.entries.get(host);
+        entry.map_or(0, |entry| entry.own_requests)
+    }
+
     /// Returns the estimated number of requests in flight at a runner, from all daemons.
     pub fn in_flight(&self, host: HostKey, now: Time) -> u32 {
         let Some(entry) = self.entries.get(host) else {
             return 0;
         };
         let reported = entry.reported_at.filter(|at| now.since(*at) < REPORT_TTL);
-        let summed = entry.others.filter(|others| now < others.until);
+        let summed = entry.total.filter(|total| now < total.until);
         let other_requests = match summed {
-            Some(others) if reported.is_none_or(|at| at <= others.at) => others.in_flight,
+            Some(total) if reported.is_none_or(|at| at <= total.at) => total.load.others,
             _ if reported.is_some() => entry.other_requests,
             _ => 0,
         };
         entry.own_requests.saturating_add(other_requests)
     }
 
-    /// Returns the requests that other daemons are expected to have started at a runner since the
-    /// time to which their sums apply; none without current sums.
-    pub fn expected_starts(&self, host: HostKey, now: Time) -> Option<f64> {
-        let others = self.entries.get(host)?.others?;
-        let is_current = now < others.until;
-        is_current.then(|| others.starts_per_s * now.since(others.at).as_secs_f64())
-    }
-
-    /// Returns this daemon's requests at a runner: those in flight, and all that were started.
-    pub fn own_requests(&self, host: HostKey) -> HeadCount {
-        let entry = self.entries.get(host).copied().unwrap_or_default();
-        HeadCount {
-            in_flight: entry.own_requests,
-            started: entry.started,
-        }
+    /// Returns the sums of all daemons' requests at a runner, if current ones are known.
+    pub fn total(&self, host: HostKey, now: Time) -> Option<Total> {
+        let total = self.entries.get(host)?.total?;
+        (now < total.until).then_some(total)
     }
 
     fn entry(&mut self, host: HostKey) -> Option<&mut Entry> {
--- a/src/gateway/load_exchange/choice.rs
+++ b/src/gateway/load_exchange/choice.rs
@@ -16,6 +16,9 @@
 /// Interval of reports and digests with few daemons.
 const MIN_INTERVAL: Span = Span::from_millis(200);
 
+/// Minimum time ahead for which requests are planned by the totals.
+const MIN_HORIZON: Span = Span::from_millis(1_000);
+
 /// Digests that an aggregator sends in a second at most, one to each daemon in an interval.
 const MAX_DIGESTS_PER_S: u64 = 320;
 
@@ -35,6 +38,13 @@
     MIN_INTERVAL.max(Span(micros))
 }
 
+/// Returns the time ahead for which requests are planned by the totals. A shorter one sends the
+/// requests of all daemons to the same few heads, whose prefills then wait for each other; one of less than two
+/// intervals makes the heads' load swing.
+pub fn horizon(interval: Span) -> Span {
+    MIN_HORIZON.max(interval.times(2))
+}
+
 /// Returns true if the exchange is needed for heads with this number of slots: with fewer daemons,
 /// each hears from a head often enough by the responses to its own requests.
 pub fn is_needed(daemons: usize, slots: u32) -> bool {
--- a/src/gateway/load_exchange/estimate.rs
+++ b/src/gateway/load_exchange/estimate.rs
@@ -17,20 +17,37 @@
 /// Fraction of the daemons whose reports a digest must contain.
 const MIN_COVERAGE: f64 = 0.5;
 
-/// Requests of the other daemons at one head.
+/// Requests at one head.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct OtherRequests {
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// Requests started in a second.
+pub struct HeadLoad {
+    /// Requests of the other daemons in flight.
+    pub others: u32,
+    /// Requests of all daemons that are started in a second.
     pub starts_per_s: f64,
+    /// Requests of all daemons that end in a second.
+    pub ends_per_s: f64,
+    /// Requests that all daemons refuse in a second because all heads are full.
+    pub refusals_per_s: f64,
 }
 
-/// Requests of the other daemons at all heads; a head without an entry has none.
+impl HeadLoad {
+    /// Returns later counts with their rates smoothed: `weight` is that of the later rates.
+    pub fn smoothed(self, later: Self, weight: f64) -> Self {
+        let smooth = |before: f64, after: f64| before + (after - before) * weight;
+        Self {
+            others: later.others,
+            starts_per_s: smooth(self.starts_per_s, later.starts_per_s),
+            ends_per_s: smooth(self.ends_per_s, later.ends_per_s),
+            refusals_per_s: smooth(self.refusals_per_s, later.refusals_per_s),
+        }
+    }
+}
+
+/// Requests at all heads; a head without an entry has none.
 #[derive(Clone, Debug, PartialEq)]
-pub struct OthersLoad {
+pub struct Totals {
     /// Requests at each head.
-    pub heads: BTreeMap<Epoch, OtherRequests>,
+    pub heads: BTreeMap<Epoch, HeadLoad>,
     /// Mean time to which the counts apply.
     pub at: Time,
     /// Time from which the counts are out of date.
@@ -55,8 +72,6 @@
     next: ReportId,
     sent_at: Option<Time>,
     recent: VecDeque<(LoadReport, Time)>,
-    /// Requests started so far at each head, as of the last report.
-    started: BTreeMap<Epoch, u32>,
 }
 
 impl SentReports {
@@ -66,36 +81,31 @@
             next: ReportId { run, sequence: 1 },
             sent_at: None,
             recent: VecDeque::new(),
-            started: BTreeMap::new(),
         }
     }
 
-    /// Creates the next report from the requests in flight and those started so far at each head.
-    pub fn report(&mut self, totals: &BTreeMap<Epoch, HeadCount>, now: Time) -> LoadReport {
-        let changed = totals.iter().filter_map(|(epoch, total)| {
-            let before = self.started.get(epoch).copied().unwrap_or_default();
-            let count = HeadCount {
-                in_flight: total.in_flight,
-                started: match self.sent_at {
-                    Some(_) => total.started.wrapping_sub(before),
-                    None => 0,
-                },
-            };
-            (count != HeadCount::default()).then_some((*epoch, count))
-        });
-        let heads = HeadCounts::new(&changed.collect());
-        let span = self.sent_at.map_or(Span::ZERO, |at| now.since(at));
+    /// Creates the next report from the requests in flight and the changes since the former one at
+    /// each head.
+    pub fn report(&mut self, counts: BTreeMap<Epoch, HeadCount>, now: Time) -> LoadReport {
+        let mut counts = counts;
+        counts.retain(|_, count| *count != HeadCount::default());
+        let span = self.sent_at.map(|at| now.since(at));
+        if span.is_none() {
+            // Without a former report the time of the changes isn't known.
+            counts.values_mut().for_each(|count| {
+                *count = HeadCount {
+                    in_flight: count.in_flight,
+                    ..HeadCount::default()
+                };
+            });
+        }
         let report = LoadReport {
             id: self.next,
-            span_ms: span.as_millis() as u32,
-            heads,
+            span_ms: span.unwrap_or_default().as_millis() as u32,
+            heads: HeadCounts::new(&counts),
         };
         self.next.sequence = self.next.sequence.wrapping_add(1);
         self.sent_at = Some(now);
-        let started = totals.iter();
-        self.started = started
-            .map(|(epoch, total)| (*epoch, total.started))
-            .collect();
         self.recent.push_back((report.clone(), now));
         if self.recent.len() > KEPT_REPORTS {
             self.recent.pop_front();
@@ -103,7 +113,7 @@
         report
     }
 
-    /// Derives the other daemons' requests from a digest that contains the report `own` of this
+    /// Derives the load of the heads from a digest that contains the report `own` of this
     /// daemon, by the number of daemons that have an entry.
     ///
     /// # Errors
@@ -116,7 +126,7 @@
         daemons: usize,
         interval: Span,
         now: Time,
-    ) -> Result<OthersLoad, Unusable> {
+    ) -> Result<Totals, Unusable> {
         let mut recent = self.recent.iter();
         let (report, sent_at) = recent
             .find(|(report, _)| Some(report.id) == own)
@@ -131,15 +141,15 @@
         let reported: BTreeMap<Epoch, HeadCount> = report.heads.iter().collect();
         let heads = digest.heads.iter().map(|(epoch, total)| {
             let own = reported.get(&epoch).copied().unwrap_or_default();
-            let own_started = f64::from(own.started) * 1e3 / f64::from(report.span_ms.max(1));
-            let starts_per_s = f64::from(total.started) / RATE_WINDOW_S - own_started;
-            let others = OtherRequests {
-                in_flight: total.in_flight.saturating_sub(own.in_flight),
-                starts_per_s: starts_per_s.max(0.0),
+            let load = HeadLoad {
+                others: total.in_flight.saturating_sub(own.in_flight),
+                starts_per_s: f64::from(total.started) / RATE_WINDOW_S,
+                ends_per_s: f64::from(total.ended) / RATE_WINDOW_S,
+                refusals_per_s: f64::from(total.refused) / RATE_WINDOW_S,
             };
-            (epoch, others)
+            (epoch, load)
         });
-        Ok(OthersLoad {
+        Ok(Totals {
             heads: heads.collect(),
             at: now - Span::from_millis(u64::from(digest.age_ms)),
             until,
--- a/src/gateway/load_exchange/message.rs
+++ b/src/gateway/load_exchange/message.rs
@@ -3,7 +3,7 @@
 use crate::core::keys::Epoch;
 use std::collections::BTreeMap;
 
-/// Time over which a digest counts started requests.
+/// Time over which a digest counts changes.
 pub const RATE_WINDOW_S: f64 = 10.0;
 
 crate::record! {
@@ -14,6 +14,10 @@
         pub in_flight: u32,
         /// Requests that were started.
         pub started: u32,
+        /// Requests that have ended.
+        pub ended: u32,
+        /// Requests that were refused because all heads of their model were full.
+        pub refused: u32,
     }
 
     /// Requests at several heads, which are identified by the epochs of their groups. An epoch is
@@ -28,7 +32,7 @@
         pub id: ReportId,
         /// Time since the former report, in milliseconds.
         pub span_ms: u32,
-        /// Requests in flight, and those started since the former report.
+        /// Requests in flight, and the changes since the former report.
         pub heads: HeadCounts,
     }
 
@@ -48,7 +52,7 @@
         pub reporters: u32,
         /// Mean age of their reports, in milliseconds.
         pub age_ms: u32,
-        /// Requests in flight, and those started in `RATE_WINDOW_S` at the current rate.
+        /// Requests in flight, and the changes in `RATE_WINDOW_S` at the current rates.
         pub heads: HeadCounts,
     }
 }
--- a/src/gateway/load_exchange/mod.rs
+++ b/src/gateway/load_exchange/mod.rs
@@ -13,13 +13,13 @@
 use super::{
     datagrams::{self, Datagram},
     group::Group,
-    load::Others,
+    load::Total,
     roster::HostKey,
     settings::LoadExchangeMode,
     state::GatewayState,
 };
 use crate::core::keys::{Epoch, ServiceName};
-use estimate::{OtherRequests, SentReports, Unusable};
+use estimate::{SentReports, Unusable};
 use message::{HeadCount, LoadDigest, LoadReport, ReportId};
 use metrics::{counter, gauge, histogram};
 use std::{
@@ -87,13 +87,13 @@
 fn exchange(state: &GatewayState, heads: &[(Epoch, HostKey)]) {
     let now = state.now();
     let counts: BTreeMap<Epoch, HeadCount> = {
-        let loads = state.loads.borrow();
+        let mut loads = state.loads.borrow_mut();
         let counts = heads.iter();
         counts
-            .map(|(epoch, host)| (*epoch, loads.own_requests(*host)))
+            .map(|(epoch, host)| (*epoch, loads.take_own_requests(*host)))
             .collect()
     };
-    let report = state.load_exchange.sent.borrow_mut().report(&counts, now);
+    let report = state.load_exchange.sent.borrow_mut().report(counts, now);
     let aggregators = choice::aggregators(&state.peers.borrow());
     let mut is_aggregator = false;
     for (name, address) in aggregators {
@@ -169,23 +169,18 @@
         Err(Unusable::Partial) => "partial",
     };
     counter!("load_digests_total", "verdict" => verdict).increment(1);
-    let Ok(others) = read else {
+    let Ok(totals) = read else {
         return;
     };
-    histogram!("load_digest_age_seconds").record(now.since(others.at).as_secs_f64());
+    histogram!("load_digest_age_seconds").record(now.since(totals.at).as_secs_f64());
     let mut loads = state.loads.borrow_mut();
     for (epoch, host) in covered_heads(state) {
-        let at_head = others.heads.get(&epoch).copied().unwrap_or_default();
-        let OtherRequests {
-            in_flight,
-            starts_per_s,
-        } = at_head;
-        let counts = Others {
-            in_flight,
-            starts_per_s,
-            at: others.at,
-            until: others.until,
+        let total = Total {
+            load: totals.heads.get(&epoch).copied().unwrap_or_default(),
+            at: totals.at,
+            until: totals.until,
+            horizon: choice::horizon(interval),
         };
-        loads.others_reported(host, counts);
+        loads.total_reported(host, total);
     }
 }
--- a/src/gateway/load_exchange/tally.rs
+++ b/src/gateway/load_exchange/tally.rs
@@ -10,6 +10,34 @@
 /// Intervals after which a daemon's report counts no more.
 const REPORT_TTL_INTERVALS: u64 = 3;
 
+/// Requests of several daemons at one head.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    in_flight: u32,
+    started: f64,
+    ended: f64,
+    refused: f64,
+}
+
+impl Sum {
+    /// Adds the requests of one daemon, with a factor on the changes.
+    fn add(&mut self, count: HeadCount, factor: f64) {
+        self.in_flight = self.in_flight.saturating_add(count.in_flight);
+        self.started += f64::from(count.started) * factor;
+        self.ended += f64::from(count.ended) * factor;
+        self.refused += f64::from(count.refused) * factor;
+    }
+
+    fn rounded(self) -> HeadCount {
+        HeadCount {
+            in_flight: self.in_flight,
+            started: self.started.round() as u32,
+            ended: self.ended.round() as u32,
+            refused: self.refused.round() as u32,
+        }
+    }
+}
+
 /// Latest report of each daemon.
 #[derive(Debug, Default)]
 pub struct Tally {
@@ -37,21 +65,16 @@
         let ttl = interval.times(REPORT_TTL_INTERVALS);
         self.reports
             .retain(|from, (_, at)| now.since(*at) < ttl && is_known(*from));
-        let mut sums: BTreeMap<Epoch, (u32, f64)> = BTreeMap::new();
+        let mut sums: BTreeMap<Epoch, Sum> = BTreeMap::new();
         let mut age = Span::ZERO;
         for (report, at) in self.reports.values() {
             age = age + now.since(*at);
             let per_window = RATE_WINDOW_S * 1e3 / f64::from(report.span_ms.max(1));
             for (epoch, count) in report.heads.iter() {
-                let (in_flight, started) = sums.entry(epoch).or_default();
-                *in_flight = in_flight.saturating_add(count.in_flight);
-                *started += f64::from(count.started) * per_window;
+                sums.entry(epoch).or_default().add(count, per_window);
             }
         }
-        let heads = sums.into_iter().map(|(epoch, (in_flight, started))| {
-            let started = started.round() as u32;
-            (epoch, HeadCount { in_flight, started })
-        });
+        let heads = sums.into_iter().map(|(epoch, sum)| (epoch, sum.rounded()));
         let reporters = self.reports.len().max(1) as u64;
         LoadDigest {
             reporters: self.reports.len() as u32,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 pub mod order;
 mod orders;
 pub mod outages;
+pub mod outlook;
 pub mod peer_relay;
 pub mod peers;
 pub mod permits;
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -64,7 +64,7 @@
         let class = call.admission_class(resume_after);
         let endpoint = match choose_endpoint(call, class, denials >= MAX_DENIALS) {
             Ok(endpoint) => endpoint,
-            Err(ChooseError::AllFull { retry_delay }) if call.runs == 0 => {
+            Err(ChooseError::AllFull { retry_delay, .. }) if call.runs == 0 => {
                 return Err(Refusal::Unavailable {
                     retry_ms: retry_delay.as_millis(),
                 });
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -36,12 +36,18 @@
         tried: &call.tried,
         unlimited,
     };
-    let view = View {
-        roster: &state.roster.borrow(),
-        loads: &state.loads.borrow(),
-        notices: &state.notices.borrow(),
+    let chosen = {
+        let view = View {
+            roster: &state.roster.borrow(),
+            loads: &state.loads.borrow(),
+            notices: &state.notices.borrow(),
+        };
+        balancer::choose(view, criteria, now, &mut *state.rng.borrow_mut())
     };
-    balancer::choose(view, criteria, now, &mut *state.rng.borrow_mut())
+    if let Err(ChooseError::AllFull { host, .. }) = chosen {
+        state.loads.borrow_mut().request_refused(host);
+    }
+    chosen
 }
 
 /// Returns true if a request that may have run could go on at another runner now.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod departures;
 mod drain;
 mod entries;
+mod even_load;
 mod fleet;
 mod group_faults;
 mod groups;
@@ -21,6 +22,8 @@
 mod limits;
 mod liveness;
 mod load_exchange;
+#[expect(dead_code, reason = "the example compares more policies")]
+mod load_fleet;
 mod notices;
 mod outages;
 mod pools;
