Callers with shorter timeouts are not taken for late ones

Cause: the time that a caller has spent was the longest timeout seen on the route less its own. Change: time spent counts from the timeout that nine in ten recent requests of the route reach. Tests: none of 1,000 callers with timeouts of 5.1 to 6 s counts as late; a repeated attempt still does.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod balancer;
 pub mod budget;
 mod call;
+pub mod caller_timeouts;
 pub mod candidacy;
 pub mod changes;
 mod connection;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,6 +2,7 @@
 
 use super::{
     budget::{PeakCount, RetryBudget},
+    caller_timeouts::CallerTimeouts,
     changes::{
         Topics,
         source::{self, AvoidedPeers, Source},
@@ -98,8 +99,8 @@
     retry_budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     /// Largest recent count of daemons, which share the retry budgets.
     daemon_count: RefCell<PeakCount>,
-    /// Longest timeout that callers of each route have sent.
-    max_timeouts: RefCell<BTreeMap<String, Span>>,
+    /// Timeouts that callers of each route have sent.
+    caller_timeouts: RefCell<CallerTimeouts>,
     /// Other daemons.
     pub peers: RefCell<Peers>,
     /// Whether the store answers this daemon, and its peers.
@@ -155,7 +156,7 @@
             demand: RefCell::default(),
             retry_budgets: RefCell::default(),
             daemon_count: RefCell::default(),
-            max_timeouts: RefCell::default(),
+            caller_timeouts: RefCell::default(),
             peers: RefCell::default(),
             contact: RefCell::default(),
             contact_changed: Wakeup::default(),
@@ -317,13 +318,10 @@
         self.daemon_count.borrow_mut().record(count, now)
     }
 
-    /// Estimates the time that a caller spent on earlier attempts of its own: the longest timeout
-    /// seen on the route less the timeout that it sends now.
+    /// Estimates the time that a caller has spent on earlier attempts of its own.
     pub fn estimate_time_spent(&self, route: &str, timeout: Span) -> Span {
-        let mut max_timeouts = self.max_timeouts.borrow_mut();
-        let longest = max_timeouts.entry(route.to_owned()).or_default();
-        *longest = timeout.max(*longest);
-        *longest - timeout
+        let mut timeouts = self.caller_timeouts.borrow_mut();
+        timeouts.time_spent(route, timeout)
     }
 
     fn with_retry_budget<F, T>(&self, service: &ServiceName, act: F) -> T
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -18,6 +18,7 @@
     "backoff",
     "balancer",
     "budget",
+    "caller_timeouts",
     "candidacy",
     "changes/history",
     "changes/source",
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod backoff;
 mod balancer;
 mod budgets;
+mod caller_timeouts;
 mod candidacy;
 mod changes;
 mod contact;
