Log when a stream was sent and when it began

The line of a stream's end told its duration only, so a late first event could not be split into waiting before the send and waiting at the head. Fields: sent_ms, first_event_ms, objective_ms, model.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -52,6 +52,7 @@
     let request = request::<A>(call, endpoint, params);
     call.attempts += 1;
     call.runs += 1;
+    call.sent_at = call.state.now();
     call.open.record_send(&endpoint.name);
     count_send(call, endpoint);
     let response = {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -79,6 +79,10 @@
     pub arrived: Time,
     /// Estimated time that the caller spent on earlier attempts of its own.
     pub time_spent: Span,
+    /// Time at which it was sent to the last runner.
+    pub sent_at: Time,
+    /// Time of the first event that came from a runner.
+    pub first_event: Option<Time>,
     /// Keeps the request among the open ones.
     pub open: OpenGuard,
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -167,6 +167,8 @@
         route,
         arrived,
         time_spent,
+        sent_at: arrived,
+        first_event: None,
         open,
     })
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -21,7 +21,10 @@
     state::GatewayState,
 };
 use crate::{
-    core::time::{Span, Time},
+    core::{
+        keys::ModelName,
+        time::{Span, Time},
+    },
     shell::http::is_event_stream,
 };
 use futures_channel::mpsc;
@@ -253,7 +256,7 @@
 
 /// Relays the events of one runner's response.
 async fn relay_body(
-    call: &Call,
+    call: &mut Call,
     upstream: &mut Upstream,
     last: &mut Option<u64>,
     sender: &mut EventSender,
@@ -300,8 +303,9 @@
 }
 
 /// Records that a runner has sent an event, and whether it has lived on since its first.
-fn record_progress(call: &Call, upstream: &mut Upstream) {
+fn record_progress(call: &mut Call, upstream: &mut Upstream) {
     let now = call.state.now();
+    call.first_event.get_or_insert(now);
     let began_at = *upstream.began_at.get_or_insert(now);
     if !upstream.is_answering && now.since(began_at) >= ANSWERING_AFTER {
         upstream.is_answering = true;
@@ -370,5 +374,9 @@
         "outcome" => outcome.name(),
         "last_event" => last.unwrap_or_default(),
         "sends" => call.attempts,
+        "sent_ms" => call.sent_at.since(call.arrived).as_millis(),
+        "first_event_ms" => call.first_event.map(|at| at.since(call.arrived).as_millis()),
+        "objective_ms" => call.route.objective.as_millis(),
+        "model" => call.head.model.as_ref().map(ModelName::as_str),
         "after_ms" => call.state.now().since(call.arrived).as_millis());
 }
