Totals include the part of daemons that report nothing

Daemons of a former version send requests and don't report them, so the others underestimate each head and overfill it. An aggregator counts the daemons that have an entry and haven't reported for 5 s (a lost one's entry is gone by then), and receivers scale the totals by them.

--- a/examples/even_load/main.rs
+++ b/examples/even_load/main.rs
@@ -45,17 +45,36 @@
                 if !only.is_empty() && !only.contains(&name) {
                     continue;
                 }
-                let scene = Scene {
+                let scene = with_trouble(Scene {
                     daemons,
                     load,
                     ..base
-                };
+                });
                 print(&format!("{name} {daemons} {load}"), scene, policy);
             }
         }
     }
 }
 
+/// Returns a scene with the trouble that an environment variable names.
+fn with_trouble(scene: Scene) -> Scene {
+    let at = Some(Span::from_secs(10));
+    let mut scene = scene;
+    match std::env::var("TROUBLE").unwrap_or_default().as_str() {
+        "" => {}
+        "swing" => scene.swing = 0.55,
+        "losses" => scene.replace_every = Some(Span::from_secs(3)),
+        "aggregator lost" => scene.aggregator_lost = at,
+        "aggregators paused" => scene.aggregators_paused = at,
+        "aggregator restarts" => scene.aggregator_restarts = at,
+        "datagrams lost" => scene.loss = 0.1,
+        "silent" => scene.silent = 0.2,
+        "slow" => scene.slow = Some(1.6),
+        other => panic!("unknown trouble: {other}"),
+    }
+    scene
+}
+
 /// Returns the numbers in an environment variable.
 fn numbers(name: &str, default: &str) -> Vec<f64> {
     let text = std::env::var(name).unwrap_or(default.to_owned());
--- a/src/gateway/load_exchange/estimate.rs
+++ b/src/gateway/load_exchange/estimate.rs
@@ -138,14 +138,22 @@
         if f64::from(digest.reporters) < daemons as f64 * MIN_COVERAGE {
             return Err(Unusable::Partial);
         }
+        // Callers choose daemons at random, so those that don't report have as many requests.
+        let scale =
+            |reporters: u32| f64::from(reporters + digest.silent) / f64::from(reporters.max(1));
+        let (others_scale, rate_scale) = (
+            scale(digest.reporters.saturating_sub(1)),
+            scale(digest.reporters) / RATE_WINDOW_S,
+        );
         let reported: BTreeMap<Epoch, HeadCount> = report.heads.iter().collect();
         let heads = digest.heads.iter().map(|(epoch, total)| {
             let own = reported.get(&epoch).copied().unwrap_or_default();
             let load = HeadLoad {
-                others: total.in_flight.saturating_sub(own.in_flight),
-                starts_per_s: f64::from(total.started) / RATE_WINDOW_S,
-                ends_per_s: f64::from(total.ended) / RATE_WINDOW_S,
-                refusals_per_s: f64::from(total.refused) / RATE_WINDOW_S,
+                others: (f64::from(total.in_flight.saturating_sub(own.in_flight)) * others_scale)
+                    .round() as u32,
+                starts_per_s: f64::from(total.started) * rate_scale,
+                ends_per_s: f64::from(total.ended) * rate_scale,
+                refusals_per_s: f64::from(total.refused) * rate_scale,
             };
             (epoch, load)
         });
--- a/src/gateway/load_exchange/message.rs
+++ b/src/gateway/load_exchange/message.rs
@@ -50,6 +50,8 @@
     pub struct LoadDigest {
         /// Number of daemons whose reports are contained.
         pub reporters: u32,
+        /// Number of daemons that don't report, although they seem to run.
+        pub silent: u32,
         /// Mean age of their reports, in milliseconds.
         pub age_ms: u32,
         /// Requests in flight, and the changes in `RATE_WINDOW_S` at the current rates.
--- a/src/gateway/load_exchange/mod.rs
+++ b/src/gateway/load_exchange/mod.rs
@@ -24,7 +24,7 @@
 use metrics::{counter, gauge, histogram};
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
 };
@@ -122,21 +122,21 @@
 fn send_digest(state: &GatewayState) {
     let now = state.now();
     let peers = state.peers.borrow();
-    let addresses: BTreeMap<SocketAddr, bool> = peers
+    let addresses: BTreeSet<SocketAddr> = peers
         .daemons()
-        .filter_map(|(name, entry)| Some((entry.peer?, *name == state.settings.name)))
+        .filter_map(|(_, entry)| entry.peer)
         .collect();
     let interval = choice::interval(peers.count());
     drop(peers);
     let mut tally = state.load_exchange.tally.borrow_mut();
-    let digest = tally.digest(|from| addresses.contains_key(&from), interval, now);
+    let digest = tally.digest(&addresses, interval, now);
     let Some(encoded) = datagrams::EncodedDigest::new(&digest) else {
         counter!("load_digests_unsent_total").increment(1);
         return;
     };
-    for (address, is_own) in addresses {
+    for address in addresses {
         let contained = tally.contained(address);
-        match is_own {
+        match state.settings.listen.peer == Some(address) {
             true => accept_digest(state, &digest, contained),
             false => state.outbox.send_encoded(address, encoded.with(contained)),
         }
--- a/src/gateway/load_exchange/tally.rs
+++ b/src/gateway/load_exchange/tally.rs
@@ -5,7 +5,10 @@
     keys::Epoch,
     time::{Span, Time},
 };
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 /// Intervals after which a daemon's report counts no more.
 const REPORT_TTL_INTERVALS: u64 = 3;
@@ -38,10 +41,16 @@
     }
 }
 
+/// Time after which a daemon that has an entry and doesn't report counts as silent. The entry of one
+/// that was lost is gone by then.
+const SILENCE_TIMEOUT: Span = Span::from_millis(5_000);
+
 /// Latest report of each daemon.
 #[derive(Debug, Default)]
 pub struct Tally {
     reports: BTreeMap<SocketAddr, (LoadReport, Time)>,
+    /// Time of the last report of each known daemon, or since which it is known.
+    heard: BTreeMap<SocketAddr, Time>,
 }
 
 impl Tally {
@@ -57,14 +66,17 @@
         !is_outdated
     }
 
-    /// Returns the sum of the recent reports of known daemons, and drops all others.
-    pub fn digest<F>(&mut self, is_known: F, interval: Span, now: Time) -> LoadDigest
-    where
-        F: Fn(SocketAddr) -> bool,
-    {
+    /// Returns the sum of the recent reports of the daemons with an entry, and drops all others.
+    pub fn digest(
+        &mut self,
+        daemons: &BTreeSet<SocketAddr>,
+        interval: Span,
+        now: Time,
+    ) -> LoadDigest {
         let ttl = interval.times(REPORT_TTL_INTERVALS);
         self.reports
-            .retain(|from, (_, at)| now.since(*at) < ttl && is_known(*from));
+            .retain(|from, (_, at)| now.since(*at) < ttl && daemons.contains(from));
+        let silent = self.count_silent(daemons, now);
         let mut sums: BTreeMap<Epoch, Sum> = BTreeMap::new();
         let mut age = Span::ZERO;
         for (report, at) in self.reports.values() {
@@ -78,11 +90,27 @@
         let reporters = self.reports.len().max(1) as u64;
         LoadDigest {
             reporters: self.reports.len() as u32,
+            silent,
             age_ms: (age.as_millis() / reporters) as u32,
             heads: HeadCounts::new(&heads.collect()),
         }
     }
 
+    /// Returns the number of daemons that haven't reported for long, or never did.
+    fn count_silent(&mut self, daemons: &BTreeSet<SocketAddr>, now: Time) -> u32 {
+        self.heard.retain(|daemon, _| daemons.contains(daemon));
+        for daemon in daemons {
+            let report = self.reports.get(daemon);
+            let reported_at = report.map(|(_, at)| *at);
+            let heard = self.heard.entry(*daemon).or_insert(now);
+            *heard = reported_at.unwrap_or(*heard);
+        }
+        let heard = self.heard.values();
+        heard
+            .filter(|at| now.since(**at) >= SILENCE_TIMEOUT)
+            .count() as u32
+    }
+
     /// Returns the identifier of a daemon's report that the last digest contains, if it contains one.
     pub fn contained(&self, daemon: SocketAddr) -> Option<ReportId> {
         self.reports.get(&daemon).map(|(report, _)| report.id)
--- a/tests/gateway/load_exchange.rs
+++ b/tests/gateway/load_exchange.rs
@@ -21,7 +21,10 @@
 };
 use rand::{SeedableRng as _, rngs::SmallRng};
 use slotmap::SlotMap;
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 const INTERVAL: Span = Span::from_millis(200);
 
@@ -43,6 +46,11 @@
     }
 }
 
+/// Returns the addresses of the daemons with an entry.
+fn known() -> BTreeSet<SocketAddr> {
+    BTreeSet::from([address(1), address(2)])
+}
+
 /// Returns the counts of one head.
 fn at_head(epoch: i64, in_flight: u32, started: u32) -> BTreeMap<Epoch, HeadCount> {
     let count = HeadCount {
@@ -105,6 +113,7 @@
     let counts = (0..112).map(|group| (Epoch((7 << 40) + (group << 6)), count));
     let digest = LoadDigest {
         reporters: 340,
+        silent: 0,
         age_ms: 531,
         heads: HeadCounts::new(&counts.collect()),
     };
@@ -126,7 +135,7 @@
         let report = other.report(at_head(9, 20, other_started), millis(at));
         tally.record(address(2), report, millis(at));
     }
-    let digest = tally.digest(|_| true, INTERVAL, millis(300));
+    let digest = tally.digest(&known(), INTERVAL, millis(300));
     assert_eq!((digest.reporters, digest.age_ms), (2, 100));
     let contained = tally.contained(address(1));
     let totals = own
@@ -149,7 +158,7 @@
         own.report(at_head(9, 5, 0), millis(0)),
         millis(900),
     );
-    let digest = tally.digest(|_| true, INTERVAL, millis(900));
+    let digest = tally.digest(&known(), INTERVAL, millis(900));
     let contained = tally.contained(address(1));
     let read = own.interpret(&digest, contained, 1, INTERVAL, millis(901));
     assert_eq!(read, Err(Unusable::Outdated));
@@ -163,14 +172,14 @@
     let mut tally = Tally::default();
     let report = former.report(at_head(9, 5, 0), millis(0));
     assert!(tally.record(address(1), report, millis(0)));
-    let digest = tally.digest(|_| true, INTERVAL, millis(10));
+    let digest = tally.digest(&known(), INTERVAL, millis(10));
     let mut own = SentReports::new(2);
     let report = own.report(at_head(9, 0, 0), millis(20));
     let contained = tally.contained(address(1));
     let read = own.interpret(&digest, contained, 1, INTERVAL, millis(20));
     assert_eq!(read, Err(Unusable::Unmatched));
     assert!(tally.record(address(1), report, millis(20)));
-    let digest = tally.digest(|_| true, INTERVAL, millis(30));
+    let digest = tally.digest(&known(), INTERVAL, millis(30));
     assert_eq!(digest.heads.iter().count(), 0);
 }
 
@@ -183,7 +192,7 @@
         own.report(at_head(9, 5, 0), millis(0)),
         millis(0),
     );
-    let digest = tally.digest(|_| true, INTERVAL, millis(10));
+    let digest = tally.digest(&known(), INTERVAL, millis(10));
     let contained = tally.contained(address(1));
     let read = own.interpret(&digest, contained, 3, INTERVAL, millis(20));
     assert_eq!(read, Err(Unusable::Partial));
@@ -197,7 +206,7 @@
     let second = sender.report(at_head(9, 7, 0), millis(200));
     assert!(tally.record(address(1), second, millis(201)));
     assert!(!tally.record(address(1), first, millis(202)));
-    let digest = tally.digest(|_| true, INTERVAL, millis(210));
+    let digest = tally.digest(&known(), INTERVAL, millis(210));
     let in_flight = digest.heads.iter().map(|(_, count)| count.in_flight);
     assert_eq!(in_flight.collect::<Vec<_>>(), [7]);
 }
@@ -209,11 +218,31 @@
         let report = SentReports::new(1).report(at_head(9, 1, 0), millis(0));
         tally.record(address(daemon as u16), report, millis(daemon * 200));
     }
-    let is_known = |from| from != address(3);
-    let digest = tally.digest(is_known, INTERVAL, millis(850));
+    let known = BTreeSet::from([address(1), address(2)]);
+    let digest = tally.digest(&known, INTERVAL, millis(850));
     assert_eq!(digest.reporters, 1, "only the second is recent and known");
 }
 
+/// During an upgrade, daemons of the former version send requests and don't report them.
+#[test]
+fn totals_include_part_of_daemons_that_report_nothing() {
+    let mut own = SentReports::new(1);
+    let mut other = SentReports::new(2);
+    let mut tally = Tally::default();
+    let daemons: BTreeSet<SocketAddr> = (1..=3).map(address).collect();
+    tally.digest(&daemons, INTERVAL, millis(0));
+    let at = millis(5_000);
+    tally.record(address(1), own.report(at_head(9, 6, 0), at), at);
+    tally.record(address(2), other.report(at_head(9, 10, 0), at), at);
+    let digest = tally.digest(&daemons, INTERVAL, at);
+    assert_eq!((digest.reporters, digest.silent), (2, 1));
+    let contained = tally.contained(address(1));
+    let totals = own
+        .interpret(&digest, contained, 3, INTERVAL, at)
+        .expect("usable");
+    assert_eq!(totals.heads[&Epoch(9)].others, 20);
+}
+
 fn host() -> HostKey {
     SlotMap::<HostKey, ()>::with_key().insert(())
 }
--- a/tests/gateway/load_fleet.rs
+++ b/tests/gateway/load_fleet.rs
@@ -30,7 +30,7 @@
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, VecDeque},
+    collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque},
     net::SocketAddr,
 };
 
@@ -893,13 +893,13 @@
 
     fn send_digest(&mut self, index: usize) {
         let now = self.now;
-        let known: Vec<SocketAddr> = self
+        let known: BTreeSet<SocketAddr> = self
             .peers
             .daemons()
             .filter_map(|(_, entry)| entry.peer)
             .collect();
-        let tally = &mut self.daemons[index].tally;
-        let digest = tally.digest(|from| known.contains(&from), interval(known.len()), now);
+        let interval = interval(known.len());
+        let digest = self.daemons[index].tally.digest(&known, interval, now);
         for address in known {
             let contained = self.daemons[index].tally.contained(address);
             let message = Message::Digest(digest.clone(), contained);
