Slow groups get only requests for which the others have no room; test with processes

Room at slow groups was counted although requests go to the others first. The configuration of the platform tests takes the number of slots as a parameter; existing tests keep eight.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -232,8 +232,8 @@
     Ok(admitted)
 }
 
-/// Leaves the candidates that have room by the totals of all daemons; none if the request is one of
-/// those for which there isn't enough.
+/// Leaves the candidates that have room by the totals of all daemons: slow ones if this request is one of
+/// those for which the others have none, and none if there isn't enough room at all.
 fn admit_by_outlook<R>(
     admitted: &mut Vec<Candidate>,
     outlook: Outlook,
@@ -247,10 +247,19 @@
 {
     let limit = admission::max_expected(engine.slots, criteria.class);
     let room = |candidate: &Candidate| outlook.room(limit, loads.in_flight(candidate.host, now));
+    let is_fast = |candidate: &Candidate| candidate.slowdown < SLOW_FACTOR;
     admitted.retain(|candidate| room(candidate) > 0.0);
-    if !outlook.admits(admitted.iter().map(room).sum(), rng) {
-        admitted.clear();
-    }
+    let fast_room: f64 = admitted
+        .iter()
+        .filter(|candidate| is_fast(candidate))
+        .map(room)
+        .sum();
+    let all_room: f64 = admitted.iter().map(room).sum();
+    let rank = outlook.draw_rank(rng);
+    admitted.retain(|candidate| match is_fast(candidate) {
+        true => rank <= fast_room,
+        false => rank > fast_room && rank <= all_room,
+    });
 }
 
 /// Returns true if a response from a chosen runner may still be expected.
--- a/src/gateway/outlook.rs
+++ b/src/gateway/outlook.rs
@@ -47,12 +47,12 @@
         limit - f64::from(in_flight) + self.ends_each
     }
 
-    /// Draws whether a request is admitted, if all heads have this much room: as many are as there
-    /// is room for.
-    pub fn admits<R>(&self, room: f64, rng: &mut R) -> bool
+    /// Draws which of the expected requests this one is: those up to the room at the heads are
+    /// admitted.
+    pub fn draw_rank<R>(&self, rng: &mut R) -> f64
     where
         R: Rng,
     {
-        rng.random::<f64>() * self.arrivals <= room
+        rng.random::<f64>() * self.arrivals
     }
 }
--- a/tests/gateway/load_exchange.rs
+++ b/tests/gateway/load_exchange.rs
@@ -16,6 +16,7 @@
         outlook::Outlook,
         peers::{DaemonEntry, Peers},
         roster::HostKey,
+        settings::{LoadExchangeMode, Settings},
         water_filling::{Basin, draw, level},
     },
 };
@@ -84,6 +85,29 @@
     }
 }
 
+#[test]
+fn exchange_is_turned_off_by_setting() {
+    let text = "
+name: d1
+hall: hall
+listen: {caller: '127.0.0.1:1', ready: '127.0.0.1:2', directory: '127.0.0.1:3'}
+store: 127.0.0.1:4
+retry: {ratio: 0.2, slack: 134, window_s: 10}
+grace_ms: 3000
+entries_ms: 2000
+";
+    let mode = |text: &str| Settings::parse(text).map(|settings| settings.load_exchange);
+    assert_eq!(mode(text).expect("valid"), LoadExchangeMode::Auto);
+    for (value, expected) in [
+        ("auto", LoadExchangeMode::Auto),
+        ("off", LoadExchangeMode::Off),
+    ] {
+        let text = format!("{text}load_exchange: {value}\n");
+        assert_eq!(mode(&text).expect("valid"), expected);
+    }
+    assert!(mode(&format!("{text}load_exchange: sometimes\n")).is_err());
+}
+
 #[test]
 fn exchange_is_needed_with_more_daemons_than_slots() {
     assert!(is_needed(49, 48));
@@ -324,10 +348,11 @@
     let room = 4.0 * outlook.room(42.0, 40);
     assert_eq!(room, 48.0);
     let mut rng = SmallRng::seed_from_u64(1);
-    let admitted = (0..10_000).filter(|_| outlook.admits(room, &mut rng));
+    let admitted = (0..10_000).filter(|_| outlook.draw_rank(&mut rng) <= room);
     let share = admitted.count() as f64 / 1e4;
     assert!((share - 0.6).abs() < 0.02, "{share}");
-    assert!((0..100).all(|_| outlook.admits(80.0, &mut rng)), "all fit");
+    let all_fit = (0..100).all(|_| outlook.draw_rank(&mut rng) <= 80.0);
+    assert!(all_fit);
     assert_eq!(Outlook::new(&loads, [host()], millis(2_000)), None);
 }
 
--- a/tests/platform/config.rs
+++ b/tests/platform/config.rs
@@ -14,6 +14,11 @@
 
 /// Writes a version of the configuration; odd versions route `/moved/` to the plain service.
 pub fn write(store: &Store, version: u64) {
+    write_with_slots(store, version, 8);
+}
+
+/// Writes a version of the configuration in which a head has this number of slots.
+pub fn write_with_slots(store: &Store, version: u64, slots: u32) {
     let route = |prefix: &str, kind: &str, service: &str, attempts: u32| {
         json!({
             "Name": prefix, "Host": "a.example", "Prefix": prefix, "Kind": kind,
@@ -31,7 +36,7 @@
         routes.push(route("/moved/", "safe", "plain", 2));
     }
     let engine = json!({
-        "Slots": 8, "Stride": 6, "step_ms": 6.45, "per_seq_ms": 0.1, "read_per_s": 56100.0,
+        "Slots": slots, "Stride": 6, "step_ms": 6.45, "per_seq_ms": 0.1, "read_per_s": 56100.0,
         "chunk": 2048, "usual": {"prompt": 1115, "answer": 152}, "LoadsPerS": 5.5,
         "loads_at_once": 8, "FormMs": 300.0,
         "Models": [{"Name": "m", "size": 1, "Share": 1.0, "pace": 1.0, "LoadS": 1.0, "WarmS": 0.1}],
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -23,6 +23,7 @@
 mod late_requests;
 mod limits;
 mod link;
+mod load_exchange;
 mod long_requests;
 mod missed_changes;
 mod notices;
