--- a/tests/gateway/load_exchange.rs
+++ b/tests/gateway/load_exchange.rs
@@ -16,12 +16,16 @@
         outlook::Outlook,
         peers::{DaemonEntry, Peers},
         roster::HostKey,
+        settings::{LoadExchangeMode, Settings},
         water_filling::{Basin, draw, level},
     },
 };
 use rand::{SeedableRng as _, rngs::SmallRng};
 use slotmap::SlotMap;
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 const INTERVAL: Span = Span::from_millis(200);
 
@@ -43,6 +47,11 @@
     }
 }
 
+/// Returns the addresses of the daemons with an entry.
+fn known() -> BTreeSet<SocketAddr> {
+    BTreeSet::from([address(1), address(2)])
+}
+
 /// Returns the counts of one head.
 fn at_head(epoch: i64, in_flight: u32, started: u32) -> BTreeMap<Epoch, HeadCount> {
     let count = HeadCount {
@@ -76,6 +85,29 @@
     }
 }
 
+#[test]
+fn exchange_is_turned_off_by_setting() {
+    let text = "
+name: d1
+hall: hall
+listen: {caller: '127.0.0.1:1', ready: '127.0.0.1:2', directory: '127.0.0.1:3'}
+store: 127.0.0.1:4
+retry: {ratio: 0.2, slack: 134, window_s: 10}
+grace_ms: 3000
+entries_ms: 2000
+";
+    let mode = |text: &str| Settings::parse(text).map(|settings| settings.load_exchange);
+    assert_eq!(mode(text).expect("valid"), LoadExchangeMode::Auto);
+    for (value, expected) in [
+        ("auto", LoadExchangeMode::Auto),
+        ("off", LoadExchangeMode::Off),
+    ] {
+        let text = format!("{text}load_exchange: {value}\n");
+        assert_eq!(mode(&text).expect("valid"), expected);
+    }
+    assert!(mode(&format!("{text}load_exchange: sometimes\n")).is_err());
+}
+
 #[test]
 fn exchange_is_needed_with_more_daemons_than_slots() {
     assert!(is_needed(49, 48));
@@ -105,6 +137,7 @@
     let counts = (0..112).map(|group| (Epoch((7 << 40) + (group << 6)), count));
     let digest = LoadDigest {
         reporters: 340,
+        silent: 0,
         age_ms: 531,
         heads: HeadCounts::new(&counts.collect()),
     };
@@ -126,7 +159,7 @@
         let report = other.report(at_head(9, 20, other_started), millis(at));
         tally.record(address(2), report, millis(at));
     }
-    let digest = tally.digest(|_| true, INTERVAL, millis(300));
+    let digest = tally.digest(&known(), INTERVAL, millis(300));
     assert_eq!((digest.reporters, digest.age_ms), (2, 100));
     let contained = tally.contained(address(1));
     let totals = own
@@ -149,7 +182,7 @@
         own.report(at_head(9, 5, 0), millis(0)),
         millis(900),
     );
-    let digest = tally.digest(|_| true, INTERVAL, millis(900));
+    let digest = tally.digest(&known(), INTERVAL, millis(900));
     let contained = tally.contained(address(1));
     let read = own.interpret(&digest, contained, 1, INTERVAL, millis(901));
     assert_eq!(read, Err(Unusable::Outdated));
@@ -163,14 +196,14 @@
     let mut tally = Tally::default();
     let report = former.report(at_head(9, 5, 0), millis(0));
     assert!(tally.record(address(1), report, millis(0)));
-    let digest = tally.digest(|_| true, INTERVAL, millis(10));
+    let digest = tally.digest(&known(), INTERVAL, millis(10));
     let mut own = SentReports::new(2);
     let report = own.report(at_head(9, 0, 0), millis(20));
     let contained = tally.contained(address(1));
     let read = own.interpret(&digest, contained, 1, INTERVAL, millis(20));
     assert_eq!(read, Err(Unusable::Unmatched));
     assert!(tally.record(address(1), report, millis(20)));
-    let digest = tally.digest(|_| true, INTERVAL, millis(30));
+    let digest = tally.digest(&known(), INTERVAL, millis(30));
     assert_eq!(digest.heads.iter().count(), 0);
 }
 
@@ -183,7 +216,7 @@
         own.report(at_head(9, 5, 0), millis(0)),
         millis(0),
     );
-    let digest = tally.digest(|_| true, INTERVAL, millis(10));
+    let digest = tally.digest(&known(), INTERVAL, millis(10));
     let contained = tally.contained(address(1));
     let read = own.interpret(&digest, contained, 3, INTERVAL, millis(20));
     assert_eq!(read, Err(Unusable::Partial));
@@ -197,7 +230,7 @@
     let second = sender.report(at_head(9, 7, 0), millis(200));
     assert!(tally.record(address(1), second, millis(201)));
     assert!(!tally.record(address(1), first, millis(202)));
-    let digest = tally.digest(|_| true, INTERVAL, millis(210));
+    let digest = tally.digest(&known(), INTERVAL, millis(210));
     let in_flight = digest.heads.iter().map(|(_, count)| count.in_flight);
     assert_eq!(in_flight.collect::<Vec<_>>(), [7]);
 }
@@ -209,11 +242,31 @@
         let report = SentReports::new(1).report(at_head(9, 1, 0), millis(0));
         tally.record(address(daemon as u16), report, millis(daemon * 200));
     }
-    let is_known = |from| from != address(3);
-    let digest = tally.digest(is_known, INTERVAL, millis(850));
+    let known = BTreeSet::from([address(1), address(2)]);
+    let digest = tally.digest(&known, INTERVAL, millis(850));
     assert_eq!(digest.reporters, 1, "only the second is recent and known");
 }
 
+/// During an upgrade, daemons of the former version send requests and don't report them.
+#[test]
+fn totals_include_part_of_daemons_that_report_nothing() {
+    let mut own = SentReports::new(1);
+    let mut other = SentReports::new(2);
+    let mut tally = Tally::default();
+    let daemons: BTreeSet<SocketAddr> = (1..=3).map(address).collect();
+    tally.digest(&daemons, INTERVAL, millis(0));
+    let at = millis(5_000);
+    tally.record(address(1), own.report(at_head(9, 6, 0), at), at);
+    tally.record(address(2), other.report(at_head(9, 10, 0), at), at);
+    let digest = tally.digest(&daemons, INTERVAL, at);
+    assert_eq!((digest.reporters, digest.silent), (2, 1));
+    let contained = tally.contained(address(1));
+    let totals = own
+        .interpret(&digest, contained, 3, INTERVAL, at)
+        .expect("usable");
+    assert_eq!(totals.heads[&Epoch(9)].others, 20);
+}
+
 fn host() -> HostKey {
     SlotMap::<HostKey, ()>::with_key().insert(())
 }
@@ -295,10 +348,11 @@
     let room = 4.0 * outlook.room(42.0, 40);
     assert_eq!(room, 48.0);
     let mut rng = SmallRng::seed_from_u64(1);
-    let admitted = (0..10_000).filter(|_| outlook.admits(room, &mut rng));
+    let admitted = (0..10_000).filter(|_| outlook.draw_rank(&mut rng) <= room);
     let share = admitted.count() as f64 / 1e4;
     assert!((share - 0.6).abs() < 0.02, "{share}");
-    assert!((0..100).all(|_| outlook.admits(80.0, &mut rng)), "all fit");
+    let all_fit = (0..100).all(|_| outlook.draw_rank(&mut rng) <= 80.0);
+    assert!(all_fit);
     assert_eq!(Outlook::new(&loads, [host()], millis(2_000)), None);
 }
 
