--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -37,6 +37,8 @@
     pub grace: Duration,
     /// Time for which callers may keep a directory response.
     pub ttl: Duration,
+    /// Processor time of the host, in cores.
+    pub cores: f64,
     /// Addresses for callers, readiness probes, directory requests and peers; port 0 selects a
     /// free port.
     pub listen: [SocketAddr; 4],
@@ -55,21 +57,24 @@
             store,
             grace: Duration::from_secs(3),
             ttl: Duration::from_secs(2),
+            cores: 0.25,
             listen: [SocketAddr::from(([127, 0, 0, 1], 0)); 4],
             relay: SocketAddr::from(([127, 0, 0, 1], 0)),
             log: None,
         }
     }
 
-    fn text(&self) -> String {
+    /// Returns the settings as the text of a file.
+    pub fn text(&self) -> String {
         let [caller, ready, directory, peer] = self.listen;
+        let cores = self.cores;
         let (name, hall) = (&self.name, self.hall);
         let (store, relay) = (self.store, self.relay);
         let (grace, ttl) = (self.grace.as_millis(), self.ttl.as_millis());
         format!(
             "name: {name}\nhall: {hall}\nlisten:\n  caller: {caller}\n  ready: {ready}\n  \
              directory: {directory}\n  peer: {peer}\n  relay: {relay}\nstore: {store}\nretry:\n  ratio: 0.2\n  \
-             slack: 100\n  window_s: 10\ngrace_ms: {grace}\nentries_ms: {ttl}\ncores: 0.25\n\
+             slack: 100\n  window_s: 10\ngrace_ms: {grace}\nentries_ms: {ttl}\ncores: {cores}\n\
              first: true\n"
         )
     }
@@ -167,10 +172,19 @@
         self.process.try_wait().expect("a child process")
     }
 
+    /// Waits until the process has ended.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.process.wait().expect("a child process")
+    }
+
+    /// Returns the identifier of the process.
+    pub fn pid(&self) -> Pid {
+        Pid::from_raw(self.process.id() as i32)
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(self.process.id() as i32);
-        kill(pid, signal).expect("signalled");
+        kill(self.pid(), signal).expect("signalled");
     }
 
     /// Returns the most memory that the process has had resident so far, in bytes.
@@ -316,6 +330,17 @@
         wait_until(condition, || holds(self));
     }
 
+    /// Returns the number of paced streams that run at the heads.
+    pub fn running_streams(&self) -> usize {
+        self.heads.iter().map(|head| running(head)).sum()
+    }
+
+    /// Returns the number of late responses that plain runners work on.
+    pub fn running_requests(&self) -> usize {
+        let runners = self.plain_runners.iter();
+        runners.map(|runner| running(runner)).sum()
+    }
+
     /// Sends SIGTERM to the daemon.
     pub fn terminate(&self) {
         self.daemon.signal(Signal::SIGTERM);
@@ -330,6 +355,12 @@
     }
 }
 
+/// Returns the number of runs that a runner has not ended.
+fn running(runner: &Runner) -> usize {
+    let runs = runner.runs();
+    runs.iter().filter(|run| run.end.is_none()).count()
+}
+
 /// Waits until a condition holds; `condition` describes it in the failure message.
 pub fn wait_until<F>(condition: &str, holds: F)
 where
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -41,3 +41,4 @@
 mod streams;
 mod successor;
 mod trouble;
+mod unread_log;
