Tests: second copies of responses on kept connections reach no other request

Operators of similar systems saw that a runner sent a response once more, late, on a keep-alive connection, and the next caller got it. It can't happen here: each attempt of a caller's request has a connection of its own. Only probes reuse one; a copy of a report there is an unexpected message, which ends the connection, or is a report that is one probe old.

second_copies: the copy comes at once, before, with and after the next request; eight callers at once; copies of reports beside running streams.

The fake runner can respond twice, write raw responses, repeat reports, leave probes unanswered, and keeps the orders it got. Its group is `closing` after an order to close until its runs have ended, as a real one's is; it said `ready` at once.

--- a/tests/platform/behavior.rs
+++ b/tests/platform/behavior.rs
@@ -53,6 +53,10 @@
     RespondLate(Duration, &'static str),
     /// Sends bytes until the daemon closes the connection.
     Endless(Endless),
+    /// Responds in full, and once more after a delay.
+    RespondTwice(Duration, &'static str),
+    /// Writes a text as the response; `{own}` stands for the usual headers of its responses.
+    Raw(String),
     /// Sends the first bytes of a whole response and ends the connection.
     CutOff { framing: Framing, length: usize },
 }
--- a/tests/platform/endless_control.rs
+++ b/tests/platform/endless_control.rs
@@ -66,7 +66,7 @@
     }
 
     /// Returns the address of a daemon for other daemons.
-    fn peer_address(&self, name: &str) -> SocketAddr {
+    pub fn peer_address(&self, name: &str) -> SocketAddr {
         let entry = self.store.value(&format!("hickoryledge/daemons/{name}"));
         let entry: Value = serde_json::from_str(&entry).expect("an entry");
         let address = entry["peer"].as_str().expect("an address");
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -35,6 +35,7 @@
 mod runner;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod runs;
+mod second_copies;
 mod slow_host;
 mod stop;
 mod store;
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -22,12 +22,15 @@
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Time from the first event, or from the arrival of a plain request, to the crash that it causes.
 const CRASH_DELAY: Duration = Duration::from_millis(80);
 
+/// Interval at which a runner that is silent checks whether it still is.
+const CONTROL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Headers of the refusal of an earlier request.
 const EARLIER_REFUSAL: &str = "X-Request-Id: earlier\r\nX-Not-Run: 1\r\nRetry-After: 1\r\n";
 
@@ -52,6 +55,12 @@
     pub successor: Successor,
     /// True if it begins each connection with the refusal of an earlier request.
     greets: AtomicBool,
+    /// Delay after which it writes each report once more, if it does.
+    report_copies: Mutex<Option<Duration>>,
+    /// True while it responds to no probe or order.
+    is_control_silent: AtomicBool,
+    /// Orders with the times at which they came.
+    orders: Mutex<Vec<(Instant, Value)>>,
     entry: Mutex<Value>,
     store: Arc<Store>,
 }
@@ -84,6 +93,9 @@
             troubles: TroubleCount::default(),
             successor: Successor::default(),
             greets: AtomicBool::default(),
+            report_copies: Mutex::default(),
+            is_control_silent: AtomicBool::default(),
+            orders: Mutex::default(),
             entry: Mutex::new(entry),
             store,
         });
@@ -149,6 +161,21 @@
         self.greets.store(true, Ordering::SeqCst);
     }
 
+    /// Writes each further report once more after a delay, or no longer.
+    pub fn copy_reports(&self, delay: Option<Duration>) {
+        *self.report_copies.lock().expect("not poisoned") = delay;
+    }
+
+    /// Responds to no probe or order, or does so again.
+    pub fn silence_control(&self, is_silent: bool) {
+        self.is_control_silent.store(is_silent, Ordering::SeqCst);
+    }
+
+    /// Returns the orders that were received, with the times at which they came.
+    pub fn orders(&self) -> Vec<(Instant, Value)> {
+        self.orders.lock().expect("not poisoned").clone()
+    }
+
     /// Sends nothing on paced streams for some time, while it still takes requests.
     pub fn go_silent(&self, span: Duration) {
         self.silence.start(span);
@@ -235,13 +262,27 @@
             self.troubles.write(trouble, stream, "", 1);
             return false;
         }
+        while is_control && self.is_control_silent.load(Ordering::SeqCst) {
+            std::thread::sleep(CONTROL_CHECK_INTERVAL);
+        }
         if request.request_line.starts_with("GET /report") {
             let entry = self.entry.lock().expect("not poisoned").to_string();
             let notices = self.notices.lock().expect("not poisoned").clone();
-            return write_response(stream, 200, &notices, &entry);
+            let is_written = write_response(stream, 200, &notices, &entry);
+            let copy = *self.report_copies.lock().expect("not poisoned");
+            return match copy {
+                None => is_written,
+                Some(delay) => {
+                    std::thread::sleep(delay);
+                    is_written && write_response(stream, 200, &notices, &entry)
+                }
+            };
         }
         if request.request_line.starts_with("POST /order") {
-            self.apply_order(&serde_json::from_slice(&request.body).expect("an order"));
+            let order: Value = serde_json::from_slice(&request.body).expect("an order");
+            let record = (Instant::now(), order.clone());
+            self.orders.lock().expect("not poisoned").push(record);
+            self.apply_order(&order);
             return write_response(stream, 202, "", "");
         }
         let id = request
@@ -340,6 +381,7 @@
                     true => RunEnd::CallerGone,
                 };
                 self.runs.end(run, end);
+                self.close_if_idle();
                 false
             }
             Behavior::PausedEvents { first, pause, last } => {
@@ -358,8 +400,15 @@
                     false => RunEnd::CallerGone,
                 };
                 self.runs.end(run, end);
+                self.close_if_idle();
                 is_written
             }
+            Behavior::RespondTwice(delay, body) => {
+                let is_first_written = write_response(stream, 200, &own_headers, body);
+                std::thread::sleep(delay);
+                is_first_written && write_response(stream, 200, &own_headers, body)
+            }
+            Behavior::Raw(text) => write_text(stream, &text.replace("{own}", &own_headers)),
             Behavior::Endless(trouble) => {
                 let first = after.unwrap_or(0) + 1;
                 self.troubles.write(trouble, stream, &own_headers, first);
@@ -404,6 +453,27 @@
         write_text(stream, &head)
     }
 
+    /// Returns the state after an order to close: the group closes once its runs have ended.
+    fn closed_state(&self) -> &'static str {
+        let is_running = self.runs.list().iter().any(|run| run.end.is_none());
+        if is_running { "closing" } else { "ready" }
+    }
+
+    /// Reports a closing group as closed if no run is left.
+    fn close_if_idle(&self) {
+        let is_closed = {
+            let mut entry = self.entry.lock().expect("not poisoned");
+            let is_closed = entry["group"]["State"] == "closing" && self.closed_state() == "ready";
+            if is_closed {
+                entry["group"]["State"] = json!("ready");
+            }
+            is_closed
+        };
+        if is_closed {
+            self.register();
+        }
+    }
+
     /// Applies an order at once and updates the runner's entry.
     fn apply_order(&self, order: &Value) {
         {
@@ -421,7 +491,7 @@
                 }
                 Some("Phase") => entry["Staged"] = json!([order["Model"]]),
                 Some("open") => entry["group"]["State"] = json!("open"),
-                Some("close") => entry["group"]["State"] = json!("ready"),
+                Some("close") => entry["group"]["State"] = json!(self.closed_state()),
                 _ => {}
             }
         }
