A slow reader no longer keeps a stream's runner beyond the timeout of its route

What callers and runners saw: a stream whose caller reads nothing, or a little now and then, kept its runner's slot for 10.5 s where the route's timeout is 4 s.

Cause: the relay waits for room in the caller's queue of events, and looked at the deadline only once there was some. The connection of a caller that reads nothing ends after 10 s; one that reads a little in each 10 s could hold on for longer.

The relay now waits until the deadline at most. Its runner is left then, and the caller's stream ends incomplete.

Evidence, slow_streams: stream_to_a_caller_that_reads_nothing_ends_incomplete (10.54 s before) and stream_to_a_slow_reader_leaves_its_runner_at_the_timeout (10.55 s before). The other two tests passed before: a stream with pauses of 750 ms is neither cut nor moved, and streams that never complete an event end at the timeout.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -24,6 +24,7 @@
     core::time::{Span, Time},
     shell::http::is_event_stream,
 };
+use bytes::Bytes;
 use futures_channel::mpsc;
 use futures_util::SinkExt as _;
 use http::Response;
@@ -325,13 +326,31 @@
             return Some(RelayEnd::Broken);
         };
         *last = event.id.or(*last);
-        if sender.send(StreamPart::Event(bytes)).await.is_err() {
-            return Some(RelayEnd::CallerGone);
+        if let Some(end) = send_event(call, bytes, sender).await {
+            return Some(end);
         }
     }
     None
 }
 
+/// Queues one event for the caller, and waits for room in the queue until the deadline: a slow
+/// reader must not keep the runner at work for longer.
+async fn send_event(call: &Call, event: Bytes, sender: &mut EventSender) -> Option<RelayEnd> {
+    let Err(unsent) = sender.try_send(StreamPart::Event(event)) else {
+        return None;
+    };
+    if unsent.is_disconnected() {
+        return Some(RelayEnd::CallerGone);
+    }
+    let left = call.deadline.since(call.state.now());
+    let sending = sender.send(unsent.into_inner());
+    match compio::time::timeout(left.into(), sending).await {
+        Ok(Ok(())) => None,
+        Ok(Err(_)) => Some(RelayEnd::CallerGone),
+        Err(_) => Some(RelayEnd::TimedOut),
+    }
+}
+
 /// Returns the reason for which a silent stream should not be waited for, if there is one.
 fn check_silent(call: &Call, upstream: &Upstream, sender: &EventSender) -> Option<RelayEnd> {
     if sender.is_closed() {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -37,6 +37,7 @@
 mod runs;
 mod second_copies;
 mod slow_host;
+mod slow_streams;
 mod stop;
 mod store;
 mod store_cut;
