Tests: runners that are silent towards daemons and store keep their running work

Reported elsewhere: a runner that was only silent or slow to report for a while had its running work started again at another, or abandoned. silent_reports: heads that answer no probe for 2.5 s, one alone and both, and a head and plain runners whose entries lapse, beside streams with pauses of 200 ms and a request that may not run twice: each runs once and to its end.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -36,6 +36,7 @@
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod runs;
 mod second_copies;
+mod silent_reports;
 mod slow_host;
 mod slow_streams;
 mod stop;
