--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -36,9 +36,15 @@
 mod runner;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod runs;
+mod second_copies;
+mod silent_reports;
+mod slow_host;
+mod slow_streams;
 mod stop;
 mod store;
 mod store_cut;
 mod streams;
 mod successor;
+mod throttle;
 mod trouble;
+mod unread_log;
