Send no request to runners of evacuated halls

Requests reached runners of halls that an operator had evacuated, as nothing read the operators' keys. With the new setting evacuation_ms, one watch on the operators' prefix takes the place of that on the configuration. Evacuated halls are a set in the roster: their runners and heads are no candidates, which is asked again once the connection is open. Log lines and gauges for each hall.

The set of operators' keys is kept for two seconds where the first list of an older copy lacks them. reach_check and outages leave evacuations out. Without the setting the watch is unchanged.

Tests: gateway evacuation (10) and evacuation_entries (4) pass; floors and style name the new module and the new key of the platform.

--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     core::{
-        keys::{AccountName, HostName, KeyHash, ModelName, PromptPart},
+        keys::{AccountName, HallName, HostName, KeyHash, ModelName, PromptPart},
         time::Span,
     },
     shell::platform::KeyValueStore,
@@ -34,6 +34,9 @@
     /// Key of the operators' configuration.
     const SPEC_KEY: &'static str;
 
+    /// Key prefix of all operators' entries, of which the configuration is one.
+    const OPERATOR_PREFIX: &'static str;
+
     /// Key prefix of the runners' entries.
     const RUNNER_PREFIX: &'static str;
 
@@ -47,6 +50,13 @@
     /// Fails if the text is not a valid configuration.
     fn decode_spec(text: &str) -> Result<Spec, DecodeError>;
 
+    /// Decodes the hall whose evacuation an operator's key requests; none if it is another key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the key names no hall.
+    fn decode_evacuation(key: &str) -> Option<Result<HallName, DecodeError>>;
+
     /// Decodes a runner's entry.
     ///
     /// # Errors
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -97,13 +97,15 @@
 }
 
 /// Returns false if a runner has said, while the connection was opened, that it leaves or wants no
-/// requests for some time.
+/// requests for some time, or if the evacuation of its hall has begun.
 fn wants_requests(call: &Call, endpoint: &Endpoint) -> bool {
     let state = &call.state;
     let roster = state.roster.borrow();
-    let is_leaving = roster.host(endpoint.host).is_some_and(Host::says_leaving);
+    let host = roster.host(endpoint.host);
+    let is_leaving = host.is_some_and(Host::says_leaving);
+    let is_evacuated = host.is_some_and(|host| roster.is_evacuated(host));
     let notices = state.notices.borrow();
-    !is_leaving && !notices.is_paused(endpoint.host, state.now())
+    !is_leaving && !is_evacuated && !notices.is_paused(endpoint.host, state.now())
 }
 
 /// Counts a request that goes out to a runner.
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -136,6 +136,7 @@
         unlisted.iter().for_each(|name| self.log_unlisted(name));
         self.state.refresh_groups();
         self.state.runners_listed.set(true);
+        self.state.report_halls_without_runners();
     }
 
     fn log_unlisted(&self, name: &HostName) {
--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -119,7 +119,10 @@
         return responses::full(status, Bytes::new());
     }
     if parts.uri.path() == "/metrics" {
-        return responses::full(StatusCode::OK, metrics::render(&[]).into());
+        return responses::full(
+            StatusCode::OK,
+            metrics::render(&state.hall_metrics()).into(),
+        );
     }
     match A::is_directory_request(&parts) {
         true => directory::<A>(state),
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -176,6 +176,11 @@
         in_backoff || self.is_stalled(host, now)
     }
 
+    /// Returns the number of this daemon's requests in flight at a runner.
+    pub fn own_requests(&self, host: HostKey) -> u32 {
+        self.entries.get(host).map_or(0, |entry| entry.own_requests)
+    }
+
     /// Returns the estimated number of requests in flight at a runner, from all daemons.
     pub fn in_flight(&self, host: HostKey, now: Time) -> u32 {
         let Some(entry) = self.entries.get(host) else {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,7 +9,7 @@
 //! Modules that decide (`routes`, `contact`, `roster`, `group`, `candidacy`, `balancer`,
 //! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
-//! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`,
+//! `weight_loads`, `evacuation`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`,
 //! `drain`, `reach`, `peer_relay::choice`, those of `quarantine` that it names) read
 //! no clock and do no I/O.
 //! The names and formats of a platform are hidden behind [`adapter::Adapter`].
@@ -30,6 +30,7 @@
 pub mod demand;
 pub mod drain;
 mod duty;
+pub mod evacuation;
 pub mod events;
 pub mod formation;
 mod forward;
@@ -45,6 +46,7 @@
 pub mod notices;
 pub mod open_requests;
 mod openings;
+pub mod operators;
 pub mod order;
 mod orders;
 pub mod outages;
@@ -132,16 +134,24 @@
         "ready" => settings.listen.ready.to_string(),
         "directory" => settings.listen.directory.to_string());
     let store = A::store(settings.store);
-    let prefixes = [A::SPEC_KEY, A::RUNNER_PREFIX, A::OWN_PREFIX];
+    let can_evacuate = settings.evacuation_ms.is_some();
+    let operator_prefix = match can_evacuate {
+        true => A::OPERATOR_PREFIX,
+        false => A::SPEC_KEY,
+    };
+    let prefixes = [operator_prefix, A::RUNNER_PREFIX, A::OWN_PREFIX];
     let state = Rc::new(GatewayState::new(settings, log, &prefixes));
     let (connections, handle) = Connections::new();
 
     spawn(watch::watch_prefix(
         state.clone(),
         store.clone(),
-        A::SPEC_KEY,
-        handlers::SpecHandler::<A>::new(state.clone()),
+        operator_prefix,
+        operators::OperatorHandler::<A>::new(state.clone()),
     ));
+    if can_evacuate {
+        spawn(operators::end_kept_evacuations(state.clone()));
+    }
     spawn(watch::watch_prefix(
         state.clone(),
         store.clone(),
--- a/src/gateway/outages.rs
+++ b/src/gateway/outages.rs
@@ -1,7 +1,8 @@
 //! Tracks which groups serve, and measures how long hosts are without one.
 //!
 //! Users measure an outage from the loss of a group until one of its members
-//! serves again, so it is measured here in the same way.
+//! serves again, so it is measured here in the same way. The evacuation of a
+//! hall is neither a loss nor, when it ends, a repair.
 
 use super::roster::{HostKey, Roster};
 use crate::core::{
@@ -54,7 +55,7 @@
     pub fn update(&mut self, roster: &Roster, now: Time) -> Vec<ServingChange> {
         let groups = roster.groups().iter();
         let serving: BTreeMap<Epoch, ServingGroup> = groups
-            .filter(|group| roster.is_serving(group, now))
+            .filter(|group| roster.can_serve(group, now))
             .map(|group| {
                 let entry = ServingGroup {
                     model: group.model.clone(),
--- a/src/gateway/reach_check.rs
+++ b/src/gateway/reach_check.rs
@@ -66,17 +66,17 @@
     state.is_cut_off()
 }
 
-/// Returns the addresses of some usable runners, drawn from those that a condition holds for.
+/// Returns the addresses of some available runners, drawn from those that a condition holds for.
 fn random_runners<F>(state: &GatewayState, count: usize, condition: F) -> Vec<SocketAddr>
 where
     F: Fn(HostKey) -> bool,
 {
     let roster = state.roster.borrow();
     let now = state.now();
-    let usable = roster
+    let available = roster
         .hosts()
-        .filter(|(key, host)| roster.is_usable(host, now) && condition(*key));
-    let addresses = usable.map(|(_, host)| host.runner.address);
+        .filter(|(key, host)| roster.is_available(host, now) && condition(*key));
+    let addresses = available.map(|(_, host)| host.runner.address);
     addresses.choose_multiple(&mut *state.rng.borrow_mut(), count)
 }
 
@@ -93,10 +93,10 @@
         let mut reach = self.reach.borrow_mut();
         let others = {
             let roster = self.roster.borrow();
-            let usable = roster
+            let available = roster
                 .hosts()
-                .filter(|(_, host)| roster.is_usable(host, now));
-            let others = usable.filter(|(key, _)| *key != host && !reach.has_failed(*key));
+                .filter(|(_, host)| roster.is_available(host, now));
+            let others = available.filter(|(key, _)| *key != host && !reach.has_failed(*key));
             others.count()
         };
         let change = reach.failed(host, others, now);
--- a/src/gateway/roster/mod.rs
+++ b/src/gateway/roster/mod.rs
@@ -18,6 +18,7 @@
 pub use listing::REENTRY_WINDOW;
 
 use super::{
+    evacuation::Evacuations,
     group::{self, Group},
     spec::Spec,
 };
@@ -129,6 +130,8 @@
 /// Known hosts, and the groups that their runners form.
 #[derive(Debug, Default)]
 pub struct Roster {
+    /// Halls to whose runners no request is sent.
+    pub evacuations: Evacuations,
     hosts: SlotMap<HostKey, Host>,
     /// Key of the current runner instance on each host.
     keys: BTreeMap<HostName, HostKey>,
@@ -298,6 +301,16 @@
 
     /// Returns true if requests may be sent to a host.
     pub fn is_usable(&self, host: &Host, now: Time) -> bool {
+        self.is_available(host, now) && !self.is_evacuated(host)
+    }
+
+    /// Returns true if a host is in a hall that is evacuated.
+    pub fn is_evacuated(&self, host: &Host) -> bool {
+        self.evacuations.contains(&host.runner.hall)
+    }
+
+    /// Returns true if requests could be sent to a host if its hall weren't evacuated.
+    pub fn is_available(&self, host: &Host, now: Time) -> bool {
         let listed = host.unlisted_since.is_none() || now < host.reentry_until;
         listed && !host.is_draining() && !host.is_unreachable()
     }
@@ -336,11 +349,18 @@
 
     /// Returns true if requests may be sent to a group.
     pub fn is_serving(&self, group: &Group, now: Time) -> bool {
+        let head = group.head().and_then(|key| self.host(key));
+        let is_evacuated = head.is_some_and(|head| self.is_evacuated(head));
+        !is_evacuated && self.can_serve(group, now)
+    }
+
+    /// Returns true if requests could be sent to a group if its head's hall weren't evacuated.
+    pub fn can_serve(&self, group: &Group, now: Time) -> bool {
         if group.head_state != Some(MemberState::Open) || !group.complete {
             return false;
         }
         let head = group.head().and_then(|key| self.host(key));
-        head.is_some_and(|head| self.is_usable(head, now)) && !self.has_unreachable_member(group)
+        head.is_some_and(|head| self.is_available(head, now)) && !self.has_unreachable_member(group)
     }
 }
 
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -25,6 +25,10 @@
         pub grace_ms: u64,
         /// Time for which callers may cache the daemons' addresses, in milliseconds.
         pub entries_ms: u64,
+        /// Time within which no more requests may be sent to the runners of an evacuated hall, in
+        /// milliseconds; none if halls aren't evacuated.
+        #[serde(default)]
+        pub evacuation_ms: Option<u64>,
         /// Processor time that the daemon may use, in cores.
         #[serde(default)]
         pub cores: f64,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -210,7 +210,10 @@
         for change in outages.update(&roster, self.now()) {
             self.record_change(change);
         }
-        gauge!("groups_serving").set(outages.serving_count() as f64);
+        let now = self.now();
+        let groups = roster.groups().iter();
+        let serving = groups.filter(|group| roster.is_serving(group, now)).count();
+        gauge!("groups_serving").set(serving as f64);
     }
 
     fn record_change(&self, change: ServingChange) {
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 44] = [
+const DECISIONS: [&str; 45] = [
     "admission",
     "backoff",
     "balancer",
@@ -24,6 +24,7 @@
     "contact",
     "demand",
     "drain",
+    "evacuation",
     "formation",
     "group",
     "held_bytes",
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -129,6 +129,8 @@
     pub demand: Demand,
     pub spec: Spec,
     hosts: BTreeMap<HostName, SimRunner>,
+    /// Halls of domains that aren't in the usual one.
+    pub halls: BTreeMap<DomainName, HallName>,
     /// Number of addresses that were given to hosts.
     addresses: u32,
     /// True if the entries don't tell the starts of the runners.
@@ -155,6 +157,7 @@
             demand: Demand::default(),
             spec: spec(),
             hosts: BTreeMap::new(),
+            halls: BTreeMap::new(),
             addresses: 0,
             hides_starts: false,
             pending_orders: Vec::new(),
@@ -721,9 +724,12 @@
     /// Returns the entry that a runner writes to the store.
     fn entry(&self, runner: &SimRunner) -> Runner {
         let born = self.born(runner);
+        let usual = entry(runner);
+        let hall = self.halls.get(&runner.domain).cloned();
         Runner {
             born,
-            ..entry(runner)
+            hall: hall.unwrap_or(usual.hall),
+            ..usual
         }
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,8 @@
 mod departures;
 mod drain;
 mod entries;
+mod evacuation;
+mod evacuation_entries;
 mod fleet;
 mod group_faults;
 mod groups;
--- a/tests/style.rs
+++ b/tests/style.rs
@@ -77,8 +77,9 @@
 }
 
 /// Keys, paths and headers of the users' platform in lower case, which only its adapter may use.
-const PLATFORM_NAMES: [&str; 12] = [
+const PLATFORM_NAMES: [&str; 13] = [
     "op/config",
+    "op/evacuate",
     "servers/",
     "kv-",
     "x-response-stamp",
