Plan without the hosts of evacuated halls

The holder of the duty ordered hosts of an evacuated hall to join, open and stage, and counted its groups as capacity. Such hosts are no longer free, formations wait, and groups headed there don't count; they stay in place and serve again once the evacuation ends.

--- a/src/gateway/planner/mod.rs
+++ b/src/gateway/planner/mod.rs
@@ -143,7 +143,8 @@
         self.formations = formations;
     }
 
-    /// Sends the orders that a formation still needs; returns false once its head has opened.
+    /// Sends the orders that a formation still needs, except to hosts of an evacuated hall; returns
+    /// false once its head has opened.
     fn advance_formation(
         &mut self,
         formation: &Formation,
@@ -151,23 +152,30 @@
         now: Time,
         out: &mut Vec<Directive>,
     ) -> bool {
+        let is_evacuated = |name| {
+            let known = roster.host_by_name(name);
+            known.is_some_and(|(_, host)| roster.is_evacuated(host))
+        };
         let mut ready = 0;
         for name in &formation.members {
             match formation.member_state(roster, name) {
                 Some(MemberState::Open | MemberState::Closing) => return false,
                 Some(MemberState::Ready) => ready += 1,
                 Some(MemberState::Joining | MemberState::Broken) => {}
+                None if is_evacuated(name) => {}
                 None => {
                     self.send(name, formation.join_order(), now, out);
                 }
             }
         }
-        if ready == formation.members.len() && now >= formation.open_from {
+        let head = &formation.members[0];
+        let is_due = ready == formation.members.len() && now >= formation.open_from;
+        if is_due && !is_evacuated(head) {
             let open = Order::Open {
                 group: formation.group.clone(),
                 epoch: formation.epoch,
             };
-            if self.send(&formation.members[0], open, now, out) {
+            if self.send(head, open, now, out) {
                 self.openings.sent(&formation.group, now);
             }
         }
--- a/src/gateway/planner/pools.rs
+++ b/src/gateway/planner/pools.rs
@@ -1,4 +1,5 @@
-//! Free hosts and groups of each domain, as the planner sees them.
+//! Free hosts and groups of each domain, as the planner sees them. Those in an evacuated hall don't
+//! count.
 
 use super::Planner;
 use crate::{
@@ -45,7 +46,8 @@
             let Some(domain) = &host.runner.domain else {
                 continue;
             };
-            if host.runner.service != *service || !is_eligible(host) {
+            let may_join = is_eligible(host) && !roster.is_evacuated(host);
+            if host.runner.service != *service || !may_join {
                 continue;
             }
             if held.contains(&key) {
@@ -87,13 +89,17 @@
         forming.chain(active).collect()
     }
 
-    /// Returns the model and the domain of each group that serves or is being formed.
+    /// Returns the model and the domain of each group that serves or is being formed, unless its
+    /// head's hall is evacuated.
     fn placed_groups(
         &self,
         roster: &Roster,
         service: &ServiceName,
     ) -> Vec<(ModelName, DomainName)> {
-        let domain = |host: Option<&Host>| host?.runner.domain.clone();
+        let domain = |host: Option<&Host>| {
+            let host = host.filter(|host| !roster.is_evacuated(host))?;
+            host.runner.domain.clone()
+        };
         let serving = roster
             .groups()
             .iter()
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod entries;
 mod evacuation;
 mod evacuation_entries;
+mod evacuation_orders;
 mod fleet;
 mod group_faults;
 mod groups;
