--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -42,6 +42,8 @@
     pub listen: [SocketAddr; 4],
     /// Address for requests that other daemons pass on; port 0 selects a free port.
     pub relay: SocketAddr,
+    /// Time within which an evacuated hall gets no more requests; none if halls aren't evacuated.
+    pub evacuation: Option<Duration>,
     /// File to which log lines are appended, if they are kept.
     pub log: Option<PathBuf>,
 }
@@ -57,6 +59,7 @@
             ttl: Duration::from_secs(2),
             listen: [SocketAddr::from(([127, 0, 0, 1], 0)); 4],
             relay: SocketAddr::from(([127, 0, 0, 1], 0)),
+            evacuation: None,
             log: None,
         }
     }
@@ -66,11 +69,14 @@
         let (name, hall) = (&self.name, self.hall);
         let (store, relay) = (self.store, self.relay);
         let (grace, ttl) = (self.grace.as_millis(), self.ttl.as_millis());
+        let evacuation = self.evacuation.map_or(String::new(), |span| {
+            format!("evacuation_ms: {}\n", span.as_millis())
+        });
         format!(
             "name: {name}\nhall: {hall}\nlisten:\n  caller: {caller}\n  ready: {ready}\n  \
              directory: {directory}\n  peer: {peer}\n  relay: {relay}\nstore: {store}\nretry:\n  ratio: 0.2\n  \
              slack: 100\n  window_s: 10\ngrace_ms: {grace}\nentries_ms: {ttl}\ncores: 0.25\n\
-             first: true\n"
+             first: true\n{evacuation}"
         )
     }
 }
@@ -217,18 +223,28 @@
 impl TestEnv {
     /// Starts the environment and waits until requests are served.
     pub fn start() -> Self {
-        let env = Self::unconfigured();
-        env.configure(1);
-        env.eventually("requests are served", |env| {
+        Self::unconfigured().served()
+    }
+
+    /// Writes a configuration and waits until requests are served.
+    pub fn served(self) -> Self {
+        self.configure(1);
+        self.eventually("requests are served", |env| {
             env.call("GET", "/read/x", &[], "").status == 200
                 && env.stream(&[]).status == 200
                 && env.both_heads_serve()
         });
-        env
+        self
     }
 
     /// Starts the environment without a configuration.
     pub fn unconfigured() -> Self {
+        Self::unconfigured_in(["hall"; 2], None)
+    }
+
+    /// Starts the environment without a configuration, with a plain runner and a head in each of two
+    /// halls.
+    pub fn unconfigured_in(halls: [&str; 2], evacuation: Option<Duration>) -> Self {
         let store = Arc::new(Store::default());
         let address = serve_store(store.clone());
         let plain_runners = ["p1", "p2"]
@@ -243,12 +259,21 @@
                 shared_script.clone(),
             )
         });
+        for runners in [&plain_runners, &heads] {
+            let in_halls = runners.iter().zip(halls);
+            in_halls.for_each(|(runner, hall)| runner.set_hall(hall));
+        }
         let logs = Logs::new();
+        let settings = DaemonSettings {
+            evacuation,
+            log: Some(logs.file("d1")),
+            ..DaemonSettings::new("d1", address)
+        };
         Self {
             store,
             plain_runners,
             heads,
-            daemon: Self::start_logged("d1", address, &logs),
+            daemon: Daemon::start_with(&settings),
             store_address: address,
             logs,
         }
@@ -275,6 +300,12 @@
         Daemon::start_with(&settings)
     }
 
+    /// Returns the log lines of a daemon so far.
+    pub fn log_of(&self, daemon: &str) -> String {
+        let path = self.logs.file(daemon);
+        std::fs::read_to_string(path).expect("the log is read")
+    }
+
     /// Sends a request with the API key to the daemon.
     pub fn call(&self, method: &str, path: &str, headers: &[&str], body: &str) -> Response {
         self.call_at(&self.daemon, method, path, headers, body)
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -139,6 +139,12 @@
         *self.notices.lock().expect("not poisoned") = "Server-Leaving: 1\r\n".to_owned();
     }
 
+    /// Moves to a hall.
+    pub fn set_hall(&self, hall: &str) {
+        self.entry.lock().expect("not poisoned")["Zone"] = json!(hall);
+        self.register();
+    }
+
     /// Reports from now on that it is slower than usual by this factor, and is.
     pub fn slow_down(&self, pace: f64) {
         self.entry.lock().expect("not poisoned")["pace"] = json!(pace);
