--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 50] = [
+const DECISIONS: [&str; 52] = [
     "admission",
     "backoff",
     "balancer",
@@ -25,6 +25,7 @@
     "contact",
     "demand",
     "drain",
+    "evacuation",
     "formation",
     "group",
     "held_bytes",
