Decode how long runners stay cold, and decide which limit applies to them

Cause: runners tolerate fewer requests a second for some time after a start, and say so in their entries and health responses; nothing read it.

Change: the entry's cold time left, the header of responses and the service's cold rate are decoded. RateLimit and Stated move to a module below, because the configuration and the entries state them too.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -50,7 +50,7 @@
     pub hall: &'a HallName,
     /// Runners that were tried already, which are excluded.
     pub tried: &'a [HostKey],
-    /// True if only a runner without a rate limit will do.
+    /// True if only a runner that needs no permit will do.
     pub unlimited: bool,
 }
 
@@ -175,7 +175,7 @@
         return Ok(candidates);
     };
     candidates.retain(|candidate| {
-        let is_limited = notices.rate_limit(candidate.host).is_some();
+        let is_limited = notices.limit(candidate.host, now).is_some();
         let is_excluded = unlimited && is_limited;
         !is_excluded && notices.wait(candidate.host, now) == Span::ZERO
     });
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,7 +9,7 @@
 //! Modules that decide (`routes`, `contact`, `roster`, `group`, `candidacy`, `balancer`,
 //! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
-//! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`,
+//! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `coldness`, `held_bytes`,
 //! `drain`, `reach`, `peer_relay::choice`, those of `quarantine` that it names) read
 //! no clock and do no I/O.
 //! The names and formats of a platform are hidden behind [`adapter::Adapter`].
@@ -24,6 +24,7 @@
 mod call;
 pub mod candidacy;
 pub mod changes;
+pub mod coldness;
 mod connection;
 pub mod contact;
 mod datagrams;
@@ -71,6 +72,7 @@
 mod staging;
 mod startup;
 pub mod state;
+pub mod stated;
 mod stop;
 mod stream;
 pub mod watch;
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -5,7 +5,9 @@
 //! and has said nothing yet. A rate limit holds until a response without one; a
 //! pause holds for this daemon, until it is over; who leaves, leaves for good.
 
-use super::roster::HostKey;
+pub use super::stated::{RateLimit, Stated};
+
+use super::{coldness::Coldness, roster::HostKey};
 use crate::core::time::{Span, Time};
 use slotmap::SecondaryMap;
 
@@ -15,51 +17,12 @@
 /// Maximum length of a pause that a runner asks for.
 const MAX_PAUSE: Span = Span::from_secs(24 * 60 * 60);
 
-crate::record! {
-    /// Number of requests a second that a runner takes from all daemons together.
-    #[derive(Copy, PartialOrd)]
-    #[serde(transparent)]
-    pub struct RateLimit(f64);
-}
-
-impl RateLimit {
-    /// Creates a limit; none if it is negative or not a finite number.
-    pub fn new(per_second: f64) -> Option<Self> {
-        let is_valid = per_second.is_finite() && per_second >= 0.0;
-        is_valid.then_some(Self(per_second))
-    }
-
-    /// Returns the number of requests a second.
-    pub fn per_second(self) -> f64 {
-        self.0
-    }
-}
-
 /// Returns the length of a pause; none if it is negative or not a finite number.
 pub fn pause(seconds: f64) -> Option<Span> {
     let is_valid = seconds.is_finite() && seconds >= 0.0;
     is_valid.then(|| MAX_PAUSE.min(Span((seconds * 1e6) as u64)))
 }
 
-/// Value that a response may state.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum Stated<T> {
-    /// The response doesn't state it.
-    #[default]
-    Absent,
-    /// The response states it.
-    Value(T),
-    /// The response has a value that can't be understood, which is ignored.
-    Invalid,
-}
-
-impl<T> Stated<T> {
-    /// Creates the statement of a value that was understood, or not.
-    pub fn from_valid(value: Option<T>) -> Self {
-        value.map_or(Self::Invalid, Self::Value)
-    }
-}
-
 /// What one response says of its runner.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
@@ -67,6 +30,8 @@
     pub rate_limit: Stated<RateLimit>,
     /// Time for which this daemon should send no more requests.
     pub pause: Stated<Span>,
+    /// Time for which the runner stays cold.
+    pub cold_left: Stated<Span>,
     /// True if the runner is about to leave.
     pub is_leaving: bool,
 }
@@ -89,6 +54,59 @@
 #[derive(Debug, Default)]
 pub struct Notices {
     entries: SecondaryMap<HostKey, Entry>,
+    /// Which runners are cold.
+    pub coldness: Coldness,
+}
+
+/// Reason for which requests to a runner need permits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitReason {
+    /// The runner names a rate limit.
+    Limited,
+    /// The runner is cold.
+    Cold,
+}
+
+impl LimitReason {
+    /// Returns the label value in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            LimitReason::Limited => "limited",
+            LimitReason::Cold => "cold",
+        }
+    }
+}
+
+/// Limit on the requests to a runner from all daemons together, with its reason.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AppliedLimit {
+    /// The limit.
+    pub rate: RateLimit,
+    /// Why it applies.
+    pub reason: LimitReason,
+}
+
+impl AppliedLimit {
+    /// Creates the limit of a cold runner.
+    pub fn cold(rate: RateLimit) -> Self {
+        let reason = LimitReason::Cold;
+        Self { rate, reason }
+    }
+
+    /// Returns the lower one of two limits, if there is any.
+    pub fn lower(one: Option<Self>, other: Option<Self>) -> Option<Self> {
+        match (one, other) {
+            (Some(one), Some(other)) if other.rate < one.rate => Some(other),
+            (one, other) => one.or(other),
+        }
+    }
+}
+
+impl From<RateLimit> for AppliedLimit {
+    fn from(rate: RateLimit) -> Self {
+        let reason = LimitReason::Limited;
+        Self { rate, reason }
+    }
 }
 
 /// Change of what is known of a runner's rate limit.
@@ -147,6 +165,14 @@
         self.entries.get(host)?.rate_limit
     }
 
+    /// Returns the limit on requests to a runner that applies now: the lower one of its rate limit
+    /// and that of a cold runner.
+    pub fn limit(&self, host: HostKey, now: Time) -> Option<AppliedLimit> {
+        let stated = self.rate_limit(host).map(AppliedLimit::from);
+        let cold = self.coldness.limit(host, now).map(AppliedLimit::cold);
+        AppliedLimit::lower(stated, cold)
+    }
+
     /// Returns the time since a runner last said whether it has a rate limit; for one that was never
     /// heard, the time since the start.
     pub fn age(&self, host: HostKey, now: Time) -> Span {
@@ -154,10 +180,10 @@
         now.since(heard_at.unwrap_or_default())
     }
 
-    /// Holds back requests to a runner until its rate limit allows the next one.
+    /// Holds back requests to a runner until its limit allows the next one.
     pub fn hold_back(&mut self, host: HostKey, until: Time) {
-        if let Some(entry) = self.entries.get_mut(host) {
-            entry.held_until = until;
+        if let Some(entry) = self.entries.entry(host) {
+            entry.or_default().held_until = until;
         }
     }
 
--- a/src/gateway/runner.rs
+++ b/src/gateway/runner.rs
@@ -1,6 +1,10 @@
 //! A runner's report of itself, as its entry in the store has it.
 
-use crate::core::keys::{DomainName, Epoch, GroupName, HallName, ModelName, ServiceName};
+use super::stated::Stated;
+use crate::core::{
+    keys::{DomainName, Epoch, GroupName, HallName, ModelName, ServiceName},
+    time::Span,
+};
 use std::net::SocketAddr;
 
 crate::record! {
@@ -23,6 +27,9 @@
         /// Number of orders that this run has accepted.
         #[serde(default)]
         pub orders: u64,
+        /// Time for which it stays cold, as of the report.
+        #[serde(default)]
+        pub cold_left: Stated<Span>,
         /// Models whose weights are stored on its host.
         pub staged: Vec<ModelName>,
         /// Membership in a group.
@@ -60,6 +67,13 @@
 }
 
 impl Runner {
+    /// Returns the epoch of its group if it is a head that takes requests.
+    pub fn open_epoch(&self) -> Option<Epoch> {
+        let member = self.member.as_ref()?;
+        let is_open = member.rank == 0 && member.state == MemberState::Open;
+        is_open.then_some(member.epoch)
+    }
+
     /// Returns true if this report of the same host is certain to be newer.
     pub(super) fn is_newer(&self, other: &Runner) -> bool {
         let is_draining = self.draining && !other.draining;
--- a/src/gateway/spec.rs
+++ b/src/gateway/spec.rs
@@ -3,6 +3,7 @@
 //! A version is applied as a whole: routes, services, accounts and limits change
 //! together, and a daemon never goes back to an older version.
 
+use super::stated::RateLimit;
 use crate::core::{
     keys::{AccountName, KeyHash, ModelName, ServiceName},
     time::Span,
@@ -79,6 +80,17 @@
         pub max_connections: u32,
         /// Engine of a service that serves models; a plain service has none.
         pub engine: Option<Engine>,
+        /// Load that its runners tolerate while they are cold; none if they never are.
+        pub cold: Option<ColdRate>,
+    }
+
+    /// Load that runners tolerate while they are cold.
+    #[derive(Copy)]
+    pub struct ColdRate {
+        /// Time for which a runner is cold after a start, unless it says otherwise.
+        pub period: Span,
+        /// Requests a second, from all daemons together.
+        pub limit: RateLimit,
     }
 
     /// Performance figures of a service's engines.
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 44] = [
+const DECISIONS: [&str; 45] = [
     "admission",
     "backoff",
     "balancer",
@@ -21,6 +21,7 @@
     "candidacy",
     "changes/history",
     "changes/source",
+    "coldness",
     "contact",
     "demand",
     "drain",
@@ -61,7 +62,7 @@
 ];
 
 /// Modules of values that decisions are made about.
-const VALUES: [&str; 3] = ["order", "peers", "spec"];
+const VALUES: [&str; 4] = ["order", "peers", "spec", "stated"];
 
 /// Paths that decisions must not import, by their first names.
 const IO: [&[&str]; 9] = [
--- a/tests/gateway/departures.rs
+++ b/tests/gateway/departures.rs
@@ -5,7 +5,10 @@
         keys::{HallName, HostName, ServiceName},
         time::{Span, Time},
     },
-    gateway::roster::{HostKey, ProbeFailure, REENTRY_WINDOW, Roster, Runner},
+    gateway::{
+        roster::{HostKey, ProbeFailure, REENTRY_WINDOW, Roster, Runner},
+        stated::Stated,
+    },
 };
 
 const NAME: &str = "p1";
@@ -24,6 +27,7 @@
         draining: false,
         born: 1,
         orders: 0,
+        cold_left: Stated::Absent,
         staged: Vec::new(),
         member: None,
     }
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -14,6 +14,7 @@
         planner::Planner,
         roster::{HostKey, MemberState, Membership, ProbeFailure, Roster, Runner, RunnerInstance},
         spec::{Engine, Replication, Service, Spec},
+        stated::Stated,
     },
 };
 use std::{
@@ -71,6 +72,7 @@
             name: service(),
             max_connections: 300,
             engine: Some(engine),
+            cold: None,
         }],
         ..Spec::default()
     }
@@ -739,6 +741,7 @@
         draining: runner.is_draining,
         born: runner.born,
         orders: runner.orders,
+        cold_left: Stated::Absent,
         staged: runner.staged.clone(),
         member: runner.member.as_ref().map(|member| Membership {
             group: member.group.clone(),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod budgets;
 mod candidacy;
 mod changes;
+mod coldness;
 mod contact;
 mod cut_off_heads;
 mod departures;
--- a/tests/platform/decoding.rs
+++ b/tests/platform/decoding.rs
@@ -10,7 +10,7 @@
         notices::{Notice, RateLimit, Stated},
         order::Order,
         roster::{MemberState, Runner},
-        spec::RouteKind,
+        spec::{ColdRate, RouteKind},
     },
     platform::Platform,
 };
@@ -51,6 +51,79 @@
     assert!(decode_entry(&ENTRY.replace("\"Seq\":4", "\"Seq\":4,\"Later\":{}")).is_some());
 }
 
+/// Returns the time for which the runner of an entry with this value stays cold.
+fn cold_left(value: &str) -> Stated<Span> {
+    let field = match value {
+        "" => String::new(),
+        _ => format!("\"ColdLeftMs\":{value},"),
+    };
+    let entry = ENTRY.replace("\"ColdLeftMs\":0,", &field);
+    decode_entry(&entry).expect("an entry").cold_left
+}
+
+// An entry that counted as invalid as a whole would take the runner out of service.
+#[test]
+fn decodes_cold_time_of_entry() {
+    let day = Span::from_secs(24 * 60 * 60);
+    assert_eq!(cold_left("0"), Stated::Value(Span::ZERO));
+    assert_eq!(cold_left("1500"), Stated::Value(Span::from_millis(1_500)));
+    assert_eq!(cold_left("0.5"), Stated::Value(Span(500)));
+    assert_eq!(cold_left("86400000"), Stated::Value(day));
+    assert_eq!(cold_left(""), Stated::Absent);
+    assert_eq!(cold_left("null"), Stated::Absent);
+    for invalid in [
+        "-1", "\"3000\"", "\"\"", "86400001", "1e300", "[]", "{}", "true",
+    ] {
+        assert_eq!(cold_left(invalid), Stated::Invalid, "{invalid}");
+    }
+}
+
+#[test]
+fn decodes_cold_time_of_response() {
+    let left_of = |value| notice_of(200, "X-Cold-Ms", value).cold_left;
+    assert_eq!(left_of("1500"), Stated::Value(Span::from_millis(1_500)));
+    assert_eq!(left_of(" 0 "), Stated::Value(Span::ZERO));
+    for invalid in ["", "-1", "soon", "NaN", "inf", "86400001", "1,2"] {
+        assert_eq!(left_of(invalid), Stated::Invalid, "{invalid:?}");
+    }
+    assert_eq!(notice_of(200, "Date", "").cold_left, Stated::Absent);
+    let response = Response::builder().header("X-Cold-Ms", "0").body(());
+    let (parts, ()) = response.expect("a response").into_parts();
+    let unknown = Platform::decode_response(&parts).unknown_headers;
+    assert!(unknown.is_empty(), "{unknown:?}");
+}
+
+/// Decodes the cold rate of a service with these fields; none if the configuration is invalid.
+fn cold_rate(fields: &str) -> Option<Option<ColdRate>> {
+    let config = format!(r#"{{"Version":1,"Services":[{{"Name":"s"{fields}}}]}}"#);
+    let spec = Platform::decode_spec(&config).ok()?;
+    Some(spec.services[0].cold)
+}
+
+// A configuration that is invalid leaves the one before it in force.
+#[test]
+fn decodes_cold_rate_of_service() {
+    let rate = |seconds, per_second| {
+        let limit = RateLimit::new(per_second).expect("valid");
+        let period = Span::from_secs(seconds);
+        Some(Some(ColdRate { period, limit }))
+    };
+    assert_eq!(cold_rate(r#","ColdS":8,"ColdPerS":26"#), rate(8, 26.0));
+    assert_eq!(cold_rate(r#","ColdPerS":0.5"#), rate(0, 0.5));
+    assert_eq!(cold_rate(""), Some(None));
+    assert_eq!(cold_rate(r#","ColdS":8"#), Some(None));
+    assert_eq!(cold_rate(r#","ColdS":8,"ColdPerS":0"#), Some(None));
+    for invalid in [
+        r#","ColdS":8,"ColdPerS":-1"#,
+        r#","ColdS":-1,"ColdPerS":26"#,
+        r#","ColdS":86401,"ColdPerS":26"#,
+        r#","ColdS":8,"ColdPerS":"26""#,
+        r#","ColdS":"8","ColdPerS":26"#,
+    ] {
+        assert_eq!(cold_rate(invalid), None, "{invalid}");
+    }
+}
+
 #[test]
 fn decodes_single_service_and_split_of_route() {
     let config = r#"{"Version":3,"Routes":[
