Requests to cold runners need permits at the cold rate

Change: while a runner counts as cold, each request to it needs a permit from its authority, at the lower one of its cold rate and its rate limit. Permits for cold runners add up over 50 ms instead of 250 ms, and are asked for again if the connection took long. A cold time that a response states is passed on by the authority.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -5,6 +5,7 @@
 //! it a request.
 
 use super::{
+    coldness::ColdClaim,
     datagrams::{Datagram, RunnerNotice},
     notices::{LimitChange, Notice, Stated},
     permits::{Authority, current_authority},
@@ -26,6 +27,7 @@
     };
     let is_leaving = notice.is_leaving && state.record_leaving(host, false);
     spread(state, host, limit_change, is_leaving);
+    record_cold_left(state, host, notice);
 }
 
 /// Records the notice in a response to a probe or an order, which need not say everything.
@@ -36,16 +38,79 @@
     };
     let is_leaving = notice.is_leaving && state.record_leaving(host, false);
     spread(state, host, limit_change, is_leaving);
+    record_cold_left(state, host, notice);
+}
+
+/// Records the time for which a runner stays cold, if its response states it.
+fn record_cold_left(state: &GatewayState, host: HostKey, notice: &Notice) {
+    let Stated::Value(left) = notice.cold_left else {
+        return;
+    };
+    let is_start = state.record_cold_response(host, left);
+    let claim = state.notices.borrow().coldness.claim(host, state.now());
+    let news = claim.filter(|_| is_start).zip(instance(state, host));
+    let Some((cold, runner)) = news else {
+        return;
+    };
+    match current_authority(state, &runner) {
+        Authority::Own => broadcast_cold(state, host, &runner, cold),
+        Authority::Peer(address) => {
+            let datagram = Datagram::Cold { runner, cold };
+            state.outbox.send(address, datagram);
+        }
+        Authority::Divided(_) => {}
+    }
+}
+
+/// Records that a runner is cold, as another daemon says; its authority tells all daemons.
+pub(super) fn accept_cold(state: &GatewayState, runner: &RunnerInstance, cold: ColdClaim) {
+    let Some(host) = known_host(state, runner) else {
+        return;
+    };
+    let is_start = state.record_cold_claim(host, cold.left);
+    if is_start && current_authority(state, runner) == Authority::Own {
+        broadcast_cold(state, host, runner, cold);
+    }
+}
+
+/// Tells all other daemons that a runner is cold, unless they were told a moment ago.
+fn broadcast_cold(state: &GatewayState, host: HostKey, runner: &RunnerInstance, cold: ColdClaim) {
+    let may_announce = {
+        let mut notices = state.notices.borrow_mut();
+        notices.coldness.try_announce(host, state.now())
+    };
+    if may_announce {
+        send_to_others(state, || Datagram::Cold {
+            runner: runner.clone(),
+            cold,
+        });
+    }
+}
+
+/// Returns the key of a runner instance if it is known.
+fn known_host(state: &GatewayState, (name, born): &RunnerInstance) -> Option<HostKey> {
+    let roster = state.roster.borrow();
+    let (key, host) = roster.host_by_name(name)?;
+    (host.runner.born == *born).then_some(key)
+}
+
+/// Sends a datagram to each other daemon.
+fn send_to_others<F>(state: &GatewayState, datagram: F)
+where
+    F: Fn() -> Datagram,
+{
+    let peers = state.peers.borrow();
+    let others = peers
+        .daemons()
+        .filter(|(name, _)| **name != state.settings.name);
+    for address in others.filter_map(|(_, entry)| entry.peer) {
+        state.outbox.send(address, datagram());
+    }
 }
 
 /// Records what another daemon has heard of a runner; returns the runner's key if it is known.
 pub(super) fn accept(state: &GatewayState, notice: &RunnerNotice) -> Option<HostKey> {
-    let (name, born) = &notice.runner;
-    let host = {
-        let roster = state.roster.borrow();
-        let (key, host) = roster.host_by_name(name)?;
-        (host.runner.born == *born).then_some(key)?
-    };
+    let host = known_host(state, &notice.runner)?;
     let heard_at = Time(state.now().0.saturating_sub(notice.age.0));
     let limit_change = state.record_rate_limit(host, notice.rate_limit, heard_at);
     let is_leaving = notice.is_leaving && state.record_leaving(host, true);
@@ -111,12 +176,7 @@
     if !may_announce && !is_leaving {
         return;
     }
-    let peers = state.peers.borrow();
-    let others = peers
-        .daemons()
-        .filter(|(name, _)| **name != state.settings.name);
-    for address in others.filter_map(|(_, entry)| entry.peer) {
-        let notice = describe(state, host, runner.clone());
-        state.outbox.send(address, Datagram::Notice(notice));
-    }
+    send_to_others(state, || {
+        Datagram::Notice(describe(state, host, runner.clone()))
+    });
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
     call::{AttemptError, AttemptParams, Call, InFlightGuard, StartedResponse},
     connection::{CONNECT_TIMEOUT, RunnerConnection, SendError},
     notices::Stated,
-    permits::Permit,
+    permits::{self, Permit},
     reach_check,
     roster::Host,
     selection::has_alternative,
@@ -38,7 +38,7 @@
 pub(super) async fn attempt<A>(
     call: &mut Call,
     endpoint: &Endpoint,
-    _permit: Permit,
+    permit: Permit,
     params: AttemptParams,
 ) -> Result<StartedResponse, AttemptError>
 where
@@ -49,6 +49,9 @@
     if !wants_requests(call, endpoint) {
         return Err(AttemptError::Unreached);
     }
+    let Some(_permit) = permits::renew(&call.state, endpoint, permit).await else {
+        return Err(AttemptError::Unreached);
+    };
     let request = request::<A>(call, endpoint, params);
     call.attempts += 1;
     call.runs += 1;
@@ -133,8 +136,9 @@
 
 /// Records what the runner says of itself.
 fn record_notice(call: &Call, endpoint: &Endpoint, head: &ResponseHead) {
-    let is_invalid =
-        head.notice.rate_limit == Stated::Invalid || head.notice.pause == Stated::Invalid;
+    let is_invalid = head.notice.rate_limit == Stated::Invalid
+        || head.notice.pause == Stated::Invalid
+        || head.notice.cold_left == Stated::Invalid;
     if is_invalid {
         slog::warn!(call.state.log, "invalid notice of runner ignored";
             "request" => call.id(),
--- a/src/gateway/datagrams.rs
+++ b/src/gateway/datagrams.rs
@@ -6,6 +6,7 @@
 use super::{
     announcements,
     changes::source::Source,
+    coldness::ColdClaim,
     contact::ContactReport,
     liveness::GroupProgress,
     notices::RateLimit,
@@ -33,7 +34,7 @@
     pub enum Datagram {
         /// Groups that make progress, for the holder of the duty.
         Progress(Vec<GroupProgress>),
-        /// Request for a permit to send one request to a runner that names a rate limit.
+        /// Request for a permit to send one request to a runner that names a rate limit and isn't cold.
         PermitRequest {
             /// Identifier of the request at its sender.
             id: u64,
@@ -63,6 +64,22 @@
         ContactRequest,
         /// Contact of the sender with the store.
         Contact(ContactReport),
+        /// Request for a permit to send one request to a cold runner.
+        ColdPermitRequest {
+            /// Identifier of the request at its sender.
+            id: u64,
+            /// What the sender knows of the runner.
+            notice: RunnerNotice,
+            /// How long it is cold, and its limit meanwhile.
+            cold: ColdClaim,
+        },
+        /// Start of a runner's cold time, which it has stated in a response.
+        Cold {
+            /// The runner.
+            runner: RunnerInstance,
+            /// How long it is cold, and its limit meanwhile.
+            cold: ColdClaim,
+        },
     }
 
     /// What a runner has said of itself.
@@ -128,8 +145,12 @@
     match postcard::from_bytes::<Datagram>(bytes) {
         Ok(Datagram::Progress(report)) => progress::record(state, &report),
         Ok(Datagram::PermitRequest { id, notice }) => {
-            permits::answer_request(state, id, &notice, from);
+            permits::answer_request(state, id, &notice, None, from);
+        }
+        Ok(Datagram::ColdPermitRequest { id, notice, cold }) => {
+            permits::answer_request(state, id, &notice, Some(cold), from);
         }
+        Ok(Datagram::Cold { runner, cold }) => announcements::accept_cold(state, &runner, cold),
         Ok(Datagram::PermitResponse { id, verdict }) => {
             permits::accept_response(state, id, verdict)
         }
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -2,9 +2,10 @@
 
 use super::{
     adapter::Adapter,
+    coldness::{ColdEntry, EntrySource},
     peers::{DaemonEntry, RunnerHealth},
     quarantine::{entries::QuarantineEntry, exchange, mark::Mark},
-    roster::{Roster, Runner},
+    roster::{Roster, Runner, RunnerInstance},
     state::GatewayState,
     watch::EntryHandler,
 };
@@ -71,6 +72,9 @@
     key.strip_prefix(A::RUNNER_PREFIX).map(HostName::from)
 }
 
+/// Decoded list: the runners, and what their entries say of the time for which they are cold.
+type Decoded = (Vec<(HostName, Runner)>, Vec<(RunnerInstance, ColdEntry)>);
+
 /// Handler of the runners' entries.
 pub struct RunnerHandler<A> {
     state: Rc<GatewayState>,
@@ -114,30 +118,64 @@
     }
 
     /// Decodes a list, in the order in which its entries were written.
-    fn decode_all(&self, mut entries: Vec<PlatformEntry>) -> Vec<(HostName, Runner)> {
+    fn decode_all(&self, mut entries: Vec<PlatformEntry>, source: EntrySource) -> Decoded {
         entries.sort_by_key(|entry| entry.revision);
         let decode = |entry: &PlatformEntry| {
             let name = host_name::<A>(&entry.key)?;
             let runner = self.decode(&name, entry)?;
-            Some((name, runner))
+            let cold = ColdEntry::new(&runner, entry.revision, source);
+            let instance = (name.clone(), runner.born);
+            Some(((name, runner), (instance, cold)))
         };
-        entries.iter().filter_map(decode).collect()
+        entries.iter().filter_map(decode).unzip()
     }
 
     /// Passes a list to the roster by `replace`, which returns the hosts that it lacks.
-    fn apply_list<F>(&self, revision: Revision, entries: Vec<PlatformEntry>, replace: F)
-    where
+    fn apply_list<F>(
+        &self,
+        revision: Revision,
+        entries: Vec<PlatformEntry>,
+        source: EntrySource,
+        replace: F,
+    ) where
         F: FnOnce(&mut Roster, Vec<(HostName, Runner)>, Time) -> Vec<HostName>,
     {
         self.state.runners_revision.set(revision);
-        let listed = self.decode_all(entries);
+        let (listed, cold) = self.decode_all(entries, source);
         let now = self.state.now();
         let unlisted = replace(&mut self.state.roster.borrow_mut(), listed, now);
+        for (runner, entry) in &cold {
+            self.record_cold(runner, entry);
+        }
         unlisted.iter().for_each(|name| self.log_unlisted(name));
         self.state.refresh_groups();
         self.state.runners_listed.set(true);
     }
 
+    /// Records what an entry says of the time for which its runner is cold, unless the roster has
+    /// another run at its place.
+    fn record_cold(&self, (name, born): &RunnerInstance, entry: &ColdEntry) {
+        let host = {
+            let roster = self.state.roster.borrow();
+            let known = roster.host_by_name(name);
+            known
+                .filter(|(_, host)| host.runner.born == *born)
+                .map(|(key, _)| key)
+        };
+        if let Some(host) = host {
+            self.state.record_cold_entry(host, entry);
+        }
+    }
+
+    /// Returns how a list is read that is not from an older copy of the store.
+    fn list_source(&self) -> EntrySource {
+        let is_first = !self.state.runners_listed.get() && self.state.accepted.get() == 0;
+        match is_first {
+            true => EntrySource::FirstList,
+            false => EntrySource::Current,
+        }
+    }
+
     fn log_unlisted(&self, name: &HostName) {
         let roster = self.state.roster.borrow();
         let Some((_, host)) = roster.host_by_name(name) else {
@@ -178,7 +216,10 @@
         match runner {
             Some(runner) => {
                 self.log_draining(&name, &runner);
+                let cold = ColdEntry::new(&runner, event.revision(), EntrySource::Current);
+                let instance = (name.clone(), runner.born);
                 self.state.roster.borrow_mut().put(name, runner);
+                self.record_cold(&instance, &cold);
             }
             None => {
                 let now = self.state.now();
@@ -196,11 +237,13 @@
     A: Adapter,
 {
     fn on_list(&self, revision: Revision, entries: Vec<PlatformEntry>) {
-        self.apply_list(revision, entries, Roster::replace);
+        let source = self.list_source();
+        self.apply_list(revision, entries, source, Roster::replace);
     }
 
     fn on_older_list(&self, revision: Revision, entries: Vec<PlatformEntry>) {
-        self.apply_list(revision, entries, Roster::replace_by_older);
+        let source = EntrySource::OlderList;
+        self.apply_list(revision, entries, source, Roster::replace_by_older);
     }
 
     fn on_change(&self, events: Vec<WatchEvent>) {
--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -119,6 +119,7 @@
         return responses::full(status, Bytes::new());
     }
     if parts.uri.path() == "/metrics" {
+        state.update_gauges();
         return responses::full(StatusCode::OK, metrics::render(&[]).into());
     }
     match A::is_directory_request(&parts) {
--- a/src/gateway/permits/bucket.rs
+++ b/src/gateway/permits/bucket.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     core::time::{Span, Time},
-    gateway::notices::RateLimit,
+    gateway::notices::{AppliedLimit, LimitReason},
 };
 
 /// Number of unused permits that may add up, besides those of a short time.
@@ -11,6 +11,10 @@
 /// Time over which unused permits may add up.
 const BURST_WINDOW: Span = Span::from_millis(250);
 
+/// Time over which unused permits for a cold runner may add up. Its limit is checked over each
+/// second, and a quarter second's permits on top would leave nothing for requests that are late.
+const COLD_BURST_WINDOW: Span = Span::from_millis(50);
+
 /// Minimum rate of permits, in permits a second. A runner that takes no requests gets one now and
 /// then, since only a response can end its limit.
 const MIN_RATE: f64 = 0.1;
@@ -32,9 +36,18 @@
     }
 
     /// Takes one permit out of a `share` of the limit, or returns the time until there is one.
-    pub(super) fn try_take(&mut self, limit: RateLimit, share: f64, now: Time) -> Result<(), Span> {
-        let rate = limit.per_second().max(MIN_RATE) * share;
-        let max = MIN_BURST + rate * BURST_WINDOW.as_secs_f64();
+    pub(super) fn try_take(
+        &mut self,
+        limit: AppliedLimit,
+        share: f64,
+        now: Time,
+    ) -> Result<(), Span> {
+        let window = match limit.reason {
+            LimitReason::Limited => BURST_WINDOW,
+            LimitReason::Cold => COLD_BURST_WINDOW,
+        };
+        let rate = limit.rate.per_second().max(MIN_RATE) * share;
+        let max = MIN_BURST + rate * window.as_secs_f64();
         let added = rate * now.since(self.filled_at).as_secs_f64();
         self.permits = (self.permits + added).min(max);
         self.filled_at = now;
--- a/src/gateway/permits/issuer.rs
+++ b/src/gateway/permits/issuer.rs
@@ -3,7 +3,7 @@
 use super::bucket::Bucket;
 use crate::{
     core::time::{Span, Time},
-    gateway::{notices::RateLimit, roster::RunnerInstance},
+    gateway::{notices::AppliedLimit, roster::RunnerInstance},
 };
 use std::collections::BTreeMap;
 
@@ -32,17 +32,14 @@
 
 impl Issuer {
     /// Issues a permit out of a `share` of a runner's limit, or says when there will be one.
-    pub fn issue(
-        &mut self,
-        runner: &RunnerInstance,
-        limit: RateLimit,
-        share: f64,
-        now: Time,
-    ) -> Verdict {
+    pub fn issue<L>(&mut self, runner: &RunnerInstance, limit: L, share: f64, now: Time) -> Verdict
+    where
+        L: Into<AppliedLimit>,
+    {
         self.forget_idle(now);
         let bucket = self.buckets.entry(runner.clone());
         let bucket = bucket.or_insert_with(|| Bucket::new(now));
-        match bucket.try_take(limit, share, now) {
+        match bucket.try_take(limit.into(), share, now) {
             Ok(()) => Verdict::Granted,
             Err(wait) => Verdict::Denied { wait },
         }
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -10,7 +10,7 @@
     attempt::{attempt, record_failure},
     balancer::ChooseError,
     call::{AttemptError, AttemptParams, Call, StartedResponse},
-    permits,
+    permits::{self, Denials},
     quarantine::crash_check,
     responses::Refusal,
     selection::choose_endpoint,
@@ -23,9 +23,6 @@
 /// Retry delay of a request that no runner could take.
 const UNAVAILABLE_RETRY_DELAY_MS: u64 = 700;
 
-/// Permits that a request may be denied before it looks for a runner without a rate limit.
-const MAX_DENIALS: u32 = 3;
-
 /// Maximum time that a request which may have run waits for runners that are held back; callers of
 /// a stream give up after two seconds.
 const MAX_HELD_BACK_WAIT: Span = Span::from_millis(1_000);
@@ -43,7 +40,8 @@
     A: Adapter,
 {
     let mut last = AttemptError::Unreached;
-    let mut denials = 0;
+    let mut denials = Denials::default();
+    let objective = call.route.objective;
     let mut waited = Span::ZERO;
     loop {
         if call.state.now() >= call.deadline {
@@ -62,7 +60,7 @@
             return Err(final_refusal(call, last));
         }
         let class = call.admission_class(resume_after);
-        let endpoint = match choose_endpoint(call, class, denials >= MAX_DENIALS) {
+        let endpoint = match choose_endpoint(call, class, denials.are_enough(objective)) {
             Ok(endpoint) => endpoint,
             Err(ChooseError::AllFull { retry_delay }) if call.runs == 0 => {
                 return Err(Refusal::Unavailable {
@@ -79,14 +77,19 @@
             {
                 compio::time::sleep(wait.into()).await;
                 waited = waited + wait;
-                denials = 0;
+                denials = Denials::default();
                 continue;
             }
             Err(_) => return Err(final_refusal(call, last)),
         };
-        let Some(permit) = permits::acquire(&call.state, &endpoint).await else {
-            denials += 1;
-            continue;
+        let asked_at = call.state.now();
+        let timeout = denials.time_left(objective);
+        let permit = match permits::acquire(&call.state, &endpoint, timeout).await {
+            Ok(permit) => permit,
+            Err(reason) => {
+                denials.record(reason, call.state.now().since(asked_at));
+                continue;
+            }
         };
         if call.attempts > 0 && !call.state.take_retry(&call.service) {
             return Err(final_refusal(call, last));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,6 +6,7 @@
         Topics,
         source::{self, AvoidedPeers, Source},
     },
+    coldness::{ColdChange, ColdEntry},
     contact::{ContactReport, StoreContact},
     datagrams::Outbox,
     demand::Demand,
@@ -28,7 +29,7 @@
 };
 use crate::{
     core::{
-        keys::{Era, Revision, ServiceName},
+        keys::{Era, HallName, Revision, ServiceName},
         time::{Span, Time},
     },
     shell::{Clock, wakeup::Wakeup},
@@ -195,6 +196,7 @@
             "routes" => spec.routes.len(),
             "accounts" => spec.accounts.len());
         gauge!("configuration_version").set(spec.version as f64);
+        self.notices.borrow_mut().coldness.configure(&spec);
         *self.route_table.borrow_mut() = Some(Rc::new(RouteTable::new(spec)));
         self.refresh_groups();
     }
@@ -235,6 +237,12 @@
         }
     }
 
+    /// Sets the gauges of values that change with time alone.
+    pub fn update_gauges(&self) {
+        let cold = self.notices.borrow().coldness.count(self.now());
+        gauge!("cold_runners").set(cold as f64);
+    }
+
     /// Records a runner's rate limit, or that it has none; logs and returns the change if there is
     /// one.
     pub fn record_rate_limit(
@@ -276,6 +284,81 @@
         self.notices.borrow_mut().record_pause(host, until);
     }
 
+    /// Records what a runner's entry says of the time for which it is cold.
+    pub fn record_cold_entry(&self, host: HostKey, entry: &ColdEntry) {
+        let ColdChange {
+            is_start,
+            is_unreadable,
+        } = {
+            let mut notices = self.notices.borrow_mut();
+            notices.coldness.record_entry(host, entry, self.now())
+        };
+        if is_unreadable {
+            slog::warn!(self.log, "entry of runner has no valid cold time";
+                "host" => self.host_name(host),
+                "stated" => format!("{:?}", entry.cold_left));
+        }
+        if is_start {
+            self.log_cold(host, "entry");
+        }
+    }
+
+    /// Records the time for which a runner stays cold, as its response says; returns true if it
+    /// counts as cold only since.
+    pub fn record_cold_response(&self, host: HostKey, left: Span) -> bool {
+        let now = self.now();
+        let is_start = {
+            let mut notices = self.notices.borrow_mut();
+            notices.coldness.record_response(host, left, now)
+        };
+        if is_start {
+            self.log_cold(host, "response");
+        }
+        is_start
+    }
+
+    /// Records the time for which a runner stays cold, as another daemon says; returns true if it
+    /// counts as cold only since.
+    pub fn record_cold_claim(&self, host: HostKey, left: Span) -> bool {
+        let now = self.now();
+        let is_start = {
+            let mut notices = self.notices.borrow_mut();
+            notices.coldness.record_claim(host, left, now)
+        };
+        if is_start {
+            self.log_cold(host, "daemon");
+        }
+        is_start
+    }
+
+    /// Records that the evacuation of halls has ended: their runners count as cold for the cold
+    /// period of their service, until an entry written since says otherwise.
+    pub fn evacuation_ended(&self, halls: &[HallName]) {
+        let roster = self.roster.borrow();
+        let affected = roster.hosts();
+        let affected = affected.filter(|(_, host)| halls.contains(&host.runner.hall));
+        for (host, _) in affected {
+            let is_start = {
+                let mut notices = self.notices.borrow_mut();
+                notices.coldness.record_evacuation_end(host, self.now())
+            };
+            if is_start {
+                self.log_cold(host, "evacuation");
+            }
+        }
+    }
+
+    fn log_cold(&self, host: HostKey, source: &str) {
+        let claim = {
+            let notices = self.notices.borrow();
+            notices.coldness.claim(host, self.now())
+        };
+        slog::info!(self.log, "runner counts as cold";
+            "host" => self.host_name(host),
+            "source" => source,
+            "left_ms" => claim.map(|claim| claim.left.as_millis()));
+    }
+
     fn host_name(&self, host: HostKey) -> String {
         let roster = self.roster.borrow();
         let name = roster.host(host).map(|host| host.name.as_str().to_owned());
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 45] = [
+const DECISIONS: [&str; 46] = [
     "admission",
     "backoff",
     "balancer",
@@ -37,6 +37,7 @@
     "peer_relay/choice",
     "permits/authority",
     "permits/bucket",
+    "permits/denials",
     "permits/issuer",
     "planner",
     "planner/ending",
