Tests that daemons together keep the rate of cold runners, and use it

Cause: nothing showed what requests a cold runner gets from many daemons.

Change: a simulated fleet of up to 340 daemons whose heads restart, or become cold while they serve, with daemons that join, die and are cut off from the store, and tests with three real daemons. A claim of another daemon that ends about when the own entry does is no news: it kept the cold time of a runner alive on its authority after an entry had ended it (seen in runner_that_becomes_cold_again_is_limited_again).

Result: in the simulation never more than 44 requests in a second of a cold head; the same checks fail with equal shares, four senders a head, and without limits.

--- a/src/gateway/coldness.rs
+++ b/src/gateway/coldness.rs
@@ -33,6 +33,10 @@
 /// exceeds the delay of a datagram: two daemons can't prolong a cold time by telling each other.
 const RELAY_MARGIN: Span = Span::from_millis(500);
 
+/// Time by which the end of a cold time must exceed what a daemon knows to be news: daemons read the
+/// same entry at different times, none before it was written.
+const CLAIM_MARGIN: Span = Span::from_millis(1_000);
+
 /// Minimum interval between two announcements of a runner's cold time.
 const ANNOUNCEMENT_INTERVAL: Span = Span::from_millis(1_000);
 
@@ -265,9 +269,11 @@
     /// Records the time for which a runner stays cold, as another daemon says; returns true if it
     /// counts as cold only since.
     pub fn record_claim(&mut self, host: HostKey, left: Span, now: Time) -> bool {
+        let rate = self.get(host).map(|(_, rate)| rate);
+        let period = rate.map_or(Span::ZERO, |rate| rate.period);
         self.change(host, now, |known| {
             let stated = Statement::new(left, now);
-            if stated.until > known.peer.until {
+            if stated.until > known.until(period).max(now) + CLAIM_MARGIN {
                 known.peer = stated;
             }
         })
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,8 @@
 mod budgets;
 mod candidacy;
 mod changes;
+mod cold_fleet;
+mod cold_limits;
 mod coldness;
 mod contact;
 mod cut_off_heads;
--- a/tests/platform/config.rs
+++ b/tests/platform/config.rs
@@ -12,8 +12,16 @@
 /// Timeout of all routes, in milliseconds.
 pub const TIMEOUT_MS: u64 = 4_000;
 
+/// Requests a second that cold runners of the plain service tolerate, if they may be cold.
+type ColdRate = Option<f64>;
+
 /// Writes a version of the configuration; odd versions route `/moved/` to the plain service.
 pub fn write(store: &Store, version: u64) {
+    write_with(store, version, None);
+}
+
+/// Writes a version of the configuration in which runners of the plain service may be cold.
+pub fn write_with(store: &Store, version: u64, cold_rate: ColdRate) {
     let route = |prefix: &str, kind: &str, service: &str, attempts: u32| {
         json!({
             "Name": prefix, "Host": "a.example", "Prefix": prefix, "Kind": kind,
@@ -39,7 +47,8 @@
     let config = json!({
         "Version": version, "Routes": routes,
         "Services": [
-            {"Name": "plain", "HealthPath": "/healthz", "MaxConns": 100},
+            {"Name": "plain", "HealthPath": "/healthz", "MaxConns": 100, "ColdS": 20,
+                "ColdPerS": cold_rate.unwrap_or_default()},
             {"Name": "engines", "HealthPath": "/healthz", "MaxConns": 100, "Engine": engine},
         ],
         "Tenants": [
--- a/tests/platform/http.rs
+++ b/tests/platform/http.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{BufRead as _, BufReader, Read as _, Write as _},
     net::TcpStream,
+    time::Instant,
 };
 
 /// Request as it was received.
@@ -14,6 +15,8 @@
     pub headers: Vec<String>,
     /// Body.
     pub body: Vec<u8>,
+    /// Time at which it was received.
+    pub at: Instant,
 }
 
 impl RecordedRequest {
@@ -50,6 +53,7 @@
         request_line,
         headers,
         body: Vec::new(),
+        at: Instant::now(),
     };
     let content_length = request
         .header("content-length")
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod behavior;
 mod client;
+mod cold;
 mod config;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod crash;
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -134,6 +134,13 @@
         *self.notices.lock().expect("not poisoned") = header;
     }
 
+    /// Reports in its entry for how long it stays cold.
+    pub fn report_cold(&self, left: Duration) {
+        let millis = left.as_millis() as u64;
+        self.entry.lock().expect("not poisoned")["ColdLeftMs"] = json!(millis);
+        self.register();
+    }
+
     /// Says in all further responses that it leaves; its entry still says that it is ready.
     pub fn say_leaving(&self) {
         *self.notices.lock().expect("not poisoned") = "Server-Leaving: 1\r\n".to_owned();
--- a/tests/stops/main.rs
+++ b/tests/stops/main.rs
@@ -15,6 +15,7 @@
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod client;
 #[path = "../platform/config.rs"]
+#[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod config;
 #[path = "../platform/crash.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
@@ -23,6 +24,7 @@
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod env;
 #[path = "../platform/http.rs"]
+#[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod http;
 #[path = "../platform/link.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
