Tests that permits count across builds of the daemon, and odd datagrams change nothing

Cause: requests for permits for cold runners are a further kind of datagram, and during an upgrade daemons of both builds serve.

Change: a test sends an earlier build's requests for permits to a daemon, and cut and unknown datagrams.

--- a/tests/platform/cold.rs
+++ b/tests/platform/cold.rs
@@ -6,7 +6,10 @@
     http::RecordedRequest,
     runner::Runner,
 };
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use std::{
+    net::{SocketAddr, UdpSocket},
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -194,3 +197,110 @@
     let worst = worst_second(&received(&runners[0], since));
     assert!(worst > MAX_IN_SECOND, "{worst}: it is limited");
 }
+
+/// First kinds of datagrams, as a daemon of an earlier build has them.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierDatagram {
+    Progress(Vec<u8>),
+    PermitRequest {
+        id: u64,
+        /// Host and start of the runner.
+        runner: (String, u64),
+        rate_limit: Option<f64>,
+        age: u64,
+        is_leaving: bool,
+    },
+    PermitResponse {
+        id: u64,
+        verdict: EarlierVerdict,
+    },
+}
+
+/// Response to a request for a permit, as a daemon of an earlier build has it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierVerdict {
+    Granted,
+    Denied { wait: u64 },
+}
+
+/// Socket of a daemon of another build, beside one daemon of this build.
+struct Peer {
+    socket: UdpSocket,
+    address: SocketAddr,
+}
+
+impl Peer {
+    fn start(env: &TestEnv) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+        let timeout = Some(Duration::from_secs(10));
+        socket.set_read_timeout(timeout).expect("a timeout is set");
+        let entry = env.store.value("hickoryledge/daemons/d1");
+        let entry: Value = serde_json::from_str(&entry).expect("an entry");
+        let address = entry["peer"].as_str().expect("an address");
+        let address = address.parse().expect("an address");
+        Self { socket, address }
+    }
+
+    fn send(&self, bytes: &[u8]) {
+        let sent = self.socket.send_to(bytes, self.address);
+        assert_eq!(sent.expect("sent"), bytes.len());
+    }
+
+    /// Asks for a permit for the first runner, of which this daemon knows nothing.
+    fn ask(&self, id: u64) -> EarlierVerdict {
+        let request = EarlierDatagram::PermitRequest {
+            id,
+            runner: ("p1".to_owned(), 7),
+            rate_limit: None,
+            age: 1 << 40,
+            is_leaving: false,
+        };
+        self.send(&postcard::to_stdvec(&request).expect("a datagram"));
+        let mut buffer = [0; 2_048];
+        let (length, _) = self.socket.recv_from(&mut buffer).expect("a response");
+        match postcard::from_bytes(&buffer[..length]).expect("a response") {
+            EarlierDatagram::PermitResponse { id: other, verdict } if other == id => verdict,
+            other => panic!("another response: {other:?}"),
+        }
+    }
+}
+
+// During an upgrade daemons of both builds serve, and the earlier ones know no cold runners.
+#[test]
+fn permits_of_a_daemon_of_an_earlier_build_count_too() {
+    let env = TestEnv::start();
+    config::write_with(&env.store, 3, Some(COLD_RATE));
+    let peer = Peer::start(&env);
+    assert_eq!(peer.ask(1), EarlierVerdict::Granted);
+    env.eventually("the daemon knows who is cold", |env| {
+        env.plain_runners[0].report_cold(COLD_TIME);
+        thread::sleep(WRITE_INTERVAL);
+        env.daemon.metric("hickoryledge_cold_runners") == 1.0
+    });
+    let verdicts = (2..42).map(|id| peer.ask(id));
+    let granted = verdicts.filter(|verdict| *verdict == EarlierVerdict::Granted);
+    assert!(granted.count() <= MAX_IN_SECOND);
+}
+
+// A later build may send kinds of datagrams that this one doesn't have.
+#[test]
+fn unknown_and_cut_datagrams_change_nothing() {
+    let env = TestEnv::start();
+    config::write_with(&env.store, 3, Some(COLD_RATE));
+    let peer = Peer::start(&env);
+    let host = b"\x02p1\x07";
+    let cold = [&[11_u8, 9][..], host, &[0, 0, 0]].concat();
+    for bytes in [
+        &[200_u8, 1, 2, 3][..],
+        &[12],
+        &cold,
+        &[11, 255],
+        b"",
+        &[255; 2_000],
+    ] {
+        peer.send(bytes);
+    }
+    assert_eq!(peer.ask(1), EarlierVerdict::Granted);
+    assert_eq!(env.call("GET", "/read/x", &[], "").status, 200);
+    assert_eq!(env.daemon.metric("hickoryledge_cold_runners"), 0.0);
+}
