--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 52] = [
+const DECISIONS: [&str; 54] = [
     "admission",
     "backoff",
     "balancer",
@@ -22,6 +22,7 @@
     "candidacy",
     "changes/history",
     "changes/source",
+    "coldness",
     "contact",
     "demand",
     "drain",
@@ -43,6 +44,7 @@
     "peer_relay/choice",
     "permits/authority",
     "permits/bucket",
+    "permits/denials",
     "permits/issuer",
     "planner",
     "planner/ending",
@@ -69,7 +71,7 @@
 ];
 
 /// Modules of values that decisions are made about.
-const VALUES: [&str; 3] = ["order", "peers", "spec"];
+const VALUES: [&str; 4] = ["order", "peers", "spec", "stated"];
 
 /// Paths that decisions must not import, by their first names.
 const IO: [&[&str]; 9] = [
--- a/tests/platform/config.rs
+++ b/tests/platform/config.rs
@@ -12,13 +12,25 @@
 /// Timeout of all routes, in milliseconds.
 pub const TIMEOUT_MS: u64 = 4_000;
 
+/// Requests a second that cold runners of the plain service tolerate, if they may be cold.
+type ColdRate = Option<f64>;
+
 /// Writes a version of the configuration; odd versions route `/moved/` to the plain service.
 pub fn write(store: &Store, version: u64) {
-    write_with_slots(store, version, 8);
+    write_spec(store, version, 8, None);
 }
 
 /// Writes a version of the configuration in which a head has this number of slots.
 pub fn write_with_slots(store: &Store, version: u64, slots: u32) {
+    write_spec(store, version, slots, None);
+}
+
+/// Writes a version of the configuration in which runners of the plain service may be cold.
+pub fn write_with(store: &Store, version: u64, cold_rate: ColdRate) {
+    write_spec(store, version, 8, cold_rate);
+}
+
+fn write_spec(store: &Store, version: u64, slots: u32, cold_rate: ColdRate) {
     let route = |prefix: &str, kind: &str, service: &str, attempts: u32| {
         json!({
             "Name": prefix, "Host": "a.example", "Prefix": prefix, "Kind": kind,
@@ -44,7 +56,8 @@
     let config = json!({
         "Version": version, "Routes": routes,
         "Services": [
-            {"Name": "plain", "HealthPath": "/healthz", "MaxConns": 100},
+            {"Name": "plain", "HealthPath": "/healthz", "MaxConns": 100, "ColdS": 20,
+                "ColdPerS": cold_rate.unwrap_or_default()},
             {"Name": "engines", "HealthPath": "/healthz", "MaxConns": 100, "Engine": engine},
         ],
         "Tenants": [
