Serve more urgent ranks first, and accounts by their share, while heads are nearly full

Cause: routes have had a priority that was used nowhere. When requests of several ranks contended for the heads of a model, all were refused alike, and an account with several times its usual demand took as large a part of the slots.

Change: a request has the priority of its account or its route. In services where priorities can differ, a daemon counts the recent requests of its own callers by rank and model and the work of each account. While three quarters of the slots are taken, a request leaves slots free for more urgent ranks that ask for the model, and an account above its max-min share for the other accounts. Retry times, X-Urgency, a counter and a log line follow the rank.

Tests: Account literals name the new field, the balancer's test passes the default precedence, floors lists five new modules of decisions; no check is weaker.

--- /dev/null
+++ b/examples/contention/main.rs
@@ -0,0 +1,84 @@
+//! Compares what ranks and accounts get from heads that don't suffice for all, in virtual time.
+//!
+//! Prints, for each number of daemons and demand, the fractions of requests that
+//! are served and served on time: by rank, and of small accounts beside one with
+//! four times its usual demand.
+
+#[path = "../../tests/gateway/contention_fleet.rs"]
+mod fleet;
+
+use fleet::{Figures, Outcomes, Policy, Scene, play};
+use hickoryledge::core::time::Span;
+
+/// Time that is played after the warm-up.
+const SPAN: Span = Span::from_secs(30);
+/// Numbers of daemons.
+const DAEMONS: [usize; 3] = [8, 61, 195];
+/// Demands in relation to what the heads can serve.
+const LOADS: [f64; 4] = [1.0, 1.3, 2.0, 4.0];
+/// Fraction of the demand that the most urgent rank usually has.
+const MOST_URGENT: f64 = 0.25;
+/// Fraction of the demand that the largest account usually has.
+const LARGEST: f64 = 0.15;
+
+fn main() {
+    println!("served (on time) in percent; x: demand / capacity");
+    println!();
+    println!(
+        "daemons     x policy  rank 0      rank 1      rank 2      slots taken  refused while half free"
+    );
+    for daemons in DAEMONS {
+        for load in LOADS {
+            for policy in [Policy::Alike, Policy::Ranked] {
+                let figures = measure(policy, daemons, load, 1.0 / 24.0);
+                let ranks: Vec<String> = figures.ranks.values().map(text).collect();
+                println!(
+                    "{daemons:7} {load:5.1} {policy:7?} {} {:11.1}  {}",
+                    ranks.join(" "),
+                    figures.taken * 100.0,
+                    figures.refused_while_free
+                );
+            }
+        }
+    }
+    println!();
+    println!(
+        "one account with 4 times its usual {}% of the demand",
+        LARGEST * 100.0
+    );
+    println!("daemons     x policy  large       small       worst small");
+    // The demand of the others stays as it is.
+    let largest = 4.0 * LARGEST / (1.0 - LARGEST + 4.0 * LARGEST);
+    for daemons in DAEMONS {
+        for load in LOADS {
+            for policy in [Policy::Alike, Policy::Ranked] {
+                let figures = measure(policy, daemons, load, largest);
+                let small = figures.accounts.range(1..).map(|(_, outcomes)| outcomes);
+                let worst = small.min_by(|a, b| a.served().total_cmp(&b.served()));
+                println!(
+                    "{daemons:7} {load:5.1} {policy:7?} {} {} {}",
+                    text(&figures.accounts[&0]),
+                    text(&figures.small_accounts()),
+                    worst.map(text).unwrap_or_default()
+                );
+            }
+        }
+    }
+}
+
+fn measure(policy: Policy, daemons: usize, load: f64, largest: f64) -> Figures {
+    let scene = Scene {
+        policy,
+        daemons,
+        load,
+        largest,
+        most_urgent: MOST_URGENT,
+        seed: 7,
+    };
+    play(scene, SPAN)
+}
+
+fn text(outcomes: &Outcomes) -> String {
+    let (served, on_time) = (outcomes.served() * 100.0, outcomes.on_time() * 100.0);
+    format!("{served:5.1}({on_time:4.1})")
+}
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -9,6 +9,7 @@
     load::LoadReport,
     notices::Notice,
     order::Order,
+    rank::RankLevel,
     roster::{Membership, Runner},
     spec::Spec,
 };
@@ -127,6 +128,8 @@
     pub resume_after: Option<u64>,
     /// Admission class, which the runner receives as the request's urgency.
     pub class: AdmissionClass,
+    /// Urgency of the request's rank, which counts between requests of one class.
+    pub rank: RankLevel,
 }
 
 /// Decoded head of a runner's response.
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -4,7 +4,8 @@
 //! little. A group head therefore gets no more requests than it can run at
 //! once, and the rest are refused immediately with a time to retry after. A
 //! request that has already missed its objective only gets slots that would
-//! otherwise stay free.
+//! otherwise stay free, and while the heads are nearly full, a less urgent one
+//! leaves slots for more urgent ones (`contention`).
 
 use super::{load::Loads, roster::HostKey, spec::Engine};
 use crate::core::{
@@ -24,7 +25,13 @@
 const MIN_RETRY_DELAY: Span = Span::from_millis(1_200);
 
 /// Maximum random addition to the retry delay, so that callers don't return together.
-const MAX_RETRY_JITTER_MS: u64 = 1_000;
+pub(super) const RETRY_SPREAD: Span = Span::from_millis(1_000);
+
+/// Fraction of the heads' slots that are taken from which requests contend for them.
+const CONTENTION_FRACTION: f64 = 0.75;
+
+/// Maximum fraction of the heads' slots that a request leaves free for others.
+const MAX_RESERVE_FRACTION: f64 = 0.25;
 
 /// Time that a request takes besides prefill and decode: connecting, and waiting for a slot.
 const START_OVERHEAD: Span = Span::from_millis(300);
@@ -43,6 +50,55 @@
     Late,
 }
 
+/// What a request has to leave to others. By default it leaves nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Precedence {
+    /// Slots of all heads together to leave free for more urgent ranks.
+    pub for_ranks: u32,
+    /// Further slots to leave free for accounts that are below their share.
+    pub for_accounts: u32,
+    /// Addition to the retry delay, by which more urgent callers return earlier.
+    pub retry_offset: Span,
+    /// Maximum random addition to the retry delay.
+    pub retry_spread: Span,
+}
+
+impl Default for Precedence {
+    fn default() -> Self {
+        Self {
+            for_ranks: 0,
+            for_accounts: 0,
+            retry_offset: Span::ZERO,
+            retry_spread: RETRY_SPREAD,
+        }
+    }
+}
+
+/// Reason for which the heads that serve a model take no request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FullReason {
+    /// The free slots are left to more urgent ranks.
+    Rank,
+    /// The free slots are left to accounts that are below their share.
+    Account,
+    /// No slot is free.
+    Full,
+    /// The free slots are left to requests that can still meet their objective.
+    Late,
+}
+
+impl FullReason {
+    /// Returns the label value in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            FullReason::Rank => "rank",
+            FullReason::Account => "account",
+            FullReason::Full => "full",
+            FullReason::Late => "late",
+        }
+    }
+}
+
 /// Returns the maximum number of requests that a head may hold, including the next one.
 pub fn max_in_flight(slots: u32, class: AdmissionClass) -> u32 {
     match class {
@@ -79,13 +135,71 @@
     loads.in_flight(head, now) < max_in_flight(slots, class)
 }
 
+/// Returns the reason for which no head has room for a request of this class.
+pub(super) fn full_reason(
+    heads: &[HostKey],
+    loads: &Loads,
+    slots: u32,
+    class: AdmissionClass,
+    now: Time,
+) -> FullReason {
+    let has_room_on_time = |head| has_room(head, loads, slots, AdmissionClass::OnTime, now);
+    let is_late = class == AdmissionClass::Late;
+    match is_late && heads.iter().copied().any(has_room_on_time) {
+        true => FullReason::Late,
+        false => FullReason::Full,
+    }
+}
+
+/// Returns true if enough slots of the heads are taken that requests contend for the others.
+pub(super) fn is_contended(heads: &[HostKey], loads: &Loads, slots: u32, now: Time) -> bool {
+    let taken = heads
+        .iter()
+        .map(|head| loads.in_flight(*head, now).min(slots));
+    let taken: u32 = taken.sum();
+    f64::from(taken) >= f64::from(slots) * heads.len() as f64 * CONTENTION_FRACTION
+}
+
+/// Returns the reason for which a request has to leave the free slots of contended heads to others,
+/// if it has to.
+///
+/// The heads count together: a request that finds one of them full goes to another one.
+pub(super) fn reserved_for_others(
+    heads: &[HostKey],
+    loads: &Loads,
+    slots: u32,
+    class: AdmissionClass,
+    precedence: Precedence,
+    now: Time,
+) -> Option<FullReason> {
+    if class == AdmissionClass::Resumed {
+        return None;
+    }
+    let limit = max_in_flight(slots, class);
+    let free = heads
+        .iter()
+        .map(|head| limit.saturating_sub(loads.in_flight(*head, now)));
+    let free: u32 = free.sum();
+    let max_reserve = f64::from(slots) * heads.len() as f64 * MAX_RESERVE_FRACTION;
+    let for_ranks = precedence.for_ranks.min(max_reserve as u32);
+    let reserve = (for_ranks + precedence.for_accounts).min(max_reserve as u32);
+    match free {
+        _ if reserve == 0 => None,
+        free if free <= for_ranks => Some(FullReason::Rank),
+        free if free <= reserve => Some(FullReason::Account),
+        _ => None,
+    }
+}
+
 /// Returns the delay after which a refused caller should retry.
 ///
-/// By then the least loaded head must have worked off its requests beyond its slots.
+/// By then the least loaded head must have worked off its requests beyond its slots. Callers of less
+/// urgent ranks return later, and spread over more time the more of them are refused.
 pub(super) fn retry_delay<R>(
     heads: &[HostKey],
     loads: &Loads,
     engine: &Engine,
+    precedence: Precedence,
     now: Time,
     rng: &mut R,
 ) -> Span
@@ -98,7 +212,8 @@
         .min()
         .unwrap_or_default();
     let drain_time = engine.mean_request_time().times(u64::from(excess));
-    MIN_RETRY_DELAY.max(drain_time) + retry_jitter(rng)
+    let delay = MIN_RETRY_DELAY.max(drain_time) + precedence.retry_offset;
+    delay + retry_jitter(precedence.retry_spread, rng)
 }
 
 /// Returns the delay after which a caller should retry that was refused because its runners want no
@@ -107,12 +222,12 @@
 where
     R: Rng,
 {
-    MIN_RETRY_DELAY.max(wait) + retry_jitter(rng)
+    MIN_RETRY_DELAY.max(wait) + retry_jitter(RETRY_SPREAD, rng)
 }
 
-fn retry_jitter<R>(rng: &mut R) -> Span
+fn retry_jitter<R>(spread: Span, rng: &mut R) -> Span
 where
     R: Rng,
 {
-    Span::from_millis(rng.random_range(0..MAX_RETRY_JITTER_MS))
+    Span::from_millis(rng.random_range(0..spread.as_millis().max(1)))
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -200,6 +200,7 @@
         account: call.account.as_ref(),
         resume_after: params.resume_after,
         class: params.class,
+        rank: call.rank.level(),
     };
     A::set_headers(headers, &values);
     request
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -6,7 +6,7 @@
 //! don't all choose the same runner.
 
 use super::{
-    admission::{self, AdmissionClass},
+    admission::{self, AdmissionClass, FullReason, Precedence},
     load::Loads,
     notices::Notices,
     roster::{HostKey, Roster, RunnerInstance, SLOW_FACTOR},
@@ -42,6 +42,8 @@
     pub model: Option<(&'a ModelName, &'a Engine)>,
     /// Admission class of the request.
     pub class: AdmissionClass,
+    /// What the request has to leave to others.
+    pub precedence: Precedence,
     /// Expected duration of the request at a group that isn't slow.
     pub duration: Span,
     /// Time left until the request's deadline.
@@ -104,6 +106,8 @@
     AllFull {
         /// Delay after which the caller should retry.
         retry_delay: Span,
+        /// Reason for which none of them takes the request.
+        reason: FullReason,
     },
     /// All runners that serve the request want none now, by their rate limits or pauses.
     HeldBack {
@@ -186,7 +190,8 @@
 }
 
 /// Returns the candidates below their limit that can finish the request in time, only slow ones if
-/// there are no others.
+/// there are no others. While the heads are contended, candidates whose free slots are reserved for
+/// others are left out.
 fn admit<R>(
     candidates: Vec<Candidate>,
     loads: &Loads,
@@ -204,19 +209,45 @@
         admission::has_room(candidate.host, loads, engine.slots, criteria.class, now)
             && criteria.can_finish_at(candidate)
     });
-    let fast: Vec<Candidate> = admitted
-        .iter()
-        .filter(|candidate| candidate.slowdown < SLOW_FACTOR)
-        .copied()
-        .collect();
-    if !fast.is_empty() {
-        return Ok(fast);
-    }
-    if admitted.is_empty() {
-        let retry_delay = admission::retry_delay(&heads, loads, engine, now, rng);
-        return Err(ChooseError::AllFull { retry_delay });
+    let (fast, slow): (Vec<Candidate>, Vec<Candidate>) = admitted
+        .into_iter()
+        .partition(|candidate| candidate.slowdown < SLOW_FACTOR);
+    let is_contended = admission::is_contended(&heads, loads, engine.slots, now);
+    let mut reason = None;
+    for candidates in [fast, slow] {
+        if candidates.is_empty() {
+            continue;
+        }
+        let reserved = is_contended
+            .then(|| reserved_for_others(&candidates, loads, engine, criteria, now))
+            .flatten();
+        match reserved {
+            None => return Ok(candidates),
+            Some(reserved) => reason = reason.or(Some(reserved)),
+        }
     }
-    Ok(admitted)
+    let full = || admission::full_reason(&heads, loads, engine.slots, criteria.class, now);
+    let precedence = criteria.precedence;
+    Err(ChooseError::AllFull {
+        retry_delay: admission::retry_delay(&heads, loads, engine, precedence, now, rng),
+        reason: reason.unwrap_or_else(full),
+    })
+}
+
+/// Returns the reason for which a request must leave the free slots of candidates to others, if it
+/// must.
+fn reserved_for_others(
+    candidates: &[Candidate],
+    loads: &Loads,
+    engine: &Engine,
+    criteria: &Criteria<'_>,
+    now: Time,
+) -> Option<FullReason> {
+    let heads: Vec<HostKey> = candidates.iter().map(|candidate| candidate.host).collect();
+    let Criteria {
+        class, precedence, ..
+    } = *criteria;
+    admission::reserved_for_others(&heads, loads, engine.slots, class, precedence, now)
 }
 
 /// Returns true if a response from a chosen runner may still be expected.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -8,6 +8,7 @@
     open_requests::OpenGuard,
     peer_relay::RelayedGuard,
     quarantine::mark::Mark,
+    rank::Rank,
     roster::HostKey,
     spec::{Route, RouteKind},
     state::GatewayState,
@@ -53,6 +54,8 @@
     pub body: Bytes,
     /// Account of the caller.
     pub account: Option<AccountName>,
+    /// Rank within the service.
+    pub rank: Rank,
     /// Hash of what makes it the same as another request.
     pub fingerprint: Fingerprint,
     /// True once it was passed to other daemons.
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -4,6 +4,8 @@
 //! a model is its work divided by its number of groups, counting one more.
 
 use super::{
+    contention::Request,
+    decay,
     pool::Pool,
     spec::{Engine, Replication},
 };
@@ -31,29 +33,18 @@
 }
 
 impl Demand {
-    /// Adds the work of a request with these numbers of prompt and answer tokens.
-    pub fn count(
-        &mut self,
-        engine: &Engine,
-        model: &ModelName,
-        prompt_tokens: u32,
-        answer_tokens: u32,
-        now: Time,
-    ) {
-        let Some(replication) = engine.replication(model) else {
+    /// Adds the work of a request.
+    pub fn count(&mut self, request: &Request<'_>, now: Time) {
+        let Some(replication) = request.engine.replication(request.model) else {
             return;
         };
         self.decay(now);
-        let work = engine
-            .replica_time(prompt_tokens, answer_tokens)
-            .as_secs_f64()
-            * replication.pace;
-        *self.work.entry(model.clone()).or_default() += work;
+        let work = request.work().as_secs_f64() * replication.pace;
+        *self.work.entry(request.model.clone()).or_default() += work;
     }
 
     fn decay(&mut self, now: Time) {
-        let halves = now.since(self.updated).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let factor = 0.5_f64.powf(halves);
+        let factor = decay::factor(now.since(self.updated), HALF_LIFE);
         self.work.values_mut().for_each(|work| *work *= factor);
         self.updated = now;
     }
--- /dev/null
+++ b/src/gateway/fair_share.rs
@@ -0,0 +1,128 @@
+//! Max-min fairness between the accounts of one rank, by recent work.
+//!
+//! The work that was admitted is what the accounts can have together. It is
+//! divided so that none gets more than it asks for, and no account that gets
+//! less than another could have more. All accounts weigh the same. An account
+//! that was admitted more than this level is above its share.
+
+use super::decay;
+use crate::core::{
+    keys::AccountName,
+    time::{Span, Time},
+};
+use std::collections::BTreeMap;
+
+/// Half-life of the weight of work; a daemon with seven requests a second then counts about 150, a
+/// few for each of dozens of accounts.
+const HALF_LIFE: Span = Span::from_secs(15);
+
+/// Interval at which work decays and the level is derived anew.
+const REFRESH_INTERVAL: Span = Span::from_millis(200);
+
+/// Work of an account, in seconds of a replica, below which it is forgotten.
+const MIN_WORK_SECS: f64 = 1e-3;
+
+/// Fraction of the work asked for that is admitted without contention; the rest may be under way.
+const UNCONTENDED_FRACTION: f64 = 0.97;
+
+/// Recent work of one account, in seconds of a replica.
+#[derive(Clone, Copy, Debug, Default)]
+struct Work {
+    requested: f64,
+    admitted: f64,
+}
+
+/// Recent work of the accounts of one rank.
+#[derive(Clone, Debug, Default)]
+pub struct FairShare {
+    /// Work by account; requests without an account share one entry.
+    accounts: BTreeMap<Option<AccountName>, Work>,
+    /// Decayed number of requests.
+    requests: f64,
+    /// Work up to which an account is at most at its share; none without contention.
+    level: Option<f64>,
+    /// Time of the last decay.
+    updated: Time,
+}
+
+impl FairShare {
+    /// Adds the work of a request that arrived.
+    pub fn record_request(&mut self, account: Option<&AccountName>, work: Span, now: Time) {
+        self.refresh(now);
+        self.requests += 1.0;
+        self.entry(account).requested += work.as_secs_f64();
+    }
+
+    /// Adds the work of a request that is sent to a head.
+    pub fn record_admission(&mut self, account: Option<&AccountName>, work: Span, now: Time) {
+        self.refresh(now);
+        self.entry(account).admitted += work.as_secs_f64();
+    }
+
+    /// Decays the work and derives the level, if that is due.
+    pub fn refresh(&mut self, now: Time) {
+        let elapsed = now.since(self.updated);
+        if elapsed < REFRESH_INTERVAL {
+            return;
+        }
+        self.updated = now;
+        let factor = decay::factor(elapsed, HALF_LIFE);
+        self.requests *= factor;
+        for work in self.accounts.values_mut() {
+            work.requested *= factor;
+            work.admitted *= factor;
+        }
+        self.accounts
+            .retain(|_, work| work.requested >= MIN_WORK_SECS);
+        self.level = self.find_level();
+    }
+
+    fn entry(&mut self, account: Option<&AccountName>) -> &mut Work {
+        self.accounts.entry(account.cloned()).or_default()
+    }
+}
+
+impl FairShare {
+    /// Returns the fraction of the work asked for that is that of other accounts, if an account is
+    /// above its share.
+    pub fn others_if_above(&self, account: Option<&AccountName>) -> Option<f64> {
+        let level = self.level?;
+        let own = self.accounts.get(&account.cloned())?;
+        let requested = self.total(|work| work.requested);
+        // A few requests in a small sample are no proof that an account gets more than others.
+        let tolerance = (level * requested / self.requests.max(1.0)).sqrt();
+        let is_above = own.admitted > level + tolerance;
+        is_above.then(|| 1.0 - own.requested / requested)
+    }
+
+    fn find_level(&self) -> Option<f64> {
+        let admitted = self.total(|work| work.admitted);
+        if admitted >= self.total(|work| work.requested) * UNCONTENDED_FRACTION {
+            return None;
+        }
+        let demands = self.accounts.values().map(|work| work.requested);
+        max_min_level(demands.collect(), admitted)
+    }
+
+    fn total<F>(&self, of: F) -> f64
+    where
+        F: Fn(&Work) -> f64,
+    {
+        self.accounts.values().map(of).sum()
+    }
+}
+
+/// Returns the level at which demands cut to it add up to `capacity`; none if capacity suffices for
+/// all.
+pub fn max_min_level(mut demands: Vec<f64>, capacity: f64) -> Option<f64> {
+    demands.sort_by(f64::total_cmp);
+    let mut left = capacity;
+    for (index, demand) in demands.iter().enumerate() {
+        let level = left / (demands.len() - index) as f64;
+        if *demand > level {
+            return Some(level);
+        }
+        left -= demand;
+    }
+    None
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,6 +9,7 @@
     attempt::{record_failure, wait_while_serving},
     balancer::Endpoint,
     call::{AttemptError, Call, Origin, StartedResponse, id_text},
+    contention,
     open_requests::OpenGuard,
     peer_relay::{self, Admitted, RelayError},
     quarantine::{crash_check, fingerprint::Identity},
@@ -126,6 +127,7 @@
     let model = engine.zip(head.model.as_ref());
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let deadline = arrived + timeout.min(route.timeout);
+    let rank = table.rank(&service, &route, account.as_ref());
     let estimate = admission::expected_duration(model, head.prompt_tokens, head.max_tokens);
     if !state.admits(deadline, estimate) {
         return Err(Refusal::Unavailable {
@@ -137,8 +139,20 @@
         state.count_request(&service);
     }
     if let Some((engine, model)) = model.filter(|_| admitted.is_none()) {
-        let mut demand = state.demand.borrow_mut();
-        demand.count(engine, model, head.prompt_tokens, head.max_tokens, arrived);
+        let request = contention::Request {
+            service: &service,
+            model,
+            engine,
+            rank,
+            account: account.as_ref(),
+            prompt_tokens: head.prompt_tokens,
+            answer_tokens: head.max_tokens,
+        };
+        state
+            .contention
+            .borrow_mut()
+            .record_request(&request, arrived);
+        state.demand.borrow_mut().count(&request, arrived);
     }
     let time_spent = state.estimate_time_spent(&route.name, timeout);
     let mut headers = parts.headers;
@@ -153,6 +167,7 @@
         headers,
         body,
         account,
+        rank,
         fingerprint,
         arrival,
         is_relayed: false,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,7 +7,7 @@
 //! every daemon derives the same groups from their entries.
 //!
 //! Modules that decide (`routes`, `contact`, `roster`, `group`, `candidacy`, `balancer`,
-//! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
+//! `admission`, `contention`, `rank`, `rank_demand`, `fair_share`, `decay`, `load`, `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
 //! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`,
 //! `drain`, `reach`, `peer_relay::choice`, those of `quarantine` that it names) read
@@ -26,11 +26,14 @@
 pub mod changes;
 mod connection;
 pub mod contact;
+pub mod contention;
 mod datagrams;
+mod decay;
 pub mod demand;
 pub mod drain;
 mod duty;
 pub mod events;
+pub mod fair_share;
 pub mod formation;
 mod forward;
 pub mod group;
@@ -57,6 +60,8 @@
 mod prober;
 mod progress;
 pub mod quarantine;
+pub mod rank;
+pub mod rank_demand;
 pub mod reach;
 mod reach_check;
 pub mod responses;
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -6,16 +6,17 @@
 
 use super::{
     adapter::Adapter,
-    admission,
+    admission::{self, FullReason},
     attempt::{attempt, record_failure},
     balancer::ChooseError,
     call::{AttemptError, AttemptParams, Call, StartedResponse},
     permits,
     quarantine::crash_check,
     responses::Refusal,
-    selection::choose_endpoint,
+    selection::{choose_endpoint, record_admission},
 };
 use crate::core::time::Span;
+use metrics::counter;
 
 /// Attempts allowed beyond the route's limit, for runners that did not run the request.
 const MAX_EXTRA_ATTEMPTS: u32 = 2;
@@ -64,7 +65,11 @@
         let class = call.admission_class(resume_after);
         let endpoint = match choose_endpoint(call, class, denials >= MAX_DENIALS) {
             Ok(endpoint) => endpoint,
-            Err(ChooseError::AllFull { retry_delay }) if call.runs == 0 => {
+            Err(ChooseError::AllFull {
+                retry_delay,
+                reason,
+            }) if call.runs == 0 => {
+                count_refusal(call, reason, retry_delay);
                 return Err(Refusal::Unavailable {
                     retry_ms: retry_delay.as_millis(),
                 });
@@ -91,6 +96,9 @@
         if call.attempts > 0 && !call.state.take_retry(&call.service) {
             return Err(final_refusal(call, last));
         }
+        if call.tried.is_empty() {
+            record_admission(call);
+        }
         call.tried.push(endpoint.host);
         let params = AttemptParams {
             resume_after,
@@ -111,6 +119,21 @@
     }
 }
 
+/// Counts a request that is refused because the heads are full, and logs it if ranks differ.
+fn count_refusal(call: &Call, reason: FullReason, retry_delay: Span) {
+    let rank = call.rank;
+    let priority = rank.priority().to_string();
+    counter!("requests_not_admitted_total", "reason" => reason.name(), "priority" => priority)
+        .increment(1);
+    if rank.is_ranked() {
+        slog::info!(call.state.log, "request not admitted";
+            "request" => call.id(),
+            "priority" => rank.priority(),
+            "reason" => reason.name(),
+            "retry_ms" => retry_delay.as_millis());
+    }
+}
+
 /// Returns the refusal of a request that has not run, because all its runners want none for some
 /// time, by their rate limits or pauses.
 fn refuse_held_back(call: &Call, wait: Span) -> Refusal {
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -1,6 +1,9 @@
 //! Matches requests to routes, services and accounts.
 
-use super::spec::{Route, Spec};
+use super::{
+    rank::{Rank, Ranks},
+    spec::{Route, Spec},
+};
 use crate::core::keys::{AccountName, KeyHash, ServiceName};
 use std::collections::HashMap;
 
@@ -11,6 +14,9 @@
     /// Indices of the routes of each host name, the longest prefix first.
     by_host: HashMap<String, Vec<usize>>,
     by_key: HashMap<KeyHash, AccountName>,
+    /// Priorities of the accounts that have one.
+    account_priorities: HashMap<AccountName, u8>,
+    ranks: Ranks,
 }
 
 impl RouteTable {
@@ -28,10 +34,16 @@
             .iter()
             .flat_map(|account| account.keys.iter().map(|key| (*key, account.name.clone())))
             .collect();
+        let accounts = spec.accounts.iter();
+        let account_priorities = accounts
+            .filter_map(|account| Some((account.name.clone(), account.priority?)))
+            .collect();
         Self {
+            ranks: Ranks::new(&spec),
             spec,
             by_host,
             by_key,
+            account_priorities,
         }
     }
 
@@ -54,6 +66,17 @@
         !self.spec.accounts.is_empty()
     }
 
+    /// Returns the rank of a request to a service.
+    pub fn rank(
+        &self,
+        service: &ServiceName,
+        route: &Route,
+        account: Option<&AccountName>,
+    ) -> Rank {
+        let priority = account.and_then(|account| self.account_priorities.get(account));
+        self.ranks.rank(service, route, priority.copied())
+    }
+
     /// Returns the account that a key belongs to.
     pub fn account(&self, key: &KeyHash) -> Option<&AccountName> {
         self.by_key.get(key)
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -1,9 +1,11 @@
 //! Chooses the runner for a request from what the daemon knows now.
 
 use super::{
-    admission::{self, AdmissionClass},
+    admission::{self, AdmissionClass, Precedence},
     balancer::{self, ChooseError, Criteria, Endpoint, View},
     call::Call,
+    contention,
+    routes::RouteTable,
 };
 
 /// Chooses a runner that the request was not sent to yet; `unlimited` excludes those that name a
@@ -26,6 +28,7 @@
         service: &call.service,
         model,
         class,
+        precedence: precedence(call, class),
         duration: admission::expected_duration(
             model.map(|(model, engine)| (engine, model)),
             call.head.prompt_tokens,
@@ -44,6 +47,45 @@
     balancer::choose(view, criteria, now, &mut *state.rng.borrow_mut())
 }
 
+/// Returns what a request has to leave to others. One that may have run goes on whatever others
+/// need.
+fn precedence(call: &Call, class: AdmissionClass) -> Precedence {
+    let state = &call.state;
+    let table = state.route_table();
+    let request = table.as_ref().and_then(|table| contending(call, table));
+    match request {
+        Some(request) if class != AdmissionClass::Resumed => {
+            let daemons = state.peers.borrow().count().max(1);
+            let contention = state.contention.borrow();
+            contention.precedence(&request, daemons, state.now())
+        }
+        _ => Precedence::default(),
+    }
+}
+
+/// Counts a request as sent to a head, unless another daemon passed it on.
+pub(super) fn record_admission(call: &Call) {
+    let table = call.state.route_table();
+    let request = table.as_ref().and_then(|table| contending(call, table));
+    if let Some(request) = request.filter(|_| call.relayed.is_none()) {
+        let mut contention = call.state.contention.borrow_mut();
+        contention.record_admission(&request, call.state.now());
+    }
+}
+
+/// Returns a model's request as far as it matters for contention.
+fn contending<'a>(call: &'a Call, table: &'a RouteTable) -> Option<contention::Request<'a>> {
+    Some(contention::Request {
+        service: &call.service,
+        model: call.head.model.as_ref()?,
+        engine: table.spec().engine(&call.service)?,
+        rank: call.rank,
+        account: call.account.as_ref(),
+        prompt_tokens: call.head.prompt_tokens,
+        answer_tokens: call.head.max_tokens,
+    })
+}
+
 /// Returns true if a request that may have run could go on at another runner now.
 pub(super) fn has_alternative(call: &Call) -> bool {
     call.may_fail_over() && choose_endpoint(call, AdmissionClass::Resumed, false).is_ok()
--- a/src/gateway/spec.rs
+++ b/src/gateway/spec.rs
@@ -131,6 +131,8 @@
         pub name: AccountName,
         /// Hashes of its API keys.
         pub keys: Vec<KeyHash>,
+        /// Rank of its requests, in place of the route's; 0 is the most urgent.
+        pub priority: Option<u8>,
     }
 
     /// Limits on requests and connections of callers.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,6 +7,7 @@
         source::{self, AvoidedPeers, Source},
     },
     contact::{ContactReport, StoreContact},
+    contention::Contention,
     datagrams::Outbox,
     demand::Demand,
     drain::Drain,
@@ -91,6 +92,8 @@
     pub progress: RefCell<ReportedProgress>,
     /// Recent demand for each model.
     pub demand: RefCell<Demand>,
+    /// Recent requests by rank and account.
+    pub contention: RefCell<Contention>,
     /// Retry budget of each service.
     retry_budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     /// Largest recent count of daemons, which share the retry budgets.
@@ -149,6 +152,7 @@
             quarantine: Quarantine::default(),
             progress: RefCell::default(),
             demand: RefCell::default(),
+            contention: RefCell::default(),
             retry_budgets: RefCell::default(),
             daemon_count: RefCell::default(),
             max_timeouts: RefCell::default(),
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 44] = [
+const DECISIONS: [&str; 49] = [
     "admission",
     "backoff",
     "balancer",
@@ -22,8 +22,11 @@
     "changes/history",
     "changes/source",
     "contact",
+    "contention",
+    "decay",
     "demand",
     "drain",
+    "fair_share",
     "formation",
     "group",
     "held_bytes",
@@ -49,6 +52,8 @@
     "quarantine/restarts",
     "quarantine/soundness",
     "quarantine/suspects",
+    "rank",
+    "rank_demand",
     "reach",
     "roster",
     "roster/listing",
--- a/tests/gateway/balancer.rs
+++ b/tests/gateway/balancer.rs
@@ -7,7 +7,7 @@
         time::{Span, Time},
     },
     gateway::{
-        admission::AdmissionClass,
+        admission::{AdmissionClass, Precedence},
         balancer::{ChooseError, Criteria, Endpoint, View, choose, still_serves},
         load::{LoadReport, Loads},
         notices::{Notices, RateLimit},
@@ -55,6 +55,7 @@
             service: &service,
             model: Some((&model, engine)),
             class,
+            precedence: Precedence::default(),
             duration: self.duration,
             remaining: Span::from_secs(8),
             hall: &HallName::from("hall"),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,8 @@
 mod candidacy;
 mod changes;
 mod contact;
+mod contention;
+mod contention_fleet;
 mod cut_off_heads;
 mod departures;
 mod drain;
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -6,6 +6,7 @@
         time::Span,
     },
     gateway::{
+        rank::Rank,
         routes::RouteTable,
         spec::{Account, Route, RouteKind, Share, Spec},
     },
@@ -45,6 +46,7 @@
         accounts: vec![Account {
             name: AccountName::from("first"),
             keys: vec![KeyHash([1; 32]), KeyHash([2; 32])],
+            priority: None,
         }],
         ..Spec::default()
     })
@@ -80,3 +82,51 @@
     assert_eq!(account(2), Some("first"));
     assert_eq!(account(3), None);
 }
+
+fn ranked_table(routes: [(u8, &str); 2], accounts: &[Option<u8>]) -> RouteTable {
+    let route = |(priority, service): (u8, &str)| Route {
+        priority,
+        ..route("r", "a.example", "/", &[(service, 1)])
+    };
+    let account = |(number, priority): (usize, &Option<u8>)| Account {
+        name: AccountName::from(format!("a{number}")),
+        keys: Vec::new(),
+        priority: *priority,
+    };
+    RouteTable::new(Spec {
+        routes: routes.map(route).to_vec(),
+        accounts: accounts.iter().enumerate().map(account).collect(),
+        ..Spec::default()
+    })
+}
+
+fn rank(table: &RouteTable, route: usize, service: &str, account: Option<&str>) -> Rank {
+    let route = &table.spec().routes[route];
+    let account = account.map(AccountName::from);
+    table.rank(&ServiceName::from(service), route, account.as_ref())
+}
+
+#[test]
+fn account_priority_takes_precedence_over_that_of_route() {
+    let table = ranked_table([(1, "s"), (2, "s")], &[None, Some(0)]);
+    assert_eq!(rank(&table, 1, "s", None).priority(), 2);
+    assert_eq!(rank(&table, 1, "s", Some("a0")).priority(), 2);
+    let urgent = rank(&table, 1, "s", Some("a1"));
+    assert_eq!((urgent.priority(), urgent.position()), (0, 0));
+    assert_eq!(rank(&table, 1, "s", None).position(), 2);
+}
+
+/// Ranks must not change how a service is served whose requests all have the same one.
+#[test]
+fn ranks_count_only_within_services_where_they_differ() {
+    let apart = ranked_table([(1, "s"), (2, "t")], &[None]);
+    assert_eq!(rank(&apart, 0, "s", None), Rank::default());
+    assert_eq!(rank(&apart, 1, "t", None), Rank::default());
+    let together = ranked_table([(1, "s"), (2, "s")], &[None]);
+    assert!(rank(&together, 0, "s", None).is_ranked());
+    let by_account = ranked_table([(1, "s"), (1, "t")], &[None, Some(3)]);
+    assert!(rank(&by_account, 0, "s", None).is_ranked());
+    // All accounts have the same priority, so that those of the routes don't count.
+    let overridden = ranked_table([(1, "s"), (2, "s")], &[Some(5), Some(5)]);
+    assert!(!rank(&overridden, 0, "s", Some("a0")).is_ranked());
+}
--- a/tests/platform/decoding.rs
+++ b/tests/platform/decoding.rs
@@ -2,19 +2,21 @@
 
 use hickoryledge::{
     core::{
-        keys::{Epoch, GroupName, PromptPart},
+        keys::{Epoch, GroupName, HostName, PromptPart},
         time::Span,
     },
     gateway::{
-        adapter::Adapter as _,
+        adapter::{Adapter as _, ForwardHeaders},
+        admission::AdmissionClass,
         notices::{Notice, RateLimit, Stated},
         order::Order,
+        rank::RankLevel,
         roster::{MemberState, Runner},
         spec::RouteKind,
     },
     platform::Platform,
 };
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 
 const ENTRY: &str = r#"{"Service":"s","Address":"10.0.0.9:80","Zone":"hall","Version":"v1",
     "Slots":26,"State":"ready","ColdLeftMs":0,"Domain":"d1","Staged":["m"],"born":1700,
@@ -165,3 +167,50 @@
     let many: String = (0..999).map(|part| format!("{part:x}:1,")).collect();
     assert!(shared_parts(&(many + "7:1")).len() <= 32);
 }
+
+/// A priority that makes no sense must not cost the account its keys, nor daemons the configuration.
+#[test]
+fn ignores_priority_of_account_that_is_none() {
+    let priority = |text: &str| {
+        let config =
+            format!(r#"{{"Version":3,"Tenants":[{{"Name":"first","ApiKeys":["k"]{text}}}]}}"#);
+        let spec = Platform::decode_spec(&config).expect("a configuration");
+        assert_eq!(spec.accounts[0].keys.len(), 1);
+        spec.accounts[0].priority
+    };
+    assert_eq!(priority(""), None);
+    assert_eq!(priority(r#","Priority":0"#), Some(0));
+    assert_eq!(priority(r#","Priority":2"#), Some(2));
+    for invalid in ["null", "-1", "256", "1.5", "\"urgent\"", "[]", "{}", "true"] {
+        assert_eq!(priority(&format!(r#","Priority":{invalid}"#)), None);
+    }
+}
+
+/// Runners start requests in the order of their urgency: by class, then by rank. A service with one
+/// rank gets the values that it had before there were ranks.
+#[test]
+fn urgency_follows_class_and_rank() {
+    let urgency = |class, rank| {
+        let mut headers = HeaderMap::new();
+        let values = ForwardHeaders {
+            remaining: Span::from_secs(1),
+            host: &HostName::from("h"),
+            account: None,
+            resume_after: None,
+            class,
+            rank,
+        };
+        Platform::set_headers(&mut headers, &values);
+        let value = headers.get("x-urgency").expect("a value");
+        value.to_str().expect("text").to_owned()
+    };
+    let values = [
+        AdmissionClass::Resumed,
+        AdmissionClass::OnTime,
+        AdmissionClass::Late,
+    ]
+    .map(|class| {
+        [RankLevel::First, RankLevel::Middle, RankLevel::Last].map(|rank| urgency(class, rank))
+    });
+    assert_eq!(values, [["0", "1", "2"], ["3", "4", "5"], ["6", "7", "8"]]);
+}
