--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -244,7 +244,8 @@
             for answer in self.answers.take() {
                 self.planner.order_answered(&roster, answer);
             }
-            let demand = state.demand.borrow();
+            let mut demand = state.demand.borrow_mut();
+            demand.set_daemons(state.peers.borrow().count());
             self.planner
                 .step(&roster, table.spec(), &demand, state.now())
         };
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod outages;
 mod pools;
 mod quarantine;
+mod rank_needs;
 mod reach;
 mod relay_peers;
 mod repeats;
