--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -7,7 +7,7 @@
 //! head by its part of the requests that it should get from all of them (`water_filling`).
 
 use super::{
-    admission::{self, AdmissionClass},
+    admission::{self, AdmissionClass, FullReason, Precedence},
     load::Loads,
     notices::Notices,
     outlook::Outlook,
@@ -45,6 +45,8 @@
     pub model: Option<(&'a ModelName, &'a Engine)>,
     /// Admission class of the request.
     pub class: AdmissionClass,
+    /// What the request has to leave to others.
+    pub precedence: Precedence,
     /// Expected duration of the request at a group that isn't slow.
     pub duration: Span,
     /// Time left until the request's deadline.
@@ -109,6 +111,8 @@
         retry_delay: Span,
         /// One of these runners.
         host: HostKey,
+        /// Reason for which none of them takes the request.
+        reason: FullReason,
     },
     /// All runners that serve the request want none now, by their rate limits or pauses.
     HeldBack {
@@ -192,7 +196,8 @@
 }
 
 /// Returns the candidates below their limit that can finish the request in time, only slow ones if
-/// there are no others.
+/// there are no others. While the heads are contended, candidates whose free slots are reserved for
+/// others are left out.
 fn admit<R>(
     candidates: Vec<Candidate>,
     loads: &Loads,
@@ -208,7 +213,8 @@
     let mut admitted = candidates;
     admitted.retain(|candidate| criteria.can_finish_at(candidate));
     let outlook = Outlook::new(loads, heads.iter().copied(), now);
-    match outlook.filter(|_| criteria.class != AdmissionClass::Resumed) {
+    let outlook = outlook.filter(|_| criteria.class != AdmissionClass::Resumed);
+    match outlook {
         Some(outlook) => {
             admit_by_outlook(&mut admitted, outlook, loads, engine, criteria, now, rng)
         }
@@ -216,20 +222,52 @@
             admission::has_room(candidate.host, loads, engine.slots, criteria.class, now)
         }),
     }
-    let fast: Vec<Candidate> = admitted
-        .iter()
-        .filter(|candidate| candidate.slowdown < SLOW_FACTOR)
-        .copied()
-        .collect();
-    if !fast.is_empty() {
-        return Ok(fast);
-    }
-    if admitted.is_empty() {
-        let retry_delay = admission::retry_delay(&heads, loads, engine, now, rng);
-        let host = heads[rng.random_range(0..heads.len())];
-        return Err(ChooseError::AllFull { retry_delay, host });
+    let precedence = match outlook {
+        // The position among the expected requests follows the rank already.
+        Some(_) => criteria.precedence.without_ranks(),
+        None => criteria.precedence,
+    };
+    let (fast, slow): (Vec<Candidate>, Vec<Candidate>) = admitted
+        .into_iter()
+        .partition(|candidate| candidate.slowdown < SLOW_FACTOR);
+    let is_contended = admission::is_contended(&heads, loads, engine.slots, now);
+    let mut reason = None;
+    for candidates in [fast, slow] {
+        if candidates.is_empty() {
+            continue;
+        }
+        let reserved = is_contended
+            .then(|| reserved_for_others(&candidates, loads, engine, criteria, precedence, now))
+            .flatten();
+        match reserved {
+            None => return Ok(candidates),
+            Some(reserved) => reason = reason.or(Some(reserved)),
+        }
     }
-    Ok(admitted)
+    let full = || match outlook {
+        Some(_) if precedence.ahead > 0.0 => FullReason::Rank,
+        _ => admission::full_reason(&heads, loads, engine.slots, criteria.class, now),
+    };
+    Err(ChooseError::AllFull {
+        retry_delay: admission::retry_delay(&heads, loads, engine, precedence, now, rng),
+        host: heads[rng.random_range(0..heads.len())],
+        reason: reason.unwrap_or_else(full),
+    })
+}
+
+/// Returns the reason for which a request must leave the free slots of candidates to others, if it
+/// must.
+fn reserved_for_others(
+    candidates: &[Candidate],
+    loads: &Loads,
+    engine: &Engine,
+    criteria: &Criteria<'_>,
+    precedence: Precedence,
+    now: Time,
+) -> Option<FullReason> {
+    let heads: Vec<HostKey> = candidates.iter().map(|candidate| candidate.host).collect();
+    let class = criteria.class;
+    admission::reserved_for_others(&heads, loads, engine.slots, class, precedence, now)
 }
 
 /// Leaves the candidates that have room by the totals of all daemons: slow ones if this request is one of
@@ -255,10 +293,10 @@
         .map(room)
         .sum();
     let all_room: f64 = admitted.iter().map(room).sum();
-    let rank = outlook.draw_rank(rng);
+    let position = outlook.draw_position(criteria.precedence, rng);
     admitted.retain(|candidate| match is_fast(candidate) {
-        true => rank <= fast_room,
-        false => rank > fast_room && rank <= all_room,
+        true => position <= fast_room,
+        false => position > fast_room && position <= all_room,
     });
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,7 +7,7 @@
 //! every daemon derives the same groups from their entries.
 //!
 //! Modules that decide (`routes`, `contact`, `roster`, `group`, `candidacy`, `balancer`,
-//! `admission`, `load`, `demand`, `planner`, `startup`, `formation`,
+//! `admission`, `contention`, `rank`, `rank_demand`, `fair_share`, `decay`, `load`, `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
 //! `weight_loads`, `evacuation`, `outages`, `budget`, `backoff`, `notices`, `coldness`, `held_bytes`,
 //! `drain`, `reach`, `peer_relay::choice`, those of `quarantine` that it names) read
@@ -28,12 +28,15 @@
 pub mod coldness;
 mod connection;
 pub mod contact;
+pub mod contention;
 mod datagrams;
+mod decay;
 pub mod demand;
 pub mod drain;
 mod duty;
 pub mod evacuation;
 pub mod events;
+pub mod fair_share;
 pub mod formation;
 mod forward;
 pub mod group;
@@ -63,6 +66,8 @@
 mod prober;
 mod progress;
 pub mod quarantine;
+pub mod rank;
+pub mod rank_demand;
 pub mod reach;
 mod reach_check;
 pub mod responses;
--- a/src/gateway/outlook.rs
+++ b/src/gateway/outlook.rs
@@ -5,7 +5,7 @@
 //! with all others. It therefore compares the room at all heads with the requests
 //! that all daemons expect within a horizon of several intervals, and takes its part only.
 
-use super::{load::Loads, roster::HostKey};
+use super::{admission::Precedence, load::Loads, roster::HostKey};
 use crate::core::time::Time;
 use rand::Rng;
 
@@ -47,12 +47,13 @@
         limit - f64::from(in_flight) + self.ends_each
     }
 
-    /// Draws which of the expected requests this one is: those up to the room at the heads are
-    /// admitted.
-    pub fn draw_rank<R>(&self, rng: &mut R) -> f64
+    /// Draws the position of a request among the expected ones, of which those up to the room at the
+    /// heads are admitted. More urgent requests come before it, and less urgent ones after it.
+    pub fn draw_position<R>(&self, precedence: Precedence, rng: &mut R) -> f64
     where
         R: Rng,
     {
-        rng.random::<f64>() * self.arrivals
+        let Precedence { ahead, own, .. } = precedence;
+        self.arrivals * (ahead + own * rng.random::<f64>())
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,6 +9,7 @@
     },
     coldness::{ColdChange, ColdEntry},
     contact::{ContactReport, StoreContact},
+    contention::Contention,
     datagrams::Outbox,
     demand::Demand,
     drain::Drain,
@@ -96,6 +97,8 @@
     pub progress: RefCell<ReportedProgress>,
     /// Recent demand for each model.
     pub demand: RefCell<Demand>,
+    /// Recent requests by rank and account.
+    pub contention: RefCell<Contention>,
     /// Retry budget of each service.
     retry_budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     /// Largest recent count of daemons, which share the retry budgets.
@@ -155,6 +158,7 @@
             quarantine: Quarantine::default(),
             progress: RefCell::default(),
             demand: RefCell::default(),
+            contention: RefCell::default(),
             retry_budgets: RefCell::default(),
             daemon_count: RefCell::default(),
             caller_timeouts: RefCell::default(),
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 54] = [
+const DECISIONS: [&str; 59] = [
     "admission",
     "backoff",
     "balancer",
@@ -24,9 +24,12 @@
     "changes/source",
     "coldness",
     "contact",
+    "contention",
+    "decay",
     "demand",
     "drain",
     "evacuation",
+    "fair_share",
     "formation",
     "group",
     "held_bytes",
@@ -58,6 +61,8 @@
     "quarantine/restarts",
     "quarantine/soundness",
     "quarantine/suspects",
+    "rank",
+    "rank_demand",
     "reach",
     "roster",
     "roster/listing",
--- a/tests/gateway/load_fleet.rs
+++ b/tests/gateway/load_fleet.rs
@@ -292,6 +292,7 @@
             services: vec![Service {
                 name: service(),
                 max_connections: 1_000,
+                cold: None,
                 engine: Some(engine()),
             }],
             ..Spec::default()
@@ -395,6 +396,7 @@
             domain: Some(DomainName::from("domain")),
             slots: SLOTS,
             draining: false,
+            cold_left: None,
             born: 1,
             orders: 0,
             staged: vec![model()],
