Aggregators in different halls, and the exchange outlasts a loss of daemons

Both aggregators could be lost with one hall, and no digest would come until their entries are gone 3 s later. The exchange is needed by the largest number of daemons of the last minutes, since with fewer daemons the others have their requests; a hall lost by 60 daemons left 40 for heads of 48 slots.

--- a/src/gateway/load_exchange/choice.rs
+++ b/src/gateway/load_exchange/choice.rs
@@ -1,8 +1,8 @@
 //! Who sums the daemons' reports, and how often they report.
 //!
-//! All daemons compute the same aggregators from the entries in the store. For a
-//! moment after a change their views differ, and some reports are missing from
-//! the sums.
+//! There are two aggregators, as a daemon may stop at any time. All daemons
+//! compute the same ones from the entries in the store. For a moment after a
+//! change their views differ, and some reports are missing from the sums.
 
 use crate::{
     core::{keys::DaemonName, time::Span},
@@ -10,9 +10,6 @@
 };
 use std::net::SocketAddr;
 
-/// Number of daemons that sum the reports; more than one, as a daemon may stop at any time.
-const AGGREGATORS: usize = 2;
-
 /// Interval of reports and digests with few daemons.
 const MIN_INTERVAL: Span = Span::from_millis(200);
 
@@ -23,13 +20,25 @@
 const MAX_DIGESTS_PER_S: u64 = 320;
 
 /// Returns the daemons that sum the reports: those with most processor time that don't hold the
-/// duty, which has work enough.
+/// duty, which has work enough; the second in another hall if one there has as much.
 pub fn aggregators(peers: &Peers) -> Vec<(DaemonName, SocketAddr)> {
     let holder = peers.claim.as_ref().map(|(name, _)| name);
     let ranked = peers.ranked().into_iter();
     let others = ranked.filter(|(name, _)| Some(*name) != holder);
-    let reachable = others.filter_map(|(name, entry)| Some((name.clone(), entry.peer?)));
-    reachable.take(AGGREGATORS).collect()
+    let mut reachable = others.filter(|(_, entry)| entry.peer.is_some());
+    let Some(first) = reachable.next() else {
+        return Vec::new();
+    };
+    let rest: Vec<_> = reachable.collect();
+    let most = rest.first().map(|(_, entry)| entry.processor_percent);
+    let elsewhere = rest
+        .iter()
+        .find(|(_, entry)| entry.hall != first.1.hall && Some(entry.processor_percent) == most);
+    let second = elsewhere.or(rest.first()).copied();
+    let chosen = [Some(first), second].into_iter().flatten();
+    chosen
+        .filter_map(|(name, entry)| Some((name.clone(), entry.peer?)))
+        .collect()
 }
 
 /// Returns the interval of reports and digests.
--- a/src/gateway/load_exchange/mod.rs
+++ b/src/gateway/load_exchange/mod.rs
@@ -71,7 +71,8 @@
     if state.settings.load_exchange == LoadExchangeMode::Off {
         return Vec::new();
     }
-    let daemons = state.peers.borrow().count();
+    // A loss of daemons must not turn the exchange off while the others get their requests.
+    let daemons = state.count_daemons(state.now());
     let is_covered = |service: &ServiceName| {
         let engine = table.spec().engine(service);
         engine.is_some_and(|engine| choice::is_needed(daemons, engine.slots))
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -312,7 +312,8 @@
         self.with_retry_budget(service, |budget| budget.try_take(slack, now))
     }
 
-    fn count_daemons(&self, now: Time) -> usize {
+    /// Returns the largest recent number of daemons with an entry.
+    pub fn count_daemons(&self, now: Time) -> usize {
         let count = self.peers.borrow().count();
         self.daemon_count.borrow_mut().record(count, now)
     }
--- a/tests/gateway/load_exchange.rs
+++ b/tests/gateway/load_exchange.rs
@@ -75,6 +75,30 @@
     assert_eq!(names, ["d3", "d4"]);
 }
 
+/// A hall may be lost, and its daemons' entries stay for three seconds.
+#[test]
+fn aggregators_are_in_different_halls_if_processor_time_allows() {
+    let mut peers = Peers::default();
+    let daemons = [("a", 50), ("a", 50), ("b", 50), ("b", 12)];
+    for (index, (hall, percent)) in daemons.into_iter().enumerate() {
+        let entry = DaemonEntry {
+            hall: HallName::from(hall),
+            ..entry(index as u16, percent)
+        };
+        peers.put(DaemonName::from(format!("d{index}")), entry);
+    }
+    let names = |peers: &Peers| -> Vec<String> {
+        let chosen = aggregators(peers).into_iter();
+        chosen.map(|(name, _)| name.to_string()).collect()
+    };
+    assert_eq!(names(&peers), ["d0", "d2"]);
+    peers.remove(&DaemonName::from("d2"));
+    assert_eq!(names(&peers), ["d0", "d1"]);
+    peers.remove(&DaemonName::from("d0"));
+    peers.remove(&DaemonName::from("d1"));
+    assert_eq!(names(&peers), ["d3"]);
+}
+
 /// An aggregator's work must not grow with the number of daemons beyond a bound.
 #[test]
 fn interval_keeps_number_of_digests_constant() {
