A load report with huge numbers no longer panics

What callers saw: a connection that ended without a response, when the runner that served them reported a load whose sum exceeds 32 bits (`X-Server-Load: 4294967295,4294967295,4294967295`). The task of the connection panicked with checked arithmetic; without, the sum wrapped and a full runner looked idle.

A report now counts at most 2^20 requests each as running and as waiting.

--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -13,6 +13,10 @@
 /// Age from which a runner's load report is ignored.
 const REPORT_TTL: Span = Span::from_millis(2_000);
 
+/// Maximum number of requests that a report counts as running or as waiting: no runner has as many,
+/// and sums of them stay small.
+const MAX_REPORTED: u32 = 1 << 20;
+
 /// Silence on all streams of a head after which it is avoided; an engine's pass takes far less.
 const HEAD_STALL_TIMEOUT: Span = Span::from_millis(300);
 
@@ -89,7 +93,7 @@
     /// Records a runner's load report, which includes the requests of this daemon.
     pub fn load_reported(&mut self, host: HostKey, report: LoadReport, now: Time) {
         if let Some(entry) = self.entry(host) {
-            let total = report.running + report.waiting;
+            let total = report.running.min(MAX_REPORTED) + report.waiting.min(MAX_REPORTED);
             entry.other_requests = total.saturating_sub(entry.own_requests);
             entry.reported_at = Some(now);
         }
