A timeout of any length is no panic, and no short one; tests of malformed messages

What callers saw: a request with `X-Deadline-Ms:` ended without a response. What operators saw: a configuration with such a time was read by no daemon, nor any later version.

Cause: milliseconds were multiplied to microseconds unchecked.

Spans now end at the longest one.

Evidence: malformed::long_deadline_of_a_caller_is_no_short_one (status 0 before) and malformed_values_of_the_store_harm_no_daemon (version 5 not used within 30 s).

Every test with the program now also fails if a task of the daemon panics: a panic ends its task alone, and the process goes on without it.

--- a/src/core/time.rs
+++ b/src/core/time.rs
@@ -23,14 +23,14 @@
     /// Zero duration.
     pub const ZERO: Span = Span(0);
 
-    /// Creates a span of whole milliseconds.
+    /// Creates a span of whole milliseconds, or the longest one.
     pub const fn from_millis(millis: u64) -> Span {
-        Span(millis * 1_000)
+        Span(millis.saturating_mul(1_000))
     }
 
-    /// Creates a span of whole seconds.
+    /// Creates a span of whole seconds, or the longest one.
     pub const fn from_secs(secs: u64) -> Span {
-        Span(secs * 1_000_000)
+        Span(secs.saturating_mul(1_000_000))
     }
 
     /// Returns the span in milliseconds, rounded down.
--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -14,11 +14,12 @@
 use serde_json::Value;
 use std::{
     fs::File,
-    io::{BufRead as _, BufReader, Write as _},
+    io::{BufRead, BufReader, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::Arc,
+    thread::JoinHandle,
     time::{Duration, Instant},
 };
 
@@ -119,9 +120,11 @@
     }
 }
 
-/// Daemon as a separate process, which is killed when dropped.
+/// Daemon as a separate process, which is killed when dropped. No task of it may have panicked.
 pub struct Daemon {
     process: Child,
+    /// Passes the messages of panics on, and returns their number.
+    errors: Option<JoinHandle<usize>>,
     /// Address for callers.
     pub caller_address: SocketAddr,
     /// Address for readiness probes and metrics.
@@ -141,8 +144,11 @@
             .arg("--settings")
             .arg(&path)
             .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
             .spawn()
             .expect("the daemon starts");
+        let errors = BufReader::new(process.stderr.take().expect("piped"));
+        let errors = std::thread::spawn(move || count_panics(errors));
         let mut lines = BufReader::new(process.stdout.take().expect("piped")).lines();
         let first_line = lines.next().expect("a line").expect("text");
         let line: Value = serde_json::from_str(&first_line).expect("a log line");
@@ -161,6 +167,7 @@
         };
         Self {
             process,
+            errors: Some(errors),
             caller_address: address_of("caller"),
             ready_address: address_of("ready"),
             directory_address: address_of("directory"),
@@ -210,9 +217,26 @@
         // The process may have exited already.
         let _ = self.process.kill();
         let _ = self.process.wait();
+        let errors = self.errors.take().expect("joined only here");
+        let panics = errors.join().expect("the messages are read");
+        // A panic ends its task alone, which the daemon may lack from then on.
+        assert!(
+            panics == 0 || std::thread::panicking(),
+            "{panics} panics in the daemon"
+        );
     }
 }
 
+/// Copies the messages of a daemon to those of the test, and returns how many are of panics.
+fn count_panics<R>(lines: R) -> usize
+where
+    R: BufRead,
+{
+    let lines = lines.lines().map_while(Result::ok);
+    let lines = lines.inspect(|line| eprintln!("{line}"));
+    lines.filter(|line| line.contains("panicked at")).count()
+}
+
 /// Daemon with its store and its runners.
 pub struct TestEnv {
     /// Fake store.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -24,6 +24,7 @@
 mod limits;
 mod link;
 mod long_requests;
+mod malformed;
 mod missed_changes;
 mod notices;
 mod odd_entries;
