--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -27,6 +27,7 @@
 mod link;
 mod load_exchange;
 mod long_requests;
+mod malformed;
 mod missed_changes;
 mod notices;
 mod odd_entries;
