--- a/tests/gateway/contention_fleet.rs
+++ b/tests/gateway/contention_fleet.rs
@@ -20,6 +20,7 @@
         rank::{Rank, RankLevel},
         roster::{HostKey, MemberState, Membership, Roster, Runner},
         spec::{Engine, Replication, Service, Spec},
+        stated::Stated,
     },
 };
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
@@ -563,6 +564,7 @@
         services: vec![Service {
             name: service(),
             max_connections: 300,
+            cold: None,
             engine: Some(engine.clone()),
         }],
         ..Spec::default()
@@ -580,6 +582,7 @@
         domain: Some(DomainName::from("domain")),
         slots: SLOTS,
         draining: false,
+        cold_left: Stated::Absent,
         born: 1,
         orders: 0,
         staged: Vec::new(),
--- a/tests/gateway/evacuation.rs
+++ b/tests/gateway/evacuation.rs
@@ -7,7 +7,7 @@
         time::{Span, Time},
     },
     gateway::{
-        admission::AdmissionClass,
+        admission::{AdmissionClass, Precedence},
         balancer::{ChooseError, Criteria, Endpoint, View, choose, still_serves},
         evacuation::{EvacuationChange, Evacuations, RESTORE_WINDOW},
         load::Loads,
@@ -134,6 +134,7 @@
     let criteria = Criteria {
         service: &service,
         model: Some((&model, engine)),
+        precedence: Precedence::default(),
         class,
         duration: Span::from_secs(1),
         remaining: Span::from_secs(8),
--- a/tests/gateway/evacuation_orders.rs
+++ b/tests/gateway/evacuation_orders.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     evacuation::{evacuate, hall, hall_of, lift, new_fleet, serving_fleet},
-    fleet::{Delivery, Fleet, LARGE, SMALL},
+    fleet::{Delivery, Fleet, LARGE, SMALL, service},
 };
 use hickoryledge::{
     core::{
@@ -10,7 +10,9 @@
         time::Span,
     },
     gateway::{
+        contention::Request,
         order::{Directive, Order},
+        rank::Rank,
         roster::Host,
     },
 };
@@ -80,8 +82,17 @@
     let engine = fleet.spec.services[0].engine.clone().expect("an engine");
     // The large model's work is 0.6 of the small one's: one group of two for it, or two of three.
     for (model, requests) in [(LARGE, 360), (SMALL, 1_000)] {
-        let (model, now) = (ModelName::from(model), fleet.now);
-        (0..requests).for_each(|_| fleet.demand.count(&engine, &model, 1_000, 150, now));
+        let (service, model, now) = (service(), ModelName::from(model), fleet.now);
+        let request = Request {
+            service: &service,
+            model: &model,
+            engine: &engine,
+            rank: Rank::default(),
+            account: None,
+            prompt_tokens: 1_000,
+            answer_tokens: 150,
+        };
+        (0..requests).for_each(|_| fleet.demand.count(&request, now));
     }
     if is_evacuated {
         evacuate(&mut fleet, &["a"]);
--- a/tests/gateway/load_fleet.rs
+++ b/tests/gateway/load_fleet.rs
@@ -12,7 +12,7 @@
         time::{Span, Time},
     },
     gateway::{
-        admission::{self, AdmissionClass, max_in_flight},
+        admission::{self, AdmissionClass, Precedence, max_in_flight},
         balancer::{ChooseError, Criteria, View, choose},
         load::{LoadReport as RunnerReport, Loads, Total},
         load_exchange::{
@@ -25,6 +25,7 @@
         peers::{DaemonEntry, Peers},
         roster::{HostKey, MemberState, Membership, Roster, Runner, SLOW_FACTOR},
         spec::{Engine, Replication, Service, Spec},
+        stated::Stated,
     },
 };
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
@@ -396,7 +397,7 @@
             domain: Some(DomainName::from("domain")),
             slots: SLOTS,
             draining: false,
-            cold_left: None,
+            cold_left: Stated::Absent,
             born: 1,
             orders: 0,
             staged: vec![model()],
@@ -601,6 +602,7 @@
         let criteria = Criteria {
             service: &service,
             model: Some((&model, engine)),
+            precedence: Precedence::default(),
             class: request.class,
             duration: admission::expected_duration(
                 Some((engine, &model)),
