Tests: a handover of the duty sends no order twice, and none of the former holder's

Reported elsewhere: during a handover both daemons act for a moment, and orders are sent twice. handovers: the holder pauses (SIGSTOP) before, while and after it orders, its lease expires, the successor orders, and the former holder is back; and holders that stop in turn. No join comes under an earlier claim than the one in force, no order twice within 0.5 s, and the successor keeps the duty.

By reading: an order that a holder had begun when it paused is dropped once it runs again, as it must be sent within 1 s of the decision.

The fake store can let a lease expire, and refuses to renew one that has ended.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -18,6 +18,7 @@
 mod endless_control;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod env;
+mod handovers;
 mod http;
 mod identities;
 mod late_requests;
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -4,7 +4,7 @@
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -32,6 +32,8 @@
     compacted: i64,
     /// Id of the lease that was granted last.
     last_lease: i64,
+    /// Leases that were revoked or have expired.
+    ended_leases: BTreeSet<i64>,
     /// Lists and writes so far: the path, and the prefix or the key.
     calls: Vec<(String, String)>,
     /// Renewals of leases and watch calls, in order: the path, and the prefix or the lease.
@@ -115,6 +117,19 @@
         String::from_utf8(bytes.unwrap_or_default()).expect("text")
     }
 
+    /// Lets the lease expire that a key is attached to.
+    pub fn expire_lease_of(&self, key: &str) {
+        let mut state = self.state.lock().expect("not poisoned");
+        let lease = state.items[key].lease;
+        state.revoke(lease);
+    }
+
+    /// Returns the revision of a key; 0 if there is none.
+    pub fn revision_of(&self, key: &str) -> i64 {
+        let state = self.state.lock().expect("not poisoned");
+        state.items.get(key).map_or(0, |item| item.revision)
+    }
+
     /// Returns the lease that a key is attached to, as it stands in calls.
     pub fn lease_of(&self, key: &str) -> String {
         let state = self.state.lock().expect("not poisoned");
@@ -213,7 +228,8 @@
                 let id = &path["/kv-keep/".len()..];
                 let lease: i64 = id.parse().expect("a lease");
                 state.contacts.push(("/kv-keep".to_owned(), id.to_owned()));
-                match lease <= state.last_lease {
+                let is_held = lease <= state.last_lease && !state.ended_leases.contains(&lease);
+                match is_held {
                     true => Some((200, json!({"TtlMs": 3_000}))),
                     false => Some((404, json!({}))),
                 }
@@ -266,6 +282,7 @@
 
     /// Revokes a lease and deletes the keys that are attached to it.
     fn revoke(&mut self, lease: i64) {
+        self.ended_leases.insert(lease);
         let keys = self.items.iter().filter(|(_, item)| item.lease == lease);
         let keys: Vec<String> = keys.map(|(key, _)| key.clone()).collect();
         keys.iter().for_each(|key| self.delete(key));
