--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -21,10 +21,6 @@
 /// Fraction of a head's slots that late requests leave free for others.
 const LATE_RESERVE_FRACTION: f64 = 0.2;
 
-/// Fraction of a head's slots that is left free on average if admission goes by totals of all
-/// daemons, which are off by some requests: one that waits for a slot is late for most objectives.
-const TOTALS_MARGIN_FRACTION: f64 = 0.125;
-
 /// Minimum time before a refused caller retries; repairs take two seconds.
 const MIN_RETRY_DELAY: Span = Span::from_millis(1_200);
 
@@ -129,10 +125,10 @@
 }
 
 /// Returns the number of requests that a head may be expected to hold, if it is estimated from totals
-/// of all daemons.
-pub fn max_expected(slots: u32, class: AdmissionClass) -> f64 {
-    let margin = f64::from(MAX_QUEUED) + f64::from(slots) * TOTALS_MARGIN_FRACTION;
-    f64::from(max_in_flight(slots, class)) - margin
+/// of all daemons, by the fraction of its slots that may be used.
+pub fn max_expected(slots: u32, fraction: f64, class: AdmissionClass) -> f64 {
+    let limit = f64::from(max_in_flight(slots, class)) - f64::from(MAX_QUEUED);
+    limit * fraction
 }
 
 /// Returns the estimated duration of a request.
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -8,6 +8,7 @@
 
 use super::{
     admission::{self, AdmissionClass, FullReason, Precedence},
+    head_limits::HeadLimits,
     load::Loads,
     notices::Notices,
     outlook::Outlook,
@@ -34,6 +35,8 @@
     pub loads: &'a Loads,
     /// What runners say of themselves.
     pub notices: &'a Notices,
+    /// How many requests the heads of each model may hold.
+    pub limits: &'a HeadLimits,
 }
 
 /// Criteria for choosing a runner.
@@ -150,7 +153,7 @@
     if let Some((_, engine)) = criteria.model
         && !candidates.is_empty()
     {
-        candidates = admit(candidates, loads, engine, &criteria, now, rng)?;
+        candidates = admit(candidates, view, engine, &criteria, now, rng)?;
     }
     let heads = candidates.iter().map(|candidate| candidate.host);
     let chosen = match Outlook::new(loads, heads, now) {
@@ -200,7 +203,7 @@
 /// others are left out.
 fn admit<R>(
     candidates: Vec<Candidate>,
-    loads: &Loads,
+    view: View<'_>,
     engine: &Engine,
     criteria: &Criteria<'_>,
     now: Time,
@@ -209,15 +212,14 @@
 where
     R: Rng,
 {
+    let loads = view.loads;
     let heads: Vec<HostKey> = candidates.iter().map(|candidate| candidate.host).collect();
     let mut admitted = candidates;
     admitted.retain(|candidate| criteria.can_finish_at(candidate));
     let outlook = Outlook::new(loads, heads.iter().copied(), now);
     let outlook = outlook.filter(|_| criteria.class != AdmissionClass::Resumed);
     match outlook {
-        Some(outlook) => {
-            admit_by_outlook(&mut admitted, outlook, loads, engine, criteria, now, rng)
-        }
+        Some(outlook) => admit_by_outlook(&mut admitted, outlook, view, engine, criteria, now, rng),
         None => admitted.retain(|candidate| {
             admission::has_room(candidate.host, loads, engine.slots, criteria.class, now)
         }),
@@ -275,7 +277,7 @@
 fn admit_by_outlook<R>(
     admitted: &mut Vec<Candidate>,
     outlook: Outlook,
-    loads: &Loads,
+    view: View<'_>,
     engine: &Engine,
     criteria: &Criteria<'_>,
     now: Time,
@@ -283,7 +285,11 @@
 ) where
     R: Rng,
 {
-    let limit = admission::max_expected(engine.slots, criteria.class);
+    let loads = view.loads;
+    let fraction = criteria
+        .model
+        .map_or(1.0, |(model, _)| view.limits.fraction(model));
+    let limit = admission::max_expected(engine.slots, fraction, criteria.class);
     let room = |candidate: &Candidate| outlook.room(limit, loads.in_flight(candidate.host, now));
     let is_fast = |candidate: &Candidate| candidate.slowdown < SLOW_FACTOR;
     admitted.retain(|candidate| room(candidate) > 0.0);
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -141,6 +141,16 @@
         entry.total = Some(total);
     }
 
+    /// Counts a request that got its first event from a head, and whether that came after the
+    /// objective.
+    pub fn request_begun(&mut self, host: HostKey, is_late: bool) {
+        if let Some(entry) = self.entries.get_mut(host) {
+            let changes = &mut entry.changes;
+            changes.begun = changes.begun.saturating_add(1);
+            changes.begun_late = changes.begun_late.saturating_add(u32::from(is_late));
+        }
+    }
+
     /// Counts a request that was refused because all heads of its model were full; it is counted at
     /// one of them.
     pub fn request_refused(&mut self, host: HostKey) {
--- a/src/gateway/load_exchange/estimate.rs
+++ b/src/gateway/load_exchange/estimate.rs
@@ -1,9 +1,12 @@
 //! What a digest tells a daemon about the other daemons' requests.
 
 use super::message::{HeadCount, HeadCounts, LoadDigest, LoadReport, RATE_WINDOW_S, ReportId};
-use crate::core::{
-    keys::Epoch,
-    time::{Span, Time},
+use crate::{
+    core::{
+        keys::Epoch,
+        time::{Span, Time},
+    },
+    gateway::head_limits::Begun,
 };
 use std::collections::{BTreeMap, VecDeque};
 
@@ -28,6 +31,8 @@
     pub ends_per_s: f64,
     /// Requests that all daemons refuse in a second because all heads are full.
     pub refusals_per_s: f64,
+    /// Requests of all daemons that get their first event.
+    pub begun: Begun,
 }
 
 impl HeadLoad {
@@ -39,6 +44,10 @@
             starts_per_s: smooth(self.starts_per_s, later.starts_per_s),
             ends_per_s: smooth(self.ends_per_s, later.ends_per_s),
             refusals_per_s: smooth(self.refusals_per_s, later.refusals_per_s),
+            begun: Begun {
+                per_s: smooth(self.begun.per_s, later.begun.per_s),
+                late_per_s: smooth(self.begun.late_per_s, later.begun.late_per_s),
+            },
         }
     }
 }
@@ -154,6 +163,10 @@
                 starts_per_s: f64::from(total.started) * rate_scale,
                 ends_per_s: f64::from(total.ended) * rate_scale,
                 refusals_per_s: f64::from(total.refused) * rate_scale,
+                begun: Begun {
+                    per_s: f64::from(total.begun) * rate_scale,
+                    late_per_s: f64::from(total.begun_late) * rate_scale,
+                },
             };
             (epoch, load)
         });
--- a/src/gateway/load_exchange/message.rs
+++ b/src/gateway/load_exchange/message.rs
@@ -18,6 +18,10 @@
         pub ended: u32,
         /// Requests that were refused because all heads of their model were full.
         pub refused: u32,
+        /// Requests that got their first event.
+        pub begun: u32,
+        /// Those of them whose first event came after the objective.
+        pub begun_late: u32,
     }
 
     /// Requests at several heads, which are identified by the epochs of their groups. An epoch is
--- a/src/gateway/load_exchange/mod.rs
+++ b/src/gateway/load_exchange/mod.rs
@@ -13,12 +13,13 @@
 use super::{
     datagrams::{self, Datagram},
     group::Group,
+    head_limits::Begun,
     load::Total,
     roster::HostKey,
     settings::LoadExchangeMode,
     state::GatewayState,
 };
-use crate::core::keys::{Epoch, ServiceName};
+use crate::core::keys::{Epoch, ModelName, ServiceName};
 use estimate::{SentReports, Unusable};
 use message::{HeadCount, LoadDigest, LoadReport, ReportId};
 use metrics::{counter, gauge, histogram};
@@ -184,4 +185,27 @@
         };
         loads.total_reported(host, total);
     }
+    drop(loads);
+    adjust_limits(state);
+}
+
+/// Adjusts the limits of the models to the requests that begin late at their heads.
+fn adjust_limits(state: &GatewayState) {
+    let now = state.now();
+    let mut begun: BTreeMap<ModelName, Begun> = BTreeMap::new();
+    let loads = state.loads.borrow();
+    for group in state.roster.borrow().groups() {
+        let total = group.head().and_then(|head| loads.total(head, now));
+        if let Some(total) = total {
+            let sum = begun.entry(group.model.clone()).or_default();
+            sum.per_s += total.load.begun.per_s;
+            sum.late_per_s += total.load.begun.late_per_s;
+        }
+    }
+    let mut limits = state.head_limits.borrow_mut();
+    for (model, begun) in begun {
+        limits.observe(&model, begun, now);
+        let label = model.as_str().to_owned();
+        gauge!("head_limit_fraction", "model" => label).set(limits.fraction(&model));
+    }
 }
--- a/src/gateway/load_exchange/tally.rs
+++ b/src/gateway/load_exchange/tally.rs
@@ -20,6 +20,8 @@
     started: f64,
     ended: f64,
     refused: f64,
+    begun: f64,
+    begun_late: f64,
 }
 
 impl Sum {
@@ -29,6 +31,8 @@
         self.started += f64::from(count.started) * factor;
         self.ended += f64::from(count.ended) * factor;
         self.refused += f64::from(count.refused) * factor;
+        self.begun += f64::from(count.begun) * factor;
+        self.begun_late += f64::from(count.begun_late) * factor;
     }
 
     fn rounded(self) -> HeadCount {
@@ -37,6 +41,8 @@
             started: self.started.round() as u32,
             ended: self.ended.round() as u32,
             refused: self.refused.round() as u32,
+            begun: self.begun.round() as u32,
+            begun_late: self.begun_late.round() as u32,
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 mod forward;
 pub mod group;
 pub mod handlers;
+pub mod head_limits;
 pub mod held_bytes;
 mod inquiry;
 mod lease;
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -44,6 +44,7 @@
             roster: &state.roster.borrow(),
             loads: &state.loads.borrow(),
             notices: &state.notices.borrow(),
+            limits: &state.head_limits.borrow(),
         };
         balancer::choose(view, criteria, now, &mut *state.rng.borrow_mut())
     };
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,6 +13,7 @@
     datagrams::Outbox,
     demand::Demand,
     drain::Drain,
+    head_limits::HeadLimits,
     held_bytes::HeldBytes,
     liveness::ReportedProgress,
     load::Loads,
@@ -73,6 +74,8 @@
     pub loads: RefCell<Loads>,
     /// Exchange of request counts with other daemons.
     pub load_exchange: LoadExchange,
+    /// How many requests the heads of each model may hold.
+    pub head_limits: RefCell<HeadLimits>,
     /// Whether this daemon reaches any runner.
     pub reach: RefCell<Reach>,
     /// Peers to which requests are passed while no runner is reached.
@@ -146,6 +149,7 @@
             outages: RefCell::default(),
             loads: RefCell::default(),
             load_exchange: LoadExchange::default(),
+            head_limits: RefCell::default(),
             reach: RefCell::default(),
             relay_peers: RefCell::default(),
             relayed: RelayedRequests::default(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -306,7 +306,10 @@
 /// Records that a runner has sent an event, and whether it has lived on since its first.
 fn record_progress(call: &mut Call, upstream: &mut Upstream) {
     let now = call.state.now();
-    call.first_event.get_or_insert(now);
+    if call.first_event.is_none() {
+        call.first_event = Some(now);
+        record_first_event(call, &upstream.endpoint, now);
+    }
     let began_at = *upstream.began_at.get_or_insert(now);
     if !upstream.is_answering && now.since(began_at) >= ANSWERING_AFTER {
         upstream.is_answering = true;
@@ -314,6 +317,16 @@
     }
 }
 
+/// Counts the first event of a request at its head. One that was sent again was late for another
+/// reason than load.
+fn record_first_event(call: &Call, endpoint: &Endpoint, now: Time) {
+    if call.attempts == 1 {
+        let is_late = now.since(call.sent_at) > call.route.objective;
+        let mut loads = call.state.loads.borrow_mut();
+        loads.request_begun(endpoint.host, is_late);
+    }
+}
+
 /// Sends whole events to the caller, except those that it already has.
 pub(super) async fn send_events(
     call: &Call,
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 59] = [
+const DECISIONS: [&str; 60] = [
     "admission",
     "backoff",
     "balancer",
@@ -32,6 +32,7 @@
     "fair_share",
     "formation",
     "group",
+    "head_limits",
     "held_bytes",
     "lifecycle",
     "liveness",
