Try formations at each stage, and a lost order to join

With traffic the test evacuated a hall only while its hosts staged weights: groups there open after 53 to 82 s, not 20. It now begins at 1 to 89 s. No test sent an order to join again; one does now.

--- a/tests/gateway/evacuation_orders.rs
+++ b/tests/gateway/evacuation_orders.rs
@@ -7,7 +7,7 @@
 use hickoryledge::{
     core::{
         keys::{DomainName, Epoch, HallName, HostName, ModelName},
-        time::Span,
+        time::{Span, Time},
     },
     gateway::{
         order::{Directive, Order},
@@ -123,11 +123,11 @@
 #[test]
 fn formations_wait_for_the_end_of_the_evacuation() {
     // Before the first request members load as they join, and groups are open after 3 seconds.
-    for tenths in 1..32 {
+    for tenths in (1..32).step_by(2) {
         check_formations(false, Span::from_millis(100 * tenths));
     }
-    // Later weights are staged first, and groups are open after 20 seconds.
-    for seconds in 1..22 {
+    // Later weights are staged first, a few at a time, and all groups are open after 82 seconds.
+    for seconds in (1..90).step_by(4) {
         check_formations(true, Span::from_secs(seconds));
     }
 }
@@ -149,6 +149,25 @@
     );
 }
 
+/// An order to join that got lost is repeated, which must wait for the end of the evacuation.
+#[test]
+fn lost_order_to_join_is_not_repeated_meanwhile() {
+    let mut fleet = new_fleet(&["a"]);
+    fleet.run(Time(1_500_000), |directive| match directive.order {
+        Order::Join { .. } => Delivery::Dropped,
+        _ => Delivery::Immediate,
+    });
+    evacuate(&mut fleet, &["a"]);
+    let sent = orders(&mut fleet, Span::from_secs(10));
+    assert!(!sent.iter().any(|directive| is_forming(&directive.order)));
+    lift(&mut fleet, &["a"]);
+    fleet.run_for(Span::from_secs(5));
+    assert_eq!(
+        (fleet.serving_count(LARGE), fleet.serving_count(SMALL)),
+        (1, 1)
+    );
+}
+
 /// The holder of the duty may fail midway: its successor, which knows only entries and evacuations,
 /// must neither order the hall's hosts nor take its groups for lost.
 #[test]
