Fewer datagrams for cold runners, and a smaller burst where two authorities may issue

Cause: with all heads cold and four times the demand, 61 daemons exchanged 51 datagrams for each request sent, as a request tried eight heads (trial, examples/cold_runners).

Change: a request is denied four permits for cold runners at most. A daemon that isn't certain to be the only authority lets a quarter of the burst add up, one permit at least. A daemon that knows no other one, as after a rollback of the store, divides by the largest recent count.

--- a/src/gateway/permits/bucket.rs
+++ b/src/gateway/permits/bucket.rs
@@ -42,12 +42,9 @@
         share: f64,
         now: Time,
     ) -> Result<(), Span> {
-        let window = match limit.reason {
-            LimitReason::Limited => BURST_WINDOW,
-            LimitReason::Cold => COLD_BURST_WINDOW,
-        };
-        let rate = limit.rate.per_second().max(MIN_RATE) * share;
-        let max = MIN_BURST + rate * window.as_secs_f64();
+        let per_second = limit.rate.per_second().max(MIN_RATE);
+        let max = max_permits(limit.reason, per_second, share);
+        let rate = per_second * share;
         let added = rate * now.since(self.filled_at).as_secs_f64();
         self.permits = (self.permits + added).min(max);
         self.filled_at = now;
@@ -64,3 +61,15 @@
         self.filled_at < time
     }
 }
+
+/// Returns the number of permits that may add up out of a `share` of a rate.
+fn max_permits(reason: LimitReason, per_second: f64, share: f64) -> f64 {
+    match reason {
+        LimitReason::Limited => MIN_BURST + per_second * share * BURST_WINDOW.as_secs_f64(),
+        // Whoever is not certain to be the only authority may add to the permits of another one.
+        LimitReason::Cold => {
+            let all = MIN_BURST + per_second * COLD_BURST_WINDOW.as_secs_f64();
+            (all * share).max(1.0)
+        }
+    }
+}
--- a/src/gateway/permits/denials.rs
+++ b/src/gateway/permits/denials.rs
@@ -10,7 +10,7 @@
 
 /// Permits for cold runners that a request may be denied. All runners may be cold, and as long as
 /// the daemons together ask for fewer permits than there are, some runner has one left.
-const MAX_COLD: u32 = 8;
+const MAX_COLD: u32 = 4;
 
 /// Part of a route's objective that a request may spend on asking for permits for cold runners.
 const ASKING_SHARE: f64 = 0.25;
--- a/src/gateway/permits/mod.rs
+++ b/src/gateway/permits/mod.rs
@@ -82,7 +82,14 @@
     let authority = current_authority(state, &runner);
     let answered = match authority {
         Authority::Own => Some(issue(state, &runner, limit, 1.0)),
-        Authority::Divided(daemons) => Some(issue(state, &runner, limit, 1.0 / daemons as f64)),
+        Authority::Divided(daemons) => {
+            // A store that has come back from an older copy may list none of the daemons.
+            let daemons = match limit.reason {
+                LimitReason::Limited => daemons,
+                LimitReason::Cold => daemons.max(state.count_daemons(asked_at)),
+            };
+            Some(issue(state, &runner, limit, 1.0 / daemons as f64))
+        }
         Authority::Peer(address) => ask(state, address, endpoint.host, runner, timeout).await,
     };
     let (label, wait) = match answered {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -391,7 +391,8 @@
         self.with_retry_budget(service, |budget| budget.try_take(slack, now))
     }
 
-    fn count_daemons(&self, now: Time) -> usize {
+    /// Counts the known daemons, and returns the largest recent count.
+    pub fn count_daemons(&self, now: Time) -> usize {
         let count = self.peers.borrow().count();
         self.daemon_count.borrow_mut().record(count, now)
     }
