An account of the least urgent rank isn't starved, and the share of an account counts all its work

Cause: with strict ranks, an account whose priority is the least urgent one got nothing while an overload lasted, which is a fault whatever its rank.

Change: an account that gets less than 0.3 of what all accounts get leaves nothing to others. An account is above its share if it is above it in its rank and over all ranks.

With a starved fraction of 0 contention::account_of_least_urgent_rank_is_not_starved fails.

--- a/examples/contention/main.rs
+++ b/examples/contention/main.rs
@@ -1,8 +1,8 @@
 //! Compares what ranks and accounts get from heads that don't suffice for all, in virtual time.
 //!
 //! Prints, for each number of daemons and demand, the fractions of requests that
-//! are served and served on time: by rank, and of small accounts beside one with
-//! four times its usual demand.
+//! are served and served on time: by rank, of small accounts beside one with four
+//! times its usual demand, and of an account that has the least urgent rank.
 
 #[path = "../../tests/gateway/contention_fleet.rs"]
 mod fleet;
@@ -64,18 +64,41 @@
             }
         }
     }
+    println!();
+    println!("one account of the least urgent rank");
+    println!("daemons     x policy  it          all accounts");
+    for daemons in DAEMONS {
+        for load in LOADS {
+            for policy in [Policy::Alike, Policy::Ranked] {
+                let scene = Scene {
+                    account_priority: Some(2),
+                    ..scene(policy, daemons, load, 1.0 / 24.0)
+                };
+                let figures = play(scene, SPAN);
+                println!(
+                    "{daemons:7} {load:5.1} {policy:7?} {} {}",
+                    text(&figures.last_account()),
+                    text(&figures.all())
+                );
+            }
+        }
+    }
 }
 
-fn measure(policy: Policy, daemons: usize, load: f64, largest: f64) -> Figures {
-    let scene = Scene {
+fn scene(policy: Policy, daemons: usize, load: f64, largest: f64) -> Scene {
+    Scene {
         policy,
         daemons,
         load,
         largest,
         most_urgent: MOST_URGENT,
+        account_priority: None,
         seed: 7,
-    };
-    play(scene, SPAN)
+    }
+}
+
+fn measure(policy: Policy, daemons: usize, load: f64, largest: f64) -> Figures {
+    play(scene(policy, daemons, load, largest), SPAN)
 }
 
 fn text(outcomes: &Outcomes) -> String {
--- a/src/gateway/contention.rs
+++ b/src/gateway/contention.rs
@@ -20,6 +20,14 @@
 /// leaves to the others. Below 1, so that a less urgent rank always leaves more.
 const ACCOUNT_RESERVE_FRACTION: f64 = 1.0;
 
+/// Half-life of the work by which accounts of a rank share; a daemon with seven requests a second
+/// then counts about 150, a few for each of dozens of accounts.
+const SHARE_HALF_LIFE: Span = Span::from_secs(15);
+
+/// Half-life of the work by which an account is found starved, over which even a daemon with two
+/// requests a second sees a few of each account.
+const STARVATION_HALF_LIFE: Span = Span::from_secs(60);
+
 /// Delay by which each rank retries later than the next more urgent one.
 const RETRY_STEP: Span = Span::from_millis(600);
 
@@ -65,12 +73,45 @@
 }
 
 /// Recent requests to one service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct ServiceDemand {
     models: BTreeMap<ModelName, RankDemand>,
     /// Work of the accounts, by priority. All models count together, as a daemon sees too few
     /// requests for each of them.
     shares: BTreeMap<u8, FairShare>,
+    /// Work of the accounts over all ranks.
+    total: FairShare,
+    /// The same over a longer time.
+    long_term: FairShare,
+}
+
+impl Default for ServiceDemand {
+    fn default() -> Self {
+        Self {
+            models: BTreeMap::new(),
+            shares: BTreeMap::new(),
+            total: FairShare::new(SHARE_HALF_LIFE),
+            long_term: FairShare::new(STARVATION_HALF_LIFE),
+        }
+    }
+}
+
+impl ServiceDemand {
+    /// Returns the records that a request is counted in.
+    fn records(&mut self, request: &Request<'_>) -> (&mut RankDemand, [&mut FairShare; 3]) {
+        let demand = self.models.entry(request.model.clone()).or_default();
+        let shares = self.shares.entry(request.rank.priority());
+        let share = shares.or_insert_with(|| FairShare::new(SHARE_HALF_LIFE));
+        (demand, [share, &mut self.total, &mut self.long_term])
+    }
+
+    /// Returns the fraction of a rank's work that other accounts ask for, if an account is above its
+    /// share of this rank's work and of all work. One that sends all its requests at one rank has
+    /// more than its share of that rank alone.
+    fn others_if_above(&self, priority: u8, account: Option<&AccountName>) -> Option<f64> {
+        self.total.others_if_above(account)?;
+        self.shares.get(&priority)?.others_if_above(account)
+    }
 }
 
 impl Contention {
@@ -79,9 +120,11 @@
         if !request.is_ranked() {
             return;
         }
-        let (demand, share) = self.entries(request);
+        let (demand, shares) = self.entry(request).records(request);
         demand.record_request(request.rank.priority(), now);
-        share.record_request(request.account, request.work(), now);
+        for share in shares {
+            share.record_request(request.account, request.work(), now);
+        }
     }
 
     /// Records a request that is sent to a head for the first time.
@@ -89,16 +132,15 @@
         if !request.is_ranked() {
             return;
         }
-        let (demand, share) = self.entries(request);
+        let (demand, shares) = self.entry(request).records(request);
         demand.record_admission(request.rank.priority(), now);
-        share.record_admission(request.account, request.work(), now);
+        for share in shares {
+            share.record_admission(request.account, request.work(), now);
+        }
     }
 
-    fn entries(&mut self, request: &Request<'_>) -> (&mut RankDemand, &mut FairShare) {
-        let service = self.services.entry(request.service.clone()).or_default();
-        let demand = service.models.entry(request.model.clone()).or_default();
-        let share = service.shares.entry(request.rank.priority()).or_default();
-        (demand, share)
+    fn entry(&mut self, request: &Request<'_>) -> &mut ServiceDemand {
+        self.services.entry(request.service.clone()).or_default()
     }
 }
 
@@ -119,16 +161,23 @@
         let duration =
             engine.request_duration(replication, engine.usual_prompt, engine.usual_answer);
         let priority = request.rank.priority();
-        let share = service.shares.get(&priority);
-        let others = share.and_then(|share| share.others_if_above(request.account));
+        let spread = demand.backlog_ratio(priority).min(MAX_SPREAD_FACTOR);
+        let retry = Precedence {
+            retry_offset: RETRY_STEP.times(u64::from(request.rank.position())),
+            retry_spread: RETRY_SPREAD.scaled(spread),
+            ..Precedence::default()
+        };
+        let is_starved = |account| service.long_term.is_starved(account);
+        if request.account.is_some_and(is_starved) {
+            return retry;
+        }
+        let others = service.others_if_above(priority, request.account);
         let rate = demand.rate(priority, now) * daemons as f64 * others.unwrap_or_default();
         let for_accounts = slots_for(rate, duration) * ACCOUNT_RESERVE_FRACTION;
-        let spread = demand.backlog_ratio(priority).min(MAX_SPREAD_FACTOR);
         Precedence {
             for_ranks: demand.reserve(priority, daemons, duration, now).ceil() as u32,
             for_accounts: for_accounts as u32,
-            retry_offset: RETRY_STEP.times(u64::from(request.rank.position())),
-            retry_spread: RETRY_SPREAD.scaled(spread),
+            ..retry
         }
     }
 }
--- a/src/gateway/fair_share.rs
+++ b/src/gateway/fair_share.rs
@@ -1,4 +1,4 @@
-//! Max-min fairness between the accounts of one rank, by recent work.
+//! Max-min fairness between accounts, by recent work.
 //!
 //! The work that was admitted is what the accounts can have together. It is
 //! divided so that none gets more than it asks for, and no account that gets
@@ -12,16 +12,19 @@
 };
 use std::collections::BTreeMap;
 
-/// Half-life of the weight of work; a daemon with seven requests a second then counts about 150, a
-/// few for each of dozens of accounts.
-const HALF_LIFE: Span = Span::from_secs(15);
-
 /// Interval at which work decays and the level is derived anew.
 const REFRESH_INTERVAL: Span = Span::from_millis(200);
 
 /// Work of an account, in seconds of a replica, below which it is forgotten.
 const MIN_WORK_SECS: f64 = 1e-3;
 
+/// Fraction of what all accounts get below which an account is starved; a quarter is a fault.
+const STARVED_FRACTION: f64 = 0.3;
+
+/// Requests that an account should have been admitted by now from which it can be told that it is
+/// starved. By chance, none of three is admitted to one account in 20.
+const MIN_EXPECTED_REQUESTS: f64 = 3.0;
+
 /// Fraction of the work asked for that is admitted without contention; the rest may be under way.
 const UNCONTENDED_FRACTION: f64 = 0.97;
 
@@ -32,9 +35,11 @@
     admitted: f64,
 }
 
-/// Recent work of the accounts of one rank.
-#[derive(Clone, Debug, Default)]
+/// Recent work of accounts.
+#[derive(Clone, Debug)]
 pub struct FairShare {
+    /// Half-life of the weight of work.
+    half_life: Span,
     /// Work by account; requests without an account share one entry.
     accounts: BTreeMap<Option<AccountName>, Work>,
     /// Decayed number of requests.
@@ -46,6 +51,17 @@
 }
 
 impl FairShare {
+    /// Creates an empty record in which work has this half-life.
+    pub fn new(half_life: Span) -> Self {
+        Self {
+            half_life,
+            accounts: BTreeMap::new(),
+            requests: 0.0,
+            level: None,
+            updated: Time::default(),
+        }
+    }
+
     /// Adds the work of a request that arrived.
     pub fn record_request(&mut self, account: Option<&AccountName>, work: Span, now: Time) {
         self.refresh(now);
@@ -66,7 +82,7 @@
             return;
         }
         self.updated = now;
-        let factor = decay::factor(elapsed, HALF_LIFE);
+        let factor = decay::factor(elapsed, self.half_life);
         self.requests *= factor;
         for work in self.accounts.values_mut() {
             work.requested *= factor;
@@ -95,6 +111,18 @@
         is_above.then(|| 1.0 - own.requested / requested)
     }
 
+    /// Returns true if an account gets far less of what it asks for than all accounts together.
+    pub fn is_starved(&self, account: &AccountName) -> bool {
+        let Some(own) = self.accounts.get(&Some(account.clone())) else {
+            return false;
+        };
+        let requested = self.total(|work| work.requested);
+        let expected = own.requested / requested * self.total(|work| work.admitted);
+        let mean_work = requested / self.requests.max(1.0);
+        let is_known = expected >= mean_work * MIN_EXPECTED_REQUESTS;
+        is_known && own.admitted < expected * STARVED_FRACTION
+    }
+
     fn find_level(&self) -> Option<f64> {
         let admitted = self.total(|work| work.admitted);
         if admitted >= self.total(|work| work.requested) * UNCONTENDED_FRACTION {
--- a/tests/gateway/contention.rs
+++ b/tests/gateway/contention.rs
@@ -427,6 +427,7 @@
         load,
         largest,
         most_urgent: 0.25,
+        account_priority: None,
         seed: 3,
     }
 }
@@ -513,3 +514,19 @@
         assert!(outcomes.served() > 0.25 * small.served(), "{outcomes:?}");
     }
 }
+
+/// An account of the least urgent rank got nothing for as long as the overload lasted. It must get a
+/// quarter of what all get.
+#[test]
+fn account_of_least_urgent_rank_is_not_starved() {
+    for load in [2.0, 4.0] {
+        let scene = Scene {
+            account_priority: Some(2),
+            ..scene(Policy::Ranked, load, 0.05)
+        };
+        let figures = play(scene, Span::from_secs(60));
+        let (last, all) = (figures.last_account(), figures.all());
+        assert!(last.served() > 0.25 * all.served(), "{last:?} {all:?}");
+        assert!(last.served() < all.served(), "{last:?} {all:?}");
+    }
+}
--- a/tests/gateway/contention_fleet.rs
+++ b/tests/gateway/contention_fleet.rs
@@ -75,6 +75,8 @@
     pub largest: f64,
     /// Fraction of the demand that the most urgent rank has; the rest is divided as usual.
     pub most_urgent: f64,
+    /// Priority of the last account, if it has one of its own.
+    pub account_priority: Option<u8>,
     /// Seed of all chance.
     pub seed: u64,
 }
@@ -116,17 +118,30 @@
 }
 
 impl Figures {
+    /// Returns the outcomes of the last account, which may have a priority of its own.
+    pub fn last_account(&self) -> Outcomes {
+        self.accounts[&(ACCOUNTS - 1)]
+    }
+
+    /// Returns the outcomes of all requests.
+    pub fn all(&self) -> Outcomes {
+        sum(self.accounts.values())
+    }
+
     /// Returns the outcomes of all accounts but the largest.
     pub fn small_accounts(&self) -> Outcomes {
-        let small = self.accounts.range(1..);
-        small.fold(Outcomes::default(), |sum, (_, outcomes)| Outcomes {
-            requests: sum.requests + outcomes.requests,
-            on_time: sum.on_time + outcomes.on_time,
-            late: sum.late + outcomes.late,
-        })
+        sum(self.accounts.range(1..).map(|(_, outcomes)| outcomes))
     }
 }
 
+fn sum<'a>(parts: impl Iterator<Item = &'a Outcomes>) -> Outcomes {
+    parts.fold(Outcomes::default(), |sum, part| Outcomes {
+        requests: sum.requests + part.requests,
+        on_time: sum.on_time + part.on_time,
+        late: sum.late + part.late,
+    })
+}
+
 /// Request of a caller.
 #[derive(Clone, Copy, Debug)]
 struct Call {
@@ -356,6 +371,7 @@
             load,
             largest,
             most_urgent,
+            account_priority,
             ..
         } = self.scene;
         let replication = &self.engine.models[0];
@@ -371,8 +387,10 @@
             true => 0,
             false => self.rng.random_range(1..ACCOUNTS),
         };
+        let drawn = self.draw_priority(most_urgent);
+        let own = account_priority.filter(|_| account == ACCOUNTS - 1);
         let call = Call {
-            priority: self.draw_priority(most_urgent),
+            priority: own.unwrap_or(drawn),
             account,
             arrived: self.now,
             answer_tokens: self
--- a/tests/platform/config.rs
+++ b/tests/platform/config.rs
@@ -1,7 +1,7 @@
 //! Configuration of the tests, as an operator writes it.
 
 use super::store::Store;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// API key that requests carry.
 pub const API_KEY: &str = "secret-key";
@@ -14,6 +14,11 @@
 
 /// Writes a version of the configuration; odd versions route `/moved/` to the plain service.
 pub fn write(store: &Store, version: u64) {
+    store.put("op/config", &value(version).to_string());
+}
+
+/// Returns a version of the configuration.
+pub fn value(version: u64) -> Value {
     let route = |prefix: &str, kind: &str, service: &str, attempts: u32| {
         json!({
             "Name": prefix, "Host": "a.example", "Prefix": prefix, "Kind": kind,
@@ -36,7 +41,7 @@
         "loads_at_once": 8, "FormMs": 300.0,
         "Models": [{"Name": "m", "size": 1, "Share": 1.0, "pace": 1.0, "LoadS": 1.0, "WarmS": 0.1}],
     });
-    let config = json!({
+    json!({
         "Version": version, "Routes": routes,
         "Services": [
             {"Name": "plain", "HealthPath": "/healthz", "MaxConns": 100},
@@ -48,6 +53,5 @@
         ],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536,
             "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 20000},
-    });
-    store.put("op/config", &config.to_string());
+    })
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -27,6 +27,7 @@
 mod missed_changes;
 mod notices;
 mod odd_entries;
+mod ranks;
 mod relay;
 mod repeated_refusal;
 mod requests;
