--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,7 +7,8 @@
 //! every daemon derives the same groups from their entries.
 //!
 //! Modules that decide (`routes`, `contact`, `roster`, `group`, `candidacy`, `balancer`,
-//! `admission`, `contention`, `rank`, `rank_demand`, `fair_share`, `decay`, `load`, `demand`, `planner`, `startup`, `formation`,
+//! `admission`, `contention`, `rank`, `rank_demand`, `fair_share`, `decay`, `load`,
+//! `demand`, `planner`, `startup`, `formation`,
 //! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
 //! `weight_loads`, `outages`, `budget`, `backoff`, `notices`, `held_bytes`,
 //! `drain`, `reach`, `peer_relay::choice`, those of `quarantine` that it names) read
