--- a/tests/platform/config.rs
+++ b/tests/platform/config.rs
@@ -1,7 +1,7 @@
 //! Configuration of the tests, as an operator writes it.
 
 use super::store::Store;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// API key that requests carry.
 pub const API_KEY: &str = "secret-key";
@@ -17,20 +17,25 @@
 
 /// Writes a version of the configuration; odd versions route `/moved/` to the plain service.
 pub fn write(store: &Store, version: u64) {
-    write_spec(store, version, 8, None);
+    store.put("op/config", &value(version).to_string());
 }
 
 /// Writes a version of the configuration in which a head has this number of slots.
 pub fn write_with_slots(store: &Store, version: u64, slots: u32) {
-    write_spec(store, version, slots, None);
+    store.put("op/config", &spec(version, slots, None).to_string());
 }
 
 /// Writes a version of the configuration in which runners of the plain service may be cold.
 pub fn write_with(store: &Store, version: u64, cold_rate: ColdRate) {
-    write_spec(store, version, 8, cold_rate);
+    store.put("op/config", &spec(version, 8, cold_rate).to_string());
 }
 
-fn write_spec(store: &Store, version: u64, slots: u32, cold_rate: ColdRate) {
+/// Returns a version of the configuration.
+pub fn value(version: u64) -> Value {
+    spec(version, 8, None)
+}
+
+fn spec(version: u64, slots: u32, cold_rate: ColdRate) -> Value {
     let route = |prefix: &str, kind: &str, service: &str, attempts: u32| {
         json!({
             "Name": prefix, "Host": "a.example", "Prefix": prefix, "Kind": kind,
@@ -53,7 +58,7 @@
         "loads_at_once": 8, "FormMs": 300.0,
         "Models": [{"Name": "m", "size": 1, "Share": 1.0, "pace": 1.0, "LoadS": 1.0, "WarmS": 0.1}],
     });
-    let config = json!({
+    json!({
         "Version": version, "Routes": routes,
         "Services": [
             {"Name": "plain", "HealthPath": "/healthz", "MaxConns": 100, "ColdS": 20,
@@ -66,6 +71,5 @@
         ],
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536,
             "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 20000},
-    });
-    store.put("op/config", &config.to_string());
+    })
 }
