A holder whose claim is gone gives the duty up at once

What runners saw: orders of two daemons. A runner joined a group under an earlier claim while a later one was in force.

Cause: a holder looked at its own lease alone. If the lease ends in the store earlier than the holder counts (revoked by an operator, for example), it learnt of that with the next renewal, up to 0.7 s later; a successor claims within 0.3 s.

A holder now gives the duty up once its watch shows that the claim was deleted, or that another daemon has claimed it at a later revision, and treats its lease as expired until it is renewed. The deletion comes before a successor's claim.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -19,7 +19,7 @@
 };
 use crate::core::{
     input::PlatformAnswer,
-    keys::{Era, Revision},
+    keys::{DaemonName, Era, Revision},
     output::Expect,
 };
 use metrics::gauge;
@@ -51,6 +51,8 @@
 where
     A: Adapter,
 {
+    /// Revision of the claim under which it is held.
+    claim: Revision,
     planner: Planner,
     prober: Prober<A>,
     publisher: Rc<HealthPublisher<A>>,
@@ -128,8 +130,30 @@
         (*holder == self.state.settings.name).then_some(*revision)
     }
 
+    /// Gives the duty up if its claim is gone from the store, or another daemon has claimed it since:
+    /// the lease may have ended there before its time, and a successor be at work.
+    fn check_claim(&mut self) {
+        let Some(active) = &self.active else {
+            return;
+        };
+        let is_lost = {
+            let peers = self.state.peers.borrow();
+            let is_other = |(holder, revision): &(DaemonName, Revision)| {
+                *holder != self.state.settings.name && *revision > active.claim
+            };
+            peers.claim_deleted > active.claim || peers.claim.as_ref().is_some_and(is_other)
+        };
+        if is_lost {
+            self.active = None;
+            self.lease.distrust();
+            gauge!("duty_held").set(0.0);
+            slog::warn!(self.state.log, "duty given up"; "cause" => "the claim is gone");
+        }
+    }
+
     async fn step(&mut self) {
         self.check_era();
+        self.check_claim();
         if self.check_reach().await {
             return;
         }
@@ -208,6 +232,7 @@
         slog::info!(self.state.log, "duty taken"; "revision" => revision.0);
         let epoch = first_epoch(self.era.unwrap_or_default(), revision);
         self.active = Some(ActiveDuty {
+            claim: revision,
             planner: Planner::new(epoch),
             prober: Prober::new(self.state.clone()),
             publisher: Rc::new(HealthPublisher::new(self.lease.clone())),
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -327,6 +327,7 @@
         let mut peers = self.state.peers.borrow_mut();
         match key {
             CLAIM_KEY => {
+                peers.claim_deleted = revision;
                 if peers.claim.as_ref().is_some_and(|(_, at)| *at < revision) {
                     peers.claim = None;
                 }
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -143,6 +143,11 @@
         is_held && self.state.now() + EXPIRY_MARGIN < self.expires.get()
     }
 
+    /// Treats the lease as expired until it is renewed.
+    pub fn distrust(&self) {
+        self.expires.set(Time::default());
+    }
+
     /// Renews the lease until the stop, then revokes it; returns true if that succeeded.
     async fn maintain(self: Rc<Self>, stop: StopSignal) -> bool {
         let mut backoff = Backoff::of_probe();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -57,6 +57,8 @@
     daemons: BTreeMap<DaemonName, DaemonEntry>,
     /// Holder of the duty, and the revision of its claim.
     pub claim: Option<(DaemonName, Revision)>,
+    /// Revision at which a claim was last deleted, as far as that was seen since the last list.
+    pub claim_deleted: Revision,
     /// Era of the store in which a holder last published the health of runners.
     pub published_era: Option<Era>,
 }
--- a/tests/platform/handovers.rs
+++ b/tests/platform/handovers.rs
@@ -126,6 +126,39 @@
     check_repeats(&orders);
 }
 
+// A lease that ends in the store earlier than its holder thinks: the holder learns of it with the
+// next renewal, and by then its successor may be at work.
+#[test]
+fn holder_whose_lease_ends_early_sends_no_order_beside_its_successor() {
+    let env = TestEnv::start();
+    let _second: Daemon = env.start_daemon("d2");
+    env.eventually("both daemons have entries", |env| {
+        env.store.keys("hickoryledge/daemons/").len() == 2
+    });
+    let mut claims = vec![(Instant::now(), env.store.revision_of(CLAIM))];
+    let start = received(&env.heads).len();
+    for round in 0..12 {
+        env.eventually("both heads serve", |env| {
+            !holder(env).is_empty() && env.heads.iter().all(|head| head.is_open())
+        });
+        let before = env.store.revision_of(CLAIM);
+        env.store.expire_lease_of(CLAIM);
+        env.eventually("a daemon holds the duty", |env| {
+            env.store.revision_of(CLAIM) > before
+        });
+        claims.push((Instant::now(), env.store.revision_of(CLAIM)));
+        env.heads[round % 2].restart();
+        // Renewals come at any time of the rounds.
+        thread::sleep(Duration::from_millis(37 * round as u64));
+    }
+    env.eventually("both heads serve", |env| {
+        env.heads.iter().all(|head| head.is_open())
+    });
+    let orders = received(&env.heads).split_off(start);
+    check_claims(&orders, &claims);
+    check_repeats(&orders);
+}
+
 // A planned stop of the holder, several times in turn.
 #[test]
 fn stop_of_the_holder_doubles_no_order() {
