--- a/examples/even_load/main.rs
+++ b/examples/even_load/main.rs
@@ -4,6 +4,9 @@
 //! late, refused, refused although a head was free, and declined by a head; the heads' standard
 //! deviation and maximum over mean; quantiles of the time to the first event; and bytes a second of
 //! a daemon and of an aggregator.
+//!
+//! Arguments name the ways that are compared. The environment variables `DAEMONS`, `LOADS` and
+//! `HEADS` take numbers, `TROUBLE` names what goes wrong (see `with_trouble`).
 
 #[expect(dead_code, reason = "the tests use the rest")]
 #[path = "../../tests/gateway/load_fleet.rs"]
@@ -17,7 +20,7 @@
 
 fn main() {
     let base = Scene {
-        heads: 13,
+        heads: numbers("HEADS", "13")[0] as usize,
         swing: 0.0,
         length: Span::from_secs(30),
         ..Scene::default()
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -255,10 +255,10 @@
         .map(room)
         .sum();
     let all_room: f64 = admitted.iter().map(room).sum();
-    let rank = outlook.draw_rank(rng);
+    let position = outlook.draw_position(rng);
     admitted.retain(|candidate| match is_fast(candidate) {
-        true => rank <= fast_room,
-        false => rank > fast_room && rank <= all_room,
+        true => position <= fast_room,
+        false => position > fast_room && position <= all_room,
     });
 }
 
--- a/src/gateway/outlook.rs
+++ b/src/gateway/outlook.rs
@@ -49,7 +49,7 @@
 
     /// Draws which of the expected requests this one is: those up to the room at the heads are
     /// admitted.
-    pub fn draw_rank<R>(&self, rng: &mut R) -> f64
+    pub fn draw_position<R>(&self, rng: &mut R) -> f64
     where
         R: Rng,
     {
--- a/tests/gateway/even_load.rs
+++ b/tests/gateway/even_load.rs
@@ -58,3 +58,84 @@
         run(Policy::Responses, scene(8, 0.9)).on_time
     );
 }
+
+/// A tenth of the heads is lost every three seconds and others open, which look empty to all daemons.
+#[test]
+fn exchange_copes_with_lost_and_opened_heads() {
+    let scene = |load| Scene {
+        replace_every: Some(Span::from_secs(3)),
+        ..scene(61, load)
+    };
+    for (load, min) in [(0.9, 0.85), (1.5, 0.45)] {
+        let figures = run(Policy::Exchange, scene(load));
+        assert!(figures.served() > min, "{load}: {figures:?}");
+        assert_eq!(figures.declined, 0, "{load}: an opened head is overfilled");
+    }
+}
+
+/// Without digests the daemons are blind: a loss, a pause or a restart of aggregators and lost
+/// datagrams must not show in what is served.
+#[test]
+fn exchange_copes_with_trouble_of_aggregators() {
+    let base = scene(61, 1.3);
+    let at = Some(Span::from_secs(3));
+    let undisturbed = run(Policy::Exchange, base).served();
+    let troubles = [
+        Scene {
+            aggregator_lost: at,
+            ..base
+        },
+        Scene {
+            aggregators_paused: at,
+            ..base
+        },
+        Scene {
+            aggregator_restarts: at,
+            ..base
+        },
+        Scene { loss: 0.1, ..base },
+    ];
+    for trouble in troubles {
+        let figures = run(Policy::Exchange, trouble);
+        let served = figures.served();
+        assert!(
+            served > undisturbed - 0.1,
+            "{undisturbed}: {trouble:?} {figures:?}"
+        );
+    }
+}
+
+/// Daemons of a former version report nothing. Those that do must leave room for them.
+#[test]
+fn exchange_leaves_room_for_daemons_that_report_nothing() {
+    let scene = Scene {
+        silent: 0.2,
+        ..scene(61, 1.3)
+    };
+    let figures = run(Policy::Exchange, scene);
+    assert!(figures.served() > 0.4, "{figures:?}");
+}
+
+/// The time between two digests grows with the number of daemons; the heads' load must not begin to
+/// swing.
+#[test]
+fn exchange_is_stable_with_many_daemons() {
+    for daemons in [195, 340] {
+        for (load, min) in [(0.9, 0.88), (1.5, 0.45)] {
+            let figures = run(Policy::Exchange, scene(daemons, load));
+            assert!(figures.served() > min, "{daemons}, {load}: {figures:?}");
+            assert!(figures.daemon_bytes < 6_000.0, "{figures:?}");
+        }
+    }
+}
+
+/// A head that works 1.6 times slower gets fewer requests.
+#[test]
+fn slow_head_gets_fewer_requests() {
+    let scene = Scene {
+        slow: Some(1.6),
+        ..scene(61, 0.9)
+    };
+    let figures = run(Policy::Exchange, scene);
+    assert!(figures.served() > 0.88, "{figures:?}");
+}
