--- a/examples/even_load/main.rs
+++ b/examples/even_load/main.rs
@@ -1,7 +1,7 @@
 //! Compares ways to spread requests over the heads of a model, in virtual time.
 //!
 //! Prints, for each way, number of daemons and load: the share of requests that begin on time, are
-//! late, refused, refused although a head was free, and declined by a head; the heads' standard
+//! late, refused, refused and served later, refused although a head was free, and declined by a head; the heads' standard
 //! deviation and maximum over mean; quantiles of the time to the first event; and bytes a second of
 //! a daemon and of an aggregator.
 //!
@@ -37,7 +37,7 @@
         Policy::EqualShares,
     ];
     println!(
-        "policy daemons load | on time, late, refused, wrongly, declined | dev max/mean | p50 p95 p99 | B/s daemon aggregator"
+        "policy daemons load | on time, late, refused, of these served later, wrongly, declined | dev max/mean | p50 p95 p99 | B/s daemon aggregator"
     );
     let only: Vec<String> = std::env::args().skip(1).collect();
     for daemons in numbers("DAEMONS", "8,61,195,340") {
@@ -72,6 +72,7 @@
         "aggregator restarts" => scene.aggregator_restarts = at,
         "datagrams lost" => scene.loss = 0.1,
         "silent" => scene.silent = 0.2,
+        "returns" => scene.returns = true,
         "slow" => scene.slow = Some(1.6),
         other => panic!("unknown trouble: {other}"),
     }
@@ -94,10 +95,11 @@
     let arrived = sum(|figures| figures.arrived as f64);
     let share = |value: fn(&Figures) -> f64| sum(value) / arrived;
     println!(
-        "{label} | {:.3} {:.3} {:.3} {:.3} {:.3} | {:.1} {:.2} | {:.0} {:.0} {:.0} | {:.0} {:.0}",
+        "{label} | {:.3} {:.3} {:.3} {:.3} {:.3} {:.3} | {:.1} {:.2} | {:.0} {:.0} {:.0} | {:.0} {:.0}",
         share(|figures| figures.on_time as f64),
         share(|figures| figures.late as f64),
         share(|figures| figures.refused as f64),
+        share(|figures| figures.served_after_return as f64),
         share(|figures| figures.refused_wrongly as f64),
         share(|figures| figures.declined as f64),
         mean(|figures| figures.deviation),
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -59,8 +59,8 @@
 /// Returns the number of requests that a head may be expected to hold, if it is estimated from totals
 /// of all daemons.
 pub fn max_expected(slots: u32, class: AdmissionClass) -> f64 {
-    let margin = f64::from(MAX_QUEUED) + f64::from(slots) * TOTALS_MARGIN_FRACTION;
-    f64::from(max_in_flight(slots, class)) - margin
+    let max = f64::from(slots) * (1.0 - TOTALS_MARGIN_FRACTION);
+    max.min(f64::from(max_in_flight(slots, class)))
 }
 
 /// Returns the estimated duration of a request.
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -255,7 +255,10 @@
         .map(room)
         .sum();
     let all_room: f64 = admitted.iter().map(room).sum();
-    let position = outlook.draw_position(rng);
+    let position = match criteria.class {
+        AdmissionClass::Late => outlook.last_position(),
+        _ => outlook.draw_position(rng),
+    };
     admitted.retain(|candidate| match is_fast(candidate) {
         true => position <= fast_room,
         false => position > fast_room && position <= all_room,
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -137,8 +137,8 @@
         entry.total = Some(total);
     }
 
-    /// Counts a request that was refused because all heads of its model were full; it is counted at
-    /// one of them.
+    /// Counts a request that could have been on time, and was refused because all heads of its model
+    /// were full; it is counted at one of them.
     pub fn request_refused(&mut self, host: HostKey) {
         if let Some(entry) = self.entry(host) {
             entry.changes.refused = entry.changes.refused.saturating_add(1);
--- a/src/gateway/load_exchange/estimate.rs
+++ b/src/gateway/load_exchange/estimate.rs
@@ -26,7 +26,8 @@
     pub starts_per_s: f64,
     /// Requests of all daemons that end in a second.
     pub ends_per_s: f64,
-    /// Requests that all daemons refuse in a second because all heads are full.
+    /// Requests that could be on time, and that all daemons refuse in a second because all heads are
+    /// full.
     pub refusals_per_s: f64,
 }
 
--- a/src/gateway/load_exchange/message.rs
+++ b/src/gateway/load_exchange/message.rs
@@ -16,7 +16,8 @@
         pub started: u32,
         /// Requests that have ended.
         pub ended: u32,
-        /// Requests that were refused because all heads of their model were full.
+        /// Requests that could have been on time, and were refused because all heads of their model
+        /// were full.
         pub refused: u32,
     }
 
--- a/src/gateway/outlook.rs
+++ b/src/gateway/outlook.rs
@@ -12,7 +12,8 @@
 /// Requests that are expected at some heads within the horizon.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Outlook {
-    /// Requests that callers are expected to send, to all daemons.
+    /// Requests that callers are expected to send, to all daemons; without late ones that are
+    /// refused.
     pub arrivals: f64,
     /// Requests that are expected to end at a head, as a mean of the heads.
     pub ends_each: f64,
@@ -55,4 +56,9 @@
     {
         rng.random::<f64>() * self.arrivals
     }
+
+    /// Returns the position of a request that is admitted only if there is room for all expected ones.
+    pub fn last_position(&self) -> f64 {
+        self.arrivals
+    }
 }
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -44,7 +44,10 @@
         };
         balancer::choose(view, criteria, now, &mut *state.rng.borrow_mut())
     };
-    if let Err(ChooseError::AllFull { host, .. }) = chosen {
+    // Late requests come after all others, so those that are refused aren't expected anywhere.
+    if let Err(ChooseError::AllFull { host, .. }) = chosen
+        && class == AdmissionClass::OnTime
+    {
         state.loads.borrow_mut().request_refused(host);
     }
     chosen
--- a/tests/gateway/even_load.rs
+++ b/tests/gateway/even_load.rs
@@ -129,6 +129,32 @@
     }
 }
 
+/// Callers that were refused come back and are late by then. They must not take the places of those
+/// that can still be on time, nor make these be refused more often.
+#[test]
+fn returning_callers_take_no_places_of_others() {
+    let scene = |load| Scene {
+        returns: true,
+        ..scene(61, load)
+    };
+    for (load, min) in [(1.1, 0.7), (1.5, 0.5)] {
+        let figures = run(Policy::Exchange, scene(load));
+        assert!(figures.served() > min, "{load}: {figures:?}");
+    }
+    // Once a peak is over there is room for them.
+    let peaks = Scene {
+        swing: 0.55,
+        length: Span::from_secs(25),
+        ..scene(0.75)
+    };
+    let figures = run(Policy::Exchange, peaks);
+    assert!(figures.refused > 0, "{figures:?}");
+    assert!(
+        figures.served_after_return * 2 > figures.refused,
+        "{figures:?}"
+    );
+}
+
 /// A head that works 1.6 times slower gets fewer requests.
 #[test]
 fn slow_head_gets_fewer_requests() {
--- a/tests/gateway/load_fleet.rs
+++ b/tests/gateway/load_fleet.rs
@@ -48,6 +48,8 @@
 const UNREACHED_DELAY: Span = Span::from_millis(50);
 /// Time until all daemons know that a head is gone, or that one has opened.
 const VIEW_LAG: Span = Span::from_millis(300);
+/// Time after which callers of refused requests come back no more.
+const MAX_RETURN_TIME: Span = Span::from_secs(5);
 /// Bytes of the headers of a datagram below its content.
 const DATAGRAM_HEADERS: usize = 28;
 
@@ -99,6 +101,8 @@
     pub aggregator_restarts: Option<Span>,
     /// Slowdown factor of one head.
     pub slow: Option<f64>,
+    /// True if callers whose requests were refused come back.
+    pub returns: bool,
     /// Length of the run after the warm-up.
     pub length: Span,
 }
@@ -114,6 +118,8 @@
     pub late: usize,
     /// Requests that a daemon refused.
     pub refused: usize,
+    /// Requests that were refused at first and served when they came back.
+    pub served_after_return: usize,
     /// Requests refused while some head had free slots and nothing waiting.
     pub refused_wrongly: usize,
     /// Requests refused while less than half of all slots were taken.
@@ -617,7 +623,9 @@
             notices: &self.notices,
         };
         let chosen = choose(view, criteria, self.now, &mut daemon.rng);
-        if let Err(ChooseError::AllFull { host, .. }) = chosen {
+        if let Err(ChooseError::AllFull { host, .. }) = chosen
+            && request.class == AdmissionClass::OnTime
+        {
             daemon.loads.request_refused(host);
         }
         Some(chosen.ok()?.host)
@@ -639,7 +647,18 @@
                 && is_new
                 && !self.requests[index].has_begun
             {
-                self.refuse();
+                if self.requests[index].class == AdmissionClass::OnTime {
+                    self.refuse();
+                }
+                if self.scene.returns {
+                    self.requests[index].class = AdmissionClass::Late;
+                    self.requests[index].tried.clear();
+                    let delay = Span(self.rng.random_range(1_200_000..2_200_000));
+                    let is_over = self.now.since(self.requests[index].arrived) > MAX_RETURN_TIME;
+                    if !is_over {
+                        self.after(delay, Event::Retry(index));
+                    }
+                }
             }
             return;
         };
@@ -776,6 +795,9 @@
         daemon.loads.load_reported(key, report, self.now);
         daemon.loads.request_served(key);
         let waited = self.now.since(request.arrived);
+        if request.class == AdmissionClass::Late && self.is_measured(request.arrived) {
+            self.figures.served_after_return += 1;
+        }
         if request.class == AdmissionClass::OnTime && self.is_measured(request.arrived) {
             self.first_events.push(waited.as_secs_f64() * 1e3);
             match waited <= OBJECTIVE {
