--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -127,8 +127,7 @@
 /// Returns the number of requests that a head may be expected to hold, if it is estimated from totals
 /// of all daemons, by the fraction of its slots that may be used.
 pub fn max_expected(slots: u32, fraction: f64, class: AdmissionClass) -> f64 {
-    let limit = f64::from(max_in_flight(slots, class)) - f64::from(MAX_QUEUED);
-    limit * fraction
+    f64::from(max_in_flight(slots, class).min(slots)) * fraction
 }
 
 /// Returns the estimated duration of a request.
--- a/src/gateway/head_limits.rs
+++ b/src/gateway/head_limits.rs
@@ -20,6 +20,10 @@
 /// Smallest limit, as a fraction of the slots: lateness below it has another cause than load.
 const MIN_FRACTION: f64 = 0.4;
 
+/// Largest limit, as a fraction of the slots. Totals are off by some requests, and one that waits for
+/// a slot is late for most objectives.
+const MAX_FRACTION: f64 = 0.94;
+
 /// Longest time between two observations that counts.
 const MAX_ELAPSED: Span = Span::from_millis(500);
 
@@ -52,7 +56,7 @@
     pub fn observe(&mut self, model: &ModelName, begun: Begun, now: Time) {
         let known = self.models.get(model).copied();
         let before = known.unwrap_or(Limit {
-            fraction: 1.0,
+            fraction: MAX_FRACTION,
             observed_at: now,
         });
         let elapsed = now.since(before.observed_at).min(MAX_ELAPSED);
@@ -62,7 +66,7 @@
         };
         let change = GAIN * (LATE_FRACTION - late) * elapsed.as_secs_f64();
         let limit = Limit {
-            fraction: (before.fraction + change).clamp(MIN_FRACTION, 1.0),
+            fraction: (before.fraction + change).clamp(MIN_FRACTION, MAX_FRACTION),
             observed_at: now,
         };
         self.models.insert(model.clone(), limit);
@@ -71,6 +75,6 @@
     /// Returns the limit of a model as a fraction of a head's slots.
     pub fn fraction(&self, model: &ModelName) -> f64 {
         let known = self.models.get(model);
-        known.map_or(1.0, |limit| limit.fraction)
+        known.map_or(MAX_FRACTION, |limit| limit.fraction)
     }
 }
--- a/tests/gateway/balancer.rs
+++ b/tests/gateway/balancer.rs
@@ -9,6 +9,7 @@
     gateway::{
         admission::{AdmissionClass, Precedence},
         balancer::{ChooseError, Criteria, Endpoint, View, choose, still_serves},
+        head_limits::HeadLimits,
         load::{LoadReport, Loads},
         notices::{Notices, RateLimit},
         roster::HostKey,
@@ -64,6 +65,7 @@
         };
         let now = self.fleet.now;
         let view = View {
+            limits: &HeadLimits::default(),
             roster: &self.fleet.roster,
             loads: &self.loads,
             notices: &self.notices,
--- a/tests/gateway/evacuation.rs
+++ b/tests/gateway/evacuation.rs
@@ -10,6 +10,7 @@
         admission::{AdmissionClass, Precedence},
         balancer::{ChooseError, Criteria, Endpoint, View, choose, still_serves},
         evacuation::{EvacuationChange, Evacuations, RESTORE_WINDOW},
+        head_limits::HeadLimits,
         load::Loads,
         notices::Notices,
         outages::Outages,
@@ -143,6 +144,7 @@
         unlimited: false,
     };
     let view = View {
+        limits: &HeadLimits::default(),
         roster: &fleet.roster,
         loads: &Loads::default(),
         notices: &Notices::default(),
--- a/tests/gateway/load_exchange.rs
+++ b/tests/gateway/load_exchange.rs
@@ -7,6 +7,7 @@
     },
     gateway::{
         admission::Precedence,
+        head_limits::Begun,
         load::{LoadReport as RunnerReport, Loads, Total},
         load_exchange::{
             choice::{aggregators, interval, is_needed},
@@ -158,6 +159,7 @@
         started: 250,
         ended: 240,
         refused: 120,
+        ..HeadCount::default()
     };
     let counts = (0..112).map(|group| (Epoch((7 << 40) + (group << 6)), count));
     let digest = LoadDigest {
@@ -303,6 +305,7 @@
             starts_per_s: 20.0,
             ends_per_s: 10.0,
             refusals_per_s: 0.0,
+            begun: Begun::default(),
         },
         at,
         until: at + Span::from_millis(600),
@@ -348,6 +351,7 @@
         started: 3,
         ended: 1,
         refused: 1,
+        ..HeadCount::default()
     };
     assert_eq!(loads.take_own_requests(head), count);
     let unchanged = HeadCount {
