--- a/tests/gateway/cold_fleet.rs
+++ b/tests/gateway/cold_fleet.rs
@@ -86,6 +86,8 @@
     known: Vec<Option<u64>>,
     /// Authority of each head, once it was asked for.
     authorities: Vec<Option<Authority>>,
+    /// Whether it is among the few senders of each head, once that was asked for.
+    sends: Vec<Option<bool>>,
     held_until: Vec<Time>,
     is_alive: bool,
     /// Time since which it is cut off from the store, while it is.
@@ -290,6 +292,7 @@
             coldness,
             known: Vec::new(),
             authorities: vec![None; self.heads.len()],
+            sends: vec![None; self.heads.len()],
             held_until: vec![Time::default(); self.heads.len()],
             is_alive: true,
             cut_off_since: None,
@@ -531,8 +534,12 @@
     /// Looks for a head for a request.
     fn choose(&mut self, request: Request) {
         let is_picky = request.denials.are_enough(OBJECTIVE);
+        let heads: Vec<usize> = (0..self.heads.len())
+            .filter(|head| self.may_send(request.daemon, *head))
+            .collect();
         let daemon = &self.daemons[request.daemon];
-        let candidates: Vec<usize> = (0..self.heads.len())
+        let candidates: Vec<usize> = heads
+            .into_iter()
             .filter(|head| daemon.known[*head] == Some(self.heads[*head].born))
             .filter(|head| daemon.held_until[*head] <= self.now)
             .filter(|head| {
@@ -665,7 +672,10 @@
             None => timeout.times(UNANSWERED_WAIT_FACTOR),
         };
         self.daemons[request.daemon].held_until[head] = self.now + wait;
-        request.denials.record(LimitReason::Cold, elapsed);
+        // Without a round trip a request may look at all heads.
+        if self.policy == Policy::Permits {
+            request.denials.record(LimitReason::Cold, elapsed);
+        }
         // Not at once: a chain of many heads would be a deep recursion.
         self.schedule(Span::ZERO, Event::Choose(request));
     }
@@ -721,8 +731,21 @@
         self.daemons[index].issuer.issue(&runner, limit, share, now)
     }
 
+    /// Returns false if a head is cold and others are to send it requests.
+    fn may_send(&mut self, index: usize, head: usize) -> bool {
+        let key = self.heads[head].key();
+        let is_cold = self.daemons[index].coldness.is_cold(key, self.now);
+        match self.policy {
+            Policy::FewSenders(count) if is_cold => self.is_sender(index, head, count),
+            _ => true,
+        }
+    }
+
     /// Returns true if a daemon is among the first for a head, of those that it knows.
     fn is_sender(&mut self, index: usize, head: usize, count: usize) -> bool {
+        if let Some(is_sender) = self.daemons[index].sends[head] {
+            return is_sender;
+        }
         let known: Vec<usize> = self.daemons[index]
             .listed
             .iter()
@@ -730,7 +753,9 @@
             .collect();
         let own = self.rank(index, head);
         let before = known.iter().filter(|other| self.rank(**other, head) < own);
-        before.count() < count
+        let is_sender = before.count() < count;
+        self.daemons[index].sends[head] = Some(is_sender);
+        is_sender
     }
 
     fn rank(&mut self, daemon: usize, head: usize) -> u64 {
@@ -778,6 +803,7 @@
         }
         self.listed = entries.to_vec();
         self.authorities.fill(None);
+        self.sends.fill(None);
         self.peers.clear();
         for (name, address) in entries {
             let entry = DaemonEntry {
