--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod caller_timeouts;
 pub mod candidacy;
 pub mod changes;
+mod cold_reports;
 pub mod coldness;
 mod connection;
 pub mod contact;
--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -116,6 +116,7 @@
                 EvacuationChange::Ended(hall) => {
                     slog::info!(self.log, "evacuation of hall ended";
                         "hall" => hall.as_str(), "open" => open(hall));
+                    self.evacuation_ended(hall);
                 }
             }
         }
