The limit of a model's heads follows the requests that begin late

Cause: with totals of all daemons every head of the model with long prompts (1,600 tokens, objective 400 ms) could be filled up to the same limit, a fraction of its slots. Change: reports and digests carry the late first events of each head; a model's limit falls while over 30% of its requests begin late and rises again up to 94% of the slots. Ruled out: a limit by predicted times from the engine's figures (rises a third as fast as the measured ones), a learnt correction for each daemon (one or two samples a second).

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -286,9 +286,8 @@
     R: Rng,
 {
     let loads = view.loads;
-    let fraction = criteria
-        .model
-        .map_or(1.0, |(model, _)| view.limits.fraction(model));
+    let model = criteria.model.map(|(model, _)| model);
+    let fraction = model.map_or(1.0, |model| view.limits.fraction(model));
     let limit = admission::max_expected(engine.slots, fraction, criteria.class);
     let room = |candidate: &Candidate| outlook.room(limit, loads.in_flight(candidate.host, now));
     let is_fast = |candidate: &Candidate| candidate.slowdown < SLOW_FACTOR;
--- a/src/gateway/head_limits.rs
+++ b/src/gateway/head_limits.rs
@@ -27,15 +27,15 @@
 /// Longest time between two observations that counts.
 const MAX_ELAPSED: Span = Span::from_millis(500);
 
-/// First events in a second below which their lateness says nothing of the load.
+/// Requests in a second below which their lateness says nothing of the load.
 const MIN_BEGUN_PER_S: f64 = 4.0;
 
-/// Requests of a model that have got their first event.
+/// Requests of a model that heads have begun recently.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Begun {
     /// Requests in a second.
     pub per_s: f64,
-    /// Those of them whose first event came after the objective.
+    /// Those whose first event came after the objective, in a second.
     pub late_per_s: f64,
 }
 
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -141,13 +141,10 @@
         entry.total = Some(total);
     }
 
-    /// Counts a request that got its first event from a head, and whether that came after the
-    /// objective.
-    pub fn request_begun(&mut self, host: HostKey, is_late: bool) {
+    /// Counts a request whose first event came from a head after the objective.
+    pub fn request_late(&mut self, host: HostKey) {
         if let Some(entry) = self.entries.get_mut(host) {
-            let changes = &mut entry.changes;
-            changes.begun = changes.begun.saturating_add(1);
-            changes.begun_late = changes.begun_late.saturating_add(u32::from(is_late));
+            entry.changes.late = entry.changes.late.saturating_add(1);
         }
     }
 
--- a/src/gateway/load_exchange/estimate.rs
+++ b/src/gateway/load_exchange/estimate.rs
@@ -1,12 +1,9 @@
 //! What a digest tells a daemon about the other daemons' requests.
 
 use super::message::{HeadCount, HeadCounts, LoadDigest, LoadReport, RATE_WINDOW_S, ReportId};
-use crate::{
-    core::{
-        keys::Epoch,
-        time::{Span, Time},
-    },
-    gateway::head_limits::Begun,
+use crate::core::{
+    keys::Epoch,
+    time::{Span, Time},
 };
 use std::collections::{BTreeMap, VecDeque};
 
@@ -32,8 +29,8 @@
     /// Requests that could be on time, and that all daemons refuse in a second because all heads are
     /// full.
     pub refusals_per_s: f64,
-    /// Requests of all daemons that get their first event.
-    pub begun: Begun,
+    /// Requests of all daemons whose first event comes after the objective, in a second.
+    pub late_per_s: f64,
 }
 
 impl HeadLoad {
@@ -45,10 +42,7 @@
             starts_per_s: smooth(self.starts_per_s, later.starts_per_s),
             ends_per_s: smooth(self.ends_per_s, later.ends_per_s),
             refusals_per_s: smooth(self.refusals_per_s, later.refusals_per_s),
-            begun: Begun {
-                per_s: smooth(self.begun.per_s, later.begun.per_s),
-                late_per_s: smooth(self.begun.late_per_s, later.begun.late_per_s),
-            },
+            late_per_s: smooth(self.late_per_s, later.late_per_s),
         }
     }
 }
@@ -164,10 +158,7 @@
                 starts_per_s: f64::from(total.started) * rate_scale,
                 ends_per_s: f64::from(total.ended) * rate_scale,
                 refusals_per_s: f64::from(total.refused) * rate_scale,
-                begun: Begun {
-                    per_s: f64::from(total.begun) * rate_scale,
-                    late_per_s: f64::from(total.begun_late) * rate_scale,
-                },
+                late_per_s: f64::from(total.late) * rate_scale,
             };
             (epoch, load)
         });
--- a/src/gateway/load_exchange/message.rs
+++ b/src/gateway/load_exchange/message.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 /// Time over which a digest counts changes.
-pub const RATE_WINDOW_S: f64 = 10.0;
+pub const RATE_WINDOW_S: f64 = 5.0;
 
 crate::record! {
     /// Requests at one head.
@@ -19,10 +19,8 @@
         /// Requests that could have been on time, and were refused because all heads of their model
         /// were full.
         pub refused: u32,
-        /// Requests that got their first event.
-        pub begun: u32,
-        /// Those of them whose first event came after the objective.
-        pub begun_late: u32,
+        /// Requests whose first event came after the objective.
+        pub late: u32,
     }
 
     /// Requests at several heads, which are identified by the epochs of their groups. An epoch is
--- a/src/gateway/load_exchange/mod.rs
+++ b/src/gateway/load_exchange/mod.rs
@@ -198,8 +198,8 @@
         let total = group.head().and_then(|head| loads.total(head, now));
         if let Some(total) = total {
             let sum = begun.entry(group.model.clone()).or_default();
-            sum.per_s += total.load.begun.per_s;
-            sum.late_per_s += total.load.begun.late_per_s;
+            sum.per_s += total.load.starts_per_s;
+            sum.late_per_s += total.load.late_per_s;
         }
     }
     let mut limits = state.head_limits.borrow_mut();
--- a/src/gateway/load_exchange/tally.rs
+++ b/src/gateway/load_exchange/tally.rs
@@ -20,8 +20,7 @@
     started: f64,
     ended: f64,
     refused: f64,
-    begun: f64,
-    begun_late: f64,
+    late: f64,
 }
 
 impl Sum {
@@ -31,8 +30,7 @@
         self.started += f64::from(count.started) * factor;
         self.ended += f64::from(count.ended) * factor;
         self.refused += f64::from(count.refused) * factor;
-        self.begun += f64::from(count.begun) * factor;
-        self.begun_late += f64::from(count.begun_late) * factor;
+        self.late += f64::from(count.late) * factor;
     }
 
     fn rounded(self) -> HeadCount {
@@ -41,8 +39,7 @@
             started: self.started.round() as u32,
             ended: self.ended.round() as u32,
             refused: self.refused.round() as u32,
-            begun: self.begun.round() as u32,
-            begun_late: self.begun_late.round() as u32,
+            late: self.late.round() as u32,
         }
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -308,7 +308,7 @@
     let now = call.state.now();
     if call.first_event.is_none() {
         call.first_event = Some(now);
-        record_first_event(call, &upstream.endpoint, now);
+        count_if_late(call, &upstream.endpoint, now);
     }
     let began_at = *upstream.began_at.get_or_insert(now);
     if !upstream.is_answering && now.since(began_at) >= ANSWERING_AFTER {
@@ -317,13 +317,12 @@
     }
 }
 
-/// Counts the first event of a request at its head. One that was sent again was late for another
-/// reason than load.
-fn record_first_event(call: &Call, endpoint: &Endpoint, now: Time) {
-    if call.attempts == 1 {
-        let is_late = now.since(call.sent_at) > call.route.objective;
+/// Counts a request whose first event is late. One that was sent again is late for another reason
+/// than the load of its head.
+fn count_if_late(call: &Call, endpoint: &Endpoint, now: Time) {
+    if call.attempts == 1 && now.since(call.sent_at) > call.route.objective {
         let mut loads = call.state.loads.borrow_mut();
-        loads.request_begun(endpoint.host, is_late);
+        loads.request_late(endpoint.host);
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod group_faults;
 mod groups;
 mod handovers;
+mod head_limits;
 mod held_bytes;
 mod identities;
 mod limit_fleet;
