Reports of unknown daemons are ignored; first requests after a rest are spread

A sender without an entry could have filled an aggregator's memory, and a daemon that is no aggregator any more kept old reports. When requests begin after a rest no arrivals are expected, so the level is that of the lowest heads; one request more for each head is poured.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -333,8 +333,7 @@
     })
 }
 
-/// Draws a candidate by its part of the requests that raise all costs to a common level: those
-/// expected from other daemons, and this one.
+/// Draws a candidate by its part of the requests that raise all costs to a common level.
 fn draw_by_level<R>(
     candidates: &[Candidate],
     view: View<'_>,
@@ -351,7 +350,10 @@
         slope: candidate.slowdown,
     });
     let basins: Vec<Basin> = basins.collect();
-    let drawn = water_filling::draw(&basins, requests + 1.0, rng)?;
+    // When requests begin after a rest, none are expected yet. One more for each head keeps the
+    // daemons from meeting at the lowest one.
+    let requests = requests + basins.len() as f64;
+    let drawn = water_filling::draw(&basins, requests, rng)?;
     candidates.get(drawn).copied()
 }
 
--- a/src/gateway/load_exchange/mod.rs
+++ b/src/gateway/load_exchange/mod.rs
@@ -11,6 +11,7 @@
 pub mod tally;
 
 use super::{
+    changes::source,
     datagrams::{self, Datagram},
     group::Group,
     load::Total,
@@ -116,6 +117,9 @@
     if state.load_exchange.is_aggregator.replace(is_aggregator) != is_aggregator {
         gauge!("load_aggregator").set(f64::from(u8::from(is_aggregator)));
         slog::info!(state.log, "aggregator of load changed"; "own" => is_aggregator);
+        if !is_aggregator {
+            state.load_exchange.tally.take();
+        }
     }
 }
 
@@ -144,13 +148,14 @@
     }
 }
 
-/// Records a daemon's report.
+/// Records a daemon's report; that of an unknown daemon is ignored.
 pub(super) fn record(state: &GatewayState, from: SocketAddr, report: LoadReport) {
-    let now = state.now();
+    let is_known = source::peer_at(&state.peers.borrow(), from).is_some();
     let mut tally = state.load_exchange.tally.borrow_mut();
-    let verdict = match tally.record(from, report, now) {
+    let verdict = match is_known && tally.record(from, report, state.now()) {
         true => "recorded",
-        false => "outdated",
+        false if is_known => "outdated",
+        false => "unknown",
     };
     counter!("load_reports_total", "verdict" => verdict).increment(1);
 }
--- a/tests/gateway/balancer.rs
+++ b/tests/gateway/balancer.rs
@@ -9,12 +9,13 @@
     gateway::{
         admission::AdmissionClass,
         balancer::{ChooseError, Criteria, Endpoint, View, choose, still_serves},
-        load::{LoadReport, Loads},
+        load::{LoadReport, Loads, Total},
         notices::{Notices, RateLimit},
         roster::HostKey,
     },
 };
 use rand::{SeedableRng as _, rngs::SmallRng};
+use std::collections::BTreeMap;
 
 struct TestEnv {
     fleet: Fleet,
@@ -102,6 +103,33 @@
     }
 }
 
+/// When requests begin after a rest, all daemons know that nothing is in flight and expect nothing.
+/// They must not meet at one head.
+#[test]
+fn spreads_first_requests_after_rest() {
+    let mut env = TestEnv::new(4);
+    let heads = env.heads();
+    let total = Total {
+        at: env.fleet.now,
+        until: env.fleet.now + Span::from_millis(600),
+        horizon: Span::from_millis(1_000),
+        ..Total::default()
+    };
+    for head in &heads {
+        env.loads.total_reported(*head, total);
+    }
+    let mut counts = BTreeMap::new();
+    for _ in 0..400 {
+        let chosen = env.choose(AdmissionClass::OnTime, &[]);
+        *counts.entry(chosen.expect("a head").host).or_insert(0) += 1;
+    }
+    assert_eq!(counts.len(), heads.len());
+    assert!(
+        counts.values().all(|count| count * heads.len() < 600),
+        "{counts:?}"
+    );
+}
+
 #[test]
 fn never_chooses_tried_runner() {
     let mut env = TestEnv::new(1);
