--- a/tests/style.rs
+++ b/tests/style.rs
@@ -77,7 +77,7 @@
 }
 
 /// Keys, paths and headers of the users' platform in lower case, which only its adapter may use.
-const PLATFORM_NAMES: [&str; 13] = [
+const PLATFORM_NAMES: [&str; 14] = [
     "op/config",
     "op/evacuate",
     "servers/",
