--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -46,9 +46,11 @@
 {
     let in_flight = InFlightGuard::new(call.state.clone(), endpoint.host);
     let mut connection = open(call, endpoint).await?;
-    let renewed = permits::renew(&call.state, endpoint, permit).await;
-    // Last, since a permit may take a round trip.
-    if renewed.is_none() || !wants_requests(call, endpoint) {
+    let Some(_permit) = permits::renew(&call.state, endpoint, permit).await else {
+        return Err(AttemptError::Unreached);
+    };
+    // After the renewal, which may take a round trip.
+    if !wants_requests(call, endpoint) {
         return Err(AttemptError::Unreached);
     }
     let request = request::<A>(call, endpoint, params);
