--- a/tests/platform/cold.rs
+++ b/tests/platform/cold.rs
@@ -292,9 +292,9 @@
     let cold = [&[11_u8, 9][..], host, &[0, 0, 0]].concat();
     for bytes in [
         &[200_u8, 1, 2, 3][..],
-        &[12],
+        &[14],
         &cold,
-        &[11, 255],
+        &[13, 255],
         b"",
         &[255; 2_000],
     ] {
