--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -13,7 +13,7 @@
     outlook::Outlook,
     roster::{HostKey, Roster, RunnerInstance, SLOW_FACTOR},
     spec::Engine,
-    water_filling::{self, Basin},
+    water_filling::{self, HeadCost},
 };
 use crate::core::{
     keys::{Epoch, HallName, HostName, ModelName, ServiceName},
@@ -345,15 +345,15 @@
 where
     R: Rng,
 {
-    let basins = candidates.iter().map(|candidate| Basin {
-        floor: cost(view.roster, view.loads, hall, candidate, now),
-        slope: candidate.slowdown,
+    let costs = candidates.iter().map(|candidate| HeadCost {
+        base: cost(view.roster, view.loads, hall, candidate, now),
+        per_request: candidate.slowdown,
     });
-    let basins: Vec<Basin> = basins.collect();
+    let costs: Vec<HeadCost> = costs.collect();
     // When requests begin after a rest, none are expected yet. One more for each head keeps the
     // daemons from meeting at the lowest one.
-    let requests = requests + basins.len() as f64;
-    let drawn = water_filling::draw(&basins, requests, rng)?;
+    let requests = requests + costs.len() as f64;
+    let drawn = water_filling::draw(&costs, requests, rng)?;
     candidates.get(drawn).copied()
 }
 
