--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -14,7 +14,7 @@
     outlook::Outlook,
     roster::{HostKey, Roster, RunnerInstance, SLOW_FACTOR},
     spec::Engine,
-    water_filling::{self, Basin},
+    water_filling::{self, HeadCost},
 };
 use crate::core::{
     keys::{Epoch, HallName, HostName, ModelName, ServiceName},
@@ -272,8 +272,8 @@
     admission::reserved_for_others(&heads, loads, engine.slots, class, precedence, now)
 }
 
-/// Leaves the candidates that have room by the totals of all daemons: slow ones if this request is one of
-/// those for which the others have none, and none if there isn't enough room at all.
+/// Keeps the candidates that have room by the totals of all daemons: the slow ones if this request is
+/// one of those for which the others have none, and no candidate if there isn't enough room at all.
 fn admit_by_outlook<R>(
     admitted: &mut Vec<Candidate>,
     outlook: Outlook,
@@ -388,15 +388,15 @@
 where
     R: Rng,
 {
-    let basins = candidates.iter().map(|candidate| Basin {
-        floor: cost(view.roster, view.loads, hall, candidate, now),
-        slope: candidate.slowdown,
+    let costs = candidates.iter().map(|candidate| HeadCost {
+        base: cost(view.roster, view.loads, hall, candidate, now),
+        per_request: candidate.slowdown,
     });
-    let basins: Vec<Basin> = basins.collect();
-    // When requests begin after a rest, none are expected yet. One more for each head keeps the
-    // daemons from meeting at the lowest one.
-    let requests = requests + basins.len() as f64;
-    let drawn = water_filling::draw(&basins, requests, rng)?;
+    let costs: Vec<HeadCost> = costs.collect();
+    // When requests begin after an idle time, none are expected yet. One more for each head keeps
+    // all daemons from choosing the cheapest one.
+    let requests = requests + costs.len() as f64;
+    let drawn = water_filling::draw(&costs, requests, rng)?;
     candidates.get(drawn).copied()
 }
 
--- a/tests/gateway/load_exchange.rs
+++ b/tests/gateway/load_exchange.rs
@@ -18,7 +18,7 @@
         peers::{DaemonEntry, Peers},
         roster::HostKey,
         settings::{LoadExchangeMode, Settings},
-        water_filling::{Basin, draw, level},
+        water_filling::{HeadCost, draw, level},
     },
 };
 use rand::{SeedableRng as _, rngs::SmallRng};
@@ -390,10 +390,12 @@
 #[test]
 fn empty_head_gets_no_more_than_it_takes_to_reach_the_level() {
     let mut rng = SmallRng::seed_from_u64(1);
-    let floors = [1.0, 40.0, 40.0, 40.0];
-    let basins = floors.map(|floor| Basin { floor, slope: 1.0 });
+    let costs = [1.0, 40.0, 40.0, 40.0].map(|base| HeadCost {
+        base,
+        per_request: 1.0,
+    });
     let share = |requests: f64, rng: &mut SmallRng| {
-        let drawn = (0..10_000).filter(|_| draw(&basins, requests, rng) == Some(0));
+        let drawn = (0..10_000).filter(|_| draw(&costs, requests, rng) == Some(0));
         drawn.count() as f64 / 1e4
     };
     assert_eq!(share(20.0, &mut rng), 1.0);
@@ -404,14 +406,14 @@
 
 #[test]
 fn slow_head_takes_fewer_requests() {
-    let basin = |slope| Basin {
-        floor: slope,
-        slope,
+    let cost = |per_request| HeadCost {
+        base: per_request,
+        per_request,
     };
-    let basins = [basin(1.0), basin(3.0)];
-    let reached = level(&basins, 38.0);
+    let costs = [cost(1.0), cost(3.0)];
+    let reached = level(&costs, 38.0);
     assert!((reached - 30.0).abs() < 0.01, "{reached}");
     let mut rng = SmallRng::seed_from_u64(1);
     assert_eq!(draw(&[], 1.0, &mut rng), None);
-    assert_eq!(draw(&basins, 1.0, &mut rng), Some(0));
+    assert_eq!(draw(&costs, 1.0, &mut rng), Some(0));
 }
