--- a/src/gateway/load_exchange/mod.rs
+++ b/src/gateway/load_exchange/mod.rs
@@ -14,7 +14,7 @@
     changes::source,
     datagrams::{self, Datagram},
     group::Group,
-    head_limits::Begun,
+    head_limits::StartRates,
     load::Total,
     roster::HostKey,
     settings::LoadExchangeMode,
@@ -161,7 +161,7 @@
     counter!("load_reports_total", "verdict" => verdict).increment(1);
 }
 
-/// Takes the totals of an aggregator over, if they can be used; `own` identifies the report of this
+/// Adopts the totals of an aggregator if they can be used; `own` identifies the report of this
 /// daemon that they contain.
 pub(super) fn accept_digest(state: &GatewayState, digest: &LoadDigest, own: Option<ReportId>) {
     let now = state.now();
@@ -194,22 +194,22 @@
     adjust_limits(state);
 }
 
-/// Adjusts the limits of the models to the requests that begin late at their heads.
+/// Adjusts the limits of all models, from totals that every daemon has.
 fn adjust_limits(state: &GatewayState) {
     let now = state.now();
-    let mut begun: BTreeMap<ModelName, Begun> = BTreeMap::new();
+    let mut rates: BTreeMap<ModelName, StartRates> = BTreeMap::new();
     let loads = state.loads.borrow();
     for group in state.roster.borrow().groups() {
         let total = group.head().and_then(|head| loads.total(head, now));
         if let Some(total) = total {
-            let sum = begun.entry(group.model.clone()).or_default();
+            let sum = rates.entry(group.model.clone()).or_default();
             sum.per_s += total.load.starts_per_s;
             sum.late_per_s += total.load.late_per_s;
         }
     }
     let mut limits = state.head_limits.borrow_mut();
-    for (model, begun) in begun {
-        limits.observe(&model, begun, now);
+    for (model, rates) in rates {
+        limits.observe(&model, rates, now);
         let label = model.as_str().to_owned();
         gauge!("head_limit_fraction", "model" => label).set(limits.fraction(&model));
     }
--- a/tests/gateway/head_limits.rs
+++ b/tests/gateway/head_limits.rs
@@ -7,7 +7,7 @@
     },
     gateway::{
         admission::{AdmissionClass, max_expected},
-        head_limits::{Begun, HeadLimits},
+        head_limits::{HeadLimits, StartRates},
     },
 };
 
@@ -23,11 +23,11 @@
     let mut now = from;
     while now < from + span {
         now = now + INTERVAL;
-        let begun = Begun {
+        let rates = StartRates {
             per_s: 20.0,
             late_per_s: 20.0 * late,
         };
-        limits.observe(&model(), begun, now);
+        limits.observe(&model(), rates, now);
     }
     (now, limits.fraction(&model()))
 }
@@ -66,11 +66,11 @@
 fn few_requests_do_not_change_the_limit() {
     let mut limits = HeadLimits::default();
     let full = limits.fraction(&model());
-    let begun = Begun {
+    let rates = StartRates {
         per_s: 1.0,
         late_per_s: 1.0,
     };
-    (1..50).for_each(|step| limits.observe(&model(), begun, Time(0) + INTERVAL.times(step)));
+    (1..50).for_each(|step| limits.observe(&model(), rates, Time(0) + INTERVAL.times(step)));
     assert_eq!(limits.fraction(&model()), full);
 }
 
@@ -78,12 +78,12 @@
 #[test]
 fn pause_counts_as_one_short_interval() {
     let mut limits = HeadLimits::default();
-    let begun = Begun {
+    let rates = StartRates {
         per_s: 20.0,
         late_per_s: 20.0,
     };
-    limits.observe(&model(), begun, Time(0));
+    limits.observe(&model(), rates, Time(0));
     let before = limits.fraction(&model());
-    limits.observe(&model(), begun, Time(0) + Span::from_secs(30));
+    limits.observe(&model(), rates, Time(0) + Span::from_secs(30));
     assert!(limits.fraction(&model()) > before - 0.3);
 }
