Comments and names that stop a reader

Module heads name head_limits, outlook, water_filling and caller_timeouts. Two tests of the load exchange are renamed; what they check is as before.

--- a/examples/even_load/main.rs
+++ b/examples/even_load/main.rs
@@ -1,9 +1,9 @@
 //! Compares ways to spread requests over the heads of a model, in virtual time.
 //!
 //! Prints, for each way, number of daemons and load: the share of requests that begin on time, are
-//! late, refused, refused and served later, refused although a head was free, and declined by a head; the heads' standard
-//! deviation and maximum over mean; quantiles of the time to the first event; and bytes a second of
-//! a daemon and of an aggregator.
+//! late, refused, refused and served later, refused although a head was free, and declined by a
+//! head; the heads' standard deviation and maximum over mean; quantiles of the time to the first
+//! event; and bytes a second of a daemon and of an aggregator.
 //!
 //! Arguments name the ways that are compared. The environment variables `DAEMONS`, `LOADS` and
 //! `HEADS` take numbers, `TROUBLE` names what goes wrong (see `with_trouble`).
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -5,7 +5,8 @@
 //! once, and the rest are refused immediately with a time to retry after. A
 //! request that has already missed its objective only gets slots that would
 //! otherwise stay free, and while the heads are nearly full, a less urgent one
-//! leaves slots for more urgent ones (`contention`).
+//! leaves slots for more urgent ones (`contention`). Where daemons exchange
+//! totals of the load, the heads of a model have a lower limit (`head_limits`).
 
 use super::{load::Loads, roster::HostKey, spec::Engine};
 use crate::core::{
@@ -27,7 +28,7 @@
 /// Maximum random addition to the retry delay, so that callers don't return together.
 pub(super) const RETRY_SPREAD: Span = Span::from_millis(1_000);
 
-/// Fraction of the heads' slots that are taken from which requests contend for them.
+/// Fraction of the heads' slots that are taken while requests contend for the others.
 const CONTENTION_FRACTION: f64 = 0.75;
 
 /// Maximum fraction of the heads' slots that a request leaves free for others.
@@ -124,8 +125,8 @@
     }
 }
 
-/// Returns the number of requests that a head may be expected to hold, if it is estimated from totals
-/// of all daemons, by the fraction of its slots that may be used.
+/// Returns the maximum number of requests that a head may hold by the totals of all daemons, given
+/// the fraction of its slots that may be used.
 pub fn max_expected(slots: u32, fraction: f64, class: AdmissionClass) -> f64 {
     f64::from(max_in_flight(slots, class).min(slots)) * fraction
 }
--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -48,8 +48,8 @@
     };
     let is_start = state.record_cold_response(host, left);
     let claim = state.notices.borrow().coldness.claim(host, state.now());
-    let news = claim.filter(|_| is_start).zip(instance(state, host));
-    let Some((cold, runner)) = news else {
+    let announcement = claim.filter(|_| is_start).zip(instance(state, host));
+    let Some((cold, runner)) = announcement else {
         return;
     };
     match current_authority(state, &runner) {
--- a/src/gateway/caller_timeouts.rs
+++ b/src/gateway/caller_timeouts.rs
@@ -10,10 +10,10 @@
 /// Number of recent timeouts that are kept of each route.
 const MAX_TIMEOUTS: usize = 128;
 
-/// Number of timeouts from which on they are compared.
+/// Number of a route's timeouts below which no earlier attempt is assumed: too few to tell its usual one.
 const MIN_TIMEOUTS: usize = 8;
 
-/// Fraction of a route's timeouts that are taken for those of repeated attempts.
+/// Fraction of a route's timeouts, the shortest ones, that are taken for those of repeated attempts.
 const REPEATED_FRACTION: f64 = 0.1;
 
 /// Recent timeouts of callers, by route.
--- a/src/gateway/coldness.rs
+++ b/src/gateway/coldness.rs
@@ -33,8 +33,8 @@
 /// exceeds the delay of a datagram: two daemons can't prolong a cold time by telling each other.
 const RELAY_MARGIN: Span = Span::from_millis(500);
 
-/// Time by which the end of a cold time must exceed what a daemon knows to be news: daemons read the
-/// same entry at different times, none before it was written.
+/// Time by which the end of a cold time must exceed what a daemon knows to count as a change: daemons
+/// read the same entry at different times, none before it was written.
 const CLAIM_MARGIN: Span = Span::from_millis(1_000);
 
 /// Minimum interval between two announcements of a runner's cold time.
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -41,7 +41,7 @@
 /// of the store for up to 0.9 s.
 const UNLISTED_AFTER: Span = Span::from_millis(1_000);
 
-/// Time for which patient callers keep an address, in times to live.
+/// Maximum time for which callers keep an address, as a multiple of its time to live.
 const KEPT_ENTRIES: u64 = 3;
 
 /// Factor on the estimated duration of a request, which may run slowly or twice.
--- a/src/gateway/evacuation.rs
+++ b/src/gateway/evacuation.rs
@@ -77,12 +77,13 @@
         self.changes_since(&before)
     }
 
-    /// Returns the evacuated halls out of `empty` that were not returned since their evacuation began.
+    /// Returns the evacuated halls out of `empty` that this has not returned since their evacuation began.
     pub fn report_empty(&mut self, empty: BTreeSet<HallName>) -> Vec<HallName> {
-        let mut news: Vec<HallName> = empty.difference(&self.reported_empty).cloned().collect();
-        news.retain(|hall| self.contains(hall));
-        self.reported_empty.extend(news.iter().cloned());
-        news
+        let mut unreported: Vec<HallName> =
+            empty.difference(&self.reported_empty).cloned().collect();
+        unreported.retain(|hall| self.contains(hall));
+        self.reported_empty.extend(unreported.iter().cloned());
+        unreported
     }
 
     /// Returns true if a hall is evacuated.
--- a/src/gateway/load_exchange/choice.rs
+++ b/src/gateway/load_exchange/choice.rs
@@ -48,8 +48,8 @@
 }
 
 /// Returns the time ahead for which requests are planned by the totals. A shorter one sends the
-/// requests of all daemons to the same few heads, whose prefills then wait for each other; one of less than two
-/// intervals makes the heads' load swing.
+/// requests of all daemons to the same few heads, whose prefills then wait for each other; one of
+/// less than two intervals makes the heads' load oscillate.
 pub fn horizon(interval: Span) -> Span {
     MIN_HORIZON.max(interval.times(2))
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,12 +7,13 @@
 //! every daemon derives the same groups from their entries.
 //!
 //! Modules that decide (`routes`, `contact`, `roster`, `group`, `candidacy`, `balancer`,
-//! `admission`, `contention`, `rank`, `rank_demand`, `fair_share`, `decay`, `load`,
-//! `demand`, `planner`, `startup`, `formation`,
-//! `sent_orders`, `openings`, `lifecycle`, `liveness`, `pool`, `staging`,
-//! `weight_loads`, `evacuation`, `outages`, `budget`, `backoff`, `notices`, `coldness`, `held_bytes`,
-//! `drain`, `reach`, `peer_relay::choice`, those of `quarantine` that it names) read
-//! no clock and do no I/O.
+//! `outlook`, `water_filling`, `admission`, `head_limits`, `caller_timeouts`,
+//! `contention`, `rank`, `rank_demand`, `fair_share`, `decay`, `load`, `demand`,
+//! `planner`, `startup`, `formation`, `sent_orders`, `openings`, `lifecycle`,
+//! `liveness`, `pool`, `staging`, `weight_loads`, `evacuation`, `outages`, `budget`,
+//! `backoff`, `notices`, `coldness`, `held_bytes`, `drain`, `reach`,
+//! `peer_relay::choice`, the submodules of `load_exchange`, those of `quarantine` that it
+//! names) read no clock and do no I/O.
 //! The names and formats of a platform are hidden behind [`adapter::Adapter`].
 
 pub mod adapter;
--- a/src/gateway/permits/mod.rs
+++ b/src/gateway/permits/mod.rs
@@ -57,7 +57,8 @@
     waiting: RefCell<Waiting>,
 }
 
-/// Obtains the permit for one request to a runner, for a cold one within `timeout`. The runner isn't chosen again until its next permit is expected.
+/// Obtains the permit for one request to a runner, for a cold one within `timeout`. After a denial the
+/// runner isn't chosen again until its next permit is expected.
 ///
 /// # Errors
 ///
--- a/tests/gateway/even_load.rs
+++ b/tests/gateway/even_load.rs
@@ -61,7 +61,7 @@
 
 /// A tenth of the heads is lost every three seconds and others open, which look empty to all daemons.
 #[test]
-fn exchange_copes_with_lost_and_opened_heads() {
+fn exchange_tolerates_lost_and_opened_heads() {
     let scene = |load| Scene {
         replace_every: Some(Span::from_secs(3)),
         ..scene(61, load)
@@ -76,7 +76,7 @@
 /// Without digests the daemons are blind: a loss, a pause or a restart of aggregators and lost
 /// datagrams must not show in what is served.
 #[test]
-fn exchange_copes_with_trouble_of_aggregators() {
+fn exchange_tolerates_failures_of_aggregators() {
     let base = scene(61, 1.3);
     let at = Some(Span::from_secs(3));
     let undisturbed = run(Policy::Exchange, base).served();
