--- a/src/gateway/contention.rs
+++ b/src/gateway/contention.rs
@@ -17,7 +17,7 @@
 use std::collections::BTreeMap;
 
 /// Part of the slots left free for a rank that an account of this rank which is above its share
-/// leaves to the others.
+/// leaves to the others: as much as the next less urgent rank would.
 const ACCOUNT_RESERVE_FRACTION: f64 = 1.0;
 
 /// Half-life of the work by which accounts of a rank share; a daemon with seven requests a second
--- a/src/gateway/load_exchange/estimate.rs
+++ b/src/gateway/load_exchange/estimate.rs
@@ -11,10 +11,12 @@
 /// contains. Without losses that report is at most two intervals old.
 const DIGEST_TTL_INTERVALS: u64 = 3;
 
-/// Number of reports that are kept to recognize this daemon's share in a digest.
+/// Number of reports that are kept to recognize this daemon's share in a digest: one more than the
+/// intervals after which a digest is out of date.
 const KEPT_REPORTS: usize = 4;
 
-/// Fraction of the daemons whose reports a digest must contain.
+/// Fraction of the daemons whose reports a digest must contain. With fewer it would miss most of the
+/// requests.
 const MIN_COVERAGE: f64 = 0.5;
 
 /// Requests at one head.
--- a/src/gateway/load_exchange/message.rs
+++ b/src/gateway/load_exchange/message.rs
@@ -3,7 +3,8 @@
 use crate::core::keys::Epoch;
 use std::collections::BTreeMap;
 
-/// Time over which a digest counts changes.
+/// Time to which a digest scales its counts of changes. They are whole numbers: a longer time loses
+/// less by rounding, and takes more bytes.
 pub const RATE_WINDOW_S: f64 = 5.0;
 
 crate::record! {
--- a/src/gateway/rank_demand.rs
+++ b/src/gateway/rank_demand.rs
@@ -16,7 +16,8 @@
 /// Time for which requests of other daemons may be missing from the estimate of a head's load.
 const ESTIMATE_AGE: Span = Span::from_millis(500);
 
-/// Standard deviations of the arrivals within the estimate's age for which slots are left free.
+/// Standard deviations of the arrivals within the estimate's age for which slots are left free. With
+/// more, slots stay unused; with fewer, more urgent requests find no free slot.
 const RESERVE_DEVIATIONS: f64 = 2.5;
 
 /// Recent requests of a rank.
