--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -272,8 +272,8 @@
     admission::reserved_for_others(&heads, loads, engine.slots, class, precedence, now)
 }
 
-/// Leaves the candidates that have room by the totals of all daemons: slow ones if this request is one of
-/// those for which the others have none, and none if there isn't enough room at all.
+/// Keeps the candidates that have room by the totals of all daemons: the slow ones if this request is
+/// one of those for which the others have none, and no candidate if there isn't enough room at all.
 fn admit_by_outlook<R>(
     admitted: &mut Vec<Candidate>,
     outlook: Outlook,
