Requests that wait to be read are answered before a stop closes connections

Cause, by the daemon's log: it was left waiting for a processor until connections were due to be closed; of 16 requests that had arrived meanwhile it answered the eight on connections that it accepted then and closed the eight idle ones without reading them. Change: the sockets are read once more, for 20 ms, before connections are closed.

--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -27,6 +27,10 @@
 /// Maximum delay after which a daemon without open requests notices that it may leave.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time before connections are closed in which requests are read that arrived while the process
+/// waited for a processor.
+const LAST_READ: Duration = Duration::from_millis(20);
+
 /// Waits for a signal that asks for a stop, and returns when it came; others are only logged.
 ///
 /// # Errors
@@ -70,6 +74,7 @@
         let left = time_until(drain.ends(), state);
         compio::time::sleep(left.min(CHECK_INTERVAL)).await;
     }
+    compio::time::sleep(LAST_READ).await;
     if revoked.get().is_none() {
         slog::warn!(state.log, "lease not revoked within the grace period");
     }
