--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -5,6 +5,7 @@
     time::Span,
 };
 use anyhow::Context as _;
+use serde::{Deserialize, Deserializer, de::Error as _};
 use std::{net::SocketAddr, path::Path};
 
 crate::record! {
@@ -27,7 +28,7 @@
         pub entries_ms: u64,
         /// Time within which no more requests may be sent to the runners of an evacuated hall, in
         /// milliseconds; none if halls aren't evacuated.
-        #[serde(default)]
+        #[serde(default, deserialize_with = "optional_millis")]
         pub evacuation_ms: Option<u64>,
         /// Processor time that the daemon may use, in cores.
         #[serde(default)]
@@ -80,6 +81,27 @@
     }
 }
 
+/// Value that a template writes as text, since the platform may have none for it.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum TemplateValue {
+    Number(u64),
+    Text(String),
+}
+
+/// Reads a number of milliseconds. An empty text, or a placeholder that nobody filled in, means that there
+/// is none.
+fn optional_millis<'de, D>(deserializer: D) -> Result<Option<u64>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    match TemplateValue::deserialize(deserializer)? {
+        TemplateValue::Number(millis) => Ok(Some(millis)),
+        TemplateValue::Text(text) if text.is_empty() || text.starts_with("{{") => Ok(None),
+        TemplateValue::Text(text) => text.parse().map(Some).map_err(D::Error::custom),
+    }
+}
+
 mod seconds {
     use super::Span;
     use serde::{Deserialize as _, Deserializer, Serializer};
--- a/tests/gateway/evacuation_entries.rs
+++ b/tests/gateway/evacuation_entries.rs
@@ -92,16 +92,10 @@
     assert_eq!(evacuated(&state), halls([]));
 }
 
-/// Renders the template of the settings as the platform does, with a bound or without.
-fn rendered(bound: Option<&str>) -> String {
+/// Renders the template of the settings as the platform does, with this text for the bound.
+fn rendered(bound: &str) -> String {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/settings.yaml");
     let template = fs::read_to_string(path).expect("the template is read");
-    let (begin, end) = ("{{#Bounds.EvacuateMs}}", "{{/Bounds.EvacuateMs}}");
-    let (before, rest) = template.split_once(begin).expect("a section");
-    let (section, after) = rest.split_once(end).expect("its end");
-    let section = bound.map_or(String::new(), |bound| {
-        section.replace("{{Bounds.EvacuateMs}}", bound)
-    });
     let values = [
         ("{{Node}}", "d1"),
         ("{{Zone}}", "hall"),
@@ -118,16 +112,23 @@
         ("{{Bounds.GraceS}}", "8"),
         ("{{Limits.CpuShare}}", "0.12"),
         ("{{Bootstrap}}", "true"),
+        ("{{Bounds.EvacuateMs}}", bound),
     ];
-    let text = [before, &section, after].concat();
     let fill = |text: String, (name, value): (&str, &str)| text.replace(name, value);
-    values.into_iter().fold(text, fill)
+    values.into_iter().fold(template, fill)
 }
 
-/// Settings that a daemon can't read keep it from starting, on every host.
+/// Settings that a daemon can't read keep it from starting, on every host. A platform without the bound
+/// leaves its text empty, or the placeholder as it is.
 #[test]
 fn template_gives_valid_settings_with_and_without_the_bound() {
-    let bound = |text: &str| Settings::parse(text).map(|settings| settings.evacuation_ms);
-    assert_eq!(bound(&rendered(Some("5000"))).ok(), Some(Some(5_000)));
-    assert_eq!(bound(&rendered(None)).ok(), Some(None));
+    let bound = |text: &str| {
+        let settings = Settings::parse(&rendered(text));
+        settings.map(|settings| settings.evacuation_ms)
+    };
+    assert_eq!(bound("5000").expect("with a bound"), Some(5_000));
+    assert_eq!(bound("").expect("without a bound"), None);
+    assert_eq!(bound("{{Bounds.EvacuateMs}}").expect("not filled in"), None);
+    assert!(bound("soon").is_err());
+    assert!(bound("-1").is_err());
 }
