--- a/tests/platform/cold.rs
+++ b/tests/platform/cold.rs
@@ -21,6 +21,9 @@
 /// Requests that a cold runner may get in any second.
 const MAX_IN_SECOND: usize = 17;
 
+/// Bound of an evacuation in the daemons' settings.
+const EVACUATION_BOUND: Duration = Duration::from_secs(5);
+
 /// Time for which the callers send requests.
 const LOAD_TIME: Duration = Duration::from_secs(4);
 
@@ -304,3 +307,20 @@
     assert_eq!(env.call("GET", "/read/x", &[], "").status, 200);
     assert_eq!(env.daemon.metric("hickoryledge_cold_runners"), 0.0);
 }
+
+// A hall's runners may have become cold while it was evacuated, and their entries tell it late: all at
+// once they got as many requests as warm ones.
+#[test]
+fn runners_of_a_hall_count_as_cold_when_its_evacuation_ends() {
+    let env = TestEnv::unconfigured_in(["east", "west"], Some(EVACUATION_BOUND)).served();
+    config::write_with(&env.store, 3, Some(COLD_RATE));
+    let cold = |env: &TestEnv| env.daemon.metric("hickoryledge_cold_runners");
+    let evacuated = "hickoryledge_hall_evacuated{hall=\"east\"}";
+    env.store.put("op/evacuate/east", "{}");
+    env.eventually("the hall is evacuated and no runner is cold", |env| {
+        let version = env.daemon.metric("hickoryledge_configuration_version");
+        version == 3.0 && env.daemon.metric(evacuated) == 1.0 && cold(env) == 0.0
+    });
+    env.store.delete("op/evacuate/east");
+    env.eventually("the hall's plain runner is cold", |env| cold(env) == 1.0);
+}
