--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -54,7 +54,7 @@
 /// What a request has to leave to others. By default it leaves nothing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Precedence {
-    /// Fraction of the recent requests for the model that are more urgent.
+    /// Fraction of the recent requests for the model that are more urgent, and are admitted before.
     pub ahead: f64,
     /// Fraction of the recent requests for the model that are of the same rank.
     pub own: f64,
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -393,8 +393,8 @@
         per_request: candidate.slowdown,
     });
     let costs: Vec<HeadCost> = costs.collect();
-    // When requests begin after a rest, none are expected yet. One more for each head keeps the
-    // daemons from meeting at the lowest one.
+    // After an idle time no requests are expected yet. One more for each head keeps all daemons from
+    // choosing the least loaded one.
     let requests = requests + costs.len() as f64;
     let drawn = water_filling::draw(&costs, requests, rng)?;
     candidates.get(drawn).copied()
--- a/src/gateway/fair_share.rs
+++ b/src/gateway/fair_share.rs
@@ -105,7 +105,7 @@
         let level = self.level?;
         let own = self.accounts.get(&account.cloned())?;
         let requested = self.total(|work| work.requested);
-        // A few requests in a small sample are no proof that an account gets more than others.
+        // In a small sample an account may be above the level by a few requests by chance.
         let tolerance = (level * requested / self.requests.max(1.0)).sqrt();
         let is_above = own.admitted > level + tolerance;
         is_above.then(|| 1.0 - own.requested / requested)
--- a/src/gateway/load_exchange/choice.rs
+++ b/src/gateway/load_exchange/choice.rs
@@ -20,7 +20,7 @@
 const MAX_DIGESTS_PER_S: u64 = 320;
 
 /// Returns the daemons that sum the reports: those with most processor time that don't hold the
-/// duty, which has work enough; the second in another hall if one there has as much.
+/// duty, as its holder is the busiest daemon; the second in another hall if one there has as much.
 pub fn aggregators(peers: &Peers) -> Vec<(DaemonName, SocketAddr)> {
     let holder = peers.claim.as_ref().map(|(name, _)| name);
     let ranked = peers.ranked().into_iter();
--- a/src/gateway/outages.rs
+++ b/src/gateway/outages.rs
@@ -1,8 +1,8 @@
 //! Tracks which groups serve, and measures how long hosts are without one.
 //!
-//! Users measure an outage from the loss of a group until one of its members
-//! serves again, so it is measured here in the same way. The evacuation of a
-//! hall is neither a loss nor, when it ends, a repair.
+//! An outage lasts from the loss of a group until one of its members serves
+//! again. The evacuation of a hall is neither a loss nor, when it ends, a
+//! repair.
 
 use super::roster::{HostKey, Roster};
 use crate::core::{
--- a/src/gateway/outlook.rs
+++ b/src/gateway/outlook.rs
@@ -1,9 +1,9 @@
 //! What the totals of all daemons' requests tell about the next moment at the heads of a model.
 //!
 //! Totals are some hundred milliseconds old, and all daemons have the same ones. A
-//! daemon that sent to every head that looks free would overfill it together
+//! daemon that sent to every head that looks free would overload it together
 //! with all others. It therefore compares the room at all heads with the requests
-//! that all daemons expect within a horizon of several intervals, and takes its part only.
+//! that all daemons expect within a horizon of several intervals, and admits its share only.
 
 use super::{admission::Precedence, load::Loads, roster::HostKey};
 use crate::core::time::Time;
