--- a/src/gateway/changes/history.rs
+++ b/src/gateway/changes/history.rs
@@ -1,10 +1,13 @@
-//! Recent changes of the entries under a prefix.
+//! Entries under a prefix, and their recent changes.
 
 use crate::core::{
     input::{PlatformEntry, WatchEvent},
     keys::Revision,
 };
-use std::collections::{BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    ops::Bound,
+};
 
 /// Maximum number of changes that are kept.
 const MAX_EVENTS: usize = 4_096;
@@ -18,8 +21,8 @@
     events: VecDeque<WatchEvent>,
     /// Size of all changes, in bytes.
     bytes: usize,
-    /// Keys that have an entry.
-    keys: BTreeSet<String>,
+    /// Last write of each key that has an entry.
+    entries: BTreeMap<String, PlatformEntry>,
     /// Revision after which all changes are kept.
     start: Revision,
     /// Revision up to which all changes are known.
@@ -31,7 +34,10 @@
     pub fn reset(&mut self, at: Revision, entries: &[PlatformEntry]) {
         self.events.clear();
         self.bytes = 0;
-        self.keys = entries.iter().map(|entry| entry.key.clone()).collect();
+        let by_key = entries
+            .iter()
+            .map(|entry| (entry.key.clone(), entry.clone()));
+        self.entries = by_key.collect();
         self.start = at;
         self.end = at;
     }
@@ -40,7 +46,7 @@
     /// longer has them. Whoever follows gets the last one of each key.
     pub fn extend_to_list(&mut self, at: Revision, entries: &[PlatformEntry]) {
         let listed: BTreeSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
-        let gone = self.keys.iter().filter(|key| !listed.contains(&***key));
+        let gone = self.entries.keys().filter(|key| !listed.contains(&***key));
         let gone = gone.map(|key| WatchEvent::Deleted {
             revision: at,
             key: key.clone(),
@@ -60,8 +66,8 @@
         let new = events.iter().filter(|event| event.revision() > known);
         for event in new {
             match event {
-                WatchEvent::Put(entry) => self.keys.insert(entry.key.clone()),
-                WatchEvent::Deleted { key, .. } => self.keys.remove(key),
+                WatchEvent::Put(entry) => self.entries.insert(entry.key.clone(), entry.clone()),
+                WatchEvent::Deleted { key, .. } => self.entries.remove(key),
             };
             self.bytes += size(event);
             self.events.push_back(event.clone());
@@ -93,6 +99,27 @@
         Some(self.events.range(first..).cloned().collect())
     }
 
+    /// Returns entries in the order of their keys, from the first key after `after` on: at least one,
+    /// and as many as are smaller than `max_bytes` together. It is empty after the last one.
+    pub fn page(&self, after: Option<&str>, max_bytes: usize) -> Vec<PlatformEntry> {
+        let mut page = Vec::new();
+        let mut bytes = 0;
+        for entry in self.entries_after(after) {
+            bytes += entry_size(entry);
+            if bytes > max_bytes && !page.is_empty() {
+                break;
+            }
+            page.push(entry.clone());
+        }
+        page
+    }
+
+    fn entries_after(&self, key: Option<&str>) -> impl Iterator<Item = &PlatformEntry> {
+        let from = key.map_or(Bound::Unbounded, Bound::Excluded);
+        let range = self.entries.range::<str, _>((from, Bound::Unbounded));
+        range.map(|(_, entry)| entry)
+    }
+
     /// Drops the oldest change and those of the same revision, which belong together.
     fn drop_oldest(&mut self) {
         let Some(oldest) = self.events.front().map(WatchEvent::revision) else {
@@ -108,7 +135,12 @@
 /// Returns the size of a change, in bytes.
 fn size(event: &WatchEvent) -> usize {
     match event {
-        WatchEvent::Put(entry) => entry.key.len() + entry.value.len(),
+        WatchEvent::Put(entry) => entry_size(entry),
         WatchEvent::Deleted { key, .. } => key.len(),
     }
 }
+
+/// Returns the size of an entry, in bytes.
+fn entry_size(entry: &PlatformEntry) -> usize {
+    entry.key.len() + entry.value.len()
+}
--- a/src/gateway/changes/messages.rs
+++ b/src/gateway/changes/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between a subscriber and the peer that it follows.
 
 use crate::core::{
-    input::WatchEvent,
+    input::{PlatformEntry, WatchEvent},
     keys::{Era, Revision},
     time::Span,
 };
@@ -11,7 +11,7 @@
     pub struct Subscribe {
         /// Prefix of the entries' keys.
         pub prefix: String,
-        /// Revision after which the changes are wanted.
+        /// Revision after which the changes are wanted; zero for a list of the entries instead.
         pub after: Revision,
         /// Era of the revision.
         pub era: Option<Era>,
@@ -23,6 +23,20 @@
         Changes(Changes),
         /// The requested changes are no longer kept.
         Compacted,
+        /// Part of a list, sent only to who asks for one.
+        ListPage(ListPage),
+    }
+
+    /// Part of a list of entries. Changes after the list's revision may be missing in it.
+    pub struct ListPage {
+        /// Revision of the list; the same in all its pages.
+        pub at: Revision,
+        /// Era of the revision.
+        pub era: Option<Era>,
+        /// Entries, in the order of their keys; none in the page after the last one.
+        pub entries: Vec<PlatformEntry>,
+        /// Time since the store last proved to be in contact.
+        pub age: Span,
     }
 
     /// Changes up to a revision.
--- a/src/gateway/changes/mod.rs
+++ b/src/gateway/changes/mod.rs
@@ -5,13 +5,17 @@
 //! their changes. Changes carry the store's revisions, so a subscriber can move
 //! between a peer and the store at any time without a gap.
 //!
+//! In a large fleet, a daemon that starts also lists the entries from a watcher.
+//!
 //! A subscriber trusts its peer only as long as the peer proves that it is in
 //! contact with the store; otherwise it watches the store itself.
 //!
 //! `history` and `source` decide and do no I/O.
 
 pub mod history;
+pub(super) mod list;
 pub(super) mod messages;
+pub(super) mod peer;
 pub(super) mod server;
 pub mod source;
 pub(super) mod subscription;
--- a/src/gateway/changes/server.rs
+++ b/src/gateway/changes/server.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Topic,
-    messages::{Changes, Subscribe, Update},
+    messages::{Changes, ListPage, Subscribe, Update},
 };
 use crate::{
     core::keys::{Era, Revision},
@@ -26,6 +26,12 @@
 /// Timeout of the request of a new subscriber, and of each message to one.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which a daemon that has just started may let others wait for its own list.
+const LIST_WAIT: Duration = Duration::from_millis(800);
+
+/// Maximum size of the entries in one page of a list; a page is sent to many daemons at a time.
+const MAX_PAGE_BYTES: usize = 64 << 10;
+
 /// Maximum size of a request.
 const MAX_REQUEST_BYTES: usize = 1_024;
 
@@ -71,11 +77,13 @@
         return Err(io::Error::other("unknown prefix"));
     };
     let mut after = request.after;
+    if after == Revision::default() {
+        return send_list(&mut stream, topic, state).await;
+    }
     loop {
         let changed = topic.changed.next();
         let (update, end) = next_update(topic, after, request.era, state);
-        let frame = postcard::to_stdvec(&update).map_err(io::Error::other)?;
-        in_time(write_frame(&mut stream, frame)).await?;
+        send(&mut stream, &update).await?;
         if update == Update::Compacted {
             return Ok(());
         }
@@ -85,6 +93,37 @@
     }
 }
 
+/// Sends a list of the entries, in pages, once this daemon has one.
+async fn send_list(stream: &mut TcpStream, topic: &Topic, state: &GatewayState) -> io::Result<()> {
+    let listed = timeout(LIST_WAIT, topic.wait_for_list()).await;
+    listed.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
+    let (at, era) = (topic.end(), topic.era());
+    let mut last_key: Option<String> = None;
+    loop {
+        if topic.era() != era {
+            return Err(io::Error::other("the store came back from an older copy"));
+        }
+        let entries = topic.page(last_key.as_deref(), MAX_PAGE_BYTES);
+        last_key = entries.last().map(|entry| entry.key.clone());
+        let age = topic.age(state.now());
+        let page = ListPage {
+            at,
+            era,
+            entries,
+            age,
+        };
+        send(stream, &Update::ListPage(page)).await?;
+        if last_key.is_none() {
+            return Ok(());
+        }
+    }
+}
+
+async fn send(stream: &mut TcpStream, update: &Update) -> io::Result<()> {
+    let frame = postcard::to_stdvec(update).map_err(io::Error::other)?;
+    in_time(write_frame(stream, frame)).await
+}
+
 /// Waits for a message to be read or written.
 async fn in_time<F, T>(message: F) -> io::Result<T>
 where
--- a/src/gateway/changes/source.rs
+++ b/src/gateway/changes/source.rs
@@ -23,6 +23,10 @@
 /// Number of daemons from which a hall has subscribers; in a smaller one they would save little.
 const MIN_HALL_DAEMONS: usize = 4;
 
+/// Number of daemons from which those that start list the entries from a peer: if many start at
+/// once, their lists together take seconds at the store.
+const MIN_LIST_DAEMONS: usize = 64;
+
 /// Time for which a peer that failed is not subscribed to again.
 const AVOID_TIMEOUT: Span = Span::from_secs(5);
 
@@ -70,10 +74,7 @@
     if watchers.is_empty() || is_watcher || !peers.contains(own) {
         return Source::Store;
     }
-    // Each subscriber starts elsewhere, so that the watchers have about as many.
-    let offset = xxh3_64(own.as_str().as_bytes()) as usize % watchers.len();
-    let in_turn = watchers.iter().cycle().skip(offset).take(watchers.len());
-    let usable = in_turn.filter(|(name, _)| !avoided.contains(name, now));
+    let usable = in_turn(own, &watchers).filter(|(name, _)| !avoided.contains(name, now));
     let mut sources = usable.filter_map(|(name, entry)| {
         Some(Source::Peer {
             name: (*name).clone(),
@@ -83,6 +84,19 @@
     sources.next().unwrap_or(Source::Store)
 }
 
+/// Returns the addresses of the peers that a daemon without entries may list them from; none if it
+/// is to list them from the store.
+pub fn list_sources(own: &DaemonName, hall: &HallName, peers: &Peers) -> Vec<SocketAddr> {
+    let watchers = watchers(hall, peers);
+    let is_watcher = watchers.iter().any(|(name, _)| *name == own);
+    if is_watcher || peers.daemons().count() < MIN_LIST_DAEMONS {
+        return Vec::new();
+    }
+    in_turn(own, &watchers)
+        .filter_map(|(_, entry)| entry.peer)
+        .collect()
+}
+
 /// Returns the daemon at an address as a source, if it is known.
 pub fn peer_at(peers: &Peers, address: SocketAddr) -> Option<Source> {
     let mut daemons = peers.daemons();
@@ -93,6 +107,13 @@
     })
 }
 
+/// Returns the watchers in the order in which a daemon tries them. Each daemon starts elsewhere, so
+/// that the watchers have about as many subscribers.
+fn in_turn<'a, T>(own: &DaemonName, watchers: &'a [T]) -> impl Iterator<Item = &'a T> {
+    let offset = xxh3_64(own.as_str().as_bytes()) as usize % watchers.len().max(1);
+    watchers.iter().cycle().skip(offset).take(watchers.len())
+}
+
 /// Returns the daemons of a hall that watch the store; none if all of them do.
 fn watchers<'a>(hall: &HallName, peers: &'a Peers) -> Vec<(&'a DaemonName, &'a DaemonEntry)> {
     let mut ranked = peers.ranked();
--- a/src/gateway/changes/topic.rs
+++ b/src/gateway/changes/topic.rs
@@ -102,6 +102,24 @@
         self.history.borrow().end()
     }
 
+    /// Returns true once the entries have been listed.
+    pub fn is_started(&self) -> bool {
+        self.history.borrow().is_started()
+    }
+
+    /// Waits until the entries have been listed.
+    pub async fn wait_for_list(&self) {
+        while !self.is_started() {
+            // Fails only once the topic is dropped.
+            let _ = self.changed.next().await;
+        }
+    }
+
+    /// Returns entries in the order of their keys, from the first key after `after` on.
+    pub fn page(&self, after: Option<&str>, max_bytes: usize) -> Vec<PlatformEntry> {
+        self.history.borrow().page(after, max_bytes)
+    }
+
     /// Returns the changes after a revision of an era; none if some of them are no longer kept.
     pub fn since(&self, after: Revision, era: Option<Era>) -> Option<Vec<WatchEvent>> {
         if era != self.era.get() {
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -237,6 +237,8 @@
 where
     A: Adapter,
 {
+    const DAEMON_PREFIX: Option<&'static str> = Some(A::OWN_PREFIX);
+
     fn on_list(&self, revision: Revision, entries: Vec<PlatformEntry>) {
         let source = self.list_source();
         self.apply_list(revision, entries, source, Roster::replace);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -9,9 +9,11 @@
     backoff::Backoff,
     changes::{
         Topic,
+        list::{self, PeerList},
         messages::{Changes, Subscribe},
-        source::Source,
-        subscription::{self, FollowEnd},
+        peer::FollowEnd,
+        source::{self, Source},
+        subscription,
     },
     state::GatewayState,
 };
@@ -24,6 +26,7 @@
     },
     shell::platform::{KeyValueStore, WatchEnd},
 };
+use compio::time::timeout;
 use futures_util::future::{Either, select};
 use std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
@@ -33,8 +36,17 @@
 /// Time after a list in which a peer that lacks the changes since is of no use.
 const NEW_LIST_AGE: Span = Span::from_millis(1_500);
 
+/// Time for which a daemon that starts looks for a peer with a list before it asks the store.
+const PEER_LIST_WAIT: Span = Span::from_millis(1_000);
+
+/// Delay before peers that have no list yet are asked again.
+const PEER_LIST_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Receiver of the entries under a prefix.
 pub trait EntryHandler {
+    /// Prefix of the daemons' entries, if a daemon that starts may list its entries from a peer.
+    const DAEMON_PREFIX: Option<&'static str> = None;
+
     /// Replaces everything known by a full list of the entries as of a revision.
     fn on_list(&self, revision: Revision, entries: Vec<PlatformEntry>);
 
@@ -109,8 +121,55 @@
     K: KeyValueStore,
     H: EntryHandler,
 {
-    /// Lists all entries.
+    /// Lists all entries, from a peer or from the store.
     async fn list(&mut self) -> Result<(), String> {
+        match self.list_from_peer().await {
+            Some(list) => {
+                self.apply_peer_list(list);
+                Ok(())
+            }
+            None => self.list_from_store().await,
+        }
+    }
+
+    /// Returns a peer's list, if this daemon starts in a large fleet and has no entries yet.
+    async fn list_from_peer(&self) -> Option<PeerList> {
+        let daemon_prefix = H::DAEMON_PREFIX.filter(|_| !self.topic.is_started())?;
+        let until = self.state.now() + PEER_LIST_WAIT;
+        let daemons = &self.state.topics[daemon_prefix];
+        let listed = timeout(PEER_LIST_WAIT.into(), daemons.wait_for_list()).await;
+        listed.ok()?;
+        let settings = &self.state.settings;
+        let peers = self.state.peers.borrow();
+        let sources = source::list_sources(&settings.name, &settings.hall, &peers);
+        drop(peers);
+        // The sources may be starting too.
+        while !sources.is_empty() && self.state.now() < until {
+            for source in &sources {
+                match list::fetch(*source, self.prefix).await {
+                    Ok(list) => return Some(list),
+                    Err(FollowEnd::Compacted) => return None,
+                    Err(cause) => slog::debug!(self.state.log, "no list from a peer";
+                        "prefix" => self.prefix, "peer" => source.to_string(), "cause" => %cause),
+                }
+            }
+            compio::time::sleep(PEER_LIST_RETRY_DELAY).await;
+        }
+        None
+    }
+
+    fn apply_peer_list(&mut self, list: PeerList) {
+        self.record_contact();
+        self.listed_at = self.state.now();
+        self.seen_until = Time(self.listed_at.0.saturating_sub(list.age.0));
+        slog::info!(self.state.log, "entries listed from a peer";
+            "prefix" => self.prefix, "entries" => list.entries.len());
+        let (at, era) = (list.at, list.era);
+        self.topic.list(at, era, &list.entries, self.seen_until);
+        self.handler.on_list(at, list.entries);
+    }
+
+    async fn list_from_store(&mut self) -> Result<(), String> {
         let list = PlatformCall::List {
             prefix: self.prefix.to_owned(),
         };
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -321,3 +321,56 @@
     let latest = history.since(Revision(57)).expect("the latest are kept");
     assert_eq!(latest, [put(58), put(59), put(60)]);
 }
+
+/// Returns the keys of all pages of at most `max_bytes`.
+fn listed_keys(history: &History, max_bytes: usize) -> Vec<String> {
+    let mut keys: Vec<String> = Vec::new();
+    loop {
+        let page = history.page(keys.last().map(String::as_str), max_bytes);
+        if page.is_empty() {
+            return keys;
+        }
+        keys.extend(page.into_iter().map(|entry| entry.key));
+    }
+}
+
+/// A daemon that lists from a peer must get each entry that exists, whatever the size of a page.
+#[test]
+fn pages_hold_each_entry_once() {
+    let mut history = History::default();
+    history.reset(Revision(3), &["c", "a", "b"].map(|key| entry(key, 2)));
+    history.extend(
+        Revision(6),
+        &[
+            WatchEvent::Put(entry("d", 4)),
+            WatchEvent::Deleted {
+                key: "b".to_owned(),
+                revision: Revision(5),
+            },
+        ],
+    );
+    for max_bytes in [0, 3, 6, 100] {
+        assert_eq!(listed_keys(&history, max_bytes), ["a", "c", "d"]);
+    }
+    let last = history.page(Some("c"), 100);
+    assert_eq!(last, [entry("d", 4)]);
+}
+
+/// Hundreds of daemons that start at once must not all list from the store; few may, and the
+/// watchers themselves have no other source.
+#[test]
+fn daemons_of_a_large_fleet_list_from_watchers() {
+    let hall = HallName::from("hall");
+    let sources = |own: usize, peers: &Peers| source::list_sources(&name(own), &hall, peers);
+    let few = hall_of(63, 4);
+    assert!((0..63).all(|own| sources(own, &few).is_empty()));
+    let many = hall_of(64, 4);
+    let is_watcher = |own: &usize| sources(*own, &many).is_empty();
+    let watchers: Vec<usize> = (0..64).filter(is_watcher).collect();
+    assert_eq!(watchers.len(), 2);
+    assert!(watchers.iter().all(|own| *own < 4));
+    let mut first: Vec<_> = (4..64).map(|own| sources(own, &many)[0]).collect();
+    first.sort();
+    first.dedup();
+    assert_eq!(first.len(), 2, "all start with the same watcher");
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -32,6 +32,7 @@
 mod missed_changes;
 mod notices;
 mod odd_entries;
+mod peer_lists;
 mod ranks;
 mod relay;
 mod repeated_refusal;
