--- a/src/gateway/changes/list.rs
+++ b/src/gateway/changes/list.rs
@@ -10,7 +10,7 @@
     time::Span,
 };
 use compio::{net::TcpStream, time::timeout};
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 /// Timeout of each page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -40,18 +40,18 @@
         era: None,
     };
     let mut stream = subscribe(peer, request).await?;
-    let first = read_page(&mut stream).await?;
+    let (first, entries) = read_page(&mut stream).await?;
     let mut list = PeerList {
         at: first.at,
         era: first.era,
-        entries: first.entries,
+        entries,
         age: first.age,
     };
     let mut is_last = list.entries.is_empty();
     while !is_last {
-        let page = read_page(&mut stream).await?;
-        is_last = page.entries.is_empty();
-        list.entries.extend(page.entries);
+        let (page, entries) = read_page(&mut stream).await?;
+        is_last = entries.is_empty();
+        list.entries.extend(entries);
         list.age = page.age;
     }
     match list.age < MAX_AGE {
@@ -60,10 +60,13 @@
     }
 }
 
-async fn read_page(stream: &mut TcpStream) -> Result<ListPage, FollowEnd> {
+async fn read_page(stream: &mut TcpStream) -> Result<(ListPage, Vec<PlatformEntry>), FollowEnd> {
     let update = timeout(PAGE_TIMEOUT, read_update(stream)).await;
     match update.map_err(|_| FollowEnd::Stale)?? {
-        Update::ListPage(page) => Ok(page),
+        Update::ListPage(page) => {
+            let entries = page.entries.unpack().map_err(io::Error::other)?;
+            Ok((page, entries))
+        }
         // A peer of an earlier version has no lists for others.
         Update::Changes(_) | Update::Compacted => Err(FollowEnd::Compacted),
     }
--- a/src/gateway/changes/messages.rs
+++ b/src/gateway/changes/messages.rs
@@ -1,7 +1,8 @@
 //! Messages between a subscriber and the peer that it follows.
 
+use super::packed::Packed;
 use crate::core::{
-    input::{PlatformEntry, WatchEvent},
+    input::WatchEvent,
     keys::{Era, Revision},
     time::Span,
 };
@@ -33,8 +34,8 @@
         pub at: Revision,
         /// Era of the revision.
         pub era: Option<Era>,
-        /// Entries, in the order of their keys; none in the page after the last one.
-        pub entries: Vec<PlatformEntry>,
+        /// Entries, in the order of their keys, compressed; none in the page after the last one.
+        pub entries: Packed,
         /// Time since the store last proved to be in contact.
         pub age: Span,
     }
--- a/src/gateway/changes/mod.rs
+++ b/src/gateway/changes/mod.rs
@@ -15,6 +15,7 @@
 pub mod history;
 pub(super) mod list;
 pub(super) mod messages;
+pub mod packed;
 pub(super) mod peer;
 pub(super) mod server;
 pub mod source;
--- a/src/gateway/changes/server.rs
+++ b/src/gateway/changes/server.rs
@@ -3,6 +3,7 @@
 use super::{
     Topic,
     messages::{Changes, ListPage, Subscribe, Update},
+    packed::Packed,
 };
 use crate::{
     core::keys::{Era, Revision},
@@ -30,7 +31,7 @@
 const LIST_WAIT: Duration = Duration::from_millis(800);
 
 /// Maximum size of the entries in one page of a list; a page is sent to many daemons at a time.
-const MAX_PAGE_BYTES: usize = 64 << 10;
+const MAX_PAGE_BYTES: usize = 256 << 10;
 
 /// Maximum size of a request.
 const MAX_REQUEST_BYTES: usize = 1_024;
@@ -105,12 +106,11 @@
         }
         let entries = topic.page(last_key.as_deref(), MAX_PAGE_BYTES);
         last_key = entries.last().map(|entry| entry.key.clone());
-        let age = topic.age(state.now());
         let page = ListPage {
             at,
             era,
-            entries,
-            age,
+            entries: Packed::new(&entries).map_err(io::Error::other)?,
+            age: topic.age(state.now()),
         };
         send(stream, &Update::ListPage(page)).await?;
         if last_key.is_none() {
--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -9,6 +9,7 @@
     gateway::{
         changes::{
             history::History,
+            packed::Packed,
             source::{self, AvoidedPeers, Source},
         },
         peers::{DaemonEntry, Peers},
@@ -374,3 +375,19 @@
     first.dedup();
     assert_eq!(first.len(), 2, "all start with the same watcher");
 }
+
+/// Entries must arrive as they were, and malformed ones must neither panic nor take much memory.
+#[test]
+fn packed_entries_are_unpacked_or_refused() {
+    let entries: Vec<PlatformEntry> = (0..500).map(|index| entry(&index.to_string(), 7)).collect();
+    let packed = Packed::new(&entries).expect("packed");
+    assert_eq!(packed.unpack().expect("unpacked"), entries);
+    let bytes = postcard::to_stdvec(&packed).expect("encoded");
+    let decode = |bytes: &[u8]| postcard::from_bytes::<Packed>(bytes).map(|packed| packed.unpack());
+    for length in 0..bytes.len() {
+        let is_refused = |unpacked: Result<Vec<_>, _>| unpacked.is_err();
+        assert!(decode(&bytes[..length]).map_or(true, is_refused));
+    }
+    let claims_four_gigabytes = [4, 0xff, 0xff, 0xff, 0xff];
+    assert!(decode(&claims_four_gigabytes).expect("decoded").is_err());
+}
