Split the choice of a runner into finding, admitting and drawing

Cause: `balancer::admit` did several steps, and nothing could tell what the choice was made from. Change: `balancer` is a directory. `candidates` finds runners and tells an observer who is left out (the request path's is empty), `admit` gives a verdict for a position among the expected requests, `draw` takes a candidate. `assess` lists what each draw of `choose` would come to, by the same functions.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -214,43 +214,54 @@
     }
 }
 
+/// Delay after which a refused caller should retry, before the random part is drawn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryDelay {
+    /// Shortest delay.
+    pub min: Span,
+    /// Maximum random addition, so that callers don't return together.
+    pub spread: Span,
+}
+
+impl RetryDelay {
+    /// Draws a delay.
+    pub fn draw<R>(self, rng: &mut R) -> Span
+    where
+        R: Rng,
+    {
+        let addition = rng.random_range(0..self.spread.as_millis().max(1));
+        self.min + Span::from_millis(addition)
+    }
+}
+
 /// Returns the delay after which a refused caller should retry.
 ///
 /// By then the least loaded head must have worked off its requests beyond its slots. Callers of less
 /// urgent ranks return later, and spread over more time the more of them are refused.
-pub(super) fn retry_delay<R>(
+pub(super) fn retry_delay(
     heads: &[HostKey],
     loads: &Loads,
     engine: &Engine,
     precedence: Precedence,
     now: Time,
-    rng: &mut R,
-) -> Span
-where
-    R: Rng,
-{
+) -> RetryDelay {
     let excess = heads
         .iter()
         .map(|head| loads.in_flight(*head, now).saturating_sub(engine.slots))
         .min()
         .unwrap_or_default();
     let drain_time = engine.mean_request_time().times(u64::from(excess));
-    let delay = MIN_RETRY_DELAY.max(drain_time) + precedence.retry_offset;
-    delay + retry_jitter(precedence.retry_spread, rng)
+    RetryDelay {
+        min: MIN_RETRY_DELAY.max(drain_time) + precedence.retry_offset,
+        spread: precedence.retry_spread,
+    }
 }
 
 /// Returns the delay after which a caller should retry that was refused because its runners want no
 /// request before `wait` has passed.
-pub(super) fn held_back_retry_delay<R>(wait: Span, rng: &mut R) -> Span
-where
-    R: Rng,
-{
-    MIN_RETRY_DELAY.max(wait) + retry_jitter(RETRY_SPREAD, rng)
-}
-
-fn retry_jitter<R>(spread: Span, rng: &mut R) -> Span
-where
-    R: Rng,
-{
-    Span::from_millis(rng.random_range(0..spread.as_millis().max(1)))
+pub(super) fn held_back_retry_delay(wait: Span) -> RetryDelay {
+    RetryDelay {
+        min: MIN_RETRY_DELAY.max(wait),
+        spread: RETRY_SPREAD,
+    }
 }
--- a/src/gateway/outlook.rs
+++ b/src/gateway/outlook.rs
@@ -48,18 +48,56 @@
         limit - f64::from(in_flight) + self.ends_each
     }
 
-    /// Draws the position of a request among the expected ones, of which those up to the room at the
-    /// heads are admitted. More urgent requests come before it, and less urgent ones after it.
-    pub fn draw_position<R>(&self, precedence: Precedence, rng: &mut R) -> f64
+    /// Returns the positions that a request may have among the expected ones, of which those up to
+    /// the room at the heads are admitted. More urgent requests come before it, and less urgent ones
+    /// after it.
+    pub fn positions(&self, precedence: Precedence) -> Positions {
+        let Precedence { ahead, own, .. } = precedence;
+        Positions {
+            arrivals: self.arrivals,
+            ahead,
+            own: Some(own),
+        }
+    }
+
+    /// Returns the position of a request that is admitted only if there is room for all expected ones.
+    pub fn last_position(&self) -> Positions {
+        Positions {
+            arrivals: self.arrivals,
+            ahead: 1.0,
+            own: None,
+        }
+    }
+}
+
+/// Positions that a request may have among the expected ones, all equally likely.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Positions {
+    /// Number of expected requests.
+    arrivals: f64,
+    /// Fraction of them that comes before all these positions.
+    ahead: f64,
+    /// Fraction that these positions cover; none if there is only one, which isn't drawn.
+    own: Option<f64>,
+}
+
+impl Positions {
+    /// Draws one of the positions.
+    pub fn draw<R>(&self, rng: &mut R) -> f64
     where
         R: Rng,
     {
-        let Precedence { ahead, own, .. } = precedence;
-        self.arrivals * (ahead + own * rng.random::<f64>())
+        let drawn = self.own.map_or(0.0, |own| own * rng.random::<f64>());
+        self.arrivals * (self.ahead + drawn)
     }
 
-    /// Returns the position of a request that is admitted only if there is room for all expected ones.
-    pub fn last_position(&self) -> f64 {
-        self.arrivals
+    /// Returns the fraction of the positions that don't exceed a bound.
+    pub fn fraction_until(&self, bound: f64) -> f64 {
+        let lowest = self.arrivals * self.ahead;
+        let width = self.arrivals * self.own.unwrap_or_default();
+        match width > 0.0 {
+            true => ((bound - lowest) / width).clamp(0.0, 1.0),
+            false => f64::from(lowest <= bound),
+        }
     }
 }
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -22,7 +22,7 @@
 const MAX_EXTRA_ATTEMPTS: u32 = 2;
 
 /// Retry delay of a request that no runner could take.
-const UNAVAILABLE_RETRY_DELAY_MS: u64 = 700;
+pub(super) const UNAVAILABLE_RETRY_DELAY_MS: u64 = 700;
 
 /// Maximum time that a request which may have run waits for runners that are held back; callers of
 /// a stream give up after two seconds.
@@ -141,7 +141,8 @@
 /// Returns the refusal of a request that has not run, because all its runners want none for some
 /// time, by their rate limits or pauses.
 fn refuse_held_back(call: &Call, wait: Span) -> Refusal {
-    let retry_delay = admission::held_back_retry_delay(wait, &mut *call.state.rng.borrow_mut());
+    let retry_delay = admission::held_back_retry_delay(wait);
+    let retry_delay = retry_delay.draw(&mut *call.state.rng.borrow_mut());
     slog::info!(call.state.log, "all runners held back";
         "request" => call.id(),
         "service" => call.service.as_str(),
--- a/src/gateway/water_filling.rs
+++ b/src/gateway/water_filling.rs
@@ -51,13 +51,32 @@
     high
 }
 
+/// Returns the requests that each head takes of this number.
+fn parts(heads: &[HeadCost], requests: f64) -> impl Iterator<Item = f64> + Clone {
+    let level = level(heads, requests);
+    heads.iter().map(move |head| head.requests_below(level))
+}
+
+/// Returns the probability of each head to be drawn.
+pub fn probabilities(heads: &[HeadCost], requests: f64) -> Vec<f64> {
+    let parts = parts(heads, requests);
+    let total: f64 = parts.clone().sum();
+    if total.is_finite() && total > 0.0 {
+        return parts.map(|part| part / total).collect();
+    }
+    let cheapest = cheapest(heads);
+    let indices = 0..heads.len();
+    indices
+        .map(|index| f64::from(cheapest == Some(index)))
+        .collect()
+}
+
 /// Draws one of the heads by its part of the requests; none if there are none.
 pub fn draw<R>(heads: &[HeadCost], requests: f64, rng: &mut R) -> Option<usize>
 where
     R: Rng,
 {
-    let level = level(heads, requests);
-    let parts = heads.iter().map(|head| head.requests_below(level));
+    let parts = parts(heads, requests);
     let total: f64 = parts.clone().sum();
     let mut left = rng.random::<f64>() * total;
     let drawn = parts.enumerate().find(|(_, part)| {
@@ -65,11 +84,11 @@
         left < 0.0
     });
     // Rounding may leave a rest after the last head.
-    let cheapest = || {
-        let indexed = heads.iter().enumerate();
-        indexed.min_by(|(_, a), (_, b)| a.base.total_cmp(&b.base))
-    };
-    drawn
-        .map(|(index, _)| index)
-        .or_else(|| cheapest().map(|(index, _)| index))
+    drawn.map(|(index, _)| index).or_else(|| cheapest(heads))
+}
+
+fn cheapest(heads: &[HeadCost]) -> Option<usize> {
+    let indexed = heads.iter().enumerate();
+    let cheapest = indexed.min_by(|(_, a), (_, b)| a.base.total_cmp(&b.base));
+    cheapest.map(|(index, _)| index)
 }
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,10 +13,15 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 60] = [
+const DECISIONS: [&str; 65] = [
     "admission",
     "backoff",
     "balancer",
+    "balancer/admit",
+    "balancer/assess",
+    "balancer/candidates",
+    "balancer/criteria",
+    "balancer/draw",
     "budget",
     "caller_timeouts",
     "candidacy",
--- a/tests/gateway/load_exchange.rs
+++ b/tests/gateway/load_exchange.rs
@@ -376,11 +376,11 @@
     let room = 4.0 * outlook.room(42.0, 40);
     assert_eq!(room, 48.0);
     let mut rng = SmallRng::seed_from_u64(1);
-    let admitted =
-        (0..10_000).filter(|_| outlook.draw_position(Precedence::default(), &mut rng) <= room);
+    let positions = outlook.positions(Precedence::default());
+    let admitted = (0..10_000).filter(|_| positions.draw(&mut rng) <= room);
     let share = admitted.count() as f64 / 1e4;
     assert!((share - 0.6).abs() < 0.02, "{share}");
-    let all_fit = (0..100).all(|_| outlook.draw_position(Precedence::default(), &mut rng) <= 80.0);
+    let all_fit = (0..100).all(|_| positions.draw(&mut rng) <= 80.0);
     assert!(all_fit);
     assert_eq!(Outlook::new(&loads, [host()], millis(2_000)), None);
 }
