Give out the inputs of a choice with their sources and ages

Cause: an explanation needs what decided, and must get it from the functions that decide. Change: the estimate of a head's requests names its source and time; holds, backoffs, cold times and the obstacle of a host or group can be read, and the functions used by requests are derived from them. `RouteTable::authorize` and `selection::decide` serve requests and queries alike.

--- a/src/gateway/coldness.rs
+++ b/src/gateway/coldness.rs
@@ -183,6 +183,29 @@
         self.own_until(period).max(self.peer.until)
     }
 
+    /// Returns the statements on the cold time.
+    fn statements(&self, period: Span) -> impl Iterator<Item = ColdTime> {
+        let heard = |source, statement: Statement| ColdTime {
+            until: statement.until,
+            source,
+            heard_at: statement.heard_at,
+        };
+        let since = |source, at: Time| ColdTime {
+            until: at + period,
+            source,
+            heard_at: at,
+        };
+        let stated = [
+            heard(ColdSource::Entry, self.entry),
+            heard(ColdSource::Response, self.response),
+            heard(ColdSource::Peer, self.peer),
+        ];
+        let presumed = self.presumption.map(|presumption| presumption.since);
+        let presumed = presumed.map(|at| since(ColdSource::Presumed, at));
+        let opened = self.opened_at.map(|at| since(ColdSource::Opened, at));
+        stated.into_iter().chain(presumed).chain(opened)
+    }
+
     fn apply_entry(&mut self, entry: &ColdEntry, now: Time) {
         self.service = entry.service.clone();
         self.revision = entry.revision;
@@ -212,6 +235,34 @@
     }
 }
 
+crate::record! {
+    /// Who says that a runner is cold.
+    #[derive(Copy, Eq)]
+    pub enum ColdSource {
+        /// Its entry in the store.
+        Entry,
+        /// One of its responses.
+        Response,
+        /// Another daemon.
+        Peer,
+        /// Nobody: it is presumed, after a start or the end of an evacuation.
+        Presumed,
+        /// Its group was opened.
+        Opened,
+    }
+}
+
+/// Cold time of a runner, by the statement that makes it last longest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdTime {
+    /// End of the cold time.
+    pub until: Time,
+    /// Who says so.
+    pub source: ColdSource,
+    /// Time at which it was heard, or since which it is presumed.
+    pub heard_at: Time,
+}
+
 /// Which runners are cold.
 #[derive(Debug, Default)]
 pub struct Coldness {
@@ -322,6 +373,14 @@
         (now < known.until(rate.period)).then_some(rate.limit)
     }
 
+    /// Returns the cold time of a runner; none if it isn't cold.
+    pub fn cold_until(&self, host: HostKey, now: Time) -> Option<ColdTime> {
+        let (known, rate) = self.get(host)?;
+        let statements = known.statements(rate.period);
+        let longest = statements.max_by_key(|statement| statement.until)?;
+        (now < longest.until).then_some(longest)
+    }
+
     /// Returns what another daemon should know of a runner; none if it isn't cold.
     pub fn claim(&self, host: HostKey, now: Time) -> Option<ColdClaim> {
         let (known, rate) = self.get(host)?;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -38,10 +38,10 @@
 use std::rc::Rc;
 
 /// Timeout of a request whose caller sends none.
-const DEFAULT_TIMEOUT: Span = Span::from_secs(30);
+pub(super) const DEFAULT_TIMEOUT: Span = Span::from_secs(30);
 
 /// Retry delay of a request that a stopping daemon refuses; other daemons can take it at once.
-const STOPPING_RETRY_DELAY_MS: u64 = 50;
+pub(super) const STOPPING_RETRY_DELAY_MS: u64 = 50;
 
 /// Retry delay of a request whose body needs more memory than is left.
 const NO_MEMORY_RETRY_DELAY_MS: u64 = 500;
@@ -195,13 +195,10 @@
     parts: &request::Parts,
 ) -> Result<(Route, Option<AccountName>), Refusal> {
     let host = host_name(&parts.headers);
-    let route = table.find(host, parts.uri.path()).ok_or(Refusal::NoRoute)?;
     let key = head.key_hash.as_ref();
-    let account = key.and_then(|key| table.account(key)).cloned();
-    if table.has_accounts() && !route.public && account.is_none() {
-        return Err(Refusal::NoAccount);
-    }
-    Ok((route.clone(), account))
+    let account = key.and_then(|key| table.account(key));
+    let route = table.authorize(host, parts.uri.path(), account)?;
+    Ok((route.clone(), account.cloned()))
 }
 
 /// Returns the host that a caller names, without a port.
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -93,6 +93,32 @@
     pub has_streams: bool,
 }
 
+crate::record! {
+    /// Who says how many requests of other daemons are at a runner.
+    #[derive(Copy, Eq)]
+    pub enum EstimateSource {
+        /// Totals of all daemons, from an aggregator.
+        Totals,
+        /// The runner itself, in a response.
+        Report,
+        /// Nobody recently; none are assumed.
+        None,
+    }
+}
+
+/// Estimate of the requests in flight at a runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Estimate {
+    /// Requests of this daemon.
+    pub own: u32,
+    /// Requests of other daemons.
+    pub others: u32,
+    /// Who says how many others there are.
+    pub source: EstimateSource,
+    /// Time of that statement.
+    pub stated_at: Option<Time>,
+}
+
 /// Request load of all runners.
 #[derive(Debug, Default)]
 pub struct Loads {
@@ -243,10 +269,14 @@
 
     /// Returns true if a runner is in backoff or stalled.
     pub fn is_avoided(&self, host: HostKey, now: Time) -> bool {
+        self.backoff(host, now) > Span::ZERO || self.is_stalled(host, now)
+    }
+
+    /// Returns the time until the backoff of a runner ends.
+    pub fn backoff(&self, host: HostKey, now: Time) -> Span {
         let entry = self.entries.get(host);
-        let in_backoff =
-            entry.is_some_and(|entry| entry.avoided_until.is_some_and(|until| now < until));
-        in_backoff || self.is_stalled(host, now)
+        let until = entry.and_then(|entry| entry.avoided_until);
+        until.map_or(Span::ZERO, |until| until.since(now))
     }
 
     /// Returns the requests in flight at a runner from this daemon.
@@ -257,17 +287,28 @@
 
     /// Returns the estimated number of requests in flight at a runner, from all daemons.
     pub fn in_flight(&self, host: HostKey, now: Time) -> u32 {
-        let Some(entry) = self.entries.get(host) else {
-            return 0;
-        };
+        let estimate = self.estimate(host, now);
+        estimate.own.saturating_add(estimate.others)
+    }
+
+    /// Returns the estimate of the requests in flight at a runner, and where it comes from.
+    pub fn estimate(&self, host: HostKey, now: Time) -> Estimate {
+        let entry = self.entries.get(host).copied().unwrap_or_default();
         let reported = entry.reported_at.filter(|at| now.since(*at) < REPORT_TTL);
         let summed = entry.total.filter(|total| now < total.until);
-        let other_requests = match summed {
-            Some(total) if reported.is_none_or(|at| at <= total.at) => total.load.others,
-            _ if reported.is_some() => entry.other_requests,
-            _ => 0,
+        let (others, source, stated_at) = match (summed, reported) {
+            (Some(total), at) if at.is_none_or(|at| at <= total.at) => {
+                (total.load.others, EstimateSource::Totals, Some(total.at))
+            }
+            (_, Some(at)) => (entry.other_requests, EstimateSource::Report, Some(at)),
+            (_, None) => (0, EstimateSource::None, None),
         };
-        entry.own_requests.saturating_add(other_requests)
+        Estimate {
+            own: entry.own_requests,
+            others,
+            source,
+            stated_at,
+        }
     }
 
     /// Returns the sums of all daemons' requests at a runner, if current ones are known.
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -109,6 +109,15 @@
     }
 }
 
+/// Times for which a runner takes no request from this daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Holds {
+    /// Time until the end of a pause that it asked for.
+    pub paused: Span,
+    /// Time until its limit allows the next request.
+    pub limited: Span,
+}
+
 /// Change of what is known of a runner's rate limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitChange {
@@ -195,8 +204,17 @@
 
     /// Returns the time until a runner may take a request; zero if it may now.
     pub fn wait(&self, host: HostKey, now: Time) -> Span {
+        let holds = self.holds(host, now);
+        holds.paused.max(holds.limited)
+    }
+
+    /// Returns the times until a runner may take a request, by reason.
+    pub fn holds(&self, host: HostKey, now: Time) -> Holds {
         let entry = self.entries.get(host).copied().unwrap_or_default();
-        entry.held_until.max(entry.paused_until).since(now)
+        Holds {
+            paused: entry.paused_until.since(now),
+            limited: entry.held_until.since(now),
+        }
     }
 
     /// Returns true if a runner's rate limit may be announced to other daemons now, and counts it as
--- a/src/gateway/responses.rs
+++ b/src/gateway/responses.rs
@@ -1,5 +1,6 @@
 //! Responses to callers.
 
+use super::routes::AccessError;
 use crate::shell::http::HOP_BY_HOP;
 use bytes::Bytes;
 use futures_channel::mpsc;
@@ -107,6 +108,15 @@
     TimedOut,
 }
 
+impl From<AccessError> for Refusal {
+    fn from(error: AccessError) -> Self {
+        match error {
+            AccessError::NoRoute => Refusal::NoRoute,
+            AccessError::NoAccount => Refusal::NoAccount,
+        }
+    }
+}
+
 impl Refusal {
     /// Returns the HTTP status for the caller.
     pub fn status(self) -> StatusCode {
@@ -161,7 +171,7 @@
 }
 
 /// Retry delay that is sent by a daemon that has not read a configuration yet.
-const UNCONFIGURED_RETRY_DELAY_MS: u64 = 500;
+pub(super) const UNCONFIGURED_RETRY_DELAY_MS: u64 = 500;
 
 /// Retry delay of a quarantined request; retries are refused for hours.
 const QUARANTINED_RETRY_DELAY_MS: u64 = 600_000;
--- a/src/gateway/roster/mod.rs
+++ b/src/gateway/roster/mod.rs
@@ -113,6 +113,25 @@
 }
 
 crate::record! {
+    /// Reason for which no request may be sent to a runner or to a group.
+    #[derive(Copy, Eq)]
+    pub enum Obstacle {
+        /// Its hall, or that of the group's head, is evacuated.
+        Evacuated,
+        /// The head of the group takes no requests.
+        NotOpen,
+        /// The group lacks members.
+        Incomplete,
+        /// Its entry is missing from the store.
+        Unlisted,
+        /// It is about to leave.
+        Leaving,
+        /// It answers no probes.
+        Unreachable,
+        /// A member of the group answers no probes or is no longer known.
+        MemberUnreachable,
+    }
+
     /// Failure of a probe.
     #[derive(Copy, Eq)]
     pub enum ProbeFailure {
@@ -301,7 +320,15 @@
 
     /// Returns true if requests may be sent to a host.
     pub fn is_usable(&self, host: &Host, now: Time) -> bool {
-        self.is_available(host, now) && !self.is_evacuated(host)
+        self.host_obstacle(host, now).is_none()
+    }
+
+    /// Returns the reason for which no request may be sent to a host, if there is one.
+    pub fn host_obstacle(&self, host: &Host, now: Time) -> Option<Obstacle> {
+        match self.is_evacuated(host) {
+            true => Some(Obstacle::Evacuated),
+            false => availability_obstacle(host, now),
+        }
     }
 
     /// Returns true if a host is in a hall that is evacuated.
@@ -311,8 +338,7 @@
 
     /// Returns true if requests could be sent to a host if its hall weren't evacuated.
     pub fn is_available(&self, host: &Host, now: Time) -> bool {
-        let listed = host.unlisted_since.is_none() || now < host.reentry_until;
-        listed && !host.is_draining() && !host.is_unreachable()
+        availability_obstacle(host, now).is_none()
     }
 
     /// Returns true if a later run than this one is known at its address or under its name.
@@ -349,18 +375,48 @@
 
     /// Returns true if requests may be sent to a group.
     pub fn is_serving(&self, group: &Group, now: Time) -> bool {
+        self.group_obstacle(group, now).is_none()
+    }
+
+    /// Returns the reason for which no request may be sent to a group, if there is one.
+    pub fn group_obstacle(&self, group: &Group, now: Time) -> Option<Obstacle> {
         let head = group.head().and_then(|key| self.host(key));
-        let is_evacuated = head.is_some_and(|head| self.is_evacuated(head));
-        !is_evacuated && self.can_serve(group, now)
+        match head.is_some_and(|head| self.is_evacuated(head)) {
+            true => Some(Obstacle::Evacuated),
+            false => self.serving_obstacle(group, now),
+        }
     }
 
     /// Returns true if requests could be sent to a group if its head's hall weren't evacuated.
     pub fn can_serve(&self, group: &Group, now: Time) -> bool {
-        if group.head_state != Some(MemberState::Open) || !group.complete {
-            return false;
+        self.serving_obstacle(group, now).is_none()
+    }
+
+    /// Returns the reason for which no request could be sent to a group even if its head's hall
+    /// weren't evacuated.
+    fn serving_obstacle(&self, group: &Group, now: Time) -> Option<Obstacle> {
+        if group.head_state != Some(MemberState::Open) {
+            return Some(Obstacle::NotOpen);
         }
         let head = group.head().and_then(|key| self.host(key));
-        head.is_some_and(|head| self.is_available(head, now)) && !self.has_unreachable_member(group)
+        let Some(head) = head.filter(|_| group.complete) else {
+            return Some(Obstacle::Incomplete);
+        };
+        let unreachable = || {
+            let is_unreachable = self.has_unreachable_member(group);
+            is_unreachable.then_some(Obstacle::MemberUnreachable)
+        };
+        availability_obstacle(head, now).or_else(unreachable)
+    }
+}
+
+/// Returns the reason for which no request could be sent to a host even if its hall weren't evacuated.
+fn availability_obstacle(host: &Host, now: Time) -> Option<Obstacle> {
+    match host {
+        _ if host.unlisted_since.is_some() && now >= host.reentry_until => Some(Obstacle::Unlisted),
+        _ if host.is_draining() => Some(Obstacle::Leaving),
+        _ if host.is_unreachable() => Some(Obstacle::Unreachable),
+        _ => None,
     }
 }
 
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -19,6 +19,15 @@
     ranks: Ranks,
 }
 
+/// Reason for which a request has no route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AccessError {
+    /// No route matches.
+    NoRoute,
+    /// The route needs an account, and the caller has none.
+    NoAccount,
+}
+
 impl RouteTable {
     /// Indexes a configuration version.
     pub fn new(spec: Spec) -> Self {
@@ -61,9 +70,29 @@
             .find(|route| path.starts_with(&route.prefix))
     }
 
-    /// Returns true if callers need an account.
-    pub fn has_accounts(&self) -> bool {
-        !self.spec.accounts.is_empty()
+    /// Returns the route of a request, if its caller may use it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no route matches, or if the route needs an account and the caller has none.
+    pub fn authorize(
+        &self,
+        host: &str,
+        path: &str,
+        account: Option<&AccountName>,
+    ) -> Result<&Route, AccessError> {
+        let route = self.find(host, path).ok_or(AccessError::NoRoute)?;
+        let needs_account = !self.spec.accounts.is_empty() && !route.public;
+        match needs_account && account.is_none() {
+            true => Err(AccessError::NoAccount),
+            false => Ok(route),
+        }
+    }
+
+    /// Returns the account with a name.
+    pub fn account_by_name(&self, name: &AccountName) -> Option<&AccountName> {
+        let mut names = self.spec.accounts.iter().map(|account| &account.name);
+        names.find(|known| *known == name)
     }
 
     /// Returns the rank of a request to a service.
@@ -96,4 +125,20 @@
         }
         self.split.last().map(|share| &share.service)
     }
+
+    /// Returns the services that may be picked, each with its probability.
+    pub fn service_probabilities(&self) -> Vec<(&ServiceName, f64)> {
+        let total: u32 = self.split.iter().map(|share| share.weight).sum();
+        if total == 0 {
+            return self
+                .pick_service(0.0)
+                .map(|last| (last, 1.0))
+                .into_iter()
+                .collect();
+        }
+        let weighted = self.split.iter().filter(|share| share.weight > 0);
+        weighted
+            .map(|share| (&share.service, f64::from(share.weight) / f64::from(total)))
+            .collect()
+    }
 }
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -5,8 +5,70 @@
     balancer::{self, ChooseError, Criteria, Endpoint, View},
     call::Call,
     contention,
+    rank::Rank,
+    roster::HostKey,
     routes::RouteTable,
+    state::GatewayState,
 };
+use crate::core::{
+    keys::{AccountName, ModelName, ServiceName},
+    time::Time,
+};
+
+/// Request as far as the choice of its runner depends on it.
+#[derive(Clone, Copy)]
+pub(super) struct Wanted<'a> {
+    /// Service of the request.
+    pub(super) service: &'a ServiceName,
+    /// Requested model.
+    pub(super) model: Option<&'a ModelName>,
+    /// Account of the caller.
+    pub(super) account: Option<&'a AccountName>,
+    /// Rank within the service.
+    pub(super) rank: Rank,
+    /// Admission class.
+    pub(super) class: AdmissionClass,
+    /// Length of the prompt.
+    pub(super) prompt_tokens: u32,
+    /// Maximum length of the answer.
+    pub(super) answer_tokens: u32,
+    /// Time by which the response must be complete.
+    pub(super) deadline: Time,
+    /// Runners that an attempt was made on.
+    pub(super) tried: &'a [HostKey],
+    /// True if only a runner that needs no permit will do.
+    pub(super) unlimited: bool,
+}
+
+impl<'a> Wanted<'a> {
+    fn of(call: &'a Call, class: AdmissionClass, unlimited: bool) -> Self {
+        Self {
+            service: &call.service,
+            model: call.head.model.as_ref(),
+            account: call.account.as_ref(),
+            rank: call.rank,
+            class,
+            prompt_tokens: call.head.prompt_tokens,
+            answer_tokens: call.head.max_tokens,
+            deadline: call.deadline,
+            tried: &call.tried,
+            unlimited,
+        }
+    }
+
+    /// Returns a model's request as far as it matters for contention.
+    fn contending(&self, table: &'a RouteTable) -> Option<contention::Request<'a>> {
+        Some(contention::Request {
+            service: self.service,
+            model: self.model?,
+            engine: table.spec().engine(self.service)?,
+            rank: self.rank,
+            account: self.account,
+            prompt_tokens: self.prompt_tokens,
+            answer_tokens: self.answer_tokens,
+        })
+    }
+}
 
 /// Chooses a runner that the request was not sent to yet; `unlimited` excludes those that name a
 /// rate limit.
@@ -20,51 +82,58 @@
     unlimited: bool,
 ) -> Result<Endpoint, ChooseError> {
     let state = &call.state;
+    let wanted = Wanted::of(call, class, unlimited);
+    let chosen = decide(state, &wanted, |view, criteria, now| {
+        balancer::choose(view, criteria, now, &mut *state.rng.borrow_mut())
+    });
+    let chosen = chosen.unwrap_or(Err(ChooseError::NoneServing));
+    // Late requests come after all others, so those that are refused aren't expected anywhere.
+    if let Err(ChooseError::AllFull { host, .. }) = chosen
+        && class == AdmissionClass::OnTime
+    {
+        state.loads.borrow_mut().request_refused(host);
+    }
+    chosen
+}
+
+/// Passes to `act` what a choice of a runner is made from; returns none if there is no configuration.
+pub(super) fn decide<F, T>(state: &GatewayState, wanted: &Wanted<'_>, act: F) -> Option<T>
+where
+    F: FnOnce(View<'_>, Criteria<'_>, Time) -> T,
+{
     let now = state.now();
-    let table = state.route_table().ok_or(ChooseError::NoneServing)?;
-    let engine = table.spec().engine(&call.service);
-    let model = call.head.model.as_ref().zip(engine);
+    let table = state.route_table()?;
+    let engine = table.spec().engine(wanted.service);
+    let model = wanted.model.zip(engine);
     let criteria = Criteria {
-        service: &call.service,
+        service: wanted.service,
         model,
-        class,
-        precedence: precedence(call, class),
+        class: wanted.class,
+        precedence: precedence(state, wanted, &table),
         duration: admission::expected_duration(
             model.map(|(model, engine)| (engine, model)),
-            call.head.prompt_tokens,
-            call.head.max_tokens,
+            wanted.prompt_tokens,
+            wanted.answer_tokens,
         ),
-        remaining: call.deadline.since(now),
+        remaining: wanted.deadline.since(now),
         hall: &state.settings.hall,
-        tried: &call.tried,
-        unlimited,
+        tried: wanted.tried,
+        unlimited: wanted.unlimited,
     };
-    let chosen = {
-        let view = View {
-            roster: &state.roster.borrow(),
-            loads: &state.loads.borrow(),
-            notices: &state.notices.borrow(),
-            limits: &state.head_limits.borrow(),
-        };
-        balancer::choose(view, criteria, now, &mut *state.rng.borrow_mut())
+    let view = View {
+        roster: &state.roster.borrow(),
+        loads: &state.loads.borrow(),
+        notices: &state.notices.borrow(),
+        limits: &state.head_limits.borrow(),
     };
-    // Late requests come after all others, so those that are refused aren't expected anywhere.
-    if let Err(ChooseError::AllFull { host, .. }) = chosen
-        && class == AdmissionClass::OnTime
-    {
-        state.loads.borrow_mut().request_refused(host);
-    }
-    chosen
+    Some(act(view, criteria, now))
 }
 
 /// Returns what a request has to leave to others. One that may have run goes on whatever others
 /// need.
-fn precedence(call: &Call, class: AdmissionClass) -> Precedence {
-    let state = &call.state;
-    let table = state.route_table();
-    let request = table.as_ref().and_then(|table| contending(call, table));
-    match request {
-        Some(request) if class != AdmissionClass::Resumed => {
+fn precedence(state: &GatewayState, wanted: &Wanted<'_>, table: &RouteTable) -> Precedence {
+    match wanted.contending(table) {
+        Some(request) if wanted.class != AdmissionClass::Resumed => {
             let daemons = state.peers.borrow().count().max(1);
             let contention = state.contention.borrow();
             contention.precedence(&request, daemons, state.now())
@@ -75,27 +144,17 @@
 
 /// Counts a request as sent to a head, unless another daemon passed it on.
 pub(super) fn record_admission(call: &Call) {
-    let table = call.state.route_table();
-    let request = table.as_ref().and_then(|table| contending(call, table));
+    let Some(table) = call.state.route_table() else {
+        return;
+    };
+    let wanted = Wanted::of(call, AdmissionClass::OnTime, false);
+    let request = wanted.contending(&table);
     if let Some(request) = request.filter(|_| call.relayed.is_none()) {
         let mut contention = call.state.contention.borrow_mut();
         contention.record_admission(&request, call.state.now());
     }
 }
 
-/// Returns a model's request as far as it matters for contention.
-fn contending<'a>(call: &'a Call, table: &'a RouteTable) -> Option<contention::Request<'a>> {
-    Some(contention::Request {
-        service: &call.service,
-        model: call.head.model.as_ref()?,
-        engine: table.spec().engine(&call.service)?,
-        rank: call.rank,
-        account: call.account.as_ref(),
-        prompt_tokens: call.head.prompt_tokens,
-        answer_tokens: call.head.max_tokens,
-    })
-}
-
 /// Returns true if a request that may have run could go on at another runner now.
 pub(super) fn has_alternative(call: &Call) -> bool {
     call.may_fail_over() && choose_endpoint(call, AdmissionClass::Resumed, false).is_ok()
