explain: keep the refusals in outcomes, so that its modules form no circle

Cause: outcomes imported its parent, which floors found as a new circle. Change: the function has moved.

--- a/src/gateway/explain/mod.rs
+++ b/src/gateway/explain/mod.rs
@@ -27,6 +27,7 @@
     keys::{AccountName, ServiceName},
     time::Time,
 };
+use outcomes::refused;
 use report::{
     CandidateFacts, Explanation, Query, RankFacts, Reason, Refused, RouteFacts, ServiceFacts,
     Unknown,
@@ -206,12 +207,3 @@
     };
     refused(reason, error.into(), None)
 }
-
-fn refused(reason: Reason, refusal: Refusal, retry_ms: Option<u64>) -> Refused {
-    Refused {
-        reason,
-        status: refusal.status().as_u16(),
-        retry_ms,
-        retry_spread_ms: 0,
-    }
-}
--- a/src/gateway/explain/outcomes.rs
+++ b/src/gateway/explain/outcomes.rs
@@ -24,6 +24,16 @@
     }
 }
 
+/// Returns a refusal whose retry delay isn't random.
+pub(super) fn refused(reason: Reason, refusal: Refusal, retry_ms: Option<u64>) -> Refused {
+    Refused {
+        reason,
+        status: refusal.status().as_u16(),
+        retry_ms,
+        retry_spread_ms: 0,
+    }
+}
+
 /// Describes the inputs of the admission that are the same for all heads.
 pub(super) fn admission_facts(
     assessment: &Assessment,
@@ -78,7 +88,7 @@
         .model
         .is_some_and(|(model, engine)| engine.replication(model).is_none());
     let retry_ms = UNAVAILABLE_RETRY_DELAY_MS;
-    super::refused(
+    refused(
         match is_unknown {
             true => Reason::UnknownModel,
             false => Reason::NoneServing,
