Tests: a caller reads the response although its write fails

The write of a long body panicked with a broken pipe although the daemon had answered 413. The caller now reads what came; a missing response has status 0 and fails each assertion on the status, as before.

--- a/tests/platform/client.rs
+++ b/tests/platform/client.rs
@@ -37,14 +37,17 @@
     }
     text.push_str(&format!("Content-Length: {}\r\n\r\n{body}", body.len()));
     let mut stream = TcpStream::connect(address).expect("the daemon listens");
-    stream.write_all(text.as_bytes()).expect("sent");
+    // A daemon that refuses a request may close the connection before it has read all of it. The
+    // response is read all the same.
+    let _ = stream.write_all(text.as_bytes());
     let mut bytes = Vec::new();
     // A connection reset ends the response like a close.
     let _ = stream.read_to_end(&mut bytes);
     parse_response(&String::from_utf8_lossy(&bytes))
 }
 
-fn parse_response(text: &str) -> Response {
+/// Reads a response from its text; one that is missing has status 0.
+pub fn parse_response(text: &str) -> Response {
     let (head, rest) = text.split_once("\r\n\r\n").unwrap_or((text, ""));
     let status = head.split(' ').nth(1).and_then(|code| code.parse().ok());
     let head = head.to_lowercase();
