Deliver responses that come before the request has been read

Cause: a connection that closed with unread bytes was reset by TCP. The caller's write failed with a broken pipe, and it could lose the response.

Change: after such a response the writing half is closed first, and the rest of the body is discarded until the caller closes: 16 MiB, 10 s and 2 s of silence at most. This holds for all HTTP/1 listeners of both daemons. A body that needs too much memory is no longer read to its end before the refusal.

--- a/examples/platform/hosts.rs
+++ b/examples/platform/hosts.rs
@@ -2,15 +2,16 @@
 
 use crate::state::State;
 use bytes::Bytes;
+use hickoryledge::shell::request_body::RequestBody;
 use http_body_util::{BodyExt as _, Full};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
 /// Serves one request.
 pub async fn serve(
     state: Rc<State>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
--- a/examples/runner/main.rs
+++ b/examples/runner/main.rs
@@ -29,13 +29,13 @@
         keys::Epoch,
         time::Span,
     },
-    shell::http::serve_http1,
+    shell::{http::serve_http1, request_body::RequestBody},
 };
 use holding::{Loader, Order, OrderOutcome};
 use http::{Method, Request, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
-use hyper::{body::Incoming, service::service_fn};
+use hyper::service::service_fn;
 use serde::Deserialize;
 
 /// Interval between samples of the load.
@@ -160,7 +160,7 @@
 async fn handle(
     runner: Rc<Runner>,
     connection: u64,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<Body>, Infallible> {
     let (head, body) = request.into_parts();
     let body = body
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -21,9 +21,12 @@
     stream,
     whole_body::{BodyError, read_request, read_whole},
 };
-use crate::core::{
-    keys::{AccountName, Arrival},
-    time::Span,
+use crate::{
+    core::{
+        keys::{AccountName, Arrival},
+        time::Span,
+    },
+    shell::request_body::RequestBody,
 };
 use bytes::Bytes;
 use http::{
@@ -32,7 +35,6 @@
     request, response,
 };
 use http_body_util::{Either, Full};
-use hyper::body::Incoming;
 use metrics::{counter, histogram};
 use rand::Rng as _;
 use std::rc::Rc;
@@ -49,7 +51,7 @@
 /// Serves a request.
 pub async fn respond<A>(
     state: &Rc<GatewayState>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     origin: Origin,
 ) -> CallResponse
 where
@@ -96,7 +98,7 @@
     state: &Rc<GatewayState>,
     head: CallHead,
     parts: request::Parts,
-    body: Incoming,
+    body: RequestBody,
     open: OpenGuard,
     admitted: Option<Admitted>,
 ) -> Result<Call, Refusal> {
@@ -213,7 +215,7 @@
 
 async fn read_body(
     state: &GatewayState,
-    body: Incoming,
+    body: RequestBody,
     max_bytes: usize,
     timeout: Span,
 ) -> Result<Bytes, Refusal> {
--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -13,12 +13,13 @@
         connections::{ConnectionHandle, accept},
         http::{ConnectionLimits, serve_http1_until},
         metrics,
+        request_body::RequestBody,
     },
 };
 use bytes::Bytes;
 use compio::net::TcpListener;
 use http::{HeaderValue, Request, StatusCode, header::CONTENT_TYPE};
-use hyper::{body::Incoming, service::service_fn};
+use hyper::service::service_fn;
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
 /// Timeout of a connection without a request, until a configuration sets one.
@@ -61,7 +62,7 @@
         let state = state.clone();
         let limits = caller_limits(&state);
         async move {
-            let service = service_fn(move |request: Request<Incoming>| {
+            let service = service_fn(move |request: Request<RequestBody>| {
                 let state = state.clone();
                 async move {
                     let response = forward::respond::<A>(&state, request, origin).await;
@@ -85,7 +86,7 @@
     accept(listener, handle, move |stream, stop| {
         let state = state.clone();
         async move {
-            let service = service_fn(move |request: Request<Incoming>| {
+            let service = service_fn(move |request: Request<RequestBody>| {
                 let state = state.clone();
                 async move { Ok::<_, Infallible>(answer_query::<A>(&state, request)) }
             });
@@ -106,7 +107,7 @@
     }
 }
 
-fn answer_query<A>(state: &GatewayState, request: Request<Incoming>) -> CallResponse
+fn answer_query<A>(state: &GatewayState, request: Request<RequestBody>) -> CallResponse
 where
     A: Adapter,
 {
--- a/src/gateway/whole_body.rs
+++ b/src/gateway/whole_body.rs
@@ -1,8 +1,9 @@
 //! Reads the whole body of a request or of a runner's response into memory.
 
 use super::held_bytes::{HeldBytes, Reservation};
+use crate::shell::request_body::RequestBody;
 use bytes::Bytes;
-use http_body::Body as _;
+use http_body::Body;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 
@@ -34,32 +35,30 @@
     read.ok().map(|bytes| reservation.bind(bytes))
 }
 
-/// Reads a request's body of at most `max_bytes`. One that needs too much memory is read to its end
-/// all the same, so that its caller gets the response.
+/// Reads a request's body of at most `max_bytes`. The rest of one that fails is left to its
+/// connection, which discards it.
 ///
 /// # Errors
 ///
 /// Fails if the body is cut off, too long, or more than may be held now.
 pub(super) async fn read_request(
-    mut body: Incoming,
+    mut body: RequestBody,
     max_bytes: usize,
     held_bytes: &HeldBytes,
 ) -> Result<Bytes, BodyError> {
     let mut reservation = held_bytes.reserve(FREE_REQUEST_BYTES);
     let read = read(&mut body, max_bytes, &mut reservation).await;
-    if read == Err(BodyError::NoMemory) {
-        drop(reservation);
-        discard(body).await;
-        return read;
-    }
     read.map(|bytes| reservation.bind(bytes))
 }
 
-async fn read(
-    body: &mut Incoming,
+async fn read<B>(
+    body: &mut B,
     max_bytes: usize,
     reservation: &mut Reservation,
-) -> Result<Bytes, BodyError> {
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(BodyError::TooLong);
     }
@@ -93,8 +92,3 @@
     whole.extend_from_slice(bytes);
     Ok(())
 }
-
-/// Reads the rest of a body and keeps nothing of it.
-async fn discard(mut body: Incoming) {
-    while let Some(Ok(_)) = body.frame().await {}
-}
--- a/src/shell/activity.rs
+++ b/src/shell/activity.rs
@@ -1,4 +1,4 @@
-//! Activity of one served connection: whether it has a request that isn't answered in full.
+//! Activity of one served connection: whether it has a request that isn't answered or read in full.
 
 use std::{cell::Cell, rc::Rc};
 
@@ -12,6 +12,10 @@
     requests: Cell<usize>,
     /// True while bytes wait to be written.
     is_writing: Cell<bool>,
+    /// True while bytes have arrived that belong to no request that was read to its end.
+    has_unread: Cell<bool>,
+    /// True once the connection is closing and discards what arrives.
+    is_lingering: Cell<bool>,
 }
 
 /// Guard that counts a request as unanswered.
@@ -30,9 +34,31 @@
         self.0.is_writing.set(is_writing);
     }
 
-    /// Returns true if a request is being served or a response being written.
+    /// Records that bytes have arrived.
+    pub(super) fn bytes_arrived(&self) {
+        self.0.has_unread.set(true);
+    }
+
+    /// Records that a request has been read to its end.
+    pub(super) fn request_read(&self) {
+        self.0.has_unread.set(false);
+    }
+
+    /// Records that the connection is closing and discards what arrives.
+    pub(super) fn set_lingering(&self) {
+        self.0.is_lingering.set(true);
+    }
+
+    /// Returns true if bytes of a request may be unread.
+    pub(super) fn has_unread(&self) -> bool {
+        self.0.has_unread.get()
+    }
+
+    /// Returns true if a request is being served, a response being written, or the rest of a body
+    /// being discarded.
     pub(super) fn is_busy(&self) -> bool {
-        self.0.requests.get() > 0 || self.0.is_writing.get()
+        let state = &self.0;
+        state.requests.get() > 0 || state.is_writing.get() || state.is_lingering.get()
     }
 }
 
--- a/src/shell/callers/serve.rs
+++ b/src/shell/callers/serve.rs
@@ -6,6 +6,7 @@
         calls::{CallEvent, Calls},
         connections::Connections,
         metrics,
+        request_body::RequestBody,
     },
     connections,
     counters::Counters,
@@ -22,7 +23,6 @@
 use http::{Method, Request, StatusCode, request::Parts};
 use http_body::Body as _;
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 /// `retry-after` of a call refused because too many are open.
@@ -68,7 +68,7 @@
 }
 
 /// Handles one request.
-pub(super) async fn respond(state: &CallerState, request: Request<Incoming>) -> CallerResponse {
+pub(super) async fn respond(state: &CallerState, request: Request<RequestBody>) -> CallerResponse {
     let (parts, body) = request.into_parts();
     let mut response = match route(&parts) {
         Route::Health => response::text(StatusCode::OK, "ok\n"),
@@ -155,7 +155,12 @@
     }
 }
 
-async fn call(state: &CallerState, kind: CallKind, parts: Parts, body: Incoming) -> CallerResponse {
+async fn call(
+    state: &CallerState,
+    kind: CallKind,
+    parts: Parts,
+    body: RequestBody,
+) -> CallerResponse {
     let Some(credential) = parse::credential(&parts.headers) else {
         return response::refused(Refusal::Unauthorized, None);
     };
@@ -214,7 +219,7 @@
 }
 
 /// Reads a complete body, within the limits of size and time.
-async fn read_body(state: &CallerState, body: Incoming) -> Result<Bytes, RequestError> {
+async fn read_body(state: &CallerState, body: RequestBody) -> Result<Bytes, RequestError> {
     if body.size_hint().lower() > state.max_body as u64 {
         return Err(RequestError::too_large());
     }
--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -1,6 +1,9 @@
 //! HTTP on the event loop: listening, serving connections and connecting to peers.
 
-use super::{activity::Activity, fair::FairReads, stall::WriteTimeout};
+use super::{
+    activity::Activity, fair::FairReads, linger::LingeringClose, request_body::RequestBody,
+    stall::WriteTimeout,
+};
 use bytes::Bytes;
 use compio::{
     net::{TcpListener, TcpStream},
@@ -175,7 +178,7 @@
 /// Serves HTTP/1 on one accepted connection until it ends.
 pub async fn serve_http1<S, B>(stream: TcpStream, service: S)
 where
-    S: Service<Request<Incoming>, Response = Response<B>> + 'static,
+    S: Service<Request<RequestBody>, Response = Response<B>> + 'static,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -191,6 +194,8 @@
 
 /// Serves HTTP/1 on one accepted connection; after `stop`, only until the current response ends.
 ///
+/// If a response ends before its request has been read, the rest of that is discarded, within bounds.
+///
 /// A request whose head has arrived only in part is not waited for: its caller might never send the
 /// rest.
 pub async fn serve_http1_until<S, B, F>(
@@ -199,7 +204,7 @@
     limits: ConnectionLimits,
     stop: F,
 ) where
-    S: Service<Request<Incoming>, Response = Response<B>> + 'static,
+    S: Service<Request<RequestBody>, Response = Response<B>> + 'static,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -210,12 +215,14 @@
     }
     let activity = Activity::default();
     let stream = WriteTimeout::new(
-        HyperStream::new_plain(stream),
+        FairReads::new(HyperStream::new_plain(stream)),
         limits.stall_timeout,
         activity.clone(),
     );
-    let service = service_fn(|request| {
+    let stream = LingeringClose::new(stream, activity.clone());
+    let service = service_fn(|request: Request<Incoming>| {
         let guard = activity.request_began();
+        let request = request.map(|body| RequestBody::new(body, activity.clone()));
         let response = service.call(request);
         async move {
             let response = response.await?;
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -531,6 +531,40 @@
     daemon.assert_quiet();
 }
 
+/// Guards against refusals that never reach their callers: the connection was reset while the rest of
+/// the body was being sent.
+#[compio::test]
+async fn refusals_reach_callers_that_send_the_whole_body_first() {
+    const BODY_BYTES: usize = 12 << 20;
+    let mut daemon = Daemon::start("{max_body: 100}").await;
+    let long = format!("content-length: {BODY_BYTES}\r\n");
+    let chunked = format!("transfer-encoding: chunked\r\n\r\n{BODY_BYTES:x}");
+    let cases = [
+        ("/services/s/x", "k", &long, "413"),
+        ("/services/s/x", "k", &chunked, "413"),
+        ("/services/s/x", "", &long, "401"),
+        ("/nothing", "k", &long, "404"),
+    ];
+    for (path, key, headers, status) in cases {
+        let mut caller = Caller::connect(&daemon).await;
+        caller
+            .send(format!(
+                "POST {path} HTTP/1.1\r\nhost: e\r\nauthorization: Bearer {key}\r\n{headers}\r\n"
+            ))
+            .await;
+        // The response is sent, and the connection would be closed, in the meantime.
+        compio::time::sleep(Duration::from_millis(200)).await;
+        caller.send(vec![b'x'; BODY_BYTES / 2]).await;
+        caller.send(vec![b'x'; BODY_BYTES / 2]).await;
+        let read = caller.read_to_end().await;
+        assert!(
+            read.starts_with(&format!("HTTP/1.1 {status}")),
+            "{path} {headers}: {read:?}"
+        );
+        daemon.assert_quiet();
+    }
+}
+
 #[compio::test]
 async fn closes_slow_and_half_closed_connections() {
     let mut daemon = Daemon::start("{caller_timeout_ms: 100}").await;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -15,6 +15,7 @@
 mod cut_off;
 mod decoding;
 mod departures;
+mod early_responses;
 mod endless;
 mod endless_control;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
