Replace a claim of the duty that nobody can read

Cause: an entry at the key of the claim that can't be read counted as the earlier holder's claim, or as none. Claims expected the key to be absent, and so no daemon took the duty over.

Change: such an entry leaves the duty without a holder. A holder whose claim was overwritten gives the duty up and claims it again at once; others wait as long as its lease may last. The claim replaces the entry by compare-and-swap at its revision, with a log line.

--- a/src/gateway/candidacy.rs
+++ b/src/gateway/candidacy.rs
@@ -37,6 +37,8 @@
     barred_until: Time,
     /// Era for which the daemon has been barred.
     barred_era: Option<Era>,
+    /// Revision of the unreadable claim for which the daemon has been barred.
+    barred_claim: Option<Revision>,
 }
 
 impl Candidacy {
@@ -48,6 +50,7 @@
             vacant_since: None,
             barred_until: now,
             barred_era: None,
+            barred_claim: None,
         }
     }
 
@@ -73,6 +76,18 @@
         }
     }
 
+    /// Bars the daemon once for each claim that can't be read: the holder whose claim it replaced may
+    /// not know yet. That holder itself is not barred.
+    pub fn bar_after_overwrite(&mut self, peers: &Peers, lease: Span, now: Time) {
+        let Some(claim) = &peers.unreadable_claim else {
+            return;
+        };
+        let before = self.barred_claim.replace(claim.revision);
+        if before != Some(claim.revision) && !self.was_overwritten(peers) {
+            self.bar(lease, now);
+        }
+    }
+
     /// Returns true if the daemon should claim the duty, as far as it knows of a holder.
     pub fn should_claim(&mut self, peers: &Peers, now: Time) -> bool {
         if now < self.barred_until {
@@ -85,6 +100,8 @@
                 self.vacant_since = None;
                 false
             }
+            // Its own claim was overwritten, so that no other daemon is at work.
+            None if self.was_overwritten(peers) => true,
             None => {
                 let vacant_since = *self.vacant_since.get_or_insert(now);
                 let from = vacant_since.max(self.started + STARTUP_WAIT);
@@ -93,6 +110,11 @@
         }
     }
 
+    fn was_overwritten(&self, peers: &Peers) -> bool {
+        let claim = peers.unreadable_claim.as_ref();
+        claim.is_some_and(|claim| claim.replaced.as_ref() == Some(&self.own))
+    }
+
     fn rank(&self, peers: &Peers) -> usize {
         let ranked = peers.ranked();
         let rank = ranked.iter().position(|(name, _)| **name == self.own);
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -19,7 +19,7 @@
 };
 use crate::core::{
     input::PlatformAnswer,
-    keys::{DaemonName, Era, Revision},
+    keys::{Era, Revision},
     output::Expect,
 };
 use metrics::gauge;
@@ -96,7 +96,7 @@
             return;
         }
         self.candidacy.bar(LEASE_TTL, now);
-        self.state.peers.borrow_mut().claim = None;
+        self.state.peers.borrow_mut().forget_claim();
         if self.active.take().is_some() {
             gauge!("duty_held").set(0.0);
             slog::warn!(self.state.log, "duty given up"; "cause" => "the store's era has changed");
@@ -117,7 +117,7 @@
         if let Some(revision) = self.own_claim() {
             let key = format!("{}{CLAIM_KEY}", A::OWN_PREFIX);
             if self.lease.delete(key, revision).await {
-                self.state.peers.borrow_mut().claim = None;
+                self.state.peers.borrow_mut().forget_claim();
             }
         }
         true
@@ -138,10 +138,7 @@
         };
         let is_lost = {
             let peers = self.state.peers.borrow();
-            let is_other = |(holder, revision): &(DaemonName, Revision)| {
-                *holder != self.state.settings.name && *revision > active.claim
-            };
-            peers.claim_deleted > active.claim || peers.claim.as_ref().is_some_and(is_other)
+            peers.has_lost_claim(&self.state.settings.name, active.claim)
         };
         if is_lost {
             self.active = None;
@@ -184,11 +181,11 @@
         }
         let expect = {
             let peers = self.state.peers.borrow();
+            self.candidacy.bar_after_overwrite(&peers, LEASE_TTL, now);
             if !self.candidacy.should_claim(&peers, now) {
                 return;
             }
-            let known = peers.claim.as_ref();
-            known.map_or(Expect::Absent, |(_, revision)| Expect::At(*revision))
+            peers.claim_revision().map_or(Expect::Absent, Expect::At)
         };
         let claim = Claim { holder: me.clone() };
         let key = format!("{}{CLAIM_KEY}", A::OWN_PREFIX);
@@ -198,7 +195,10 @@
             .await
         {
             Some(PlatformAnswer::Written { revision }) => {
-                self.state.peers.borrow_mut().claim = Some((claim.holder, revision));
+                self.report_replaced();
+                let mut peers = self.state.peers.borrow_mut();
+                peers.record_claim(claim.holder, revision);
+                drop(peers);
                 // The watch may have missed the effects of an earlier holder's recent orders.
                 if self.lease.reload_runners().await {
                     self.activate(revision);
@@ -216,13 +216,26 @@
     /// unanswered.
     fn record_claim(&mut self, current: Option<(String, Revision)>) {
         let Some((value, revision)) = current else {
-            self.state.peers.borrow_mut().claim = None;
+            self.state.peers.borrow_mut().forget_claim();
             return;
         };
+        let mut peers = self.state.peers.borrow_mut();
         match serde_json::from_str::<Claim>(&value) {
-            Ok(claim) => self.state.peers.borrow_mut().claim = Some((claim.holder, revision)),
-            Err(error) => slog::error!(self.state.log, "claim in the store is invalid";
-                "value" => value, "cause" => error.to_string()),
+            Ok(claim) => peers.record_claim(claim.holder, revision),
+            Err(error) => {
+                if peers.record_unreadable(revision) {
+                    slog::error!(self.state.log, "claim in the store is invalid";
+                        "value" => value, "cause" => error.to_string());
+                }
+            }
+        }
+    }
+
+    /// Logs that this daemon's claim has replaced one that can't be read.
+    fn report_replaced(&self) {
+        if let Some(replaced) = &self.state.peers.borrow().unreadable_claim {
+            slog::warn!(self.state.log, "unreadable claim of the duty replaced";
+                "revision" => replaced.revision.0);
         }
     }
 
--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -3,7 +3,7 @@
 use super::{
     adapter::Adapter,
     coldness::{ColdEntry, EntrySource},
-    peers::{DaemonEntry, RunnerHealth},
+    peers::{Claim, DaemonEntry, RunnerHealth},
     quarantine::{entries::QuarantineEntry, exchange, mark::Mark},
     roster::{Roster, Runner, RunnerInstance},
     state::GatewayState,
@@ -306,11 +306,7 @@
             return;
         };
         match key {
-            CLAIM_KEY => {
-                if let Some(claim) = self.decode::<super::peers::Claim>(entry) {
-                    self.state.peers.borrow_mut().claim = Some((claim.holder, entry.revision));
-                }
-            }
+            CLAIM_KEY => self.put_claim(entry),
             RUNNER_HEALTH_KEY => self.apply_health(entry),
             _ if key.starts_with(QUARANTINE_PREFIX) => self.quarantine(key, entry),
             _ => {
@@ -322,6 +318,18 @@
         }
     }
 
+    /// Records the claim of the duty; one that can't be read leaves the duty without a holder.
+    fn put_claim(&self, entry: &PlatformEntry) {
+        let claim = self.decode::<Claim>(entry);
+        let mut peers = self.state.peers.borrow_mut();
+        match claim {
+            Some(claim) => peers.record_claim(claim.holder, entry.revision),
+            None => {
+                peers.record_unreadable(entry.revision);
+            }
+        }
+    }
+
     fn apply_health(&self, entry: &PlatformEntry) {
         if let Some(health) = self.decode::<RunnerHealth>(entry) {
             self.state.peers.borrow_mut().published_era = health.era;
@@ -370,12 +378,7 @@
         }
         let mut peers = self.state.peers.borrow_mut();
         match key {
-            CLAIM_KEY => {
-                peers.claim_deleted = revision;
-                if peers.claim.as_ref().is_some_and(|(_, at)| *at < revision) {
-                    peers.claim = None;
-                }
-            }
+            CLAIM_KEY => peers.record_deletion(revision),
             // The entry has no lease and outlives the daemon that wrote it.
             RUNNER_HEALTH_KEY => {}
             _ => {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -51,12 +51,23 @@
     }
 }
 
+/// Entry at the key of the claim that can't be read, written by somebody else.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableClaim {
+    /// Revision of the entry.
+    pub revision: Revision,
+    /// Holder whose claim it replaced, as far as that was seen.
+    pub replaced: Option<DaemonName>,
+}
+
 /// Known daemons and the current holder of the duty.
 #[derive(Debug, Default)]
 pub struct Peers {
     daemons: BTreeMap<DaemonName, DaemonEntry>,
     /// Holder of the duty, and the revision of its claim.
     pub claim: Option<(DaemonName, Revision)>,
+    /// What is in the place of a claim, if it can't be read; there is no claim then.
+    pub unreadable_claim: Option<UnreadableClaim>,
     /// Revision at which a claim was last deleted, as far as that was seen since the last list.
     pub claim_deleted: Revision,
     /// Era of the store in which a holder last published the health of runners.
@@ -74,6 +85,54 @@
         self.daemons.remove(name);
     }
 
+    /// Records the holder of the duty.
+    pub fn record_claim(&mut self, holder: DaemonName, revision: Revision) {
+        self.claim = Some((holder, revision));
+        self.unreadable_claim = None;
+    }
+
+    /// Records that the claim can't be read as of a revision; returns true if that is news.
+    pub fn record_unreadable(&mut self, revision: Revision) -> bool {
+        if self.claim_revision() >= Some(revision) {
+            return false;
+        }
+        let holder = self.claim.take().map(|(holder, _)| holder);
+        let before = self.unreadable_claim.take();
+        let replaced = holder.or_else(|| before?.replaced);
+        self.unreadable_claim = Some(UnreadableClaim { revision, replaced });
+        true
+    }
+
+    /// Records that the claim was deleted at a revision.
+    pub fn record_deletion(&mut self, revision: Revision) {
+        self.claim_deleted = revision;
+        if self.claim_revision() < Some(revision) {
+            self.forget_claim();
+        }
+    }
+
+    /// Forgets the claim, which is gone or of an earlier era.
+    pub fn forget_claim(&mut self) {
+        self.claim = None;
+        self.unreadable_claim = None;
+    }
+
+    /// Returns the revision of the entry at the key of the claim, whether it can be read or not.
+    pub fn claim_revision(&self) -> Option<Revision> {
+        let claim = self.claim.as_ref().map(|(_, revision)| *revision);
+        claim.or_else(|| Some(self.unreadable_claim.as_ref()?.revision))
+    }
+
+    /// Returns true if a daemon's claim of a revision no longer stands: it was deleted, replaced by
+    /// another daemon's, or overwritten by what can't be read.
+    pub fn has_lost_claim(&self, own: &DaemonName, revision: Revision) -> bool {
+        let is_other = |(holder, at): &(DaemonName, Revision)| holder != own && *at > revision;
+        let is_overwritten = |claim: &UnreadableClaim| claim.revision > revision;
+        self.claim_deleted > revision
+            || self.claim.as_ref().is_some_and(is_other)
+            || self.unreadable_claim.as_ref().is_some_and(is_overwritten)
+    }
+
     /// Removes all daemons and the claim, before a new list is applied.
     pub fn clear(&mut self) {
         *self = Self::default();
--- a/tests/gateway/candidacy.rs
+++ b/tests/gateway/candidacy.rs
@@ -94,6 +94,38 @@
     }
 }
 
+/// Guards against a duty that nobody takes, and against two holders: the claim of a holder that may
+/// still be at work was overwritten by what no daemon can read.
+#[test]
+fn unreadable_claim_is_replaced_once_its_holder_has_stopped() {
+    let mut peers = daemons(&[("a", 50), ("b", 12)]);
+    peers.record_claim(DaemonName::from("b"), Revision(7));
+    assert!(peers.record_unreadable(Revision(9)));
+    assert!(!peers.record_unreadable(Revision(9)), "known");
+    assert!(peers.has_lost_claim(&DaemonName::from("b"), Revision(7)));
+    assert_eq!(peers.claim_revision(), Some(Revision(9)));
+    let lease = Span::from_secs(3);
+    let claims_after = |name: &str, peers: &Peers, after| {
+        let mut candidacy = Candidacy::new(DaemonName::from(name), Time(0));
+        candidacy.bar_after_overwrite(peers, lease, LATER);
+        candidacy.bar_after_overwrite(peers, lease, LATER + after);
+        candidacy.should_claim(peers, LATER + after)
+    };
+    let early = Span::from_millis(2_999);
+    assert!(!claims_after("a", &peers, early));
+    assert!(claims_after("a", &peers, lease), "barred once");
+    assert!(claims_after("b", &peers, Span::ZERO), "its own claim");
+    // Overwritten again, it is still the claim of the same holder that is missing.
+    assert!(peers.record_unreadable(Revision(11)));
+    assert!(claims_after("b", &peers, Span::ZERO));
+    peers.record_claim(DaemonName::from("a"), Revision(12));
+    assert!(
+        !peers.record_unreadable(Revision(11)),
+        "older than the claim"
+    );
+    assert!(!claims_after("b", &peers, lease));
+}
+
 /// Guards against TWO: a daemon that started as the store came back from a copy found its own claim
 /// in it, took the duty at once and ordered by the copy.
 #[test]
--- a/tests/platform/handovers.rs
+++ b/tests/platform/handovers.rs
@@ -82,6 +82,33 @@
     }
 }
 
+/// Guards against a duty that nobody takes: a claim that no daemon can read, left by somebody else,
+/// was taken for that of a holder and never replaced.
+#[test]
+fn unreadable_claim_is_replaced() {
+    let env = TestEnv::unconfigured();
+    env.store.put(CLAIM, "{\"holder\":7}");
+    // The heads serve only after the holder of the duty has ordered them into groups.
+    let env = env.served();
+    assert_eq!(holder(&env), "d1");
+    let second = env.start_daemon("d2");
+    env.eventually("both daemons have entries", |env| {
+        env.store.keys("hickoryledge/daemons/").len() == 2
+    });
+    env.store.put(CLAIM, "not a claim");
+    env.eventually("the claim can be read", |env| !holder(env).is_empty());
+    env.heads[0].restart();
+    env.eventually("both heads serve", |env| {
+        env.heads.iter().all(|head| head.is_open())
+    });
+    let logs = format!("{}{}", env.log_of("d1"), env.log_of("d2"));
+    let replaced = logs
+        .matches("unreadable claim of the duty replaced")
+        .count();
+    assert_eq!(replaced, 2);
+    drop(second);
+}
+
 // Elsewhere the former holder, back from a pause, and its successor ordered the same runners for a
 // moment, and orders came twice.
 #[test]
