run: replace a claim of a domain's duty that nobody can read

The earlier record stayed in the view, or claims expected an absent key for ever, so that nobody drove the domain.

Change: such an entry removes the record, ends the holder's duty, and is replaced at its revision one lease later, with a log line.

--- a/src/core/config/view.rs
+++ b/src/core/config/view.rs
@@ -123,6 +123,15 @@
         self.entries.get(&key.path())
     }
 
+    /// Returns the revision of a domain's claim that can't be read, if there is one.
+    pub fn unreadable_duty(&self, domain: &DomainName) -> Option<Revision> {
+        if self.duty(domain).is_some() {
+            return None;
+        }
+        let entry = self.entry(&Key::Duty(domain.clone()))?;
+        Some(entry.revision)
+    }
+
     /// Returns the account whose callers present this key.
     pub fn account_by_key(&self, key: &KeyHash) -> Option<&Account> {
         self.account(self.by_key.get(key)?)
@@ -310,7 +319,10 @@
                 self.placements.insert(name.clone(), parse(entry)?);
             }
             Key::Duty(name) => {
-                self.duties.insert(name.clone(), parse(entry)?);
+                // A claim that can't be read is nobody's, and replaces the one before it.
+                self.duties.remove(name);
+                self.duties
+                    .extend(parse(entry).map(|duty| (name.clone(), duty)));
             }
             Key::Daemon(name) => {
                 self.daemons.insert(name.clone(), parse(entry)?);
--- a/src/core/group/duty.rs
+++ b/src/core/group/duty.rs
@@ -46,6 +46,7 @@
     Granting {
         call: PlatformId,
         sent: Time,
+        expect: Expect,
     },
     Claiming {
         call: PlatformId,
@@ -67,6 +68,8 @@
     granted: Time,
     sent: Time,
     operation: OperationId,
+    /// State of the key that the claim requires.
+    expect: Expect,
 }
 
 impl Claim {
@@ -203,8 +206,8 @@
     ) -> DutyChange {
         match self.state.clone() {
             State::Idle => DutyChange::Unchanged,
-            State::Granting { sent, .. } => {
-                self.on_granted(ctx, domain, sent, answer);
+            State::Granting { sent, expect, .. } => {
+                self.on_granted(ctx, domain, (sent, expect), answer);
                 DutyChange::Unchanged
             }
             State::Claiming { claim, .. } => self.on_claimed(ctx, domain, claim, answer),
@@ -219,21 +222,25 @@
             return;
         }
         let since = *self.vacant_since.get_or_insert(ctx.now);
-        let rank = rank(ctx, core, domain);
-        if ctx.now.since(since) < RANK_DELAY.times(rank) {
+        let unreadable = core.view.unreadable_duty(domain);
+        // The holder whose claim was overwritten may not know yet.
+        let lease = unreadable.map_or(Span::ZERO, |_| ctx.options.lease);
+        let delay = RANK_DELAY.times(rank(ctx, core, domain)) + lease;
+        if ctx.now.since(since) < delay {
             return;
         }
+        let expect = unreadable.map_or(Expect::Absent, Expect::At);
         let ttl = ctx.options.lease;
         let call = ctx.call_platform(Owner::Group, PlatformCall::Grant { ttl });
         let sent = ctx.now;
-        self.state = State::Granting { call, sent };
+        self.state = State::Granting { call, sent, expect };
     }
 
     fn on_granted(
         &mut self,
         ctx: &mut Ctx,
         domain: &DomainName,
-        sent: Time,
+        (sent, expect): (Time, Expect),
         answer: Option<PlatformAnswer>,
     ) {
         self.state = State::Idle;
@@ -248,6 +255,7 @@
             granted: sent,
             sent: ctx.now,
             operation: ctx.new_operation_id(),
+            expect,
         };
         let record = Duty {
             daemon: ctx.me.name.clone(),
@@ -255,7 +263,7 @@
             operation: claim.operation,
         };
         let key = Key::Duty(domain.clone());
-        if let Some(call) = write::put(ctx, &key, &record, Expect::Absent, Some(lease)) {
+        if let Some(call) = write::put(ctx, &key, &record, expect, Some(lease)) {
             self.state = State::Claiming { call, claim };
         }
     }
@@ -320,6 +328,10 @@
             renewal: None,
             renewed: claim.granted,
         });
+        if let Expect::At(_) = claim.expect {
+            let detail = "the entry before it could not be read";
+            ctx.log(Level::Warning, "duty.replaced", domain, detail);
+        }
         ctx.log(
             Level::Info,
             "duty.taken",
--- a/src/core/group/mod.rs
+++ b/src/core/group/mod.rs
@@ -450,16 +450,23 @@
         }
     }
 
-    /// Ends a duty that another daemon has claimed at a later revision.
+    /// Ends a duty whose claim was replaced at a later revision, by another daemon's or by what can't
+    /// be read.
     fn on_duty(&mut self, ctx: &mut Ctx, view: &View, name: &DomainName) {
-        let (Some(domain), Some(duty)) = (self.domains.get_mut(name), view.duty(name)) else {
+        let duty = view.duty(name).map(|duty| duty.revision);
+        let Some(revision) = duty.or_else(|| view.unreadable_duty(name)) else {
+            return;
+        };
+        let Some(domain) = self.domains.get_mut(name) else {
             return;
         };
         let own_fence = domain.driver.as_ref().map(Driver::fence);
-        if own_fence.is_some_and(|fence| duty.revision.0 > fence.0) {
-            let change = domain
-                .duty
-                .mark_lost(ctx, name, "another daemon claimed the duty");
+        if own_fence.is_some_and(|fence| revision.0 > fence.0) {
+            let reason = match duty {
+                Some(_) => "another daemon claimed the duty",
+                None => "the claim can't be read",
+            };
+            let change = domain.duty.mark_lost(ctx, name, reason);
             domain.on_duty_change(ctx, name, change);
             self.duties_lost += 1;
         }
--- a/tests/group/duties.rs
+++ b/tests/group/duties.rs
@@ -5,6 +5,7 @@
     placement::two_groups,
 };
 use hickoryledge::core::{
+    config::Key,
     input::OrderChecks,
     keys::Fence,
     options::{Mechanism, Options},
@@ -127,6 +128,28 @@
     );
 }
 
+/// Guards against a domain whose duty nobody takes: a claim that no daemon can read, left by somebody
+/// else, was taken for the holder's or kept all claims out.
+#[test]
+fn unreadable_claim_is_replaced() {
+    let mut cluster = two_groups(3, 6, &Options::default());
+    let claim = Key::Duty("rack".into());
+    holder(&mut cluster);
+    cluster.put(&claim, &"not a claim");
+    let has_ended = |c: &mut Cluster| c.holders("rack").is_empty();
+    assert!(cluster.run_until(TIMEOUT, has_ended), "its claim is gone");
+    let second = holder(&mut cluster);
+    cluster.put(&claim, &"not a claim");
+    cluster.crash(second);
+    cluster.put_group(&spec("c", "m", "rack"));
+    let others: Vec<usize> = (0..3).filter(|index| *index != second).collect();
+    let done = |c: &mut Cluster| others.iter().all(|index| c.serving(*index, "m").len() == 3);
+    assert!(cluster.run_until(TIMEOUT, done));
+    assert_ne!(holder(&mut cluster), second);
+    let fences = fences(&cluster);
+    assert!(fences.is_sorted(), "{fences:?}");
+}
+
 #[test]
 fn graceful_stop_releases_duty_at_once() {
     let mut cluster = two_groups(2, 4, &Options::default());
