--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -65,6 +65,7 @@
 {
     /// Creates a candidate, which doesn't hold the duty yet.
     pub fn new(state: Rc<GatewayState>, lease: Rc<Lease<A>>) -> Self {
+        gauge!("duty_held").set(0.0);
         let candidacy = Candidacy::new(state.settings.name.clone(), state.now());
         Self {
             state,
@@ -196,9 +197,8 @@
         {
             Some(PlatformAnswer::Written { revision }) => {
                 self.report_replaced();
-                let mut peers = self.state.peers.borrow_mut();
-                peers.record_claim(claim.holder, revision);
-                drop(peers);
+                let peers = &self.state.peers;
+                peers.borrow_mut().record_claim(claim.holder, revision);
                 // The watch may have missed the effects of an earlier holder's recent orders.
                 if self.lease.reload_runners().await {
                     self.activate(revision);
