Restart tasks of a platform daemon that panic

Cause: a panic ended its task alone. The daemon went on without it, for example without a watch, and looked healthy.

Change: tasks that run for the life of the daemon are started again after 0.2 s, with a log line and the counter task_restarts_total. All together have 4 restarts a minute; the next panic stops the daemon as by a signal, and it exits with 1.

--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -21,7 +21,7 @@
         output::{Expect, PlatformCall},
         time::{Span, Time},
     },
-    shell::{connections::StopSignal, platform::KeyValueStore},
+    shell::{connections::StopSignal, platform::KeyValueStore, supervisor::Supervisor},
 };
 use compio::runtime::JoinHandle;
 use futures_channel::oneshot;
@@ -76,17 +76,19 @@
 /// Task that keeps a lease until the stop.
 pub struct LeaseTask {
     stop: oneshot::Sender<()>,
-    task: JoinHandle<bool>,
+    task: JoinHandle<Option<bool>>,
 }
 
 impl LeaseTask {
     /// Starts to renew a lease.
-    pub fn start<A>(lease: Rc<Lease<A>>) -> Self
+    pub fn start<A>(lease: Rc<Lease<A>>, supervisor: &Supervisor) -> Self
     where
         A: Adapter,
     {
         let (stop, stopped) = oneshot::channel();
-        let task = compio::runtime::spawn(lease.maintain(stopped.shared()));
+        let stopped = stopped.shared();
+        let maintain = move || lease.clone().maintain(stopped.clone());
+        let task = supervisor.spawn("lease", maintain);
         Self { stop, task }
     }
 
@@ -95,7 +97,7 @@
     pub async fn revoke(self) -> bool {
         // Without a receiver the task has ended already.
         let _ = self.stop.send(());
-        self.task.await.unwrap_or(false)
+        matches!(self.task.await, Ok(Some(true)))
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -89,12 +89,16 @@
 pub mod stated;
 mod stop;
 mod stream;
+mod tasks;
 pub mod watch;
 pub mod water_filling;
 mod weight_loads;
 mod whole_body;
 
-use crate::shell::{connections::Connections, http, metrics, peers::Sockets, signals::Signals};
+use crate::shell::{
+    connections::Connections, http, metrics, peers::Sockets, signals::Signals,
+    supervisor::Supervisor,
+};
 use adapter::Adapter;
 use anyhow::Context as _;
 use compio::net::UdpSocket;
@@ -104,12 +108,14 @@
 use slog::Logger;
 use state::GatewayState;
 use std::rc::Rc;
+use stop::StopCause;
+use tasks::Tasks;
 
 /// Runs a gateway until it is told to stop and its grace period has passed.
 ///
 /// # Errors
 ///
-/// Fails if an address can't be bound.
+/// Fails if an address can't be bound, or if a task panics after too many restarts.
 pub async fn run<A>(mut settings: Settings, log: Logger) -> anyhow::Result<()>
 where
     A: Adapter,
@@ -158,72 +164,67 @@
     let state = Rc::new(GatewayState::new(settings, log, &prefixes));
     let (connections, handle) = Connections::new();
 
-    spawn(watch::watch_prefix(
-        state.clone(),
-        store.clone(),
+    let (supervisor, failed) = Supervisor::new(state.log.clone(), state.clock);
+    let tasks = Tasks::new(supervisor.clone(), state.clone());
+    tasks.watch(
+        &store,
         operator_prefix,
-        operators::OperatorHandler::<A>::new(state.clone()),
-    ));
+        operators::OperatorHandler::<A>::new,
+    );
     if can_evacuate {
-        spawn(operators::end_kept_evacuations(state.clone()));
+        tasks.start("evacuations", operators::end_kept_evacuations);
     }
-    spawn(watch::watch_prefix(
-        state.clone(),
-        store.clone(),
-        A::RUNNER_PREFIX,
-        handlers::RunnerHandler::<A>::new(state.clone()),
-    ));
-    spawn(watch::watch_prefix(
-        state.clone(),
-        store.clone(),
-        A::OWN_PREFIX,
-        handlers::PeerHandler::new(state.clone(), A::OWN_PREFIX),
-    ));
+    tasks.watch(&store, A::RUNNER_PREFIX, handlers::RunnerHandler::<A>::new);
+    tasks.watch(&store, A::OWN_PREFIX, |state| {
+        handlers::PeerHandler::new(state, A::OWN_PREFIX)
+    });
     if let Some(sockets) = peers {
         let (datagrams, listener) = sockets.into_parts();
         let datagrams = UdpSocket::from_std(datagrams).context("use the datagram socket")?;
-        spawn(changes::server::serve(listener, state.clone()));
-        spawn(datagrams::send(datagrams.clone(), state.clone()));
-        spawn(datagrams::receive(datagrams, state.clone()));
-        spawn(progress::report(state.clone()));
-        spawn(load_exchange::run(state.clone()));
-        spawn(inquiry::ask_while_lost(state.clone()));
+        tasks.start("subscriptions", move |state| {
+            changes::server::serve(listener.clone(), state)
+        });
+        let socket = datagrams.clone();
+        tasks.start("sent datagrams", move |state| {
+            datagrams::send(socket.clone(), state)
+        });
+        tasks.start("received datagrams", move |state| {
+            datagrams::receive(datagrams.clone(), state)
+        });
+        tasks.start("progress", progress::report);
+        tasks.start("load exchange", load_exchange::run);
+        tasks.start("inquiry", inquiry::ask_while_lost);
     }
     let lease = Rc::new(Lease::<A>::new(state.clone(), store));
-    let lease_task = LeaseTask::start(lease.clone());
-    spawn(quarantine::keep(state.clone(), lease.clone()));
-    spawn(Duty::new(state.clone(), lease).run());
+    let lease_task = LeaseTask::start(lease.clone(), &supervisor);
+    let kept = lease.clone();
+    tasks.start("quarantine", move |state| {
+        quarantine::keep(state, kept.clone())
+    });
+    tasks.start("duty", move |state| Duty::new(state, lease.clone()).run());
     for listener in [ready, directory] {
-        spawn(listeners::serve_queries::<A>(
-            listener,
-            state.clone(),
-            handle.clone(),
-        ));
+        let handle = handle.clone();
+        tasks.start("queries", move |state| {
+            listeners::serve_queries::<A>(listener.clone(), state, handle.clone())
+        });
     }
     if let Some(listener) = relayed {
-        spawn(listeners::serve_relayed::<A>(
-            listener,
-            state.clone(),
-            handle.clone(),
-        ));
+        let handle = handle.clone();
+        tasks.start("relayed requests", move |state| {
+            listeners::serve_relayed::<A>(listener.clone(), state, handle.clone())
+        });
     }
-    spawn(reach_check::look_for_runners(state.clone()));
-    spawn(listeners::serve_callers::<A>(
-        callers,
-        state.clone(),
-        handle,
-    ));
+    tasks.start("reach check", reach_check::look_for_runners);
+    tasks.start("callers", move |state| {
+        listeners::serve_callers::<A>(callers.clone(), state, handle.clone())
+    });
 
-    let signalled = stop::wait_for_signal(&mut signals, &state.log)
+    let cause = stop::wait(&mut signals, failed, &state.log)
         .await
         .context("wait for signals")?;
-    stop::drain(&state, signalled, signals, lease_task, connections).await;
-    Ok(())
-}
-
-fn spawn<F>(task: F)
-where
-    F: Future<Output = ()> + 'static,
-{
-    compio::runtime::spawn(task).detach();
+    stop::drain(&state, &cause, signals, lease_task, connections).await;
+    match cause {
+        StopCause::Signal { .. } => Ok(()),
+        StopCause::Failure { failure, .. } => Err(failure.into()),
+    }
 }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -14,12 +14,16 @@
         connections::Connections,
         exit,
         signals::{Signal, Signals},
+        supervisor::TaskFailure,
     },
 };
+use futures_channel::oneshot;
+use futures_util::future::{Either, select};
 use slog::Logger;
 use std::{
     cell::Cell,
     io,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -31,12 +35,67 @@
 /// waited for a processor.
 const LAST_READ: Duration = Duration::from_millis(20);
 
-/// Waits for a signal that asks for a stop, and returns when it came; others are only logged.
+/// Exit code of a stop that was forced after a task had failed.
+const FAILURE_CODE: i32 = 1;
+
+/// Cause of a stop.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum StopCause {
+    /// A signal asked for it.
+    Signal {
+        /// Time at which the signal came.
+        at: Instant,
+    },
+    /// A task that the daemon needs has failed.
+    Failure {
+        /// Time at which that was noticed.
+        at: Instant,
+        /// The task.
+        failure: TaskFailure,
+    },
+}
+
+impl StopCause {
+    fn at(&self) -> Instant {
+        match self {
+            StopCause::Signal { at } | StopCause::Failure { at, .. } => *at,
+        }
+    }
+
+    fn exit_code(&self) -> i32 {
+        match self {
+            StopCause::Signal { .. } => 0,
+            StopCause::Failure { .. } => FAILURE_CODE,
+        }
+    }
+}
+
+/// Waits for a signal that asks for a stop, or for a task to fail.
 ///
 /// # Errors
 ///
 /// Fails if the signals can't be read.
-pub(super) async fn wait_for_signal(signals: &mut Signals, log: &Logger) -> io::Result<Instant> {
+pub(super) async fn wait(
+    signals: &mut Signals,
+    failed: oneshot::Receiver<TaskFailure>,
+    log: &Logger,
+) -> io::Result<StopCause> {
+    let signalled = pin!(wait_for_signal(signals, log));
+    match select(signalled, failed).await {
+        Either::Left((at, _)) => Ok(StopCause::Signal { at: at? }),
+        Either::Right((Ok(failure), _)) => Ok(StopCause::Failure {
+            at: Instant::now(),
+            failure,
+        }),
+        // Without a supervisor no task can fail any more.
+        Either::Right((Err(_), signalled)) => Ok(StopCause::Signal {
+            at: signalled.await?,
+        }),
+    }
+}
+
+/// Waits for a signal that asks for a stop, and returns when it came; others are only logged.
+async fn wait_for_signal(signals: &mut Signals, log: &Logger) -> io::Result<Instant> {
     loop {
         let received = signals.next().await?;
         match received.signal {
@@ -50,13 +109,13 @@
 /// releases the lease and closes the connections.
 pub(super) async fn drain(
     state: &Rc<GatewayState>,
-    signalled: Instant,
+    cause: &StopCause,
     signals: Signals,
     lease_task: LeaseTask,
     connections: Connections,
 ) {
     state.stopping.set(true);
-    let delay = signalled.elapsed();
+    let delay = cause.at().elapsed();
     slog::info!(state.log, "stopping";
         "taken" => state.accepted.get(),
         "open" => state.open.count(),
@@ -66,7 +125,8 @@
     let signalled = state.now() - Span(delay.as_micros() as u64);
     let drain = Drain::new(grace, state.settings.cores, signalled);
     state.drain.set(Some(drain));
-    exit::force_after(time_until(drain.forced(), state), state.log.clone());
+    let forced = time_until(drain.forced(), state);
+    exit::force_after(forced, cause.exit_code(), state.log.clone());
     let revoked = Rc::new(Cell::new(None));
     compio::runtime::spawn(revoke(lease_task, state.clone(), revoked.clone())).detach();
     let ttl = Span::from_millis(state.settings.entries_ms);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -73,6 +73,8 @@
         listed_at: Time::default(),
         contact_since: Time::default(),
     };
+    // A run of this task that panicked may have been watching.
+    follower.topic.set_watched(false);
     loop {
         match follower.list().await {
             Ok(()) => follower.follow().await,
--- a/src/shell/exit.rs
+++ b/src/shell/exit.rs
@@ -6,12 +6,12 @@
 use slog::Logger;
 use std::{thread, time::Duration};
 
-/// Ends the process with exit code 0 after a delay, unless it has ended by then.
-pub fn force_after(delay: Duration, log: Logger) {
+/// Ends the process with an exit code after a delay, unless it has ended by then.
+pub fn force_after(delay: Duration, code: i32, log: Logger) {
     let exit = move || {
         thread::sleep(delay);
         slog::warn!(log, "exit forced");
-        std::process::exit(0);
+        std::process::exit(code);
     };
     let thread = thread::Builder::new().name("exit".to_owned());
     // Without this thread the daemon ends all the same, if nothing delays it.
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -26,6 +26,7 @@
 pub mod runners;
 pub mod signals;
 mod stall;
+pub mod supervisor;
 pub mod wakeup;
 
 use crate::{
--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -7,6 +7,7 @@
     runner::{Runner, Script},
     store::Store,
 };
+use hickoryledge::platform::SETTINGS_VARIABLE;
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
@@ -131,6 +132,8 @@
     process: Child,
     /// Passes the messages of panics on, and returns their number.
     errors: Option<JoinHandle<usize>>,
+    /// True if the daemon is expected to panic.
+    pub may_panic: bool,
     /// Address for callers.
     pub caller_address: SocketAddr,
     /// Address for readiness probes and metrics.
@@ -142,13 +145,18 @@
 impl Daemon {
     /// Starts a daemon with the given settings.
     pub fn start_with(settings: &DaemonSettings) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hickoryledge"));
+        command.arg("platform");
+        Self::start_command(command, settings)
+    }
+
+    /// Starts a daemon by a command that finds the settings file in a variable.
+    pub fn start_command(mut command: Command, settings: &DaemonSettings) -> Self {
         let directory = tempfile::tempdir().expect("a temporary directory");
         let path = directory.path().join("settings.yaml");
         std::fs::write(&path, settings.text()).expect("written");
-        let mut process = Command::new(env!("CARGO_BIN_EXE_hickoryledge"))
-            .arg("platform")
-            .arg("--settings")
-            .arg(&path)
+        let mut process = command
+            .env(SETTINGS_VARIABLE, &path)
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()
@@ -156,8 +164,11 @@
         let errors = BufReader::new(process.stderr.take().expect("piped"));
         let errors = std::thread::spawn(move || count_panics(errors));
         let mut lines = BufReader::new(process.stdout.take().expect("piped")).lines();
-        let first_line = lines.next().expect("a line").expect("text");
-        let line: Value = serde_json::from_str(&first_line).expect("a log line");
+        let mut first_lines = lines.by_ref().map_while(Result::ok);
+        let first_line = first_lines.find(|line| line.contains('{'));
+        let first_line = first_line.expect("a log line");
+        let (_, text) = first_line.split_at(first_line.find('{').expect("found"));
+        let line: Value = serde_json::from_str(text).expect("a log line");
         let mut log = settings.log.as_deref().map(open_log);
         // An unread log would fill the pipe and block the daemon.
         std::thread::spawn(move || {
@@ -174,6 +185,7 @@
         Self {
             process,
             errors: Some(errors),
+            may_panic: false,
             caller_address: address_of("caller"),
             ready_address: address_of("ready"),
             directory_address: address_of("directory"),
@@ -227,7 +239,7 @@
         let panics = errors.join().expect("the messages are read");
         // A panic ends its task alone, which the daemon may lack from then on.
         assert!(
-            panics == 0 || std::thread::panicking(),
+            panics == 0 || self.may_panic || std::thread::panicking(),
             "{panics} panics in the daemon"
         );
     }
@@ -338,6 +350,11 @@
         Daemon::start_with(&settings)
     }
 
+    /// Returns the file to which a daemon's log lines are appended.
+    pub fn log_path(&self, daemon: &str) -> PathBuf {
+        self.logs.file(daemon)
+    }
+
     /// Returns the log lines of a daemon so far.
     pub fn log_of(&self, daemon: &str) -> String {
         let path = self.logs.file(daemon);
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -33,6 +33,7 @@
 mod missed_changes;
 mod notices;
 mod odd_entries;
+mod panics;
 mod ranks;
 mod relay;
 mod repeated_refusal;
