--- a/src/core/group/mod.rs
+++ b/src/core/group/mod.rs
@@ -10,8 +10,11 @@
 mod domain;
 mod drain;
 mod driver;
+mod driving;
 mod duty;
+mod load_budget;
 mod load_rate;
+mod message;
 mod order;
 mod place;
 pub mod plan;
@@ -22,17 +25,18 @@
 mod serving;
 mod snapshot;
 pub mod stability;
+mod target;
 mod upgrade;
 mod write;
 
+pub use message::{GroupMessage, GroupTimer};
+pub use serving::{GroupKey, ServingGroup};
+
 use super::{
     config::{Key, View},
     ctx::Ctx,
     input::{Holding, OperatorRequest, OrderOutcome, PlatformAnswer},
-    keys::{
-        AccountName, AdapterName, DaemonName, DomainName, Epoch, GroupName, HostName, ModelName,
-        OrderId, PlatformId, Revision, VersionName,
-    },
+    keys::{DaemonName, DomainName, Epoch, GroupName, HostName, ModelName, OrderId, PlatformId},
     member::{Hosts, Members},
     message::Message,
     metric::Metric,
@@ -43,75 +47,10 @@
 };
 use domain::Domain;
 use drain::DrainQuery;
-use driver::{CoreState, Counters, Driver, DriverInputs};
+use driver::{CoreState, Counters, Driver};
 use duty::DutyChange;
 use serving::{ServingGroups, ServingInputs};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-};
-
-crate::record! {
-    /// Messages about groups between two daemons.
-    pub enum GroupMessage {
-        /// Confirms that the sender routes no new work to this epoch of the group and has none
-        /// running on it.
-        Drained {
-            /// The group.
-            group: GroupName,
-            /// The epoch.
-            epoch: Epoch,
-        },
-        /// Asks the receiver to confirm that it has drained an epoch; answered only once it has.
-        AskDrained {
-            /// The domain.
-            domain: DomainName,
-            /// The group.
-            group: GroupName,
-            /// The epoch.
-            epoch: Epoch,
-            /// Revision of the placement record that ended the epoch.
-            revision: Revision,
-        },
-    }
-
-    /// Timers for groups.
-    #[derive(Eq, Hash)]
-    pub enum GroupTimer {
-        /// Periodic check of all domains and their duties.
-        Duty,
-        /// Planning pass over one domain.
-        Plan(DomainName),
-    }
-}
-
-slotmap::new_key_type! {
-    /// Key of a group in service in this daemon's arena.
-    pub struct GroupKey;
-}
-
-/// A group that requests may be routed to: in service at its current epoch, with every host up.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ServingGroup {
-    /// The group.
-    pub name: GroupName,
-    /// Its model.
-    pub model: ModelName,
-    /// Model version loaded on its hosts.
-    pub version: VersionName,
-    /// Adapters loaded on its hosts.
-    pub adapters: Vec<AdapterName>,
-    /// Its epoch.
-    pub epoch: Epoch,
-    /// Its fabric domain.
-    pub domain: DomainName,
-    /// Its hosts, the leading one first.
-    pub hosts: Vec<HostName>,
-    /// Address of the runner of the group's head.
-    pub address: SocketAddr,
-    /// Accounts allowed to use it; empty for all.
-    pub accounts: Vec<AccountName>,
-}
+use std::collections::BTreeMap;
 
 /// Interval between checks of all duties and domains.
 const TICK_INTERVAL: Span = Span::from_millis(500);
@@ -119,12 +58,6 @@
 /// Delay between an event and the planning pass that it triggers; events within it share a pass.
 const BATCH_DELAY: Span = Span::from_millis(20);
 
-/// Interval at which a stopping daemon checks for orders and writes that are still in flight.
-const STOP_INTERVAL: Span = Span::from_millis(100);
-
-/// Interval between the writes that complete an upgrade, so that one is seen before the next.
-const FINISH_INTERVAL: Span = Span::from_secs(2);
-
 /// The groups in service as this daemon sees them, and the domains that it drives.
 #[derive(Debug, Default)]
 pub struct Groups {
@@ -442,112 +375,4 @@
             ctx.set_timer(Timer::Group(timer), BATCH_DELAY);
         }
     }
-
-    fn on_placement(&mut self, view: &View, domain: &DomainName) {
-        let driver = self.domains.get_mut(domain).and_then(|d| d.driver.as_mut());
-        if let (Some(driver), Some(placement)) = (driver, view.placement(domain)) {
-            driver.on_record(&placement.record, placement.revision);
-        }
-    }
-
-    /// Ends a duty whose claim was replaced at a later revision, by another daemon's or by what can't
-    /// be read.
-    fn on_duty(&mut self, ctx: &mut Ctx, view: &View, name: &DomainName) {
-        let duty = view.duty(name).map(|duty| duty.revision);
-        let Some(revision) = duty.or_else(|| view.unreadable_duty(name)) else {
-            return;
-        };
-        let Some(domain) = self.domains.get_mut(name) else {
-            return;
-        };
-        let own_fence = domain.driver.as_ref().map(Driver::fence);
-        if own_fence.is_some_and(|fence| revision.0 > fence.0) {
-            let reason = match duty {
-                Some(_) => "another daemon claimed the duty",
-                None => "the claim can't be read",
-            };
-            let change = domain.duty.mark_lost(ctx, name, reason);
-            domain.on_duty_change(ctx, name, change);
-            self.duties_lost += 1;
-        }
-    }
-
-    /// Adds domains that need a duty holder, and removes those that no longer do.
-    fn update_domains(&mut self, view: &View) {
-        let wanted = view.groups().map(|v| &v.record.domain);
-        let placed = view.placements().map(|v| &v.record);
-        let placed = placed
-            .filter(|p| !p.groups.is_empty() || !p.retiring.is_empty())
-            .map(|p| &p.domain);
-        let needed: BTreeSet<&DomainName> = wanted.chain(placed).collect();
-        self.domains
-            .retain(|name, domain| needed.contains(name) || domain.driver.is_some());
-        for name in needed {
-            if !self.domains.contains_key(name) {
-                self.domains.insert(name.clone(), Domain::default());
-            }
-        }
-    }
-
-    fn update_duty(&mut self, ctx: &mut Ctx, core: &CoreState, name: &DomainName) {
-        let Some(domain) = self.domains.get_mut(name) else {
-            return;
-        };
-        let change = domain.duty.on_tick(ctx, core, name);
-        domain.on_duty_change(ctx, name, change);
-        self.duties_lost += u64::from(change == DutyChange::Lost);
-    }
-
-    /// Runs a planning pass over a domain, if the duty is still held at this moment.
-    fn drive(&mut self, ctx: &mut Ctx, core: &CoreState, name: &DomainName) {
-        let Some(domain) = self.domains.get_mut(name) else {
-            return;
-        };
-        let Some(driver) = &mut domain.driver else {
-            return;
-        };
-        if self.stopping || domain.duty.fence(ctx.now).is_none() {
-            return;
-        }
-        let inputs = DriverInputs {
-            core: *core,
-            serving: &self.serving,
-            versions_changed: self.versions_changed,
-        };
-        driver.on_tick(ctx, &inputs, &mut self.counters);
-    }
-
-    /// Writes the completion of an upgrade.
-    ///
-    /// Only the duty holder of the last domain by name does so, because that domain is upgraded
-    /// last.
-    fn finish_upgrade(&mut self, ctx: &mut Ctx, view: &View) {
-        let last = view.placements().last().map(|v| &v.record.domain);
-        if !last.is_some_and(|name| self.holds_duty(name, ctx.now)) {
-            return;
-        }
-        let recent = |at: Time| ctx.now.since(at) < FINISH_INTERVAL;
-        if self.finish_sent.is_some_and(recent) {
-            return;
-        }
-        if upgrade::finish(ctx, view) {
-            self.finish_sent = Some(ctx.now);
-        }
-    }
-
-    /// Releases each duty once none of its orders and writes is in flight.
-    fn release_duties(&mut self, ctx: &mut Ctx) {
-        let mut in_flight = false;
-        for (name, domain) in &mut self.domains {
-            if domain.driver.as_ref().is_some_and(|d| d.is_busy(ctx.now)) {
-                in_flight = true;
-                continue;
-            }
-            domain.duty.release(ctx, name);
-            domain.driver = None;
-        }
-        if in_flight {
-            ctx.set_timer(Timer::Group(GroupTimer::Duty), STOP_INTERVAL);
-        }
-    }
 }
--- a/src/core/group/order.rs
+++ b/src/core/group/order.rs
@@ -6,7 +6,7 @@
 
 use super::{
     super::{
-        config::record::{PlacedGroup, Placement, Stage},
+        config::record::{PlacedGroup, Placement},
         ctx::Ctx,
         input::{Holding, OrderOutcome},
         keys::{DomainName, Epoch, Fence, GroupName, HostName, ModelName, OrderId, VersionName},
@@ -15,6 +15,8 @@
         time::{Span, Time},
     },
     check,
+    load_budget::LoadBudget,
+    target::{Target, holds, needs_poll, next_action, targets},
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -27,23 +29,9 @@
 /// Interval between reads of a runner while no change is expected.
 const AUDIT_INTERVAL: Span = Span::from_secs(20);
 
-/// Maximum wait for the weight store before the load budget is checked again.
-const MAX_LOAD_WAIT: Span = Span::from_secs(1);
-
 /// Delay before the next order to a runner that rejected one.
 const REJECTED_DELAY: Span = Span::from_secs(2);
 
-/// Target state of one host according to the placement record.
-#[derive(Clone, Debug, PartialEq)]
-enum Target<'a> {
-    /// Hold a placement of a group.
-    Hold(&'a GroupName, &'a PlacedGroup),
-    /// Finish the work running for an epoch.
-    Drain(Epoch),
-    /// Hold nothing.
-    Free,
-}
-
 /// State of one runner as known to the duty holder.
 #[derive(Clone, Debug, Default)]
 struct Runner {
@@ -90,37 +78,6 @@
     pub(super) rate: f64,
 }
 
-/// Rate limiter for a domain's loads from the weight store, in gigabytes.
-///
-/// A load is admitted while the balance is not negative, and then charged in full.
-#[derive(Debug, Default)]
-struct LoadBudget {
-    balance: f64,
-    refilled: Option<Time>,
-}
-
-impl LoadBudget {
-    fn refill(&mut self, now: Time, rate: f64) {
-        let since = self.refilled.map_or(Span::ZERO, |at| now.since(at));
-        self.refilled = Some(now);
-        self.balance = (self.balance + rate * since.as_secs_f64()).min(0.0);
-    }
-
-    /// Returns the time until the next load is admitted, at most [`MAX_LOAD_WAIT`].
-    fn wait(&self, rate: f64) -> Span {
-        let secs = -self.balance / rate.max(f64::MIN_POSITIVE);
-        Span((secs * 1e6).min(MAX_LOAD_WAIT.0 as f64) as u64)
-    }
-
-    fn charge(&mut self, gigabytes: f64) -> bool {
-        if self.balance < 0.0 {
-            return false;
-        }
-        self.balance -= gigabytes;
-        true
-    }
-}
-
 /// Queries.
 impl Runners {
     /// Returns true if every host holds this epoch and is ready.
@@ -378,76 +335,3 @@
         }));
     }
 }
-
-/// Returns the target state of each host that the record names.
-fn targets(record: &Placement) -> BTreeMap<&HostName, Target<'_>> {
-    let mut targets = BTreeMap::new();
-    for (name, placed) in &record.groups {
-        for host in &placed.hosts {
-            let target = match placed.stage {
-                Stage::Draining => Target::Drain(placed.epoch),
-                Stage::Loading | Stage::Serving => Target::Hold(name, placed),
-            };
-            targets.insert(host, target);
-        }
-        if let Some(next) = &placed.next {
-            let hold = next.hosts.iter().map(|h| (h, Target::Hold(name, next)));
-            targets.extend(hold);
-        }
-    }
-    for retiring in &record.retiring {
-        let drain = retiring.hosts.iter();
-        targets.extend(drain.map(|h| (h, Target::Drain(retiring.epoch))));
-    }
-    targets
-}
-
-/// Returns the next order that brings a runner from what it holds to its target state.
-fn next_action(target: &Target, holding: &Holding) -> Option<OrderAction> {
-    match target {
-        Target::Hold(group, placed) => {
-            let held = holds(holding, group, placed.epoch);
-            // A serving placement is never loaded again under the same epoch.
-            if held || placed.stage != Stage::Loading {
-                return None;
-            }
-            Some(OrderAction::Load {
-                group: (*group).clone(),
-                epoch: placed.epoch,
-                model: placed.model.clone(),
-                version: placed.version.clone(),
-                adapters: placed.adapters.clone(),
-                members: placed.hosts.clone(),
-            })
-        }
-        Target::Drain(epoch) => {
-            let should_drain =
-                holding.group.is_some() && holding.epoch == *epoch && !holding.draining;
-            should_drain.then_some(OrderAction::Drain { epoch: *epoch })
-        }
-        Target::Free => {
-            holding.group.as_ref()?;
-            let epoch = holding.epoch;
-            if !holding.draining {
-                return Some(OrderAction::Drain { epoch });
-            }
-            (holding.running == 0).then_some(OrderAction::Unload { epoch })
-        }
-    }
-}
-
-/// Returns true if a runner's state is unknown or expected to change, so that it is read often.
-fn needs_poll(target: &Target, holding: Option<&Holding>) -> bool {
-    let Some(holding) = holding else {
-        return true;
-    };
-    match target {
-        Target::Hold(_, placed) => placed.stage == Stage::Loading,
-        Target::Drain(epoch) => holding.epoch == *epoch,
-        Target::Free => holding.group.is_some(),
-    }
-}
-
-fn holds(holding: &Holding, group: &GroupName, epoch: Epoch) -> bool {
-    holding.group.as_ref() == Some(group) && holding.epoch == epoch
-}
--- a/src/core/group/serving.rs
+++ b/src/core/group/serving.rs
@@ -5,26 +5,56 @@
 //! the first evidence, without waiting for a duty holder. A change updates
 //! only the groups that it affects.
 
-use super::{
-    super::{
-        config::{
-            View,
-            record::{PlacedGroup, Stage},
-        },
-        keys::{DomainName, Epoch, GroupName, HostName, ModelName},
-        member::{Health, Hosts},
-        options::{Mechanism, Options},
-        time::{Span, Time},
+use super::super::{
+    config::{
+        View,
+        record::{PlacedGroup, Stage},
     },
-    GroupKey, ServingGroup,
+    keys::{
+        AccountName, AdapterName, DomainName, Epoch, GroupName, HostName, ModelName, VersionName,
+    },
+    member::{Health, Hosts},
+    options::{Mechanism, Options},
+    time::{Span, Time},
 };
 use slotmap::SlotMap;
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 /// Delay before a group serves again after one of its dead hosts came back; the duty holder first
 /// finds out whether the host still holds its weights.
 const RETURN_DELAY: Span = Span::from_secs(3);
 
+slotmap::new_key_type! {
+    /// Key of a group in service in this daemon's arena.
+    pub struct GroupKey;
+}
+
+/// A group that requests may be routed to: in service at its current epoch, with every host up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServingGroup {
+    /// The group.
+    pub name: GroupName,
+    /// Its model.
+    pub model: ModelName,
+    /// Model version loaded on its hosts.
+    pub version: VersionName,
+    /// Adapters loaded on its hosts.
+    pub adapters: Vec<AdapterName>,
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// Its fabric domain.
+    pub domain: DomainName,
+    /// Its hosts, the leading one first.
+    pub hosts: Vec<HostName>,
+    /// Address of the runner of the group's head.
+    pub address: SocketAddr,
+    /// Accounts allowed to use it; empty for all.
+    pub accounts: Vec<AccountName>,
+}
+
 /// State from which groups in service are derived.
 #[derive(Clone, Copy)]
 pub(super) struct ServingInputs<'a> {
