Bound the permits of daemons that are cut off one after the other

Cause: a daemon that isn't certain to be the only authority for a runner issued a quarter of its limit. Daemons that are cut off from the store in turn, and follow nobody, are each the authority by their own view: the quarters add up.

Change: a daemon remembers which daemons have gone from its view. It counts one more if it has known the others for less than a minute. Rate limits get the same parts. A denial out of a part of a limit holds for 2 s at most.

The simulated daemons know each other for 90 s at first, as their comment said.

--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -380,7 +380,7 @@
             RUNNER_HEALTH_KEY => {}
             _ => {
                 if let Some(name) = key.strip_prefix(DAEMON_PREFIX) {
-                    peers.remove(&DaemonName::from(name));
+                    peers.remove(&DaemonName::from(name), self.state.now());
                 }
             }
         }
@@ -401,7 +401,7 @@
 
 impl EntryHandler for PeerHandler {
     fn on_list(&self, _: Revision, entries: Vec<PlatformEntry>) {
-        self.state.peers.borrow_mut().clear();
+        self.state.peers.borrow_mut().clear(self.state.now());
         self.state.quarantine.entries.borrow_mut().forget_stored();
         entries.iter().for_each(|entry| self.put(entry));
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,12 +1,19 @@
 //! Other daemons, as known from the gateway's own entries in the store.
 
 use super::roster::RunnerInstance;
-use crate::core::keys::{DaemonName, Epoch, Era, HallName, Revision};
+use crate::core::{
+    keys::{DaemonName, Epoch, Era, HallName, Revision},
+    time::{Span, Time},
+};
 use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
 /// Maximum number of addresses in a response to a directory request.
 const MAX_ADDRESSES: usize = 64;
 
+/// Time for which a daemon is remembered whose entry has gone: if it is only cut off from the store,
+/// it goes on serving.
+const DEPARTED_TTL: Span = Span::from_secs(600);
+
 crate::record! {
     /// Entry of a daemon, removed when its lease ends.
     pub struct DaemonEntry {
@@ -55,6 +62,10 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     daemons: BTreeMap<DaemonName, DaemonEntry>,
+    /// Daemons with an address for others whose entries have gone, and when.
+    departed: BTreeMap<DaemonName, Time>,
+    /// Time of the first list.
+    listed_since: Option<Time>,
     /// Holder of the duty, and the revision of its claim.
     pub claim: Option<(DaemonName, Revision)>,
     /// Revision at which a claim was last deleted, as far as that was seen since the last list.
@@ -66,17 +77,42 @@
 impl Peers {
     /// Adds or replaces a daemon's entry.
     pub fn put(&mut self, name: DaemonName, entry: DaemonEntry) {
+        self.departed.remove(&name);
         self.daemons.insert(name, entry);
     }
 
     /// Removes a daemon's entry.
-    pub fn remove(&mut self, name: &DaemonName) {
-        self.daemons.remove(name);
+    pub fn remove(&mut self, name: &DaemonName, now: Time) {
+        let recent = now - DEPARTED_TTL;
+        self.departed.retain(|_, at| *at >= recent);
+        let removed = self.daemons.remove(name);
+        if removed.is_some_and(|entry| entry.peer.is_some()) {
+            self.departed.insert(name.clone(), now);
+        }
     }
 
     /// Removes all daemons and the claim, before a new list is applied.
-    pub fn clear(&mut self) {
-        *self = Self::default();
+    pub fn clear(&mut self, now: Time) {
+        let names: Vec<DaemonName> = self.daemons.keys().cloned().collect();
+        names.iter().for_each(|name| self.remove(name, now));
+        *self = Self {
+            departed: std::mem::take(&mut self.departed),
+            listed_since: self.listed_since.or(Some(now)),
+            ..Self::default()
+        };
+    }
+
+    /// Returns the daemons whose entries have gone and not come back, as remembered at a time.
+    pub fn departed(&self, time: Time) -> impl Iterator<Item = &DaemonName> {
+        let recent = time - DEPARTED_TTL;
+        let departed = self.departed.iter().filter(move |(_, at)| **at >= recent);
+        departed.map(|(name, _)| name)
+    }
+
+    /// Returns the time for which changes of the other daemons had been seen at a time.
+    pub fn acquaintance(&self, time: Time) -> Span {
+        self.listed_since
+            .map_or(Span::ZERO, |since| time.since(since))
     }
 
     /// Returns the daemons with an entry.
--- a/src/gateway/permits/authority.rs
+++ b/src/gateway/permits/authority.rs
@@ -4,6 +4,11 @@
 //! message, and the runners' permits are spread over them. Views may differ for
 //! a moment: a daemon whose own entry in the store may have lapsed, or has been
 //! there for a moment only, therefore issues only a part of the limit.
+//!
+//! Daemons that are cut off one after the other may each be the first in their
+//! own view. One that is cut off later has seen the earlier ones go, and leaves
+//! to them what they may issue: the parts add up to less than a third of the
+//! limit, however many daemons are cut off.
 
 use crate::{
     core::{
@@ -18,8 +23,13 @@
 /// Time after which all daemons have read a new entry.
 const SETTLE_TIME: Span = Span::from_millis(2_000);
 
-/// Part of a limit that a daemon issues while another one may do so as well.
-const UNSETTLED_SHARE: f64 = 0.25;
+/// Part of a limit that a daemon issues while another one may do so as well, by the number of daemons
+/// that may issue permits beside that one. With more of them it issues none: each would add a whole
+/// permit to the requests of a second, however small its part is.
+const UNSETTLED_SHARES: [f64; 2] = [1.0 / 4.0, 1.0 / 16.0];
+
+/// Time after which a daemon counts as knowing which others have gone before.
+const ACQUAINTANCE_TIME: Span = Span::from_secs(60);
 
 /// Daemon that issues the permits for a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,9 +78,41 @@
         self.until = until;
     }
 
-    /// Returns the part of a limit that this daemon may issue as its authority.
-    pub fn share(&self, now: Time) -> f64 {
-        let is_settled = now < self.until && now.since(self.since) >= SETTLE_TIME;
-        if is_settled { 1.0 } else { UNSETTLED_SHARE }
+    /// Returns true if all daemons know this one's entry, and none takes its place.
+    fn is_settled(&self, now: Time) -> bool {
+        now < self.until && now.since(self.since) >= SETTLE_TIME
     }
+
+    /// Returns the part of a limit that this daemon may issue as the authority for a runner.
+    pub fn share(
+        &self,
+        own: &DaemonName,
+        peers: &Peers,
+        runner: &RunnerInstance,
+        now: Time,
+    ) -> f64 {
+        if self.is_settled(now) {
+            return 1.0;
+        }
+        // Whatever has gone since the entry may have lapsed isn't seen for certain.
+        let seen_until = now.min(self.until);
+        let is_new = peers.acquaintance(seen_until) < ACQUAINTANCE_TIME;
+        let unseen = usize::from(is_new);
+        let others = unseen + count_predecessors(own, peers, runner, seen_until);
+        UNSETTLED_SHARES.get(others).copied().unwrap_or(0.0)
+    }
+}
+
+/// Returns the number of daemons that were to issue the permits for a runner rather than this one,
+/// and may go on doing so although their entries have gone.
+fn count_predecessors(
+    own: &DaemonName,
+    peers: &Peers,
+    runner: &RunnerInstance,
+    seen_until: Time,
+) -> usize {
+    let own_rank = (rank(own, runner), own);
+    let departed = peers.departed(seen_until);
+    let before = departed.filter(|name| (rank(name, runner), *name) > own_rank);
+    before.count()
 }
--- a/src/gateway/permits/bucket.rs
+++ b/src/gateway/permits/bucket.rs
@@ -19,6 +19,10 @@
 /// then, since only a response can end its limit.
 const MIN_RATE: f64 = 0.1;
 
+/// Maximum time until a daemon asks again that got none out of a part of the limit: the authority may
+/// issue the whole limit by then.
+const MAX_PARTIAL_WAIT: Span = Span::from_millis(2_000);
+
 /// Permits to send requests to one runner. Starts empty, so that a change of the daemon that issues
 /// permits adds none.
 #[derive(Clone, Copy, Debug)]
@@ -42,6 +46,10 @@
         share: f64,
         now: Time,
     ) -> Result<(), Span> {
+        if share <= 0.0 {
+            *self = Self::new(now);
+            return Err(MAX_PARTIAL_WAIT);
+        }
         let per_second = limit.rate.per_second().max(MIN_RATE);
         let max = max_permits(limit.reason, per_second, share);
         let rate = per_second * share;
@@ -50,7 +58,8 @@
         self.filled_at = now;
         let wait = Span(((1.0 - self.permits) / rate * 1e6) as u64);
         if wait > Span::ZERO {
-            return Err(wait);
+            let max_wait = if share < 1.0 { MAX_PARTIAL_WAIT } else { wait };
+            return Err(wait.min(max_wait));
         }
         self.permits -= 1.0;
         Ok(())
--- a/src/gateway/permits/mod.rs
+++ b/src/gateway/permits/mod.rs
@@ -136,7 +136,10 @@
 /// Issues a permit out of this daemon's part of a limit.
 fn issue(state: &GatewayState, runner: &RunnerInstance, limit: AppliedLimit, part: f64) -> Verdict {
     let now = state.now();
-    let share = state.registration.get().share(now) * part;
+    let share = {
+        let (own, peers) = (&state.settings.name, state.peers.borrow());
+        state.registration.get().share(own, &peers, runner, now) * part
+    };
     let mut issuer = state.permits.issuer.borrow_mut();
     issuer.issue(runner, limit, share, now)
 }
--- a/tests/gateway/cold_fleet.rs
+++ b/tests/gateway/cold_fleet.rs
@@ -247,7 +247,7 @@
     /// Creates daemons and heads that have known each other for some time; no head is cold.
     pub fn new(policy: Policy, daemons: usize, heads: usize, seed: u64) -> Self {
         let mut fleet = Self {
-            now: Time::default() + Span::from_secs(10),
+            now: Time::default() + Span::from_secs(100),
             rng: SmallRng::seed_from_u64(seed),
             daemons: Vec::new(),
             outcome: Outcome::default(),
@@ -274,6 +274,9 @@
             fleet.schedule(first, Event::Write(head));
         }
         (0..daemons).for_each(|_| fleet.join());
+        let earlier = fleet.now - Span::from_secs(90);
+        let known = fleet.daemons.iter_mut();
+        known.for_each(|daemon| daemon.peers.clear(earlier));
         fleet.run_for(Span::from_secs(5), 0.0);
         fleet
     }
@@ -322,6 +325,18 @@
         self.daemons[index].cut_off_since = None;
     }
 
+    /// Returns the authority of a head, as the daemons see it that read the others' entries.
+    pub fn informed_authority(&mut self, head: usize) -> Option<usize> {
+        let now = self.now;
+        let informed = |daemon: &Daemon| daemon.is_alive && daemon.is_informed(now);
+        let index = self.daemons.iter().position(informed)?;
+        match self.authority(index, head) {
+            Authority::Own => Some(index),
+            Authority::Peer(address) => Some(usize::from(address.port())),
+            Authority::Divided(_) => None,
+        }
+    }
+
     /// Kills a daemon without notice.
     pub fn kill(&mut self, index: usize) {
         self.daemons[index].is_alive = false;
@@ -413,7 +428,7 @@
                 daemon.renews_at = now + RENEWAL_INTERVAL;
             }
             if now >= daemon.reads_at {
-                daemon.read(&entries);
+                daemon.read(&entries, now);
                 let lag = self.rng.random_range(0..MAX_VIEW_LAG.0);
                 daemon.reads_at = now + Span(lag);
             }
@@ -720,7 +735,8 @@
     ) -> Verdict {
         let (runner, now) = (self.runner(head), self.now);
         let daemon = &mut self.daemons[index];
-        let share = daemon.registration.share(now) * part;
+        let (own, peers) = (&daemon.name, &daemon.peers);
+        let share = daemon.registration.share(own, peers, &runner, now) * part;
         let limit = limit.unwrap_or(AppliedLimit::cold(rate()));
         daemon.issuer.issue(&runner, limit, share, now)
     }
@@ -797,14 +813,14 @@
         self.cut_off_since.is_none_or(follows)
     }
 
-    fn read(&mut self, entries: &[(DaemonName, SocketAddr)]) {
+    fn read(&mut self, entries: &[(DaemonName, SocketAddr)], now: Time) {
         if self.listed == entries {
             return;
         }
         self.listed = entries.to_vec();
         self.authorities.fill(None);
         self.sends.fill(None);
-        self.peers.clear();
+        self.peers.clear(now);
         for (name, address) in entries {
             let entry = DaemonEntry {
                 caller: *address,
--- a/tests/gateway/cold_limits.rs
+++ b/tests/gateway/cold_limits.rs
@@ -66,28 +66,67 @@
 #[test]
 fn cold_rate_is_kept_while_daemons_join_die_and_are_cut_off() {
     for (daemons, seeds) in [(8, 40), (61, 6), (340, 1)] {
+        for seed in 0..seeds {
+            assert_kept_at_random(daemons, seed, false);
+        }
+    }
+}
+
+// Each sees the others as they were when it was cut off, and may take itself for the authority.
+#[test]
+fn cold_rate_is_kept_while_daemons_are_cut_off_alone_one_after_the_other() {
+    for (daemons, seeds) in [(8, 200), (61, 4)] {
+        for seed in 0..seeds {
+            assert_kept_at_random(daemons, seed, true);
+        }
+    }
+}
+
+/// Lets daemons join, die and be cut off at random while heads restart; those that are cut off
+/// follow no peer if `is_alone`.
+fn assert_kept_at_random(daemons: usize, seed: u64, is_alone: bool) {
+    let mut fleet = Fleet::new(Policy::Permits, daemons, HEADS, seed);
+    let demand = CAPACITY * [0.85, 2.0][seed as usize % 2];
+    restart_all(&mut fleet);
+    for _ in 0..12 {
+        let index = fleet.rng.random_range(0..fleet.daemons.len());
+        match fleet.rng.random_range(0..5) {
+            0 => fleet.join(),
+            1 => fleet.kill(index),
+            2 if fleet.daemons[index].cut_off_since.is_none() => {
+                fleet.daemons[index].is_alone = is_alone;
+                fleet.cut_off(index);
+            }
+            2 => fleet.reconnect(index),
+            3 => restart_all(&mut fleet),
+            _ => {}
+        }
+        let span = Span::from_millis(fleet.rng.random_range(200..3_000));
+        fleet.run_for(span, demand);
+    }
+    let context = format!("{daemons} daemons, seed {seed}, alone: {is_alone}");
+    assert_kept(&fleet, Span::ZERO, &context);
+}
+
+// The first of three is the authority of a head, each later one takes its place, and nobody
+// learns that the others go on.
+#[test]
+fn cold_rate_is_kept_while_each_authority_is_cut_off_alone_in_turn() {
+    for (daemons, seeds) in [(8, 20), (61, 2)] {
         for seed in 0..seeds {
             let mut fleet = Fleet::new(Policy::Permits, daemons, HEADS, seed);
-            let demand = CAPACITY * [0.85, 2.0][seed as usize % 2];
-            restart_all(&mut fleet);
-            for _ in 0..12 {
-                let index = fleet.rng.random_range(0..fleet.daemons.len());
-                match fleet.rng.random_range(0..5) {
-                    0 => fleet.join(),
-                    1 => fleet.kill(index),
-                    2 if fleet.daemons[index].cut_off_since.is_none() => fleet.cut_off(index),
-                    2 => fleet.reconnect(index),
-                    3 => restart_all(&mut fleet),
-                    _ => {}
-                }
-                let span = Span::from_millis(fleet.rng.random_range(200..3_000));
-                fleet.run_for(span, demand);
+            for _ in 0..5 {
+                let Some(authority) = fleet.informed_authority(0) else {
+                    break;
+                };
+                fleet.daemons[authority].is_alone = true;
+                fleet.cut_off(authority);
+                fleet.run_for(Span::from_secs(6), CAPACITY * 0.1);
             }
-            assert_kept(
-                &fleet,
-                Span::ZERO,
-                &format!("{daemons} daemons, seed {seed}"),
-            );
+            restart_all(&mut fleet);
+            fleet.run_for(Span::from_secs(8), CAPACITY * 3.0);
+            let context = format!("{daemons} daemons, seed {seed}");
+            assert_kept(&fleet, Span::ZERO, &context);
         }
     }
 }
--- a/tests/gateway/limit_fleet.rs
+++ b/tests/gateway/limit_fleet.rs
@@ -63,12 +63,12 @@
 }
 
 impl Daemon {
-    fn read(&mut self, entries: &[(DaemonName, SocketAddr)]) {
+    fn read(&mut self, entries: &[(DaemonName, SocketAddr)], now: Time) {
         if self.listed == entries {
             return;
         }
         self.listed = entries.to_vec();
-        self.peers.clear();
+        self.peers.clear(now);
         for (name, address) in entries {
             self.peers.put(name.clone(), entry(*address));
         }
@@ -116,7 +116,7 @@
     /// Creates daemons that share the limit in a certain way.
     pub fn with_policy(policy: Policy, count: usize, per_second: f64, seed: u64) -> Self {
         let mut fleet = Self {
-            now: Time::default() + Span::from_secs(10),
+            now: Time::default() + Span::from_secs(100),
             rng: SmallRng::seed_from_u64(seed),
             limit: limit(per_second),
             daemons: Vec::new(),
@@ -127,6 +127,9 @@
             policy,
         };
         (0..count).for_each(|_| fleet.join());
+        let earlier = fleet.now - Span::from_secs(90);
+        let known = fleet.daemons.iter_mut();
+        known.for_each(|daemon| daemon.peers.clear(earlier));
         fleet.run_for(Span::from_secs(5), 0.0);
         fleet
     }
@@ -150,6 +153,18 @@
         });
     }
 
+    /// Returns the authority, as the daemons see it that the store accepts.
+    pub fn accepted_authority(&self) -> Option<usize> {
+        let is_accepted = |daemon: &Daemon| daemon.is_alive && !daemon.is_refused;
+        let index = self.daemons.iter().position(is_accepted)?;
+        let daemon = &self.daemons[index];
+        match authority(&daemon.name, &daemon.peers, &runner()) {
+            Authority::Own => Some(index),
+            Authority::Peer(address) => Some(usize::from(address.port())),
+            Authority::Divided(_) => None,
+        }
+    }
+
     /// Kills a daemon without notice.
     pub fn kill(&mut self, index: usize) {
         self.daemons[index].is_alive = false;
@@ -191,7 +206,7 @@
                 daemon.renews_at = now + Span::from_millis(700);
             }
             if now >= daemon.reads_at {
-                daemon.read(&entries);
+                daemon.read(&entries, now);
                 let lag = self.rng.random_range(0..MAX_VIEW_LAG.0);
                 daemon.reads_at = now + Span(lag);
             }
@@ -266,7 +281,8 @@
 
     fn issue(&mut self, index: usize, part: f64) -> Verdict {
         let daemon = &mut self.daemons[index];
-        let share = daemon.registration.share(self.now) * part;
+        let (own, peers) = (&daemon.name, &daemon.peers);
+        let share = daemon.registration.share(own, peers, &runner(), self.now) * part;
         daemon.issuer.issue(&runner(), self.limit, share, self.now)
     }
 
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -47,6 +47,21 @@
     }
 }
 
+// Each later one takes the place of the earlier ones, and nobody learns that these go on.
+#[test]
+fn limit_holds_while_each_authority_is_refused_in_turn() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(8, 3.0, seed);
+        for _ in 0..5 {
+            let authority = fleet.accepted_authority().expect("a daemon");
+            fleet.daemons[authority].is_refused = true;
+            fleet.run_for(Span::from_secs(6), 12.0);
+        }
+        fleet.run_for(Span::from_secs(10), 40.0);
+        fleet.assert_limit_kept(&format!("seed {seed}"));
+    }
+}
+
 // Then half of the daemons see the other half as gone, while those go on with an old view.
 #[test]
 fn limit_holds_while_store_refuses_half_of_the_daemons() {
--- a/tests/gateway/load_exchange.rs
+++ b/tests/gateway/load_exchange.rs
@@ -93,10 +93,10 @@
         chosen.map(|(name, _)| name.to_string()).collect()
     };
     assert_eq!(names(&peers), ["d0", "d2"]);
-    peers.remove(&DaemonName::from("d2"));
+    peers.remove(&DaemonName::from("d2"), Time(0));
     assert_eq!(names(&peers), ["d0", "d1"]);
-    peers.remove(&DaemonName::from("d0"));
-    peers.remove(&DaemonName::from("d1"));
+    peers.remove(&DaemonName::from("d0"), Time(0));
+    peers.remove(&DaemonName::from("d1"), Time(0));
     assert_eq!(names(&peers), ["d3"]);
 }
 
--- a/tests/gateway/load_fleet.rs
+++ b/tests/gateway/load_fleet.rs
@@ -486,7 +486,7 @@
             Event::Lose(daemon) => self.daemons[daemon].is_gone = true,
             Event::Forget(daemon) => {
                 let name = self.daemons[daemon].name.clone();
-                self.peers.remove(&name);
+                self.peers.remove(&name, self.now);
             }
             Event::Restart(daemon) => {
                 let run = self.rng.random();
--- a/tests/gateway/retry_shares.rs
+++ b/tests/gateway/retry_shares.rs
@@ -42,7 +42,7 @@
     let daemons: Vec<_> = (0..DAEMONS).map(|_| daemon()).collect();
     for state in &daemons[..4] {
         for gone in 4..DAEMONS {
-            state.peers.borrow_mut().remove(&name(gone));
+            state.peers.borrow_mut().remove(&name(gone), state.now());
         }
     }
     let retries = |state: &Rc<GatewayState>| {
