Don't cut the work of a group for a missing entry

Cause: a head whose entry was missing was ordered to close its group, and to cut its work after 1.8 s if it still reported to be open. After 30 s the host was forgotten, and its members were ordered to leave. Daemons moved streams with pauses over 100 ms once the head was out of reach.

Change: such a group is closed, and its work waited for until it ends or a member is lost, at most for the longest timeout of a route. A member that leaves without saying so, and no longer listens, may work on for 11 s, and while the head sends data. Members of groups at work aren't forgotten. Daemons move a stream that stalls, breaks off, or has lost a member. Data of a closing head proves its members alive.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -311,7 +311,7 @@
 /// Returns true if a response from a chosen runner may still be expected.
 pub fn still_serves(roster: &Roster, endpoint: &Endpoint) -> bool {
     let Some(host) = roster.host(endpoint.host) else {
-        return false;
+        return !roster.has_restarted(&endpoint.instance(), endpoint.address);
     };
     if host.is_unreachable() {
         return false;
@@ -325,6 +325,21 @@
     })
 }
 
+/// Returns true if a stream of a chosen runner is known to have lost what it needs, also if it has
+/// not stalled yet. That the entry of a runner is missing doesn't show that.
+pub fn has_lost_member(roster: &Roster, endpoint: &Endpoint) -> bool {
+    let Some(host) = roster.host(endpoint.host) else {
+        return !still_serves(roster, endpoint);
+    };
+    if host.unlisted_since.is_none() {
+        return !still_serves(roster, endpoint);
+    }
+    let mut groups = roster.groups().iter();
+    let group = groups
+        .find(|group| Some(group.epoch) == endpoint.epoch && group.head() == Some(endpoint.host));
+    group.is_some_and(|group| roster.has_lost_member(group))
+}
+
 fn serving_heads(
     roster: &Roster,
     service: &ServiceName,
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -1,7 +1,12 @@
 //! Rules of a group's lifecycle.
 //!
-//! They decide when an active group has to be closed, how long a group holds
-//! its members, and which hosts are eligible for a new group.
+//! They decide when an active group has to be closed and how long its work is
+//! waited for, how long a group holds its members, and which hosts are eligible
+//! for a new group.
+//!
+//! An entry may be missing because the runner leaves without saying so, or
+//! because it is cut off from the store. In both cases its work goes on for some
+//! time, so the work of a group is not cut for a missing entry.
 //!
 //! That a head is neither listed nor reached doesn't prove that it has ended: it
 //! may be cut off, and open. Only a head's own word shows that its group is
@@ -14,22 +19,73 @@
     pool::Pool,
     roster::{DRAIN_TIMEOUT, Host, MemberState, Roster},
 };
-use crate::core::time::Time;
+use crate::core::time::{Span, Time};
+
+/// Time for a closing head to finish its requests if they can go on elsewhere; then they are cut, and
+/// their streams resume.
+pub(super) const CLOSE_TIMEOUT: Span = Span::from_millis(1_800);
+
+/// Reason for which an active group must be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CloseReason {
+    /// A member is lost, and the work can't end.
+    Broken,
+    /// A member leaves, or is replaced.
+    Leaving,
+    /// An entry is missing, and the group may be at work.
+    MissingEntry,
+}
+
+impl CloseReason {
+    /// Returns the time after which the work of the group is cut; no caller waits for longer than
+    /// `longest`.
+    pub(super) fn max_wait(self, longest: Span) -> Span {
+        match self {
+            CloseReason::Broken => Span::ZERO,
+            CloseReason::Leaving => CLOSE_TIMEOUT,
+            CloseReason::MissingEntry => longest.max(CLOSE_TIMEOUT),
+        }
+    }
+}
 
 /// Returns true if a host may become a member of a new group.
 pub(super) fn is_eligible(host: &Host) -> bool {
     host.unlisted_since.is_none() && !host.is_draining() && !host.is_unreachable()
 }
 
-/// Returns `Some(cut)` if an active group must be closed; `cut` also ends its running requests.
-pub(super) fn must_close(roster: &Roster, group: &Group, head: &Host) -> Option<bool> {
-    if !group.complete || roster.has_unreachable_member(group) {
-        return Some(true);
+/// Returns the reason for which an active group must be closed, if there is one.
+pub(super) fn must_close(
+    roster: &Roster,
+    group: &Group,
+    head: &Host,
+    now: Time,
+) -> Option<CloseReason> {
+    if !group.complete || has_ended_member(roster, group, head, now) {
+        return Some(CloseReason::Broken);
     }
-    let is_draining = roster.members(group).any(Host::is_draining);
-    let is_leaving = is_draining || head.unlisted_since.is_some();
-    let is_open = group.head_state == Some(MemberState::Open);
-    (is_leaving && is_open).then_some(false)
+    if roster.has_unreachable_member(group) {
+        return Some(CloseReason::MissingEntry);
+    }
+    if group.head_state != Some(MemberState::Open) {
+        return None;
+    }
+    if roster.members(group).any(Host::is_draining) {
+        return Some(CloseReason::Leaving);
+    }
+    head.unlisted_since.map(|_| CloseReason::MissingEntry)
+}
+
+/// Returns true if an unreachable member of a group doesn't work for it any more. One that leaves
+/// without saying so may, until it must have ended and the head has no more data.
+fn has_ended_member(roster: &Roster, group: &Group, head: &Host, now: Time) -> bool {
+    let may_work = |host: &Host| {
+        let unlisted = host.unlisted_since;
+        let may_drain = unlisted.is_some_and(|since| now.since(since) < DRAIN_TIMEOUT);
+        may_drain || head.sends_data(now)
+    };
+    let mut members = roster.members(group);
+    let has_lapsed = members.any(|host| host.is_unreachable() && !may_work(host));
+    has_lapsed || roster.has_lost_member(group)
 }
 
 /// Returns true if an open group has slow members and its domain has as many spares that can
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -9,7 +9,7 @@
 use super::{
     group::Group,
     load::Loads,
-    roster::{HostKey, MemberState, Roster},
+    roster::{HostKey, Roster},
 };
 use crate::core::{
     keys::Epoch,
@@ -98,12 +98,12 @@
     latest.collect()
 }
 
-/// Returns the latest proof of each member of the groups that serve.
+/// Returns the latest proof of each member of the groups that are open or closing.
 pub fn proofs(roster: &Roster, loads: &Loads, reported: &ReportedProgress) -> Proofs {
     let mut proofs = Proofs::new();
     for group in roster.groups() {
-        let is_open = group.head_state == Some(MemberState::Open) && group.complete;
-        if !is_open || roster.has_unreachable_member(group) {
+        let is_at_work = group.is_active() && group.complete;
+        if !is_at_work || roster.has_unreachable_member(group) {
             continue;
         }
         let progress = own_progress(group, loads).max(reported.get(group.epoch));
--- a/src/gateway/planner/ending.rs
+++ b/src/gateway/planner/ending.rs
@@ -10,29 +10,28 @@
     gateway::{
         group::Group,
         lifecycle::{
-            can_replace_slow, holds_members, is_eligible, is_not_known_closed, may_act_as_head,
-            must_close,
+            CloseReason, can_replace_slow, holds_members, is_eligible, is_not_known_closed,
+            may_act_as_head, must_close,
         },
         order::{Directive, Order},
         roster::{Host, Roster},
+        spec::Spec,
     },
 };
 use std::collections::BTreeSet;
 
-/// Time for a closing head to finish its requests; then they are cut, and their streams resume
-/// elsewhere.
-const CLOSE_TIMEOUT: Span = Span::from_millis(1_800);
-
 impl Planner {
     /// Closes active groups that have lost a member or are losing one, or that can replace a slow
     /// one.
     pub(super) fn close_groups(
         &mut self,
         roster: &Roster,
+        spec: &Spec,
         service: &ServiceName,
         now: Time,
         out: &mut Vec<Directive>,
     ) {
+        let longest = longest_timeout(spec, service);
         let replaceable = self.replaceable_groups(roster, service, now);
         for group in roster.groups() {
             if group.service != *service || !group.is_active() {
@@ -43,15 +42,16 @@
             };
             let has_head_left = head.unlisted_since.is_some() && head.is_unreachable();
             let is_replaceable = replaceable.contains(&(&group.name, group.epoch));
-            let cut = must_close(roster, group, head).or(is_replaceable.then_some(false));
-            let Some(cut) = cut.filter(|_| !has_head_left) else {
+            let reason = must_close(roster, group, head, now)
+                .or(is_replaceable.then_some(CloseReason::Leaving));
+            let Some(reason) = reason.filter(|_| !has_head_left) else {
                 continue;
             };
             let since = *self.closing.entry(group.name.clone()).or_insert(now);
             let close = Order::Close {
                 group: group.name.clone(),
                 epoch: group.epoch,
-                cut: cut || now.since(since) >= CLOSE_TIMEOUT,
+                cut: now.since(since) >= reason.max_wait(longest),
             };
             self.send(&head.name, close, now, out);
         }
@@ -160,7 +160,7 @@
                 return false;
             };
             let pool = pools.get(domain);
-            must_close(roster, group, head).is_none()
+            must_close(roster, group, head, now).is_none()
                 && pool.is_some_and(|pool| can_replace_slow(roster, group, pool))
                 && domains.insert(domain)
         });
@@ -170,6 +170,16 @@
     }
 }
 
+/// Returns the longest time for which a caller waits for the work of a service.
+fn longest_timeout(spec: &Spec, service: &ServiceName) -> Span {
+    let routes = spec.routes.iter().filter(|route| {
+        let mut shares = route.split.iter();
+        shares.any(|share| share.service == *service)
+    });
+    let timeouts = routes.map(|route| route.timeout);
+    timeouts.max().unwrap_or_default()
+}
+
 /// Returns the order to leave a group.
 fn leave_order(group: &Group) -> Order {
     Order::Leave {
--- a/src/gateway/planner/mod.rs
+++ b/src/gateway/planner/mod.rs
@@ -96,7 +96,7 @@
                 continue;
             };
             self.advance_formations(roster, &service.name, engine, now, &mut out);
-            self.close_groups(roster, &service.name, now, &mut out);
+            self.close_groups(roster, spec, &service.name, now, &mut out);
             self.release_ready_groups(roster, &service.name, now, &mut out);
             self.leave_groups(roster, &service.name, now, &mut out);
             if !self
--- a/src/gateway/planner/pools.rs
+++ b/src/gateway/planner/pools.rs
@@ -5,12 +5,12 @@
 use crate::{
     core::{
         keys::{DomainName, ModelName, ServiceName},
-        time::Time,
+        time::{Span, Time},
     },
     gateway::{
         demand::Needs,
         group::Group,
-        lifecycle::{holds_members, is_eligible},
+        lifecycle::{CLOSE_TIMEOUT, holds_members, is_eligible},
         pool::Pool,
         roster::{Host, HostKey, MemberState, Roster},
         spec::Replication,
@@ -18,6 +18,9 @@
 };
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Time in which a closing group lets its members go, unless its work goes on without an entry.
+const MAX_CLOSE_TIME: Span = CLOSE_TIMEOUT.times(2);
+
 impl Planner {
     /// Returns each domain's free hosts, which may be ordered into a group, and its groups.
     pub(super) fn pools(
@@ -67,8 +70,10 @@
         if self.must_leave(roster, group, now) {
             return self.members_to_leave(roster, group).next().is_some();
         }
-        let has_stopped =
-            roster.has_unreachable_member(group) || self.closing.contains_key(&group.name);
+        // The work of a head without an entry may take long: other hosts don't wait for its members.
+        let since = self.closing.get(&group.name);
+        let is_closing = since.is_some_and(|since| now.since(*since) < MAX_CLOSE_TIME);
+        let has_stopped = roster.has_unreachable_member(group) || is_closing;
         has_stopped && group.is_active() && holds_members(roster, group, now)
     }
 
--- a/src/gateway/progress.rs
+++ b/src/gateway/progress.rs
@@ -4,7 +4,7 @@
 
 use super::{
     datagrams::Datagram,
-    liveness::{GroupProgress, recent_progress},
+    liveness::{GroupProgress, ReportedProgress, latest_data, recent_progress},
     state::GatewayState,
 };
 use crate::core::time::Span;
@@ -20,6 +20,7 @@
 pub async fn report(state: Rc<GatewayState>) {
     loop {
         compio::time::sleep(REPORT_INTERVAL.into()).await;
+        record_own(&state);
         let holder = state.peers.borrow().holder_address();
         let Some(holder) = holder.filter(|address| state.settings.listen.peer != Some(*address))
         else {
@@ -38,6 +39,15 @@
     }
 }
 
+/// Records which groups have sent data to this daemon: their members stay known without entries.
+fn record_own(state: &GatewayState) {
+    let mut roster = state.roster.borrow_mut();
+    let data = latest_data(&roster, &state.loads.borrow(), &ReportedProgress::default());
+    for (epoch, at) in data {
+        roster.record_progress(epoch, at);
+    }
+}
+
 /// Records another daemon's report.
 pub fn record(state: &GatewayState, report: &[GroupProgress]) {
     let now = state.now();
--- a/src/gateway/roster/listing.rs
+++ b/src/gateway/roster/listing.rs
@@ -16,9 +16,13 @@
 /// Window after a store outage in which a missing entry may still come back.
 pub const REENTRY_WINDOW: Span = Span::from_millis(2_000);
 
-/// Time after which a host without an entry is dropped.
+/// Time after which a host without an entry is dropped, unless it is at work.
 const UNLISTED_TIMEOUT: Span = Span::from_secs(30);
 
+/// Time for which an answer to a probe shows that a member of a group is there. Members are probed
+/// every two seconds or more often.
+const ANSWER_WINDOW: Span = Span::from_secs(5);
+
 impl Roster {
     /// Adds a listed host, or updates its report. The host known at its address before, if it is
     /// another one, is dropped; a report of an earlier run than that one is ignored.
@@ -72,6 +76,7 @@
             unlisted_since: None,
             reentry_until: Time::default(),
             relisted_at: None,
+            last_answer: None,
             last_healthy: None,
             last_data: None,
             probe_failure: None,
@@ -188,8 +193,8 @@
         waiting.for_each(|host| host.reentry_until = limited);
     }
 
-    /// Drops hosts that have been unlisted for too long; those that an older copy lists since then
-    /// count as listed.
+    /// Drops hosts that have been unlisted for too long, except those at work; those that an older
+    /// copy lists since then count as listed.
     pub fn expire(&mut self, now: Time) {
         for host in self.hosts.values_mut() {
             let is_relisted = |at| now.since(at) > UNLISTED_TIMEOUT;
@@ -198,20 +203,41 @@
                 host.unlisted_since = None;
             }
         }
+        let working = self.working_hosts(now);
         let expired: Vec<HostName> = self
             .hosts
-            .values()
-            .filter(|host| {
+            .iter()
+            .filter(|(key, host)| {
                 let last_listed = host.relisted_at.or(host.unlisted_since);
-                last_listed.is_some_and(|at| now.since(at) > UNLISTED_TIMEOUT)
+                let is_due = last_listed.is_some_and(|at| now.since(at) > UNLISTED_TIMEOUT);
+                is_due && !working.contains(key)
             })
-            .map(|host| host.name.clone())
+            .map(|(_, host)| host.name.clone())
             .collect();
         for name in expired {
             self.remove_host(&name);
         }
     }
 
+    /// Returns the members of active groups whose heads send data, and those that answer probes.
+    fn working_hosts(&self, now: Time) -> BTreeSet<HostKey> {
+        let answers = |host: &Host| {
+            let last = host.last_answer;
+            last.is_some_and(|at| now.since(at) < ANSWER_WINDOW)
+        };
+        let mut working = BTreeSet::new();
+        for group in self.groups.iter().filter(|group| group.is_active()) {
+            let head = group.head().and_then(|key| self.host(key));
+            let has_data = head.is_some_and(|head| head.sends_data(now));
+            let members = group.members.values();
+            working.extend(members.filter(|key| {
+                let host = self.host(**key);
+                has_data || host.is_some_and(answers)
+            }));
+        }
+        working
+    }
+
     /// Returns the hosts without an entry that are used until their entries may have come back.
     pub fn reentering(&self, now: Time) -> impl Iterator<Item = &Host> {
         let unlisted = self
--- a/src/gateway/roster/mod.rs
+++ b/src/gateway/roster/mod.rs
@@ -65,6 +65,8 @@
     reentry_until: Time,
     /// Time at which an older copy of the store listed it again although it had left.
     relisted_at: Option<Time>,
+    /// Time of its last answer to a probe.
+    last_answer: Option<Time>,
     /// Time of its last answer to a probe, unless it was unlisted or draining then.
     last_healthy: Option<Time>,
     /// Time at which it last sent data on a stream to some daemon, as the head of a group.
@@ -163,6 +165,7 @@
         let Some(host) = self.hosts.get_mut(key) else {
             return;
         };
+        host.last_answer = Some(now);
         let is_healthy = host.unlisted_since.is_none() && !host.is_draining();
         host.last_healthy = is_healthy.then_some(now);
         host.probe_failure = None;
@@ -336,6 +339,17 @@
         hosts.any(|host| host.is_none_or(Host::is_unreachable))
     }
 
+    /// Returns true if a member of a group is unreachable, and not only because it leaves without
+    /// saying so: its entry is missing, and it may still be at work.
+    pub fn has_lost_member(&self, group: &Group) -> bool {
+        let is_at_work = |host: &Host| {
+            let has_said_so = host.is_draining();
+            host.unlisted_since.is_some() && !has_said_so && !self.is_dead(host)
+        };
+        let mut unreachable = self.members(group).filter(|host| host.is_unreachable());
+        unreachable.any(|host| !is_at_work(host))
+    }
+
     /// Returns true if a group may have a head that this daemon never saw: a head that left earlier
     /// is no longer listed, and one whose entry expired in a store outage isn't listed yet.
     pub fn may_have_unseen_head(&self, group: &Group, now: Time) -> bool {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -380,9 +380,9 @@
         return None;
     }
     let endpoint = &upstream.endpoint;
-    let is_serving = balancer::still_serves(&call.state.roster.borrow(), endpoint);
+    let is_lost = balancer::has_lost_member(&call.state.roster.borrow(), endpoint);
     let silence = call.state.loads.borrow().silence(endpoint.host, now);
-    let is_doubtful = !is_serving || silence.span > STREAM_STALL_TIMEOUT;
+    let is_doubtful = is_lost || silence.span > STREAM_STALL_TIMEOUT;
     (is_doubtful && has_alternative(call)).then_some(RelayEnd::Doubtful)
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -34,6 +34,7 @@
 mod load_exchange;
 #[expect(dead_code, reason = "the example compares more policies")]
 mod load_fleet;
+mod missing_entries;
 mod notices;
 mod outages;
 mod pools;
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -59,6 +59,8 @@
     report_copies: Mutex<Option<Duration>>,
     /// True while it responds to no probe or order.
     is_control_silent: AtomicBool,
+    /// True once it has left the store without saying so: it writes no entry any more.
+    is_unlisted: AtomicBool,
     /// Orders with the times at which they came.
     orders: Mutex<Vec<(Instant, Value)>>,
     entry: Mutex<Value>,
@@ -95,6 +97,7 @@
             greets: AtomicBool::default(),
             report_copies: Mutex::default(),
             is_control_silent: AtomicBool::default(),
+            is_unlisted: AtomicBool::default(),
             orders: Mutex::default(),
             entry: Mutex::new(entry),
             store,
@@ -240,8 +243,17 @@
         address.parse().expect("an address")
     }
 
-    /// Writes the runner's entry to the store.
+    /// Removes the runner's entry for good, while it works on.
+    pub fn unregister(&self) {
+        self.is_unlisted.store(true, Ordering::SeqCst);
+        self.store.delete(&format!("servers/{}", self.name));
+    }
+
+    /// Writes the runner's entry to the store, unless it has left that.
     pub fn register(&self) {
+        if self.is_unlisted.load(Ordering::SeqCst) {
+            return;
+        }
         let entry = self.entry.lock().expect("not poisoned").to_string();
         self.store.put(&format!("servers/{}", self.name), &entry);
     }
@@ -466,10 +478,15 @@
         write_text(stream, &head)
     }
 
-    /// Returns the state after an order to close: the group closes once its runs have ended.
+    /// Returns the state after an order to close: the group closes once its runs have ended. One that
+    /// has left the store reports to be open until then.
     fn closed_state(&self) -> &'static str {
         let is_running = self.runs.list().iter().any(|run| run.end.is_none());
-        if is_running { "closing" } else { "ready" }
+        match (is_running, self.is_unlisted.load(Ordering::SeqCst)) {
+            (true, true) => "open",
+            (true, false) => "closing",
+            (false, _) => "ready",
+        }
     }
 
     /// Reports a closing group as closed if no run is left.
--- a/tests/platform/silent_reports.rs
+++ b/tests/platform/silent_reports.rs
@@ -1,6 +1,7 @@
 //! Runners that are silent towards the daemons and the store for a while, and go on working.
 
 use super::{env::TestEnv, runner::Behavior};
+use serde_json::Value;
 use std::{thread, time::Duration};
 
 /// Events of the streams that run meanwhile.
@@ -85,6 +86,33 @@
     );
 }
 
+// A head that reports to be open until its work has ended was ordered to cut it after 1.8 s.
+#[test]
+fn head_that_leaves_the_store_for_good_keeps_its_streams() {
+    let env = TestEnv::start();
+    let before = request_count(&env);
+    let stream = Behavior::PacedEvents {
+        last: 6,
+        pause: Duration::from_millis(600),
+        is_complete: true,
+    };
+    env.heads[0].enqueue(stream);
+    thread::scope(|scope| {
+        let call = scope.spawn(|| env.stream(&[]));
+        env.eventually("the stream runs", |env| env.running_streams() == 1);
+        let heads = env.heads.iter();
+        let head = heads.max_by_key(|head| head.runs().len()).expect("a head");
+        head.unregister();
+        let response = call.join().expect("called");
+        assert!(response.is_complete, "{response:?}");
+        assert!(response.body.contains("id: 6\n"), "{response:?}");
+        let orders = head.orders();
+        let is_cut = |order: &Value| order["Op"] == "close" && order["Mode"] == "cut";
+        assert!(!orders.iter().any(|(_, order)| is_cut(order)), "{orders:?}");
+    });
+    assert_eq!(request_count(&env), before + 1, "the stream ran once");
+}
+
 // The same for requests to a plain service, which has no groups: one that may not run twice.
 #[test]
 fn plain_request_at_a_runner_whose_entry_lapses_is_answered() {
