Don't count stalls of the event loop against runners

Cause: timeouts went by the clock. After a stall of the daemon the timer is due beside what has arrived, and the timeout won by chance, or always if a step was left: connecting takes two. Shown with a blocked event loop and a timeout shorter than the block.

Change: running_time::within counts time in which the loop runs, in four steps. Used for connecting, probes and permits. A stream or a response that seems silent is read for 20 ms before its runner is given up. Orders and calls to the store keep the clock.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,7 +13,7 @@
     selection::has_alternative,
     spec::RouteKind,
 };
-use crate::core::time::Span;
+use crate::{core::time::Span, shell::running_time};
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 use http::{Request, Response, StatusCode, header::CONTENT_ENCODING};
@@ -24,6 +24,10 @@
 /// Interval at which a waiting request checks that its runner still serves.
 pub(super) const SERVING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time in which the event loop reads what has arrived while it stalled, before a runner counts as
+/// silent.
+pub(super) const ARRIVAL_TIME: Duration = Duration::from_millis(20);
+
 /// Timeout of a plain service's response to an idempotent request, which then goes to another
 /// runner.
 const PLAIN_RESPONSE_TIMEOUT: Span = Span::from_millis(900);
@@ -239,7 +243,8 @@
             return Err(AttemptError::Quarantined);
         }
         if should_fail_over(call, endpoint, now.since(started)) {
-            return Err(AttemptError::Unknown);
+            let arrived = running_time::within(ARRIVAL_TIME, future.as_mut()).await;
+            return arrived.ok_or(AttemptError::Unknown);
         }
     }
 }
--- a/src/gateway/permits/mod.rs
+++ b/src/gateway/permits/mod.rs
@@ -23,7 +23,10 @@
     roster::{HostKey, RunnerInstance},
     state::GatewayState,
 };
-use crate::core::time::{Span, Time};
+use crate::{
+    core::time::{Span, Time},
+    shell::running_time,
+};
 use metrics::counter;
 use std::{cell::RefCell, net::SocketAddr};
 use waiting::Waiting;
@@ -161,9 +164,9 @@
         Some(cold) => Datagram::ColdPermitRequest { id, notice, cold },
     };
     state.outbox.send(authority, request);
-    let answered = compio::time::timeout(timeout.into(), answer).await;
+    let answered = running_time::within(timeout.into(), answer).await;
     state.permits.waiting.borrow_mut().remove(id);
-    answered.ok()?.ok()
+    answered?.ok()
 }
 
 /// Answers another daemon's request for a permit. What the sender knows of the runner counts too:
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -9,6 +9,7 @@
     notices::Notice,
     roster::{ProbeFailure, RunnerInstance},
 };
+use crate::shell::running_time;
 use futures_util::future::join;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -104,7 +105,7 @@
 where
     F: Future<Output = Result<T, ProbeFailure>>,
 {
-    let answered = compio::time::timeout(timeout, probe).await;
+    let answered = running_time::within(timeout, probe).await;
     answered.unwrap_or(Err(ProbeFailure::Silent))
 }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -6,7 +6,7 @@
 
 use super::{
     adapter::Adapter,
-    attempt::{SERVING_CHECK_INTERVAL, record_failure},
+    attempt::{ARRIVAL_TIME, SERVING_CHECK_INTERVAL, record_failure},
     balancer::{self, Endpoint},
     call::{AttemptError, Call, InFlightGuard, StartedResponse},
     connection::RunnerConnection,
@@ -25,14 +25,14 @@
         keys::ModelName,
         time::{Span, Time},
     },
-    shell::http::is_event_stream,
+    shell::{http::is_event_stream, running_time},
 };
 use bytes::Bytes;
 use futures_channel::mpsc;
 use futures_util::SinkExt as _;
 use http::Response;
 use http_body_util::{BodyExt as _, Either, StreamBody};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use metrics::counter;
 use std::rc::Rc;
 
@@ -263,21 +263,12 @@
     sender: &mut EventSender,
 ) -> RelayEnd {
     loop {
-        if call.is_quarantined() {
-            return RelayEnd::Quarantined;
-        }
-        let frame = compio::time::timeout(SERVING_CHECK_INTERVAL, upstream.body.frame()).await;
-        let frame = match frame {
+        let frame = match next_frame(call, upstream, sender).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return RelayEnd::Broken,
             Ok(None) if upstream.events.is_partial() => return RelayEnd::Broken,
             Ok(None) => return RelayEnd::Complete,
-            Err(_) => {
-                if let Some(end) = check_silent(call, upstream, sender) {
-                    return end;
-                }
-                continue;
-            }
+            Err(end) => return end,
         };
         if let Some(bytes) = frame.data_ref() {
             upstream.events.push(bytes);
@@ -303,6 +294,32 @@
     }
 }
 
+/// Waits for the next part of a response; fails with the reason for which it is not waited for any
+/// more.
+async fn next_frame(
+    call: &Call,
+    upstream: &mut Upstream,
+    sender: &EventSender,
+) -> Result<Option<hyper::Result<Frame<Bytes>>>, RelayEnd> {
+    loop {
+        if call.is_quarantined() {
+            return Err(RelayEnd::Quarantined);
+        }
+        let frame = compio::time::timeout(SERVING_CHECK_INTERVAL, upstream.body.frame()).await;
+        if let Ok(frame) = frame {
+            return Ok(frame);
+        }
+        match check_silent(call, upstream, sender) {
+            None => {}
+            Some(RelayEnd::Doubtful) => {
+                let arrived = running_time::within(ARRIVAL_TIME, upstream.body.frame()).await;
+                return arrived.ok_or(RelayEnd::Doubtful);
+            }
+            Some(end) => return Err(end),
+        }
+    }
+}
+
 /// Records that a runner has sent an event, and whether it has lived on since its first.
 fn record_progress(call: &mut Call, upstream: &mut Upstream) {
     let now = call.state.now();
--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -1,6 +1,6 @@
 //! HTTP on the event loop: listening, serving connections and connecting to peers.
 
-use super::{activity::Activity, fair::FairReads, stall::WriteTimeout};
+use super::{activity::Activity, fair::FairReads, running_time, stall::WriteTimeout};
 use bytes::Bytes;
 use compio::{
     net::{TcpListener, TcpStream},
@@ -104,15 +104,15 @@
     connect_within(address, CONNECT_TIMEOUT).await
 }
 
-/// Connects to an address within `timeout`.
+/// Connects to an address within `timeout`, in which stalls of the event loop hardly count.
 ///
 /// # Errors
 ///
 /// Fails if the connection is refused or times out.
 pub async fn connect_within(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
-    let stream = compio::time::timeout(timeout, TcpStream::connect(address))
+    let stream = running_time::within(timeout, TcpStream::connect(address))
         .await
-        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        .ok_or(io::ErrorKind::TimedOut)??;
     set_socket_options(&stream)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
     Ok(stream)
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -22,6 +22,7 @@
 pub mod platform;
 pub mod relay;
 pub mod runners;
+pub mod running_time;
 pub mod signals;
 mod stall;
 pub mod wakeup;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -46,5 +46,6 @@
 mod retry_shares;
 mod routes;
 mod silence;
+mod stalls;
 mod streams;
 mod watches;
--- a/tests/platform/silent_reports.rs
+++ b/tests/platform/silent_reports.rs
@@ -1,6 +1,7 @@
 //! Runners that are silent towards the daemons and the store for a while, and go on working.
 
 use super::{env::TestEnv, runner::Behavior};
+use nix::sys::signal::Signal;
 use serde_json::Value;
 use std::{thread, time::Duration};
 
@@ -17,6 +18,9 @@
 /// Time for which a runner reports nothing; probes fail several times in it.
 const SILENT_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time for which the daemon is paused: longer than a silence after which a stream moves.
+const PAUSE: Duration = Duration::from_millis(1_300);
+
 /// Time for which an entry is missing; after 1.8 s the requests of a head that leaves are cut.
 const LAPSE_TIME: Duration = Duration::from_millis(1_200);
 
@@ -76,6 +80,16 @@
     );
 }
 
+// The daemon itself was kept waiting, and must not take what it hasn't read yet for silence.
+#[test]
+fn streams_stay_at_their_runners_while_the_daemon_is_paused() {
+    check_streams(
+        PAUSE,
+        |env| env.daemon.signal(Signal::SIGSTOP),
+        |env| env.daemon.signal(Signal::SIGCONT),
+    );
+}
+
 // Elsewhere the work of a runner whose entry lapsed, as it wrote too late, was abandoned.
 #[test]
 fn head_whose_entry_lapses_keeps_its_streams() {
