--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -24,6 +24,7 @@
 pub mod relay;
 pub mod request_body;
 pub mod runners;
+pub mod running_time;
 pub mod signals;
 mod stall;
 pub mod supervisor;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -35,6 +35,7 @@
 mod load_exchange;
 #[expect(dead_code, reason = "the example compares more policies")]
 mod load_fleet;
+mod missing_entries;
 mod notices;
 mod outages;
 mod pools;
@@ -46,5 +47,6 @@
 mod retry_shares;
 mod routes;
 mod silence;
+mod stalls;
 mod streams;
 mod watches;
