Tests: the assessment apart from the explanation

Change: the comparison of assess and choose is in tests/gateway/assess.rs, with no line of it changed but imports.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions in virtual time.
 
 mod admission;
+mod assess;
 mod backoff;
 mod balancer;
 mod budgets;
