--- a/src/gateway/explain/server.rs
+++ b/src/gateway/explain/server.rs
@@ -6,12 +6,11 @@
         responses::{self, CallResponse},
         state::GatewayState,
     },
-    shell::operators::is_authorized,
+    shell::{operators::is_authorized, request_body::RequestBody},
 };
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt as _, Limited};
-use hyper::body::Incoming;
 use std::time::Duration;
 
 /// Path of queries.
@@ -24,14 +23,14 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Returns true if a request is a query, and the daemon answers queries.
-pub(in crate::gateway) fn is_query(state: &GatewayState, request: &Request<Incoming>) -> bool {
+pub(in crate::gateway) fn is_query(state: &GatewayState, request: &Request<RequestBody>) -> bool {
     state.settings.operator_token.is_some() && request.uri().path() == PATH
 }
 
 /// Answers a query.
 pub(in crate::gateway) async fn answer(
     state: &GatewayState,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> CallResponse {
     let (parts, body) = request.into_parts();
     // The body is read in any case: unread bytes would reset the connection, and the caller might
@@ -54,7 +53,7 @@
 }
 
 /// Reads a query's body; none if it is too long, too late or cut off.
-async fn read_body(body: Incoming) -> Option<Bytes> {
+async fn read_body(body: RequestBody) -> Option<Bytes> {
     let reading = Limited::new(body, MAX_QUERY_BYTES).collect();
     let read = compio::time::timeout(BODY_TIMEOUT, reading).await.ok()?;
     Some(read.ok()?.to_bytes())
