Load exchange: interpret a digest in separate steps

Cause: SentReports::interpret found the own report, checked the digest and derived the load of each head in one function. Change: find, head_loads and Factors do one step each. Same arithmetic.

--- a/src/gateway/load_exchange/estimate.rs
+++ b/src/gateway/load_exchange/estimate.rs
@@ -133,41 +133,71 @@
         interval: Span,
         now: Time,
     ) -> Result<Totals, Unusable> {
-        let mut recent = self.recent.iter();
-        let (report, sent_at) = recent
-            .find(|(report, _)| Some(report.id) == own)
-            .ok_or(Unusable::Unmatched)?;
-        let until = *sent_at + interval.times(DIGEST_TTL_INTERVALS);
+        let (report, sent_at) = self.find(own).ok_or(Unusable::Unmatched)?;
+        let until = sent_at + interval.times(DIGEST_TTL_INTERVALS);
         if now >= until {
             return Err(Unusable::Outdated);
         }
         if f64::from(digest.reporters) < daemons as f64 * MIN_COVERAGE {
             return Err(Unusable::Partial);
         }
-        // Callers choose daemons at random, so those that don't report have as many requests.
-        let scale =
-            |reporters: u32| f64::from(reporters + digest.silent) / f64::from(reporters.max(1));
-        let (others_scale, rate_scale) = (
-            scale(digest.reporters.saturating_sub(1)),
-            scale(digest.reporters) / RATE_WINDOW_S,
-        );
-        let reported: BTreeMap<Epoch, HeadCount> = report.heads.iter().collect();
-        let heads = digest.heads.iter().map(|(epoch, total)| {
-            let own = reported.get(&epoch).copied().unwrap_or_default();
-            let load = HeadLoad {
-                others: (f64::from(total.in_flight.saturating_sub(own.in_flight)) * others_scale)
-                    .round() as u32,
-                starts_per_s: f64::from(total.started) * rate_scale,
-                ends_per_s: f64::from(total.ended) * rate_scale,
-                refusals_per_s: f64::from(total.refused) * rate_scale,
-                late_per_s: f64::from(total.late) * rate_scale,
-            };
-            (epoch, load)
-        });
         Ok(Totals {
-            heads: heads.collect(),
+            heads: head_loads(digest, report),
             at: now - Span::from_millis(u64::from(digest.age_ms)),
             until,
         })
     }
+
+    /// Returns a recent report with the time at which it was sent.
+    fn find(&self, id: Option<ReportId>) -> Option<(&LoadReport, Time)> {
+        let mut recent = self.recent.iter();
+        let (report, sent_at) = recent.find(|(report, _)| Some(report.id) == id)?;
+        Some((report, *sent_at))
+    }
+}
+
+/// Returns the load of each head in a digest that contains this daemon's own report.
+fn head_loads(digest: &LoadDigest, own: &LoadReport) -> BTreeMap<Epoch, HeadLoad> {
+    let factors = Factors::new(digest);
+    let own: BTreeMap<Epoch, HeadCount> = own.heads.iter().collect();
+    let heads = digest.heads.iter();
+    let loads = heads.map(|(epoch, total)| {
+        let own = own.get(&epoch).copied().unwrap_or_default();
+        (epoch, factors.head_load(total, own))
+    });
+    loads.collect()
+}
+
+/// Factors from the counts of the daemons that report to those of all.
+#[derive(Clone, Copy, Debug)]
+struct Factors {
+    /// Factor on the requests of the other daemons.
+    others: f64,
+    /// Factor from changes in the window of a digest to changes in a second.
+    rates: f64,
+}
+
+impl Factors {
+    /// Derives the factors: callers choose daemons at random, so those that don't report have as many
+    /// requests.
+    fn new(digest: &LoadDigest) -> Self {
+        let scale =
+            |reporters: u32| f64::from(reporters + digest.silent) / f64::from(reporters.max(1));
+        Self {
+            others: scale(digest.reporters.saturating_sub(1)),
+            rates: scale(digest.reporters) / RATE_WINDOW_S,
+        }
+    }
+
+    /// Returns the load of a head, of whose requests `own` are this daemon's.
+    fn head_load(self, total: HeadCount, own: HeadCount) -> HeadLoad {
+        let others = total.in_flight.saturating_sub(own.in_flight);
+        HeadLoad {
+            others: (f64::from(others) * self.others).round() as u32,
+            starts_per_s: f64::from(total.started) * self.rates,
+            ends_per_s: f64::from(total.ended) * self.rates,
+            refusals_per_s: f64::from(total.refused) * self.rates,
+            late_per_s: f64::from(total.late) * self.rates,
+        }
+    }
 }
