Shares of accounts by the work at all daemons

Cause: a daemon judged accounts by its own requests; with 195 daemons the sample is too small, and at four times the capacity an account of the least urgent rank got 3.5% where all got 23.1%. Change: about once a second, load reports are followed by the work of accounts and digests by its sums. Every daemon adds up the rates with the decay of its own sample (account_totals), and fair_share decides by them while they are current. Accounts are keyed by a hash. The fleets of the contention and even-load tests share their heads and events (engine_heads).

--- a/examples/even_load/main.rs
+++ b/examples/even_load/main.rs
@@ -8,6 +8,8 @@
 //! Arguments name the ways that are compared. The environment variables `DAEMONS`, `LOADS` and
 //! `HEADS` take numbers, `TROUBLE` names what goes wrong (see `with_trouble`).
 
+#[path = "../../tests/gateway/engine_heads.rs"]
+mod engine_heads;
 #[expect(dead_code, reason = "the tests use the rest")]
 #[path = "../../tests/gateway/load_fleet.rs"]
 mod fleet;
--- /dev/null
+++ b/src/gateway/account_totals.rs
@@ -0,0 +1,47 @@
+//! Shares of accounts by the work at all daemons.
+//!
+//! A daemon adds up the rates of work that digests tell, with the same decay as its
+//! own sample. A digest that is lost, an aggregator that starts anew or a daemon that
+//! reports nothing changes the sums slowly, therefore, and never at once.
+
+use super::{
+    account_work::{AccountKey, ServiceKey, WORK_INTERVAL, WORK_TTL_INTERVALS, WorkCounts},
+    shares::Shares,
+};
+use crate::core::time::{Span, Time};
+use std::collections::BTreeMap;
+
+/// Work of accounts at all daemons.
+#[derive(Clone, Debug, Default)]
+pub struct AccountTotals {
+    services: BTreeMap<ServiceKey, Shares>,
+    /// Time up to which rates have been added.
+    added_at: Option<Time>,
+    /// Time from which the totals are out of date.
+    until: Time,
+}
+
+impl AccountTotals {
+    /// Adds the work since the last call at these rates, in a second. `interval` is that of the
+    /// digests.
+    pub fn add(&mut self, rates: &WorkCounts, interval: Span, now: Time) {
+        let ttl = interval.max(WORK_INTERVAL).times(WORK_TTL_INTERVALS);
+        let elapsed = self.added_at.map(|at| now.since(at));
+        // The rates of one moment don't hold for a long gap.
+        let elapsed = elapsed.unwrap_or(WORK_INTERVAL).min(ttl);
+        for (key, rate) in rates.iter() {
+            let shares = self.services.entry(key.service).or_default();
+            let work = rate.scaled(elapsed.as_secs_f64());
+            shares.add(key.priority, key.account, work, now);
+        }
+        self.added_at = Some(now);
+        self.until = now + ttl;
+    }
+
+    /// Returns the shares in the work of a service, if they are current and contain an account.
+    pub fn shares(&self, service: ServiceKey, account: AccountKey, now: Time) -> Option<&Shares> {
+        let shares = self.services.get(&service)?;
+        let is_known = now < self.until && shares.contains(account);
+        is_known.then_some(shares)
+    }
+}
--- a/src/gateway/contention.rs
+++ b/src/gateway/contention.rs
@@ -1,13 +1,17 @@
 //! Decides what a request has to leave to others when capacity doesn't suffice for all.
 //!
-//! Each daemon decides for its own callers, from their recent requests. In a
-//! service with one rank nothing is recorded, and requests leave nothing.
+//! Each daemon decides for its own callers, from their recent requests, and from the
+//! work of the accounts at all daemons while it is known. In a service with one rank
+//! nothing is recorded, and requests leave nothing.
 
 use super::{
+    account_totals::AccountTotals,
+    account_work::{AccountKey, ServiceKey, ShareKey, Work, WorkCounts, WorkReport},
     admission::{Precedence, RETRY_SPREAD},
-    fair_share::FairShare,
+    load_exchange::work_tally::PendingWork,
     rank::Rank,
     rank_demand::{RankDemand, slots_for},
+    shares::Shares,
     spec::Engine,
 };
 use crate::core::{
@@ -20,14 +24,6 @@
 /// leaves to the others: as much as the next less urgent rank would.
 const ACCOUNT_RESERVE_FRACTION: f64 = 1.0;
 
-/// Half-life of the work by which accounts of a rank share; a daemon with seven requests a second
-/// then counts about 150, a few for each of dozens of accounts.
-const SHARE_HALF_LIFE: Span = Span::from_secs(15);
-
-/// Half-life of the work by which an account is found starved, over which even a daemon with two
-/// requests a second sees a few of each account.
-const STARVATION_HALF_LIFE: Span = Span::from_secs(60);
-
 /// Delay by which each rank retries later than the next more urgent one.
 const RETRY_STEP: Span = Span::from_millis(600);
 
@@ -60,6 +56,15 @@
             .replica_time(self.prompt_tokens, self.answer_tokens)
     }
 
+    /// Returns the key of the work that it counts as.
+    fn share_key(&self) -> ShareKey {
+        ShareKey {
+            service: ServiceKey::new(self.service),
+            priority: self.rank.priority(),
+            account: AccountKey::new(self.account),
+        }
+    }
+
     /// Returns true if the request can be in contention with others of another rank.
     fn is_ranked(&self) -> bool {
         self.rank.is_ranked() && self.engine.replication(self.model).is_some()
@@ -70,48 +75,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct Contention {
     services: BTreeMap<ServiceName, ServiceDemand>,
+    /// Work of the accounts at all daemons.
+    totals: AccountTotals,
+    /// Work at this daemon that the others don't know.
+    pending: PendingWork,
 }
 
 /// Recent requests to one service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct ServiceDemand {
     models: BTreeMap<ModelName, RankDemand>,
-    /// Work of the accounts, by priority. All models count together, as a daemon sees too few
-    /// requests for each of them.
-    shares: BTreeMap<u8, FairShare>,
-    /// Work of the accounts over all ranks.
-    total: FairShare,
-    /// The same over a longer time.
-    long_term: FairShare,
-}
-
-impl Default for ServiceDemand {
-    fn default() -> Self {
-        Self {
-            models: BTreeMap::new(),
-            shares: BTreeMap::new(),
-            total: FairShare::new(SHARE_HALF_LIFE),
-            long_term: FairShare::new(STARVATION_HALF_LIFE),
-        }
-    }
-}
-
-impl ServiceDemand {
-    /// Returns the records that a request is counted in.
-    fn records(&mut self, request: &Request<'_>) -> (&mut RankDemand, [&mut FairShare; 3]) {
-        let demand = self.models.entry(request.model.clone()).or_default();
-        let shares = self.shares.entry(request.rank.priority());
-        let share = shares.or_insert_with(|| FairShare::new(SHARE_HALF_LIFE));
-        (demand, [share, &mut self.total, &mut self.long_term])
-    }
-
-    /// Returns the fraction of a rank's work that other accounts ask for, if an account is above its
-    /// share of this rank's work and of all work. One that sends all its requests at one rank has
-    /// more than its share of that rank alone.
-    fn others_if_above(&self, priority: u8, account: Option<&AccountName>) -> Option<f64> {
-        self.total.others_if_above(account)?;
-        self.shares.get(&priority)?.others_if_above(account)
-    }
+    /// Work of the accounts at this daemon.
+    shares: Shares,
 }
 
 impl Contention {
@@ -120,11 +95,9 @@
         if !request.is_ranked() {
             return;
         }
-        let (demand, shares) = self.entry(request).records(request);
+        let demand = self.demand(request);
         demand.record_request(request.rank.priority(), now);
-        for share in shares {
-            share.record_request(request.account, request.work(), now);
-        }
+        self.add(request, Work::of_request(request.work()), now);
     }
 
     /// Records a request that is sent to a head for the first time.
@@ -132,14 +105,40 @@
         if !request.is_ranked() {
             return;
         }
-        let (demand, shares) = self.entry(request).records(request);
+        let demand = self.demand(request);
         demand.record_admission(request.rank.priority(), now);
-        for share in shares {
-            share.record_admission(request.account, request.work(), now);
-        }
+        self.add(request, Work::of_admission(request.work()), now);
+    }
+
+    /// Adds the work of accounts at all daemons in a second, as a digest tells it; `interval` is that
+    /// of the digests.
+    pub fn add_totals(&mut self, rates: &WorkCounts, interval: Span, now: Time) {
+        self.totals.add(rates, interval, now);
+    }
+
+    /// Takes the work that isn't reported yet, if a report is due.
+    pub fn take_report(&mut self, now: Time) -> Option<WorkReport> {
+        self.pending.take(now)
+    }
+
+    /// Drops the work that isn't reported, as there will be no report.
+    pub fn stop_reports(&mut self) {
+        self.pending.stop();
+    }
+
+    fn add(&mut self, request: &Request<'_>, work: Work, now: Time) {
+        let key = request.share_key();
+        let shares = &mut self.service(request).shares;
+        shares.add(key.priority, key.account, work, now);
+        self.pending.add(key, work);
+    }
+
+    fn demand(&mut self, request: &Request<'_>) -> &mut RankDemand {
+        let models = &mut self.service(request).models;
+        models.entry(request.model.clone()).or_default()
     }
 
-    fn entry(&mut self, request: &Request<'_>) -> &mut ServiceDemand {
+    fn service(&mut self, request: &Request<'_>) -> &mut ServiceDemand {
         self.services.entry(request.service.clone()).or_default()
     }
 }
@@ -167,11 +166,13 @@
             retry_spread: RETRY_SPREAD.scaled(spread),
             ..Precedence::default()
         };
-        let is_starved = |account| service.long_term.is_starved(account);
-        if request.account.is_some_and(is_starved) {
+        let key = request.share_key();
+        let totals = self.totals.shares(key.service, key.account, now);
+        let shares = totals.unwrap_or(&service.shares);
+        if request.account.is_some() && shares.is_starved(key.account) {
             return retry;
         }
-        let others = service.others_if_above(priority, request.account);
+        let others = shares.others_if_above(priority, key.account);
         let rate = demand.rate(priority, now) * daemons as f64 * others.unwrap_or_default();
         let for_accounts = slots_for(rate, duration) * ACCOUNT_RESERVE_FRACTION;
         let (ahead, own) = demand.fractions(priority);
--- a/src/gateway/datagrams.rs
+++ b/src/gateway/datagrams.rs
@@ -4,6 +4,7 @@
 //! response.
 
 use super::{
+    account_work::{self, MAX_TOTALS_BYTES, ShareKey, Work, WorkCounts, WorkReport},
     announcements,
     changes::source::Source,
     coldness::ColdClaim,
@@ -25,7 +26,7 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt as _;
 use metrics::counter;
-use std::{cell::OnceCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::OnceCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Size of the largest datagram that is read.
 const MAX_BYTES: usize = 2_048;
@@ -107,25 +108,50 @@
     }
 }
 
-/// Digest of load, encoded up to what differs between receivers.
+/// Returns the datagram of a report of load, with the work of accounts if there is any.
+pub(super) fn encode_report(report: &LoadReport, work: Option<&WorkReport>) -> Vec<u8> {
+    let datagram = Datagram::LoadReport(report.clone());
+    let bytes = postcard::to_stdvec(&datagram).expect("a datagram serializes");
+    match work {
+        Some(work) => account_work::append(bytes, work),
+        None => bytes,
+    }
+}
+
+/// Digest of load, encoded up to and after what differs between receivers.
 #[derive(Debug)]
-pub(super) struct EncodedDigest(Vec<u8>);
+pub(super) struct EncodedDigest {
+    heads: Vec<u8>,
+    work: Option<WorkCounts>,
+}
 
 impl EncodedDigest {
-    /// Encodes a digest; none if it doesn't fit into a datagram.
-    pub(super) fn new(digest: &LoadDigest) -> Option<Self> {
+    /// Encodes a digest with as much of the work of accounts as fits; none if the digest alone
+    /// doesn't fit into a datagram.
+    pub(super) fn new(digest: &LoadDigest, rates: &BTreeMap<ShareKey, Work>) -> Option<Self> {
         let datagram = Datagram::LoadDigest(digest.clone(), None);
-        let mut bytes = postcard::to_stdvec(&datagram).expect("a datagram serializes");
+        let mut heads = postcard::to_stdvec(&datagram).expect("a datagram serializes");
         // An absent value takes one byte.
-        bytes.pop();
-        (bytes.len() + MAX_REPORT_ID_BYTES <= MAX_BYTES).then_some(Self(bytes))
+        heads.pop();
+        let left = MAX_BYTES.checked_sub(heads.len() + MAX_REPORT_ID_BYTES)?;
+        let work = WorkCounts::new(rates, left.min(MAX_TOTALS_BYTES));
+        let work = (!work.is_empty()).then_some(work);
+        Some(Self { heads, work })
     }
 
     /// Returns the datagram for one receiver.
     pub(super) fn with(&self, contained: Option<ReportId>) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(self.0.len() + MAX_REPORT_ID_BYTES);
-        bytes.extend_from_slice(&self.0);
-        postcard::to_extend(&contained, bytes).expect("an identifier serializes")
+        let bytes = self.heads.clone();
+        let bytes = postcard::to_extend(&contained, bytes).expect("an identifier serializes");
+        match &self.work {
+            Some(work) => account_work::append(bytes, work),
+            None => bytes,
+        }
+    }
+
+    /// Returns the work of accounts that it contains.
+    pub(super) fn work(&self) -> Option<&WorkCounts> {
+        self.work.as_ref()
     }
 }
 
@@ -197,35 +223,50 @@
 }
 
 fn handle(state: &GatewayState, bytes: &[u8], from: SocketAddr) {
-    match postcard::from_bytes::<Datagram>(bytes) {
-        Ok(Datagram::Progress(report)) => progress::record(state, &report),
-        Ok(Datagram::PermitRequest { id, notice }) => {
+    let handled = postcard::take_from_bytes::<Datagram>(bytes)
+        .and_then(|(datagram, rest)| handle_datagram(state, datagram, rest, from));
+    if let Err(error) = handled {
+        slog::debug!(state.log, "invalid datagram ignored";
+            "from" => from.to_string(), "cause" => error.to_string());
+    }
+}
+
+/// Handles a datagram; `rest` is what follows it.
+fn handle_datagram(
+    state: &GatewayState,
+    datagram: Datagram,
+    rest: &[u8],
+    from: SocketAddr,
+) -> Result<(), postcard::Error> {
+    match datagram {
+        Datagram::Progress(report) => progress::record(state, &report),
+        Datagram::PermitRequest { id, notice } => {
             permits::answer_request(state, id, &notice, None, from);
         }
-        Ok(Datagram::ColdPermitRequest { id, notice, cold }) => {
+        Datagram::ColdPermitRequest { id, notice, cold } => {
             permits::answer_request(state, id, &notice, Some(cold), from);
         }
-        Ok(Datagram::Cold { runner, cold }) => announcements::accept_cold(state, &runner, cold),
-        Ok(Datagram::PermitResponse { id, verdict }) => {
-            permits::accept_response(state, id, verdict)
-        }
-        Ok(Datagram::Notice(notice)) => {
+        Datagram::Cold { runner, cold } => announcements::accept_cold(state, &runner, cold),
+        Datagram::PermitResponse { id, verdict } => permits::accept_response(state, id, verdict),
+        Datagram::Notice(notice) => {
             announcements::accept(state, &notice);
         }
-        Ok(Datagram::Crash(report)) => exchange::record(state, &report),
-        Ok(Datagram::Suspected(marks)) => exchange::answer(state, &marks, from),
-        Ok(Datagram::Distrusted(marks)) => exchange::accept_distrusted(state, &marks),
-        Ok(Datagram::Sound(marks)) => exchange::accept_sound(state, &marks),
-        Ok(Datagram::Quarantined(marks)) => exchange::accept_quarantined(state, &marks),
-        Ok(Datagram::ContactRequest) => report_contact(state, from),
-        Ok(Datagram::Contact(report)) => state.peer_reported_contact(from, report),
-        Ok(Datagram::LoadReport(report)) => load_exchange::record(state, from, report),
-        Ok(Datagram::LoadDigest(digest, own)) => {
-            load_exchange::accept_digest(state, &digest, own);
+        Datagram::Crash(report) => exchange::record(state, &report),
+        Datagram::Suspected(marks) => exchange::answer(state, &marks, from),
+        Datagram::Distrusted(marks) => exchange::accept_distrusted(state, &marks),
+        Datagram::Sound(marks) => exchange::accept_sound(state, &marks),
+        Datagram::Quarantined(marks) => exchange::accept_quarantined(state, &marks),
+        Datagram::ContactRequest => report_contact(state, from),
+        Datagram::Contact(report) => state.peer_reported_contact(from, report),
+        Datagram::LoadReport(report) => {
+            load_exchange::record(state, from, report, account_work::read(rest)?);
+        }
+        Datagram::LoadDigest(digest, own) => {
+            let work: Option<WorkCounts> = account_work::read(rest)?;
+            load_exchange::accept_digest(state, &digest, own, work.as_ref());
         }
-        Err(error) => slog::debug!(state.log, "invalid datagram ignored";
-            "from" => from.to_string(), "cause" => error.to_string()),
     }
+    Ok(())
 }
 
 /// Tells a peer of this daemon's contact with the store, unless there never was any.
--- a/src/gateway/fair_share.rs
+++ b/src/gateway/fair_share.rs
@@ -5,11 +5,11 @@
 //! less than another could have more. All accounts weigh the same. An account
 //! that was admitted more than this level is above its share.
 
-use super::decay;
-use crate::core::{
-    keys::AccountName,
-    time::{Span, Time},
+use super::{
+    account_work::{AccountKey, Work},
+    decay,
 };
+use crate::core::time::{Span, Time};
 use std::collections::BTreeMap;
 
 /// Interval at which work decays and the level is derived anew.
@@ -28,20 +28,13 @@
 /// Fraction of the work asked for that is admitted without contention; the rest may be under way.
 const UNCONTENDED_FRACTION: f64 = 0.97;
 
-/// Recent work of one account, in seconds of a replica.
-#[derive(Clone, Copy, Debug, Default)]
-struct Work {
-    requested: f64,
-    admitted: f64,
-}
-
 /// Recent work of accounts.
 #[derive(Clone, Debug)]
 pub struct FairShare {
     /// Half-life of the weight of work.
     half_life: Span,
     /// Work by account; requests without an account share one entry.
-    accounts: BTreeMap<Option<AccountName>, Work>,
+    accounts: BTreeMap<AccountKey, Work>,
     /// Decayed number of requests.
     requests: f64,
     /// Work up to which an account is at most at its share; none without contention.
@@ -62,17 +55,11 @@
         }
     }
 
-    /// Adds the work of a request that arrived.
-    pub fn record_request(&mut self, account: Option<&AccountName>, work: Span, now: Time) {
-        self.refresh(now);
-        self.requests += 1.0;
-        self.entry(account).requested += work.as_secs_f64();
-    }
-
-    /// Adds the work of a request that is sent to a head.
-    pub fn record_admission(&mut self, account: Option<&AccountName>, work: Span, now: Time) {
+    /// Adds work of an account.
+    pub fn add(&mut self, account: AccountKey, work: Work, now: Time) {
         self.refresh(now);
-        self.entry(account).admitted += work.as_secs_f64();
+        self.requests += work.requests;
+        *self.accounts.entry(account).or_default() += work;
     }
 
     /// Decays the work and derives the level, if that is due.
@@ -85,25 +72,20 @@
         let factor = decay::factor(elapsed, self.half_life);
         self.requests *= factor;
         for work in self.accounts.values_mut() {
-            work.requested *= factor;
-            work.admitted *= factor;
+            *work = work.scaled(factor);
         }
         self.accounts
             .retain(|_, work| work.requested >= MIN_WORK_SECS);
         self.level = self.find_level();
     }
-
-    fn entry(&mut self, account: Option<&AccountName>) -> &mut Work {
-        self.accounts.entry(account.cloned()).or_default()
-    }
 }
 
 impl FairShare {
     /// Returns the fraction of the work asked for that is that of other accounts, if an account is
     /// above its share.
-    pub fn others_if_above(&self, account: Option<&AccountName>) -> Option<f64> {
+    pub fn others_if_above(&self, account: AccountKey) -> Option<f64> {
         let level = self.level?;
-        let own = self.accounts.get(&account.cloned())?;
+        let own = self.accounts.get(&account)?;
         let requested = self.total(|work| work.requested);
         // In a small sample an account may be above the level by a few requests by chance.
         let tolerance = (level * requested / self.requests.max(1.0)).sqrt();
@@ -112,8 +94,8 @@
     }
 
     /// Returns true if an account gets far less of what it asks for than all accounts together.
-    pub fn is_starved(&self, account: &AccountName) -> bool {
-        let Some(own) = self.accounts.get(&Some(account.clone())) else {
+    pub fn is_starved(&self, account: AccountKey) -> bool {
+        let Some(own) = self.accounts.get(&account) else {
             return false;
         };
         let requested = self.total(|work| work.requested);
@@ -123,6 +105,11 @@
         is_known && own.admitted < expected * STARVED_FRACTION
     }
 
+    /// Returns true if work of an account is known.
+    pub fn contains(&self, account: AccountKey) -> bool {
+        self.accounts.contains_key(&account)
+    }
+
     fn find_level(&self) -> Option<f64> {
         let admitted = self.total(|work| work.admitted);
         if admitted >= self.total(|work| work.requested) * UNCONTENDED_FRACTION {
--- a/src/gateway/load_exchange/mod.rs
+++ b/src/gateway/load_exchange/mod.rs
@@ -3,16 +3,19 @@
 //! With more daemons than a head has slots, each daemon sends a head so few
 //! requests that the responses tell it too little. Every daemon therefore
 //! reports its own requests at each head to two aggregators, which send the
-//! totals to all daemons. A datagram that is lost is followed by the next.
+//! totals to all daemons. A datagram that is lost is followed by the next. About
+//! once a second the datagrams also carry the work of accounts.
 
 pub mod choice;
 pub mod estimate;
 pub mod message;
 pub mod tally;
+pub mod work_tally;
 
 use super::{
+    account_work::{WorkCounts, WorkReport},
     changes::source,
-    datagrams::{self, Datagram},
+    datagrams::{self, EncodedDigest},
     group::Group,
     head_limits::StartRates,
     load::Total,
@@ -31,11 +34,13 @@
     rc::Rc,
 };
 use tally::Tally;
+use work_tally::WorkTally;
 
 /// A daemon's part in the exchange.
 #[derive(Debug)]
 pub struct LoadExchange {
     tally: RefCell<Tally>,
+    works: RefCell<WorkTally>,
     sent: RefCell<SentReports>,
     is_aggregator: Cell<bool>,
 }
@@ -44,6 +49,7 @@
     fn default() -> Self {
         Self {
             tally: RefCell::default(),
+            works: RefCell::default(),
             sent: RefCell::new(SentReports::new(rand::random())),
             is_aggregator: Cell::new(false),
         }
@@ -59,6 +65,7 @@
         let heads = covered_heads(&state);
         if heads.is_empty() {
             set_aggregator(&state, false);
+            state.contention.borrow_mut().stop_reports();
             continue;
         }
         exchange(&state, &heads);
@@ -97,15 +104,16 @@
             .collect()
     };
     let report = state.load_exchange.sent.borrow_mut().report(counts, now);
+    let work = state.contention.borrow_mut().take_report(now);
     let aggregators = choice::aggregators(&state.peers.borrow());
     let mut is_aggregator = false;
     for (name, address) in aggregators {
         if name == state.settings.name {
             is_aggregator = true;
-            record(state, address, report.clone());
+            record(state, address, report.clone(), work.clone());
         } else {
-            let datagram = Datagram::LoadReport(report.clone());
-            state.outbox.send(address, datagram);
+            let datagram = datagrams::encode_report(&report, work.as_ref());
+            state.outbox.send_encoded(address, datagram);
         }
     }
     set_aggregator(state, is_aggregator);
@@ -120,6 +128,7 @@
         slog::info!(state.log, "aggregator of load changed"; "own" => is_aggregator);
         if !is_aggregator {
             state.load_exchange.tally.take();
+            state.load_exchange.works.take();
         }
     }
 }
@@ -136,24 +145,38 @@
     drop(peers);
     let mut tally = state.load_exchange.tally.borrow_mut();
     let digest = tally.digest(&addresses, interval, now);
-    let Some(encoded) = datagrams::EncodedDigest::new(&digest) else {
+    let mut works = state.load_exchange.works.borrow_mut();
+    let rates = works.rates(&addresses, interval, now).unwrap_or_default();
+    let Some(encoded) = EncodedDigest::new(&digest, &rates) else {
         counter!("load_digests_unsent_total").increment(1);
         return;
     };
     for address in addresses {
         let contained = tally.contained(address);
         match state.settings.listen.peer == Some(address) {
-            true => accept_digest(state, &digest, contained),
+            true => accept_digest(state, &digest, contained, encoded.work()),
             false => state.outbox.send_encoded(address, encoded.with(contained)),
         }
     }
 }
 
-/// Records a daemon's report; that of an unknown daemon is ignored.
-pub(super) fn record(state: &GatewayState, from: SocketAddr, report: LoadReport) {
+/// Records a daemon's report with the work of accounts, if it carries any; that of an unknown daemon
+/// is ignored.
+pub(super) fn record(
+    state: &GatewayState,
+    from: SocketAddr,
+    report: LoadReport,
+    work: Option<WorkReport>,
+) {
     let is_known = source::peer_at(&state.peers.borrow(), from).is_some();
+    let now = state.now();
     let mut tally = state.load_exchange.tally.borrow_mut();
-    let verdict = match is_known && tally.record(from, report, state.now()) {
+    let is_recorded = is_known && tally.record(from, report, now);
+    if let Some(work) = work.filter(|_| is_recorded) {
+        let mut works = state.load_exchange.works.borrow_mut();
+        works.record(from, work, now);
+    }
+    let verdict = match is_recorded {
         true => "recorded",
         false if is_known => "outdated",
         false => "unknown",
@@ -162,8 +185,13 @@
 }
 
 /// Adopts the totals of an aggregator if they can be used; `own` identifies the report of this
-/// daemon that they contain.
-pub(super) fn accept_digest(state: &GatewayState, digest: &LoadDigest, own: Option<ReportId>) {
+/// daemon that they contain, and `work` is that of accounts, if they carry it.
+pub(super) fn accept_digest(
+    state: &GatewayState,
+    digest: &LoadDigest,
+    own: Option<ReportId>,
+    work: Option<&WorkCounts>,
+) {
     let now = state.now();
     let daemons = state.peers.borrow().count();
     let interval = choice::interval(daemons);
@@ -192,6 +220,11 @@
     }
     drop(loads);
     adjust_limits(state);
+    if let Some(work) = work {
+        let mut contention = state.contention.borrow_mut();
+        contention.add_totals(work, interval, now);
+        gauge!("load_digest_accounts").set(work.len() as f64);
+    }
 }
 
 /// Adjusts the limits of all models, from totals that every daemon has.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,8 @@
 //!
 //! Modules that decide (`routes`, `contact`, `roster`, `group`, `candidacy`, `balancer`,
 //! `outlook`, `water_filling`, `admission`, `head_limits`, `caller_timeouts`,
-//! `contention`, `rank`, `rank_demand`, `fair_share`, `decay`, `load`, `demand`,
+//! `contention`, `rank`, `rank_demand`, `fair_share`, `shares`, `account_work`,
+//! `account_totals`, `decay`, `load`, `demand`,
 //! `planner`, `startup`, `formation`, `sent_orders`, `openings`, `lifecycle`,
 //! `liveness`, `pool`, `staging`, `weight_loads`, `evacuation`, `outages`, `budget`,
 //! `backoff`, `notices`, `coldness`, `held_bytes`, `drain`, `reach`,
@@ -16,6 +17,8 @@
 //! names) read no clock and do no I/O.
 //! The names and formats of a platform are hidden behind [`adapter::Adapter`].
 
+pub mod account_totals;
+pub mod account_work;
 pub mod adapter;
 pub mod admission;
 mod announcements;
@@ -82,6 +85,7 @@
 mod selection;
 mod sent_orders;
 pub mod settings;
+pub mod shares;
 pub mod spec;
 mod staging;
 mod startup;
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,9 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 60] = [
+const DECISIONS: [&str; 64] = [
+    "account_totals",
+    "account_work",
     "admission",
     "backoff",
     "balancer",
@@ -41,6 +43,7 @@
     "load_exchange/estimate",
     "load_exchange/message",
     "load_exchange/tally",
+    "load_exchange/work_tally",
     "notices",
     "openings",
     "outages",
@@ -70,6 +73,7 @@
     "routes",
     "runner",
     "sent_orders",
+    "shares",
     "staging",
     "startup",
     "water_filling",
--- a/tests/gateway/contention.rs
+++ b/tests/gateway/contention.rs
@@ -1,7 +1,8 @@
 //! Requests of different ranks and accounts that contend for the heads of a model.
 
-use crate::contention_fleet::{
-    Figures, Outcomes, Policy, Scene, model, play, service, serving_heads,
+use crate::{
+    contention_fleet::{Figures, Outcomes, Policy, Scene, play, serving_heads},
+    engine_heads::{model, service},
 };
 use hickoryledge::{
     core::{
@@ -537,3 +538,18 @@
         assert!(last.served() < all.served(), "{last:?} {all:?}");
     }
 }
+
+/// With 195 daemons each saw too few requests of an account to tell its share: such an account got 3.5%
+/// where all got 23.1%.
+#[test]
+fn account_is_not_starved_with_many_daemons_that_exchange_work() {
+    let scene = Scene {
+        daemons: 195,
+        account_priority: Some(2),
+        ..scene(Policy::Exchanged, 4.0, 0.05)
+    };
+    let figures = play(scene, Span::from_secs(30));
+    let (last, all) = (figures.last_account(), figures.all());
+    assert!(last.served() > 0.25 * all.served(), "{last:?} {all:?}");
+    assert!(last.served() < all.served(), "{last:?} {all:?}");
+}
--- a/tests/gateway/contention_fleet.rs
+++ b/tests/gateway/contention_fleet.rs
@@ -4,37 +4,37 @@
 //! requests that are some hundred milliseconds old. Refused callers come back at
 //! the time that they are told.
 
+use super::engine_heads::{
+    ANSWER_TOKENS, Agenda, PROMPT_TOKENS, SLOTS, engine, head, model, service, spec,
+};
 use hickoryledge::{
     core::{
-        keys::{
-            AccountName, DomainName, Epoch, GroupName, HallName, HostName, ModelName, ServiceName,
-        },
+        keys::{AccountName, Epoch, HallName, ModelName, ServiceName},
         time::{Span, Time},
     },
     gateway::{
+        account_work::{MAX_TOTALS_BYTES, WorkCounts},
         admission::{AdmissionClass, Precedence, expected_duration},
         balancer::{ChooseError, Criteria, View, choose},
         contention::{Contention, Request},
         head_limits::HeadLimits,
         load::{LoadReport, Loads},
+        load_exchange::work_tally::WorkTally,
         notices::Notices,
         rank::{Rank, RankLevel},
-        roster::{HostKey, MemberState, Membership, Roster, Runner},
-        spec::{Engine, Replication, Service, Spec},
-        stated::Stated,
+        roster::{HostKey, Roster},
+        spec::Engine,
     },
 };
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use serde::Serialize;
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque},
-    net::Ipv4Addr,
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
 };
 
 /// Number of groups that serve the model.
 const HEADS: u32 = 13;
-/// Slots of each head.
-const SLOTS: u32 = 48;
 /// Interval at which a daemon learns the totals of the heads.
 const EXCHANGE_INTERVAL: Span = Span::from_millis(250);
 /// Age of the totals when they arrive.
@@ -51,17 +51,18 @@
 const RANKS: [(u8, f64); 3] = [(0, 0.25), (1, 0.35), (2, 0.4)];
 /// Number of accounts.
 const ACCOUNTS: usize = 24;
-/// Mean length of an answer, in tokens.
-const ANSWER_TOKENS: u32 = 152;
-const PROMPT_TOKENS: u32 = 1_115;
+/// Number of aggregators that get each report and send digests.
+const AGGREGATORS: usize = 2;
 
 /// How daemons treat requests of different ranks and accounts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Policy {
     /// All alike.
     Alike,
-    /// Each by its rank, and accounts by their shares.
+    /// Each by its rank, and accounts by their shares of the daemon's own sample.
     Ranked,
+    /// The same, with the shares of the work at all daemons.
+    Exchanged,
 }
 
 /// Scene that is played.
@@ -117,6 +118,8 @@
     pub taken: f64,
     /// Refusals while less than half of the slots were taken.
     pub refused_while_free: u32,
+    /// Bytes that a daemon sends and receives in a second for the work of accounts.
+    pub work_bytes: f64,
 }
 
 impl Figures {
@@ -183,6 +186,9 @@
     contention: Contention,
     /// Own requests by head.
     own: Vec<u32>,
+    address: SocketAddr,
+    /// Time of the last digest of accounts' work that has arrived.
+    work_at: Time,
 }
 
 /// Requests of each head, and those of each daemon among them.
@@ -214,8 +220,11 @@
     daemons: Vec<Daemon>,
     accounts: Vec<AccountName>,
     totals: VecDeque<Totals>,
-    events: BinaryHeap<Reverse<(Time, u64)>>,
-    pending: BTreeMap<u64, Event>,
+    works: WorkTally,
+    /// The last digest of accounts' work.
+    work: (Time, WorkCounts),
+    work_bytes: usize,
+    agenda: Agenda<Event>,
     sequence: u64,
     figures: Figures,
     slot_seconds: f64,
@@ -225,39 +234,37 @@
 pub fn play(scene: Scene, span: Span) -> Figures {
     let mut world = World::new(scene);
     let end = Time(0) + WARM_UP + span;
-    while let Some(Reverse((at, key))) = world.events.pop() {
-        if at >= end {
-            break;
-        }
+    while let Some((at, event)) = world.agenda.next_before(end) {
         world.count_slots(at);
         world.now = at;
-        if let Some(event) = world.pending.remove(&key) {
-            world.handle(event);
-        }
+        world.handle(event);
     }
     let mut figures = world.figures;
+    let daemon_seconds = (WARM_UP + span).as_secs_f64() * scene.daemons as f64;
+    figures.work_bytes = world.work_bytes as f64 / daemon_seconds;
     figures.taken = world.slot_seconds / span.as_secs_f64() / f64::from(HEADS * SLOTS);
     figures
 }
 
 /// Returns the heads that serve the model, and their engine.
 pub fn serving_heads() -> (Roster, Engine) {
-    let (spec, engine) = spec();
     let mut roster = Roster::default();
-    let runners = (0..HEADS).map(runner).collect();
-    roster.replace(runners, Time(0));
-    roster.rebuild_groups(&spec);
-    (roster, engine)
+    let heads = (0..HEADS).map(|index| head(index as usize, Epoch(i64::from(index) + 1)));
+    roster.replace(heads.collect(), Time(0));
+    roster.rebuild_groups(&spec());
+    (roster, engine())
 }
 
 impl World {
     fn new(scene: Scene) -> Self {
         let (roster, engine) = serving_heads();
         let heads: Vec<HostKey> = roster.hosts().map(|(key, _)| key).collect();
-        let daemon = || Daemon {
+        let daemon = |index: usize| Daemon {
             loads: Loads::default(),
             contention: Contention::default(),
             own: vec![0; heads.len()],
+            address: ([10, 1, 0, 1], index as u16).into(),
+            work_at: Time(0),
         };
         let mut world = Self {
             scene,
@@ -270,14 +277,16 @@
             service: service(),
             hall: HallName::from("hall"),
             runners: heads.iter().map(|_| Head::default()).collect(),
-            daemons: (0..scene.daemons).map(|_| daemon()).collect(),
+            daemons: (0..scene.daemons).map(daemon).collect(),
             heads,
             accounts: (0..ACCOUNTS)
                 .map(|number| AccountName::from(format!("a{number}")))
                 .collect(),
             totals: VecDeque::new(),
-            events: BinaryHeap::new(),
-            pending: BTreeMap::new(),
+            works: WorkTally::default(),
+            work: (Time(0), WorkCounts::default()),
+            work_bytes: 0,
+            agenda: Agenda::default(),
             sequence: 0,
             figures: Figures::default(),
             slot_seconds: 0.0,
@@ -292,10 +301,7 @@
     }
 
     fn schedule(&mut self, after: Span, event: Event) {
-        self.sequence += 1;
-        self.pending.insert(self.sequence, event);
-        let key = (self.now + after, self.sequence);
-        self.events.push(Reverse(key));
+        self.agenda.add(self.now + after, event);
     }
 
     fn count_slots(&mut self, until: Time) {
@@ -323,10 +329,14 @@
             }
             Event::Exchange(daemon) => {
                 self.learn_totals(daemon);
+                if self.scene.policy == Policy::Exchanged {
+                    self.exchange_work(daemon);
+                }
                 self.schedule(EXCHANGE_INTERVAL, Event::Exchange(daemon));
             }
             Event::Snapshot => {
                 self.take_totals();
+                self.sum_work();
                 self.schedule(Span::from_millis(50), Event::Snapshot);
             }
         }
@@ -367,6 +377,31 @@
         }
     }
 
+    /// Sums the accounts' work at all daemons, if that is due.
+    fn sum_work(&mut self) {
+        let daemons = self.daemons.iter().map(|daemon| daemon.address).collect();
+        let rates = self.works.rates(&daemons, EXCHANGE_INTERVAL, self.now);
+        if let Some(rates) = rates {
+            self.work = (self.now, WorkCounts::new(&rates, MAX_TOTALS_BYTES));
+        }
+    }
+
+    /// Reports the accounts' work at a daemon, and adopts the last digest if it has arrived.
+    fn exchange_work(&mut self, daemon: usize) {
+        let (now, (at, rates)) = (self.now, &self.work);
+        let daemon = &mut self.daemons[daemon];
+        if let Some(report) = daemon.contention.take_report(now) {
+            self.work_bytes += AGGREGATORS * encoded_bytes(&report);
+            self.works.record(daemon.address, report, now);
+        }
+        let is_new = daemon.work_at < *at && now.since(*at) >= EXCHANGE_AGE;
+        if is_new && !rates.is_empty() {
+            self.work_bytes += AGGREGATORS * encoded_bytes(rates);
+            daemon.work_at = *at;
+            daemon.contention.add_totals(rates, EXCHANGE_INTERVAL, now);
+        }
+    }
+
     /// Creates a caller's request and schedules the next one.
     fn arrive(&mut self) {
         let Scene {
@@ -434,7 +469,7 @@
         let priorities: BTreeSet<u8> = RANKS.iter().map(|(priority, _)| *priority).collect();
         let rank = match self.scene.policy {
             Policy::Alike => Rank::default(),
-            Policy::Ranked => Rank::new(call.priority, &priorities),
+            Policy::Ranked | Policy::Exchanged => Rank::new(call.priority, &priorities),
         };
         let daemon = &mut self.daemons[index];
         let request = Request {
@@ -547,72 +582,10 @@
     by_class + by_rank
 }
 
-/// Returns the service of the heads.
-pub fn service() -> ServiceName {
-    ServiceName::from("engines")
-}
-
-/// Returns the model that they serve.
-pub fn model() -> ModelName {
-    ModelName::from("large")
-}
-
-fn spec() -> (Spec, Engine) {
-    let engine = Engine {
-        slots: SLOTS,
-        stride: 6,
-        models: vec![Replication {
-            model: model(),
-            size: 1,
-            pace: 1.0,
-            share: 1.0,
-            load: Span::from_secs(16),
-            warm: Span::from_millis(1_600),
-        }],
-        step: Span(6_450),
-        step_each: Span(97),
-        read_rate: 56_100.0,
-        chunk: 2_048,
-        usual_prompt: PROMPT_TOKENS,
-        usual_answer: ANSWER_TOKENS,
-        load_rate: 5.5,
-        load_parallel: 8,
-        form: Span::from_millis(300),
-    };
-    let spec = Spec {
-        version: 1,
-        services: vec![Service {
-            name: service(),
-            max_connections: 300,
-            cold: None,
-            engine: Some(engine.clone()),
-        }],
-        ..Spec::default()
-    };
-    (spec, engine)
-}
-
-/// Returns the entry of a head whose group consists of it alone.
-fn runner(number: u32) -> (HostName, Runner) {
-    let address = Ipv4Addr::from_bits(0x0a00_0001 + number);
-    let runner = Runner {
-        service: service(),
-        address: (address, 80).into(),
-        hall: HallName::from("hall"),
-        domain: Some(DomainName::from("domain")),
-        slots: SLOTS,
-        draining: false,
-        cold_left: Stated::Absent,
-        born: 1,
-        orders: 0,
-        staged: Vec::new(),
-        member: Some(Membership {
-            group: GroupName::from(format!("g{number}")),
-            epoch: Epoch(i64::from(number) + 1),
-            rank: 0,
-            model: Some(model()),
-            state: MemberState::Open,
-        }),
-    };
-    (HostName::from(format!("h{number}")), runner)
+fn encoded_bytes<T>(message: &T) -> usize
+where
+    T: Serialize,
+{
+    let bytes = postcard::to_stdvec(message);
+    bytes.expect("serializes").len()
 }
--- a/tests/gateway/load_fleet.rs
+++ b/tests/gateway/load_fleet.rs
@@ -4,11 +4,10 @@
 //! and by digests; datagrams are delayed and lost, aggregators stop and pause, heads are lost and
 //! opened.
 
+use super::engine_heads::{Agenda, SLOTS, engine, head, model, service, spec};
 use hickoryledge::{
     core::{
-        keys::{
-            DaemonName, DomainName, Epoch, GroupName, HallName, HostName, ModelName, ServiceName,
-        },
+        keys::{DaemonName, Epoch, HallName, HostName},
         time::{Span, Time},
     },
     gateway::{
@@ -24,20 +23,16 @@
         },
         notices::Notices,
         peers::{DaemonEntry, Peers},
-        roster::{HostKey, MemberState, Membership, Roster, Runner, SLOW_FACTOR},
-        spec::{Engine, Replication, Service, Spec},
-        stated::Stated,
+        roster::{HostKey, Roster, SLOW_FACTOR},
+        spec::Spec,
     },
 };
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
 };
 
-/// Slots of a head.
-pub const SLOTS: u32 = 48;
 /// Time within which the first event is on time.
 pub const OBJECTIVE: Span = Span::from_millis(300);
 /// Requests that may wait at a head before it declines others.
@@ -244,9 +239,7 @@
     daemons: Vec<Daemon>,
     heads: Vec<Head>,
     requests: Vec<Request>,
-    events: BinaryHeap<Reverse<(Time, u64)>>,
-    pending: BTreeMap<u64, Event>,
-    next_event: u64,
+    agenda: Agenda<Event>,
     next_epoch: i64,
     rng: SmallRng,
     /// Draws the requests, which are the same for all policies.
@@ -256,38 +249,6 @@
     samples: usize,
 }
 
-fn service() -> ServiceName {
-    ServiceName::from("engines")
-}
-
-fn model() -> ModelName {
-    ModelName::from("m")
-}
-
-fn engine() -> Engine {
-    Engine {
-        slots: SLOTS,
-        stride: 6,
-        models: vec![Replication {
-            model: model(),
-            size: 1,
-            pace: 1.0,
-            share: 1.0,
-            load: Span::from_secs(16),
-            warm: Span::from_millis(1_600),
-        }],
-        step: Span(6_450),
-        step_each: Span(97),
-        read_rate: 56_100.0,
-        chunk: 2_048,
-        usual_prompt: 1_115,
-        usual_answer: 152,
-        load_rate: 5.5,
-        load_parallel: 8,
-        form: Span::from_millis(300),
-    }
-}
-
 fn address(index: usize) -> SocketAddr {
     ([10, 1, (index / 250) as u8, (index % 250) as u8], 80).into()
 }
@@ -295,16 +256,6 @@
 impl LoadFleet {
     /// Creates the fleet of a scene.
     pub fn new(policy: Policy, scene: Scene, seed: u64) -> Self {
-        let spec = Spec {
-            version: 1,
-            services: vec![Service {
-                name: service(),
-                max_connections: 1_000,
-                cold: None,
-                engine: Some(engine()),
-            }],
-            ..Spec::default()
-        };
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut peers = Peers::default();
         let silent = (scene.daemons as f64 * scene.silent) as usize;
@@ -335,16 +286,14 @@
             now: Time(0),
             scene,
             policy,
-            spec,
+            spec: spec(),
             roster: Roster::default(),
             notices: Notices::default(),
             peers,
             daemons,
             heads: Vec::new(),
             requests: Vec::new(),
-            events: BinaryHeap::new(),
-            pending: BTreeMap::new(),
-            next_event: 0,
+            agenda: Agenda::default(),
             next_epoch: 1 << 40,
             rng,
             demand: SmallRng::seed_from_u64(seed),
@@ -386,36 +335,13 @@
     }
 
     fn after(&mut self, span: Span, event: Event) {
-        let id = self.next_event;
-        self.next_event += 1;
-        self.events.push(Reverse((self.now + span, id)));
-        self.pending.insert(id, event);
+        self.agenda.add(self.now + span, event);
     }
 
     fn open_head(&mut self) {
         let index = self.heads.len();
         self.next_epoch += 3;
-        let name = HostName::from(format!("h{index}"));
-        let epoch = Epoch(self.next_epoch);
-        let runner = Runner {
-            service: service(),
-            address: ([10, 2, (index / 250) as u8, (index % 250) as u8], 80).into(),
-            hall: HallName::from("hall"),
-            domain: Some(DomainName::from("domain")),
-            slots: SLOTS,
-            draining: false,
-            cold_left: Stated::Absent,
-            born: 1,
-            orders: 0,
-            staged: vec![model()],
-            member: Some(Membership {
-                group: GroupName::from(format!("g{index}")),
-                epoch,
-                rank: 0,
-                model: Some(model()),
-                state: MemberState::Open,
-            }),
-        };
+        let (name, runner) = head(index, Epoch(self.next_epoch));
         self.roster.put(name.clone(), runner);
         let (key, _) = self.roster.host_by_name(&name).expect("added");
         self.heads.push(Head {
@@ -456,12 +382,8 @@
     /// Plays the scene.
     pub fn run(mut self) -> Figures {
         let end = Time(0) + WARM_UP + self.scene.length;
-        while let Some(Reverse((at, id))) = self.events.pop() {
-            if at >= end {
-                break;
-            }
+        while let Some((at, event)) = self.agenda.next_before(end) {
             self.now = at;
-            let event = self.pending.remove(&id).expect("pending");
             self.handle(event);
         }
         self.finish()
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decisions in virtual time.
 
+mod account_work;
 mod admission;
 mod backoff;
 mod balancer;
@@ -16,6 +17,7 @@
 mod cut_off_heads;
 mod departures;
 mod drain;
+mod engine_heads;
 mod entries;
 mod evacuation;
 mod evacuation_entries;
