--- a/src/gateway/account_totals.rs
+++ b/src/gateway/account_totals.rs
@@ -13,9 +13,10 @@
 use crate::core::time::{Span, Time};
 use std::collections::BTreeMap;
 
-/// Fraction of a level by which an account must exceed it to count as above its share. All daemons have
-/// the same totals, which are a second old: accounts near the level would hold back together.
-const MIN_EXCESS: f64 = 0.25;
+/// Fraction of a level by which an account must exceed it to count as above its share: the part of the
+/// sums that can change within the two seconds that totals are old at most. All daemons have the same
+/// totals, so accounts nearer to the level would all hold back together.
+const MIN_EXCESS: f64 = 0.1;
 
 /// Work of accounts at all daemons.
 #[derive(Clone, Debug, Default)]
