Slow heads take requests if they are the only ones; shares in the positions of requests

Cause: with totals that expect no requests, a request's position is 0, which counted as meant for the fast heads, also if there were none: it was refused as full although slow heads were empty (found while explain was written). Change: slow heads are meant too if no fast head is a candidate. Result: assess::slow_heads_take_requests_if_there_are_no_others fails without the change; both tests of assess pass.

--- a/src/gateway/balancer/admit.rs
+++ b/src/gateway/balancer/admit.rs
@@ -187,13 +187,19 @@
     /// Returns true if a tier has candidates, and a request at a position is meant for them: slow
     /// ones get those for which the others have no room.
     fn is_reached(&self, tier: Tier, position: Option<f64>) -> bool {
-        let has_members = self.members(tier).next().is_some();
         let is_meant = match (self.room.zip(position), tier) {
             (None, _) => true,
             (Some((room, position)), Tier::Fast) => position <= room.fast,
-            (Some((room, position)), Tier::Slow) => position > room.fast && position <= room.all,
+            (Some((room, position)), Tier::Slow) => {
+                let is_beyond_fast = position > room.fast || !self.has_members(Tier::Fast);
+                is_beyond_fast && position <= room.all
+            }
         };
-        has_members && is_meant
+        self.has_members(tier) && is_meant
+    }
+
+    fn has_members(&self, tier: Tier) -> bool {
+        self.members(tier).next().is_some()
     }
 
     /// Returns the reason for which the free slots of a tier are left to others, if they are.
--- a/tests/gateway/assess.rs
+++ b/tests/gateway/assess.rs
@@ -17,6 +17,7 @@
         load_exchange::estimate::HeadLoad,
         notices::{Notices, RateLimit},
         roster::HostKey,
+        shares::SharePart,
     },
 };
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
@@ -137,6 +138,7 @@
         own: rng.random_range(0.0..=1.0 - ahead),
         for_ranks: rng.random_range(0..20),
         for_accounts: rng.random_range(0..20),
+        share: rng.random_bool(0.5).then(|| draw_share(rng)),
         ..Precedence::default()
     };
     match rng.random_bool(0.5) {
@@ -145,6 +147,22 @@
     }
 }
 
+/// Returns how much of the requests of an account, and of all, is within their shares; if it is all
+/// of them, it is for each account.
+fn draw_share(rng: &mut SmallRng) -> SharePart {
+    let mut draw = |own| SharePart {
+        own,
+        all: rng.random_range(0.05..0.95),
+    };
+    let parts = [
+        draw(0.0),
+        draw(0.4),
+        draw(1.0),
+        SharePart { own: 1.0, all: 1.0 },
+    ];
+    *parts.choose(rng).expect("some")
+}
+
 fn heads(fleet: &Fleet) -> Vec<HostKey> {
     let groups = fleet.roster.groups().iter();
     groups.filter_map(|group| group.head()).collect()
@@ -282,3 +300,47 @@
     likeliest.check("likeliest runner");
     admitted.check("admitted");
 }
+
+/// Guards against a refusal although slow heads have room and nothing else is expected.
+#[test]
+fn slow_heads_take_requests_if_there_are_no_others() {
+    let mut fleet = Fleet::new(4, 15);
+    fleet.run_for(Span::from_secs(40));
+    let mut loads = Loads::default();
+    let mut slow = BTreeMap::new();
+    for head in heads(&fleet) {
+        let total = Total {
+            load: HeadLoad::default(),
+            at: fleet.now,
+            until: fleet.now + Span::from_millis(300),
+            horizon: Span::from_millis(1_000),
+        };
+        loads.total_reported(head, total);
+        let instance = fleet.roster.host(head).expect("known").instance();
+        slow.insert(instance, 5.0);
+    }
+    fleet.roster.set_slow(slow);
+    let spec = fleet.spec.clone();
+    let engine = spec.services[0].engine.as_ref().expect("an engine");
+    let (service, model) = (service(), ModelName::from(SMALL));
+    let criteria = Criteria {
+        service: &service,
+        model: Some((&model, engine)),
+        class: AdmissionClass::OnTime,
+        precedence: Precedence::default(),
+        duration: Span::from_millis(500),
+        remaining: Span::from_secs(8),
+        hall: &HallName::from("hall"),
+        tried: &[],
+        unlimited: false,
+    };
+    let view = View {
+        roster: &fleet.roster,
+        loads: &loads,
+        notices: &Notices::default(),
+        limits: &HeadLimits::default(),
+    };
+    let mut rng = SmallRng::seed_from_u64(1);
+    let chosen = choose(view, criteria, fleet.now, &mut rng);
+    assert!(chosen.is_ok(), "{chosen:?}");
+}
