--- a/examples/contention/main.rs
+++ b/examples/contention/main.rs
@@ -99,10 +99,16 @@
         largest,
         most_urgent: MOST_URGENT,
         account_priority: None,
-        seed: 7,
+        seed: seed(),
     }
 }
 
+/// Returns the seed that the environment variable `SEED` names, or the usual one.
+fn seed() -> u64 {
+    let text = std::env::var("SEED").unwrap_or("7".to_owned());
+    text.parse().expect("a number")
+}
+
 fn measure(policy: Policy, daemons: usize, load: f64, largest: f64) -> Figures {
     play(scene(policy, daemons, load, largest), SPAN)
 }
