Measure repair under steady losses in virtual time

The fake store now slows loads down beyond its limit, a head takes time to finish its requests if asked to, and a silent host answers no order.

--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -145,6 +145,14 @@
     unreachable: BTreeMap<RunnerInstance, ProbeFailure>,
     /// True while the store is down, so that no entries reach the daemon.
     pub is_store_down: bool,
+    /// Time that heads take to finish their requests when they are closed without a cut.
+    pub finish_time: Span,
+    /// Orders that arrived.
+    pub order_count: usize,
+    /// Loads from the weight store that began.
+    pub load_count: usize,
+    /// Groups whose requests were cut although all of their members were alive.
+    pub cut_count: usize,
     /// Descriptions of violated invariants.
     pub violations: Vec<String>,
 }
@@ -152,12 +160,17 @@
 impl Fleet {
     /// Creates domains with this number of empty hosts in each.
     pub fn new(domains: usize, hosts: usize) -> Self {
+        Self::with_spec(spec(), domains, hosts)
+    }
+
+    /// Creates domains with this number of empty hosts in each, for a configuration.
+    pub fn with_spec(spec: Spec, domains: usize, hosts: usize) -> Self {
         let mut fleet = Self {
             now: Time(0),
             roster: Roster::default(),
             planner: Planner::new(Epoch(1_000)),
             demand: Demand::default(),
-            spec: spec(),
+            spec,
             hosts: BTreeMap::new(),
             halls: BTreeMap::new(),
             addresses: 0,
@@ -166,6 +179,10 @@
             pending_entries: BTreeMap::new(),
             unreachable: BTreeMap::new(),
             is_store_down: false,
+            finish_time: Span::ZERO,
+            order_count: 0,
+            load_count: 0,
+            cut_count: 0,
             violations: Vec::new(),
         };
         for domain in 0..domains {
@@ -191,6 +208,20 @@
         runner.staged = former.staged;
     }
 
+    /// Stops a host's runner without a sign of it; the daemon learns of it later.
+    pub fn stop_silently(&mut self, host: &HostName) {
+        self.hosts.get_mut(host).expect("known").is_dead = true;
+    }
+
+    /// Starts a host's runner again under the same name; its staged weights are still there.
+    pub fn reboot(&mut self, host: &HostName) {
+        let former = self.hosts[host].clone();
+        let instance = (host.clone(), self.born(&former));
+        self.unreachable.remove(&instance);
+        self.add_at(former.address, former.domain.as_str(), host.as_str());
+        self.hosts.get_mut(host).expect("added").staged = former.staged;
+    }
+
     fn add_at(&mut self, address: SocketAddr, domain: &str, host: &str) {
         let runner = SimRunner {
             address,
@@ -367,6 +398,9 @@
                 match delivery(&directive) {
                     Delivery::Immediate => {
                         self.execute(&directive);
+                        if !self.is_reached(&directive.host) {
+                            continue;
+                        }
                         let answer = OrderAnswer {
                             directive,
                             is_accepted: true,
@@ -397,6 +431,23 @@
             .count()
     }
 
+    /// Returns the model and the members of each group that serves, whether the daemon knows it or
+    /// not.
+    pub fn sound_groups(&self) -> Vec<(ModelName, Epoch, Vec<HostName>)> {
+        let heads = self.hosts.values().filter_map(|runner| {
+            let member = runner.member.as_ref()?;
+            (member.rank == 0 && member.state == MemberState::Open).then_some(member)
+        });
+        let is_present = |name: &HostName, epoch| {
+            let member = self.hosts[name].member.as_ref();
+            self.is_reached(name) && member.is_some_and(|member| member.epoch == epoch)
+        };
+        heads
+            .filter(|head| head.members.iter().all(|name| is_present(name, head.epoch)))
+            .map(|head| (head.model.clone(), head.epoch, head.members.clone()))
+            .collect()
+    }
+
     /// Returns the number of free hosts that have a model staged.
     pub fn spare_count(&self, model: &str) -> usize {
         let model = ModelName::from(model);
@@ -448,6 +499,7 @@
         for directive in due {
             self.execute(&directive);
         }
+        self.share_weight_store();
         let now = self.now;
         for runner in self.hosts.values_mut() {
             if let Some((model, at)) = runner.loading.clone()
@@ -460,7 +512,9 @@
                 && member.due.is_some_and(|due| due <= now)
             {
                 member.due = None;
-                if member.state == MemberState::Joining {
+                if member.state == MemberState::Closing {
+                    member.state = MemberState::Ready;
+                } else if member.state == MemberState::Joining {
                     runner.staged = vec![member.model.clone()];
                     runner.last_model = Some(member.model.clone());
                     member.state = MemberState::Ready;
@@ -485,11 +539,24 @@
         }
     }
 
+    /// Delays the loads that run if there are more of them than the weight store serves at once.
+    fn share_weight_store(&mut self) {
+        let engine = self.spec.services[0].engine.as_ref().expect("an engine");
+        let parallel = f64::from(engine.load_parallel);
+        let live = self.hosts.values_mut().filter(|runner| !runner.is_dead);
+        let mut loads: Vec<&mut Time> = live
+            .filter_map(|runner| Some(&mut runner.loading.as_mut()?.1))
+            .collect();
+        let speed = (parallel / loads.len() as f64).min(1.0);
+        let delay = STEP_INTERVAL.scaled(1.0 - speed);
+        loads.iter_mut().for_each(|at| **at = **at + delay);
+    }
+
     /// Checks that an open group has as many members as its model needs.
     fn check_size(&mut self, head: &HostName) {
         let member = self.hosts[head].member.as_ref().expect("open");
-        let size = if member.model.as_str() == LARGE { 6 } else { 3 };
-        if member.members.len() != size {
+        let size = self.replication(&member.model).size;
+        if member.members.len() != usize::from(size) {
             self.violations
                 .push(format!("{head} opened a group of another size"));
         }
@@ -509,6 +576,7 @@
         if !self.is_reached(&directive.host) {
             return;
         }
+        self.order_count += 1;
         match &directive.order {
             Order::Join {
                 group,
@@ -525,11 +593,23 @@
                 });
                 self.count_order(&directive.host);
             }
-            Order::Close { group, epoch, .. } => {
+            Order::Close { group, epoch, cut } => {
+                let is_whole = self.is_whole(&directive.host);
+                let finish_time = self.finish_time;
+                let mut is_cut = false;
                 self.with_member(&directive.host, group, *epoch, |member| {
+                    if !cut && finish_time > Span::ZERO {
+                        if member.state == MemberState::Open {
+                            member.state = MemberState::Closing;
+                            member.due = Some(now + finish_time);
+                        }
+                        return;
+                    }
+                    is_cut = *cut && member.state != MemberState::Ready && is_whole;
                     member.state = MemberState::Ready;
                     member.due = None;
                 });
+                self.cut_count += usize::from(is_cut);
                 self.count_order(&directive.host);
             }
             Order::Leave { group, epoch } => {
@@ -552,6 +632,7 @@
                     .is_some_and(|(other, _)| other == model);
                 if !runner.staged.contains(model) && !is_loading {
                     runner.orders += 1;
+                    self.load_count += 1;
                     runner.loading = Some((model.clone(), now + load));
                 }
             }
@@ -587,7 +668,10 @@
         let delay = match (&runner.last_model, runner.staged.contains(model)) {
             (Some(last), _) if last == model => REJOIN_DELAY,
             (_, true) => self.warm_time(model),
-            _ => self.load_time(model),
+            _ => {
+                self.load_count += 1;
+                self.load_time(model)
+            }
         };
         let rank = members.iter().position(|member| member == host);
         let runner = self.hosts.get_mut(host).expect("known");
@@ -604,6 +688,13 @@
         });
     }
 
+    /// Returns true if all members of the group of a head are alive.
+    fn is_whole(&self, head: &HostName) -> bool {
+        let member = self.hosts[head].member.as_ref();
+        let names = member.into_iter().flat_map(|member| &member.members);
+        names.into_iter().all(|name| !self.hosts[name].is_dead)
+    }
+
     /// Checks that every member is ready when the head is ordered to open.
     fn check_ready(&mut self, head: &HostName, group: &GroupName, epoch: Epoch) {
         let Some(member) = self.hosts[head].member.clone() else {
