Count only weight loads that are in progress

Loads ordered by the planner counted until their expected end, also if the host was lost or reported the weights. A host with a model's weights in memory that had staged another one since was counted as a load when it joined. Such entries took capacity from loads of new hosts.

--- a/src/gateway/weight_loads.rs
+++ b/src/gateway/weight_loads.rs
@@ -6,6 +6,8 @@
 
 use super::{
     budget::LoadBudget,
+    lifecycle::is_eligible,
+    roster::Roster,
     spec::{Engine, Replication},
 };
 use crate::core::{
@@ -34,6 +36,13 @@
     until: Time,
 }
 
+impl WeightLoad {
+    fn is_in_progress(&self, roster: &Roster) -> bool {
+        let host = roster.host_by_name(&self.host).map(|(_, host)| host);
+        host.is_some_and(|host| is_eligible(host) && !host.runner.staged.contains(&self.model))
+    }
+}
+
 impl WeightLoads {
     /// Creates a tracker without loads in progress.
     pub(super) fn new() -> Self {
@@ -43,9 +52,11 @@
         }
     }
 
-    /// Drops loads whose expected end has passed.
-    pub(super) fn expire(&mut self, now: Time) {
-        self.loads.retain(|load| load.until > now);
+    /// Drops loads that have ended: their hosts report the weights or are gone, or their expected end
+    /// has passed.
+    pub(super) fn expire(&mut self, roster: &Roster, now: Time) {
+        self.loads
+            .retain(|load| load.until > now && load.is_in_progress(roster));
     }
 
     /// Returns true if one more load would not slow down the others.
