--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -25,7 +25,7 @@
 /// Half-life of the weight of observed work.
 const HALF_LIFE: Span = Span::from_secs(6);
 
-/// Observed work of all daemons, in seconds of a group, below which the configured shares are used instead.
+/// Observed work, in seconds of a group, below which the configured shares are used instead.
 const MIN_OBSERVED_WORK_SECS: f64 = 2.0;
 
 /// Factor by which a model's need must exceed another's to take the hosts staged for it.
@@ -110,13 +110,12 @@
     pub fn new(engine: &'a Engine, demand: &'a Demand) -> Self {
         let models = engine.models.iter();
         let observed: f64 = models.map(|known| demand.work_of(&known.model)).sum();
-        let daemons = demand.daemons.max(1) as f64;
         let models = engine.models.iter();
         let by_rank = models.flat_map(|known| demand.by_rank(&known.model));
         Self {
             engine,
             demand,
-            is_observed: observed * daemons >= MIN_OBSERVED_WORK_SECS,
+            is_observed: observed >= MIN_OBSERVED_WORK_SECS,
             priorities: by_rank
                 .filter(|(_, work)| *work >= MIN_RANK_WORK_SECS)
                 .map(|(priority, _)| priority)
--- a/src/gateway/planner/mod.rs
+++ b/src/gateway/planner/mod.rs
@@ -85,7 +85,7 @@
     ) -> Vec<Directive> {
         let mut out = Vec::new();
         self.started.get_or_insert(now);
-        self.weight_loads.expire(roster, now);
+        self.weight_loads.expire(now);
         self.sent_orders.expire(now);
         let known = roster.groups();
         self.closing
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -95,14 +95,9 @@
     }
 
     /// Returns true if a free host must start a load in order to join a group of a model.
-    ///
-    /// A host with the weights in memory needs none, even if it has staged another model since.
     pub fn needs_load(&self, roster: &Roster, key: HostKey, model: &ModelName) -> bool {
-        let is_loading = self.loading.get(&key) == Some(model);
-        let has_weights = roster
-            .host(key)
-            .is_some_and(|host| weights_delay(host, model) <= JoinDelay::Staged);
-        !has_weights && !is_loading
+        let is_staged = is_staged(roster, key, model);
+        !is_staged && self.loading.get(&key) != Some(model)
     }
 
     /// Returns the delay class of a free host that would join a group of a model.
--- a/src/gateway/staging.rs
+++ b/src/gateway/staging.rs
@@ -19,12 +19,8 @@
 /// Factor by which each further spare of a model is worth less than the one before.
 const SPARE_DISCOUNT_FACTOR: f64 = 4.0;
 
-/// Factor by which a spare must be worth more to another model before it is staged again. The spare
-/// is of no use to either model during the load, which a new host could have instead.
-const RESTAGE_FACTOR: f64 = 3.0;
-
-/// The same factor for the only spare of a model that has a group in the domain.
-const FIRST_RESTAGE_FACTOR: f64 = 1.5;
+/// Factor by which a spare must be worth more to another model before it is staged again.
+const RESTAGE_FACTOR: f64 = 1.5;
 
 /// A model to be staged on a host.
 #[derive(Clone, Copy, Debug)]
@@ -79,7 +75,7 @@
             None => true,
             Some(current) => {
                 let is_spare = pool.group_count(&current.model) > 0;
-                is_spare && value(best) > value(current) * spares.restage_factor(pool, best)
+                is_spare && value(best) > value(current) * RESTAGE_FACTOR
             }
         };
         if is_due {
@@ -138,16 +134,6 @@
         }
     }
 
-    /// Returns the factor by which a host must be worth more to a model than to the one it has
-    /// staged.
-    fn restage_factor(&self, pool: &Pool, to: &Replication) -> f64 {
-        let has_spare = self.0.get(&to.model).is_some_and(|count| *count > 0);
-        match pool.group_count(&to.model) > 0 && !has_spare {
-            true => FIRST_RESTAGE_FACTOR,
-            false => RESTAGE_FACTOR,
-        }
-    }
-
     /// Moves one spare to another model.
     fn restage(&mut self, from: Option<&ModelName>, to: &ModelName) {
         if let Some(count) = from.and_then(|model| self.0.get_mut(model)) {
--- a/src/gateway/weight_loads.rs
+++ b/src/gateway/weight_loads.rs
@@ -6,8 +6,6 @@
 
 use super::{
     budget::LoadBudget,
-    lifecycle::is_eligible,
-    roster::Roster,
     spec::{Engine, Replication},
 };
 use crate::core::{
@@ -36,13 +34,6 @@
     until: Time,
 }
 
-impl WeightLoad {
-    fn is_in_progress(&self, roster: &Roster) -> bool {
-        let host = roster.host_by_name(&self.host).map(|(_, host)| host);
-        host.is_some_and(is_eligible)
-    }
-}
-
 impl WeightLoads {
     /// Creates a tracker without loads in progress.
     pub(super) fn new() -> Self {
@@ -52,11 +43,9 @@
         }
     }
 
-    /// Drops loads whose hosts are gone or whose expected end has passed. A load that ends early
-    /// still counts: a new holder of the duty knows of no earlier loads, and must not start too many.
-    pub(super) fn expire(&mut self, roster: &Roster, now: Time) {
-        self.loads
-            .retain(|load| load.until > now && load.is_in_progress(roster));
+    /// Drops loads whose expected end has passed.
+    pub(super) fn expire(&mut self, now: Time) {
+        self.loads.retain(|load| load.until > now);
     }
 
     /// Returns true if one more load would not slow down the others.
