--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -141,10 +141,7 @@
         let daemons = &self.state.topics[daemon_prefix];
         let listed = timeout(PEER_LIST_WAIT.into(), daemons.wait_for_list()).await;
         listed.ok()?;
-        let settings = &self.state.settings;
-        let peers = self.state.peers.borrow();
-        let sources = source::list_sources(&settings.name, &settings.hall, &peers);
-        drop(peers);
+        let sources = self.list_sources();
         // The sources may be starting too.
         while !sources.is_empty() && self.state.now() < until {
             for source in &sources {
@@ -160,6 +157,12 @@
         None
     }
 
+    fn list_sources(&self) -> Vec<SocketAddr> {
+        let settings = &self.state.settings;
+        let peers = self.state.peers.borrow();
+        source::list_sources(&settings.name, &settings.hall, &peers)
+    }
+
     fn apply_peer_list(&mut self, list: PeerList) {
         self.record_contact();
         self.listed_at = self.state.now();
