Read as a newcomer: names, comments, and faults that two fresh readers found

Cause: two readers who had not seen the work before read its diff. Change: the task that sends datagrams can be restarted after a panic (its outbox was set once, so each restart panicked again); a subscription's count is released by a guard; an empty operator_token in YAML means none; responses of explain are bounded; an account that the configuration lacks is reported as unknown. Names and comments as proposed. Tests: callers fail on unexpected write errors again, the cut authorities and the repairs must occur, and a check that held for any code is gone.

--- a/examples/repair/main.rs
+++ b/examples/repair/main.rs
@@ -51,7 +51,11 @@
     ),
 ];
 
-const PATTERNS: [Pattern; 3] = [Pattern::Losses, Pattern::DarkDomain, Pattern::Restarts];
+const PATTERNS: [Pattern; 3] = [
+    Pattern::Losses,
+    Pattern::UnreachableDomain,
+    Pattern::Restarts,
+];
 
 fn main() {
     let seeds = number("SEEDS", 12);
--- a/src/commands/explain/mod.rs
+++ b/src/commands/explain/mod.rs
@@ -20,12 +20,15 @@
     shell::http::send_once,
 };
 use http::{HeaderValue, Request, StatusCode, header};
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Full, Limited};
 use std::net::SocketAddr;
 
 /// Step that most errors name.
 const STEP: &str = "failed to request the explanation";
 
+/// Maximum size of a response, in bytes.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 /// Requests the explanation and prints it.
 pub fn run(target: &Target, args: ExplainArgs) -> Result<(), CommandError> {
     let daemon = daemon(target)?;
@@ -83,7 +86,9 @@
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(query)))?;
     let (head, body) = send_once(daemon, request).await?.into_parts();
-    Ok((head.status, body.collect().await?.to_bytes()))
+    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    let body = body.map_err(anyhow::Error::from_boxed)?;
+    Ok((head.status, body.to_bytes()))
 }
 
 /// Returns the error for a response without an explanation.
--- a/src/commands/explain/show.rs
+++ b/src/commands/explain/show.rs
@@ -184,6 +184,7 @@
         Unknown::OtherDaemons => "what other daemons choose meanwhile",
         Unknown::Quarantine => "whether the request or a part of its prompt is quarantined",
         Unknown::EarlierAttempts => "the caller's timeout and earlier attempts",
+        Unknown::Account => "the account: the configuration has none of that name",
         Unknown::Permit => "whether a permit would be granted",
         Unknown::Acceptance => "whether the runner accepts the request",
         Unknown::Relay => "whether another daemon takes it, as this one reaches no runner",
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -96,9 +96,9 @@
 }
 
 impl Precedence {
-    /// Returns it without the slots for others that the request's position among the expected ones
-    /// already comes after.
-    pub(super) fn for_position(self) -> Self {
+    /// Drops the reserves that a request's position among the expected ones already accounts for: those
+    /// for ranks, and those for accounts if its account's share is known.
+    pub(super) fn without_position_reserves(self) -> Self {
         Self {
             for_ranks: 0,
             for_accounts: match self.share {
--- a/src/gateway/balancer/admit.rs
+++ b/src/gateway/balancer/admit.rs
@@ -217,7 +217,7 @@
     fn reserves(&self) -> Precedence {
         match self.room {
             // The position among the expected requests follows the rank already.
-            Some(_) => self.precedence.for_position(),
+            Some(_) => self.precedence.without_position_reserves(),
             None => self.precedence,
         }
     }
--- a/src/gateway/balancer/candidates.rs
+++ b/src/gateway/balancer/candidates.rs
@@ -31,7 +31,7 @@
     retain(&mut candidates, Exclusion::Tried, observer, |candidate| {
         !criteria.tried.contains(&candidate.host)
     });
-    leave_out_held_back(&mut candidates, view, criteria.unlimited, now, observer)?;
+    retain_ready(&mut candidates, view, criteria.unlimited, now, observer)?;
     let is_avoided = |candidate: &Candidate| view.loads.is_avoided(candidate.host, now);
     if !candidates.iter().all(is_avoided) {
         retain(&mut candidates, Exclusion::Avoided, observer, |candidate| {
@@ -61,7 +61,7 @@
 }
 
 /// Keeps the candidates that may take a request now, by their rate limits and pauses.
-fn leave_out_held_back<O>(
+fn retain_ready<O>(
     candidates: &mut Vec<Candidate>,
     view: View<'_>,
     unlimited: bool,
--- a/src/gateway/balancer/mod.rs
+++ b/src/gateway/balancer/mod.rs
@@ -87,7 +87,8 @@
 }
 
 /// Returns true if a stream of a chosen runner is known to have lost what it needs, also if it has
-/// not stalled yet. That the entry of a runner is missing doesn't show that.
+/// not stalled yet. That the entry of a runner is missing doesn't show that, so a plain runner without
+/// one is waited for until its response stalls or breaks off.
 pub fn has_lost_member(roster: &Roster, endpoint: &Endpoint) -> bool {
     let Some(host) = roster.host(endpoint.host) else {
         return !still_serves(roster, endpoint);
--- a/src/gateway/changes/messages.rs
+++ b/src/gateway/changes/messages.rs
@@ -52,3 +52,10 @@
         pub outages: u32,
     }
 }
+
+impl Subscribe {
+    /// Returns true if a list is requested instead of changes.
+    pub fn wants_list(&self) -> bool {
+        self.after == Revision::default()
+    }
+}
--- a/src/gateway/changes/packed.rs
+++ b/src/gateway/changes/packed.rs
@@ -8,8 +8,9 @@
 use serde::{Deserialize, Serialize};
 use std::{error::Error, fmt};
 
-/// Maximum size of unpacked entries, in bytes.
-const MAX_BYTES: usize = 4 << 20;
+/// Maximum size of unpacked entries, in bytes, so that a malformed size allocates no more. A page is
+/// smaller, unless it holds a single large entry.
+const MAX_UNPACKED_BYTES: usize = 4 << 20;
 
 /// Entries, encoded and compressed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,7 +58,7 @@
     /// Fails if the bytes are malformed, or if the entries are too large.
     pub fn unpack(&self) -> Result<Vec<PlatformEntry>, UnpackError> {
         let (size, packed) = block::uncompressed_size(&self.0).map_err(UnpackError::Compression)?;
-        if size > MAX_BYTES {
+        if size > MAX_UNPACKED_BYTES {
             return Err(UnpackError::TooLarge(size));
         }
         let bytes = block::decompress(packed, size).map_err(UnpackError::Compression)?;
--- a/src/gateway/changes/peer.rs
+++ b/src/gateway/changes/peer.rs
@@ -48,6 +48,7 @@
     }
 }
 
+/// Connects to a peer and sends it a request.
 pub(super) async fn subscribe(peer: SocketAddr, request: Subscribe) -> io::Result<TcpStream> {
     let mut stream = connect_within(peer, CONNECT_TIMEOUT).await?;
     let frame = postcard::to_stdvec(&request).map_err(io::Error::other)?;
@@ -55,6 +56,7 @@
     Ok(stream)
 }
 
+/// Reads the next message of a peer.
 pub(super) async fn read_update(stream: &mut TcpStream) -> io::Result<Update> {
     let frame = read_frame(stream, MAX_MESSAGE_BYTES).await?;
     postcard::from_bytes(&frame).map_err(io::Error::other)
--- a/src/gateway/changes/server.rs
+++ b/src/gateway/changes/server.rs
@@ -27,7 +27,8 @@
 /// Timeout of the request of a new subscriber, and of each message to one.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time for which a daemon that has just started may let others wait for its own list.
+/// Time for which a daemon that has just started lets others wait for its own list; shorter than
+/// their timeout for a page, so that they try another daemon.
 const LIST_WAIT: Duration = Duration::from_millis(800);
 
 /// Maximum size of the entries in one page of a list; a page is sent to many daemons at a time.
@@ -57,11 +58,26 @@
 }
 
 async fn serve_subscriber(stream: TcpStream, state: Rc<GatewayState>) {
-    count_subscriptions(&state, state.subscriptions.get() + 1);
+    let _counted = SubscriptionGuard::new(&state);
     if let Err(error) = send_changes(stream, &state).await {
         slog::debug!(state.log, "subscription ended"; "cause" => error.to_string());
     }
-    count_subscriptions(&state, state.subscriptions.get() - 1);
+}
+
+/// Guard that counts a subscription until it is dropped, also by a panic.
+struct SubscriptionGuard<'a>(&'a GatewayState);
+
+impl<'a> SubscriptionGuard<'a> {
+    fn new(state: &'a GatewayState) -> Self {
+        count_subscriptions(state, state.subscriptions.get() + 1);
+        Self(state)
+    }
+}
+
+impl Drop for SubscriptionGuard<'_> {
+    fn drop(&mut self) {
+        count_subscriptions(self.0, self.0.subscriptions.get() - 1);
+    }
 }
 
 fn count_subscriptions(state: &GatewayState, count: usize) {
@@ -78,7 +94,7 @@
         return Err(io::Error::other("unknown prefix"));
     };
     let mut after = request.after;
-    if after == Revision::default() {
+    if request.wants_list() {
         return send_list(&mut stream, topic, state).await;
     }
     loop {
--- a/src/gateway/changes/source.rs
+++ b/src/gateway/changes/source.rs
@@ -23,8 +23,8 @@
 /// Number of daemons from which a hall has subscribers; in a smaller one they would save little.
 const MIN_HALL_DAEMONS: usize = 4;
 
-/// Number of daemons from which those that start list the entries from a peer: if many start at
-/// once, their lists together take seconds at the store.
+/// Number of daemons from which one that starts lists the entries from a peer: the lists of so many
+/// at once would overload the store.
 const MIN_LIST_DAEMONS: usize = 64;
 
 /// Time for which a peer that failed is not subscribed to again.
--- a/src/gateway/coldness.rs
+++ b/src/gateway/coldness.rs
@@ -374,7 +374,7 @@
     }
 
     /// Returns the cold time of a runner; none if it isn't cold.
-    pub fn cold_until(&self, host: HostKey, now: Time) -> Option<ColdTime> {
+    pub fn cold_time(&self, host: HostKey, now: Time) -> Option<ColdTime> {
         let (known, rate) = self.get(host)?;
         let statements = known.statements(rate.period);
         let longest = statements.max_by_key(|statement| statement.until)?;
--- a/src/gateway/datagrams.rs
+++ b/src/gateway/datagrams.rs
@@ -26,7 +26,7 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt as _;
 use metrics::counter;
-use std::{cell::OnceCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Size of the largest datagram that is read.
 const MAX_BYTES: usize = 2_048;
@@ -165,7 +165,7 @@
 /// Datagrams to be sent; they are dropped if the daemon has no address for other daemons.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    sender: OnceCell<mpsc::UnboundedSender<(SocketAddr, Outgoing)>>,
+    sender: RefCell<Option<mpsc::UnboundedSender<(SocketAddr, Outgoing)>>>,
 }
 
 impl Outbox {
@@ -180,8 +180,8 @@
     }
 
     fn push(&self, to: SocketAddr, datagram: Outgoing) {
-        if let Some(sender) = self.sender.get() {
-            // Fails only if the sending task has ended with the process.
+        if let Some(sender) = &*self.sender.borrow() {
+            // Fails only while the sending task is restarted; a datagram may be lost.
             let _ = sender.unbounded_send((to, datagram));
         }
     }
@@ -190,8 +190,8 @@
 /// Sends the datagrams of the outbox for the lifetime of the process.
 pub async fn send(socket: UdpSocket, state: Rc<GatewayState>) {
     let (sender, mut outgoing) = mpsc::unbounded();
-    let is_first = state.outbox.sender.set(sender).is_ok();
-    assert!(is_first, "one task sends the datagrams");
+    // A restart after a panic replaces the channel; datagrams queued in the old one are lost.
+    state.outbox.sender.replace(Some(sender));
     while let Some((to, datagram)) = outgoing.next().await {
         let bytes = match datagram {
             Outgoing::Decoded(datagram) => {
--- a/src/gateway/explain/candidates.rs
+++ b/src/gateway/explain/candidates.rs
@@ -86,7 +86,7 @@
     }
 
     fn facts(&self, key: HostKey, host: &Host, obstacle: Option<Obstacle>) -> CandidateFacts {
-        let holds = self.view.notices.holds(key, self.now);
+        let holds = self.view.notices.hold_times(key, self.now);
         let unlisted = host.unlisted_since;
         CandidateFacts {
             host: host.name.clone(),
@@ -139,7 +139,7 @@
     }
 
     fn cold(&self, key: HostKey) -> Option<ColdFacts> {
-        let cold = self.view.notices.coldness.cold_until(key, self.now)?;
+        let cold = self.view.notices.coldness.cold_time(key, self.now)?;
         Some(ColdFacts {
             left_ms: cold.until.since(self.now).as_millis(),
             source: cold.source,
--- a/src/gateway/explain/mod.rs
+++ b/src/gateway/explain/mod.rs
@@ -1,7 +1,7 @@
 //! Explains what the daemon would do with a request now, and why.
 //!
 //! The explanation is made from the same functions as the decision itself:
-//! `RouteTable::authorize`, `selection::decide` and, in place of
+//! `RouteTable::authorize`, `selection::with_choice_inputs` and, in place of
 //! `balancer::choose`, `balancer::assess`. It changes nothing: it draws no random
 //! number, counts no request, asks for no permit and sends nothing to a runner.
 //!
@@ -19,7 +19,7 @@
     forward::{DEFAULT_TIMEOUT, STOPPING_RETRY_DELAY_MS},
     responses::{Refusal, UNCONFIGURED_RETRY_DELAY_MS},
     routes::{AccessError, RouteTable},
-    selection::{self, Wanted},
+    selection::{self, SelectionRequest},
     spec::Route,
     state::GatewayState,
 };
@@ -35,7 +35,7 @@
 
 /// Request of a query once its route is known.
 #[derive(Clone, Copy)]
-struct Asked<'a> {
+struct RoutedQuery<'a> {
     query: &'a Query,
     table: &'a RouteTable,
     route: &'a Route,
@@ -74,7 +74,7 @@
             ..blank
         },
         Ok(route) => {
-            let asked = Asked {
+            let routed = RoutedQuery {
                 query,
                 table: &table,
                 route,
@@ -87,7 +87,7 @@
                 account: account.cloned(),
                 ..blank
             };
-            with_services(explanation, state, asked)
+            with_services(explanation, state, routed)
         }
     }
 }
@@ -96,45 +96,48 @@
 fn with_services(
     mut explanation: Explanation,
     state: &GatewayState,
-    asked: Asked<'_>,
+    routed: RoutedQuery<'_>,
 ) -> Explanation {
-    let services = asked.route.service_probabilities();
+    let services = routed.route.service_probabilities();
     if services.is_empty() {
         explanation.refusal = Some(refused(Reason::NoService, Refusal::NoRoute, None));
     }
     let facts = services
         .into_iter()
-        .filter_map(|(service, share)| service_facts(state, asked, service, share));
+        .filter_map(|(service, share)| service_facts(state, routed, service, share));
     explanation.services = facts.collect();
     let admitted = explanation.services.iter();
     let admitted = admitted.map(|service| service.share * service.admitted);
     explanation.admitted = admitted.sum();
     explanation.unknown = unknown(state, &explanation);
+    if routed.query.account.is_some() && routed.account.is_none() {
+        explanation.unknown.push(Unknown::Account);
+    }
     explanation
 }
 
 fn service_facts(
     state: &GatewayState,
-    asked: Asked<'_>,
+    routed: RoutedQuery<'_>,
     service: &ServiceName,
     share: f64,
 ) -> Option<ServiceFacts> {
-    let wanted = Wanted {
+    let wanted = SelectionRequest {
         service,
-        model: asked.query.model.as_ref(),
-        account: asked.account,
-        rank: asked.table.rank(service, asked.route, asked.account),
+        model: routed.query.model.as_ref(),
+        account: routed.account,
+        rank: routed.table.rank(service, routed.route, routed.account),
         class: AdmissionClass::OnTime,
-        prompt_tokens: asked.query.prompt_tokens,
-        answer_tokens: asked.query.answer_tokens,
-        deadline: asked.deadline,
+        prompt_tokens: routed.query.prompt_tokens,
+        answer_tokens: routed.query.answer_tokens,
+        deadline: routed.deadline,
         tried: &[],
         unlimited: false,
     };
-    selection::decide(state, &wanted, |view, criteria, now| {
+    selection::with_choice_inputs(state, &wanted, |view, criteria, now| {
         let assessment = balancer::assess(view, criteria, now);
         let candidates = candidates::describe(view, &criteria, &assessment, now);
-        let is_late = !state.admits(asked.deadline, criteria.duration);
+        let is_refused_by_drain = !state.admits(routed.deadline, criteria.duration);
         let facts = ServiceFacts {
             service: service.clone(),
             share,
@@ -150,7 +153,7 @@
             outcomes: outcomes::describe(&assessment, &criteria),
             candidates,
         };
-        match is_late {
+        match is_refused_by_drain {
             true => stopping(facts),
             false => facts,
         }
--- a/src/gateway/explain/report.rs
+++ b/src/gateway/explain/report.rs
@@ -8,7 +8,7 @@
 };
 
 crate::record! {
-    /// Request of which a daemon is asked what it would do with it.
+    /// Request of which a daemon is routed what it would do with it.
     #[serde(deny_unknown_fields)]
     pub struct Query {
         /// Host name that the caller names.
@@ -255,7 +255,7 @@
         Choice(Exclusion),
     }
 
-    /// What may change the outcome and isn't known to the daemon, or not asked for.
+    /// What may change the outcome and isn't known to the daemon, or not routed for.
     #[derive(Copy, Eq)]
     pub enum Unknown {
         /// What other daemons choose meanwhile.
@@ -264,6 +264,9 @@
         Quarantine,
         /// The time that the caller has spent on earlier attempts, and its timeout.
         EarlierAttempts,
+        /// Whether the account exists: the configuration has none of that name, and the request counts
+        /// as one without.
+        Account,
         /// Whether a permit would be granted.
         Permit,
         /// Whether the runner accepts the request.
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -75,8 +75,8 @@
     head.unlisted_since.map(|_| CloseReason::MissingEntry)
 }
 
-/// Returns true if an unreachable member of a group doesn't work for it any more. One that leaves
-/// without saying so may, until it must have ended and the head has no more data.
+/// Returns true if a member of a group is unreachable and no longer works for it. One whose entry is
+/// missing may work until `DRAIN_TIMEOUT`, or while the head sends data.
 fn has_ended_member(roster: &Roster, group: &Group, head: &Host, now: Time) -> bool {
     let may_work = |host: &Host| {
         let unlisted = host.unlisted_since;
@@ -84,8 +84,8 @@
         may_drain || head.sends_data(now)
     };
     let mut members = roster.members(group);
-    let has_lapsed = members.any(|host| host.is_unreachable() && !may_work(host));
-    has_lapsed || roster.has_lost_member(group)
+    let has_stopped = members.any(|host| host.is_unreachable() && !may_work(host));
+    has_stopped || roster.has_lost_member(group)
 }
 
 /// Returns true if an open group has slow members and its domain has as many spares that can
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -111,7 +111,7 @@
 
 /// Times for which a runner takes no request from this daemon.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Holds {
+pub struct HoldTimes {
     /// Time until the end of a pause that it asked for.
     pub paused: Span,
     /// Time until its limit allows the next request.
@@ -189,7 +189,7 @@
         now.since(heard_at.unwrap_or_default())
     }
 
-    /// Holds back requests to a runner until its limit allows the next one.
+    /// HoldTimes back requests to a runner until its limit allows the next one.
     pub fn hold_back(&mut self, host: HostKey, until: Time) {
         if let Some(entry) = self.entries.entry(host) {
             entry.or_default().held_until = until;
@@ -204,14 +204,14 @@
 
     /// Returns the time until a runner may take a request; zero if it may now.
     pub fn wait(&self, host: HostKey, now: Time) -> Span {
-        let holds = self.holds(host, now);
+        let holds = self.hold_times(host, now);
         holds.paused.max(holds.limited)
     }
 
     /// Returns the times until a runner may take a request, by reason.
-    pub fn holds(&self, host: HostKey, now: Time) -> Holds {
+    pub fn hold_times(&self, host: HostKey, now: Time) -> HoldTimes {
         let entry = self.entries.get(host).copied().unwrap_or_default();
-        Holds {
+        HoldTimes {
             paused: entry.paused_until.since(now),
             limited: entry.held_until.since(now),
         }
--- a/src/gateway/operator_token.rs
+++ b/src/gateway/operator_token.rs
@@ -53,7 +53,7 @@
 where
     D: Deserializer<'de>,
 {
-    let text = String::deserialize(deserializer)?;
+    let text = Option::<String>::deserialize(deserializer)?.unwrap_or_default();
     if text.is_empty() || text.starts_with("{{") {
         return Ok(None);
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -169,7 +169,7 @@
     }
 
     /// Returns the time for which changes of the other daemons had been seen at a time.
-    pub fn acquaintance(&self, time: Time) -> Span {
+    pub fn observed_for(&self, time: Time) -> Span {
         self.listed_since
             .map_or(Span::ZERO, |since| time.since(since))
     }
--- a/src/gateway/permits/authority.rs
+++ b/src/gateway/permits/authority.rs
@@ -21,15 +21,16 @@
 use xxhash_rust::xxh3::Xxh3;
 
 /// Time after which all daemons have read a new entry.
-const SETTLE_TIME: Span = Span::from_millis(2_000);
+pub(super) const SETTLE_TIME: Span = Span::from_millis(2_000);
 
-/// Part of a limit that a daemon issues while another one may do so as well, by the number of daemons
-/// that may issue permits beside that one. With more of them it issues none: each would add a whole
-/// permit to the requests of a second, however small its part is.
+/// Fractions of a limit that a daemon issues while its entry in the store is not settled, indexed by
+/// the number of departed daemons that may still issue permits for the same runner. With two or more
+/// it issues none, since each issuer adds at least one permit, whatever its fraction.
 const UNSETTLED_SHARES: [f64; 2] = [1.0 / 4.0, 1.0 / 16.0];
 
-/// Time after which a daemon counts as knowing which others have gone before.
-const ACQUAINTANCE_TIME: Span = Span::from_secs(60);
+/// Time for which a daemon must have known the others' entries before it is sure which of them have
+/// gone: most cuts from the store end sooner.
+const MIN_OBSERVATION_TIME: Span = Span::from_secs(60);
 
 /// Daemon that issues the permits for a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,7 +97,7 @@
         }
         // Whatever has gone since the entry may have lapsed isn't seen for certain.
         let seen_until = now.min(self.until);
-        let is_new = peers.acquaintance(seen_until) < ACQUAINTANCE_TIME;
+        let is_new = peers.observed_for(seen_until) < MIN_OBSERVATION_TIME;
         let unseen = usize::from(is_new);
         let others = unseen + count_predecessors(own, peers, runner, seen_until);
         UNSETTLED_SHARES.get(others).copied().unwrap_or(0.0)
--- a/src/gateway/permits/bucket.rs
+++ b/src/gateway/permits/bucket.rs
@@ -1,5 +1,6 @@
 //! Token bucket over the requests to one runner.
 
+use super::authority::SETTLE_TIME;
 use crate::{
     core::time::{Span, Time},
     gateway::notices::{AppliedLimit, LimitReason},
@@ -19,9 +20,9 @@
 /// then, since only a response can end its limit.
 const MIN_RATE: f64 = 0.1;
 
-/// Maximum time until a daemon asks again that got none out of a part of the limit: the authority may
-/// issue the whole limit by then.
-const MAX_PARTIAL_WAIT: Span = Span::from_millis(2_000);
+/// Maximum wait of a daemon that is refused a permit while the authority issues only a part of the
+/// limit; the authority may issue the whole limit by then.
+const MAX_PARTIAL_WAIT: Span = SETTLE_TIME;
 
 /// Permits to send requests to one runner. Starts empty, so that a change of the daemon that issues
 /// permits adds none.
--- a/src/gateway/roster/mod.rs
+++ b/src/gateway/roster/mod.rs
@@ -365,12 +365,11 @@
         hosts.any(|host| host.is_none_or(Host::is_unreachable))
     }
 
-    /// Returns true if a member of a group is unreachable, and not only because it leaves without
-    /// saying so: its entry is missing, and it may still be at work.
+    /// Returns true if a member of a group is unreachable and can't be at work. One whose entry is
+    /// missing may still be at work, unless it announced that it leaves or is known to be dead.
     pub fn has_lost_member(&self, group: &Group) -> bool {
         let is_at_work = |host: &Host| {
-            let has_said_so = host.is_draining();
-            host.unlisted_since.is_some() && !has_said_so && !self.is_dead(host)
+            host.unlisted_since.is_some() && !host.is_draining() && !self.is_dead(host)
         };
         let mut unreachable = self.members(group).filter(|host| host.is_unreachable());
         unreachable.any(|host| !is_at_work(host))
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -17,7 +17,7 @@
 
 /// Request as far as the choice of its runner depends on it.
 #[derive(Clone, Copy)]
-pub(super) struct Wanted<'a> {
+pub(super) struct SelectionRequest<'a> {
     /// Service of the request.
     pub(super) service: &'a ServiceName,
     /// Requested model.
@@ -40,7 +40,7 @@
     pub(super) unlimited: bool,
 }
 
-impl<'a> Wanted<'a> {
+impl<'a> SelectionRequest<'a> {
     fn of(call: &'a Call, class: AdmissionClass, unlimited: bool) -> Self {
         Self {
             service: &call.service,
@@ -82,8 +82,8 @@
     unlimited: bool,
 ) -> Result<Endpoint, ChooseError> {
     let state = &call.state;
-    let wanted = Wanted::of(call, class, unlimited);
-    let chosen = decide(state, &wanted, |view, criteria, now| {
+    let wanted = SelectionRequest::of(call, class, unlimited);
+    let chosen = with_choice_inputs(state, &wanted, |view, criteria, now| {
         balancer::choose(view, criteria, now, &mut *state.rng.borrow_mut())
     });
     let chosen = chosen.unwrap_or(Err(ChooseError::NoneServing));
@@ -97,7 +97,11 @@
 }
 
 /// Passes to `act` what a choice of a runner is made from; returns none if there is no configuration.
-pub(super) fn decide<F, T>(state: &GatewayState, wanted: &Wanted<'_>, act: F) -> Option<T>
+pub(super) fn with_choice_inputs<F, T>(
+    state: &GatewayState,
+    wanted: &SelectionRequest<'_>,
+    act: F,
+) -> Option<T>
 where
     F: FnOnce(View<'_>, Criteria<'_>, Time) -> T,
 {
@@ -131,7 +135,11 @@
 
 /// Returns what a request has to leave to others. One that may have run goes on whatever others
 /// need.
-fn precedence(state: &GatewayState, wanted: &Wanted<'_>, table: &RouteTable) -> Precedence {
+fn precedence(
+    state: &GatewayState,
+    wanted: &SelectionRequest<'_>,
+    table: &RouteTable,
+) -> Precedence {
     match wanted.contending(table) {
         Some(request) if wanted.class != AdmissionClass::Resumed => {
             let daemons = state.peers.borrow().count().max(1);
@@ -147,7 +155,7 @@
     let Some(table) = call.state.route_table() else {
         return;
     };
-    let wanted = Wanted::of(call, AdmissionClass::OnTime, false);
+    let wanted = SelectionRequest::of(call, AdmissionClass::OnTime, false);
     let request = wanted.contending(&table);
     if let Some(request) = request.filter(|_| call.relayed.is_none()) {
         let mut contention = call.state.contention.borrow_mut();
--- a/src/gateway/shares.rs
+++ b/src/gateway/shares.rs
@@ -8,12 +8,12 @@
 use rand::Rng;
 use std::collections::BTreeMap;
 
-/// Half-life of the work by which accounts of a rank share; a daemon with seven requests a second
-/// then counts about 150, a few for each of dozens of accounts.
+/// Half-life of the work by which accounts of a rank share: long enough for a daemon to see several
+/// requests of each account, and short enough to follow changes of the load.
 const SHARE_HALF_LIFE: Span = Span::from_secs(15);
 
-/// Half-life of the work by which an account is found starved, over which even a daemon with two
-/// requests a second sees a few of each account.
+/// Half-life of the work by which an account is found starved, so long that a daemon with few
+/// requests also sees several of each account.
 const STARVATION_HALF_LIFE: Span = Span::from_secs(60);
 
 /// How much of the requests of one rank is within the accounts' shares.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -147,6 +147,7 @@
             for source in &sources {
                 match list::fetch(*source, self.prefix).await {
                     Ok(list) => return Some(list),
+                    // A peer of an earlier version has no lists.
                     Err(FollowEnd::Compacted) => return None,
                     Err(cause) => slog::debug!(self.state.log, "no list from a peer";
                         "prefix" => self.prefix, "peer" => source.to_string(), "cause" => %cause),
--- a/src/shell/linger.rs
+++ b/src/shell/linger.rs
@@ -18,10 +18,10 @@
 const MAX_DISCARDED_BYTES: usize = 16 << 20;
 
 /// Maximum time for which bytes are discarded.
-const MAX_TIME: Duration = Duration::from_secs(10);
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(10);
 
 /// Time without bytes after which the peer is taken to have read the response.
-const MAX_SILENCE: Duration = Duration::from_secs(2);
+const MAX_PEER_SILENCE: Duration = Duration::from_secs(2);
 
 /// Bytes that are discarded at once.
 const BLOCK_BYTES: usize = 8 << 10;
@@ -61,7 +61,7 @@
     fn new(active_at: Instant) -> Self {
         Self {
             bytes_left: MAX_DISCARDED_BYTES,
-            ends: Instant::now() + MAX_TIME,
+            ends: Instant::now() + MAX_DISCARD_TIME,
             active_at,
             timer: None,
         }
@@ -79,7 +79,7 @@
     /// The timer is kept after a read, so that one is created per silence and not per read.
     fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         loop {
-            let deadline = self.ends.min(self.active_at + MAX_SILENCE);
+            let deadline = self.ends.min(self.active_at + MAX_PEER_SILENCE);
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return Poll::Ready(());
--- a/tests/gateway/account_work.rs
+++ b/tests/gateway/account_work.rs
@@ -14,11 +14,10 @@
         admission::Precedence,
         contention::{Contention, Request},
         load_exchange::{
-            choice::{aggregators, interval},
+            choice::interval,
             message::{HeadCounts, LoadReport, ReportId},
             work_tally::{PendingWork, WorkTally},
         },
-        peers::Peers,
         rank::Rank,
         shares::SharePart,
     },
@@ -74,6 +73,12 @@
     }
 }
 
+/// Number of aggregators that a daemon reports to.
+const AGGREGATORS: usize = 2;
+
+/// Half of what a daemon may use for all exchanges between daemons.
+const MAX_BYTES_PER_S: f64 = 3_000.0;
+
 /// A datagram over its limit would be cut by the receiver. Of too many accounts, those with the least
 /// work are left out.
 #[test]
@@ -113,10 +118,9 @@
 /// At the size that the system is built towards, all control takes less than 6 KB a second.
 #[test]
 fn work_of_accounts_takes_a_bounded_part_of_the_bytes() {
-    let each_interval = 2 * (MAX_REPORT_BYTES + MAX_TOTALS_BYTES);
+    let each_interval = AGGREGATORS * (MAX_REPORT_BYTES + MAX_TOTALS_BYTES);
     let bytes = each_interval as f64 / interval(340).as_secs_f64();
-    assert!(bytes < 3_000.0, "{bytes} a second");
-    assert!(aggregators(&Peers::default()).len() <= 2);
+    assert!(bytes < MAX_BYTES_PER_S, "{bytes} a second");
 }
 
 /// Before the exchange begins, and once it is off, work must not pile up for a report.
--- a/tests/gateway/cold_limits.rs
+++ b/tests/gateway/cold_limits.rs
@@ -72,7 +72,8 @@
     }
 }
 
-// Each sees the others as they were when it was cut off, and may take itself for the authority.
+/// Guards against several daemons that are cut off and each issue permits as the authority, so that
+/// together they exceed the cold rate: each sees the others as they were when it was cut off.
 #[test]
 fn cold_rate_is_kept_while_daemons_are_cut_off_alone_one_after_the_other() {
     for (daemons, seeds) in [(8, 200), (61, 4)] {
@@ -108,17 +109,15 @@
     assert_kept(&fleet, Span::ZERO, &context);
 }
 
-// The first of three is the authority of a head, each later one takes its place, and nobody
-// learns that the others go on.
+/// Guards against former authorities that go on issuing permits: each is replaced by the next,
+/// without learning of it.
 #[test]
 fn cold_rate_is_kept_while_each_authority_is_cut_off_alone_in_turn() {
     for (daemons, seeds) in [(8, 20), (61, 2)] {
         for seed in 0..seeds {
             let mut fleet = Fleet::new(Policy::Permits, daemons, HEADS, seed);
             for _ in 0..5 {
-                let Some(authority) = fleet.informed_authority(0) else {
-                    break;
-                };
+                let authority = fleet.informed_authority(0).expect("an authority");
                 fleet.daemons[authority].is_alone = true;
                 fleet.cut_off(authority);
                 fleet.run_for(Span::from_secs(6), CAPACITY * 0.1);
--- a/tests/gateway/contention.rs
+++ b/tests/gateway/contention.rs
@@ -539,10 +539,10 @@
     }
 }
 
-/// With 195 daemons each saw too few requests of an account to tell its share: such an account got 3.5%
-/// where all got 23.1%.
+/// Guards against shares judged by the sample of one daemon, which with 195 daemons holds too few
+/// requests of an account. On other seeds the account is still starved, see the next test.
 #[test]
-fn account_is_not_starved_with_many_daemons_that_exchange_work() {
+fn account_of_least_urgent_rank_gets_its_part_with_exchanged_work() {
     let scene = Scene {
         daemons: 195,
         account_priority: Some(2),
@@ -554,6 +554,26 @@
     assert!(last.served() < all.served(), "{last:?} {all:?}");
 }
 
+/// Guards against an account that gets less than a quarter of the average of all. Fails on some seeds,
+/// see KNOWN-RED.txt.
+#[test]
+fn account_is_not_starved_on_any_seed_with_exchanged_work() {
+    for seed in 8..=12 {
+        let scene = Scene {
+            daemons: 195,
+            account_priority: Some(2),
+            seed,
+            ..scene(Policy::Exchanged, 4.0, 0.05)
+        };
+        let figures = play(scene, Span::from_secs(30));
+        let (last, all) = (figures.last_account(), figures.all());
+        assert!(
+            last.served() > 0.25 * all.served(),
+            "seed {seed}: {last:?} {all:?}"
+        );
+    }
+}
+
 /// All daemons have the same totals. Accounts a little above the level must not all leave their slots to
 /// the next rank at once: the most urgent rank then got 77% instead of 89%.
 #[test]
--- a/tests/gateway/contention_fleet.rs
+++ b/tests/gateway/contention_fleet.rs
@@ -5,7 +5,7 @@
 //! the time that they are told.
 
 use super::engine_heads::{
-    ANSWER_TOKENS, Agenda, PROMPT_TOKENS, SLOTS, engine, head, model, service, spec,
+    ANSWER_TOKENS, EventQueue, PROMPT_TOKENS, SLOTS, engine, head, model, service, spec,
 };
 use hickoryledge::{
     core::{
@@ -224,7 +224,7 @@
     /// The last digest of accounts' work.
     work: (Time, WorkCounts),
     work_bytes: usize,
-    agenda: Agenda<Event>,
+    agenda: EventQueue<Event>,
     sequence: u64,
     figures: Figures,
     slot_seconds: f64,
@@ -234,7 +234,7 @@
 pub fn play(scene: Scene, span: Span) -> Figures {
     let mut world = World::new(scene);
     let end = Time(0) + WARM_UP + span;
-    while let Some((at, event)) = world.agenda.next_before(end) {
+    while let Some((at, event)) = world.agenda.pop_before(end) {
         world.count_slots(at);
         world.now = at;
         world.handle(event);
@@ -286,7 +286,7 @@
             works: WorkTally::default(),
             work: (Time(0), WorkCounts::default()),
             work_bytes: 0,
-            agenda: Agenda::default(),
+            agenda: EventQueue::default(),
             sequence: 0,
             figures: Figures::default(),
             slot_seconds: 0.0,
--- a/tests/gateway/engine_heads.rs
+++ b/tests/gateway/engine_heads.rs
@@ -97,13 +97,13 @@
 }
 
 /// Events to come, in the order of their times.
-pub struct Agenda<E> {
+pub struct EventQueue<E> {
     order: BinaryHeap<Reverse<(Time, u64)>>,
     events: BTreeMap<u64, E>,
     next: u64,
 }
 
-impl<E> Default for Agenda<E> {
+impl<E> Default for EventQueue<E> {
     fn default() -> Self {
         Self {
             order: BinaryHeap::new(),
@@ -113,7 +113,7 @@
     }
 }
 
-impl<E> Agenda<E> {
+impl<E> EventQueue<E> {
     /// Adds an event; of those at the same time, the one that was added first comes first.
     pub fn add(&mut self, at: Time, event: E) {
         self.next += 1;
@@ -122,7 +122,7 @@
     }
 
     /// Takes the next event before a time.
-    pub fn next_before(&mut self, end: Time) -> Option<(Time, E)> {
+    pub fn pop_before(&mut self, end: Time) -> Option<(Time, E)> {
         let Reverse((at, key)) = self.order.pop()?;
         let event = self.events.remove(&key)?;
         (at < end).then_some((at, event))
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -89,7 +89,7 @@
 /// A typing error in a query is no fault of the daemon, and must show as the refusal that a caller
 /// would get.
 #[test]
-fn unknown_names_are_answers() {
+fn unknown_names_are_reported_as_refusals() {
     let state = serving_state();
     let explanation = explain(&state, &query());
     assert_eq!(refusal(&explanation), None);
@@ -206,7 +206,7 @@
 
 /// Queries answered by mistake would show the load of the system to anybody.
 #[test]
-fn token_is_taken_only_if_it_is_one() {
+fn operator_token_is_validated() {
     const SETTINGS: &str = "{name: d, hall: h, store: '127.0.0.1:4', grace_ms: 1, entries_ms: 1, \
         retry: {ratio: 0.2, slack: 1, window_s: 10}, listen: {caller: '127.0.0.1:1', \
         ready: '127.0.0.1:2', directory: '127.0.0.1:3'}";
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -433,7 +433,7 @@
 
     /// Returns the model and the members of each group that serves, whether the daemon knows it or
     /// not.
-    pub fn sound_groups(&self) -> Vec<(ModelName, Epoch, Vec<HostName>)> {
+    pub fn serving_groups(&self) -> Vec<(ModelName, Epoch, Vec<HostName>)> {
         let heads = self.hosts.values().filter_map(|runner| {
             let member = runner.member.as_ref()?;
             (member.rank == 0 && member.state == MemberState::Open).then_some(member)
--- a/tests/gateway/identities.rs
+++ b/tests/gateway/identities.rs
@@ -16,7 +16,7 @@
 };
 
 /// Time for which the runners of the domain are gone; their entries lapse meanwhile.
-const DARK_TIME: Span = Span::from_secs(6);
+const UNREACHABLE_TIME: Span = Span::from_secs(6);
 
 /// Time from one restart of the domain to the next crash.
 const UP_TIME: Span = Span::from_secs(20);
@@ -29,7 +29,7 @@
         for host in &alive {
             fleet.power_off(host, true);
         }
-        fleet.run_for(DARK_TIME);
+        fleet.run_for(UNREACHABLE_TIME);
         for (number, host) in alive.iter().enumerate() {
             fleet.restart(host, &format!("r{round}-{}", (number * 7 + round) % 11));
             fleet.run_for(Span::from_millis(100));
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -47,7 +47,8 @@
     }
 }
 
-// Each later one takes the place of the earlier ones, and nobody learns that these go on.
+/// Guards against former authorities that go on issuing permits: each is replaced by the next,
+/// without learning of it.
 #[test]
 fn limit_holds_while_each_authority_is_refused_in_turn() {
     for seed in 0..20 {
--- a/tests/gateway/load_fleet.rs
+++ b/tests/gateway/load_fleet.rs
@@ -4,7 +4,7 @@
 //! and by digests; datagrams are delayed and lost, aggregators stop and pause, heads are lost and
 //! opened.
 
-use super::engine_heads::{Agenda, SLOTS, engine, head, model, service, spec};
+use super::engine_heads::{EventQueue, SLOTS, engine, head, model, service, spec};
 use hickoryledge::{
     core::{
         keys::{AccountName, DaemonName, Epoch, HallName, HostName},
@@ -256,7 +256,7 @@
     daemons: Vec<Daemon>,
     heads: Vec<Head>,
     requests: Vec<Request>,
-    agenda: Agenda<Event>,
+    agenda: EventQueue<Event>,
     next_epoch: i64,
     rng: SmallRng,
     /// Draws the requests, which are the same for all policies.
@@ -315,7 +315,7 @@
             daemons,
             heads: Vec::new(),
             requests: Vec::new(),
-            agenda: Agenda::default(),
+            agenda: EventQueue::default(),
             next_epoch: 1 << 40,
             rng,
             demand: SmallRng::seed_from_u64(seed),
@@ -408,7 +408,7 @@
     /// Plays the scene.
     pub fn run(mut self) -> Figures {
         let end = Time(0) + WARM_UP + self.scene.length;
-        while let Some((at, event)) = self.agenda.next_before(end) {
+        while let Some((at, event)) = self.agenda.pop_before(end) {
             self.now = at;
             self.handle(event);
         }
--- a/tests/gateway/loss_fleet.rs
+++ b/tests/gateway/loss_fleet.rs
@@ -33,7 +33,7 @@
 /// Time from the first loss to the first new host.
 const REPLACEMENT_DELAY: Span = Span::from_secs(12);
 /// Time for which a domain is dark.
-const DARK_TIME: Span = Span::from_secs(8);
+const UNREACHABLE_TIME: Span = Span::from_secs(8);
 /// Interval between restarts.
 const RESTART_INTERVAL: Span = Span::from_millis(700);
 /// Time that a runner drains before it stops.
@@ -69,7 +69,7 @@
     /// Members are lost for good, one hall after the other, and empty hosts added later.
     Losses,
     /// A domain is dark for some seconds.
-    DarkDomain,
+    UnreachableDomain,
     /// A third of the hosts is restarted one after the other.
     Restarts,
 }
@@ -78,7 +78,7 @@
     fn length(self) -> Span {
         match self {
             Pattern::Losses => Span::from_secs(90),
-            Pattern::DarkDomain => Span::from_secs(25),
+            Pattern::UnreachableDomain => Span::from_secs(25),
             Pattern::Restarts => Span::from_secs(50),
         }
     }
@@ -241,7 +241,7 @@
         let start = self.fleet.now;
         match pattern {
             Pattern::Losses => self.schedule_losses(start),
-            Pattern::DarkDomain => {
+            Pattern::UnreachableDomain => {
                 let domain = self.rng.random_range(0..DOMAINS);
                 self.agenda.push((start, Event::Cut { domain }));
             }
@@ -317,7 +317,7 @@
                 for host in hosts {
                     self.fleet.cut_off(&host);
                     let delay = Span(self.rng.random_range(0..1_000_000));
-                    let at = now + DARK_TIME + delay;
+                    let at = now + UNREACHABLE_TIME + delay;
                     self.agenda.push((at, Event::Reconnect { host }));
                 }
             }
@@ -338,7 +338,7 @@
     /// Returns the members of the groups of a hall that serve.
     fn members_in(&self, hall: usize) -> Vec<HostName> {
         let hall = HallName::from(format!("hall{hall}"));
-        let groups = self.fleet.sound_groups();
+        let groups = self.fleet.serving_groups();
         let members = groups.into_iter().flat_map(|(_, _, members)| members);
         members
             .filter(|host| self.fleet.halls[&self.fleet.domain_of(host)] == hall)
@@ -400,7 +400,7 @@
 
     fn measure(&mut self) {
         let step = STEP_INTERVAL.as_secs_f64();
-        let sound = self.fleet.sound_groups();
+        let sound = self.fleet.serving_groups();
         let mut counts = [0.0; 2];
         let mut in_groups = 0;
         let mut current = BTreeMap::new();
@@ -417,11 +417,11 @@
             self.figures.served[index].1 += wanted * step;
             self.figures.groups[index] += count * step;
         }
-        self.follow_repairs(current);
+        self.record_repairs(current);
     }
 
     /// Notes which groups were lost since the last step, and which were repaired.
-    fn follow_repairs(&mut self, current: BTreeMap<u64, (usize, BTreeSet<HostName>)>) {
+    fn record_repairs(&mut self, current: BTreeMap<u64, (usize, BTreeSet<HostName>)>) {
         let now = self.fleet.now;
         let former = std::mem::take(&mut self.sound);
         let lost = former
--- a/tests/gateway/losses.rs
+++ b/tests/gateway/losses.rs
@@ -15,8 +15,9 @@
 /// Under steady losses, each group must be whole, no host may be in two, and no request may be cut
 /// whose group has lost nothing.
 #[test]
-fn groups_stay_sound_while_members_are_lost() {
+fn groups_stay_complete_while_members_are_lost() {
     let figures = play(FAMILY, Pattern::Losses, 4);
+    assert!(figures.repairs.iter().all(|times| !times.is_empty()));
     assert_eq!(figures.cuts, 0, "requests were cut without a loss");
     assert_eq!(figures.violations, Vec::<String>::new());
 }
--- a/tests/gateway/stalls.rs
+++ b/tests/gateway/stalls.rs
@@ -32,7 +32,7 @@
 
 /// Several steps, each after another stall: none of them counts in full.
 #[test]
-fn stalls_between_steps_do_not_add_up() {
+fn three_stalls_leave_time_of_a_timeout() {
     let runtime = Runtime::new().expect("a runtime");
     runtime.block_on(async {
         let steps = async {
--- a/tests/platform/client.rs
+++ b/tests/platform/client.rs
@@ -1,7 +1,7 @@
 //! Calls of a caller that opens a connection for each.
 
 use std::{
-    io::{Read as _, Write as _},
+    io::{ErrorKind, Read as _, Write as _},
     net::{SocketAddr, TcpStream},
 };
 
@@ -37,9 +37,15 @@
     }
     text.push_str(&format!("Content-Length: {}\r\n\r\n{body}", body.len()));
     let mut stream = TcpStream::connect(address).expect("the daemon listens");
-    // A daemon that refuses a request may close the connection before it has read all of it. The
-    // response is read all the same.
-    let _ = stream.write_all(text.as_bytes());
+    // A daemon may refuse a request and close before it has read all of it; a missing response has
+    // status 0.
+    if let Err(error) = stream.write_all(text.as_bytes()) {
+        let is_closed = matches!(
+            error.kind(),
+            ErrorKind::BrokenPipe | ErrorKind::ConnectionReset
+        );
+        assert!(is_closed, "failed to send: {error}");
+    }
     let mut bytes = Vec::new();
     // A connection reset ends the response like a close.
     let _ = stream.read_to_end(&mut bytes);
--- a/tests/platform/explain.rs
+++ b/tests/platform/explain.rs
@@ -86,7 +86,7 @@
 
 /// The answer shows the load of the system, and only operators may see it.
 #[test]
-fn answers_operators_only_and_where_it_is_set() {
+fn answers_only_with_the_operator_token_setting_and_a_valid_token() {
     let env = TestEnv::start();
     let daemon = start_daemon(&env);
     let refused = |address: SocketAddr, token: &str, reason: &str| {
--- a/tests/platform/silent_reports.rs
+++ b/tests/platform/silent_reports.rs
@@ -21,7 +21,7 @@
 /// Time for which the daemon is paused: longer than a silence after which a stream moves.
 const PAUSE: Duration = Duration::from_millis(1_300);
 
-/// Time for which an entry is missing; after 1.8 s the requests of a head that leaves are cut.
+/// Time for which an entry is missing; short enough that its group is not replaced meanwhile.
 const LAPSE_TIME: Duration = Duration::from_millis(1_200);
 
 fn request_count(env: &TestEnv) -> usize {
--- a/tests/supervisor.rs
+++ b/tests/supervisor.rs
@@ -8,7 +8,7 @@
 /// Guards against a process that restarts a broken task for ever, and against one that ends for
 /// panics that are minutes apart.
 #[test]
-fn restarts_are_few_a_minute() {
+fn restarts_are_limited_per_minute() {
     let mut limit = RestartLimit::default();
     let mut restarts_in = |minute: u64, interval: Span| {
         let start = Time(0) + Span::from_secs(60 * minute);
