Read as a newcomer: comments on departures, reports and draws

Cause: figures of speech and sentences that don't parse, found by reading the diff again. Change: comments, and names of a parameter and a local variable. Log keys stay.

--- a/src/core/member/maintenance.rs
+++ b/src/core/member/maintenance.rs
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Probes one dead daemon, chosen at random.
+    /// Probes one dead daemon at random.
     fn probe_dead(&mut self, ctx: &mut Ctx) {
         let dead = self.table.iter().filter(|member| !member.is_up());
         let dead: Vec<SocketAddr> = dead.map(|member| member.latest.daemon.peer).collect();
--- a/src/gateway/account_totals.rs
+++ b/src/gateway/account_totals.rs
@@ -1,8 +1,8 @@
 //! Shares of accounts by the work at all daemons.
 //!
-//! A daemon adds up the rates of work that digests tell, with the same decay as its
-//! own sample. A digest that is lost, an aggregator that starts anew or a daemon that
-//! reports nothing changes the sums slowly, therefore, and never at once.
+//! A daemon adds up the rates of work in digests, with the same decay as its own
+//! sample. The sums therefore change slowly when a digest is lost, an aggregator
+//! restarts or a daemon reports nothing.
 
 use super::{
     account_work::{
--- a/src/gateway/account_work.rs
+++ b/src/gateway/account_work.rs
@@ -23,7 +23,7 @@
 /// Intervals after which reports and totals of work are out of date.
 pub const WORK_TTL_INTERVALS: u64 = 3;
 
-/// Maximum number of bytes that a report takes for accounts' work.
+/// Maximum encoded size of the counts in a report, in bytes, without its span.
 pub const MAX_REPORT_BYTES: usize = 512;
 
 /// Maximum number of bytes that totals take for accounts' work.
@@ -74,7 +74,7 @@
     xxh3_64(name.as_bytes()) as u32
 }
 
-/// Work of an account, in seconds of a replica.
+/// Work of an account, in seconds of a replica's time; `requests` is a count.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
     /// Number of requests that arrived.
--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -145,15 +145,15 @@
     }
 }
 
-/// Passes news of a runner on: that its rate limit has begun or ended, or that it leaves.
+/// Notifies peers that a runner's rate limit has begun or ended, or that it leaves.
 fn spread(
     state: &GatewayState,
     host: HostKey,
     limit_change: Option<LimitChange>,
     is_leaving: bool,
 ) {
-    let is_limit_news = limit_change.is_some_and(LimitChange::is_start_or_end);
-    if !is_limit_news && !is_leaving {
+    let is_limit_change = limit_change.is_some_and(LimitChange::is_start_or_end);
+    if !is_limit_change && !is_leaving {
         return;
     }
     let Some(runner) = instance(state, host) else {
--- a/src/gateway/balancer/criteria.rs
+++ b/src/gateway/balancer/criteria.rs
@@ -52,7 +52,7 @@
     pub unlimited: bool,
 }
 
-/// Chosen runner.
+/// Runner that a request is sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Endpoint {
     /// Key in the roster.
@@ -133,7 +133,7 @@
     }
 }
 
-/// Is told which runners are left out of a choice, and why.
+/// Observer of the runners that are left out of a choice, and of the reasons.
 pub trait Observer {
     /// Records that a runner is left out.
     fn left_out(&mut self, host: HostKey, cause: Exclusion);
--- a/src/gateway/explain/report.rs
+++ b/src/gateway/explain/report.rs
@@ -258,7 +258,7 @@
     /// What may change the outcome and isn't known to the daemon, or not routed for.
     #[derive(Copy, Eq)]
     pub enum Unknown {
-        /// What other daemons choose meanwhile.
+        /// Choices of the other daemons at the same time.
         OtherDaemons,
         /// Whether the request, or a part of its prompt, is quarantined.
         Quarantine,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -108,7 +108,7 @@
         self.unreadable_claim = None;
     }
 
-    /// Records that the claim can't be read as of a revision; returns true if that is news.
+    /// Records that the claim can't be read as of a revision; returns true if that was not known.
     pub fn record_unreadable(&mut self, revision: Revision) -> bool {
         if self.claim_revision() >= Some(revision) {
             return false;
--- a/src/gateway/permits/authority.rs
+++ b/src/gateway/permits/authority.rs
@@ -95,7 +95,7 @@
         if self.is_settled(now) {
             return 1.0;
         }
-        // Whatever has gone since the entry may have lapsed isn't seen for certain.
+        // Departures since the own entry may have lapsed are not seen reliably.
         let seen_until = now.min(self.until);
         let is_new = peers.observed_for(seen_until) < MIN_OBSERVATION_TIME;
         let unseen = usize::from(is_new);
@@ -104,8 +104,8 @@
     }
 }
 
-/// Returns the number of daemons that were to issue the permits for a runner rather than this one,
-/// and may go on doing so although their entries have gone.
+/// Returns the number of departed daemons that rank before this one for a runner, and may still issue
+/// permits for it.
 fn count_predecessors(
     own: &DaemonName,
     peers: &Peers,
--- a/src/gateway/quarantine/entries.rs
+++ b/src/gateway/quarantine/entries.rs
@@ -42,14 +42,14 @@
         self.marks.len()
     }
 
-    /// Adds a mark that the store may lack; returns true if that is news.
+    /// Adds a mark that the store may lack; returns true if that was not known.
     pub fn insert(&mut self, mark: Mark) -> bool {
         let is_news = !self.contains(mark);
         self.marks.entry(mark).or_default();
         is_news
     }
 
-    /// Adds a mark whose entry the store has; returns true if the mark is news.
+    /// Adds a mark whose entry the store has; returns true if the mark was not known.
     pub fn insert_stored(&mut self, mark: Mark, entry: StoredEntry) -> bool {
         self.marks.insert(mark, Some(entry)).is_none()
     }
--- a/src/gateway/roster/listing.rs
+++ b/src/gateway/roster/listing.rs
@@ -90,7 +90,7 @@
         self.addresses.insert(address, key);
     }
 
-    /// Marks a host whose entry is missing as unlisted; returns true if that is news.
+    /// Marks a host whose entry is missing as unlisted; returns true if that was not known.
     pub fn mark_unlisted(&mut self, name: &HostName, now: Time) -> bool {
         let Some(key) = self.keys.get(name) else {
             return false;
@@ -106,7 +106,7 @@
     }
 
     /// Replaces the list of hosts, which is in the order in which they were written; known hosts that
-    /// it lacks are marked as unlisted, and those for which that is news are returned.
+    /// it lacks are marked as unlisted; those that were listed before are returned.
     pub fn replace(&mut self, mut listed: Vec<(HostName, Runner)>, now: Time) -> Vec<HostName> {
         self.watched_since.get_or_insert(now);
         drop_former(&mut listed);
--- a/src/gateway/roster/mod.rs
+++ b/src/gateway/roster/mod.rs
@@ -212,7 +212,7 @@
     }
 
     /// Marks a host whose runner has said that it leaves, whatever its entry says; returns true if
-    /// that is news.
+    /// that was not known.
     pub fn mark_leaving(&mut self, key: HostKey) -> bool {
         let Some(host) = self.hosts.get_mut(key) else {
             return false;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -278,14 +278,15 @@
         Some(change)
     }
 
-    /// Records that a runner leaves, `told` if another daemon says so; returns true if that is news.
-    pub fn record_leaving(&self, host: HostKey, told: bool) -> bool {
+    /// Records that a runner leaves, as it says itself or as a peer reports; returns true if that was
+    /// not known.
+    pub fn record_leaving(&self, host: HostKey, from_peer: bool) -> bool {
         if !self.roster.borrow_mut().mark_leaving(host) {
             return false;
         }
         slog::info!(self.log, "runner says that it leaves";
             "host" => self.host_name(host),
-            "told" => told);
+            "told" => from_peer);
         self.refresh_groups();
         true
     }
