Load exchange: one step a function, and names of the work of accounts

Cause: sending and accepting totals did several steps, and `works` named a field, a variable and a method. Change: own requests are taken, and totals are applied, by functions of their own; `rates`, which drops reports, is `take_rates`. Constants stand together.

--- a/src/gateway/fair_share.rs
+++ b/src/gateway/fair_share.rs
@@ -18,11 +18,12 @@
 /// Work of an account, in seconds of a replica, below which it is forgotten.
 const MIN_WORK_SECS: f64 = 1e-3;
 
-/// Fraction of what all accounts get below which an account is starved; a quarter is a fault.
+/// Fraction of what all accounts get below which an account is starved, with a margin above the quarter
+/// that each account must get.
 const STARVED_FRACTION: f64 = 0.3;
 
-/// Requests that an account should have been admitted by now from which it can be told that it is
-/// starved. By chance, none of three is admitted to one account in 20.
+/// Number of requests that an account should have been admitted by now before it can count as starved:
+/// by chance, one account in 20 is admitted none of three.
 const MIN_EXPECTED_REQUESTS: f64 = 3.0;
 
 /// Fraction of the work asked for that is admitted without contention; the rest may be under way.
@@ -129,7 +130,7 @@
     }
 
     /// Returns the recent work of each account.
-    pub fn works(&self) -> impl Iterator<Item = (AccountKey, Work)> {
+    pub fn work_by_account(&self) -> impl Iterator<Item = (AccountKey, Work)> {
         self.accounts
             .iter()
             .map(|(account, work)| (*account, *work))
--- a/src/gateway/load_exchange/mod.rs
+++ b/src/gateway/load_exchange/mod.rs
@@ -23,8 +23,11 @@
     settings::LoadExchangeMode,
     state::GatewayState,
 };
-use crate::core::keys::{Epoch, ModelName, ServiceName};
-use estimate::{SentReports, Unusable};
+use crate::core::{
+    keys::{Epoch, ModelName, ServiceName},
+    time::Span,
+};
+use estimate::{SentReports, Totals, Unusable};
 use message::{HeadCount, LoadDigest, LoadReport, ReportId};
 use metrics::{counter, gauge, histogram};
 use std::{
@@ -40,7 +43,7 @@
 #[derive(Debug)]
 pub struct LoadExchange {
     tally: RefCell<Tally>,
-    works: RefCell<WorkTally>,
+    work_tally: RefCell<WorkTally>,
     sent: RefCell<SentReports>,
     is_aggregator: Cell<bool>,
 }
@@ -49,7 +52,7 @@
     fn default() -> Self {
         Self {
             tally: RefCell::default(),
-            works: RefCell::default(),
+            work_tally: RefCell::default(),
             sent: RefCell::new(SentReports::new(rand::random())),
             is_aggregator: Cell::new(false),
         }
@@ -96,13 +99,7 @@
 /// Reports to the aggregators, and sends the totals if this daemon is one.
 fn exchange(state: &GatewayState, heads: &[(Epoch, HostKey)]) {
     let now = state.now();
-    let counts: BTreeMap<Epoch, HeadCount> = {
-        let mut loads = state.loads.borrow_mut();
-        let counts = heads.iter();
-        counts
-            .map(|(epoch, host)| (*epoch, loads.take_own_requests(*host)))
-            .collect()
-    };
+    let counts = take_own_requests(state, heads);
     let report = state.load_exchange.sent.borrow_mut().report(counts, now);
     let work = state.contention.borrow_mut().take_report(now);
     let aggregators = choice::aggregators(&state.peers.borrow());
@@ -122,13 +119,25 @@
     }
 }
 
+/// Takes the counts of this daemon's requests at each head.
+fn take_own_requests(
+    state: &GatewayState,
+    heads: &[(Epoch, HostKey)],
+) -> BTreeMap<Epoch, HeadCount> {
+    let mut loads = state.loads.borrow_mut();
+    let counts = heads.iter();
+    counts
+        .map(|(epoch, host)| (*epoch, loads.take_own_requests(*host)))
+        .collect()
+}
+
 fn set_aggregator(state: &GatewayState, is_aggregator: bool) {
     if state.load_exchange.is_aggregator.replace(is_aggregator) != is_aggregator {
         gauge!("load_aggregator").set(f64::from(u8::from(is_aggregator)));
         slog::info!(state.log, "aggregator of load changed"; "own" => is_aggregator);
         if !is_aggregator {
             state.load_exchange.tally.take();
-            state.load_exchange.works.take();
+            state.load_exchange.work_tally.take();
         }
     }
 }
@@ -145,8 +154,9 @@
     drop(peers);
     let mut tally = state.load_exchange.tally.borrow_mut();
     let digest = tally.digest(&addresses, interval, now);
-    let mut works = state.load_exchange.works.borrow_mut();
-    let rates = works.rates(&addresses, interval, now).unwrap_or_default();
+    let mut work_tally = state.load_exchange.work_tally.borrow_mut();
+    let rates = work_tally.take_rates(&addresses, interval, now);
+    let rates = rates.unwrap_or_default();
     let Some(encoded) = EncodedDigest::new(&digest, &rates) else {
         counter!("load_digests_unsent_total").increment(1);
         return;
@@ -173,8 +183,8 @@
     let mut tally = state.load_exchange.tally.borrow_mut();
     let is_recorded = is_known && tally.record(from, report, now);
     if let Some(work) = work.filter(|_| is_recorded) {
-        let mut works = state.load_exchange.works.borrow_mut();
-        works.record(from, work, now);
+        let mut work_tally = state.load_exchange.work_tally.borrow_mut();
+        work_tally.record(from, work, now);
     }
     let verdict = match is_recorded {
         true => "recorded",
@@ -208,23 +218,27 @@
         return;
     };
     histogram!("load_digest_age_seconds").record(now.since(totals.at).as_secs_f64());
+    apply_totals(state, &totals, choice::horizon(interval));
+    adjust_limits(state);
+    if let Some(work) = work {
+        let mut contention = state.contention.borrow_mut();
+        contention.add_totals(work, interval, now);
+        gauge!("load_digest_accounts").set(work.len() as f64);
+    }
+}
+
+/// Records the totals of all heads whose load is exchanged.
+fn apply_totals(state: &GatewayState, totals: &Totals, horizon: Span) {
     let mut loads = state.loads.borrow_mut();
     for (epoch, host) in covered_heads(state) {
         let total = Total {
             load: totals.heads.get(&epoch).copied().unwrap_or_default(),
             at: totals.at,
             until: totals.until,
-            horizon: choice::horizon(interval),
+            horizon,
         };
         loads.total_reported(host, total);
     }
-    drop(loads);
-    adjust_limits(state);
-    if let Some(work) = work {
-        let mut contention = state.contention.borrow_mut();
-        contention.add_totals(work, interval, now);
-        gauge!("load_digest_accounts").set(work.len() as f64);
-    }
 }
 
 /// Adjusts the limits of all models, from totals that every daemon has.
--- a/src/gateway/load_exchange/tally.rs
+++ b/src/gateway/load_exchange/tally.rs
@@ -13,6 +13,10 @@
 /// Intervals after which a daemon's report counts no more.
 const REPORT_TTL_INTERVALS: u64 = 3;
 
+/// Time after which a daemon that has an entry and doesn't report counts as silent. The entry of one
+/// that was lost is gone by then.
+const SILENCE_TIMEOUT: Span = Span::from_millis(5_000);
+
 /// Requests of several daemons at one head.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sum {
@@ -44,10 +48,6 @@
     }
 }
 
-/// Time after which a daemon that has an entry and doesn't report counts as silent. The entry of one
-/// that was lost is gone by then.
-const SILENCE_TIMEOUT: Span = Span::from_millis(5_000);
-
 /// Latest report of each daemon.
 #[derive(Debug, Default)]
 pub struct Tally {
--- a/src/gateway/load_exchange/work_tally.rs
+++ b/src/gateway/load_exchange/work_tally.rs
@@ -14,7 +14,7 @@
 /// Work of the accounts since the last report. Nothing is kept before the first one.
 #[derive(Clone, Debug, Default)]
 pub struct PendingWork {
-    works: BTreeMap<ShareKey, Work>,
+    work: BTreeMap<ShareKey, Work>,
     /// Time of the last report, while there are reports.
     since: Option<Time>,
 }
@@ -23,7 +23,7 @@
     /// Adds work of an account.
     pub fn add(&mut self, key: ShareKey, work: Work) {
         if self.since.is_some() {
-            *self.works.entry(key).or_default() += work;
+            *self.work.entry(key).or_default() += work;
         }
     }
 
@@ -39,10 +39,10 @@
             return None;
         }
         self.since = Some(now);
-        let works = std::mem::take(&mut self.works);
+        let work = std::mem::take(&mut self.work);
         let report = WorkReport {
             span_ms: elapsed?.as_millis() as u32,
-            counts: WorkCounts::new(&works, MAX_REPORT_BYTES),
+            counts: WorkCounts::new(&work, MAX_REPORT_BYTES),
         };
         (!report.counts.is_empty()).then_some(report)
     }
@@ -67,9 +67,9 @@
         self.reports.insert(from, (report, now));
     }
 
-    /// Returns the work of all daemons in a second, if a sum is due; `interval` is that of the
-    /// digests. Drops the reports that are out of date or of a daemon without an entry.
-    pub fn rates(
+    /// Takes the work of all daemons in a second, if a sum is due; `interval` is that of the digests.
+    /// Drops the reports that are out of date or of a daemon without an entry.
+    pub fn take_rates(
         &mut self,
         daemons: &BTreeSet<SocketAddr>,
         interval: Span,
--- a/src/gateway/shares.rs
+++ b/src/gateway/shares.rs
@@ -130,7 +130,7 @@
     }
 
     fn parts_of(&self, rank: &FairShare) -> Vec<(AccountKey, SharePart)> {
-        let works = rank.works().map(|(account, work)| {
+        let works = rank.work_by_account().map(|(account, work)| {
             let within = rank.part_within(account);
             let within = within.max(self.total.part_within(account));
             (account, within, work.on_time)
--- a/tests/gateway/account_work.rs
+++ b/tests/gateway/account_work.rs
@@ -152,11 +152,19 @@
     tally.record(address(1), slow, second(10));
     tally.record(address(2), report(2, 1.0), second(8));
     tally.record(address(9), report(3, 1.0), second(10));
-    let rates = tally.rates(&daemons, INTERVAL, second(11));
+    let rates = tally.take_rates(&daemons, INTERVAL, second(11));
     let expected = work(4.0, 0.0).scaled(0.5);
     assert_eq!(rates, Some(BTreeMap::from([(key(1), expected)])));
-    assert_eq!(tally.rates(&daemons, INTERVAL, second(11)), None, "not due");
-    assert_eq!(tally.rates(&daemons, INTERVAL, second(13)), None, "old");
+    assert_eq!(
+        tally.take_rates(&daemons, INTERVAL, second(11)),
+        None,
+        "not due"
+    );
+    assert_eq!(
+        tally.take_rates(&daemons, INTERVAL, second(13)),
+        None,
+        "old"
+    );
 }
 
 /// What the accounts 0 and 3 of the most urgent rank have to leave to each other.
--- a/tests/gateway/contention_fleet.rs
+++ b/tests/gateway/contention_fleet.rs
@@ -380,7 +380,7 @@
     /// Sums the accounts' work at all daemons, if that is due.
     fn sum_work(&mut self) {
         let daemons = self.daemons.iter().map(|daemon| daemon.address).collect();
-        let rates = self.works.rates(&daemons, EXCHANGE_INTERVAL, self.now);
+        let rates = self.works.take_rates(&daemons, EXCHANGE_INTERVAL, self.now);
         if let Some(rates) = rates {
             self.work = (self.now, WorkCounts::new(&rates, MAX_TOTALS_BYTES));
         }
--- a/tests/gateway/load_fleet.rs
+++ b/tests/gateway/load_fleet.rs
@@ -920,7 +920,7 @@
             .collect();
         let interval = interval(known.len());
         let digest = self.daemons[index].tally.digest(&known, interval, now);
-        let rates = self.daemons[index].works.rates(&known, interval, now);
+        let rates = self.daemons[index].works.take_rates(&known, interval, now);
         let work = rates.map(|rates| WorkCounts::new(&rates, MAX_TOTALS_BYTES));
         for address in known {
             let contained = self.daemons[index].tally.contained(address);
