One lookup of groups and runners for the choice and its explanation

Cause: both filtered groups by service and model on their own, so that an explanation could differ from the choice; names of the inputs were private. Change: roster/lookup has the two lookups; `act`, `wanted` and `stopping` have names that say what they are; a refusal is built in one place.

--- a/src/commands/explain/show.rs
+++ b/src/commands/explain/show.rs
@@ -92,7 +92,7 @@
 
 fn refusal_text(refusal: &Refused) -> String {
     let status = refusal.status;
-    let reason = name(&refusal.reason);
+    let reason = json_name(&refusal.reason);
     let retry = refusal.retry_ms.map_or(String::new(), |min| {
         let max = min + refusal.retry_spread_ms;
         format!(", retry after {min} to {max} ms")
@@ -119,7 +119,7 @@
             format!("{:.3}", facts.probability),
             format!("{total} ({} own)", requests.own),
             facts.slots.to_string(),
-            name(&requests.source),
+            json_name(&requests.source),
             requests.age_ms.map_or_else(dash, |age| age.to_string()),
             format!("{:.1}", facts.slowdown),
             limit.map_or_else(dash, |limit| format!("{:.1}", limit.per_second)),
@@ -132,17 +132,17 @@
 fn state(facts: &CandidateFacts) -> String {
     let mut parts = Vec::new();
     if let Some(excluded) = &facts.excluded {
-        parts.push(name(excluded));
+        parts.push(json_name(excluded));
     }
     if let Some(cold) = &facts.cold {
-        let (left, source) = (cold.left_ms, name(&cold.source));
+        let (left, source) = (cold.left_ms, json_name(&cold.source));
         parts.push(format!(
             "cold for {left} ms by {source}, {} ms ago",
             cold.age_ms
         ));
     }
     if let Some(source) = &facts.leaving {
-        parts.push(format!("leaving by {}", name(source)));
+        parts.push(format!("leaving by {}", json_name(source)));
     }
     if facts.stalled {
         parts.push("stalled".to_owned());
@@ -167,7 +167,7 @@
 }
 
 /// Returns the name of a value as JSON has it.
-fn name<T>(value: &T) -> String
+fn json_name<T>(value: &T) -> String
 where
     T: Serialize,
 {
--- a/src/gateway/balancer/candidates.rs
+++ b/src/gateway/balancer/candidates.rs
@@ -97,9 +97,7 @@
     now: Time,
 ) -> Vec<Candidate> {
     roster
-        .groups()
-        .iter()
-        .filter(|group| group.service == *service && group.model == *model)
+        .groups_of(service, model)
         .filter(|group| roster.is_serving(group, now))
         .filter_map(|group| {
             Some(Candidate {
@@ -113,8 +111,8 @@
 
 fn plain_runners(roster: &Roster, service: &ServiceName, now: Time) -> Vec<Candidate> {
     roster
-        .hosts()
-        .filter(|(_, host)| host.runner.service == *service && roster.is_usable(host, now))
+        .runners_of(service)
+        .filter(|(_, host)| roster.is_usable(host, now))
         .map(|(key, _)| Candidate {
             host: key,
             epoch: None,
--- a/src/gateway/explain/candidates.rs
+++ b/src/gateway/explain/candidates.rs
@@ -37,6 +37,7 @@
     facts
 }
 
+/// Inputs for the descriptions of candidates.
 struct Describer<'a> {
     view: View<'a>,
     criteria: &'a Criteria<'a>,
@@ -50,10 +51,8 @@
     fn heads(&self) -> Vec<CandidateFacts> {
         let roster = self.view.roster;
         let model = self.criteria.model.map(|(model, _)| model);
-        let groups = roster
-            .groups()
-            .iter()
-            .filter(|group| group.service == *self.criteria.service && Some(&group.model) == model);
+        let groups = model.into_iter();
+        let groups = groups.flat_map(|model| roster.groups_of(self.criteria.service, model));
         let described = groups.filter_map(|group| {
             let key = group.head()?;
             let obstacle = roster.group_obstacle(group, self.now);
@@ -65,8 +64,7 @@
 
     fn plain_runners(&self) -> Vec<CandidateFacts> {
         let roster = self.view.roster;
-        let runners = roster.hosts();
-        let runners = runners.filter(|(_, host)| host.runner.service == *self.criteria.service);
+        let runners = roster.runners_of(self.criteria.service);
         let described = runners.map(|(key, host)| {
             let obstacle = roster.host_obstacle(host, self.now);
             self.facts(key, host, obstacle)
@@ -86,7 +84,7 @@
     }
 
     fn facts(&self, key: HostKey, host: &Host, obstacle: Option<Obstacle>) -> CandidateFacts {
-        let holds = self.view.notices.hold_times(key, self.now);
+        let hold_times = self.view.notices.hold_times(key, self.now);
         let unlisted = host.unlisted_since;
         CandidateFacts {
             host: host.name.clone(),
@@ -100,8 +98,8 @@
             slowdown: 1.0,
             limit: self.limit(key),
             cold: self.cold(key),
-            paused_ms: holds.paused.as_millis(),
-            held_ms: holds.limited.as_millis(),
+            paused_ms: hold_times.paused.as_millis(),
+            held_ms: hold_times.limited.as_millis(),
             backoff_ms: self.view.loads.backoff(key, self.now).as_millis(),
             stalled: self.view.loads.is_stalled(key, self.now),
             leaving: leaving(host),
--- a/src/gateway/explain/mod.rs
+++ b/src/gateway/explain/mod.rs
@@ -33,7 +33,7 @@
     Unknown,
 };
 
-/// Request of a query once its route is known.
+/// Query whose route is known.
 #[derive(Clone, Copy)]
 struct RoutedQuery<'a> {
     query: &'a Query,
@@ -122,7 +122,7 @@
     service: &ServiceName,
     share: f64,
 ) -> Option<ServiceFacts> {
-    let wanted = SelectionRequest {
+    let request = SelectionRequest {
         service,
         model: routed.query.model.as_ref(),
         account: routed.account,
@@ -134,7 +134,7 @@
         tried: &[],
         unlimited: false,
     };
-    selection::with_choice_inputs(state, &wanted, |view, criteria, now| {
+    selection::with_choice_inputs(state, &request, |view, criteria, now| {
         let assessment = balancer::assess(view, criteria, now);
         let candidates = candidates::describe(view, &criteria, &assessment, now);
         let is_refused_by_drain = !state.admits(routed.deadline, criteria.duration);
@@ -143,9 +143,9 @@
             share,
             model: criteria.model.map(|(model, _)| model.clone()),
             rank: RankFacts {
-                priority: wanted.rank.priority(),
-                position: wanted.rank.position(),
-                is_ranked: wanted.rank.is_ranked(),
+                priority: request.rank.priority(),
+                position: request.rank.position(),
+                is_ranked: request.rank.is_ranked(),
             },
             duration_ms: criteria.duration.as_millis(),
             admission: outcomes::admission_facts(&assessment, &criteria),
@@ -154,14 +154,14 @@
             candidates,
         };
         match is_refused_by_drain {
-            true => stopping(facts),
+            true => refuse_as_stopping(facts),
             false => facts,
         }
     })
 }
 
 /// Replaces the outcomes by the refusal of a stopping daemon.
-fn stopping(mut facts: ServiceFacts) -> ServiceFacts {
+fn refuse_as_stopping(mut facts: ServiceFacts) -> ServiceFacts {
     let retry_ms = STOPPING_RETRY_DELAY_MS;
     let status = Refusal::Unavailable { retry_ms };
     let refusal = refused(Reason::Stopping, status, Some(retry_ms));
--- a/src/gateway/explain/outcomes.rs
+++ b/src/gateway/explain/outcomes.rs
@@ -75,10 +75,8 @@
 fn unavailable(reason: Reason, delay: RetryDelay) -> Refused {
     let retry_ms = delay.min.as_millis();
     Refused {
-        reason,
-        status: Refusal::Unavailable { retry_ms }.status().as_u16(),
-        retry_ms: Some(retry_ms),
         retry_spread_ms: delay.spread.as_millis(),
+        ..refused(reason, Refusal::Unavailable { retry_ms }, Some(retry_ms))
     }
 }
 
--- a/src/gateway/roster/mod.rs
+++ b/src/gateway/roster/mod.rs
@@ -13,6 +13,7 @@
 //! and dead if it is also known to run no more requests.
 
 mod listing;
+mod lookup;
 
 pub use super::runner::{MemberState, Membership, Runner};
 pub use listing::REENTRY_WINDOW;
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -28,9 +28,9 @@
     pub(super) rank: Rank,
     /// Admission class.
     pub(super) class: AdmissionClass,
-    /// Length of the prompt.
+    /// Length of the prompt, in tokens.
     pub(super) prompt_tokens: u32,
-    /// Maximum length of the answer.
+    /// Maximum length of the answer, in tokens.
     pub(super) answer_tokens: u32,
     /// Time by which the response must be complete.
     pub(super) deadline: Time,
@@ -57,7 +57,7 @@
     }
 
     /// Returns a model's request as far as it matters for contention.
-    fn contending(&self, table: &'a RouteTable) -> Option<contention::Request<'a>> {
+    fn contention_request(&self, table: &'a RouteTable) -> Option<contention::Request<'a>> {
         Some(contention::Request {
             service: self.service,
             model: self.model?,
@@ -82,8 +82,8 @@
     unlimited: bool,
 ) -> Result<Endpoint, ChooseError> {
     let state = &call.state;
-    let wanted = SelectionRequest::of(call, class, unlimited);
-    let chosen = with_choice_inputs(state, &wanted, |view, criteria, now| {
+    let request = SelectionRequest::of(call, class, unlimited);
+    let chosen = with_choice_inputs(state, &request, |view, criteria, now| {
         balancer::choose(view, criteria, now, &mut *state.rng.borrow_mut())
     });
     let chosen = chosen.unwrap_or(Err(ChooseError::NoneServing));
@@ -96,33 +96,33 @@
     chosen
 }
 
-/// Passes to `act` what a choice of a runner is made from; returns none if there is no configuration.
+/// Calls `choose` with the inputs of the choice of a runner; returns none if there is no configuration.
 pub(super) fn with_choice_inputs<F, T>(
     state: &GatewayState,
-    wanted: &SelectionRequest<'_>,
-    act: F,
+    request: &SelectionRequest<'_>,
+    choose: F,
 ) -> Option<T>
 where
     F: FnOnce(View<'_>, Criteria<'_>, Time) -> T,
 {
     let now = state.now();
     let table = state.route_table()?;
-    let engine = table.spec().engine(wanted.service);
-    let model = wanted.model.zip(engine);
+    let engine = table.spec().engine(request.service);
+    let model = request.model.zip(engine);
     let criteria = Criteria {
-        service: wanted.service,
+        service: request.service,
         model,
-        class: wanted.class,
-        precedence: precedence(state, wanted, &table),
+        class: request.class,
+        precedence: precedence(state, request, &table),
         duration: admission::expected_duration(
             model.map(|(model, engine)| (engine, model)),
-            wanted.prompt_tokens,
-            wanted.answer_tokens,
+            request.prompt_tokens,
+            request.answer_tokens,
         ),
-        remaining: wanted.deadline.since(now),
+        remaining: request.deadline.since(now),
         hall: &state.settings.hall,
-        tried: wanted.tried,
-        unlimited: wanted.unlimited,
+        tried: request.tried,
+        unlimited: request.unlimited,
     };
     let view = View {
         roster: &state.roster.borrow(),
@@ -130,21 +130,21 @@
         notices: &state.notices.borrow(),
         limits: &state.head_limits.borrow(),
     };
-    Some(act(view, criteria, now))
+    Some(choose(view, criteria, now))
 }
 
 /// Returns what a request has to leave to others. One that may have run goes on whatever others
 /// need.
 fn precedence(
     state: &GatewayState,
-    wanted: &SelectionRequest<'_>,
+    request: &SelectionRequest<'_>,
     table: &RouteTable,
 ) -> Precedence {
-    match wanted.contending(table) {
-        Some(request) if wanted.class != AdmissionClass::Resumed => {
+    match request.contention_request(table) {
+        Some(contending) if request.class != AdmissionClass::Resumed => {
             let daemons = state.peers.borrow().count().max(1);
             let contention = state.contention.borrow();
-            contention.precedence(&request, daemons, state.now())
+            contention.precedence(&contending, daemons, state.now())
         }
         _ => Precedence::default(),
     }
@@ -155,9 +155,9 @@
     let Some(table) = call.state.route_table() else {
         return;
     };
-    let wanted = SelectionRequest::of(call, AdmissionClass::OnTime, false);
-    let request = wanted.contending(&table);
-    if let Some(request) = request.filter(|_| call.relayed.is_none()) {
+    let request = SelectionRequest::of(call, AdmissionClass::OnTime, false);
+    let contending = request.contention_request(&table);
+    if let Some(request) = contending.filter(|_| call.relayed.is_none()) {
         let mut contention = call.state.contention.borrow_mut();
         contention.record_admission(&request, call.state.now());
         contention.report_admission(&request);
