Split and name what stops a reader: needs, draws, families of sizes

Cause: found by reading the diff: a factor of one, a type `Draw` whose method is `draw`, a need that is derived in one long function, constants and checks that stand twice in tests and the example. Change: the factor is gone, `Draw` is `Sampler`, `demand` has one step a function, and the tests share `LARGE_DOMAINS`, `assert_both_serve` and a named time. No decision, check or bound changes.

--- a/examples/repair/main.rs
+++ b/examples/repair/main.rs
@@ -3,7 +3,7 @@
 //! Prints, for each family of sizes and pattern, the means over the seeds: work served over work
 //! wanted, also for each model and with its least value of a seed; groups in service by model; time
 //! from the loss of a group to the next with one of its members; host-seconds in no group; orders,
-//! loads, and groups cut although whole. The environment variable `SEEDS` takes a number, and
+//! loads, and groups whose requests were cut although all members were alive. The environment variable `SEEDS` takes a number, and
 //! `PARALLEL` the loads that the weight store serves at once.
 
 #[expect(dead_code, reason = "the tests use the rest")]
@@ -12,30 +12,27 @@
 #[path = "../../tests/gateway/loss_fleet.rs"]
 mod loss_fleet;
 
-use loss_fleet::{Family, Figures, Pattern, play};
+use loss_fleet::{Family, Figures, LARGE_DOMAINS, Pattern, play};
 
-/// Domains of 27, and domains of 11.
+/// Weight loads that the weight store serves at once, unless `PARALLEL` says otherwise.
+const PARALLEL_LOADS: u32 = 8;
+
+/// Families of sizes: hosts in a domain, in a large and in a small replica. The second wants more
+/// groups of the small model.
 const FAMILIES: [(&str, Family); 3] = [
     (
         "27/12/6",
         Family {
-            hosts: 27,
-            sizes: [12, 6],
-            wanted: [6.0, 6.0],
-            load_rate: 14.0,
-            parallel: 8,
-            losses: [2, 3],
+            parallel: PARALLEL_LOADS,
+            ..LARGE_DOMAINS
         },
     ),
     (
-        "27 host",
+        "27, 6+10",
         Family {
-            hosts: 27,
-            sizes: [12, 6],
             wanted: [6.0, 10.0],
-            load_rate: 14.0,
-            parallel: 8,
-            losses: [2, 3],
+            parallel: PARALLEL_LOADS,
+            ..LARGE_DOMAINS
         },
     ),
     (
@@ -45,7 +42,7 @@
             sizes: [6, 3],
             wanted: [5.0, 5.0],
             load_rate: 5.5,
-            parallel: 8,
+            parallel: PARALLEL_LOADS,
             losses: [1, 1],
         },
     ),
--- a/src/gateway/balancer/assess.rs
+++ b/src/gateway/balancer/assess.rs
@@ -4,7 +4,7 @@
     admit::{Admission, AdmissionInputs},
     candidates,
     criteria::{Candidate, ChooseError, Criteria, Exclusion, Observer, Tier, View},
-    draw::Draw,
+    draw::Sampler,
 };
 use crate::{
     core::time::Time,
@@ -70,7 +70,7 @@
         sent.map(|outcome| outcome.probability).sum()
     }
 
-    /// Returns the probability of each runner to be chosen; others are never chosen.
+    /// Returns the probability with which each runner is chosen; runners that take nothing are left out.
     pub fn chosen(&self) -> BTreeMap<HostKey, f64> {
         let mut chosen = BTreeMap::new();
         for outcome in &self.outcomes {
@@ -96,16 +96,16 @@
     let mut left_out = Vec::new();
     let mut inputs = None;
     let hall = criteria.hall;
-    let draw = Draw { view, hall, now };
+    let sampler = Sampler { view, hall, now };
     let outcomes = match candidates::find(view, &criteria, now, &mut left_out) {
         Err(error) => vec![certain(refused(error))],
         Ok(found) => match criteria.model.filter(|_| !found.is_empty()) {
-            None => vec![certain(sent(&draw, &found, Tier::Fast))],
+            None => vec![certain(sent(&sampler, &found, Tier::Fast))],
             Some((_, engine)) => {
                 let left_out = &mut left_out;
                 let admission = Admission::new(found, view, engine, &criteria, now, left_out);
                 inputs = Some(admission.inputs());
-                by_position(&admission, &draw)
+                by_position(&admission, &sampler)
             }
         },
     };
@@ -117,9 +117,9 @@
 }
 
 /// Returns the verdicts of all positions that a request may draw.
-fn by_position(admission: &Admission<'_>, draw: &Draw<'_>) -> Vec<Outcome> {
+fn by_position(admission: &Admission<'_>, sampler: &Sampler<'_>) -> Vec<Outcome> {
     let (Some(positions), Some(bounds)) = (admission.positions(), admission.bounds()) else {
-        return vec![certain(verdict(admission, draw, None))];
+        return vec![certain(verdict(admission, sampler, None))];
     };
     let mut outcomes = Vec::new();
     let mut below = 0.0;
@@ -130,7 +130,7 @@
             outcomes.push(Outcome {
                 until,
                 probability: fraction - below,
-                verdict: verdict(admission, draw, Some(until)),
+                verdict: verdict(admission, sampler, Some(until)),
             });
             below = fraction;
         }
@@ -138,19 +138,19 @@
     outcomes
 }
 
-fn verdict(admission: &Admission<'_>, draw: &Draw<'_>, position: Option<f64>) -> Verdict {
+fn verdict(admission: &Admission<'_>, sampler: &Sampler<'_>, position: Option<f64>) -> Verdict {
     match admission.verdict(position) {
-        Ok(tier) => sent(draw, &admission.tier(tier), tier),
+        Ok(tier) => sent(sampler, &admission.tier(tier), tier),
         Err(reason) => Verdict::Refused(RefusalCause::AllFull(reason, admission.retry_delay())),
     }
 }
 
-fn sent(draw: &Draw<'_>, candidates: &[Candidate], tier: Tier) -> Verdict {
+fn sent(sampler: &Sampler<'_>, candidates: &[Candidate], tier: Tier) -> Verdict {
     if candidates.is_empty() {
         return Verdict::Refused(RefusalCause::NoneServing);
     }
     let hosts = candidates.iter().map(|candidate| candidate.host);
-    let runners = hosts.zip(draw.probabilities(candidates)).collect();
+    let runners = hosts.zip(sampler.probabilities(candidates)).collect();
     Verdict::Sent { tier, runners }
 }
 
--- a/src/gateway/balancer/draw.rs
+++ b/src/gateway/balancer/draw.rs
@@ -16,9 +16,9 @@
 /// Cost of a runner in another hall, in requests ahead of this one.
 const REMOTE_HALL_COST: f64 = 0.5;
 
-/// Costs of candidates to a daemon.
+/// Draws candidates by their cost to this daemon.
 #[derive(Clone, Copy)]
-pub(super) struct Draw<'a> {
+pub(super) struct Sampler<'a> {
     /// What is known of the runners.
     pub(super) view: View<'a>,
     /// Hall of the daemon.
@@ -27,7 +27,7 @@
     pub(super) now: Time,
 }
 
-impl Draw<'_> {
+impl Sampler<'_> {
     /// Draws a candidate; none if there are none.
     pub(super) fn draw<R>(&self, candidates: &[Candidate], rng: &mut R) -> Option<Candidate>
     where
--- a/src/gateway/balancer/mod.rs
+++ b/src/gateway/balancer/mod.rs
@@ -3,8 +3,9 @@
 //! A request for a model goes to the head of a group that serves it; any other
 //! goes to a runner of the service. Two candidates are drawn at random and the
 //! less loaded one is taken, so that daemons with the same view of the load
-//! don't all choose the same runner. While all daemons get the same totals of the load, each draws a
-//! head by its part of the requests that it should get from all of them (`water_filling`).
+//! don't all choose the same runner. While all daemons get the same totals of the
+//! load, each draws a head by its part of the requests that it should get from all
+//! of them (`water_filling`).
 //!
 //! `candidates` finds the runners, `admit` decides which of them have room, and
 //! `draw` takes one. `choose` and `assess` go through the same three steps:
@@ -23,7 +24,7 @@
 use super::roster::Roster;
 use crate::core::time::Time;
 use admit::Admission;
-use draw::Draw;
+use draw::Sampler;
 use rand::Rng;
 
 /// Chooses a runner.
@@ -54,8 +55,10 @@
         }
     };
     let hall = criteria.hall;
-    let draw = Draw { view, hall, now };
-    let chosen = draw.draw(&admitted, rng).ok_or(ChooseError::NoneServing)?;
+    let sampler = Sampler { view, hall, now };
+    let chosen = sampler
+        .draw(&admitted, rng)
+        .ok_or(ChooseError::NoneServing)?;
     let host = view
         .roster
         .host(chosen.host)
--- a/src/gateway/contention.rs
+++ b/src/gateway/contention.rs
@@ -20,10 +20,6 @@
 };
 use std::collections::BTreeMap;
 
-/// Part of the slots left free for a rank that an account of this rank which is above its share
-/// leaves to the others: as much as the next less urgent rank would.
-const ACCOUNT_RESERVE_FRACTION: f64 = 1.0;
-
 /// Delay by which each rank retries later than the next more urgent one.
 const RETRY_STEP: Span = Span::from_millis(600);
 
@@ -128,8 +124,8 @@
         self.report(request, Work::of_admission(request.work()));
     }
 
-    /// Adds the work of accounts at all daemons in a second, as a digest tells it; `interval` is that
-    /// of the digests.
+    /// Adds the work of accounts at all daemons in a second, as in a digest; `interval` is that of the
+    /// digests.
     pub fn add_totals(&mut self, rates: &WorkCounts, interval: Span, now: Time) {
         self.totals.add(rates, interval, now);
     }
@@ -201,7 +197,8 @@
         }
         let others = shares.others_if_above(priority, key.account);
         let rate = demand.rate(priority, now) * daemons as f64 * others.unwrap_or_default();
-        let for_accounts = slots_for(rate, duration) * ACCOUNT_RESERVE_FRACTION;
+        // An account above its share leaves as much to the others as the next less urgent rank would.
+        let for_accounts = slots_for(rate, duration);
         let (ahead, own) = demand.fractions(priority);
         Precedence {
             ahead,
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -161,6 +161,12 @@
             let total: f64 = models.map(|known| self.demand.work_of(&known.model)).sum();
             return total * most_urgent;
         }
+        work * (1.0 + self.raise_of_next(replication, count))
+    }
+
+    /// Returns the part by which a model's need is raised, as its next group would serve work that is
+    /// more urgent than other work.
+    fn raise_of_next(&self, replication: &Replication, count: u32) -> f64 {
         // The groups serve the most urgent work; the next one serves what follows it.
         let (from, until) = (f64::from(count), f64::from(count + 1));
         let mut served = 0.0;
@@ -173,31 +179,37 @@
             raise += overlap.max(0.0) * (rank_factor(less_urgent) - 1.0);
             served += groups;
         }
-        work * (1.0 + raise)
+        raise
     }
 
     /// Returns true if the hosts don't suffice for groups for all work.
     fn is_short(&self, pools: &BTreeMap<DomainName, Pool>) -> bool {
         *self.is_short.get_or_init(|| {
-            let models = self.engine.models.iter();
-            let needed: f64 = models
-                .map(|known| {
-                    let groups = self.demand.groups_for(self.demand.work_of(&known.model));
-                    groups * f64::from(known.size)
-                })
-                .sum();
-            let models = self.engine.models.iter();
-            let in_groups: u32 = models
-                .flat_map(|known| {
-                    let counts = pools.values().map(|pool| pool.group_count(&known.model));
-                    counts.map(|count| count * u32::from(known.size))
-                })
-                .sum();
             let free: usize = pools.values().map(|pool| pool.free.len()).sum();
-            needed > f64::from(in_groups) + free as f64
+            self.hosts_needed() > f64::from(self.hosts_in_groups(pools)) + free as f64
         })
     }
 
+    /// Returns the number of hosts in groups that would serve all work.
+    fn hosts_needed(&self) -> f64 {
+        let models = self.engine.models.iter();
+        let hosts = models.map(|known| {
+            let groups = self.demand.groups_for(self.demand.work_of(&known.model));
+            groups * f64::from(known.size)
+        });
+        hosts.sum()
+    }
+
+    /// Returns the number of hosts in the groups of all models.
+    fn hosts_in_groups(&self, pools: &BTreeMap<DomainName, Pool>) -> u32 {
+        let models = self.engine.models.iter();
+        let hosts = models.flat_map(|known| {
+            let counts = pools.values().map(|pool| pool.group_count(&known.model));
+            counts.map(|count| count * u32::from(known.size))
+        });
+        hosts.sum()
+    }
+
     /// Returns the models in descending order of need.
     pub fn ranked(&self, pools: &BTreeMap<DomainName, Pool>) -> Vec<&'a Replication> {
         let mut models: Vec<&Replication> = self.engine.models.iter().collect();
--- a/tests/gateway/cold_fleet.rs
+++ b/tests/gateway/cold_fleet.rs
@@ -28,6 +28,9 @@
     net::SocketAddr,
 };
 
+/// Time for which the daemons have known each other at the start.
+const KNOWN_TIME: Span = Span::from_secs(90);
+
 /// Requests a second that a cold head tolerates.
 pub const COLD_RATE: f64 = 26.0;
 /// Requests that a cold head may get in any second.
@@ -274,9 +277,9 @@
             fleet.schedule(first, Event::Write(head));
         }
         (0..daemons).for_each(|_| fleet.join());
-        let earlier = fleet.now - Span::from_secs(90);
-        let known = fleet.daemons.iter_mut();
-        known.for_each(|daemon| daemon.peers.clear(earlier));
+        let earlier = fleet.now - KNOWN_TIME;
+        let daemons = fleet.daemons.iter_mut();
+        daemons.for_each(|daemon| daemon.peers.clear(earlier));
         fleet.run_for(Span::from_secs(5), 0.0);
         fleet
     }
--- a/tests/gateway/evacuation_orders.rs
+++ b/tests/gateway/evacuation_orders.rs
@@ -46,16 +46,19 @@
     memberships
 }
 
+/// Checks that one group of each model serves.
+fn assert_both_serve(fleet: &Fleet) {
+    let serving = (fleet.serving_count(LARGE), fleet.serving_count(SMALL));
+    assert_eq!(serving, (1, 1));
+}
+
 /// A hall whose groups were closed would have to form them again after each evacuation.
 #[test]
 fn groups_of_an_evacuated_hall_stay_and_serve_again_at_once() {
     let mut fleet = serving_fleet(&["a", "b"]);
     let before = memberships(&fleet, "a");
     evacuate(&mut fleet, &["a"]);
-    assert_eq!(
-        (fleet.serving_count(LARGE), fleet.serving_count(SMALL)),
-        (1, 1)
-    );
+    assert_both_serve(&fleet);
     let sent = orders(&mut fleet, Span::from_secs(120));
     let in_hall = sent
         .iter()
@@ -154,10 +157,7 @@
     fleet.run_for(Span::from_secs(5));
     lift(&mut fleet, &["a"]);
     fleet.run_for(Span::from_secs(1));
-    assert_eq!(
-        (fleet.serving_count(LARGE), fleet.serving_count(SMALL)),
-        (1, 1)
-    );
+    assert_both_serve(&fleet);
 }
 
 /// An order to join that got lost is repeated, which must wait for the end of the evacuation.
@@ -173,10 +173,7 @@
     assert!(!sent.iter().any(|directive| is_forming(&directive.order)));
     lift(&mut fleet, &["a"]);
     fleet.run_for(Span::from_secs(5));
-    assert_eq!(
-        (fleet.serving_count(LARGE), fleet.serving_count(SMALL)),
-        (1, 1)
-    );
+    assert_both_serve(&fleet);
 }
 
 /// The holder of the duty may fail midway: its successor, which knows only entries and evacuations,
--- a/tests/gateway/limit_fleet.rs
+++ b/tests/gateway/limit_fleet.rs
@@ -18,6 +18,9 @@
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use std::net::SocketAddr;
 
+/// Time for which the daemons have known each other at the start.
+const KNOWN_TIME: Span = Span::from_secs(90);
+
 /// Window over which the users count requests.
 const WINDOW: Span = Span::from_secs(4);
 /// Factor by which a runner may get more than its limit, and requests on top of that.
@@ -127,9 +130,9 @@
             policy,
         };
         (0..count).for_each(|_| fleet.join());
-        let earlier = fleet.now - Span::from_secs(90);
-        let known = fleet.daemons.iter_mut();
-        known.for_each(|daemon| daemon.peers.clear(earlier));
+        let earlier = fleet.now - KNOWN_TIME;
+        let daemons = fleet.daemons.iter_mut();
+        daemons.for_each(|daemon| daemon.peers.clear(earlier));
         fleet.run_for(Span::from_secs(5), 0.0);
         fleet
     }
--- a/tests/gateway/loss_fleet.rs
+++ b/tests/gateway/loss_fleet.rs
@@ -63,6 +63,16 @@
     pub losses: [usize; 2],
 }
 
+/// Domains of 27 hosts with replicas of 12 and 6, and as many groups wanted of each model.
+pub const LARGE_DOMAINS: Family = Family {
+    hosts: 27,
+    sizes: [12, 6],
+    wanted: [6.0, 6.0],
+    load_rate: 14.0,
+    parallel: 20,
+    losses: [2, 3],
+};
+
 /// What happens to the hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Pattern {
