--- a/src/core/group/driving.rs
+++ b/src/core/group/driving.rs
@@ -34,8 +34,8 @@
     /// Ends a duty whose claim was replaced at a later revision, by another daemon's or by what can't
     /// be read.
     pub(super) fn on_duty(&mut self, ctx: &mut Ctx, view: &View, name: &DomainName) {
-        let duty = view.duty(name).map(|duty| duty.revision);
-        let Some(revision) = duty.or_else(|| view.unreadable_duty(name)) else {
+        let claimed = view.duty(name).map(|duty| duty.revision);
+        let Some(revision) = claimed.or_else(|| view.unreadable_duty(name)) else {
             return;
         };
         let Some(domain) = self.domains.get_mut(name) else {
@@ -43,7 +43,7 @@
         };
         let own_fence = domain.driver.as_ref().map(Driver::fence);
         if own_fence.is_some_and(|fence| revision.0 > fence.0) {
-            let reason = match duty {
+            let reason = match claimed {
                 Some(_) => "another daemon claimed the duty",
                 None => "the claim can't be read",
             };
--- a/src/core/group/load_budget.rs
+++ b/src/core/group/load_budget.rs
@@ -11,18 +11,19 @@
 #[derive(Debug, Default)]
 pub(super) struct LoadBudget {
     balance: f64,
-    refilled: Option<Time>,
+    refilled_at: Option<Time>,
 }
 
 impl LoadBudget {
-    /// Adds what may be loaded since the last refill.
+    /// Refills the balance at `rate`, in gigabytes a second, for the time since the last refill.
     pub(super) fn refill(&mut self, now: Time, rate: f64) {
-        let since = self.refilled.map_or(Span::ZERO, |at| now.since(at));
-        self.refilled = Some(now);
+        let since = self.refilled_at.map_or(Span::ZERO, |at| now.since(at));
+        self.refilled_at = Some(now);
         self.balance = (self.balance + rate * since.as_secs_f64()).min(0.0);
     }
 
-    /// Returns the time until the next load is admitted, at most [`MAX_LOAD_WAIT`].
+    /// Returns the time until the next load is admitted at `rate`, in gigabytes a second, at most
+    /// [`MAX_LOAD_WAIT`].
     pub(super) fn wait(&self, rate: f64) -> Span {
         let secs = -self.balance / rate.max(f64::MIN_POSITIVE);
         Span((secs * 1e6).min(MAX_LOAD_WAIT.0 as f64) as u64)
--- a/src/core/member/maintenance.rs
+++ b/src/core/member/maintenance.rs
@@ -43,17 +43,7 @@
         if !reaches_peers {
             self.probe_seeds(ctx);
         }
-        if !reaches_peers
-            || self.resumed
-            || !self
-                .freshness
-                .half_answered(ctx.now, probe::SUSPICION_TIMEOUT)
-        {
-            let interval = Span(self.freshness.window().0 / PLATFORM_CHECK_DIVISOR);
-            if !self.freshness.reaches_platform(ctx.now, interval) {
-                self.registry.check_platform(ctx);
-            }
-        }
+        self.check_platform(ctx, reaches_peers);
         if ctx.now.since(self.maintenance.dead_probed) >= DEAD_PROBE_INTERVAL {
             self.maintenance.dead_probed = ctx.now;
             self.probe_dead(ctx);
@@ -64,12 +54,30 @@
         }
         if ctx.now.since(self.maintenance.swept) >= SWEEP_INTERVAL {
             self.maintenance.swept = ctx.now;
-            self.table.sweep(ctx.now);
-            let table = &self.table;
-            self.seen.retain(|name| table.get(name).is_some());
+            self.sweep(ctx.now);
         }
     }
 
+    /// Checks the platform if too few daemons answer to prove that this one is connected.
+    fn check_platform(&mut self, ctx: &mut Ctx, reaches_peers: bool) {
+        let timeout = probe::SUSPICION_TIMEOUT;
+        let is_proven = reaches_peers && !self.resumed;
+        if is_proven && self.freshness.half_answered(ctx.now, timeout) {
+            return;
+        }
+        let interval = Span(self.freshness.window().0 / PLATFORM_CHECK_DIVISOR);
+        if !self.freshness.reaches_platform(ctx.now, interval) {
+            self.registry.check_platform(ctx);
+        }
+    }
+
+    /// Removes old entries.
+    fn sweep(&mut self, now: Time) {
+        self.table.sweep(now);
+        let table = &self.table;
+        self.seen.retain(|name| table.get(name).is_some());
+    }
+
     /// Probes the seed addresses that no known live daemon has.
     fn probe_seeds(&mut self, ctx: &mut Ctx) {
         let seeds: Vec<SocketAddr> = ctx.me.seeds.clone();
--- a/src/gateway/coldness.rs
+++ b/src/gateway/coldness.rs
@@ -49,7 +49,7 @@
 }
 
 crate::record! {
-    /// What a daemon tells another one of a cold runner.
+    /// Statement of a daemon to another one that a runner is cold.
     #[derive(Copy)]
     pub struct ColdClaim {
         /// Time for which it stays cold.
@@ -236,7 +236,7 @@
 }
 
 crate::record! {
-    /// Who says that a runner is cold.
+    /// Source of the statement that a runner is cold.
     #[derive(Copy, Eq)]
     pub enum ColdSource {
         /// Its entry in the store.
@@ -245,7 +245,7 @@
         Response,
         /// Another daemon.
         Peer,
-        /// Nobody: it is presumed, after a start or the end of an evacuation.
+        /// None: it is presumed, after a start or the end of an evacuation.
         Presumed,
         /// Its group was opened.
         Opened,
@@ -257,7 +257,7 @@
 pub struct ColdTime {
     /// End of the cold time.
     pub until: Time,
-    /// Who says so.
+    /// Source of the statement.
     pub source: ColdSource,
     /// Time at which it was heard, or since which it is presumed.
     pub heard_at: Time,
--- a/src/gateway/explain/report.rs
+++ b/src/gateway/explain/report.rs
@@ -8,7 +8,7 @@
 };
 
 crate::record! {
-    /// Request of which a daemon is routed what it would do with it.
+    /// Request that a daemon is asked about.
     #[serde(deny_unknown_fields)]
     pub struct Query {
         /// Host name that the caller names.
@@ -255,7 +255,7 @@
         Choice(Exclusion),
     }
 
-    /// What may change the outcome and isn't known to the daemon, or not routed for.
+    /// What may change the outcome and isn't known to the daemon, or not asked for.
     #[derive(Copy, Eq)]
     pub enum Unknown {
         /// Choices of the other daemons at the same time.
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -4,7 +4,7 @@
 //! waited for, how long a group holds its members, and which hosts are eligible
 //! for a new group.
 //!
-//! An entry may be missing because the runner leaves without saying so, or
+//! An entry may be missing because the runner leaves without announcing it, or
 //! because it is cut off from the store. In both cases its work goes on for some
 //! time, so the work of a group is not cut for a missing entry.
 //!
--- a/src/gateway/load_exchange/estimate.rs
+++ b/src/gateway/load_exchange/estimate.rs
@@ -1,4 +1,4 @@
-//! What a digest tells a daemon about the other daemons' requests.
+//! Estimates of the other daemons' requests, by a digest.
 
 use super::message::{HeadCount, HeadCounts, LoadDigest, LoadReport, RATE_WINDOW_S, ReportId};
 use crate::core::{
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -189,7 +189,7 @@
         now.since(heard_at.unwrap_or_default())
     }
 
-    /// HoldTimes back requests to a runner until its limit allows the next one.
+    /// Holds back requests to a runner until its limit allows the next one.
     pub fn hold_back(&mut self, host: HostKey, until: Time) {
         if let Some(entry) = self.entries.entry(host) {
             entry.or_default().held_until = until;
@@ -204,8 +204,8 @@
 
     /// Returns the time until a runner may take a request; zero if it may now.
     pub fn wait(&self, host: HostKey, now: Time) -> Span {
-        let holds = self.hold_times(host, now);
-        holds.paused.max(holds.limited)
+        let times = self.hold_times(host, now);
+        times.paused.max(times.limited)
     }
 
     /// Returns the times until a runner may take a request, by reason.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,7 +11,7 @@
 const MAX_ADDRESSES: usize = 64;
 
 /// Time for which a daemon is remembered whose entry has gone: if it is only cut off from the store,
-/// it goes on serving.
+/// it goes on serving. A longer cut is not accounted for.
 const DEPARTED_TTL: Span = Span::from_secs(600);
 
 crate::record! {
--- a/src/gateway/permits/authority.rs
+++ b/src/gateway/permits/authority.rs
@@ -29,7 +29,7 @@
 const UNSETTLED_SHARES: [f64; 2] = [1.0 / 4.0, 1.0 / 16.0];
 
 /// Time for which a daemon must have known the others' entries before it is sure which of them have
-/// gone: most cuts from the store end sooner.
+/// gone; until then it assumes that one more has.
 const MIN_OBSERVATION_TIME: Span = Span::from_secs(60);
 
 /// Daemon that issues the permits for a runner.
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -56,6 +56,7 @@
 }
 
 impl StopCause {
+    /// Returns when the stop began.
     fn at(&self) -> Instant {
         match self {
             StopCause::Signal { at } | StopCause::Failure { at, .. } => *at,
@@ -122,8 +123,8 @@
         "noticed_after_ms" => delay.as_millis() as u64);
     compio::runtime::spawn(log_signals(signals, state.log.clone())).detach();
     let grace = Span::from_millis(state.settings.grace_ms);
-    let signalled = state.now() - Span(delay.as_micros() as u64);
-    let drain = Drain::new(grace, state.settings.cores, signalled);
+    let began = state.now() - Span(delay.as_micros() as u64);
+    let drain = Drain::new(grace, state.settings.cores, began);
     state.drain.set(Some(drain));
     let forced = time_until(drain.forced(), state);
     exit::force_after(forced, cause.exit_code(), state.log.clone());
--- a/src/shell/linger.rs
+++ b/src/shell/linger.rs
@@ -14,7 +14,8 @@
     time::{Duration, Instant},
 };
 
-/// Maximum number of bytes that are discarded; a peer that sends more gets a reset.
+/// Maximum number of bytes that are discarded; a peer that sends more gets a reset, which costs less
+/// than reading on.
 const MAX_DISCARDED_BYTES: usize = 16 << 20;
 
 /// Maximum time for which bytes are discarded.
--- a/src/shell/running_time.rs
+++ b/src/shell/running_time.rs
@@ -1,4 +1,4 @@
-//! Timeouts for what others do, in time during which the event loop runs.
+//! Timeouts that don't count stalls of the event loop.
 //!
 //! A process that is kept waiting on a busy host finds its timers due when it
 //! goes on, beside what has arrived meanwhile. A timeout of the clock would then
@@ -9,8 +9,8 @@
 use futures_util::future::{Either, select};
 use std::{pin::pin, time::Duration};
 
-/// Number of steps of a timeout. Each takes a timer, and a process that runs for a part of each
-/// scheduling period only may prolong each by such a period.
+/// Number of steps of a timeout. A stall counts as one step at most; more steps cost more timers, and
+/// on a throttled process each may end a scheduling period late.
 const STEPS: u32 = 4;
 
 /// Waits for a future until the event loop has run for `timeout`; returns nothing if that passes first.
--- a/src/shell/supervisor.rs
+++ b/src/shell/supervisor.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// Error of a task that has panicked once too often.
+/// Failure of a task that panicked after the limit of restarts was reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TaskFailure {
     /// Name of the task.
@@ -74,7 +74,7 @@
 }
 
 impl Supervisor {
-    /// Creates a supervisor, and a receiver of the first failure that restarts don't mend.
+    /// Creates a supervisor, and a receiver of the first failure after which a task is not restarted.
     pub fn new(log: Logger, clock: Clock) -> (Self, oneshot::Receiver<TaskFailure>) {
         let (failure, failed) = oneshot::channel();
         let state = State {
--- a/tests/gateway/missing_entries.rs
+++ b/tests/gateway/missing_entries.rs
@@ -1,4 +1,4 @@
-//! Runners whose entries are gone although they are at work: they leave without saying so, or are
+//! Runners whose entries are gone although they are at work: they leave without announcing it, or are
 //! cut off from the store.
 
 use crate::{
@@ -107,7 +107,7 @@
     assert!(is_cut(&mut fleet, epoch, Span::from_millis(300), true));
 }
 
-/// A member that leaves without saying so works on for some seconds after it has stopped listening.
+/// A member that leaves without announcing it works on for some seconds after it has stopped listening.
 #[test]
 fn work_goes_on_while_a_member_without_entry_refuses_connections() {
     let (mut fleet, _, epoch) = fleet_with_head();
--- a/tests/platform/departures.rs
+++ b/tests/platform/departures.rs
@@ -1,4 +1,4 @@
-//! Runners that leave without saying so: the platform removes their entries, and they serve on.
+//! Runners that leave without announcing it: the platform removes their entries, and they serve on.
 
 use super::env::TestEnv;
 use std::{
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -59,7 +59,7 @@
     report_copies: Mutex<Option<Duration>>,
     /// True while it responds to no probe or order.
     is_control_silent: AtomicBool,
-    /// True once it has left the store without saying so: it writes no entry any more.
+    /// True once it has left the store without announcing it: it writes no entry any more.
     is_unlisted: AtomicBool,
     /// Orders with the times at which they came.
     orders: Mutex<Vec<(Instant, Value)>>,
