Tests read as a newcomer: simulated fleets, faults and lost hosts by their usual names

Cause: `play`, `trouble`, `dark`, `silence` and `sound` are words of no field, and two test comments told figures of runs. No check, bound or seed changes.

--- a/examples/contention/main.rs
+++ b/examples/contention/main.rs
@@ -10,10 +10,10 @@
 #[path = "../../tests/gateway/contention_fleet.rs"]
 mod fleet;
 
-use fleet::{Figures, Outcomes, Policy, Scene, play};
+use fleet::{Figures, Outcomes, Policy, Scene, simulate};
 use hickoryledge::core::time::Span;
 
-/// Time that is played after the warm-up.
+/// Time that is simulated after the warm-up.
 const SPAN: Span = Span::from_secs(30);
 /// Numbers of daemons.
 const DAEMONS: [usize; 3] = [8, 61, 195];
@@ -80,7 +80,7 @@
                     account_priority: Some(2),
                     ..scene(policy, daemons, load, 1.0 / 24.0)
                 };
-                let figures = play(scene, SPAN);
+                let figures = simulate(scene, SPAN);
                 println!(
                     "{daemons:7} {load:5.1} {policy:9?} {} {}",
                     text(&figures.last_account()),
@@ -110,7 +110,7 @@
 }
 
 fn measure(policy: Policy, daemons: usize, load: f64, largest: f64) -> Figures {
-    play(scene(policy, daemons, load, largest), SPAN)
+    simulate(scene(policy, daemons, load, largest), SPAN)
 }
 
 fn text(outcomes: &Outcomes) -> String {
--- a/examples/even_load/main.rs
+++ b/examples/even_load/main.rs
@@ -6,8 +6,8 @@
 //! event; and bytes a second of a daemon and of an aggregator.
 //!
 //! Arguments name the ways that are compared. The environment variables `DAEMONS`, `LOADS` and
-//! `HEADS` take numbers, `SEEDS` the number of runs of each (3), `TROUBLE` names what goes wrong (see
-//! `with_trouble`). `LARGEST` is the fraction of the requests that one of 24 accounts has; the last two
+//! `HEADS` take numbers, `SEEDS` the number of runs of each (3), `FAULT` names what fails (see
+//! `with_fault`). `LARGEST` is the fraction of the requests that one of 24 accounts has; the last two
 //! columns are the fractions of its requests and of the others' that begin on time.
 //! `ACCOUNTS=exchanged` lets daemons exchange the work of accounts.
 
@@ -52,7 +52,7 @@
                 if !only.is_empty() && !only.contains(&name) {
                     continue;
                 }
-                let scene = with_trouble(Scene {
+                let scene = with_fault(Scene {
                     daemons,
                     load,
                     ..base
@@ -63,11 +63,11 @@
     }
 }
 
-/// Returns a scene with the trouble that an environment variable names.
-fn with_trouble(scene: Scene) -> Scene {
+/// Returns a scene with the fault that an environment variable names.
+fn with_fault(scene: Scene) -> Scene {
     let at = Some(Span::from_secs(10));
     let mut scene = scene;
-    match std::env::var("TROUBLE").unwrap_or_default().as_str() {
+    match std::env::var("FAULT").unwrap_or_default().as_str() {
         "" => {}
         "swing" => scene.swing = 0.55,
         "losses" => scene.replace_every = Some(Span::from_secs(3)),
@@ -78,7 +78,7 @@
         "silent" => scene.silent = 0.2,
         "returns" => scene.returns = true,
         "slow" => scene.slow = Some(1.6),
-        other => panic!("unknown trouble: {other}"),
+        other => panic!("unknown fault: {other}"),
     }
     scene
 }
--- a/examples/repair/main.rs
+++ b/examples/repair/main.rs
@@ -12,7 +12,7 @@
 #[path = "../../tests/gateway/loss_fleet.rs"]
 mod loss_fleet;
 
-use loss_fleet::{Family, Figures, LARGE_DOMAINS, Pattern, play};
+use loss_fleet::{Family, Figures, LARGE_DOMAINS, Pattern, simulate};
 
 /// Weight loads that the weight store serves at once, unless `PARALLEL` says otherwise.
 const PARALLEL_LOADS: u32 = 8;
@@ -63,7 +63,7 @@
     for (name, family) in FAMILIES {
         for pattern in PATTERNS {
             let runs: Vec<Figures> = (0..seeds)
-                .map(|seed| play(Family { parallel, ..family }, pattern, seed))
+                .map(|seed| simulate(Family { parallel, ..family }, pattern, seed))
                 .collect();
             print(name, pattern, &runs);
         }
--- a/tests/gateway/account_work.rs
+++ b/tests/gateway/account_work.rs
@@ -167,12 +167,12 @@
     );
 }
 
-/// What the accounts 0 and 3 of the most urgent rank have to leave to each other.
-struct Env {
+/// Contention state of a daemon that gets totals of the accounts 0 and 3, both of the most urgent rank.
+struct Accounts {
     contention: Contention,
 }
 
-impl Env {
+impl Accounts {
     fn add(&mut self, large: Work, small: Work, now: Time) {
         let works = [(key(0), large), (key(3), small)];
         let rates = counts(works, MAX_TOTALS_BYTES);
@@ -205,44 +205,47 @@
 /// daemon that has no digest goes by its own sample. None of it may change the shares at once.
 #[test]
 fn shares_by_totals_change_slowly() {
-    let mut env = Env {
+    let mut accounts = Accounts {
         contention: Contention::default(),
     };
-    assert_eq!(env.for_accounts(0, second(0)), 0, "own sample");
+    assert_eq!(accounts.for_accounts(0, second(0)), 0, "own sample");
     for at in 1..=30 {
-        env.add(work(9.0, 5.0), work(3.0, 1.0), second(at));
+        accounts.add(work(9.0, 5.0), work(3.0, 1.0), second(at));
     }
-    assert!(env.for_accounts(0, second(30)) > 0);
-    assert_eq!(env.for_accounts(3, second(30)), 0);
-    env.add(Work::default(), work(0.2, 0.1), second(31));
-    assert!(env.for_accounts(0, second(31)) > 0, "few daemons summed");
-    assert!(env.for_accounts(0, second(33)) > 0, "two digests lost");
-    assert_eq!(env.for_accounts(0, second(35)), 0, "own sample");
-    env.add(work(1.0, 0.0), work(9.0, 3.0), second(55));
+    assert!(accounts.for_accounts(0, second(30)) > 0);
+    assert_eq!(accounts.for_accounts(3, second(30)), 0);
+    accounts.add(Work::default(), work(0.2, 0.1), second(31));
     assert!(
-        env.for_accounts(0, second(55)) > 0,
+        accounts.for_accounts(0, second(31)) > 0,
+        "few daemons summed"
+    );
+    assert!(accounts.for_accounts(0, second(33)) > 0, "two digests lost");
+    assert_eq!(accounts.for_accounts(0, second(35)), 0, "own sample");
+    accounts.add(work(1.0, 0.0), work(9.0, 3.0), second(55));
+    assert!(
+        accounts.for_accounts(0, second(55)) > 0,
         "one digest after a gap"
     );
     for at in 56..=120 {
-        env.add(work(2.0, 0.2), work(9.0, 4.0), second(at));
+        accounts.add(work(2.0, 0.2), work(9.0, 4.0), second(at));
     }
-    assert_eq!(env.for_accounts(0, second(120)), 0);
-    assert!(env.for_accounts(3, second(120)) > 0);
+    assert_eq!(accounts.for_accounts(0, second(120)), 0);
+    assert!(accounts.for_accounts(3, second(120)) > 0);
 }
 
 /// Without ranks, an account that asked for many times its usual got as large a part of the admitted
 /// requests, and all others were refused as often as it was.
 #[test]
 fn requests_within_shares_come_first_also_without_ranks() {
-    let mut env = Env {
+    let mut accounts = Accounts {
         contention: Contention::default(),
     };
     let now = second(30);
     let unranked = Rank::default();
-    assert_eq!(env.precedence(0, unranked, now), Precedence::default());
+    assert_eq!(accounts.precedence(0, unranked, now), Precedence::default());
     // Of 11 units that are asked for, 5 can be had.
-    (1..=30).for_each(|at| env.add(work(9.0, 2.5), work(2.0, 2.5), second(at)));
-    let shares = [0, 3].map(|index| env.precedence(index, unranked, now).share);
+    (1..=30).for_each(|at| accounts.add(work(9.0, 2.5), work(2.0, 2.5), second(at)));
+    let shares = [0, 3].map(|index| accounts.precedence(index, unranked, now).share);
     let [large, small] = shares.map(|share| share.expect("totals are known"));
     assert!((large.own - 3.0 / 9.0).abs() < 0.01, "{large:?}");
     assert_eq!(small.own, 1.0);
@@ -257,7 +260,7 @@
     let together = (9.0 * large + 2.0 * small) / 11.0;
     assert!((together - 5.0 / 11.0).abs() < 0.02, "{together}");
     assert_eq!(
-        env.precedence(0, unranked, now + Span::from_secs(4)),
+        accounts.precedence(0, unranked, now + Span::from_secs(4)),
         Precedence::default(),
         "no current digest"
     );
--- a/tests/gateway/contention.rs
+++ b/tests/gateway/contention.rs
@@ -1,7 +1,7 @@
 //! Requests of different ranks and accounts that contend for the heads of a model.
 
 use crate::{
-    contention_fleet::{Figures, Outcomes, Policy, Scene, play, serving_heads},
+    contention_fleet::{Figures, Outcomes, Policy, Scene, serving_heads, simulate},
     engine_heads::{model, service},
 };
 use hickoryledge::{
@@ -369,7 +369,7 @@
     let (large, small) = (AccountName::from("large"), AccountName::from("small"));
     let mut contention = Contention::default();
     let mut now = NOW;
-    let mut play = |contention: &mut Contention, accounts: &[&AccountName]| {
+    let mut ask = |contention: &mut Contention, accounts: &[&AccountName]| {
         for index in 0..200 {
             now = now + Span::from_millis(50);
             for account in accounts {
@@ -387,13 +387,13 @@
         }
         now
     };
-    let now = play(&mut contention, &[&large]);
+    let now = ask(&mut contention, &[&large]);
     let of = |contention: &Contention, account, now| {
         let request = env.request(&names, rank(0), Some(account));
         contention.precedence(&request, 61, now).for_accounts
     };
     assert_eq!(of(&contention, &large, now), 0, "alone");
-    let now = play(&mut contention, &[&large, &small]);
+    let now = ask(&mut contention, &[&large, &small]);
     assert!(of(&contention, &large, now) > 0);
     assert_eq!(of(&contention, &small, now), 0);
 }
@@ -443,12 +443,12 @@
 /// was served was late.
 #[test]
 fn more_urgent_ranks_are_served_first_under_overload() {
-    let alike = by_rank(&play(scene(Policy::Alike, 2.0, 0.05), SPAN));
+    let alike = by_rank(&simulate(scene(Policy::Alike, 2.0, 0.05), SPAN));
     assert!(
         alike[0].served() < 0.6 && alike[0].on_time() < 0.3,
         "{alike:?}"
     );
-    let ranked = by_rank(&play(scene(Policy::Ranked, 2.0, 0.05), SPAN));
+    let ranked = by_rank(&simulate(scene(Policy::Ranked, 2.0, 0.05), SPAN));
     assert!(ranked[0].served() > 0.95, "{ranked:?}");
     assert!(ranked[0].on_time() > 0.7, "{ranked:?}");
     assert!(ranked[0].served() > ranked[1].served(), "{ranked:?}");
@@ -458,8 +458,8 @@
 /// Slots left free for more urgent ranks must not cost the service as a whole.
 #[test]
 fn slots_are_used_under_overload() {
-    let alike = play(scene(Policy::Alike, 1.3, 0.05), SPAN);
-    let ranked = play(scene(Policy::Ranked, 1.3, 0.05), SPAN);
+    let alike = simulate(scene(Policy::Alike, 1.3, 0.05), SPAN);
+    let ranked = simulate(scene(Policy::Ranked, 1.3, 0.05), SPAN);
     assert!(ranked.taken > 0.92 && ranked.taken > alike.taken - 0.06);
     assert_eq!(ranked.refused_while_free, 0);
     let on_time = |figures: &Figures| -> u32 {
@@ -475,13 +475,13 @@
 /// Below the capacity nobody is refused for the sake of others.
 #[test]
 fn all_ranks_are_served_below_capacity() {
-    for outcomes in by_rank(&play(scene(Policy::Ranked, 0.7, 0.05), SPAN)) {
+    for outcomes in by_rank(&simulate(scene(Policy::Ranked, 0.7, 0.05), SPAN)) {
         assert!(outcomes.served() > 0.99, "{outcomes:?}");
     }
 }
 
-/// A burst of the most urgent rank alone may take everything. One seed alone differs by up to 4% either
-/// way, so the mean of several is compared.
+/// Guards against reserves that hold back the most urgent rank although it is alone. Single seeds differ
+/// by chance, so means are compared.
 #[test]
 fn most_urgent_rank_alone_uses_all_slots() {
     let seeds = 1..=8;
@@ -496,7 +496,7 @@
             policy: Policy::Alike,
             ..ranked
         };
-        let figures = [ranked, alike].map(|scene| play(scene, SPAN));
+        let figures = [ranked, alike].map(|scene| simulate(scene, SPAN));
         assert!((figures[0].taken - figures[1].taken).abs() < 0.01);
         for (sum, figures) in served.iter_mut().zip(&figures) {
             *sum += by_rank(figures)[0].served() / seeds.clone().count() as f64;
@@ -510,13 +510,13 @@
 /// refused as often as it was.
 #[test]
 fn small_accounts_are_served_beside_large_one() {
-    let figures = play(scene(Policy::Ranked, 2.0, 0.41), SPAN);
+    let figures = simulate(scene(Policy::Ranked, 2.0, 0.41), SPAN);
     let (large, small) = (figures.accounts[&0], figures.small_accounts());
     assert!(
         small.served() > large.served() + 0.12,
         "{large:?} {small:?}"
     );
-    let alike = play(scene(Policy::Alike, 2.0, 0.41), SPAN);
+    let alike = simulate(scene(Policy::Alike, 2.0, 0.41), SPAN);
     assert!(small.served() > alike.small_accounts().served() + 0.05);
     for outcomes in figures.accounts.values() {
         assert!(outcomes.served() > 0.25 * small.served(), "{outcomes:?}");
@@ -532,7 +532,7 @@
             account_priority: Some(2),
             ..scene(Policy::Ranked, load, 0.05)
         };
-        let figures = play(scene, Span::from_secs(60));
+        let figures = simulate(scene, Span::from_secs(60));
         let (last, all) = (figures.last_account(), figures.all());
         assert!(last.served() > 0.25 * all.served(), "{last:?} {all:?}");
         assert!(last.served() < all.served(), "{last:?} {all:?}");
@@ -548,7 +548,7 @@
         account_priority: Some(2),
         ..scene(Policy::Exchanged, 4.0, 0.05)
     };
-    let figures = play(scene, Span::from_secs(30));
+    let figures = simulate(scene, Span::from_secs(30));
     let (last, all) = (figures.last_account(), figures.all());
     assert!(last.served() > 0.25 * all.served(), "{last:?} {all:?}");
     assert!(last.served() < all.served(), "{last:?} {all:?}");
@@ -565,7 +565,7 @@
             seed,
             ..scene(Policy::Exchanged, 4.0, 0.05)
         };
-        let figures = play(scene, Span::from_secs(30));
+        let figures = simulate(scene, Span::from_secs(30));
         let (last, all) = (figures.last_account(), figures.all());
         assert!(
             last.served() > 0.25 * all.served(),
@@ -574,12 +574,12 @@
     }
 }
 
-/// All daemons have the same totals. Accounts a little above the level must not all leave their slots to
-/// the next rank at once: the most urgent rank then got 77% instead of 89%.
+/// Guards against slots that all daemons, which have the same totals, leave free at once for accounts
+/// near the level: less urgent ranks would then take them.
 #[test]
 fn ranks_come_first_also_with_exchanged_work() {
     let ranks = [Policy::Ranked, Policy::Exchanged]
-        .map(|policy| by_rank(&play(scene(policy, 4.0, 1.0 / 24.0), SPAN)));
+        .map(|policy| by_rank(&simulate(scene(policy, 4.0, 1.0 / 24.0), SPAN)));
     let [ranked, exchanged] = ranks.map(|ranks| ranks[0].served());
     assert!(exchanged > ranked - 0.03, "{exchanged} {ranked}");
 }
--- a/tests/gateway/contention_fleet.rs
+++ b/tests/gateway/contention_fleet.rs
@@ -65,7 +65,7 @@
     Exchanged,
 }
 
-/// Scene that is played.
+/// Scene that is simulated.
 #[derive(Clone, Copy, Debug)]
 pub struct Scene {
     /// How daemons treat requests.
@@ -230,8 +230,8 @@
     slot_seconds: f64,
 }
 
-/// Plays a scene for this time after the warm-up.
-pub fn play(scene: Scene, span: Span) -> Figures {
+/// Simulates a scene for this time after the warm-up.
+pub fn simulate(scene: Scene, span: Span) -> Figures {
     let mut world = World::new(scene);
     let end = Time(0) + WARM_UP + span;
     while let Some((at, event)) = world.agenda.pop_before(end) {
--- a/tests/gateway/even_load.rs
+++ b/tests/gateway/even_load.rs
@@ -80,7 +80,7 @@
     let base = scene(61, 1.3);
     let at = Some(Span::from_secs(3));
     let undisturbed = run(Policy::Exchange, base).served();
-    let troubles = [
+    let faults = [
         Scene {
             aggregator_lost: at,
             ..base
@@ -95,12 +95,12 @@
         },
         Scene { loss: 0.1, ..base },
     ];
-    for trouble in troubles {
-        let figures = run(Policy::Exchange, trouble);
+    for fault in faults {
+        let figures = run(Policy::Exchange, fault);
         let served = figures.served();
         assert!(
             served > undisturbed - 0.1,
-            "{undisturbed}: {trouble:?} {figures:?}"
+            "{undisturbed}: {fault:?} {figures:?}"
         );
     }
 }
--- a/tests/gateway/head_limits.rs
+++ b/tests/gateway/head_limits.rs
@@ -43,7 +43,7 @@
     assert!(max_expected(48, fraction, AdmissionClass::OnTime) < 36.0);
 }
 
-/// Lateness that load isn't the cause of, such as heads in trouble, must not make requests be refused
+/// Lateness that load isn't the cause of, such as slow heads, must not make requests be refused
 /// while most slots are free.
 #[test]
 fn limit_keeps_a_minimum() {
--- a/tests/gateway/load_fleet.rs
+++ b/tests/gateway/load_fleet.rs
@@ -262,7 +262,7 @@
     /// Draws the requests, which are the same for all policies.
     demand: SmallRng,
     /// Draws the requests' accounts.
-    chosen_accounts: SmallRng,
+    account_rng: SmallRng,
     accounts: Vec<AccountName>,
     figures: Figures,
     first_events: Vec<f64>,
@@ -319,7 +319,7 @@
             next_epoch: 1 << 40,
             rng,
             demand: SmallRng::seed_from_u64(seed),
-            chosen_accounts: SmallRng::seed_from_u64(seed),
+            account_rng: SmallRng::seed_from_u64(seed),
             accounts: (0..ACCOUNTS)
                 .map(|index| AccountName::from(format!("a{index}")))
                 .collect(),
@@ -486,9 +486,9 @@
     }
 
     fn draw_account(&mut self) -> usize {
-        match self.chosen_accounts.random_bool(self.scene.largest) {
+        match self.account_rng.random_bool(self.scene.largest) {
             true => 0,
-            false => self.chosen_accounts.random_range(1..ACCOUNTS),
+            false => self.account_rng.random_range(1..ACCOUNTS),
         }
     }
 
--- a/tests/gateway/loss_fleet.rs
+++ b/tests/gateway/loss_fleet.rs
@@ -32,7 +32,7 @@
 const LOSS_INTERVAL: Span = Span::from_secs(3);
 /// Time from the first loss to the first new host.
 const REPLACEMENT_DELAY: Span = Span::from_secs(12);
-/// Time for which a domain is dark.
+/// Time for which a domain is unreachable.
 const UNREACHABLE_TIME: Span = Span::from_secs(8);
 /// Interval between restarts.
 const RESTART_INTERVAL: Span = Span::from_millis(700);
@@ -78,7 +78,7 @@
 pub enum Pattern {
     /// Members are lost for good, one hall after the other, and empty hosts added later.
     Losses,
-    /// A domain is dark for some seconds.
+    /// A domain is unreachable for some seconds.
     UnreachableDomain,
     /// A third of the hosts is restarted one after the other.
     Restarts,
@@ -125,21 +125,21 @@
     }
 }
 
-/// A group that was lost and not repaired yet.
-struct Broken {
+/// Group that was lost and is not repaired yet.
+struct LostGroup {
     model: usize,
     survivors: BTreeSet<HostName>,
     since: Time,
 }
 
-/// A host that is silent, and when the daemon learns of it.
-struct Silence {
+/// Host that was lost, and when the daemon detects it.
+struct UndetectedLoss {
     host: HostName,
     unreachable_at: Time,
     unlisted_at: Time,
 }
 
-/// A fleet in trouble.
+/// Fleet whose hosts fail by a pattern.
 pub struct LossFleet {
     fleet: Fleet,
     family: Family,
@@ -147,11 +147,11 @@
     rng: SmallRng,
     /// Phase of each model's work.
     phases: [f64; 2],
-    silent: Vec<Silence>,
-    /// Hosts to act on, with the time.
-    agenda: Vec<(Time, Event)>,
-    broken: Vec<Broken>,
-    sound: BTreeMap<u64, (usize, BTreeSet<HostName>)>,
+    undetected: Vec<UndetectedLoss>,
+    /// Scheduled events.
+    events: Vec<(Time, Event)>,
+    lost_groups: Vec<LostGroup>,
+    serving: BTreeMap<u64, (usize, BTreeSet<HostName>)>,
     figures: Figures,
     added: usize,
 }
@@ -184,8 +184,8 @@
     usize::from(model.as_str() == SMALL)
 }
 
-/// Plays a pattern on a settled fleet.
-pub fn play(family: Family, pattern: Pattern, seed: u64) -> Figures {
+/// Simulates a pattern on a settled fleet.
+pub fn simulate(family: Family, pattern: Pattern, seed: u64) -> Figures {
     let mut fleet = LossFleet::settled(family, seed);
     fleet.schedule(pattern);
     let (orders, loads) = (fleet.fleet.order_count, fleet.fleet.load_count);
@@ -195,8 +195,8 @@
         fleet.measure();
     }
     let mut figures = fleet.figures;
-    for broken in fleet.broken {
-        figures.repairs[broken.model].push(end.since(broken.since).as_secs_f64());
+    for group in fleet.lost_groups {
+        figures.repairs[group.model].push(end.since(group.since).as_secs_f64());
     }
     figures.groups = figures
         .groups
@@ -233,10 +233,10 @@
             engine,
             rng,
             phases,
-            silent: Vec::new(),
-            agenda: Vec::new(),
-            broken: Vec::new(),
-            sound: BTreeMap::new(),
+            undetected: Vec::new(),
+            events: Vec::new(),
+            lost_groups: Vec::new(),
+            serving: BTreeMap::new(),
             figures: Figures::default(),
             added: 0,
         };
@@ -253,7 +253,7 @@
             Pattern::Losses => self.schedule_losses(start),
             Pattern::UnreachableDomain => {
                 let domain = self.rng.random_range(0..DOMAINS);
-                self.agenda.push((start, Event::Cut { domain }));
+                self.events.push((start, Event::Cut { domain }));
             }
             Pattern::Restarts => {
                 let hosts = self.fleet.alive();
@@ -263,7 +263,7 @@
                     .collect();
                 for (number, host) in chosen.into_iter().enumerate() {
                     let at = start + RESTART_INTERVAL.times(number as u64);
-                    self.agenda.push((at, Event::Drain { host }));
+                    self.events.push((at, Event::Drain { host }));
                 }
             }
         }
@@ -276,26 +276,26 @@
             let at = start + LOSS_INTERVAL.times(round);
             let hall = round as usize % HALLS;
             let count = self.rng.random_range(least..=most);
-            self.agenda.push((at, Event::Lose { hall, count }));
+            self.events.push((at, Event::Lose { hall, count }));
             for _ in 0..count {
                 let jitter = Span(self.rng.random_range(0..1_000_000));
                 let at = at + REPLACEMENT_DELAY + jitter;
-                self.agenda.push((at, Event::Add { hall }));
+                self.events.push((at, Event::Add { hall }));
             }
         }
     }
 
-    /// Plays the events that are due, adds the requests of an interval, and runs the planner.
+    /// Simulates the events that are due, adds the requests of an interval, and runs the planner.
     fn step(&mut self) {
         let now = self.fleet.now;
-        let (due, left) = std::mem::take(&mut self.agenda)
+        let (due, left) = std::mem::take(&mut self.events)
             .into_iter()
             .partition(|(at, _)| *at <= now);
-        self.agenda = left;
+        self.events = left;
         for (_, event) in Vec::into_iter(due) {
             self.apply(event);
         }
-        self.notice_silence();
+        self.detect_losses();
         self.add_requests();
         self.fleet.run_for(STEP_INTERVAL);
     }
@@ -311,7 +311,7 @@
                     .collect();
                 for host in lost {
                     self.fleet.stop_silently(&host);
-                    self.silence(host);
+                    self.schedule_detection(host);
                 }
             }
             Event::Add { hall } => {
@@ -328,17 +328,17 @@
                     self.fleet.cut_off(&host);
                     let delay = Span(self.rng.random_range(0..1_000_000));
                     let at = now + UNREACHABLE_TIME + delay;
-                    self.agenda.push((at, Event::Reconnect { host }));
+                    self.events.push((at, Event::Reconnect { host }));
                 }
             }
             Event::Reconnect { host } => self.fleet.reconnect(&host),
             Event::Drain { host } => {
                 self.fleet.drain(&host);
-                self.agenda.push((now + DRAIN_TIME, Event::Stop { host }));
+                self.events.push((now + DRAIN_TIME, Event::Stop { host }));
             }
             Event::Stop { host } => {
                 self.fleet.crash(&host);
-                self.agenda
+                self.events
                     .push((now + REBOOT_TIME, Event::Reboot { host }));
             }
             Event::Reboot { host } => self.fleet.reboot(&host),
@@ -355,27 +355,27 @@
             .collect()
     }
 
-    fn silence(&mut self, host: HostName) {
+    fn schedule_detection(&mut self, host: HostName) {
         let unreachable = Span(self.rng.random_range(800_000..1_200_000));
         let unlisted = Span(self.rng.random_range(3_600_000..4_800_000));
-        self.silent.push(Silence {
+        self.undetected.push(UndetectedLoss {
             host,
             unreachable_at: self.fleet.now + unreachable,
             unlisted_at: self.fleet.now + unlisted,
         });
     }
 
-    /// Lets the daemon notice silent hosts: by its probes, and by missing entries.
-    fn notice_silence(&mut self) {
+    /// Lets the daemon detect lost hosts, by its probes and by missing entries.
+    fn detect_losses(&mut self) {
         let now = self.fleet.now;
-        for silence in &self.silent {
-            if now >= silence.unlisted_at {
-                self.fleet.power_off(&silence.host, true);
-            } else if now >= silence.unreachable_at {
-                self.fleet.power_off(&silence.host, false);
+        for loss in &self.undetected {
+            if now >= loss.unlisted_at {
+                self.fleet.power_off(&loss.host, true);
+            } else if now >= loss.unreachable_at {
+                self.fleet.power_off(&loss.host, false);
             }
         }
-        self.silent.retain(|silence| now < silence.unlisted_at);
+        self.undetected.retain(|loss| now < loss.unlisted_at);
     }
 
     /// Counts the requests that one daemon gets in an interval.
@@ -398,7 +398,7 @@
                 answer_tokens: self.engine.usual_answer,
             };
             while expected > 0.0 {
-                // Thinner slices than one request come close to a Poisson process.
+                // Slices of at most a tenth of a request approximate a Poisson process.
                 let slice = f64::min(expected, 0.1);
                 if self.rng.random::<f64>() < slice {
                     self.fleet.demand.count(&request, self.fleet.now);
@@ -410,11 +410,11 @@
 
     fn measure(&mut self) {
         let step = STEP_INTERVAL.as_secs_f64();
-        let sound = self.fleet.serving_groups();
+        let serving = self.fleet.serving_groups();
         let mut counts = [0.0; 2];
         let mut in_groups = 0;
         let mut current = BTreeMap::new();
-        for (model, epoch, members) in sound {
+        for (model, epoch, members) in serving {
             let index = model_index(&model);
             counts[index] += 1.0;
             in_groups += members.len();
@@ -433,12 +433,12 @@
     /// Notes which groups were lost since the last step, and which were repaired.
     fn record_repairs(&mut self, current: BTreeMap<u64, (usize, BTreeSet<HostName>)>) {
         let now = self.fleet.now;
-        let former = std::mem::take(&mut self.sound);
+        let former = std::mem::take(&mut self.serving);
         let lost = former
             .iter()
             .filter(|(epoch, _)| !current.contains_key(*epoch));
         for (_, (model, members)) in lost {
-            self.broken.push(Broken {
+            self.lost_groups.push(LostGroup {
                 model: *model,
                 survivors: members.clone(),
                 since: now,
@@ -448,12 +448,12 @@
             if former.contains_key(epoch) {
                 continue;
             }
-            let repaired = |broken: &Broken| !broken.survivors.is_disjoint(members);
-            for broken in self.broken.extract_if(.., |broken| repaired(broken)) {
-                let time = now.since(broken.since).as_secs_f64();
-                self.figures.repairs[broken.model].push(time);
+            let repaired = |lost: &LostGroup| !lost.survivors.is_disjoint(members);
+            for group in self.lost_groups.extract_if(.., |lost| repaired(lost)) {
+                let time = now.since(group.since).as_secs_f64();
+                self.figures.repairs[group.model].push(time);
             }
         }
-        self.sound = current;
+        self.serving = current;
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -38,7 +38,7 @@
 mod load_exchange;
 #[expect(dead_code, reason = "the example compares more policies")]
 mod load_fleet;
-#[expect(dead_code, reason = "the example plays more patterns")]
+#[expect(dead_code, reason = "the example simulates more patterns")]
 mod loss_fleet;
 mod losses;
 mod missing_entries;
