--- a/review/standins-2/daemon.rs
+++ b/review/standins-2/daemon.rs
@@ -89,6 +89,13 @@
         crate::base::fetch(self.ready, request, Duration::from_secs(1)).status == 200
     }
 
+    /// Waits for the end of a daemon that was told to stop.
+    pub fn wait(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            let _ = process.wait();
+        }
+    }
+
     /// Sends SIGKILL and waits for the end.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
