--- a/review/standins-2/base.rs
+++ b/review/standins-2/base.rs
@@ -50,20 +50,6 @@
         let value = parse_value(bytes, &mut at)?;
         Some(value)
     }
-    pub fn text(&self) -> String {
-        match self {
-            J::Null => "null".into(),
-            J::Bool(b) => b.to_string(),
-            J::Num(n) if n.fract() == 0.0 && n.abs() < 1e16 => format!("{}", *n as i64),
-            J::Num(n) => n.to_string(),
-            J::Str(s) => quote(s),
-            J::Arr(a) => format!("[{}]", a.iter().map(J::text).collect::<Vec<_>>().join(",")),
-            J::Obj(o) => {
-                let fields = o.iter().map(|(k, v)| format!("{}:{}", quote(k), v.text()));
-                format!("{{{}}}", fields.collect::<Vec<_>>().join(","))
-            }
-        }
-    }
 }
 
 pub fn quote(s: &str) -> String {
@@ -356,21 +342,10 @@
 pub struct Answer {
     /// 0 if there was none.
     pub status: u16,
-    pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
     pub whole: bool,
 }
 
-impl Answer {
-    pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self
-            .headers
-            .iter()
-            .find(|(k, _)| k.eq_ignore_ascii_case(name));
-        found.map(|(_, v)| v.as_str())
-    }
-}
-
 /// Sends one request on a new connection and reads the whole response.
 pub fn fetch(to: SocketAddr, request: &str, timeout: Duration) -> Answer {
     fetch_gap(to, request, timeout, timeout)
@@ -392,7 +367,6 @@
     let Some(head) = conn.head() else { return none };
     let mut answer = Answer {
         status: head.status(),
-        headers: head.headers.clone(),
         ..none
     };
     if head.get("transfer-encoding").is_some() {
--- a/review/standins-2/case_part.rs
+++ b/review/standins-2/case_part.rs
@@ -1,6 +1,7 @@
-//! A part of prompts crashes runners; it stands behind many other shared parts.
+//! A part of prompts crashes runners: one that stands behind many other shared parts, or one on which
+//! a short answer is complete just before the crash.
 
-use crate::site::{config, model_kind, send_chat, Model, Site, KEY};
+use crate::site::{config, model_kind, send_chat, Model, Site, KEY, LONG};
 use crate::Stage;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -10,12 +11,10 @@
 
 const STABLE: Duration = Duration::from_millis(3_000);
 
-pub fn play(stage: &Stage) -> i32 {
+/// Plays it with a number of shared parts ahead of the bad one, a time from the first event to the
+/// crash, and the tokens of the bad requests' answers.
+pub fn play(stage: &Stage, ahead: usize, crash_after: Duration, tokens: u32) -> i32 {
     let record = &stage.record;
-    let ahead: usize = std::env::var("AHEAD")
-        .ok()
-        .and_then(|v| v.parse().ok())
-        .unwrap_or(32);
     let mut site = Site::new();
     let model = Model {
         size: 2,
@@ -25,6 +24,7 @@
     site.add_models(8, &model_kind());
     for runner in &site.models {
         *runner.bad_part.lock().unwrap() = Some("bad5".into());
+        *runner.crash_after.lock().unwrap() = crash_after;
     }
     site.store.put("op/config", &config(7, 26, &model));
     site.start_daemons(stage, 3);
@@ -65,7 +65,8 @@
                         true => format!("{shared},bad5:30,{:x}:90", 0xe000 + number),
                         false => format!("{shared},{:x}:120", 0xc0000 + number),
                     };
-                    let answer = send_chat(to, KEY, &id, &parts);
+                    let answer =
+                        send_chat(to, KEY, &id, &parts, if is_bad { tokens } else { LONG });
                     sent.lock().unwrap().push((at, id, answer.status));
                 });
             }
--- a/review/standins-2/case_tie.rs
+++ b/review/standins-2/case_tie.rs
@@ -1,7 +1,7 @@
 //! A part of prompts crashes runners just after the daemon was told to stop that served the sound
 //! requests of the same caller.
 
-use crate::site::{config, model_kind, send_chat, Model, Site, KEY, OTHER_KEY};
+use crate::site::{config, model_kind, send_chat, Model, Site, KEY, LONG, OTHER_KEY};
 use crate::Stage;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -47,7 +47,7 @@
             let sent = sent.clone();
             thread::spawn(move || {
                 let at = Instant::now();
-                let answer = send_chat(to, key, &id, &parts);
+                let answer = send_chat(to, key, &id, &parts, LONG);
                 sent.lock().unwrap().push(Sent {
                     at,
                     id,
@@ -128,7 +128,7 @@
         Instant::now() - Duration::from_millis(500),
     );
     if stops {
-        site.daemons[2].signal("-TERM");
+        site.daemons[2].signal("TERM");
         chosen.store(0, Ordering::SeqCst);
         in_use.store(2, Ordering::SeqCst);
         record.say("front-3 gets SIGTERM; the caller goes on at front-1");
--- a/review/standins-2/daemon.rs
+++ b/review/standins-2/daemon.rs
@@ -4,8 +4,31 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+/// Processes that were started.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn signal(name: &str, pid: u32) {
+    let command = format!("kill -{name} {pid}");
+    // The process may have ended already.
+    let _ = Command::new("sh")
+        .args(["-c", &command])
+        .stderr(Stdio::null())
+        .status();
+}
+
+fn forget(pid: u32) {
+    STARTED.lock().unwrap().retain(|started| *started != pid);
+}
+
+/// Ends all daemons that are left.
+pub fn end_all() {
+    let started = std::mem::take(&mut *STARTED.lock().unwrap());
+    started.into_iter().for_each(|pid| signal("KILL", pid));
+}
+
 pub struct Daemon {
     pub name: String,
     pub caller: SocketAddr,
@@ -30,11 +53,6 @@
         daemon
     }
 
-    /// Starts a daemon that is added to the system.
-    pub fn spawn(folder: &Path, name: &str, hall: &str, store: SocketAddr) -> Daemon {
-        Self::launch(folder, name, hall, store, false)
-    }
-
     fn launch(folder: &Path, name: &str, hall: &str, store: SocketAddr, first: bool) -> Daemon {
         let ports: Vec<SocketAddr> = (0..5).map(|_| free_address()).collect();
         let settings = folder.join(format!("{name}.yaml"));
@@ -74,6 +92,7 @@
             .stderr(log)
             .spawn()
             .expect("the daemon starts");
+        STARTED.lock().unwrap().push(process.id());
         self.process = Some(process);
     }
 
@@ -93,6 +112,7 @@
     pub fn wait(&mut self) {
         if let Some(mut process) = self.process.take() {
             let _ = process.wait();
+            forget(process.id());
         }
     }
 
@@ -101,13 +121,14 @@
         if let Some(mut process) = self.process.take() {
             let _ = process.kill();
             let _ = process.wait();
+            forget(process.id());
         }
     }
 
+    /// Sends it a signal, as `TERM`.
     pub fn signal(&self, name: &str) {
         if let Some(process) = &self.process {
-            let pid = process.id().to_string();
-            let _ = Command::new("/bin/kill").args([name, &pid]).status();
+            signal(name, process.id());
         }
     }
 
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod base;
 mod case_drain;
 mod case_part;
+mod case_stranger;
 mod case_tie;
 mod daemon;
 mod runner;
@@ -14,7 +15,10 @@
 use std::io::Write;
 use std::path::PathBuf;
 use std::sync::Mutex;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Time after which a case is given up.
+const MAX_TIME: Duration = Duration::from_secs(115);
 
 /// Record of a case: what was sent, answered and run.
 pub struct Record {
@@ -44,6 +48,14 @@
     pub has_trouble: bool,
 }
 
+/// Returns a variable's number.
+fn number(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(default)
+}
+
 fn main() {
     let words: Vec<String> = std::env::args().collect();
     let (Some(case), Some(folder)) = (words.get(1), words.get(2)) else {
@@ -65,12 +77,30 @@
         folder: temporary.clone(),
         has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
-    let outcome = match case.as_str() {
+    std::thread::spawn(|| {
+        std::thread::sleep(MAX_TIME);
+        println!("the case takes too long");
+        daemon::end_all();
+        std::process::exit(2);
+    });
+    let play = || match case.as_str() {
         "tie" => case_tie::play(&stage),
+        "part" => case_part::play(
+            &stage,
+            number("AHEAD", 32) as usize,
+            Duration::ZERO,
+            site::LONG,
+        ),
+        "late" => {
+            let after = Duration::from_millis(number("AFTER_MS", 20));
+            case_part::play(&stage, 1, after, number("TOKENS", 6) as u32)
+        }
+        "stranger" => case_stranger::play(&stage),
         "drain" => case_drain::play(&stage),
-        "part" => case_part::play(&stage),
         _ => 2,
     };
+    let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(play)).unwrap_or(2);
+    daemon::end_all();
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(temporary);
     } else {
--- a/review/standins-2/runner.rs
+++ b/review/standins-2/runner.rs
@@ -8,6 +8,9 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Time for which a runner is down after a crash.
+const DOWN_FOR: Duration = Duration::from_secs(3);
+
 /// What a runner saw, in the order in which it saw it.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -67,8 +70,7 @@
     pub slots: u32,
     /// Work of a plain request.
     pub work: Duration,
-    /// Events of a stream and the time between them.
-    pub events: u32,
+    /// Time between the events of a stream.
     pub gap: Duration,
     /// Time from the request to the first event.
     pub first: Duration,
@@ -90,13 +92,11 @@
     pub limit: AtomicU64,
     /// Part of prompts that crashes it, if any.
     pub bad_part: Mutex<Option<String>>,
-    /// Time for which it is down after a crash.
-    pub down_for: Mutex<Duration>,
+    /// Time from the first event to the crash.
+    pub crash_after: Mutex<Duration>,
     connections: Mutex<Vec<TcpStream>>,
     life: AtomicU64,
     pub running: AtomicU64,
-    /// Streams stand still after this many events, if set.
-    pub stall_after: Mutex<Option<u32>>,
     pub others: Mutex<Vec<Arc<Runner>>>,
     /// Time of its last heartbeat.
     pub beat_at: Mutex<Instant>,
@@ -126,11 +126,10 @@
             is_cut: AtomicBool::new(false),
             limit: AtomicU64::new(0),
             bad_part: Mutex::new(None),
-            down_for: Mutex::new(Duration::from_secs(3)),
+            crash_after: Mutex::default(),
             connections: Mutex::default(),
             life: AtomicU64::new(0),
             running: AtomicU64::new(0),
-            stall_after: Mutex::new(None),
             others: Mutex::default(),
             beat_at: Mutex::new(Instant::now()),
         });
@@ -359,25 +358,6 @@
         }
         self.running.fetch_add(1, Ordering::SeqCst);
         self.journal.add(&self.id, &id, "reached");
-        if let Some(member) = self.member() {
-            let mark = format!("is ready in {} epoch {}", member.group, member.epoch);
-            let seen = self.journal.all();
-            let lacks = member
-                .members
-                .iter()
-                .filter(|m| !seen.iter().any(|s| s.runner == **m && s.what == mark));
-            let lacks: Vec<&String> = lacks.collect();
-            if !lacks.is_empty() {
-                self.journal.add(
-                    &self.id,
-                    &id,
-                    &format!(
-                        "PARTIAL: {lacks:?} have never been ready in {} epoch {}",
-                        member.group, member.epoch
-                    ),
-                );
-            }
-        }
         let goes_on = self.write_events(conn, head, &id, life);
         if self.is_in(life) {
             self.running.fetch_sub(1, Ordering::SeqCst);
@@ -398,14 +378,11 @@
                 .split(',')
                 .any(|part| part.split(':').next() == Some(&bad))
         }) {
-            self.journal.add(&self.id, id, "crashes on it");
-            self.crash();
-            let (this, down) = (self.clone(), *self.down_for.lock().unwrap());
-            thread::spawn(move || {
-                thread::sleep(down);
-                this.restart();
-            });
-            return false;
+            let delay = *self.crash_after.lock().unwrap();
+            self.crash_later(id, life, delay);
+            if delay.is_zero() {
+                return false;
+            }
         }
         let headers = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{}X-Response-Stamp: {}.{id}\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -418,24 +395,45 @@
             .get("last-event-id")
             .and_then(|v| v.parse().ok())
             .unwrap_or(0);
-        for number in from + 1..=self.kind.events {
-            let stall = *self.stall_after.lock().unwrap();
-            while stall.is_some_and(|n| number > n) {
-                if !self.wait(conn, Duration::from_millis(50), life) {
-                    return false;
-                }
-            }
+        let tokens = head
+            .get("x-token-count")
+            .and_then(|v| v.split(',').nth(1)?.parse().ok());
+        let events = tokens
+            .unwrap_or(crate::site::LONG)
+            .div_ceil(crate::site::EVENT);
+        for number in from + 1..=events {
             let event = format!("id: {number}\ndata: {id} {number}\n\n");
             if !self.is_in(life) || !conn.send(&format!("{:x}\r\n{event}\r\n", event.len())) {
                 return false;
             }
-            if !self.wait(conn, self.kind.gap, life) {
+            if number < events && !self.wait(conn, self.kind.gap, life) {
                 return false;
             }
         }
         conn.send("0\r\n\r\n")
     }
 
+    /// Crashes after a time, and starts again after another one.
+    fn crash_later(self: &Arc<Self>, id: &str, life: u64, delay: Duration) {
+        let (this, id) = (self.clone(), id.to_owned());
+        let crash = move || {
+            thread::sleep(delay);
+            if !this.is_in(life) {
+                return;
+            }
+            this.journal.add(&this.id, &id, "crashes on it");
+            this.crash();
+            thread::spawn(move || {
+                thread::sleep(DOWN_FOR);
+                this.restart();
+            });
+        };
+        match delay.is_zero() {
+            true => crash(),
+            false => drop(thread::spawn(crash)),
+        }
+    }
+
     /// Works for a time; false if the caller has left or it has crashed.
     fn wait(&self, conn: &mut Conn, time: Duration, life: u64) -> bool {
         let until = Instant::now() + time;
--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -9,6 +9,10 @@
 use std::time::{Duration, Instant};
 
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
+/// Tokens of a long answer, which comes in 29 events.
+pub const LONG: u32 = 174;
+/// Tokens of an event.
+pub const EVENT: u32 = 6;
 pub const OTHER_KEY: &str = "q7vdkxw3r5t0m2ycazp8";
 
 /// Group size of the model and the seconds of its loads.
@@ -54,7 +58,6 @@
         zone: "hall-a".into(),
         slots: 26,
         work: Duration::ZERO,
-        events: 29,
         gap: Duration::from_millis(45),
         first: Duration::from_millis(93),
         load: Duration::from_millis(1_600),
@@ -135,10 +138,10 @@
 }
 
 /// A client's request for a stream.
-pub fn chat(key: &str, id: &str, parts: &str) -> String {
+pub fn chat(key: &str, id: &str, parts: &str, tokens: u32) -> String {
     let body = format!("{id:x<1500}");
     format!(
-        "POST /chat/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: {id}\r\nX-Model: m0\r\nX-Token-Count: 1460,170\r\nX-Prompt-Prefix: {parts}\r\nX-Deadline-Ms: 8000\r\nAuthorization: Bearer {key}\r\nContent-Length: {}\r\n\r\n{body}",
+        "POST /chat/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: {id}\r\nX-Model: m0\r\nX-Token-Count: 1460,{tokens}\r\nX-Prompt-Prefix: {parts}\r\nX-Deadline-Ms: 8000\r\nAuthorization: Bearer {key}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     )
 }
@@ -154,10 +157,16 @@
 }
 
 /// Sends a stream's request as a client does, which leaves after two seconds without an event.
-pub fn send_chat(to: std::net::SocketAddr, key: &str, id: &str, parts: &str) -> Answer {
+pub fn send_chat(
+    to: std::net::SocketAddr,
+    key: &str,
+    id: &str,
+    parts: &str,
+    tokens: u32,
+) -> Answer {
     fetch_gap(
         to,
-        &chat(key, id, parts),
+        &chat(key, id, parts, tokens),
         Duration::from_secs(8),
         Duration::from_secs(2),
     )
