--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,9 +5,11 @@
 mod base;
 mod case_drain;
 mod case_part;
+mod case_silent;
 mod case_stranger;
 mod case_tie;
 mod daemon;
+mod proxy;
 mod runner;
 mod site;
 mod store;
@@ -96,6 +98,7 @@
             case_part::play(&stage, 1, after, number("TOKENS", 6) as u32)
         }
         "stranger" => case_stranger::play(&stage),
+        "silent" => case_silent::play(&stage),
         "drain" => case_drain::play(&stage),
         _ => 2,
     };
