--- a/review/standins-2/runner.rs
+++ b/review/standins-2/runner.rs
@@ -88,8 +88,6 @@
     pub is_alive: AtomicBool,
     /// True while it is partitioned from the store.
     pub is_cut: AtomicBool,
-    /// Requests a second that it names in its answers, in tenths; 0: none.
-    pub limit: AtomicU64,
     /// Part of prompts that crashes it, if any.
     pub bad_part: Mutex<Option<String>>,
     /// Time from the first event to the crash.
@@ -98,8 +96,6 @@
     life: AtomicU64,
     pub running: AtomicU64,
     pub others: Mutex<Vec<Arc<Runner>>>,
-    /// Time of its last heartbeat.
-    pub beat_at: Mutex<Instant>,
 }
 
 fn unix_ms() -> u64 {
@@ -124,14 +120,12 @@
             }),
             is_alive: AtomicBool::new(true),
             is_cut: AtomicBool::new(false),
-            limit: AtomicU64::new(0),
             bad_part: Mutex::new(None),
             crash_after: Mutex::default(),
             connections: Mutex::default(),
             life: AtomicU64::new(0),
             running: AtomicU64::new(0),
             others: Mutex::default(),
-            beat_at: Mutex::new(Instant::now()),
         });
         runner.clone().listen(listener);
         let beating = runner.clone();
@@ -164,7 +158,6 @@
     fn beat(self: Arc<Self>) {
         loop {
             thread::sleep(Duration::from_millis(1_200));
-            *self.beat_at.lock().unwrap() = Instant::now();
             if self.is_alive.load(Ordering::SeqCst) {
                 self.write_entry();
             }
@@ -310,15 +303,9 @@
 
     /// Headers that stand in all its answers to requests.
     fn notes(&self, head: &Head) -> String {
-        let limit = self.limit.load(Ordering::SeqCst);
-        let limit = if limit > 0 {
-            format!("Server-Limit: {}.{}\r\n", limit / 10, limit % 10)
-        } else {
-            String::new()
-        };
         let running = self.running.load(Ordering::SeqCst);
         format!(
-            "{}X-Instance-Id: {}\r\nX-Server-Load: {running},0,{}\r\n{limit}",
+            "{}X-Instance-Id: {}\r\nX-Server-Load: {running},0,{}\r\n",
             echo(head),
             self.id,
             self.kind.slots
