--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -34,6 +34,7 @@
 mod missed_changes;
 mod notices;
 mod odd_entries;
+mod odd_names;
 mod panics;
 mod peer_lists;
 mod ranks;
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -2,16 +2,21 @@
 
 use super::trouble::{Endless, TroubleCount};
 use base64::{Engine as _, engine::general_purpose::STANDARD};
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use std::{
     collections::{BTreeMap, BTreeSet},
+    ops::Bound,
     sync::{
         Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
+/// Items on a page of a list, unless a test sets another number.
+const PAGE_SIZE: usize = 500;
+
 /// Maximum time that a watch without changes waits; shorter than the daemon asks for.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(300);
 
@@ -43,9 +48,10 @@
 }
 
 /// Fake store.
-#[derive(Default)]
 pub struct Store {
     state: Mutex<State>,
+    /// Items on a page of a list.
+    page_size: AtomicUsize,
     /// Number of times that an older copy was restored.
     era: AtomicU64,
     /// True while all calls fail without effect.
@@ -56,6 +62,19 @@
     pub troubles: TroubleCount,
 }
 
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            state: Mutex::default(),
+            page_size: AtomicUsize::new(PAGE_SIZE),
+            era: AtomicU64::default(),
+            is_failing: AtomicBool::default(),
+            trouble: Mutex::default(),
+            troubles: TroubleCount::default(),
+        }
+    }
+}
+
 /// Copy of a store's state.
 pub struct Copy(State);
 
@@ -77,6 +96,11 @@
         self.is_failing.store(is_failing, Ordering::SeqCst);
     }
 
+    /// Puts this number of items on each page of a list.
+    pub fn set_page_size(&self, items: usize) {
+        self.page_size.store(items, Ordering::SeqCst);
+    }
+
     /// Sends bytes without end in place of all further responses, or no more.
     pub fn set_trouble(&self, trouble: Option<Endless>) {
         *self.trouble.lock().expect("not poisoned") = trouble;
@@ -196,16 +220,14 @@
             return Some((503, json!({})));
         }
         let mut state = self.state.lock().expect("not poisoned");
-        let query: BTreeMap<&str, &str> = query
-            .split('&')
-            .filter_map(|pair| pair.split_once('='))
-            .collect();
+        let query = parameters(query);
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
         match (method, path) {
             ("GET", "/kv-range") => {
-                let call = (path.to_owned(), query["Prefix"].to_owned());
-                state.calls.push(call);
-                Some((200, state.range(query["Prefix"])))
+                let prefix = &query["Prefix"];
+                state.calls.push((path.to_owned(), prefix.clone()));
+                let page_size = self.page_size.load(Ordering::SeqCst);
+                Some((200, state.range(prefix, query.get("After"), page_size)))
             }
             ("GET", "/kv-watch") => {
                 let after = query["After"].parse().expect("a revision");
@@ -213,7 +235,7 @@
                     return Some((410, json!({})));
                 }
                 let none = json!({"events": [], "CurrentRev": state.revision});
-                let changes = state.changes(query["Prefix"], after);
+                let changes = state.changes(&query["Prefix"], after);
                 changes.or(is_due.then_some(none)).map(|body| (200, body))
             }
             ("POST", "/kv-txn") => Some(state.transact(&body)),
@@ -249,13 +271,9 @@
         if path != "/kv-watch" {
             return MAX_WATCH_WAIT;
         }
-        let value = |name: &str| {
-            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            let found = pairs.find(|(key, _)| *key == name);
-            found.expect("a watch call has the parameter").1
-        };
-        let wait_ms = value("WaitMs").parse().expect("whole milliseconds");
-        self.record_watch(value("Prefix"), wait_ms);
+        let query = parameters(query);
+        let wait_ms = query["WaitMs"].parse().expect("whole milliseconds");
+        self.record_watch(&query["Prefix"], wait_ms);
         MAX_WATCH_WAIT.min(Duration::from_millis(wait_ms))
     }
 }
@@ -288,11 +306,15 @@
         keys.iter().for_each(|key| self.delete(key));
     }
 
-    /// Returns a list of the items under a prefix.
-    fn range(&self, prefix: &str) -> Value {
-        let found = self.items.iter().filter(|(key, _)| key.starts_with(prefix));
-        let items: Vec<Value> = found.map(|(key, item)| item_json(key, item)).collect();
-        json!({"Items": items, "MorePages": false, "CurrentRev": self.revision})
+    /// Returns a page of the items under a prefix, from the first one after a key on.
+    fn range(&self, prefix: &str, after: Option<&String>, page_size: usize) -> Value {
+        let start = after.map_or(Bound::Unbounded, |key| Bound::Excluded(key.clone()));
+        let later = self.items.range((start, Bound::Unbounded));
+        let mut found = later.filter(|(key, _)| key.starts_with(prefix));
+        let page = found.by_ref().take(page_size);
+        let items: Vec<Value> = page.map(|(key, item)| item_json(key, item)).collect();
+        let has_more = found.next().is_some();
+        json!({"Items": items, "MorePages": has_more, "CurrentRev": self.revision})
     }
 
     /// Returns the changes under a prefix after a revision, if there are any.
@@ -334,6 +356,20 @@
     }
 }
 
+/// Decodes the parameters of a query as those of a form.
+fn parameters(query: &str) -> BTreeMap<String, String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .map(|(name, value)| (name.to_owned(), decoded(value)))
+        .collect()
+}
+
+fn decoded(value: &str) -> String {
+    let spaced = value.replace('+', " ");
+    let text = percent_decode_str(&spaced).decode_utf8();
+    text.expect("text").into_owned()
+}
+
 fn item_json(key: &str, item: &Item) -> Value {
     json!({
         "Key": key, "Value": item.value, "Revision": item.revision,
