Lists of an etcd store go on after the bytes of the last key

Cause: the next page began after the text of the last key, in which bytes that are no UTF-8 are replaced. The replacement stands elsewhere in the order: after 0x80 keys were left out, and after 0xff the page came again until the call's timeout.

Change: the next page begins after the bytes of the last key of the page.

--- a/src/shell/platform/etcd.rs
+++ b/src/shell/platform/etcd.rs
@@ -205,13 +205,14 @@
             .range(range.clone())
             .await?
             .into_inner();
-        let more = page.more;
         if range.revision == 0 {
             range.revision = revision(page.header).0;
         }
+        // A key may be no text; what its entry has of it may stand elsewhere in the order.
+        let next = page.kvs.last().map(|last| next_key(&last.key));
         entries.extend(page.kvs.into_iter().map(entry));
-        match entries.last() {
-            Some(last) if more => range.key = next_key(&last.key),
+        match next {
+            Some(next) if page.more => range.key = next,
             _ => break,
         }
     }
@@ -415,8 +416,8 @@
 }
 
 /// Returns the first key after `key`.
-fn next_key(key: &str) -> Vec<u8> {
-    let mut next = key.as_bytes().to_vec();
+fn next_key(key: &[u8]) -> Vec<u8> {
+    let mut next = key.to_vec();
     next.push(0);
     next
 }
