An entry whose name no header can hold names no runner

Cause: the name goes into the header that names the expected runner. One that is no valid value was left out of the request, and one with blanks around it is trimmed on the way.

Shown by odd_names::runner_whom_no_header_can_name_gets_no_request: six whole entries, each with a runner of its own behind it.

Change: such a name is no host, where the keys of the runners' entries are read. Names beyond ASCII are sent as they are and stay; others with "&", "+", "#", "%" or a blank inside are valid values.

--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -14,6 +14,7 @@
     keys::{DaemonName, HostName, Revision},
     time::Time,
 };
+use http::HeaderValue;
 use serde::de::DeserializeOwned;
 use std::{marker::PhantomData, rc::Rc};
 
@@ -64,12 +65,20 @@
     }
 }
 
-/// Returns the host that an entry's key names.
+/// Returns the host that an entry's key names; none if no header can hold the name. A request to
+/// that host could not say whom it is meant for, and whoever is at the address would run it.
 fn host_name<A>(key: &str) -> Option<HostName>
 where
     A: Adapter,
 {
-    key.strip_prefix(A::RUNNER_PREFIX).map(HostName::from)
+    let name = key.strip_prefix(A::RUNNER_PREFIX)?;
+    fits_header(name).then(|| HostName::from(name))
+}
+
+/// Returns true if a text is the same once it has been sent as the value of a header.
+fn fits_header(text: &str) -> bool {
+    let is_trimmed = !text.is_empty() && text.trim() == text;
+    is_trimmed && HeaderValue::from_str(text).is_ok()
 }
 
 /// Decoded list: the runners, and what their entries say of the time for which they are cold.
--- a/tests/platform/odd_names.rs
+++ b/tests/platform/odd_names.rs
@@ -4,6 +4,7 @@
 use super::{
     client::send_request,
     env::{Daemon, DaemonSettings, TestEnv, wait_until},
+    runner::{Runner, Script},
 };
 use std::time::Duration;
 
@@ -92,3 +93,25 @@
     is_followed("{}");
     is_followed(&entry);
 }
+
+/// Names that a header can't hold, or that would be trimmed there.
+const UNSENDABLE_NAMES: [&str; 6] = ["", " ", "p3 ", "p\n3", "p\u{0}", "p\u{7f}"];
+
+/// Guards against requests that name nobody: whoever is at the address, perhaps a runner of another
+/// service, would run them.
+#[test]
+fn runner_whom_no_header_can_name_gets_no_request() {
+    let env = TestEnv::start();
+    let start = |name| Runner::start(name, "plain", None, env.store.clone(), Script::default());
+    let strangers = UNSENDABLE_NAMES.map(start);
+    let last = start("p4");
+    let paths = ["/read/x", "/once/x"];
+    env.eventually("the entry that was written last is known", |env| {
+        let served = paths.map(|path| env.call("GET", path, &[], "").status);
+        assert_eq!(served, [200, 200]);
+        last.requests().len() > 10
+    });
+    for stranger in strangers {
+        assert_eq!(stranger.requests().len(), 0, "{:?}", stranger.name);
+    }
+}
