A response that is reset while its request is being written is not complete

A stream without a length ended as complete after its first events.

Cause: the system reports a reset to one call of the socket. Where a write of the upload got it, the reads after it saw a regular end, which completes a body without a length. The failed write was known to the stream, but the end was looked at first.

Ruled out: no success without a length while the request is being written (a runner that ends its half and reads on is whole, test response_that_ends_regularly_during_upload_is_whole); failing at the first failed write (responses with a length that came before the reset would be lost).

Change: shell/regular_end, on all outgoing HTTP/1 connections, asks at the end of the connection whether a write has failed, and fails then. It works because the write that took the error has finished by the time at which the reads can see the end.

Looked for elsewhere: answers of the store and reports are JSON, which is whole or invalid; `run` refuses bodies without a length and streams without their last event (request_runners); peers frame what they pass on.

--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -21,6 +21,7 @@
 pub mod operators;
 pub mod peers;
 pub mod platform;
+mod regular_end;
 pub mod relay;
 pub mod request_body;
 pub mod runners;
--- a/tests/platform/http.rs
+++ b/tests/platform/http.rs
@@ -31,6 +31,13 @@
 
 /// Reads one request; returns none if the connection ended.
 pub fn read_request(reader: &mut BufReader<TcpStream>) -> Option<RecordedRequest> {
+    let mut request = read_head(reader)?;
+    read_body(reader, &mut request)?;
+    Some(request)
+}
+
+/// Reads the head of a request; returns none if the connection ended.
+pub fn read_head(reader: &mut BufReader<TcpStream>) -> Option<RecordedRequest> {
     let mut lines = Vec::new();
     loop {
         let mut line = String::new();
@@ -49,18 +56,21 @@
         .filter_map(|line| line.split_once(": "))
         .map(|(name, value)| format!("{}: {value}", name.to_lowercase()))
         .collect();
-    let mut request = RecordedRequest {
+    Some(RecordedRequest {
         request_line,
         headers,
         body: Vec::new(),
         at: Instant::now(),
-    };
+    })
+}
+
+/// Reads the body of a request whose head was read; returns none if the connection ended.
+pub fn read_body(reader: &mut BufReader<TcpStream>, request: &mut RecordedRequest) -> Option<()> {
     let content_length = request
         .header("content-length")
         .and_then(|text| text.parse().ok());
     request.body = vec![0; content_length.unwrap_or(0)];
-    reader.read_exact(&mut request.body).ok()?;
-    Some(request)
+    reader.read_exact(&mut request.body).ok()
 }
 
 /// Writes the head of a stream and its events.
--- a/tests/platform/runner.rs
+++ b/tests/platform/runner.rs
@@ -4,8 +4,9 @@
 
 use super::{
     crash::Crashes,
+    early_end::EarlyResponse,
     http::{
-        RecordedRequest, event_chunk, event_text, read_request, stream_head, write_events,
+        RecordedRequest, event_chunk, event_text, read_body, read_head, stream_head, write_events,
         write_response, write_text,
     },
     runs::{Run, RunEnd, Runs, Silence},
@@ -51,6 +52,8 @@
     control_trouble: Mutex<Option<Endless>>,
     /// Endless responses that it has sent.
     pub troubles: TroubleCount,
+    /// Its response to requests that it hasn't read, if it has one.
+    early_response: Mutex<Option<EarlyResponse>>,
     /// Another runner that may be at its address.
     pub successor: Successor,
     /// True if it begins each connection with the refusal of an earlier request.
@@ -93,6 +96,7 @@
             crashes: Crashes::default(),
             control_trouble: Mutex::default(),
             troubles: TroubleCount::default(),
+            early_response: Mutex::default(),
             successor: Successor::default(),
             greets: AtomicBool::default(),
             report_copies: Mutex::default(),
@@ -207,6 +211,11 @@
         *self.control_trouble.lock().expect("not poisoned") = trouble;
     }
 
+    /// Responds to all further requests before it has read them, or no more.
+    pub fn respond_early(&self, response: Option<EarlyResponse>) {
+        *self.early_response.lock().expect("not poisoned") = response;
+    }
+
     /// Returns true if it is the head of an open group.
     pub fn is_open(&self) -> bool {
         self.entry.lock().expect("not poisoned")["group"]["State"] == "open"
@@ -264,7 +273,16 @@
         if self.greets.load(Ordering::SeqCst) {
             write_response(&mut stream, 503, EARLIER_REFUSAL, "");
         }
-        while let Some(request) = read_request(&mut reader) {
+        while let Some(mut request) = read_head(&mut reader) {
+            let early = *self.early_response.lock().expect("not poisoned");
+            if let Some(early) = early.filter(|_| !is_control(&request)) {
+                early.write(&mut reader, &mut stream, &self.own_headers(&request));
+                self.requests.lock().expect("not poisoned").push(request);
+                return;
+            }
+            if read_body(&mut reader, &mut request).is_none() {
+                return;
+            }
             if !self.respond(&mut stream, request) {
                 // The peer may have closed the connection already.
                 let _ = stream.shutdown(Shutdown::Both);
@@ -279,9 +297,7 @@
             let entry = self.entry.lock().expect("not poisoned").clone();
             return self.successor.respond(stream, &request, &entry);
         }
-        let is_control = ["GET /report", "POST /order"]
-            .iter()
-            .any(|start| request.request_line.starts_with(start));
+        let is_control = is_control(&request);
         let control_trouble = *self.control_trouble.lock().expect("not poisoned");
         if let (true, Some(trouble)) = (is_control, control_trouble) {
             self.troubles.write(trouble, stream, "", 1);
@@ -334,12 +350,8 @@
         let has_body = !request.request_line.starts_with("HEAD ");
         let scripted = self.script.lock().expect("not poisoned").pop_front();
         let behavior = scripted.unwrap_or_else(|| Behavior::usual(&request));
+        let own_headers = self.own_headers(&request);
         self.requests.lock().expect("not poisoned").push(request);
-        let own_headers = format!(
-            "X-Request-Id: {id}\r\nX-Response-Stamp: of-{}\r\n{}",
-            self.name,
-            self.notices.lock().expect("not poisoned")
-        );
         match behavior {
             Behavior::CutOff { framing, length } => {
                 let (whole, _) = framing.response(&own_headers, has_body);
@@ -442,6 +454,16 @@
         }
     }
 
+    /// Returns the headers of its own response to a request.
+    fn own_headers(&self, request: &RecordedRequest) -> String {
+        format!(
+            "X-Request-Id: {}\r\nX-Response-Stamp: of-{}\r\n{}",
+            request.header("x-request-id").unwrap_or_default(),
+            self.name,
+            self.notices.lock().expect("not poisoned")
+        )
+    }
+
     /// Begins to write a stream and crashes a moment later; returns false.
     fn crash_midway(&self, stream: &mut TcpStream, id: &str) -> bool {
         let head = format!(
@@ -528,3 +550,10 @@
         self.register();
     }
 }
+
+/// Returns true if a request is a probe or an order.
+fn is_control(request: &RecordedRequest) -> bool {
+    let starts = ["GET /report", "POST /order"];
+    let mut starts = starts.iter();
+    starts.any(|start| request.request_line.starts_with(start))
+}
--- a/tests/stops/main.rs
+++ b/tests/stops/main.rs
@@ -20,6 +20,9 @@
 #[path = "../platform/crash.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod crash;
+#[path = "../platform/early_end.rs"]
+#[allow(dead_code, reason = "the tests of one daemon use the rest")]
+mod early_end;
 #[path = "../platform/env.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod env;
