Tests of responses whose heads have an odd status or header name

Reported of other systems: an answer with the status 000, and one in whose head the name of a field holds a blank or a control byte, reached callers, with that line passed on or with another body.

Probes, orders, answers of the store and of peers come through the same connection (shell/http, handshake_http1); by reading, without tests of their own.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -36,6 +36,7 @@
 mod missed_changes;
 mod notices;
 mod odd_entries;
+mod odd_heads;
 mod odd_names;
 mod panics;
 mod peer_lists;
--- a/tests/request_runners.rs
+++ b/tests/request_runners.rs
@@ -207,6 +207,28 @@
     }
 }
 
+/// A head with an odd status, or with a byte in the name of a header that no name has, is no response.
+#[compio::test]
+async fn response_with_an_odd_head_is_cut() {
+    let body = "content-length: 2\r\n\r\nab";
+    let answers = [
+        format!("HTTP/1.1 000 Odd\r\n{body}"),
+        format!("HTTP/1.1 20 Odd\r\n{body}"),
+        format!("{HEAD}odd name: 1\r\n{body}"),
+        format!("{HEAD}odd : 1\r\n{body}"),
+        format!("{HEAD} odd: 1\r\n{body}"),
+        format!("{HEAD}odd\u{0}name: 1\r\n{body}"),
+        format!("{HEAD}odd\u{7f}name: 1\r\n{body}"),
+        format!("{HEAD}transfer-encoding : chunked\r\n{body}"),
+    ];
+    let (address, _heads) = start_runner(answers.to_vec());
+    for answer in answers {
+        let seen = Daemon::start().attempt(address).await;
+        assert_eq!(failure(&seen), Some(&Failure::Cut), "{answer:?}");
+        assert_eq!(seen.len(), 1, "nothing of {answer:?} is forwarded");
+    }
+}
+
 /// The runner may have run a request that was written, so its failure must not be `NotSent`.
 #[compio::test]
 async fn written_request_is_not_reported_as_unsent() {
