--- a/tests/platform/endless_control.rs
+++ b/tests/platform/endless_control.rs
@@ -2,6 +2,7 @@
 
 use super::{
     env::{Daemon, TestEnv},
+    store::ListTrouble,
     trouble::{Endless, MEMORY_LIMIT, TroubleCount, kilobyte},
 };
 use serde_json::{Value, json};
@@ -9,7 +10,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::Arc,
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Troubles that a test waits for, so that each reader meets some.
@@ -150,6 +151,58 @@
     }
 }
 
+/// Values that another writer leaves, so that a page of a list is long.
+const ODD_VALUES: usize = 400;
+
+/// Size of each of these values.
+const ODD_VALUE_BYTES: usize = 4 << 10;
+
+/// Time in which a list whose pages come without end grows.
+const LIST_TIME: Duration = Duration::from_secs(15);
+
+/// Has the daemon list the runners anew while no list comes to its end.
+fn check_list_trouble(trouble: ListTrouble) {
+    let env = TestEnv::start();
+    let odd_value = "x".repeat(ODD_VALUE_BYTES);
+    for number in 0..ODD_VALUES {
+        env.store.put(&format!("servers/a{number}"), &odd_value);
+    }
+    // The runners stand on the second page.
+    env.store.set_page_size(ODD_VALUES);
+    env.store.set_list_trouble(Some(trouble));
+    env.store.forget_history();
+    let until = Instant::now() + LIST_TIME;
+    while Instant::now() < until {
+        env.check_serving("no list comes to its end");
+        thread::sleep(Duration::from_millis(100));
+    }
+    env.store.set_list_trouble(None);
+    env.store.delete("servers/p1");
+    env.eventually("the departure is known", |env| {
+        let before = env.plain_runners[0].requests().len();
+        let served = (0..20).all(|_| env.call("GET", "/read/x", &[], "").status == 200);
+        served && env.plain_runners[0].requests().len() == before
+    });
+}
+
+/// Guards against pages that are kept until the memory is used up.
+#[test]
+fn list_that_begins_again_on_each_page_harms_no_request() {
+    check_list_trouble(ListTrouble::Repeated);
+}
+
+/// The same where each page has other keys.
+#[test]
+fn list_without_end_harms_no_request() {
+    check_list_trouble(ListTrouble::Endless);
+}
+
+/// Guards against runners that are dropped because a list passes for whole before its end.
+#[test]
+fn list_that_stops_before_its_end_harms_no_request() {
+    check_list_trouble(ListTrouble::Empty);
+}
+
 #[test]
 fn daemon_starts_beside_store_in_trouble() {
     let env = TestEnv::start();
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -52,6 +52,8 @@
     state: Mutex<State>,
     /// Items on a page of a list.
     page_size: AtomicUsize,
+    /// How lists of the runners go wrong, if they do.
+    list_trouble: Mutex<Option<ListTrouble>>,
     /// Number of times that an older copy was restored.
     era: AtomicU64,
     /// True while all calls fail without effect.
@@ -67,6 +69,7 @@
         Self {
             state: Mutex::default(),
             page_size: AtomicUsize::new(PAGE_SIZE),
+            list_trouble: Mutex::default(),
             era: AtomicU64::default(),
             is_failing: AtomicBool::default(),
             trouble: Mutex::default(),
@@ -75,6 +78,17 @@
     }
 }
 
+/// Ways in which lists don't come to their end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListTrouble {
+    /// Each page is the first one.
+    Repeated,
+    /// Each page after the first one is empty, and says that more follow.
+    Empty,
+    /// Each page has the items of the first one under new keys.
+    Endless,
+}
+
 /// Copy of a store's state.
 pub struct Copy(State);
 
@@ -101,6 +115,11 @@
         self.page_size.store(items, Ordering::SeqCst);
     }
 
+    /// Lets no list of the runners come to its end, or each does again.
+    pub fn set_list_trouble(&self, trouble: Option<ListTrouble>) {
+        *self.list_trouble.lock().expect("not poisoned") = trouble;
+    }
+
     /// Sends bytes without end in place of all further responses, or no more.
     pub fn set_trouble(&self, trouble: Option<Endless>) {
         *self.trouble.lock().expect("not poisoned") = trouble;
@@ -227,7 +246,14 @@
                 let prefix = &query["Prefix"];
                 state.calls.push((path.to_owned(), prefix.clone()));
                 let page_size = self.page_size.load(Ordering::SeqCst);
-                Some((200, state.range(prefix, query.get("After"), page_size)))
+                let trouble = *self.list_trouble.lock().expect("not poisoned");
+                let trouble = trouble.filter(|_| prefix == "servers/");
+                let after = query.get("After").filter(|_| trouble.is_none());
+                let mut page = state.range(prefix, after, page_size);
+                if let Some(trouble) = trouble {
+                    trouble.spoil(&mut page, query.get("After"));
+                }
+                Some((200, page))
             }
             ("GET", "/kv-watch") => {
                 let after = query["After"].parse().expect("a revision");
@@ -278,6 +304,27 @@
     }
 }
 
+impl ListTrouble {
+    /// Changes the first page of a list to the one that comes after a key.
+    fn spoil(self, page: &mut Value, after: Option<&String>) {
+        page["MorePages"] = json!(true);
+        let items = page["Items"].as_array_mut().expect("a list");
+        match self {
+            Self::Repeated => {}
+            Self::Empty if after.is_some() => items.clear(),
+            Self::Empty => {}
+            Self::Endless => {
+                let number = after.and_then(|key| key.rsplit_once('~')?.1.parse().ok());
+                let number: u64 = number.map_or(0, |number: u64| number + 1);
+                for item in items {
+                    let key = item["Key"].as_str().expect("a key");
+                    item["Key"] = json!(format!("{key}~{number}"));
+                }
+            }
+        }
+    }
+}
+
 impl State {
     fn put(&mut self, key: &str, value: String, lease: i64) {
         self.revision += 1;
