The budget of held bytes moves to the shell, where `run` can use it

Change: both move from src/gateway to src/shell; nothing else changes. tests/floors.rs reads src/gateway only, so that held_bytes leaves its list of decisions; its imports are checked as strictly by the list SHARED_DECISIONS, in the same test (no I/O, no clock).

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,14 +19,16 @@
     spec::Route,
     state::GatewayState,
     stream,
-    whole_body::{BodyError, read_request, read_whole},
 };
 use crate::{
     core::{
         keys::{AccountName, Arrival},
         time::Span,
     },
-    shell::request_body::RequestBody,
+    shell::{
+        request_body::RequestBody,
+        whole_body::{BodyError, read_request, read_whole},
+    },
 };
 use bytes::Bytes;
 use http::{
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,7 +12,7 @@
 //! `account_totals`, `decay`, `load`, `demand`,
 //! `planner`, `startup`, `formation`, `sent_orders`, `openings`, `lifecycle`,
 //! `liveness`, `pool`, `staging`, `weight_loads`, `evacuation`, `outages`, `budget`,
-//! `backoff`, `notices`, `coldness`, `held_bytes`, `drain`, `reach`,
+//! `backoff`, `notices`, `coldness`, `drain`, `reach`,
 //! `peer_relay::choice`, the submodules of `load_exchange`, those of `quarantine` that it
 //! names) read no clock and do no I/O.
 //! The names and formats of a platform are hidden behind [`adapter::Adapter`].
@@ -49,7 +49,6 @@
 pub mod group;
 pub mod handlers;
 pub mod head_limits;
-pub mod held_bytes;
 mod inquiry;
 mod lease;
 mod lifecycle;
@@ -99,7 +98,6 @@
 pub mod watch;
 pub mod water_filling;
 mod weight_loads;
-mod whole_body;
 
 use crate::shell::{
     connections::Connections, http, metrics, peers::Sockets, signals::Signals,
--- a/src/gateway/peer_relay/mod.rs
+++ b/src/gateway/peer_relay/mod.rs
@@ -20,8 +20,8 @@
 use super::{
     call::Call,
     responses::{CallResponse, Refusal, strip_hop_by_hop},
-    whole_body::read_whole,
 };
+use crate::shell::whole_body::read_whole;
 use http::Response;
 use http_body_util::{Either, Full};
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,7 +13,6 @@
     demand::Demand,
     drain::Drain,
     head_limits::HeadLimits,
-    held_bytes::HeldBytes,
     liveness::ReportedProgress,
     load::Loads,
     load_exchange::LoadExchange,
@@ -35,7 +34,7 @@
         keys::{Era, Revision, ServiceName},
         time::{Span, Time},
     },
-    shell::{Clock, wakeup::Wakeup},
+    shell::{Clock, held_bytes::HeldBytes, wakeup::Wakeup},
 };
 use http::HeaderName;
 use metrics::{gauge, histogram};
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -11,7 +11,6 @@
     call::{AttemptError, Call, InFlightGuard, StartedResponse},
     connection::RunnerConnection,
     events::EventSplitter,
-    held_bytes::Reservation,
     peer_relay,
     quarantine::crash_check,
     responses::{CallResponse, EventFrames, StreamPart, strip_hop_by_hop},
@@ -25,7 +24,7 @@
         keys::ModelName,
         time::{Span, Time},
     },
-    shell::{http::is_event_stream, running_time},
+    shell::{held_bytes::Reservation, http::is_event_stream, running_time},
 };
 use bytes::Bytes;
 use futures_channel::mpsc;
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -12,6 +12,7 @@
 pub mod exit;
 mod fair;
 pub mod frames;
+pub mod held_bytes;
 pub mod host_list;
 pub mod http;
 pub mod inbox;
@@ -30,6 +31,7 @@
 mod stall;
 pub mod supervisor;
 pub mod wakeup;
+pub mod whole_body;
 
 use crate::{
     core::{
--- a/src/gateway/whole_body.rs
+++ b/src/shell/whole_body.rs
@@ -1,7 +1,9 @@
 //! Reads the whole body of a request or of a runner's response into memory.
 
-use super::held_bytes::{HeldBytes, Reservation};
-use crate::shell::request_body::RequestBody;
+use super::{
+    held_bytes::{HeldBytes, Reservation},
+    request_body::RequestBody,
+};
 use bytes::Bytes;
 use http_body::Body;
 use http_body_util::BodyExt as _;
@@ -18,7 +20,7 @@
 
 /// Reason for which a body can't be read in full.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum BodyError {
+pub enum BodyError {
     /// It was cut off.
     Cut,
     /// It is longer than allowed.
@@ -28,7 +30,7 @@
 }
 
 /// Reads a response's body; returns none if it is cut off, too long, or more than may be held now.
-pub(super) async fn read_whole(body: Incoming, held_bytes: &HeldBytes) -> Option<Bytes> {
+pub async fn read_whole(body: Incoming, held_bytes: &HeldBytes) -> Option<Bytes> {
     let mut reservation = held_bytes.reserve(FREE_RESPONSE_BYTES);
     let mut body = body;
     let read = read(&mut body, MAX_RESPONSE_BYTES, &mut reservation).await;
@@ -41,7 +43,7 @@
 /// # Errors
 ///
 /// Fails if the body is cut off, too long, or more than may be held now.
-pub(super) async fn read_request(
+pub async fn read_request(
     mut body: RequestBody,
     max_bytes: usize,
     held_bytes: &HeldBytes,
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 69] = [
+const DECISIONS: [&str; 68] = [
     "account_totals",
     "account_work",
     "admission",
@@ -40,7 +40,6 @@
     "formation",
     "group",
     "head_limits",
-    "held_bytes",
     "lifecycle",
     "liveness",
     "load",
@@ -85,6 +84,9 @@
     "weight_loads",
 ];
 
+/// Files of modules that decide for the gateway and for the product's own interface.
+const SHARED_DECISIONS: [&str; 1] = ["src/shell/held_bytes.rs"];
+
 /// Modules of values that decisions are made about.
 const VALUES: [&str; 4] = ["order", "peers", "spec", "stated"];
 
@@ -127,6 +129,17 @@
 struct Paths(Vec<ImportPath>);
 
 impl Paths {
+    /// Returns the paths in a file.
+    fn of(file: &Path) -> Vec<ImportPath> {
+        let text = std::fs::read_to_string(file).expect("readable");
+        let parsed: File = syn::parse_file(&text).expect("Rust");
+        let mut paths = Self::default();
+        let items = parsed.items.iter();
+        let own = items.filter(|item| !matches!(item, Item::Macro(_)));
+        own.for_each(|item| paths.visit_item(item));
+        paths.0
+    }
+
     fn add_tree(&mut self, prefix: &[String], tree: &UseTree) {
         let with = |name: &dyn ToString| [prefix, &[name.to_string()]].concat();
         match tree {
@@ -172,13 +185,7 @@
         find_files(&root, &mut files);
         let paths = files.iter().filter_map(|file| {
             let name = module_name(&root, file)?;
-            let text = std::fs::read_to_string(file).expect("readable");
-            let parsed: File = syn::parse_file(&text).expect("Rust");
-            let mut paths = Paths::default();
-            let items = parsed.items.iter();
-            let own = items.filter(|item| !matches!(item, Item::Macro(_)));
-            own.for_each(|item| paths.visit_item(item));
-            Some((name, paths.0))
+            Some((name, Paths::of(file)))
         });
         Self {
             paths: paths.collect(),
@@ -277,9 +284,13 @@
 #[test]
 fn decisions_import_no_io_and_no_clock() {
     let modules = Modules::read();
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let shared = SHARED_DECISIONS.map(|file| (file, Paths::of(&root.join(file))));
+    let own = DECISIONS.iter().chain(&VALUES);
+    let own = own.map(|module| (*module, modules.paths[*module].clone()));
     let mut wrong = Vec::new();
-    for module in DECISIONS.iter().chain(&VALUES) {
-        for path in &modules.paths[*module] {
+    for (module, paths) in own.chain(shared) {
+        for path in paths {
             let is_io = IO.iter().any(|io| {
                 let names = path.iter().map(String::as_str);
                 names.take(io.len()).eq(io.iter().copied())
--- a/tests/gateway/held_bytes.rs
+++ b/tests/gateway/held_bytes.rs
@@ -1,7 +1,7 @@
 //! Budget of the bytes that responses hold.
 
 use bytes::Bytes;
-use hickoryledge::gateway::held_bytes::{HeldBytes, MAX_HELD_BYTES, Reservation};
+use hickoryledge::shell::held_bytes::{HeldBytes, MAX_HELD_BYTES, Reservation};
 
 const MIB: usize = 1 << 20;
 
