Daemons of `run` bound the bytes of all responses that they hold

Reported of other systems: a faulty runner sent bytes without end, and the machine that had called it kept them all and ran out of memory, with the requests of other clients.

Cause: each attempt buffered up to 16 MiB of a response, and 1 MiB of an unfinished event.

Change: attempts draw on one budget for the process (held_bytes): buffered bodies beyond 64 KiB each, unfinished events beyond 4 KiB each. What doesn't fit ends like a response that is cut off.

--- a/examples/runner/fault.rs
+++ b/examples/runner/fault.rs
@@ -28,4 +28,6 @@
     pub no_load: bool,
     /// Orders are carried out, but get no response.
     pub lose_orders: bool,
+    /// Bodies of responses to calls never end.
+    pub endless: bool,
 }
--- a/examples/runner/main.rs
+++ b/examples/runner/main.rs
@@ -22,7 +22,7 @@
 use engine::{BodyEvent, Engine, Run};
 use fault::Fault;
 use futures_channel::mpsc::unbounded;
-use futures_util::StreamExt;
+use futures_util::{StreamExt, stream};
 use hickoryledge::{
     core::{
         input::{LoadReport, OrderChecks},
@@ -38,6 +38,9 @@
 use hyper::service::service_fn;
 use serde::Deserialize;
 
+/// Bytes that are written at once to a body that never ends.
+const BLOCK_BYTES: usize = 64 << 10;
+
 /// Interval between samples of the load.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -377,15 +380,19 @@
         };
         let mut engine = self.engine.borrow_mut();
         *engine.starts.entry(body_text(body)).or_default() += 1;
+        let response = Response::builder()
+            .header("content-type", "text/event-stream")
+            .header("x-attempt", self.echoed_attempt(attempt))
+            .header("x-epoch", holding.epoch.0);
+        if self.fault.borrow().endless {
+            let response = response.body(endless_body());
+            return response.expect("response head is valid");
+        }
         engine.waiting.push_back(run);
         let frames = events.map(|event| match event {
             BodyEvent::Data(bytes) => Ok(Frame::data(bytes)),
             BodyEvent::Cut => Err(std::io::Error::from(std::io::ErrorKind::ConnectionReset)),
         });
-        let response = Response::builder()
-            .header("content-type", "text/event-stream")
-            .header("x-attempt", self.echoed_attempt(attempt))
-            .header("x-epoch", holding.epoch.0);
         response
             .body(StreamBody::new(frames).boxed_unsync())
             .expect("response head is valid")
@@ -406,6 +413,9 @@
         response
             .headers_mut()
             .insert("x-attempt", self.echoed_attempt(attempt).into());
+        if self.fault.borrow().endless {
+            *response.body_mut() = endless_body();
+        }
         response
     }
 
@@ -415,6 +425,13 @@
     }
 }
 
+/// Returns a body of bytes that never end.
+fn endless_body() -> Body {
+    let block = Bytes::from_static(&[b'x'; BLOCK_BYTES]);
+    let frames = stream::repeat_with(move || Ok(Frame::data(block.clone())));
+    StreamBody::new(frames).boxed_unsync()
+}
+
 /// Returns a request body as text, the key under which its runs are counted.
 fn body_text(body: &[u8]) -> String {
     String::from_utf8_lossy(body).into_owned()
--- a/src/shell/runners/attempt.rs
+++ b/src/shell/runners/attempt.rs
@@ -14,9 +14,10 @@
     shell::{
         calls::{ForwardedRequest, ResponseHead},
         http::is_event_stream,
+        whole_body::read_whole,
     },
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{
     HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode,
     header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
@@ -25,8 +26,8 @@
 use hyper::body::Incoming;
 use std::{net::SocketAddr, rc::Rc};
 
-/// Bytes of the longest response that is buffered.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Size up to which an unfinished event is buffered whatever other responses hold.
+const FREE_EVENT_BYTES: usize = 4 << 10;
 
 const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt");
 const EPOCH: HeaderName = HeaderName::from_static("x-epoch");
@@ -217,6 +218,7 @@
 ) -> Result<(), Failure> {
     let attempt = call.attempt;
     let mut decoder = EventDecoder::default();
+    let mut buffered = shared.held_bytes.reserve(FREE_EVENT_BYTES);
     loop {
         let frame = body.frame().await.ok_or(Failure::Cut)?;
         let frame = frame.map_err(|_| Failure::Cut)?;
@@ -243,6 +245,9 @@
                 }
             }
         }
+        if !buffered.resize(decoder.buffered()) {
+            return Err(Failure::Cut);
+        }
     }
 }
 
@@ -255,24 +260,15 @@
 async fn forward_buffered(
     shared: &Shared,
     call: &AttemptCall,
-    mut body: Incoming,
+    body: Incoming,
 ) -> Result<(), Failure> {
     let attempt = call.attempt;
-    let mut buffer = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Failure::Cut)?;
-        if let Some(bytes) = frame.data_ref() {
-            buffer.extend_from_slice(bytes);
-        }
-        if buffer.len() > MAX_BODY_BYTES {
-            return Err(Failure::Cut);
-        }
-    }
+    let bytes = read_whole(body, &shared.held_bytes).await;
     shared.send(RunnerInput::Chunk {
         attempt,
         offset: 0,
         tokens: 0,
-        payload: Payload(buffer.freeze()),
+        payload: Payload(bytes.ok_or(Failure::Cut)?),
     });
     shared.send(RunnerInput::Finished { attempt });
     Ok(())
--- a/src/shell/runners/mod.rs
+++ b/src/shell/runners/mod.rs
@@ -9,7 +9,7 @@
 mod pool;
 pub mod sse;
 
-use super::{Inbox, calls::Calls, relay::RelayClient};
+use super::{Inbox, calls::Calls, held_bytes::HeldBytes, relay::RelayClient};
 use crate::{
     core::{
         ctx::Identity,
@@ -36,6 +36,8 @@
     relay_client: RelayClient,
     daemon: DaemonName,
     pool: Pool,
+    /// Bytes of responses that are held until they are whole.
+    held_bytes: HeldBytes,
     in_flight: RefCell<HashMap<AttemptId, InFlight>>,
 }
 
@@ -72,6 +74,7 @@
                 relay_client,
                 daemon: identity.name.clone(),
                 pool: Pool::default(),
+                held_bytes: HeldBytes::default(),
                 in_flight: RefCell::default(),
             }),
         }
--- a/src/shell/runners/sse.rs
+++ b/src/shell/runners/sse.rs
@@ -51,6 +51,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns the next complete event, if there is one.
     ///
     /// # Errors
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,6 +89,16 @@
         self.child.id()
     }
 
+    /// Returns the most memory that it has had resident so far, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("process should run");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.expect("peak should be known").trim();
+        let kilobytes = kilobytes.trim_end_matches(" kB").parse::<usize>();
+        kilobytes.expect("peak should be a number") << 10
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32);
--- a/tests/request_runners.rs
+++ b/tests/request_runners.rs
@@ -207,6 +207,64 @@
     }
 }
 
+/// Starts a runner that sends a start of a response and then the same block until the connection is
+/// closed; the receiver learns of that.
+fn start_endless_runner(start: String, block: String) -> (SocketAddr, Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("listener should bind");
+    let address = listener.local_addr().expect("listener should be bound");
+    let (closed, is_closed) = channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("connection should be accepted");
+        let read = stream.read_exact(&mut [0; 64]);
+        read.expect("request should be readable");
+        let mut is_open = stream.write_all(start.as_bytes()).is_ok();
+        while is_open {
+            is_open = stream.write_all(block.as_bytes()).is_ok();
+        }
+        let _ = closed.send(());
+    });
+    (address, is_closed)
+}
+
+/// Makes an attempt at an endless runner and waits until its connection is closed; returns the
+/// attempt's inputs.
+async fn attempt_endless(start: String, block: String) -> Vec<RunnerInput> {
+    let (address, is_closed) = start_endless_runner(start, block);
+    let seen = Daemon::start().attempt(address).await;
+    let waiting = compio::time::timeout(WAIT_TIMEOUT, async {
+        while is_closed.try_recv().is_err() {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    waiting.await.expect("the connection should be closed");
+    seen
+}
+
+#[compio::test]
+async fn endless_response_is_cut_and_its_connection_closed() {
+    let kilobyte = "x".repeat(1 << 10);
+    let chunks = chunk(&kilobyte.repeat(64));
+    let cases = [
+        (String::new(), kilobyte.clone()),
+        (format!("{HEAD}x-long: "), kilobyte.clone()),
+        (HEAD.to_owned(), "x-more: 1\r\n".repeat(100)),
+        (format!("{HEAD}\r\n"), kilobyte.clone()),
+        (
+            format!("{HEAD}content-length: 1099511627776\r\n\r\n"),
+            kilobyte,
+        ),
+        (
+            format!("{HEAD}transfer-encoding: chunked\r\n\r\n"),
+            chunks.clone(),
+        ),
+        (format!("{HEAD}{STREAM}"), chunks),
+    ];
+    for (start, block) in cases {
+        let seen = attempt_endless(start.clone(), block).await;
+        assert_eq!(failure(&seen), Some(&Failure::Cut), "{start:?}");
+    }
+}
+
 /// A head with an odd status, or with a byte in the name of a header that no name has, is no response.
 #[compio::test]
 async fn response_with_an_odd_head_is_cut() {
