A connection that goes on after the last event of its stream is closed

Callers saw nothing; the daemon read such a connection for ever, one for each stream of a faulty runner.

Cause: after the last event the body was read to its end, so that the connection could be used again, without a bound.

Shown by request_runners::connection_is_closed_if_the_body_goes_on_after_its_last_event.

Change: 64 KiB and one second are left to the end of the body; beyond them the connection is closed.

--- a/src/shell/runners/attempt.rs
+++ b/src/shell/runners/attempt.rs
@@ -22,13 +22,19 @@
     HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode,
     header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
 };
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 /// Size up to which an unfinished event is buffered whatever other responses hold.
 const FREE_EVENT_BYTES: usize = 4 << 10;
 
+/// Maximum size of what follows the last event of a stream.
+const MAX_REST_BYTES: usize = 64 << 10;
+
+/// Time within which a body ends after the last event of its stream.
+const REST_TIMEOUT: Duration = Duration::from_secs(1);
+
 const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt");
 const EPOCH: HeaderName = HeaderName::from_static("x-epoch");
 const GROUP: HeaderName = HeaderName::from_static("x-group");
@@ -240,7 +246,7 @@
                 }),
                 Event::Done => {
                     shared.send(RunnerInput::Finished { attempt });
-                    read_to_end(body).await;
+                    discard_rest(body).await;
                     return Ok(());
                 }
             }
@@ -251,9 +257,12 @@
     }
 }
 
-/// Reads a body to its end, so that its connection can be reused.
-async fn read_to_end(mut body: Incoming) {
-    while let Some(Ok(_)) = body.frame().await {}
+/// Reads a body to its end, so that its connection can be reused, unless it goes on for too long.
+async fn discard_rest(body: Incoming) {
+    let mut rest = Limited::new(body, MAX_REST_BYTES);
+    let reading = async { while let Some(Ok(_)) = rest.frame().await {} };
+    // The connection closes if the body has not ended.
+    let _ = compio::time::timeout(REST_TIMEOUT, reading).await;
 }
 
 /// Forwards a response once it has arrived completely.
--- a/tests/request_runners.rs
+++ b/tests/request_runners.rs
@@ -265,6 +265,14 @@
     }
 }
 
+/// Guards against a connection that is read for ever after the last event.
+#[compio::test]
+async fn connection_is_closed_if_the_body_goes_on_after_its_last_event() {
+    let start = format!("{HEAD}{STREAM}{}{}", chunk(PART), chunk(DONE));
+    let seen = attempt_endless(start, chunk(&": x\n\n".repeat(200))).await;
+    assert_eq!(failure(&seen), None);
+}
+
 /// A head with an odd status, or with a byte in the name of a header that no name has, is no response.
 #[compio::test]
 async fn response_with_an_odd_head_is_cut() {
