Read as a newcomer: usual terms, and test code that stood twice

Change: shell/regular_end is shell/clean_eof (EOF, half-close); the new test files say what they test (reserved_characters, invalid_heads, non_utf8_keys); peak_memory and its limit stand once, in tests/common/memory.rs, the configuration of long bodies once, in config.rs, and the check of a failed request once, in cut_uploads. Inputs, bounds and assertions stay. In the product only names, comments and two local variables change.

Left: the forwarding of writes in clean_eof, fair and stall; each wraps another set of calls.

--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -65,8 +65,8 @@
     }
 }
 
-/// Returns the host that an entry's key names; none if no header can hold the name. A request to
-/// that host could not say whom it is meant for, and whoever is at the address would run it.
+/// Returns the host that an entry's key names; none if the name is not valid in a header. Requests
+/// name the expected host there, and without it any runner at the address would run them.
 fn host_name<A>(key: &str) -> Option<HostName>
 where
     A: Adapter,
@@ -75,7 +75,7 @@
     fits_header(name).then(|| HostName::from(name))
 }
 
-/// Returns true if a text is the same once it has been sent as the value of a header.
+/// Returns true if a text is a valid header value that is received unchanged.
 fn fits_header(text: &str) -> bool {
     let is_trimmed = !text.is_empty() && text.trim() == text;
     is_trimmed && HeaderValue::from_str(text).is_ok()
--- a/src/shell/regular_end.rs
+++ b/src/shell/clean_eof.rs
@@ -1,9 +1,9 @@
-//! A connection whose reads end regularly only if nothing has gone wrong with it.
+//! A connection that reports a clean end of file (EOF) only if no write has failed.
 //!
-//! The system reports a reset, or a peer that has fallen silent, to one call of
-//! the socket. If that is a write, the reads after it see a regular end. A
-//! response that comes while its request is still being written, and whose body
-//! ends with the connection, would then pass for complete.
+//! The kernel reports a reset, or the timeout of a silent peer, to one call on the
+//! socket. If that call is a write, later reads return EOF as if the peer had
+//! closed its half. A response that comes while its request is still being
+//! written, and whose body ends with the connection, would then look complete.
 
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use std::{
@@ -16,49 +16,47 @@
 /// Bytes that are read at once.
 const BLOCK_BYTES: usize = 16 << 10;
 
-/// Connection whose reads fail, instead of ending, once a write has failed.
-pub(super) struct RegularEnd<S> {
+/// Connection whose reads fail, instead of returning EOF, once a write has failed.
+pub(super) struct CleanEof<S> {
     inner: S,
-    has_failed: bool,
+    write_failed: bool,
 }
 
-impl<S> RegularEnd<S> {
+impl<S> CleanEof<S> {
     /// Wraps a connection.
     pub(super) fn new(inner: S) -> Self {
         Self {
             inner,
-            has_failed: false,
+            write_failed: false,
         }
     }
 
-    /// Notes whether a write has failed, and returns its outcome.
-    fn note<T>(&mut self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        self.has_failed |= matches!(written, Poll::Ready(Err(_)));
+    /// Records whether a write has failed, and returns its outcome.
+    fn record<T>(&mut self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        self.write_failed |= matches!(written, Poll::Ready(Err(_)));
         written
     }
 }
 
-impl<S> RegularEnd<S>
+impl<S> CleanEof<S>
 where
     S: Write + Unpin,
 {
-    /// Checks the end of the connection.
-    ///
-    /// A write may have failed that nobody has asked for since.
-    fn check_end(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
-        if !self.has_failed
+    /// Fails if a write has failed, also one whose outcome has not been polled since.
+    fn check_writes(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        if !self.write_failed
             && let Poll::Ready(flushed) = Pin::new(&mut *self).poll_flush(cx)
         {
             return flushed;
         }
-        match self.has_failed {
+        match self.write_failed {
             true => Err(io::ErrorKind::ConnectionReset.into()),
             false => Ok(()),
         }
     }
 }
 
-impl<S> Read for RegularEnd<S>
+impl<S> Read for CleanEof<S>
 where
     S: Read + Write + Unpin,
 {
@@ -68,19 +66,20 @@
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let length = buf.remaining().min(BLOCK_BYTES);
-        let mut block = [MaybeUninit::uninit(); BLOCK_BYTES];
-        let mut block = ReadBuf::uninit(&mut block[..length]);
+        let mut storage = [MaybeUninit::uninit(); BLOCK_BYTES];
+        let mut block = ReadBuf::uninit(&mut storage[..length]);
         ready!(Pin::new(&mut self.inner).poll_read(cx, block.unfilled()))?;
         let bytes = block.filled();
-        if bytes.is_empty() && length > 0 {
-            return Poll::Ready(self.check_end(cx));
+        let is_eof = bytes.is_empty() && length > 0;
+        if is_eof {
+            return Poll::Ready(self.check_writes(cx));
         }
         buf.put_slice(bytes);
         Poll::Ready(Ok(()))
     }
 }
 
-impl<S> Write for RegularEnd<S>
+impl<S> Write for CleanEof<S>
 where
     S: Write + Unpin,
 {
@@ -90,12 +89,12 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write(cx, buf);
-        self.note(written)
+        self.record(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.inner).poll_flush(cx);
-        self.note(flushed)
+        self.record(flushed)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -112,6 +111,6 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
-        self.note(written)
+        self.record(written)
     }
 }
--- a/src/shell/http.rs
+++ b/src/shell/http.rs
@@ -1,7 +1,7 @@
 //! HTTP on the event loop: listening, serving connections and connecting to peers.
 
 use super::{
-    activity::Activity, fair::FairReads, linger::LingeringClose, regular_end::RegularEnd,
+    activity::Activity, clean_eof::CleanEof, fair::FairReads, linger::LingeringClose,
     request_body::RequestBody, running_time, stall::WriteTimeout,
 };
 use bytes::Bytes;
@@ -305,7 +305,7 @@
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let stream = FairReads::new(RegularEnd::new(HyperStream::new_plain(stream)));
+    let stream = FairReads::new(CleanEof::new(HyperStream::new_plain(stream)));
     let (sender, connection) = Builder::new()
         .max_buf_size(MAX_READ_BUFFER)
         .handshake(stream)
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -7,6 +7,7 @@
 mod activity;
 pub mod callers;
 pub mod calls;
+mod clean_eof;
 pub mod connections;
 mod events;
 pub mod exit;
@@ -22,7 +23,6 @@
 pub mod operators;
 pub mod peers;
 pub mod platform;
-mod regular_end;
 pub mod relay;
 pub mod request_body;
 pub mod runners;
--- a/src/shell/platform/etcd.rs
+++ b/src/shell/platform/etcd.rs
@@ -208,7 +208,7 @@
         if range.revision == 0 {
             range.revision = revision(page.header).0;
         }
-        // A key may be no text; what its entry has of it may stand elsewhere in the order.
+        // A key need not be valid UTF-8, and its lossy text may sort elsewhere.
         let next = page.kvs.last().map(|last| next_key(&last.key));
         entries.extend(page.kvs.into_iter().map(entry));
         match next {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,6 +5,8 @@
 
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
+pub mod memory;
+
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
@@ -91,12 +93,7 @@
 
     /// Returns the most memory that it has had resident so far, in bytes.
     pub fn peak_memory(&self) -> usize {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = std::fs::read_to_string(path).expect("process should run");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let kilobytes = peak.expect("peak should be known").trim();
-        let kilobytes = kilobytes.trim_end_matches(" kB").parse::<usize>();
-        kilobytes.expect("peak should be a number") << 10
+        memory::peak_memory(self.child.id())
     }
 
     /// Sends a signal.
--- a/tests/endless_runners.rs
+++ b/tests/endless_runners.rs
@@ -2,13 +2,10 @@
 
 mod common;
 
-use common::{TestEnv, call_with_timeout};
+use common::{TestEnv, call_with_timeout, memory::MEMORY_LIMIT};
 use serde_json::json;
 use std::{thread, time::Duration};
 
-/// Memory from which the users' platform kills a process, in bytes.
-const MEMORY_LIMIT: usize = 260 << 20;
-
 /// Requests at once.
 const REQUESTS: usize = 60;
 
--- a/tests/odd_keys.rs
+++ b/tests/non_utf8_keys.rs
@@ -1,4 +1,4 @@
-//! Lists of an etcd store that holds keys which are no text, as other writers may leave them.
+//! Lists of an etcd store with keys that are not valid UTF-8, as other writers may leave them.
 
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::StreamExt as _;
@@ -40,10 +40,10 @@
 
 /// Store that returns one key on each page.
 #[derive(Clone, Copy)]
-struct OddStore;
+struct OneKeyPages;
 
 #[async_trait]
-impl Kv for OddStore {
+impl Kv for OneKeyPages {
     async fn range(
         &self,
         request: Request<RangeRequest>,
@@ -79,7 +79,7 @@
     let address = http::address(&listener).expect("bound");
     compio::runtime::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let service = service_fn(|request| KvServer::new(OddStore).call(request));
+            let service = service_fn(|request| KvServer::new(OneKeyPages).call(request));
             compio::runtime::spawn(http::serve_http2(stream, service)).detach();
         }
     })
@@ -107,13 +107,13 @@
     }
 }
 
-/// Guards against a key that hides all those after it: the next page began after the text of the
-/// key, which stood elsewhere in the order than the key.
+/// Guards against a key that hides all those after it: the next page began after the lossy text of
+/// the key, which sorts elsewhere.
 #[compio::test]
-async fn key_that_is_no_text_hides_no_other_key() {
+async fn non_utf8_key_hides_no_other_key() {
     let address = serve_store().await;
     let entries = list(address).await.expect("the list ends");
     let names: Vec<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
-    let odd = "/t/b\u{fffd}";
-    assert_eq!(names, ["/t/a", "/t/b", odd, odd, odd, "/t/c"]);
+    let lossy = "/t/b\u{fffd}";
+    assert_eq!(names, ["/t/a", "/t/b", lossy, lossy, lossy, "/t/c"]);
 }
--- a/tests/platform/config.rs
+++ b/tests/platform/config.rs
@@ -30,6 +30,13 @@
     store.put("op/config", &spec(version, 8, cold_rate).to_string());
 }
 
+/// Writes a version of the configuration that allows bodies of this size.
+pub fn write_with_body_limit(store: &Store, version: u64, bytes: usize) {
+    let mut spec = value(version);
+    spec["Limits"]["MaxBodyBytes"] = json!(bytes);
+    store.put("op/config", &spec.to_string());
+}
+
 /// Returns a version of the configuration.
 pub fn value(version: u64) -> Value {
     spec(version, 8, None)
--- a/tests/platform/cut_uploads.rs
+++ b/tests/platform/cut_uploads.rs
@@ -2,10 +2,10 @@
 
 use super::{
     client::Response,
+    config,
     early_end::{ConnectionEnd, EarlyResponse},
     env::{TestEnv, wait_until},
 };
-use serde_json::{Value, json};
 use std::time::Duration;
 
 /// Size of each body, which no buffers on the way take in full.
@@ -14,7 +14,7 @@
 /// Largest body that the configuration allows.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
-/// Requests of each case: whether a write or a read learns of a reset first is a matter of luck.
+/// Requests of each case: a reset may fail a read or a write first.
 const TRIES: usize = 6;
 
 /// Bytes that are read before the response.
@@ -46,10 +46,7 @@
 /// Starts the environment with a configuration that allows the bodies.
 fn start() -> TestEnv {
     let env = TestEnv::start();
-    let mut config: Value = serde_json::from_str(&env.store.value("op/config")).expect("JSON");
-    config["Version"] = json!(3);
-    config["Limits"]["MaxBodyBytes"] = json!(MAX_BODY_BYTES);
-    env.store.put("op/config", &config.to_string());
+    config::write_with_body_limit(&env.store, 3, MAX_BODY_BYTES);
     wait_until("long bodies are allowed", || {
         send_long(&env, "/once/x").status == 200
     });
@@ -79,18 +76,21 @@
     resets
 }
 
-/// Guards against a success with a part of the body: a write learned of the reset, and the reads
-/// after it saw a regular end.
+/// Asserts that a request has failed, and is not said to have not run.
+fn check_failed(response: &Response, path: &str, reset: EarlyResponse) {
+    let is_failure = [502, 504].contains(&response.status);
+    assert!(is_failure, "{path} {reset:?}: {response:?}");
+}
+
+/// Guards against a success with a part of the body: the reset failed a write, and the reads after
+/// it returned a clean EOF.
 #[test]
 fn response_reset_during_upload_is_no_success() {
     let env = start();
     for reset in resets(&CUT_RESPONSES) {
         respond_early(&env, Some(reset));
         for path in ["/once/x", "/read/x"].iter().cycle().take(TRIES) {
-            let response = send_long(&env, path);
-            // A request that may run once is not said to have not run.
-            let is_failure = [502, 504].contains(&response.status);
-            assert!(is_failure, "{path} {reset:?}: {response:?}");
+            check_failed(&send_long(&env, path), path, reset);
         }
     }
     respond_early(&env, None);
@@ -101,15 +101,11 @@
 #[test]
 fn response_reset_after_short_request_is_no_success() {
     let env = TestEnv::start();
-    for reset in resets(&CUT_RESPONSES)
-        .into_iter()
-        .filter(|reset| reset.read == 0)
-    {
+    let resets = resets(&CUT_RESPONSES).into_iter();
+    for reset in resets.filter(|reset| reset.read == 0) {
         respond_early(&env, Some(reset));
         for path in ["/once/x", "/read/x"].iter().cycle().take(TRIES) {
-            let response = env.call("POST", path, &[], "");
-            let is_failure = [502, 504].contains(&response.status);
-            assert!(is_failure, "{path} {reset:?}: {response:?}");
+            check_failed(&env.call("POST", path, &[], ""), path, reset);
         }
     }
 }
@@ -143,12 +139,12 @@
     }
 }
 
-/// A runner may respond early and end its half of the connection; it reads on so that nothing is lost.
+/// A runner may respond early and close its half of the connection, while it reads on.
 #[test]
-fn response_that_ends_regularly_during_upload_is_whole() {
+fn response_that_ends_with_half_close_during_upload_is_whole() {
     let env = start();
     for read in READS {
-        let end = ConnectionEnd::Regular;
+        let end = ConnectionEnd::HalfClose;
         let early = |text| EarlyResponse { text, read, end };
         respond_early(&env, Some(early(UNFRAMED)));
         for path in ["/once/x", "/read/x"].iter().cycle().take(TRIES) {
--- a/tests/platform/early_end.rs
+++ b/tests/platform/early_end.rs
@@ -26,7 +26,7 @@
     /// It is reset after some time.
     Reset(Duration),
     /// The writing half is closed, and the rest of the request is read.
-    Regular,
+    HalfClose,
 }
 
 impl EarlyResponse {
@@ -48,7 +48,7 @@
                 let socket = SockRef::from(&*stream);
                 socket.set_linger(Some(Duration::ZERO)).expect("set");
             }
-            ConnectionEnd::Regular => {
+            ConnectionEnd::HalfClose => {
                 let _ = stream.shutdown(Shutdown::Write);
                 let _ = io::copy(reader, &mut io::sink());
             }
--- a/tests/platform/early_responses.rs
+++ b/tests/platform/early_responses.rs
@@ -1,6 +1,6 @@
 //! Requests that are refused before their bodies have been read.
 
-use super::{client::parse_response, config::API_KEY, env::TestEnv, trouble::MEMORY_LIMIT};
+use super::{client::parse_response, config::API_KEY, env::TestEnv, memory::MEMORY_LIMIT};
 use serde_json::Value;
 use std::{
     io::{self, Read as _, Write as _},
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -4,8 +4,9 @@
     client::Response,
     config::API_KEY,
     env::{Daemon, TestEnv},
+    memory::MEMORY_LIMIT,
     runner::Behavior,
-    trouble::{Endless, MEMORY_LIMIT, chunk, kilobyte},
+    trouble::{Endless, chunk, kilobyte},
 };
 use std::{
     io::Write as _,
--- a/tests/platform/endless_control.rs
+++ b/tests/platform/endless_control.rs
@@ -2,8 +2,9 @@
 
 use super::{
     env::{Daemon, TestEnv},
+    memory::MEMORY_LIMIT,
     store::ListTrouble,
-    trouble::{Endless, MEMORY_LIMIT, TroubleCount, kilobyte},
+    trouble::{Endless, TroubleCount, kilobyte},
 };
 use serde_json::{Value, json};
 use std::{
@@ -151,24 +152,24 @@
     }
 }
 
-/// Values that another writer leaves, so that a page of a list is long.
-const ODD_VALUES: usize = 400;
+/// Entries of another writer, which make a page of a list long.
+const FOREIGN_ENTRIES: usize = 400;
 
-/// Size of each of these values.
-const ODD_VALUE_BYTES: usize = 4 << 10;
+/// Size of the value of each.
+const FOREIGN_ENTRY_BYTES: usize = 4 << 10;
 
-/// Time in which a list whose pages come without end grows.
+/// Time for which lists don't come to their end.
 const LIST_TIME: Duration = Duration::from_secs(15);
 
 /// Has the daemon list the runners anew while no list comes to its end.
 fn check_list_trouble(trouble: ListTrouble) {
     let env = TestEnv::start();
-    let odd_value = "x".repeat(ODD_VALUE_BYTES);
-    for number in 0..ODD_VALUES {
-        env.store.put(&format!("servers/a{number}"), &odd_value);
+    let value = "x".repeat(FOREIGN_ENTRY_BYTES);
+    for number in 0..FOREIGN_ENTRIES {
+        env.store.put(&format!("servers/a{number}"), &value);
     }
     // The runners stand on the second page.
-    env.store.set_page_size(ODD_VALUES);
+    env.store.set_page_size(FOREIGN_ENTRIES);
     env.store.set_list_trouble(Some(trouble));
     env.store.forget_history();
     let until = Instant::now() + LIST_TIME;
--- a/tests/platform/env.rs
+++ b/tests/platform/env.rs
@@ -4,6 +4,7 @@
     client::{Response, send_request},
     config::{self, API_KEY},
     http,
+    memory::peak_memory,
     runner::{Runner, Script},
     store::Store,
 };
@@ -220,11 +221,7 @@
 
     /// Returns the most memory that the process has had resident so far, in bytes.
     pub fn peak_memory(&self) -> usize {
-        let path = format!("/proc/{}/status", self.process.id());
-        let status = std::fs::read_to_string(path).expect("the process runs");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let kilobytes = peak.expect("a peak").trim().trim_end_matches(" kB");
-        kilobytes.parse::<usize>().expect("a number") << 10
+        peak_memory(self.process.id())
     }
 
     /// Returns the value of a metric; zero if it was never set.
--- a/tests/platform/odd_heads.rs
+++ b/tests/platform/invalid_heads.rs
@@ -1,16 +1,16 @@
-//! Responses of runners in trouble whose heads aren't valid: their status is no status, or the name
-//! of a header holds a byte that no name has.
+//! Responses whose heads are invalid: the status isn't a three-digit number from 100 on, or the name of a header
+//! holds a byte that isn't allowed there.
 
 use super::{client::Response, env::TestEnv, runner::Behavior};
 
 /// Texts in place of a status.
-const ODD_STATUSES: [&str; 14] = [
+const INVALID_STATUSES: [&str; 14] = [
     "000", "001", "099", "0", "00", "20", "2000", "0200", "-20", "+20", "2 0", "2x0", "\u{b2}00",
     "",
 ];
 
 /// Lines in place of a header.
-const ODD_LINES: [&str; 20] = [
+const INVALID_LINES: [&str; 20] = [
     "Odd Name: 1",
     "Odd : 1",
     "Odd\t: 1",
@@ -33,17 +33,17 @@
     "X-Response-Stamp : other",
 ];
 
-/// Rest of a response, by where the odd line stands in its head.
+/// Rest of a response, by where the invalid line stands in its head.
 const HEADS: [&str; 3] = [
-    "{odd}\r\n{own}Content-Length: 5\r\n\r\nusual",
-    "{own}{odd}\r\nContent-Length: 5\r\n\r\nusual",
-    "{own}Content-Length: 5\r\n{odd}\r\n\r\nusual",
+    "{line}\r\n{own}Content-Length: 5\r\n\r\nusual",
+    "{own}{line}\r\nContent-Length: 5\r\n\r\nusual",
+    "{own}Content-Length: 5\r\n{line}\r\n\r\nusual",
 ];
 
 /// The same for a body that ends with the connection.
-const UNFRAMED_HEAD: &str = "{own}{odd}\r\n\r\nusual";
+const UNFRAMED_HEAD: &str = "{own}{line}\r\n\r\nusual";
 
-/// Statuses of responses with odd lines; one of them states that the request has not run.
+/// Statuses of responses with invalid lines; one of them states that the request has not run.
 const STATUS_LINES: [&str; 4] = [
     "HTTP/1.1 200 OK\r\n",
     "HTTP/1.1 500 Failed\r\n",
@@ -54,17 +54,17 @@
 /// Distance between two responses that let a request be sent again: there is a budget for that.
 const RETRIED_STEP: usize = 5;
 
-/// Returns all responses that are no valid ones.
-fn odd_responses() -> Vec<String> {
+/// Returns all responses with an invalid head.
+fn invalid_responses() -> Vec<String> {
     let with_status = |status: &&str| {
         let head = "{own}Content-Length: 5\r\n\r\nusual";
         ["HTTP/1.1", "HTTP/1.0"].map(|version| format!("{version} {status} Odd\r\n{head}"))
     };
-    let mut responses: Vec<String> = ODD_STATUSES.iter().flat_map(with_status).collect();
-    for line in ODD_LINES {
+    let mut responses: Vec<String> = INVALID_STATUSES.iter().flat_map(with_status).collect();
+    for line in INVALID_LINES {
         for status_line in STATUS_LINES {
             let heads = HEADS.iter().chain([&UNFRAMED_HEAD]);
-            let rests = heads.map(|head| head.replace("{odd}", line));
+            let rests = heads.map(|head| head.replace("{line}", line));
             responses.extend(rests.map(|rest| format!("{status_line}{rest}")));
         }
     }
@@ -73,7 +73,7 @@
 
 impl TestEnv {
     /// Sends a request to a runner that responds in this way, whichever gets it.
-    fn call_odd(&self, path: &str, text: &str) -> Response {
+    fn call_answered_by(&self, path: &str, text: &str) -> Response {
         let runners = || self.plain_runners.iter().chain(&self.heads);
         for runner in runners() {
             runner.enqueue(Behavior::Raw(text.to_owned()));
@@ -87,14 +87,14 @@
     }
 }
 
-/// Guards against heads that are passed on, with the odd line or without it, and against bodies that
+/// Guards against heads that are passed on, with the invalid line or without it, and against bodies that
 /// are framed by a line which is no header.
 #[test]
-fn response_with_an_odd_head_is_no_response() {
+fn response_with_invalid_head_is_not_passed_on() {
     let env = TestEnv::start();
-    for text in odd_responses() {
+    for text in invalid_responses() {
         for path in ["/once/x", "/read/x", "/chat/x"] {
-            let response = env.call_odd(path, &text);
+            let response = env.call_answered_by(path, &text);
             let case = format!("{path} {text:?}: {response:?}");
             // A request that may run once is not said to have not run.
             assert!([502, 504].contains(&response.status), "{case}");
@@ -106,9 +106,9 @@
 
 /// An idempotent request goes to another runner.
 #[test]
-fn idempotent_request_is_served_elsewhere_after_an_odd_head() {
+fn idempotent_request_is_served_elsewhere_after_invalid_head() {
     let env = TestEnv::start();
-    for text in odd_responses().into_iter().step_by(RETRIED_STEP) {
+    for text in invalid_responses().into_iter().step_by(RETRIED_STEP) {
         env.plain_runners[0].enqueue(Behavior::Raw(text.clone()));
         let response = env.call("POST", "/read/x", &[], "{}");
         env.plain_runners[0].clear_script();
--- a/tests/platform/long_requests.rs
+++ b/tests/platform/long_requests.rs
@@ -1,7 +1,6 @@
 //! Requests with long bodies, many at a time.
 
-use super::{env::TestEnv, trouble::MEMORY_LIMIT};
-use serde_json::{Value, json};
+use super::{config, env::TestEnv, memory::MEMORY_LIMIT};
 use std::{thread, time::Duration};
 
 /// Size of each body.
@@ -18,11 +17,7 @@
 #[test]
 fn long_bodies_of_many_requests_do_not_take_all_memory() {
     let env = TestEnv::start();
-    let text = env.store.value("op/config");
-    let mut config: Value = serde_json::from_str(&text).expect("JSON");
-    config["Version"] = json!(3);
-    config["Limits"]["MaxBodyBytes"] = json!(BODY_BYTES);
-    env.store.put("op/config", &config.to_string());
+    config::write_with_body_limit(&env.store, 3, BODY_BYTES);
     let body = "x".repeat(BODY_BYTES);
     env.eventually("long bodies are allowed", |env| {
         env.call("POST", "/once/x", &[], &body).status == 200
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -27,23 +27,25 @@
 mod handovers;
 mod http;
 mod identities;
+mod invalid_heads;
 mod late_requests;
 mod limits;
 mod link;
 mod load_exchange;
 mod long_requests;
 mod malformed;
+#[path = "../common/memory.rs"]
+mod memory;
 mod missed_changes;
 mod notices;
 mod odd_entries;
-mod odd_heads;
-mod odd_names;
 mod panics;
 mod peer_lists;
 mod ranks;
 mod relay;
 mod repeated_refusal;
 mod requests;
+mod reserved_characters;
 mod rollback;
 #[allow(dead_code, reason = "the stops of several daemons use the rest")]
 mod runner;
--- a/tests/platform/odd_names.rs
+++ b/tests/platform/reserved_characters.rs
@@ -1,5 +1,5 @@
-//! Entries of another writer whose names hold characters that mean something in a query, on lists
-//! of several pages.
+//! Entries of another writer whose names hold characters that are reserved, or not allowed, in a
+//! query or a header.
 
 use super::{
     client::send_request,
@@ -8,8 +8,8 @@
 };
 use std::time::Duration;
 
-/// Ends of the names.
-const ODD_ENDS: [&str; 16] = [
+/// Ends of the names, on lists of several pages.
+const SPECIAL_ENDS: [&str; 16] = [
     "&name",
     "&After=zz",
     "+name",
@@ -49,13 +49,13 @@
     response.body.contains(&other.caller_address.to_string())
 }
 
-/// Guards against an entry that hides all those after it: its name stood as it was in the call for
-/// the next page, which failed or began elsewhere, so that a daemon that started had no list.
+/// Guards against an entry that hides all those after it: its name stood unencoded in the
+/// call for the next page, which failed or began elsewhere; a daemon that started had no list.
 #[test]
-fn odd_name_at_end_of_page_hides_no_other_entry() {
+fn reserved_character_at_end_of_page_hides_no_other_entry() {
     let env = TestEnv::start();
     env.store.set_page_size(1);
-    for (index, end) in ODD_ENDS.iter().enumerate() {
+    for (index, end) in SPECIAL_ENDS.iter().enumerate() {
         for start in STARTS {
             let key = format!("{start}{end}");
             env.store.put(&key, "{}");
@@ -73,10 +73,10 @@
 
 /// The same in a daemon that lists again because the store has dropped the changes since.
 #[test]
-fn daemon_lists_again_beside_odd_names() {
+fn daemon_lists_again_beside_reserved_characters() {
     let env = TestEnv::start();
     env.store.set_page_size(1);
-    for end in ODD_ENDS {
+    for end in SPECIAL_ENDS {
         env.store.put(&format!("servers/h1{end}"), "{}");
     }
     env.store.forget_history();
@@ -94,16 +94,16 @@
     is_followed(&entry);
 }
 
-/// Names that a header can't hold, or that would be trimmed there.
-const UNSENDABLE_NAMES: [&str; 6] = ["", " ", "p3 ", "p\n3", "p\u{0}", "p\u{7f}"];
+/// Names that are invalid in a header, or that are trimmed there.
+const INVALID_NAMES: [&str; 6] = ["", " ", "p3 ", "p\n3", "p\u{0}", "p\u{7f}"];
 
-/// Guards against requests that name nobody: whoever is at the address, perhaps a runner of another
+/// Guards against requests that name no runner: any that is at the address, perhaps of another
 /// service, would run them.
 #[test]
-fn runner_whom_no_header_can_name_gets_no_request() {
+fn runner_whose_name_is_invalid_in_header_gets_no_request() {
     let env = TestEnv::start();
     let start = |name| Runner::start(name, "plain", None, env.store.clone(), Script::default());
-    let strangers = UNSENDABLE_NAMES.map(start);
+    let strangers = INVALID_NAMES.map(start);
     let last = start("p4");
     let paths = ["/read/x", "/once/x"];
     env.eventually("the entry that was written last is known", |env| {
--- a/tests/platform/slow_streams.rs
+++ b/tests/platform/slow_streams.rs
@@ -3,8 +3,9 @@
 use super::{
     config::API_KEY,
     env::{TestEnv, wait_until},
+    memory::MEMORY_LIMIT,
     runner::Behavior,
-    trouble::{Endless, MEMORY_LIMIT, chunk},
+    trouble::{Endless, chunk},
 };
 use std::{
     io::{Read as _, Write as _},
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -251,7 +251,7 @@
                 let after = query.get("After").filter(|_| trouble.is_none());
                 let mut page = state.range(prefix, after, page_size);
                 if let Some(trouble) = trouble {
-                    trouble.spoil(&mut page, query.get("After"));
+                    trouble.apply(&mut page, query.get("After"));
                 }
                 Some((200, page))
             }
@@ -306,7 +306,7 @@
 
 impl ListTrouble {
     /// Changes the first page of a list to the one that comes after a key.
-    fn spoil(self, page: &mut Value, after: Option<&String>) {
+    fn apply(self, page: &mut Value, after: Option<&String>) {
         page["MorePages"] = json!(true);
         let items = page["Items"].as_array_mut().expect("a list");
         match self {
--- a/tests/platform/trouble.rs
+++ b/tests/platform/trouble.rs
@@ -11,9 +11,6 @@
 /// Bytes that are written at once.
 const BLOCK_BYTES: usize = 64 << 10;
 
-/// Memory from which the users' platform kills the process, in bytes.
-pub const MEMORY_LIMIT: usize = 260 << 20;
-
 /// Time after which a writer gives up; far more than any timeout of the daemon.
 const MAX_TIME: Duration = Duration::from_secs(60);
 
--- a/tests/request_runners.rs
+++ b/tests/request_runners.rs
@@ -273,9 +273,9 @@
     assert_eq!(failure(&seen), None);
 }
 
-/// A head with an odd status, or with a byte in the name of a header that no name has, is no response.
+/// A head with an invalid status or an invalid header name is not a response.
 #[compio::test]
-async fn response_with_an_odd_head_is_cut() {
+async fn response_with_invalid_head_is_cut() {
     let body = "content-length: 2\r\n\r\nab";
     let answers = [
         format!("HTTP/1.1 000 Odd\r\n{body}"),
--- a/tests/stops/main.rs
+++ b/tests/stops/main.rs
@@ -32,6 +32,9 @@
 #[path = "../platform/link.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod link;
+#[path = "../common/memory.rs"]
+#[allow(dead_code, reason = "the tests of one daemon use the rest")]
+mod memory;
 #[path = "../platform/runner.rs"]
 #[allow(dead_code, reason = "the tests of one daemon use the rest")]
 mod runner;
