Review: an incomplete entry of a head lets it join another group

Cause: an entry of another writer that lacks fields decodes to a runner without a group, and replaces the report of the same run whatever its order count. Change: a script with the stand-ins that it needs; nothing is fixed.

--- /dev/null
+++ b/review/standins-3/cases.rs
@@ -0,0 +1,172 @@
+//! The cases.
+
+use crate::{
+    Verdict,
+    daemon::Daemon,
+    http::{self, Message},
+    json::Json,
+    record::Record,
+    runner::{Heads, Runner, Spec},
+    store::Store,
+};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::Path,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+const HOST: &str = "review.example";
+const KEY: &str = "n2ctnfzs989anu6wsjnb";
+
+pub fn run(case: &str, record: &Arc<Record>, has_trouble: bool, folder: &Path) -> Verdict {
+    match case {
+        "incomplete-entry" => incomplete_entry(record, has_trouble, folder),
+        _ => Verdict::Unable("no such case".to_owned()),
+    }
+}
+
+/// Returns a config with a streaming service and a plain one.
+fn config(version: i64, size: i64) -> Json {
+    let text = format!(
+        r#"{{"Version":{version},"Routes":[
+        {{"Name":"gen","Host":"{HOST}","Prefix":"/gen/","Kind":"stream","TimeoutMs":8000,"SloMs":400,"Priority":1,"Service":"llm","Attempts":2,"Public":false,"Sticky":true,"Resumable":true,"GapAimMs":250}},
+        {{"Name":"get","Host":"{HOST}","Prefix":"/get/","Kind":"safe","TimeoutMs":8000,"SloMs":300,"Priority":2,"Service":"app","Attempts":2,"Public":false,"Sticky":false,"Resumable":false}},
+        {{"Name":"do","Host":"{HOST}","Prefix":"/do/","Kind":"unsafe","TimeoutMs":8000,"SloMs":300,"Priority":2,"Service":"app","Attempts":2,"Public":false,"Sticky":false,"Resumable":false}}],
+        "Services":[
+        {{"Name":"llm","HealthPath":"/healthz","MaxConns":314,"Protocol":"h1","Tls":false,"Engine":{{"Slots":26,"KvCacheTokens":2470000,"KvTokenBytes":35136,"LinkMbps":400000.0,"Stride":6,"Models":[{{"Name":"m1","size":{size},"Share":1.0,"pace":1.0,"LoadS":1.5,"WarmS":0.8}}],"step_ms":6.45,"per_seq_ms":0.0967,"context_per_k":0.00293,"read_per_s":56100.0,"pairs_per_m":0.309,"chunk":2048,"report_lag_ms":200.0,"LoadsPerS":5.5,"loads_at_once":8,"delays":[],"usual":{{"prompt":1115,"answer":152}},"Keeps":1,"far_x":4.0,"FormMs":300.0}}}},
+        {{"Name":"app","HealthPath":"/healthz","MaxConns":110,"Protocol":"h1","Tls":false}}],
+        "Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}},
+        "Tenants":[{{"Name":"hule930","ApiKeys":["{KEY}"],"Priority":1}}]}}"#
+    );
+    Json::parse(&text).expect("the config is valid")
+}
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+fn next_id() -> String {
+    format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed) * 0x9e37_79b9_7f4a_7c15 % u64::MAX)
+}
+
+/// Sends a generation as a client does, and returns the response.
+fn generate(front: SocketAddr, id: &str) -> std::io::Result<Message> {
+    let head = format!(
+        "POST /gen/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 8000\r\n\
+         X-Model: m1\r\nX-Token-Count: 700,60\r\nX-Prompt-Prefix: 5c1e07a2:600,{id}:100\r\n\
+         Authorization: Bearer {KEY}\r\n"
+    );
+    http::call(front, &head, b"prompt", Duration::from_secs(9), |_| {})
+}
+
+fn wait_for(timeout: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let until = Instant::now() + timeout;
+    while Instant::now() < until {
+        if holds() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+fn is_ready(daemon: &Daemon) -> bool {
+    let head = "GET /readyz HTTP/1.1\r\nHost: x\r\n";
+    let answered = http::call(daemon.ready, head, b"", Duration::from_secs(1), |_| {});
+    answered.is_ok_and(|response| response.status() == 200)
+}
+
+/// Five runners of one domain, whose model has groups of three: one group serves and two are spare.
+/// Then the entry of the group's head is overwritten once by another writer, with fields missing.
+fn incomplete_entry(record: &Arc<Record>, has_trouble: bool, folder: &Path) -> Verdict {
+    let store = Store::start();
+    store.put("op/config", &config(7, 3));
+    let heads = Heads::default();
+    let runners: Vec<Arc<Runner>> = ["i-01", "i-02", "i-03", "i-04", "i-05"]
+        .into_iter()
+        .map(|id| {
+            let spec = Spec {
+                id,
+                service: "llm",
+                zone: "hall-a",
+                domain: Some("d1"),
+                events: 30,
+                pause: Duration::from_millis(50),
+            };
+            Runner::start(spec, &heads, &store, record)
+        })
+        .collect();
+    let daemons: Vec<Daemon> = ["front-1", "front-2", "front-3"]
+        .into_iter()
+        .map(|name| Daemon::start(name, "hall-a", store.address, folder, 8))
+        .collect();
+    if !wait_for(Duration::from_secs(10), || daemons.iter().all(is_ready)) {
+        return Verdict::Unable("the daemons don't become ready".to_owned());
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let outcomes: Arc<Mutex<BTreeMap<String, usize>>> = Arc::default();
+    let clients: Vec<_> = (0..6)
+        .map(|number| {
+            let front = daemons[number % daemons.len()].front;
+            let (stop, outcomes, record) = (stop.clone(), outcomes.clone(), record.clone());
+            std::thread::spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    let id = next_id();
+                    record.line(&format!("client sends {id}"));
+                    let outcome = match generate(front, &id) {
+                        Ok(response) if response.status() == 200 && !response.whole => "200 broken off".to_owned(),
+                        Ok(response) => response.status().to_string(),
+                        Err(error) => error.kind().to_string(),
+                    };
+                    record.line(&format!("client got {outcome} for {id}"));
+                    let pause = if outcome == "200" { 100 } else { 500 };
+                    *outcomes.lock().unwrap().entry(outcome).or_default() += 1;
+                    std::thread::sleep(Duration::from_millis(pause));
+                }
+            })
+        })
+        .collect();
+    let open_head = || {
+        let is_open = |runner: &&Arc<Runner>| {
+            runner.member().is_some_and(|member| member.rank == 0 && member.state == "open")
+        };
+        runners.iter().find(is_open).cloned()
+    };
+    let spares_staged = || {
+        let spares = runners.iter().filter(|runner| runner.member().is_none());
+        let staged = spares.filter(|runner| runner.staged().contains(&"m1".to_owned()));
+        staged.count() >= 2
+    };
+    let is_up = wait_for(Duration::from_secs(40), || open_head().is_some() && spares_staged());
+    if !is_up {
+        return Verdict::Unable("no group serves beside two staged spares".to_owned());
+    }
+    std::thread::sleep(Duration::from_secs(6));
+    let Some(head) = open_head() else {
+        return Verdict::Unable("the group has closed by itself".to_owned());
+    };
+    record.line(&format!("the head of the open group is {}", head.id));
+    if has_trouble {
+        // Once, just after the runner's own write; the runner writes again within HeartbeatMs.
+        head.beat();
+        let foreign = head.entry().without(&["Version", "Phase", "Models", "Seq", "group"]);
+        record.line(&format!("another writer puts {}: {foreign}", head.key()));
+        store.put(&head.key(), &foreign);
+    }
+    std::thread::sleep(Duration::from_secs(10));
+    stop.store(true, Ordering::Relaxed);
+    for client in clients {
+        let _ = client.join();
+    }
+    record.line(&format!("outcomes: {:?}", outcomes.lock().unwrap()));
+    let breaks: Vec<String> =
+        runners.iter().flat_map(|runner| runner.breaks.lock().unwrap().clone()).collect();
+    breaks.iter().for_each(|text| println!("{text}"));
+    match breaks.is_empty() {
+        true => Verdict::Held,
+        false => Verdict::Broken,
+    }
+}
