Review: a sound first part is quarantined beside one that crashes runners

Cause: a part that is new to all daemons comes in every crash that a bad part causes, and no group lives long enough to answer on it. Change: a script, and crashes of the stand-in of runners; nothing is fixed.

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -26,6 +26,7 @@
 pub fn run(case: &str, record: &Arc<Record>, has_trouble: bool, folder: &Path) -> Verdict {
     match case {
         "incomplete-entry" => incomplete_entry(record, has_trouble, folder),
+        "new-template" => new_template(record, has_trouble, folder),
         _ => Verdict::Unable("no such case".to_owned()),
     }
 }
@@ -54,12 +55,17 @@
 
 /// Sends a generation as a client does, and returns the response.
 fn generate(front: SocketAddr, id: &str) -> std::io::Result<Message> {
+    generate_on(front, id, "5c1e07a2:600")
+}
+
+/// Sends a generation on a prompt with these shared parts.
+fn generate_on(front: SocketAddr, id: &str, shared: &str) -> std::io::Result<Message> {
     let head = format!(
         "POST /gen/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 8000\r\n\
-         X-Model: m1\r\nX-Token-Count: 700,60\r\nX-Prompt-Prefix: 5c1e07a2:600,{id}:100\r\n\
+         X-Model: m1\r\nX-Token-Count: 700,60\r\nX-Prompt-Prefix: {shared},{id}:100\r\n\
          Authorization: Bearer {KEY}\r\n"
     );
-    http::call(front, &head, b"prompt", Duration::from_secs(9), |_| {})
+    http::call(front, &head, format!("prompt of {id}").as_bytes(), Duration::from_secs(9), |_| {})
 }
 
 fn wait_for(timeout: Duration, mut holds: impl FnMut() -> bool) -> bool {
@@ -170,3 +176,145 @@
         false => Verdict::Broken,
     }
 }
+
+/// Share of the sound requests that began at the first attempt.
+#[derive(Default)]
+struct Begun {
+    sent: usize,
+    begun: usize,
+}
+
+impl Begun {
+    fn share(&self) -> f64 {
+        self.begun as f64 / self.sent.max(1) as f64
+    }
+}
+
+/// A caller's requests get another first part, on which nothing has been answered yet; from then on
+/// some of them also hold a part that crashes runners.
+fn new_template(record: &Arc<Record>, has_trouble: bool, folder: &Path) -> Verdict {
+    const TOUCH: Duration = Duration::from_secs(3);
+    // Each of the three daemons gets such a request every three seconds.
+    let bad_pause = 3_000;
+    let store = Store::start();
+    store.put("op/config", &config(7, 3));
+    let heads = Heads::default();
+    let runners: Vec<Arc<Runner>> = (1..=10)
+        .map(|number| {
+            let spec = Spec {
+                id: &format!("i-{number:02}"),
+                service: "llm",
+                zone: "hall-a",
+                domain: Some(if number <= 5 { "d1" } else { "d2" }),
+                events: 30,
+                pause: Duration::from_millis(40),
+            };
+            Runner::start(spec, &heads, &store, record)
+        })
+        .collect();
+    let daemons: Vec<Daemon> = ["front-1", "front-2", "front-3"]
+        .into_iter()
+        .map(|name| Daemon::start(name, "hall-a", store.address, folder, 8))
+        .collect();
+    if !wait_for(Duration::from_secs(10), || daemons.iter().all(is_ready)) {
+        return Verdict::Unable("the daemons don't become ready".to_owned());
+    }
+    let open_heads = || {
+        let is_open = |runner: &&Arc<Runner>| {
+            runner.member().is_some_and(|member| member.rank == 0 && member.state == "open")
+        };
+        runners.iter().filter(is_open).count()
+    };
+    if !wait_for(Duration::from_secs(40), || open_heads() == 2) {
+        return Verdict::Unable("no two groups serve".to_owned());
+    }
+    let crashes = || {
+        let mut times: Vec<Instant> =
+            runners.iter().flat_map(|runner| runner.crashes.lock().unwrap().clone()).collect();
+        times.sort();
+        times
+    };
+    let stop = Arc::new(AtomicBool::new(false));
+    let template = Arc::new(Mutex::new("5c1e07a2:600"));
+    let sends_bad = Arc::new(AtomicBool::new(false));
+    // Time at which each sound request was sent, and whether it began.
+    let log: Arc<Mutex<Vec<(Instant, bool)>>> = Arc::default();
+    let mut clients = Vec::new();
+    for number in 0..9 {
+        let front = daemons[number % daemons.len()].front;
+        let (stop, template, log, record) = (stop.clone(), template.clone(), log.clone(), record.clone());
+        clients.push(std::thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                let id = next_id();
+                let shared = *template.lock().unwrap();
+                let sent = Instant::now();
+                record.line(&format!("client sends {id} on {shared}"));
+                let answer = generate_on(front, &id, shared);
+                let status = answer.as_ref().map_or(0, Message::status);
+                let begun = answer.is_ok_and(|answer| answer.status() == 200 && !answer.body.is_empty());
+                record.line(&format!("client got {status} for {id}, begun: {begun}"));
+                log.lock().unwrap().push((sent, begun));
+                std::thread::sleep(Duration::from_millis(300));
+            }
+        }));
+    }
+    for number in 0..daemons.len() {
+        let front = daemons[number].front;
+        let (stop, sends_bad, record) = (stop.clone(), sends_bad.clone(), record.clone());
+        clients.push(std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(bad_pause / 3 * number as u64));
+            while !stop.load(Ordering::Relaxed) {
+                std::thread::sleep(Duration::from_millis(bad_pause));
+                if sends_bad.load(Ordering::Relaxed) {
+                    let (id, record) = (next_id(), record.clone());
+                    std::thread::spawn(move || {
+                        record.line(&format!("client sends {id} with the bad part"));
+                        let answer = generate_on(front, &id, "a1a1:500,bad0:100");
+                        let status = answer.as_ref().map_or(0, Message::status);
+                        record.line(&format!("client got {status} for {id} with the bad part"));
+                    });
+                }
+            }
+        }));
+    }
+    std::thread::sleep(Duration::from_secs(15));
+    let changed = Instant::now();
+    *template.lock().unwrap() = "a1a1:500";
+    sends_bad.store(has_trouble, Ordering::Relaxed);
+    record.line("the caller's requests have another first part from here on");
+    if has_trouble {
+        wait_for(Duration::from_secs(25), || crashes().len() >= 5);
+    }
+    // The fifth crash, or the last if there are fewer.
+    let crash = crashes().into_iter().take(5).last();
+    let from = crash.unwrap_or(changed) + 2 * TOUCH;
+    std::thread::sleep((from + Duration::from_secs(25)).saturating_duration_since(Instant::now()));
+    stop.store(true, Ordering::Relaxed);
+    for client in clients {
+        let _ = client.join();
+    }
+    let (mut before, mut after) = (Begun::default(), Begun::default());
+    for (sent, begun) in log.lock().unwrap().iter() {
+        let counted = match *sent {
+            sent if sent < changed => &mut before,
+            sent if sent >= from => &mut after,
+            _ => continue,
+        };
+        counted.sent += 1;
+        counted.begun += usize::from(*begun);
+    }
+    let text = format!(
+        "{} crashes; sound requests begun: {} of {} before, {} of {} from 2 x StableWindowMs after the fifth crash, or the last",
+        crashes().len(),
+        before.begun, before.sent, after.begun, after.sent
+    );
+    record.line(&text);
+    println!("{text}");
+    if before.sent < 20 || after.sent < 20 {
+        return Verdict::Unable("too few requests".to_owned());
+    }
+    match after.share() < before.share() / 2.0 {
+        true => Verdict::Broken,
+        false => Verdict::Held,
+    }
+}
--- a/review/standins-3/runner.rs
+++ b/review/standins-3/runner.rs
@@ -12,11 +12,25 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicI64, Ordering},
     },
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+/// Part of prompts that crashes each runner that begins to write an answer on it.
+pub const BAD_PART: &str = "bad0";
+
+/// Time from the first event to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(30);
+
+/// Time for which a crashed runner is down.
+const DOWN: Duration = Duration::from_millis(3_000);
+
+fn unix_millis() -> i64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.expect("the clock is set").as_millis() as i64
+}
+
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const LOAD: Duration = Duration::from_millis(1_500);
 const WARM: Duration = Duration::from_millis(800);
@@ -60,8 +74,13 @@
     service: String,
     zone: String,
     domain: Option<String>,
-    born: i64,
+    /// Start of the present run, in Unix milliseconds.
+    born: AtomicI64,
     state: Mutex<State>,
+    /// Open connections, which a crash ends.
+    connections: Mutex<Vec<TcpStream>>,
+    /// Times of the crashes.
+    pub crashes: Mutex<Vec<Instant>>,
     heads: Heads,
     store: Arc<Store>,
     record: Arc<Record>,
@@ -85,15 +104,16 @@
 impl Runner {
     pub fn start(spec: Spec<'_>, heads: &Heads, store: &Arc<Store>, record: &Arc<Record>) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let runner = Arc::new(Self {
             id: spec.id.to_owned(),
             address: listener.local_addr().expect("bound"),
             service: spec.service.to_owned(),
             zone: spec.zone.to_owned(),
             domain: spec.domain.map(str::to_owned),
-            born: born.expect("the clock is set").as_millis() as i64,
+            born: AtomicI64::new(unix_millis()),
             state: Mutex::default(),
+            connections: Mutex::default(),
+            crashes: Mutex::default(),
             heads: heads.clone(),
             store: store.clone(),
             record: record.clone(),
@@ -105,9 +125,13 @@
         });
         let served = runner.clone();
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let runner = served.clone();
-                std::thread::spawn(move || runner.serve(stream));
+            let mut listener = listener;
+            loop {
+                served.accept(&listener);
+                drop(listener);
+                std::thread::sleep(DOWN);
+                listener = TcpListener::bind(served.address).expect("the port is still free");
+                served.restart();
             }
         });
         let beating = runner.clone();
@@ -118,6 +142,48 @@
         runner
     }
 
+    /// Takes connections until the runner crashes.
+    fn accept(self: &Arc<Self>, listener: &TcpListener) {
+        listener.set_nonblocking(true).expect("a socket option");
+        while !self.is_down.load(Ordering::Relaxed) {
+            let Ok((stream, _)) = listener.accept() else {
+                std::thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            stream.set_nonblocking(false).expect("a socket option");
+            let mut connections = self.connections.lock().unwrap();
+            connections.push(stream.try_clone().expect("a socket can be cloned"));
+            drop(connections);
+            let runner = self.clone();
+            std::thread::spawn(move || runner.serve(stream));
+        }
+    }
+
+    /// Ends all connections and stops listening; the runner is back after a while, as a new run.
+    fn crash(&self, id: &str) {
+        if self.is_down.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        self.crashes.lock().unwrap().push(Instant::now());
+        self.record.line(&format!("runner {} crashes under {id}", self.id));
+        let mut state = self.state.lock().unwrap();
+        if let Some(member) = state.member.take().filter(|member| member.rank == 0) {
+            self.heads.lock().unwrap().insert(member.group, "gone");
+        }
+        let (staged, cut) = (std::mem::take(&mut state.staged), state.cut);
+        *state = State { staged, cut: cut + 1, running: state.running, ..State::default() };
+        for stream in self.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn restart(&self) {
+        self.born.store(unix_millis(), Ordering::Relaxed);
+        self.is_down.store(false, Ordering::Relaxed);
+        self.record.line(&format!("runner {} is back", self.id));
+        self.beat();
+    }
+
     fn assignment(&self, state: &State) -> Vec<(String, Json)> {
         let models = state.member.iter().map(|member| {
             Json::Obj(vec![
@@ -130,7 +196,7 @@
             ("Phase".into(), Json::str("unified")),
             ("Models".into(), Json::Arr(models.collect())),
             ("Seq".into(), Json::Int(state.seq)),
-            ("born".into(), Json::Int(self.born)),
+            ("born".into(), Json::Int(self.born.load(Ordering::Relaxed))),
         ];
         if let Some(domain) = &self.domain {
             fields.push(("Domain".into(), Json::str(domain)));
@@ -170,6 +236,9 @@
     }
 
     pub fn beat(&self) {
+        if self.is_down.load(Ordering::Relaxed) {
+            return;
+        }
         self.store.put(&self.key(), &self.entry());
     }
 
@@ -427,7 +496,7 @@
         http::reply(writer, 200, &headers, format!("answer to {id}").as_bytes())
     }
 
-    fn stream(&self, request: &Message, writer: &mut TcpStream) -> std::io::Result<()> {
+    fn stream(self: &Arc<Self>, request: &Message, writer: &mut TcpStream) -> std::io::Result<()> {
         let id = request.header("x-request-id").unwrap_or_default().to_owned();
         let echo = format!("X-Request-Id: {id}\r\n");
         let (group, cut) = {
@@ -444,8 +513,21 @@
         self.note_run(request);
         let after: usize =
             request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let prompt = request.header("x-prompt-prefix").unwrap_or_default();
+        let shared = prompt.rsplit_once(',').map_or("", |(shared, _)| shared);
+        if shared.split(',').any(|part| part.split(':').next() == Some(BAD_PART)) {
+            let runner = self.clone();
+            let id = id.clone();
+            std::thread::spawn(move || {
+                std::thread::sleep(runner.pause + CRASH_DELAY);
+                runner.crash(&id);
+            });
+        }
         let result = self.write_events(writer, &id, after, cut);
-        self.state.lock().unwrap().running -= 1;
+        {
+            let mut state = self.state.lock().unwrap();
+            state.running = state.running.saturating_sub(1);
+        }
         if result.is_err() {
             self.record.line(&format!("runner {} breaks {id} off in {group}", self.id));
         }
