Review: parts beyond the 32nd, and answers of killed runners

Cause: parts of a prompt beyond the 32nd are not read, so that one of them may crash runners for ever; the end of a killed runner's connection is taken for the end of an answer without a length. Change: two scripts; nothing is fixed.

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -3,10 +3,11 @@
 use crate::{
     Verdict,
     daemon::Daemon,
+    half,
     http::{self, Message},
     json::Json,
     record::Record,
-    runner::{Heads, Runner, Spec},
+    runner::{BAD_PART, Heads, Runner, Spec},
     store::Store,
 };
 use std::{
@@ -27,6 +28,8 @@
     match case {
         "incomplete-entry" => incomplete_entry(record, has_trouble, folder),
         "new-template" => new_template(record, has_trouble, folder),
+        "killed-midway" => killed_midway(record, has_trouble, folder),
+        "long-prompt" => long_prompt(record, has_trouble, folder),
         _ => Verdict::Unable("no such case".to_owned()),
     }
 }
@@ -37,6 +40,7 @@
         r#"{{"Version":{version},"Routes":[
         {{"Name":"gen","Host":"{HOST}","Prefix":"/gen/","Kind":"stream","TimeoutMs":8000,"SloMs":400,"Priority":1,"Service":"llm","Attempts":2,"Public":false,"Sticky":true,"Resumable":true,"GapAimMs":250}},
         {{"Name":"get","Host":"{HOST}","Prefix":"/get/","Kind":"safe","TimeoutMs":8000,"SloMs":300,"Priority":2,"Service":"app","Attempts":2,"Public":false,"Sticky":false,"Resumable":false}},
+        {{"Name":"tell","Host":"{HOST}","Prefix":"/tell/","Kind":"stream","TimeoutMs":8000,"SloMs":300,"Priority":2,"Service":"app","Attempts":2,"Public":false,"Sticky":false,"Resumable":false,"GapAimMs":2000}},
         {{"Name":"do","Host":"{HOST}","Prefix":"/do/","Kind":"unsafe","TimeoutMs":8000,"SloMs":300,"Priority":2,"Service":"app","Attempts":2,"Public":false,"Sticky":false,"Resumable":false}}],
         "Services":[
         {{"Name":"llm","HealthPath":"/healthz","MaxConns":314,"Protocol":"h1","Tls":false,"Engine":{{"Slots":26,"KvCacheTokens":2470000,"KvTokenBytes":35136,"LinkMbps":400000.0,"Stride":6,"Models":[{{"Name":"m1","size":{size},"Share":1.0,"pace":1.0,"LoadS":1.5,"WarmS":0.8}}],"step_ms":6.45,"per_seq_ms":0.0967,"context_per_k":0.00293,"read_per_s":56100.0,"pairs_per_m":0.309,"chunk":2048,"report_lag_ms":200.0,"LoadsPerS":5.5,"loads_at_once":8,"delays":[],"usual":{{"prompt":1115,"answer":152}},"Keeps":1,"far_x":4.0,"FormMs":300.0}}}},
@@ -193,6 +197,40 @@
 /// A caller's requests get another first part, on which nothing has been answered yet; from then on
 /// some of them also hold a part that crashes runners.
 fn new_template(record: &Arc<Record>, has_trouble: bool, folder: &Path) -> Verdict {
+    let prompts = Prompts {
+        before: "5c1e07a2:600",
+        after: "a1a1:500",
+        bad: format!("a1a1:500,{BAD_PART}:100"),
+    };
+    crashing_part(record, has_trouble, folder, prompts)
+}
+
+/// Some prompts are those of long sessions, with many parts; a late one of them crashes runners.
+fn long_prompt(record: &Arc<Record>, has_trouble: bool, folder: &Path) -> Verdict {
+    // `@` stands for the request, as each session has parts of its own.
+    let turns = std::env::var("TURNS").ok().and_then(|text| text.parse().ok()).unwrap_or(35);
+    let turns: String = (1..=turns).map(|turn| format!("{turn:04x}@:20,")).collect();
+    let prompts = Prompts {
+        before: "5c1e07a2:600",
+        after: "5c1e07a2:600",
+        bad: format!("5c1e07a2:600,{turns}{BAD_PART}:20"),
+    };
+    crashing_part(record, has_trouble, folder, prompts)
+}
+
+/// Shared parts of the prompts in a case.
+struct Prompts {
+    /// Those of sound requests before the bad ones come.
+    before: &'static str,
+    /// Those of sound requests from then on.
+    after: &'static str,
+    /// Those of the bad requests.
+    bad: String,
+}
+
+/// Sends sound requests, and from some time on also bad ones, and compares how many of the sound ones
+/// begin at the first attempt.
+fn crashing_part(record: &Arc<Record>, has_trouble: bool, folder: &Path, prompts: Prompts) -> Verdict {
     const TOUCH: Duration = Duration::from_secs(3);
     // Each of the three daemons gets such a request every three seconds.
     let bad_pause = 3_000;
@@ -235,7 +273,7 @@
         times
     };
     let stop = Arc::new(AtomicBool::new(false));
-    let template = Arc::new(Mutex::new("5c1e07a2:600"));
+    let template = Arc::new(Mutex::new(prompts.before));
     let sends_bad = Arc::new(AtomicBool::new(false));
     // Time at which each sound request was sent, and whether it began.
     let log: Arc<Mutex<Vec<(Instant, bool)>>> = Arc::default();
@@ -261,15 +299,16 @@
     for number in 0..daemons.len() {
         let front = daemons[number].front;
         let (stop, sends_bad, record) = (stop.clone(), sends_bad.clone(), record.clone());
+        let bad = prompts.bad.clone();
         clients.push(std::thread::spawn(move || {
             std::thread::sleep(Duration::from_millis(bad_pause / 3 * number as u64));
             while !stop.load(Ordering::Relaxed) {
                 std::thread::sleep(Duration::from_millis(bad_pause));
                 if sends_bad.load(Ordering::Relaxed) {
-                    let (id, record) = (next_id(), record.clone());
+                    let (id, record, bad) = (next_id(), record.clone(), bad.clone());
                     std::thread::spawn(move || {
                         record.line(&format!("client sends {id} with the bad part"));
-                        let answer = generate_on(front, &id, "a1a1:500,bad0:100");
+                        let answer = generate_on(front, &id, &bad.replace('@', &id[4..]));
                         let status = answer.as_ref().map_or(0, Message::status);
                         record.line(&format!("client got {status} for {id} with the bad part"));
                     });
@@ -279,9 +318,9 @@
     }
     std::thread::sleep(Duration::from_secs(15));
     let changed = Instant::now();
-    *template.lock().unwrap() = "a1a1:500";
+    *template.lock().unwrap() = prompts.after;
     sends_bad.store(has_trouble, Ordering::Relaxed);
-    record.line("the caller's requests have another first part from here on");
+    record.line("the bad requests come from here on");
     if has_trouble {
         wait_for(Duration::from_secs(25), || crashes().len() >= 5);
     }
@@ -318,3 +357,133 @@
         false => Verdict::Held,
     }
 }
+
+/// A runner whose answers have neither a length nor chunks, as a process of its own.
+struct HalfRunner {
+    process: std::process::Child,
+    lines: std::sync::mpsc::Receiver<String>,
+    stop: Arc<AtomicBool>,
+}
+
+impl HalfRunner {
+    fn start(id: &'static str, store: &Arc<Store>) -> Self {
+        use std::io::BufRead as _;
+        let program = std::env::current_exe().expect("this program has a path");
+        let mut process = std::process::Command::new(program)
+            .args(["half-runner", id])
+            .stdout(std::process::Stdio::piped())
+            .spawn()
+            .expect("this program starts again");
+        let output = process.stdout.take().expect("the output is piped");
+        let (sender, lines) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            for line in std::io::BufReader::new(output).lines().map_while(Result::ok) {
+                if sender.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        let address = lines.recv().expect("the runner tells its address");
+        let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let born = born.expect("the clock is set").as_millis();
+        let stop = Arc::new(AtomicBool::new(false));
+        let (store, stopped) = (store.clone(), stop.clone());
+        // Its entry, written for it; it lapses as PROTOCOL.md says once the runner is gone.
+        std::thread::spawn(move || {
+            let mut seq = 0;
+            while !stopped.load(Ordering::Relaxed) {
+                seq += 1;
+                let entry = format!(
+                    r#"{{"Service":"app","Address":"{address}","Zone":"hall-a","Version":"v1","Slots":8,"State":"ready","ColdLeftMs":0,"Seq":{seq},"born":{born}}}"#
+                );
+                store.put(&format!("servers/{id}"), &Json::parse(&entry).expect("valid"));
+                std::thread::sleep(Duration::from_millis(1_200));
+            }
+            std::thread::sleep(Duration::from_millis(3_600));
+            store.delete(&format!("servers/{id}"));
+        });
+        Self { process, lines, stop }
+    }
+
+    fn kill(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+impl Drop for HalfRunner {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Runners are killed in the middle of answers that end with their connections.
+fn killed_midway(record: &Arc<Record>, has_trouble: bool, folder: &Path) -> Verdict {
+    let store = Store::start();
+    store.put("op/config", &config(7, 3));
+    let daemons: Vec<Daemon> = ["front-1", "front-2"]
+        .into_iter()
+        .map(|name| Daemon::start(name, "hall-a", store.address, folder, 8))
+        .collect();
+    let mut broken = Vec::new();
+    let requests = [("do", "POST", "i-01"), ("get", "GET", "i-02"), ("tell", "POST", "i-03")];
+    for (number, (route, method, name)) in requests.into_iter().enumerate() {
+        let mut runner = HalfRunner::start(name, &store);
+        let daemon = &daemons[number % daemons.len()];
+        if !wait_for(Duration::from_secs(10), || is_ready(daemon)) {
+            return Verdict::Unable("a daemon doesn't become ready".to_owned());
+        }
+        std::thread::sleep(Duration::from_secs(2));
+        let id = next_id();
+        let path = format!("/{route}/x");
+        let (front, head) = (
+            daemon.front,
+            format!(
+                "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 6000\r\n\
+                 Authorization: Bearer {KEY}\r\n"
+            ),
+        );
+        record.line(&format!("client sends {id}: {method} {path}"));
+        let client =
+            std::thread::spawn(move || http::call(front, &head, b"", Duration::from_secs(7), |_| {}));
+        let started = runner.lines.recv_timeout(Duration::from_secs(5));
+        if started.as_deref() != Ok(id.as_str()) {
+            return Verdict::Unable(format!("the runner didn't begin to answer {id}"));
+        }
+        record.line(&format!("runner {name} has written the first half of its answer to {id}"));
+        std::thread::sleep(Duration::from_millis(300));
+        if has_trouble {
+            runner.kill();
+            record.line(&format!("runner {name} is killed"));
+        }
+        let (first, second) = half::halves(&path, &id);
+        let whole = first + &second;
+        let Ok(Ok(answer)) = client.join() else {
+            record.line(&format!("client got no answer to {id}"));
+            continue;
+        };
+        let is_success = (200..300).contains(&answer.status());
+        record.line(&format!(
+            "client got {} with {} of {} bytes, complete as HTTP: {}, stamp: {:?}",
+            answer.status(),
+            answer.body.len(),
+            whole.len(),
+            answer.whole,
+            answer.header("x-response-stamp")
+        ));
+        if is_success && answer.whole && answer.text() != whole {
+            let text = format!("MIXED: {method} {path} got a success with {} of {} bytes that looks complete", answer.body.len(), whole.len());
+            record.line(&text);
+            println!("{text}");
+            broken.push(text);
+        }
+        if !has_trouble && !(is_success && answer.whole && answer.text() == whole) {
+            return Verdict::Unable(format!("{method} {path} failed without a disruption"));
+        }
+    }
+    match broken.is_empty() {
+        true => Verdict::Held,
+        false => Verdict::Broken,
+    }
+}
--- a/review/standins-3/daemon.rs
+++ b/review/standins-3/daemon.rs
@@ -46,7 +46,17 @@
 }
 
 impl Daemon {
+    /// Starts a daemon; anew if another process has taken one of its ports meanwhile.
     pub fn start(name: &str, zone: &str, store: SocketAddr, folder: &Path, grace_s: u32) -> Self {
+        loop {
+            let mut daemon = Self::try_start(name, zone, store, folder, grace_s);
+            if daemon.wait_end(Duration::from_millis(400)).is_none() {
+                return daemon;
+            }
+        }
+    }
+
+    fn try_start(name: &str, zone: &str, store: SocketAddr, folder: &Path, grace_s: u32) -> Self {
         let (front, ready, directory) = (free_port(), free_port(), free_port());
         let fields = [
             ("Node", name.to_owned()),
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -6,6 +6,7 @@
 
 mod cases;
 mod daemon;
+mod half;
 mod http;
 mod json;
 mod record;
@@ -23,6 +24,11 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
+    if let [_, mode, id] = args.as_slice()
+        && mode == "half-runner"
+    {
+        return half::run(id);
+    }
     let [_, case, path] = args.as_slice() else {
         eprintln!("usage: review-rig CASE RECORD");
         exit(2);
