Review: a part that was sound before a release crashes runners for ever

Cause: an answer on a part excuses it for ten minutes, whatever software gave it. Change: a script, and upgrades of the stand-in of runners; nothing is fixed.

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -29,6 +29,7 @@
         "incomplete-entry" => incomplete_entry(record, has_trouble, folder),
         "new-template" => new_template(record, has_trouble, folder),
         "killed-midway" => killed_midway(record, has_trouble, folder),
+        "after-release" => after_release(record, has_trouble, folder),
         "long-prompt" => long_prompt(record, has_trouble, folder),
         _ => Verdict::Unable("no such case".to_owned()),
     }
@@ -105,6 +106,7 @@
                 domain: Some("d1"),
                 events: 30,
                 pause: Duration::from_millis(50),
+                crashes_from: 1,
             };
             Runner::start(spec, &heads, &store, record)
         })
@@ -201,6 +203,7 @@
         before: "5c1e07a2:600",
         after: "a1a1:500",
         bad: format!("a1a1:500,{BAD_PART}:100"),
+        has_release: false,
     };
     crashing_part(record, has_trouble, folder, prompts)
 }
@@ -214,6 +217,7 @@
         before: "5c1e07a2:600",
         after: "5c1e07a2:600",
         bad: format!("5c1e07a2:600,{turns}{BAD_PART}:20"),
+        has_release: false,
     };
     crashing_part(record, has_trouble, folder, prompts)
 }
@@ -226,6 +230,19 @@
     after: &'static str,
     /// Those of the bad requests.
     bad: String,
+    /// True if these are sound at first, and crash runners only after an upgrade of their software.
+    has_release: bool,
+}
+
+/// A part of prompts in daily use crashes runners once their software has been upgraded.
+fn after_release(record: &Arc<Record>, has_trouble: bool, folder: &Path) -> Verdict {
+    let prompts = Prompts {
+        before: "5c1e07a2:600",
+        after: "5c1e07a2:600",
+        bad: format!("5c1e07a2:600,{BAD_PART}:100"),
+        has_release: true,
+    };
+    crashing_part(record, has_trouble, folder, prompts)
 }
 
 /// Sends sound requests, and from some time on also bad ones, and compares how many of the sound ones
@@ -246,6 +263,7 @@
                 domain: Some(if number <= 5 { "d1" } else { "d2" }),
                 events: 30,
                 pause: Duration::from_millis(40),
+                crashes_from: if prompts.has_release { 2 } else { 1 },
             };
             Runner::start(spec, &heads, &store, record)
         })
@@ -316,7 +334,29 @@
             }
         }));
     }
+    // Before a release the part is sound, and its requests come like all others.
+    sends_bad.store(prompts.has_release, Ordering::Relaxed);
     std::thread::sleep(Duration::from_secs(15));
+    let baseline_end = Instant::now();
+    if prompts.has_release {
+        sends_bad.store(false, Ordering::Relaxed);
+        record.line("the runners are replaced, one each second, half of them at a time");
+        for half in runners.chunks(5) {
+            let upgrades: Vec<_> = half
+                .iter()
+                .map(|runner| {
+                    let runner = runner.clone();
+                    std::thread::sleep(Duration::from_secs(1));
+                    std::thread::spawn(move || runner.upgrade())
+                })
+                .collect();
+            upgrades.into_iter().for_each(|upgrade| drop(upgrade.join()));
+            std::thread::sleep(Duration::from_secs(2));
+        }
+        if !wait_for(Duration::from_secs(15), || open_heads() == 2) {
+            return Verdict::Unable("no two groups serve after the release".to_owned());
+        }
+    }
     let changed = Instant::now();
     *template.lock().unwrap() = prompts.after;
     sends_bad.store(has_trouble, Ordering::Relaxed);
@@ -335,7 +375,7 @@
     let (mut before, mut after) = (Begun::default(), Begun::default());
     for (sent, begun) in log.lock().unwrap().iter() {
         let counted = match *sent {
-            sent if sent < changed => &mut before,
+            sent if sent < baseline_end => &mut before,
             sent if sent >= from => &mut after,
             _ => continue,
         };
--- a/review/standins-3/runner.rs
+++ b/review/standins-3/runner.rs
@@ -26,6 +26,13 @@
 /// Time for which a crashed runner is down.
 const DOWN: Duration = Duration::from_millis(3_000);
 
+/// Time for which a draining runner serves on, and for which it then waits for its work.
+const DRAIN: Duration = Duration::from_millis(2_300);
+const MAX_DRAIN: Duration = Duration::from_secs(8);
+
+/// Time between the end of a runner that is upgraded and its next start.
+const SWAP: Duration = Duration::from_millis(300);
+
 fn unix_millis() -> i64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     now.expect("the clock is set").as_millis() as i64
@@ -79,6 +86,13 @@
     state: Mutex<State>,
     /// Open connections, which a crash ends.
     connections: Mutex<Vec<TcpStream>>,
+    /// Version of its software.
+    version: AtomicI64,
+    /// First version that a bad part of a prompt crashes.
+    crashes_from: i64,
+    is_draining: AtomicBool,
+    /// Time for which it is down once it has ended.
+    down: Mutex<Duration>,
     /// Times of the crashes.
     pub crashes: Mutex<Vec<Instant>>,
     heads: Heads,
@@ -99,6 +113,8 @@
     pub domain: Option<&'a str>,
     pub events: usize,
     pub pause: Duration,
+    /// First version of its software that a bad part of a prompt crashes.
+    pub crashes_from: i64,
 }
 
 impl Runner {
@@ -113,6 +129,10 @@
             born: AtomicI64::new(unix_millis()),
             state: Mutex::default(),
             connections: Mutex::default(),
+            version: AtomicI64::new(1),
+            crashes_from: spec.crashes_from,
+            is_draining: AtomicBool::new(false),
+            down: Mutex::default(),
             crashes: Mutex::default(),
             heads: heads.clone(),
             store: store.clone(),
@@ -129,7 +149,8 @@
             loop {
                 served.accept(&listener);
                 drop(listener);
-                std::thread::sleep(DOWN);
+                let down = *served.down.lock().unwrap();
+                std::thread::sleep(down);
                 listener = TcpListener::bind(served.address).expect("the port is still free");
                 served.restart();
             }
@@ -159,13 +180,20 @@
         }
     }
 
-    /// Ends all connections and stops listening; the runner is back after a while, as a new run.
     fn crash(&self, id: &str) {
+        if !self.is_down.load(Ordering::Relaxed) {
+            self.crashes.lock().unwrap().push(Instant::now());
+            self.record.line(&format!("runner {} crashes under {id}", self.id));
+            self.end(DOWN);
+        }
+    }
+
+    /// Ends all connections and stops listening; the runner is back after a while, as a new run.
+    fn end(&self, down: Duration) {
+        *self.down.lock().unwrap() = down;
         if self.is_down.swap(true, Ordering::Relaxed) {
             return;
         }
-        self.crashes.lock().unwrap().push(Instant::now());
-        self.record.line(&format!("runner {} crashes under {id}", self.id));
         let mut state = self.state.lock().unwrap();
         if let Some(member) = state.member.take().filter(|member| member.rank == 0) {
             self.heads.lock().unwrap().insert(member.group, "gone");
@@ -177,6 +205,21 @@
         }
     }
 
+    /// Drains the runner, and starts it again with the next version of its software.
+    pub fn upgrade(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+        self.record.line(&format!("runner {} drains", self.id));
+        self.beat();
+        std::thread::sleep(DRAIN);
+        let until = Instant::now() + MAX_DRAIN;
+        while Instant::now() < until && self.state.lock().unwrap().running > 0 {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        self.version.fetch_add(1, Ordering::Relaxed);
+        self.is_draining.store(false, Ordering::Relaxed);
+        self.end(SWAP);
+    }
+
     fn restart(&self) {
         self.born.store(unix_millis(), Ordering::Relaxed);
         self.is_down.store(false, Ordering::Relaxed);
@@ -222,9 +265,9 @@
             ("Service".into(), Json::str(&self.service)),
             ("Address".into(), Json::Str(self.address.to_string())),
             ("Zone".into(), Json::str(&self.zone)),
-            ("Version".into(), Json::str("v1")),
+            ("Version".into(), Json::Str(format!("v{}", self.version.load(Ordering::Relaxed)))),
             ("Slots".into(), Json::Int(8)),
-            ("State".into(), Json::str("ready")),
+            ("State".into(), Json::str(if self.is_draining.load(Ordering::Relaxed) { "draining" } else { "ready" })),
             ("ColdLeftMs".into(), Json::Int(0)),
         ];
         fields.extend(self.assignment(&state));
@@ -515,7 +558,8 @@
             request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
         let prompt = request.header("x-prompt-prefix").unwrap_or_default();
         let shared = prompt.rsplit_once(',').map_or("", |(shared, _)| shared);
-        if shared.split(',').any(|part| part.split(':').next() == Some(BAD_PART)) {
+        let is_affected = self.version.load(Ordering::Relaxed) >= self.crashes_from;
+        if is_affected && shared.split(',').any(|part| part.split(':').next() == Some(BAD_PART)) {
             let runner = self.clone();
             let id = id.clone();
             std::thread::spawn(move || {
