--- a/review/standins-3/daemon.rs
+++ b/review/standins-3/daemon.rs
@@ -4,19 +4,15 @@
 use std::{
     fs::{self, File},
     net::{SocketAddr, TcpListener},
-    path::{Path, PathBuf},
+    path::Path,
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
 };
 
 pub struct Daemon {
-    pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
-    pub directory: SocketAddr,
     process: Child,
-    settings: PathBuf,
-    log: PathBuf,
 }
 
 fn free_port() -> SocketAddr {
@@ -84,17 +80,7 @@
         fs::write(&settings, text).expect("the settings can be written");
         let log = folder.join(format!("{name}.log"));
         let process = spawn(&settings, &log);
-        Self { name: name.to_owned(), front, ready, directory, process, settings, log }
-    }
-
-    pub fn pid(&self) -> u32 {
-        self.process.id()
-    }
-
-    /// Sends a signal to the process by the shell's own command.
-    pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill").args([&format!("-{name}"), &self.pid().to_string()]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "the signal is sent");
+        Self { front, ready, process }
     }
 
     /// Waits until the process has ended, and returns its exit code.
@@ -108,16 +94,6 @@
         }
         None
     }
-
-    pub fn restart(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-        self.process = spawn(&self.settings, &self.log);
-    }
-
-    pub fn log(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Daemon {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -13,7 +13,7 @@
 mod runner;
 mod store;
 
-use std::{process::exit, time::Duration};
+use std::{panic::catch_unwind, process::exit, time::Duration};
 
 /// Outcome of a case.
 pub enum Verdict {
@@ -42,7 +42,8 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let folder = std::env::temp_dir().join(format!("review-rig-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a temporary folder can be made");
-    let verdict = cases::run(case, &record, has_trouble, &folder);
+    let played = catch_unwind(|| cases::run(case, &record, has_trouble, &folder));
+    let verdict = played.unwrap_or_else(|_| Verdict::Unable("a stand-in failed".to_owned()));
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&folder);
     }
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -126,11 +126,6 @@
         self.changed.notify_all();
     }
 
-    pub fn get(&self, key: &str) -> Option<String> {
-        let state = self.state.lock().unwrap();
-        state.items.get(key).map(|item| item.value.clone())
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().expect("a socket can be cloned");
