--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -340,9 +340,9 @@
     let baseline_end = Instant::now();
     if prompts.has_release {
         sends_bad.store(false, Ordering::Relaxed);
-        record.line("the runners are replaced, one each second, half of them at a time");
-        for half in runners.chunks(5) {
-            let upgrades: Vec<_> = half
+        record.line("the runners are replaced, one each second, in releases of four in ten");
+        for part in runners.chunks(4) {
+            let upgrades: Vec<_> = part
                 .iter()
                 .map(|runner| {
                     let runner = runner.clone();
--- a/review/standins-3/runner.rs
+++ b/review/standins-3/runner.rs
@@ -104,6 +104,7 @@
     pause: Duration,
     pub runs: Mutex<Vec<String>>,
     pub is_down: AtomicBool,
+    is_listening: AtomicBool,
 }
 
 pub struct Spec<'a> {
@@ -142,6 +143,7 @@
             pause: spec.pause,
             runs: Mutex::default(),
             is_down: AtomicBool::new(false),
+            is_listening: AtomicBool::new(true),
         });
         let served = runner.clone();
         std::thread::spawn(move || {
@@ -149,9 +151,11 @@
             loop {
                 served.accept(&listener);
                 drop(listener);
+                served.is_listening.store(false, Ordering::Relaxed);
                 let down = *served.down.lock().unwrap();
                 std::thread::sleep(down);
                 listener = TcpListener::bind(served.address).expect("the port is still free");
+                served.is_listening.store(true, Ordering::Relaxed);
                 served.restart();
             }
         });
@@ -194,6 +198,10 @@
         if self.is_down.swap(true, Ordering::Relaxed) {
             return;
         }
+        // The kernel closes the listener of a process that ends before its connections.
+        while self.is_listening.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_micros(100));
+        }
         let mut state = self.state.lock().unwrap();
         if let Some(member) = state.member.take().filter(|member| member.rank == 0) {
             self.heads.lock().unwrap().insert(member.group, "gone");
