Crashes and the evidence against a mark have modules of their own

Cause: suspects.rs held what a crashed runner had, what weighs against one mark, and the verdict. Change: `crash` and `involvement` are split from it; no decision changes. Result: tests of quarantine and repeats pass as before.

--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -9,14 +9,16 @@
 //!
 //! The store keeps what is quarantined for daemons that start later.
 //!
-//! `distrust`, `entries`, `fingerprint`, `mark`, `reports`, `restarts`,
+//! `crash`, `distrust`, `entries`, `fingerprint`, `involvement`, `mark`, `reports`, `restarts`,
 //! `soundness` and `suspects` decide and do no I/O.
 
+mod crash;
 pub(super) mod crash_check;
 mod distrust;
 pub mod entries;
 pub(super) mod exchange;
 pub mod fingerprint;
+mod involvement;
 pub(super) mod keeper;
 pub mod mark;
 pub mod reports;
--- a/src/gateway/quarantine/suspects.rs
+++ b/src/gateway/quarantine/suspects.rs
@@ -13,10 +13,10 @@
 //! crash to crash may have had bad luck. A part is blamed only if several
 //! requests with it were at crashes: one that comes again is to blame itself.
 
-use super::{mark::Mark, reports::Evidence};
+use super::{crash::Crash, involvement::Involvement, mark::Mark, reports::Evidence};
 use crate::{
     core::{
-        keys::{Arrival, Fingerprint, PromptPart},
+        keys::{Fingerprint, PromptPart},
         time::{Span, Time},
     },
     gateway::roster::RunnerInstance,
@@ -29,9 +29,6 @@
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
 
-/// Time within which crashes count as one.
-const MOMENT: Span = Span::from_millis(50);
-
 /// Crashes from which all daemons are asked about a suspect.
 const MIN_ASKED: usize = 2;
 
@@ -44,15 +41,6 @@
 /// Crashes from which suspects are quarantined that explain equally many.
 const MIN_TIED_CRASHES: usize = 5;
 
-/// Different moments at which a request must have crashed runners.
-const MIN_REQUEST_MOMENTS: usize = 2;
-
-/// Different arrivals of a request that must have been at crashes.
-const MIN_ARRIVALS: usize = 2;
-
-/// Different requests with a part that must have been at crashes.
-const MIN_PART_REQUESTS: usize = 2;
-
 /// Time for the answers of daemons that were asked about a suspect.
 pub const ANSWER_TIME: Span = Span::from_millis(200);
 
@@ -62,72 +50,6 @@
 /// Time for which the suspects are judged again after a crash, or after daemons were asked.
 const JUDGE_TIME: Span = Span::from_secs(1);
 
-/// Request that a crashed runner had.
-#[derive(Debug, Default)]
-struct Suspect {
-    arrivals: BTreeSet<Arrival>,
-    /// Parts of its prompt.
-    parts: BTreeSet<PromptPart>,
-}
-
-/// Crash of one runner.
-#[derive(Debug)]
-struct Crash {
-    at: Time,
-    /// Requests that the runner had.
-    requests: BTreeMap<Fingerprint, Suspect>,
-    /// True if a quarantined part was in one of them.
-    has_bad_part: bool,
-    /// Those of them that are quarantined themselves.
-    bad_requests: BTreeSet<Fingerprint>,
-}
-
-impl Crash {
-    /// Returns the requests that may have caused the crash.
-    fn accused_requests(&self) -> impl Iterator<Item = (Fingerprint, &Suspect)> {
-        let is_open = !self.has_bad_part && self.bad_requests.is_empty();
-        let requests = self.requests.iter().filter(move |_| is_open);
-        requests.map(|(request, suspect)| (*request, suspect))
-    }
-
-    /// Returns the parts that may have caused the crash, with the requests that had them. A
-    /// quarantined request leaves only its own parts in doubt.
-    fn accused_parts(&self) -> impl Iterator<Item = (PromptPart, Fingerprint)> {
-        let is_open = !self.has_bad_part;
-        let in_doubt = move |request: &Fingerprint| {
-            is_open && (self.bad_requests.is_empty() || self.bad_requests.contains(request))
-        };
-        let requests = self.requests.iter();
-        let doubtful = requests.filter(move |(request, _)| in_doubt(request));
-        doubtful.flat_map(|(request, suspect)| suspect.parts.iter().map(|part| (*part, *request)))
-    }
-}
-
-/// Crashes that a mark may have caused.
-#[derive(Debug, Default)]
-struct Involvement {
-    /// Times of the crashes.
-    times: Vec<Time>,
-    /// Requests with the mark that were at them.
-    requests: BTreeSet<Fingerprint>,
-    /// Arrivals of the request that the mark stands for.
-    arrivals: BTreeSet<Arrival>,
-}
-
-impl Involvement {
-    /// Returns the number of crashes that count against the mark.
-    fn weight(&self, mark: Mark) -> usize {
-        let moments = count_moments(&self.times);
-        let is_repeated = self.arrivals.len() >= MIN_ARRIVALS && moments >= MIN_REQUEST_MOMENTS;
-        let is_shared = self.requests.len() >= MIN_PART_REQUESTS;
-        match mark {
-            Mark::Request(_) if is_repeated => self.times.len(),
-            Mark::Part(_) if is_shared => moments,
-            _ => 0,
-        }
-    }
-}
-
 /// Crashes, and what may have caused them.
 #[derive(Debug, Default)]
 pub struct Suspects {
@@ -142,29 +64,16 @@
     /// Adds a request that a crashed runner had.
     pub fn record(&mut self, runner: RunnerInstance, evidence: &Evidence, now: Time) {
         self.forget_old(now);
-        let crash = self.crashes.entry(runner).or_insert_with(|| Crash {
-            at: now,
-            requests: BTreeMap::new(),
-            has_bad_part: false,
-            bad_requests: BTreeSet::new(),
-        });
-        let suspect = crash.requests.entry(evidence.request).or_default();
-        suspect.arrivals.insert(evidence.arrival);
-        suspect.parts.extend(&evidence.parts);
+        let crash = self.crashes.entry(runner);
+        crash.or_insert_with(|| Crash::new(now)).add(evidence);
     }
 
     /// Takes the crashes that a quarantined mark explains out of the evidence against others.
     pub fn explain(&mut self, mark: Mark) {
         for crash in self.crashes.values_mut() {
             match mark {
-                Mark::Part(part) => {
-                    let mut suspects = crash.requests.values();
-                    crash.has_bad_part |= suspects.any(|suspect| suspect.parts.contains(&part));
-                }
-                Mark::Request(request) if crash.requests.contains_key(&request) => {
-                    crash.bad_requests.insert(request);
-                }
-                Mark::Request(_) => {}
+                Mark::Part(part) => crash.explain_by_part(part),
+                Mark::Request(request) => crash.explain_by_request(request),
             }
         }
         let accused: BTreeSet<Mark> = self.involvements(|_| true).into_keys().collect();
@@ -175,13 +84,8 @@
     pub fn clear(&mut self, mark: Mark) {
         for crash in self.crashes.values_mut() {
             match mark {
-                Mark::Part(part) => crash.requests.values_mut().for_each(|suspect| {
-                    suspect.parts.remove(&part);
-                }),
-                Mark::Request(request) => {
-                    crash.requests.remove(&request);
-                    crash.bad_requests.remove(&request);
-                }
+                Mark::Part(part) => crash.forget_part(part),
+                Mark::Request(request) => crash.forget_request(request),
             }
         }
         self.asked.remove(&mark);
@@ -311,18 +215,3 @@
         }
     }
 }
-
-/// Counts times, of which those within a moment of an earlier one are the same.
-fn count_moments(times: &[Time]) -> usize {
-    let mut times = times.to_vec();
-    times.sort();
-    let mut count = 0;
-    let mut last: Option<Time> = None;
-    for time in times {
-        if last.is_none_or(|last| time.since(last) >= MOMENT) {
-            count += 1;
-            last = Some(time);
-        }
-    }
-    count
-}
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 68] = [
+const DECISIONS: [&str; 70] = [
     "account_totals",
     "account_work",
     "admission",
@@ -61,9 +61,11 @@
     "planner/ending",
     "planner/pools",
     "pool",
+    "quarantine/crash",
     "quarantine/distrust",
     "quarantine/entries",
     "quarantine/fingerprint",
+    "quarantine/involvement",
     "quarantine/mark",
     "quarantine/reports",
     "quarantine/restarts",
