The log of a quarantine names the evidence against the mark

Cause: the line of a verdict named the mark alone, so that a part which leads by its crashes can't be told from one that explains as many as another. Change: `crashes`, `requests` and `arrivals` in the line.

--- a/src/gateway/quarantine/exchange.rs
+++ b/src/gateway/quarantine/exchange.rs
@@ -105,11 +105,9 @@
     let is_sound = |mark| soundness.is_sound(mark, now);
     let verdict = state.quarantine.suspects.borrow().verdict(is_sound, now);
     for mark in &verdict {
-        let message = match mark {
-            Mark::Request(_) => "request crashes runners",
-            Mark::Part(_) => "part of prompts crashes runners",
-        };
-        slog::warn!(state.log, "{}", message; "mark" => mark.to_string());
+        log_verdict(state, *mark);
+    }
+    for mark in &verdict {
         quarantine(state, *mark);
     }
     if !verdict.is_empty() {
@@ -126,6 +124,20 @@
     }
 }
 
+/// Logs that a mark is to be quarantined, and the evidence against it.
+fn log_verdict(state: &GatewayState, mark: Mark) {
+    let message = match mark {
+        Mark::Request(_) => "request crashes runners",
+        Mark::Part(_) => "part of prompts crashes runners",
+    };
+    let involvement = state.quarantine.suspects.borrow().involvement(mark);
+    slog::warn!(state.log, "{}", message;
+        "mark" => mark.to_string(),
+        "crashes" => involvement.times.len(),
+        "requests" => involvement.requests.len(),
+        "arrivals" => involvement.arrivals.len());
+}
+
 /// Answers which of the suspects are known to be sound.
 pub(in crate::gateway) fn answer(state: &GatewayState, marks: &[Mark], from: SocketAddr) {
     let now = state.now();
--- a/src/gateway/quarantine/suspects.rs
+++ b/src/gateway/quarantine/suspects.rs
@@ -133,6 +133,12 @@
         news
     }
 
+    /// Returns the evidence against a mark.
+    pub(super) fn involvement(&self, mark: Mark) -> Involvement {
+        let mut all = self.involvements(|_| true);
+        all.remove(&mark).unwrap_or_default()
+    }
+
     /// Returns the marks to be quarantined.
     pub fn verdict<F>(&self, is_sound: F, now: Time) -> Vec<Mark>
     where
