A sound part that all requests share isn't quarantined beside one that crashes runners

Cause: what crashes runners is in each crash, and so is every part that its requests share with sound ones. A part that is new has no answer to excuse it while the heads crash. From five crashes on all parts that explained equally many were quarantined, the shared first part too, which then could never be answered. A related way to the same end: a part that one request alone had counted for nothing, so that the shared part led by itself at four crashes.

Evidence: the log of the verdict (commit before): a1a1 (sound) and bad0 with 6 crashes each, 21 requests with a1a1, 3 with bad0. A late report was ruled out: both had all crashes.

Change: of parts that explain equally many crashes the narrowest is quarantined (`verdict`): the one that fewer requests at them had, or that comes later in the same prompts. That refuses all requests that can have caused them, and no more. The others are spared; two further crashes without the quarantined part are enough against them, so that a wrong choice costs two. Crashes under requests that the verdict itself gave up, which nobody reports, accuse no part.

Tests: on the code before, `narrow_parts` failed in 5 of 5 (without the two that need the new function), `crashing_part::sound_requests_with_new_first_part_are_served_beside_refused_ones` in 5 of 5 runs; both pass now, the latter in 4 of 4.

--- a/src/gateway/handlers.rs
+++ b/src/gateway/handlers.rs
@@ -363,8 +363,7 @@
                 entries.insert_stored(mark, stored)
             };
             if is_news {
-                self.state.quarantine.explain_crashes(mark);
-                exchange::report_change(&self.state, mark, true);
+                exchange::quarantine_began(&self.state, mark);
             }
         }
     }
@@ -375,8 +374,7 @@
         };
         let was_quarantined = self.state.quarantine.entries.borrow_mut().remove(mark);
         if was_quarantined {
-            self.state.quarantine.forget_crashes(mark);
-            exchange::report_change(&self.state, mark, false);
+            exchange::quarantine_ended(&self.state, mark);
         }
     }
 
--- a/src/gateway/quarantine/crash.rs
+++ b/src/gateway/quarantine/crash.rs
@@ -12,8 +12,30 @@
 pub(super) struct Suspect {
     /// Arrivals of the request.
     pub arrivals: BTreeSet<Arrival>,
-    /// Parts of its prompt.
-    parts: BTreeSet<PromptPart>,
+    /// Parts of its prompt, in order.
+    parts: Vec<PromptPart>,
+}
+
+impl Suspect {
+    fn add(&mut self, evidence: &Evidence) {
+        self.arrivals.insert(evidence.arrival);
+        for part in &evidence.parts {
+            if !self.parts.contains(part) {
+                self.parts.push(*part);
+            }
+        }
+    }
+}
+
+/// Part of a request's prompt that may have caused a crash.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AccusedPart {
+    /// The part.
+    pub part: PromptPart,
+    /// The request.
+    pub request: Fingerprint,
+    /// Number of parts before it.
+    pub position: usize,
 }
 
 /// Crash of one runner.
@@ -23,7 +45,7 @@
     pub at: Time,
     /// Requests that the runner had.
     requests: BTreeMap<Fingerprint, Suspect>,
-    /// True if a quarantined part was in one of them.
+    /// True if a quarantined part was in one of them, or may have been.
     has_bad_part: bool,
     /// Those of them that are quarantined themselves.
     bad_requests: BTreeSet<Fingerprint>,
@@ -43,8 +65,12 @@
     /// Adds a request that the runner had.
     pub fn add(&mut self, evidence: &Evidence) {
         let suspect = self.requests.entry(evidence.request).or_default();
-        suspect.arrivals.insert(evidence.arrival);
-        suspect.parts.extend(&evidence.parts);
+        suspect.add(evidence);
+    }
+
+    /// Takes a quarantined part for the cause, although no report may name it.
+    pub fn explain(&mut self) {
+        self.has_bad_part = true;
     }
 
     /// Takes a quarantined part for the cause if a request had it.
@@ -63,7 +89,7 @@
     /// Forgets that requests had a part.
     pub fn forget_part(&mut self, part: PromptPart) {
         self.requests.values_mut().for_each(|suspect| {
-            suspect.parts.remove(&part);
+            suspect.parts.retain(|other| *other != part);
         });
     }
 
@@ -80,15 +106,22 @@
         requests.map(|(request, suspect)| (*request, suspect))
     }
 
-    /// Returns the parts that may have caused the crash, with the requests that had them. A
+    /// Returns the parts that may have caused the crash, once for each request that had them. A
     /// quarantined request leaves only its own parts in doubt.
-    pub fn accused_parts(&self) -> impl Iterator<Item = (PromptPart, Fingerprint)> {
+    pub fn accused_parts(&self) -> impl Iterator<Item = AccusedPart> {
         let is_open = !self.has_bad_part;
         let in_doubt = move |request: &Fingerprint| {
             is_open && (self.bad_requests.is_empty() || self.bad_requests.contains(request))
         };
         let requests = self.requests.iter();
         let doubtful = requests.filter(move |(request, _)| in_doubt(request));
-        doubtful.flat_map(|(request, suspect)| suspect.parts.iter().map(|part| (*part, *request)))
+        doubtful.flat_map(|(request, suspect)| {
+            let parts = suspect.parts.iter().enumerate();
+            parts.map(|(position, part)| AccusedPart {
+                part: *part,
+                request: *request,
+                position,
+            })
+        })
     }
 }
--- a/src/gateway/quarantine/exchange.rs
+++ b/src/gateway/quarantine/exchange.rs
@@ -169,14 +169,30 @@
 /// Quarantines a mark.
 fn quarantine(state: &GatewayState, mark: Mark) {
     let is_news = state.quarantine.entries.borrow_mut().insert(mark);
-    state.quarantine.suspects.borrow_mut().explain(mark);
     if is_news {
-        report_change(state, mark, true);
+        quarantine_began(state, mark);
     }
 }
 
+/// Explains crashes by a mark that has entered quarantine.
+pub(in crate::gateway) fn quarantine_began(state: &GatewayState, mark: Mark) {
+    report_change(state, mark, true);
+    let mut suspects = state.quarantine.suspects.borrow_mut();
+    for part in suspects.quarantine_began(mark, state.now()) {
+        slog::info!(state.log, "part of prompts spared";
+            "part" => part.to_string(),
+            "quarantined" => mark.to_string());
+    }
+}
+
+/// Explains no more crashes by a mark that has left quarantine.
+pub(in crate::gateway) fn quarantine_ended(state: &GatewayState, mark: Mark) {
+    state.quarantine.suspects.borrow_mut().clear(mark);
+    report_change(state, mark, false);
+}
+
 /// Logs that a mark has entered or left quarantine.
-pub(in crate::gateway) fn report_change(state: &GatewayState, mark: Mark, is_quarantined: bool) {
+fn report_change(state: &GatewayState, mark: Mark, is_quarantined: bool) {
     let count = state.quarantine.entries.borrow().count();
     gauge!("quarantined_marks").set(count as f64);
     slog::info!(state.log, "quarantine changed";
--- a/src/gateway/quarantine/involvement.rs
+++ b/src/gateway/quarantine/involvement.rs
@@ -5,7 +5,7 @@
     keys::{Arrival, Fingerprint},
     time::{Span, Time},
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time within which crashes count as one.
 const MOMENT: Span = Span::from_millis(50);
@@ -19,6 +19,9 @@
 /// Different requests with a part that must have been at crashes.
 const MIN_PART_REQUESTS: usize = 2;
 
+/// Evidence against each suspect.
+pub(super) type Involvements = BTreeMap<Mark, Involvement>;
+
 /// Crashes that a mark may have caused.
 #[derive(Debug, Default)]
 pub(super) struct Involvement {
@@ -28,18 +31,35 @@
     pub requests: BTreeSet<Fingerprint>,
     /// Arrivals of the request that the mark stands for.
     pub arrivals: BTreeSet<Arrival>,
+    /// Largest number of parts before the part that the mark stands for.
+    pub position: usize,
 }
 
 impl Involvement {
-    /// Returns the number of crashes that count against the mark.
+    /// Returns the number of crashes that the mark explains.
     pub fn weight(&self, mark: Mark) -> usize {
-        let moments = self.moments();
-        let is_repeated = self.arrivals.len() >= MIN_ARRIVALS && moments >= MIN_REQUEST_MOMENTS;
-        let is_shared = self.requests.len() >= MIN_PART_REQUESTS;
         match mark {
-            Mark::Request(_) if is_repeated => self.times.len(),
-            Mark::Part(_) if is_shared => moments,
-            _ => 0,
+            Mark::Request(_) => self.times.len(),
+            Mark::Part(_) => self.moments(),
+        }
+    }
+
+    /// Returns true if the mark may be blamed, however many crashes it explains.
+    pub fn may_be_blamed(&self, mark: Mark) -> bool {
+        match mark {
+            Mark::Request(_) => {
+                self.arrivals.len() >= MIN_ARRIVALS && self.moments() >= MIN_REQUEST_MOMENTS
+            }
+            Mark::Part(_) => self.requests.len() >= MIN_PART_REQUESTS,
+        }
+    }
+
+    /// Returns true if a quarantine of the part would refuse fewer requests than one of another
+    /// part: fewer with it were at crashes, or it comes later in the same prompts.
+    pub fn is_narrower(&self, other: &Self) -> bool {
+        match self.requests == other.requests {
+            true => self.position > other.position,
+            false => self.requests.len() < other.requests.len(),
         }
     }
 
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -10,7 +10,7 @@
 //! The store keeps what is quarantined for daemons that start later.
 //!
 //! `crash`, `distrust`, `entries`, `fingerprint`, `involvement`, `mark`, `reports`, `restarts`,
-//! `soundness` and `suspects` decide and do no I/O.
+//! `soundness`, `suspects` and `verdict` decide and do no I/O.
 
 mod crash;
 pub(super) mod crash_check;
@@ -25,6 +25,7 @@
 pub mod restarts;
 pub mod soundness;
 pub mod suspects;
+mod verdict;
 
 use crate::core::{
     keys::{Fingerprint, PromptPart},
@@ -72,14 +73,4 @@
         let distrusted = self.distrusted.borrow();
         distrusted.contains(Mark::Request(request), now)
     }
-
-    /// Takes the crashes that a quarantined mark explains out of the evidence against others.
-    pub(super) fn explain_crashes(&self, mark: Mark) {
-        self.suspects.borrow_mut().explain(mark);
-    }
-
-    /// Forgets the crashes that a mark may have caused, once it has left quarantine.
-    pub(super) fn forget_crashes(&self, mark: Mark) {
-        self.suspects.borrow_mut().clear(mark);
-    }
 }
--- a/src/gateway/quarantine/suspects.rs
+++ b/src/gateway/quarantine/suspects.rs
@@ -12,11 +12,20 @@
 //! A request is blamed only once it has come again: one that is sent on from
 //! crash to crash may have had bad luck. A part is blamed only if several
 //! requests with it were at crashes: one that comes again is to blame itself.
+//!
+//! Parts that explain all crashes of a quarantined part as well are spared, until
+//! crashes go on without it.
 
-use super::{crash::Crash, involvement::Involvement, mark::Mark, reports::Evidence};
+use super::{
+    crash::Crash,
+    involvement::{Involvement, Involvements},
+    mark::Mark,
+    reports::Evidence,
+    verdict::{self, MIN_PART_CRASHES, MIN_REQUEST_CRASHES},
+};
 use crate::{
     core::{
-        keys::{Fingerprint, PromptPart},
+        keys::PromptPart,
         time::{Span, Time},
     },
     gateway::roster::RunnerInstance,
@@ -32,14 +41,12 @@
 /// Crashes from which all daemons are asked about a suspect.
 const MIN_ASKED: usize = 2;
 
-/// Crashes from which a part is quarantined if no other part explains as many.
-const MIN_PART_CRASHES: usize = 4;
-
-/// Crashes from which a request is quarantined if no other request explains as many.
-const MIN_REQUEST_CRASHES: usize = 3;
+/// Further crashes from which a part is quarantined that was spared before.
+const MIN_FURTHER_CRASHES: usize = 2;
 
-/// Crashes from which suspects are quarantined that explain equally many.
-const MIN_TIED_CRASHES: usize = 5;
+/// Time after the start of a part's quarantine in which runners may still crash under requests with
+/// it, which their daemons have given up and don't report.
+pub const IN_FLIGHT_TIME: Span = Span::from_secs(1);
 
 /// Time for the answers of daemons that were asked about a suspect.
 pub const ANSWER_TIME: Span = Span::from_millis(200);
@@ -58,14 +65,59 @@
     asked: BTreeMap<Mark, Time>,
     /// Requests that the daemons were told to distrust.
     distrusted: BTreeSet<Mark>,
+    /// Parts that explain all crashes which another one was quarantined for, with its time.
+    spared: BTreeMap<PromptPart, Time>,
+    /// Time until which runners may crash under requests with a part that was just quarantined.
+    in_flight_until: Option<Time>,
 }
 
 impl Suspects {
     /// Adds a request that a crashed runner had.
     pub fn record(&mut self, runner: RunnerInstance, evidence: &Evidence, now: Time) {
         self.forget_old(now);
-        let crash = self.crashes.entry(runner);
-        crash.or_insert_with(|| Crash::new(now)).add(evidence);
+        let is_explained = self.in_flight_until.is_some_and(|until| now < until);
+        let crash = self.crashes.entry(runner).or_insert_with(|| {
+            let mut crash = Crash::new(now);
+            if is_explained {
+                crash.explain();
+            }
+            crash
+        });
+        crash.add(evidence);
+    }
+
+    /// Explains crashes by a mark whose quarantine begins, and returns the parts that explain them
+    /// as well and are spared.
+    pub fn quarantine_began(&mut self, mark: Mark, now: Time) -> Vec<PromptPart> {
+        let spared = match mark {
+            Mark::Part(part) => self.spare_others(part, now),
+            Mark::Request(_) => Vec::new(),
+        };
+        self.explain(mark);
+        spared
+    }
+
+    /// Spares the parts that explain all crashes which a quarantined part does, and explains those
+    /// whose reports may lack it.
+    fn spare_others(&mut self, part: PromptPart, now: Time) -> Vec<PromptPart> {
+        let accused = self.crashes.values().map(|crash| {
+            let parts = crash.accused_parts().map(|accused| accused.part);
+            parts.collect::<BTreeSet<PromptPart>>()
+        });
+        let explained: Vec<_> = accused.filter(|parts| parts.contains(&part)).collect();
+        if explained.len() < MIN_PART_CRASHES {
+            return Vec::new();
+        }
+        let common = explained.into_iter().reduce(|all, parts| &all & &parts);
+        let others = common.into_iter().flatten().filter(|other| *other != part);
+        let spared: Vec<PromptPart> = others.collect();
+        self.spared.extend(spared.iter().map(|other| (*other, now)));
+        self.spared.remove(&part);
+        self.in_flight_until = Some(now + IN_FLIGHT_TIME);
+        let crashes = self.crashes.values_mut();
+        let unreported = crashes.filter(|crash| now.since(crash.at) < REPORT_TIME);
+        unreported.for_each(Crash::explain);
+        spared
     }
 
     /// Takes the crashes that a quarantined mark explains out of the evidence against others.
@@ -88,6 +140,9 @@
                 Mark::Request(request) => crash.forget_request(request),
             }
         }
+        if let Mark::Part(part) = mark {
+            self.spared.remove(&part);
+        }
         self.asked.remove(&mark);
     }
 
@@ -144,39 +199,43 @@
     where
         F: Fn(Mark) -> bool,
     {
-        let mut parts = BTreeMap::new();
-        let mut requests = BTreeMap::new();
         let is_reported = |crash: &Crash| now.since(crash.at) >= REPORT_TIME;
-        for (mark, involvement) in self.involvements(is_reported) {
-            let counts = match mark {
-                Mark::Part(_) => &mut parts,
-                Mark::Request(_) => &mut requests,
-            };
-            if !is_sound(mark) {
-                counts.insert(mark, involvement.weight(mark));
-            }
-        }
-        let parts = self.worst(&parts, MIN_PART_CRASHES, now);
-        let requests = self.worst(&requests, MIN_REQUEST_CRASHES, now);
-        parts.into_iter().chain(requests).collect()
+        let mut suspects = self.involvements(is_reported);
+        suspects.retain(|mark, _| !is_sound(*mark));
+        let (parts, mut requests): (Involvements, Involvements) = suspects
+            .into_iter()
+            .partition(|(mark, _)| matches!(mark, Mark::Part(_)));
+        requests.retain(|mark, involvement| involvement.may_be_blamed(*mark));
+        let mut verdict = self.worst(&parts, MIN_PART_CRASHES, now);
+        verdict.extend(self.worst(&requests, MIN_REQUEST_CRASHES, now));
+        verdict.extend(self.refuted_spares(&parts, now));
+        verdict.sort();
+        verdict.dedup();
+        verdict
     }
 
-    /// Returns the suspects that explain most crashes, if they are enough and nobody objects.
-    fn worst(&self, counts: &BTreeMap<Mark, usize>, min_crashes: usize, now: Time) -> Vec<Mark> {
-        let most = counts.values().copied().max().unwrap_or_default();
-        let counts = counts.iter().filter(|(_, count)| **count == most);
-        let worst: Vec<Mark> = counts.map(|(mark, _)| *mark).collect();
-        let min = match worst.len() {
-            1 => min_crashes,
-            _ => MIN_TIED_CRASHES,
-        };
+    /// Returns the worst of the suspects, if nobody objects.
+    fn worst(&self, suspects: &Involvements, min_crashes: usize, now: Time) -> Vec<Mark> {
+        let worst = verdict::worst(suspects, min_crashes);
         let is_answered = worst.iter().all(|mark| self.is_answered(*mark, now));
-        match most >= min && is_answered {
+        match is_answered {
             true => worst,
             false => Vec::new(),
         }
     }
 
+    /// Returns the parts that were spared, although crashes go on without the part that was
+    /// quarantined in their place.
+    fn refuted_spares(&self, parts: &Involvements, now: Time) -> Vec<Mark> {
+        let refuted = parts.iter().filter(|(mark, involvement)| {
+            let is_spared = matches!(mark, Mark::Part(part) if self.spared.contains_key(part));
+            is_spared
+                && involvement.moments() >= MIN_FURTHER_CRASHES
+                && self.is_answered(**mark, now)
+        });
+        refuted.map(|(mark, _)| *mark).collect()
+    }
+
     /// Returns true if the daemons have had time to say that a suspect is sound.
     fn is_answered(&self, mark: Mark, now: Time) -> bool {
         let asked = self.asked.get(&mark);
@@ -184,20 +243,23 @@
     }
 
     /// Returns the crashes that each suspect may have caused, of those that count.
-    fn involvements<F>(&self, counts: F) -> BTreeMap<Mark, Involvement>
+    fn involvements<F>(&self, counts: F) -> Involvements
     where
         F: Fn(&Crash) -> bool,
     {
-        let mut all: BTreeMap<Mark, Involvement> = BTreeMap::new();
+        let mut all = Involvements::new();
         for crash in self.crashes.values().filter(|crash| counts(crash)) {
-            let mut parts: BTreeMap<PromptPart, BTreeSet<Fingerprint>> = BTreeMap::new();
-            for (part, request) in crash.accused_parts() {
-                parts.entry(part).or_default().insert(request);
+            let mut parts: BTreeMap<PromptPart, Involvement> = BTreeMap::new();
+            for accused in crash.accused_parts() {
+                let involvement = parts.entry(accused.part).or_default();
+                involvement.requests.insert(accused.request);
+                involvement.position = involvement.position.max(accused.position);
             }
-            for (part, requests) in parts {
+            for (part, in_crash) in parts {
                 let involvement = all.entry(Mark::Part(part)).or_default();
                 involvement.times.push(crash.at);
-                involvement.requests.extend(requests);
+                involvement.requests.extend(in_crash.requests);
+                involvement.position = involvement.position.max(in_crash.position);
             }
             for (request, suspect) in crash.accused_requests() {
                 let involvement = all.entry(Mark::Request(request)).or_default();
@@ -212,6 +274,7 @@
         self.crashes
             .retain(|_, crash| now.since(crash.at) < CRASH_MEMORY);
         self.asked.retain(|_, at| now.since(*at) < CRASH_MEMORY);
+        self.spared.retain(|_, at| now.since(*at) < CRASH_MEMORY);
         while self.crashes.len() >= MAX_CRASHES {
             let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
             let Some(runner) = oldest.map(|(runner, _)| runner.clone()) else {
--- a/tests/floors.rs
+++ b/tests/floors.rs
@@ -13,7 +13,7 @@
 };
 
 /// Modules that decide, and read no clock and do no I/O.
-const DECISIONS: [&str; 70] = [
+const DECISIONS: [&str; 71] = [
     "account_totals",
     "account_work",
     "admission",
@@ -71,6 +71,7 @@
     "quarantine/restarts",
     "quarantine/soundness",
     "quarantine/suspects",
+    "quarantine/verdict",
     "rank",
     "rank_demand",
     "reach",
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -42,6 +42,7 @@
 mod loss_fleet;
 mod losses;
 mod missing_entries;
+mod narrow_parts;
 mod notices;
 mod outages;
 mod pools;
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -24,10 +24,10 @@
     sync::atomic::{AtomicU64, Ordering},
 };
 
-const BAD_PART: PromptPart = PromptPart(0xbad);
-const BAD: Mark = Mark::Part(BAD_PART);
-const USUAL_PART: PromptPart = PromptPart(0x5a5e);
-const USUAL: Mark = Mark::Part(USUAL_PART);
+pub const BAD_PART: PromptPart = PromptPart(0xbad);
+pub const BAD: Mark = Mark::Part(BAD_PART);
+pub const USUAL_PART: PromptPart = PromptPart(0x5a5e);
+pub const USUAL: Mark = Mark::Part(USUAL_PART);
 
 /// Request that comes again and again, and its mark.
 pub const REPEATED: Fingerprint = Fingerprint(0xbad);
@@ -46,7 +46,7 @@
 }
 
 /// Records a crash under a request that is like no other.
-fn record(suspects: &mut Suspects, runner: RunnerInstance, parts: &[PromptPart], now: Time) {
+pub fn record(suspects: &mut Suspects, runner: RunnerInstance, parts: &[PromptPart], now: Time) {
     static REQUESTS: AtomicU64 = AtomicU64::new(1_000_000);
     let number = REQUESTS.fetch_add(1, Ordering::Relaxed);
     let evidence = evidence(Fingerprint(number), number, parts);
@@ -76,7 +76,7 @@
 }
 
 /// Asks about all suspects, and returns the verdict once the answers may have come.
-fn verdict_after_answers<F>(suspects: &mut Suspects, is_sound: F, now: Time) -> Vec<Mark>
+pub fn verdict_after_answers<F>(suspects: &mut Suspects, is_sound: F, now: Time) -> Vec<Mark>
 where
     F: Fn(Mark) -> bool + Copy,
 {
--- a/tests/platform/crashing_part.rs
+++ b/tests/platform/crashing_part.rs
@@ -5,11 +5,22 @@
     env::{Daemon, TestEnv, wait_until},
     runner::{Runner, Script},
 };
-use std::{cell::Cell, sync::Arc, thread, time::Duration};
+use std::{
+    cell::Cell,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
 
 /// Part that crashes runners.
 const BAD: &str = "bad0";
 
+/// First part of prompts on which no runner has answered yet.
+const NEW_PART: &str = "a1a1";
+
 /// Crashes after which no further request with the part may reach a runner.
 const MAX_CRASHES: usize = 5;
 
@@ -19,6 +30,10 @@
 /// Pause between two requests with the part.
 const PAUSE: Duration = Duration::from_millis(300);
 
+/// Delay of a retry of a request that is refused while heads are down, and number of retries.
+const RETRY_DELAY: Duration = Duration::from_millis(20);
+const MAX_RETRIES: usize = 200;
+
 /// Environment with more heads and one more daemon.
 struct Fleet {
     env: TestEnv,
@@ -30,8 +45,13 @@
 
 impl Fleet {
     fn start() -> Self {
+        Self::with_more_heads(&["h3", "h4", "h5", "h6", "h7", "h8"])
+    }
+
+    /// Starts a fleet with the environment's two heads and others.
+    fn with_more_heads(names: &[&'static str]) -> Self {
         let env = TestEnv::start();
-        let more = ["h3", "h4", "h5", "h6", "h7", "h8"].map(|name| {
+        let more = names.iter().map(|name| {
             let store = env.store.clone();
             Runner::start(name, "engines", Some(name), store, Script::default())
         });
@@ -72,23 +92,48 @@
 
     fn stream_from(&self, daemon: &Daemon, path: &str, part: &str) -> Response {
         let number = self.sent.get();
-        let headers = [
-            "X-Model: m",
-            "X-Token-Count: 100,20",
-            &format!("X-Prompt-Prefix: 5a5e:40,{part}:60,{number:x}00:10"),
-        ];
-        self.env.call_at(daemon, "POST", path, &headers, "{}")
+        let prompt = format!("5a5e:40,{part}:60,{number:x}00:10");
+        request_stream(&self.env, daemon, path, &prompt)
+    }
+
+    /// Lets both daemons have sound streams with a new first part at work, and then sends one of them
+    /// requests that have the bad part as well, until these streams have ended.
+    fn crash_beside_new_part(&self) {
+        let env = &self.env;
+        let number = self.sent.replace(self.sent.get() + 1);
+        let is_over = &AtomicBool::new(false);
+        thread::scope(|scope| {
+            for (index, daemon) in self.daemons().into_iter().enumerate() {
+                let path = format!("/chat/{number}-{index}?events=40&pause_ms=50");
+                let prompt = format!("{NEW_PART}:40,{number:x}0{index}:10");
+                scope.spawn(move || {
+                    retry(|| {
+                        is_over.load(Ordering::SeqCst)
+                            || request_stream(env, daemon, &path, &prompt).status != 503
+                    })
+                });
+            }
+            Self::await_busy_head(&self.heads);
+            let daemon = self.daemons()[number % 2];
+            retry(|| {
+                self.stream_on_new_part(daemon, BAD);
+                quarantined_marks(daemon) > 0.0 || !self.heads.iter().any(is_busy)
+            });
+            is_over.store(true, Ordering::SeqCst);
+        });
+    }
+
+    /// Requests a stream whose prompt has a part between a new first one and one of its own.
+    fn stream_on_new_part(&self, daemon: &Daemon, part: &str) -> u16 {
+        let number = self.sent.replace(self.sent.get() + 1);
+        let prompt = format!("{NEW_PART}:40,{part}:60,{number:x}00:10");
+        request_stream(&self.env, daemon, &format!("/chat/{number}"), &prompt).status
     }
 
     /// Returns the head that is at work on a paced stream, once there is one.
     fn await_busy_head(heads: &[Arc<Runner>]) -> Arc<Runner> {
-        let is_busy = |head: &&Arc<Runner>| {
-            !head.crashes.is_down() && head.runs().iter().any(|run| run.end.is_none())
-        };
-        wait_until("a head is at work", || {
-            heads.iter().any(|head| is_busy(&head))
-        });
-        let busy = heads.iter().find(is_busy);
+        wait_until("a head is at work", || heads.iter().any(is_busy));
+        let busy = heads.iter().find(|head| is_busy(head));
         busy.expect("a head is at work").clone()
     }
 
@@ -124,6 +169,38 @@
     }
 }
 
+/// Returns true if a head is at work on a paced stream.
+fn is_busy(head: &Arc<Runner>) -> bool {
+    !head.crashes.is_down() && head.runs().iter().any(|run| run.end.is_none())
+}
+
+/// Repeats what is refused while heads are down, until it succeeds or retries are used up.
+fn retry<F>(mut succeeds: F)
+where
+    F: FnMut() -> bool,
+{
+    for _ in 0..MAX_RETRIES {
+        if succeeds() {
+            return;
+        }
+        thread::sleep(RETRY_DELAY);
+    }
+}
+
+fn quarantined_marks(daemon: &Daemon) -> f64 {
+    daemon.metric("hickoryledge_quarantined_marks")
+}
+
+/// Requests a stream on a prompt.
+fn request_stream(env: &TestEnv, daemon: &Daemon, path: &str, prompt: &str) -> Response {
+    let headers = [
+        "X-Model: m",
+        "X-Token-Count: 100,20",
+        &format!("X-Prompt-Prefix: {prompt}"),
+    ];
+    env.call_at(daemon, "POST", path, &headers, "{}")
+}
+
 // Each such request crashed two heads, whichever daemon it came to, as long as there were any.
 #[test]
 fn requests_with_part_that_crashes_runners_are_refused_by_all_daemons() {
@@ -156,6 +233,30 @@
     }
 }
 
+// All heads crash before they have answered on the first part, which all of these requests share: it
+// was quarantined with the bad one.
+#[test]
+fn sound_requests_with_new_first_part_are_served_beside_refused_ones() {
+    let fleet = Fleet::with_more_heads(&[]);
+    let marks = |daemon: &Daemon| daemon.metric("hickoryledge_quarantined_marks");
+    let is_quarantined = || {
+        fleet
+            .daemons()
+            .into_iter()
+            .all(|daemon| marks(daemon) > 0.0)
+    };
+    while !is_quarantined() && fleet.crashes() <= 2 * MAX_CRASHES {
+        fleet.crash_beside_new_part();
+    }
+    for daemon in fleet.daemons() {
+        assert_eq!(quarantined_marks(daemon), 1.0);
+        fleet.env.eventually("sound requests are served", |_| {
+            (0..REQUESTS).all(|_| fleet.stream_on_new_part(daemon, "50d4") == 200)
+        });
+        assert_eq!(fleet.stream_on_new_part(daemon, BAD), 503);
+    }
+}
+
 #[test]
 fn daemon_that_starts_later_refuses_part_that_has_crashed_runners() {
     let fleet = Fleet::start();
