A crash is found before the runner is back if its listener closes after its connections

Cause: a daemon that asks within the millisecond finds the listener open, and its report waits for the runner's next entry, seconds later; reports of daemons that ask later don't. So the requests that were reported at four crashes were sound ones, and the bad ones were missing.

Change: such a runner is checked once more after 50 ms, well before the crash counts (0.3 s). The log line `runner that crashed is back` is `runner that still listened has crashed` now.

Test `crash_is_reported_before_the_runner_is_back_if_its_listener_closes_last` failed in 5 of 5 runs on the code before these fixes and passes in 5 of 5.

--- a/src/gateway/quarantine/exchange.rs
+++ b/src/gateway/quarantine/exchange.rs
@@ -24,15 +24,22 @@
 
 /// Reports the requests whose runners were back at once after a crash.
 pub(super) fn report_restarts(state: &GatewayState) {
+    report_crashed(state, |runner, address| {
+        state.roster.borrow().has_restarted(runner, address)
+    });
+}
+
+/// Reports the requests whose runners still listened when they ended a connection, and have crashed.
+pub(super) fn report_crashed<F>(state: &GatewayState, has_crashed: F)
+where
+    F: Fn(&RunnerInstance, SocketAddr) -> bool,
+{
     let crashed = {
-        let roster = state.roster.borrow();
         let mut restarts = state.quarantine.restarts.borrow_mut();
-        let has_restarted =
-            |runner: &RunnerInstance, address| roster.has_restarted(runner, address);
-        restarts.take_crashed(has_restarted, state.now())
+        restarts.take_crashed(has_crashed, state.now())
     };
     for crash in crashed {
-        slog::info!(state.log, "runner that crashed is back";
+        slog::info!(state.log, "runner that still listened has crashed";
             "host" => crash.runner.0.as_str(),
             "fingerprint" => crash.evidence.request.to_string());
         report(state, crash);
--- a/tests/gateway/repeats.rs
+++ b/tests/gateway/repeats.rs
@@ -7,13 +7,14 @@
         quarantine::{
             fingerprint::Identity,
             mark::Mark,
-            restarts::Restarts,
+            restarts::{RECHECK_DELAY, Restarts},
             suspects::{ANSWER_TIME, REPORT_TIME, Suspects},
         },
         roster::RunnerInstance,
     },
 };
 use http::{Method, Uri};
+use std::collections::BTreeMap;
 
 /// Returns the evidence of crashes under the repeated request, which has some parts; one in each
 /// interval.
@@ -269,6 +270,22 @@
     );
 }
 
+#[test]
+fn runner_that_still_listens_is_checked_again_once() {
+    let mut restarts = Restarts::default();
+    let address = "127.0.0.1:80".parse().expect("an address");
+    for number in 1..3 {
+        let evidence = evidence(REPEATED, number, &[]);
+        restarts.push(runner(1), address, evidence, at(0));
+    }
+    assert!(restarts.take_unchecked(at(0)).is_empty(), "too early");
+    let later = at(0) + RECHECK_DELAY;
+    let due = restarts.take_unchecked(later);
+    assert_eq!(due, BTreeMap::from([(runner(1), address)]));
+    assert!(restarts.take_unchecked(later).is_empty());
+    assert_eq!(restarts.take_crashed(|_, _| true, later).len(), 2);
+}
+
 #[test]
 fn marks_are_read_as_they_are_written() {
     for mark in [REPEATED_MARK, Mark::Part(PromptPart(0x5a5e))] {
--- a/tests/platform/crash.rs
+++ b/tests/platform/crash.rs
@@ -15,6 +15,9 @@
 /// Time until a crashed runner listens again.
 const DOWNTIME: Duration = Duration::from_millis(2_000);
 
+/// Time between the ends of the connections and of the listener, if the listener is last.
+const LISTENER_DELAY: Duration = Duration::from_millis(20);
+
 /// Pause between two looks at whether the listener is closed.
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -27,6 +30,8 @@
     request: Mutex<Option<(String, String)>>,
     /// True if a crashed runner is back at once, so that its address always listens.
     is_instant: AtomicBool,
+    /// True if a crash closes the connections before the listener.
+    is_listener_last: AtomicBool,
     is_down: AtomicBool,
     is_closed: AtomicBool,
     count: AtomicUsize,
@@ -52,6 +57,11 @@
         self.is_instant.store(true, Ordering::SeqCst);
     }
 
+    /// Lets each crash close the listener some time after the connections.
+    pub fn close_listener_last(&self) {
+        self.is_listener_last.store(true, Ordering::SeqCst);
+    }
+
     /// Returns true if the runner is back at once after each crash.
     pub fn is_instant(&self) -> bool {
         self.is_instant.load(Ordering::SeqCst)
@@ -100,7 +110,7 @@
         self.is_down.load(Ordering::SeqCst)
     }
 
-    /// Ends the runner's process: closes its listener first, and then all its connections.
+    /// Ends the runner's process: closes its listener and all its connections.
     pub fn crash(&self, address: SocketAddr) {
         if self.is_down.swap(true, Ordering::SeqCst) {
             return;
@@ -111,6 +121,10 @@
             self.is_down.store(false, Ordering::SeqCst);
             return;
         }
+        if self.is_listener_last.load(Ordering::SeqCst) {
+            self.close_connections();
+            thread::sleep(LISTENER_DELAY);
+        }
         while !self.is_closed.load(Ordering::SeqCst) {
             // Wakes the thread that accepts connections.
             let _ = TcpStream::connect(address);
--- a/tests/platform/crashing_part.rs
+++ b/tests/platform/crashing_part.rs
@@ -257,6 +257,24 @@
     }
 }
 
+// Such a crash was reported only once the runner was back, and sound requests at it that were checked a
+// moment later had more crashes to explain than the bad one.
+#[test]
+fn crash_is_reported_before_the_runner_is_back_if_its_listener_closes_last() {
+    let fleet = Fleet::with_more_heads(&[]);
+    fleet
+        .heads
+        .iter()
+        .for_each(|head| head.crashes.close_listener_last());
+    let daemon = &fleet.env.daemon;
+    fleet.stream(daemon, BAD);
+    fleet.env.eventually("the crash is reported", |_| {
+        daemon.metric("hickoryledge_crashed_requests_total") > 0.0
+    });
+    let mut crashed = fleet.heads.iter().filter(|head| head.crashes.count() > 0);
+    assert!(crashed.all(|head| head.crashes.is_down()));
+}
+
 #[test]
 fn daemon_that_starts_later_refuses_part_that_has_crashed_runners() {
     let fleet = Fleet::start();
