A part that explains one crash of several less may still be the cause

What callers saw: if one of the five crashes has another cause, or its report of the bad request is lost, the sound first part leads by one crash and was quarantined alone.

Cause: the number of crashes alone decided between a part that all requests at them had and one that few had.

Change: a part counts as tied with the leading one if half as many requests had it and it explains one crash less; the narrowest is quarantined as before. Crashes count against a spared part only if they come after it was spared.

Result: `narrow_parts::new_first_part_is_spared_if_one_of_five_crashes_lacks_the_bad_part` failed on the code before ("crash 0": the first part alone) and passes.

--- a/src/gateway/quarantine/involvement.rs
+++ b/src/gateway/quarantine/involvement.rs
@@ -16,6 +16,9 @@
 /// Different arrivals of a request that must have been at crashes.
 const MIN_ARRIVALS: usize = 2;
 
+/// Number of times by which the requests of a part outnumber those of a much narrower one.
+const NARROW_FACTOR: usize = 2;
+
 /// Different requests with a part that must have been at crashes.
 const MIN_PART_REQUESTS: usize = 2;
 
@@ -63,9 +66,23 @@
         }
     }
 
+    /// Returns true if the part is much narrower than another one that explains one crash more. One
+    /// crash of several may have another cause, or lack a report.
+    pub fn is_nearly_tied(&self, other: &Self) -> bool {
+        let is_narrow = self.requests.len() * NARROW_FACTOR <= other.requests.len();
+        let is_part = !self.requests.is_empty();
+        is_part && is_narrow && self.moments() + 1 >= other.moments()
+    }
+
     /// Returns the number of crashes, of which those within a moment of an earlier one are the same.
     pub fn moments(&self) -> usize {
-        let mut times = self.times.clone();
+        self.moments_since(Time::default())
+    }
+
+    /// Returns the number of crashes from some time on, as `moments` counts them.
+    pub fn moments_since(&self, start: Time) -> usize {
+        let times = self.times.iter().copied();
+        let mut times: Vec<Time> = times.filter(|time| *time >= start).collect();
         times.sort();
         let mut count = 0;
         let mut last: Option<Time> = None;
--- a/src/gateway/quarantine/suspects.rs
+++ b/src/gateway/quarantine/suspects.rs
@@ -249,12 +249,17 @@
     /// Returns the parts that were spared, although crashes go on without the part that was
     /// quarantined in their place.
     fn refuted_spares(&self, parts: &Involvements, now: Time) -> Vec<Mark> {
-        let refuted = parts.iter().filter(|(mark, involvement)| {
-            let is_spared = matches!(mark, Mark::Part(part) if self.spared.contains_key(part));
-            is_spared
-                && involvement.moments() >= MIN_FURTHER_CRASHES
-                && self.is_answered(**mark, now)
-        });
+        let is_refuted = |mark: Mark, involvement: &Involvement| {
+            let Mark::Part(part) = mark else {
+                return false;
+            };
+            let spared_at = self.spared.get(&part);
+            let further = spared_at.map(|at| involvement.moments_since(*at));
+            further.is_some_and(|count| count >= MIN_FURTHER_CRASHES)
+        };
+        let refuted = parts.iter();
+        let refuted =
+            refuted.filter(|(mark, one)| is_refuted(**mark, one) && self.is_answered(**mark, now));
         refuted.map(|(mark, _)| *mark).collect()
     }
 
--- a/src/gateway/quarantine/verdict.rs
+++ b/src/gateway/quarantine/verdict.rs
@@ -22,26 +22,38 @@
 /// Returns the narrowest of the suspects that explain most crashes, if these are enough; more than
 /// one if none of them is narrower.
 pub fn worst(suspects: &Involvements, min_crashes: usize) -> Vec<Mark> {
-    let all = suspects.iter();
-    let blamed = all.filter(|(mark, one)| one.may_be_blamed(**mark));
-    let blamed: Vec<(Mark, &Involvement)> = blamed.map(|(mark, one)| (*mark, one)).collect();
-    let weights = blamed.iter().map(|(mark, one)| one.weight(*mark));
-    let most = weights.max().unwrap_or_default();
-    // One that can't be blamed yet may be the cause all the same.
-    let tied = suspects.iter();
-    let tied = tied.filter(|(mark, one)| one.weight(**mark) >= most);
-    let min = match tied.count() {
-        1 => min_crashes,
-        _ => MIN_TIED_CRASHES,
+    let (most, leaders) = leaders(suspects);
+    if most < min_crashes {
+        return Vec::new();
+    }
+    let is_tied = |mark: Mark, one: &Involvement| {
+        one.weight(mark) >= most || leaders.iter().any(|leader| one.is_nearly_tied(leader))
     };
-    if most < min {
+    let mut tied: Vec<(Mark, &Involvement)> = suspects
+        .iter()
+        .map(|(mark, one)| (*mark, one))
+        .filter(|(mark, one)| is_tied(*mark, one))
+        .collect();
+    if tied.len() > 1 && most < MIN_TIED_CRASHES {
         return Vec::new();
     }
-    let worst = blamed.into_iter();
-    let worst: Vec<_> = worst
-        .filter(|(mark, one)| one.weight(*mark) == most)
+    // Those that can't be blamed yet only raise the number of crashes, as each may be the cause.
+    tied.retain(|(mark, one)| one.may_be_blamed(*mark));
+    narrowest(&tied)
+}
+
+/// Returns the largest number of crashes that suspects explain which may be blamed, and the evidence
+/// against these.
+fn leaders(suspects: &Involvements) -> (usize, Vec<&Involvement>) {
+    let all = suspects.iter();
+    let blamed: Vec<(usize, &Involvement)> = all
+        .filter(|(mark, one)| one.may_be_blamed(**mark))
+        .map(|(mark, one)| (one.weight(*mark), one))
         .collect();
-    narrowest(&worst)
+    let weights = blamed.iter().map(|(weight, _)| *weight);
+    let most = weights.max().unwrap_or_default();
+    let leaders = blamed.into_iter().filter(|(weight, _)| *weight == most);
+    (most, leaders.map(|(_, one)| one).collect())
 }
 
 /// Returns the suspects than which no other one is narrower.
--- a/tests/gateway/narrow_parts.rs
+++ b/tests/gateway/narrow_parts.rs
@@ -103,6 +103,28 @@
     suspects.verdict(unknown, last + ANSWER_TIME.max(REPORT_TIME))
 }
 
+// A runner that crashed for another reason, or whose report of the bad request was lost, made the
+// first part lead alone.
+#[test]
+fn new_first_part_is_spared_if_one_of_five_crashes_lacks_the_bad_part() {
+    for other in 0..5 {
+        let mut suspects = Suspects::default();
+        for number in 0..5 {
+            let now = at(INTERVAL_MS * number);
+            record(&mut suspects, runner(number), &[USUAL_PART], now);
+            record(&mut suspects, runner(number), &[USUAL_PART], now);
+            if number != other {
+                record(&mut suspects, runner(number), &[USUAL_PART, BAD_PART], now);
+            }
+        }
+        let verdict = verdict_after_answers(&mut suspects, unknown, at(5_000));
+        assert_eq!(verdict, [BAD], "crash {other}");
+        suspects.quarantine_began(BAD, at(6_000));
+        let further = verdict_on_further_crashes(&mut suspects, 1, 8_000);
+        assert_eq!(further, [], "crash {other}");
+    }
+}
+
 // The narrower part needn't be the one that crashes runners.
 #[test]
 fn spared_part_is_quarantined_if_crashes_go_on_without_the_narrower_one() {
