--- a/src/gateway/quarantine/involvement.rs
+++ b/src/gateway/quarantine/involvement.rs
@@ -16,12 +16,12 @@
 /// Different arrivals of a request that must have been at crashes.
 const MIN_ARRIVALS: usize = 2;
 
-/// Number of times by which the requests of a part outnumber those of a much narrower one.
-const NARROW_FACTOR: usize = 2;
-
 /// Different requests with a part that must have been at crashes.
 const MIN_PART_REQUESTS: usize = 2;
 
+/// Number of times that the requests of a part outnumber those of a much narrower one, at least.
+const NARROW_FACTOR: usize = 2;
+
 /// Evidence against each suspect.
 pub(super) type Involvements = BTreeMap<Mark, Involvement>;
 
@@ -66,8 +66,8 @@
         }
     }
 
-    /// Returns true if the part is much narrower than another one that explains one crash more. One
-    /// crash of several may have another cause, or lack a report.
+    /// Returns true if the part is much narrower than another one that explains one crash more at
+    /// most.
     pub fn is_nearly_tied(&self, other: &Self) -> bool {
         let is_narrow = self.requests.len() * NARROW_FACTOR <= other.requests.len();
         let is_part = !self.requests.is_empty();
--- a/src/gateway/quarantine/verdict.rs
+++ b/src/gateway/quarantine/verdict.rs
@@ -3,7 +3,9 @@
 //! The one that explains most crashes, once they are enough. A part that all
 //! requests of a caller have is in each crash that one of them causes, and nobody
 //! is answered on it while they do. So of the parts that explain equally many
-//! crashes the narrowest is quarantined, which the fewest requests had.
+//! crashes the narrowest is quarantined, which the fewest requests had. As one
+//! crash of several may have another cause, or lack a report, a much narrower part
+//! may explain one less.
 
 use super::{
     involvement::{Involvement, Involvements},
